--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Developer commands. All tools come from the virtual environment in VENV.
+
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SOURCES := packages/kumquat_core/src packages/kumquatrouter/src packages/kumquatctl/src packages/kumquat_lab/src
+
+# The sources of this checkout go before those installed in VENV, so that
+# several worktrees can share one environment.
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
+
+.PHONY: setup demo test lint format types pytest features check-model slopes bench
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check --require-hashes -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation --no-deps $(foreach s,$(SOURCES),-e $(dir $(s)))
+	touch $@
+
+format: setup
+	$(BIN)/ruff format packages tests features
+	$(BIN)/ruff check --fix packages tests features
+
+lint: setup
+	$(BIN)/ruff format --check packages tests features
+	$(BIN)/ruff check packages tests features
+
+types: setup
+	$(BIN)/mypy $(SOURCES)
+
+pytest: setup
+	$(BIN)/python -m pytest
+
+features: setup
+	$(BIN)/behave --format progress --no-capture features
+
+check-model: setup
+	$(BIN)/python -m kumquat_lab check-model
+
+test: pytest
+
+demo: setup
+	$(BIN)/python -m kumquat_lab demo
+
+bench: setup
+	$(BIN)/python -m kumquat_lab bench
+
+slopes: setup
+	$(BIN)/python -m kumquat_lab slopes
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, protocols and clients shared by the kumquatrouter programs."""
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -0,0 +1,114 @@
+"""The interface of a plain backend server, and its HTTP form.
+
+Errors tell whether a byte of the request may have left this process:
+``BACKEND_UNREACHABLE`` (not run) when the connection failed, and
+``OUTCOME_UNKNOWN`` for every failure after that.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+
+from .http_client import TRANSPORT_ERRORS, request_json
+from .result_codes import ResultCode, RouterError
+
+__all__ = ["BackendClient", "BackendRequest", "BackendResponse", "HttpBackendClient"]
+
+FENCE_TIMEOUT_S = 2.0
+FORWARDED_REQUEST_HEADERS = ("Content-Type", "Accept")
+
+
+@dataclass(frozen=True)
+class BackendRequest:
+    """A call of a plain backend server; ``key`` and ``fence`` identify it."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
+    key: str
+    fence: int
+
+
+@dataclass(frozen=True)
+class BackendResponse:
+    """The whole answer of a backend server."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class BackendClient(Protocol):
+    """What the router asks of a plain backend server."""
+
+    async def send(
+        self, url: str, request: BackendRequest, timeout_s: float
+    ) -> BackendResponse:
+        """Send a call once and return the whole answer."""
+
+    async def raise_fence(self, url: str, key: str, fence: int) -> bool:
+        """Raise the fence of a key; return whether the key was ever seen."""
+
+
+class HttpBackendClient:
+    """Backend client over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def send(
+        self, url: str, request: BackendRequest, timeout_s: float
+    ) -> BackendResponse:
+        """Send a call once and return the whole answer.
+
+        The session must not reuse connections: the other side may close an
+        idle one at any moment, which cannot be told from a request that ran.
+        """
+        headers = {
+            name: request.headers[name]
+            for name in FORWARDED_REQUEST_HEADERS
+            if name in request.headers
+        }
+        headers |= {
+            "X-Request-Key": request.key,
+            "X-Fence": str(request.fence),
+        }
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.request(
+                    request.method,
+                    url.rstrip("/") + "/" + request.path.lstrip("/"),
+                    data=request.body,
+                    headers=headers,
+                    allow_redirects=False,
+                ) as response:
+                    body = await response.read()
+                    content_type = response.headers.get("Content-Type", "")
+                    return BackendResponse(response.status, content_type, body)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise RouterError(
+                ResultCode.BACKEND_UNREACHABLE, type(error).__name__
+            ) from error
+        except TRANSPORT_ERRORS as error:
+            raise RouterError(
+                ResultCode.OUTCOME_UNKNOWN, type(error).__name__
+            ) from error
+
+    async def raise_fence(self, url: str, key: str, fence: int) -> bool:
+        """Raise the fence of a key; return whether the key was ever seen."""
+        status, document = await request_json(
+            self._session,
+            "POST",
+            url.rstrip("/") + "/fence",
+            body={"key": key, "fence": fence},
+            timeout_s=FENCE_TIMEOUT_S,
+            error_code=ResultCode.OUTCOME_UNKNOWN,
+        )
+        if status != 200:
+            detail = f"fence call answered status {status}"
+            raise RouterError(ResultCode.OUTCOME_UNKNOWN, detail)
+        return bool(document["seen"])
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/configuration.py
@@ -0,0 +1,213 @@
+"""The configuration in force: services, pools, engines, tenants and rules.
+
+These data classes are immutable. ``tickets.TicketStore`` builds a new
+``Configuration`` after each change, so that a request keeps one consistent
+view for its whole life.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from types import MappingProxyType
+from typing import TypeVar
+
+__all__ = [
+    "BackendServer",
+    "Configuration",
+    "Engine",
+    "EngineRole",
+    "Model",
+    "Pool",
+    "RequestClass",
+    "RoutingRule",
+    "ServerState",
+    "Service",
+    "ServiceKind",
+    "Tenant",
+]
+
+Value = TypeVar("Value")
+
+
+class EngineRole(StrEnum):
+    """What an engine does at present."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class ServerState(StrEnum):
+    """Whether a back end receives new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ServiceKind(StrEnum):
+    """What stands behind a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+@dataclass(frozen=True)
+class Model:
+    """A model that callers may name."""
+
+    name: str
+    version: str
+    bytes_per_token: float
+    max_prompt_tokens: int
+    max_output_tokens: int
+    kv_bytes_per_token: int
+
+
+@dataclass(frozen=True)
+class Pool:
+    """Prefill and decode engines of one region that serve the same models."""
+
+    name: str
+    region: str
+    models: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Engine:
+    """A model engine; memory is allotted in pieces of ``piece_tokens``.
+
+    ``prefill_tokens_per_s`` and ``link_bytes_per_s`` are nominal rates;
+    ``step_base_ms`` and ``step_request_ms`` give the nominal time of one
+    decode step as base plus a share for each request in the batch.
+    """
+
+    id: str
+    url: str
+    pool: str
+    failure_domain: str
+    role: EngineRole
+    models: tuple[str, ...]
+    state: ServerState
+    total_pieces: int
+    piece_tokens: int
+    max_requests: int
+    prefill_tokens_per_s: float
+    link_bytes_per_s: float
+    step_base_ms: float
+    step_request_ms: float
+    checks_fencing: bool
+
+
+@dataclass(frozen=True)
+class BackendServer:
+    """A plain backend server of a service."""
+
+    id: str
+    url: str
+    service: str
+    failure_domain: str
+    state: ServerState
+    checks_fencing: bool
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service; ``repeatable`` tells whether a plain call may run twice.
+
+    ``GET`` and ``HEAD`` calls of a plain service are always repeatable.
+    """
+
+    name: str
+    kind: ServiceKind
+    repeatable: bool
+    timeout_ms: int
+
+
+@dataclass(frozen=True)
+class RequestClass:
+    """Targets of a kind of request.
+
+    ``patience_ms`` is the longest useful time to the first token;
+    ``ttft_target_ms`` and ``tbt_target_ms`` define goodput. A higher
+    ``priority`` goes first at equal slack.
+    """
+
+    name: str
+    ttft_target_ms: int
+    tbt_target_ms: int
+    patience_ms: int
+    deadline_ms: int
+    priority: int
+
+
+@dataclass(frozen=True)
+class Tenant:
+    """A customer account and its limits."""
+
+    name: str
+    api_key_sha256: tuple[str, ...]
+    default_class: str
+    weight: float
+    max_concurrent: int
+    requests_per_s: float
+
+
+@dataclass(frozen=True)
+class RoutingRule:
+    """Allows a tenant (``*`` for all) to use a model or a plain service.
+
+    A rule for a model names the pool that serves it.
+    """
+
+    name: str
+    tenant: str
+    service: str
+    model: str
+    pool: str
+
+
+def _empty() -> "MappingProxyType[str, Value]":
+    return MappingProxyType({})
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """The whole configuration at one ticket log position."""
+
+    position: int = 0
+    number: int = 0
+    services_by_name: MappingProxyType[str, Service] = field(default_factory=_empty)
+    pools_by_name: MappingProxyType[str, Pool] = field(default_factory=_empty)
+    engines_by_id: MappingProxyType[str, Engine] = field(default_factory=_empty)
+    backend_servers_by_id: MappingProxyType[str, BackendServer] = field(
+        default_factory=_empty
+    )
+    models_by_name: MappingProxyType[str, Model] = field(default_factory=_empty)
+    classes_by_name: MappingProxyType[str, RequestClass] = field(default_factory=_empty)
+    tenants_by_name: MappingProxyType[str, Tenant] = field(default_factory=_empty)
+    rules_by_name: MappingProxyType[str, RoutingRule] = field(default_factory=_empty)
+    tenants_by_key_sha256: MappingProxyType[str, Tenant] = field(default_factory=_empty)
+
+    def pool_for(self, tenant: str, model: str) -> Pool | None:
+        """Return the pool that serves a model for a tenant, if any."""
+        for rule in self.rules_by_name.values():
+            if rule.model == model and rule.tenant in (tenant, "*"):
+                return self.pools_by_name.get(rule.pool)
+        return None
+
+    def allows_service(self, tenant: str, service: str) -> bool:
+        """Tell whether a rule lets the tenant call a plain service."""
+        return any(
+            rule.service == service and rule.tenant in (tenant, "*")
+            for rule in self.rules_by_name.values()
+        )
+
+    def backend_servers_of(self, service: str) -> list[BackendServer]:
+        """Return the live backend servers of a plain service."""
+        return [
+            server
+            for server in self.backend_servers_by_id.values()
+            if server.service == service and server.state is ServerState.LIVE
+        ]
+
+    def engines_of(self, pool: str) -> list[Engine]:
+        """Return all engines of a pool, leaving ones included."""
+        return [engine for engine in self.engines_by_id.values() if engine.pool == pool]
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -0,0 +1,314 @@
+"""The interface of a model engine, and its HTTP implementation.
+
+Errors are ``RouterError``: ``ENGINE_FAILED`` for transport errors and
+unexpected answers, ``ENGINE_MEMORY_FULL``, ``PREFILL_EVICTED``,
+``TRANSFER_FAILED`` and ``STALE_FENCE`` as the engine reports them.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import quote
+
+import aiohttp
+
+from .configuration import EngineRole
+from .http_client import TRANSPORT_ERRORS, request_json
+from .result_codes import ResultCode, RouterError
+
+__all__ = [
+    "CacheEvent",
+    "EngineClient",
+    "EngineOrder",
+    "EngineReport",
+    "HeldRequest",
+    "HttpEngineClient",
+    "PrefillResult",
+    "Token",
+]
+
+CONTROL_TIMEOUT_S = 1.0
+DATA_PREFIX = b"data: "
+END_OF_STREAM = b"[DONE]"
+
+
+@dataclass(frozen=True)
+class PrefillResult:
+    """A finished prefill; its KV cache stays for ``expires_ms`` at most."""
+
+    prefill_id: str
+    tokens: int
+    cached_tokens: int
+    pieces: int
+    expires_ms: int
+
+
+@dataclass(frozen=True)
+class Token:
+    """One output token and its index in the answer."""
+
+    index: int
+    text: str
+
+
+@dataclass(frozen=True)
+class HeldRequest:
+    """A request that holds engine memory."""
+
+    request_id: str
+    pieces: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """State of an engine at ``as_of_ms``, which may lie in the past."""
+
+    as_of_ms: int
+    role: EngineRole
+    models: tuple[str, ...]
+    total_pieces: int
+    held_pieces: int
+    requests: tuple[HeldRequest, ...]
+    prefill_queue: int
+    step_ms: float
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A prefix was stored in or evicted from an engine's prefix cache."""
+
+    sequence: int
+    kind: str
+    prefix: int
+
+
+@dataclass(frozen=True)
+class EngineOrder:
+    """An order to an engine: ``load_model`` or ``set_role``."""
+
+    fence: int
+    kind: str
+    model: str = ""
+    version: str = ""
+    role: str = ""
+
+
+class EngineClient(Protocol):
+    """What the router asks of a model engine."""
+
+    async def prefill(
+        self, url: str, request_id: str, model: str, prompt: str, timeout_s: float
+    ) -> PrefillResult:
+        """Run a prefill and return when it is finished."""
+
+    async def import_cache(
+        self,
+        url: str,
+        request_id: str,
+        model: str,
+        source_url: str,
+        prefill: PrefillResult,
+        pieces: int,
+        timeout_s: float,
+    ) -> None:
+        """Transfer a KV cache to a decode engine and hold memory there."""
+
+    def decode(
+        self, url: str, request_id: str, max_tokens: int, start_index: int
+    ) -> AsyncIterator[list[Token]]:
+        """Yield batches of tokens as they arrive, to the end of the answer."""
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Free everything a request holds at an engine."""
+
+    async def report(self, url: str, *, fresh: bool) -> EngineReport:
+        """Return the engine's load report."""
+
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Return the cache events after a sequence number."""
+
+    async def order(self, url: str, order: EngineOrder) -> None:
+        """Send an order with a fencing number."""
+
+
+class HttpEngineClient:
+    """Engine client over HTTP with server-sent events."""
+
+    def __init__(self, session: aiohttp.ClientSession, idle_timeout_s: float) -> None:
+        self._session = session
+        self._idle_timeout_s = idle_timeout_s
+
+    async def prefill(
+        self, url: str, request_id: str, model: str, prompt: str, timeout_s: float
+    ) -> PrefillResult:
+        """Run a prefill and return when it is finished."""
+        body = {
+            "request_id": request_id,
+            "model": model,
+            "prompt": prompt,
+            "priority": 0,
+        }
+        document = await self._call("POST", f"{url}/v1/prefill", body, timeout_s)
+        return PrefillResult(
+            prefill_id=document["prefill_id"],
+            tokens=document["tokens"],
+            cached_tokens=document["cached_tokens"],
+            pieces=document["pieces"],
+            expires_ms=document["expires_ms"],
+        )
+
+    async def import_cache(
+        self,
+        url: str,
+        request_id: str,
+        model: str,
+        source_url: str,
+        prefill: PrefillResult,
+        pieces: int,
+        timeout_s: float,
+    ) -> None:
+        """Transfer a KV cache to a decode engine and hold memory there."""
+        body = {
+            "request_id": request_id,
+            "model": model,
+            "source_url": source_url,
+            "prefill_id": prefill.prefill_id,
+            "pieces": pieces,
+        }
+        try:
+            await self._call("POST", f"{url}/v1/import", body, timeout_s)
+        except RouterError as error:
+            if error.code is ResultCode.ENGINE_FAILED:
+                raise RouterError(ResultCode.TRANSFER_FAILED, error.detail) from error
+            raise
+
+    async def decode(
+        self, url: str, request_id: str, max_tokens: int, start_index: int
+    ) -> AsyncIterator[list[Token]]:
+        """Yield batches of tokens as they arrive, to the end of the answer.
+
+        Raises ``STREAM_INTERRUPTED`` when the stream ends without its end
+        marker or no data arrives within the idle timeout.
+        """
+        body = {
+            "request_id": request_id,
+            "max_tokens": max_tokens,
+            "start_index": start_index,
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONTROL_TIMEOUT_S,
+            sock_read=self._idle_timeout_s,
+        )
+        try:
+            async with self._session.post(
+                f"{url}/v1/decode", json=body, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise _error_of_status(response.status)
+                async for batch in _token_batches(response.content):
+                    yield batch
+        except TRANSPORT_ERRORS as error:
+            detail = type(error).__name__
+            raise RouterError(ResultCode.STREAM_INTERRUPTED, detail) from error
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Free everything a request holds at an engine."""
+        path = f"{url}/v1/requests/{quote(request_id, safe='')}"
+        await self._call("DELETE", path, None, CONTROL_TIMEOUT_S)
+
+    async def report(self, url: str, *, fresh: bool) -> EngineReport:
+        """Return the engine's load report."""
+        path = f"{url}/v1/report" + ("?fresh=1" if fresh else "")
+        document = await self._call("GET", path, None, CONTROL_TIMEOUT_S)
+        requests = tuple(
+            HeldRequest(item["request_id"], item["pieces"], item["age_ms"])
+            for item in document["requests"]
+        )
+        return EngineReport(
+            as_of_ms=document["as_of_ms"],
+            role=EngineRole(document["role"]),
+            models=tuple(document["models"]),
+            total_pieces=document["total_pieces"],
+            held_pieces=document["held_pieces"],
+            requests=requests,
+            prefill_queue=document["prefill_queue"],
+            step_ms=document["step_ms"],
+        )
+
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Return the cache events after a sequence number."""
+        path = f"{url}/v1/cache-events?after={after}"
+        document = await self._call("GET", path, None, CONTROL_TIMEOUT_S)
+        return [
+            CacheEvent(item["sequence"], item["kind"], item["prefix"])
+            for item in document["events"]
+        ]
+
+    async def order(self, url: str, order: EngineOrder) -> None:
+        """Send an order with a fencing number."""
+        body = {
+            "fence": order.fence,
+            "kind": order.kind,
+            "model": order.model,
+            "version": order.version,
+            "role": order.role,
+        }
+        await self._call("POST", f"{url}/v1/orders", body, CONTROL_TIMEOUT_S)
+
+    async def _call(self, method: str, url: str, body: Any, timeout_s: float) -> Any:
+        status, document = await request_json(
+            self._session,
+            method,
+            url,
+            body=body,
+            timeout_s=timeout_s,
+            error_code=ResultCode.ENGINE_FAILED,
+        )
+        if status != 200:
+            raise _error_of_status(status)
+        return document
+
+
+_CODES_BY_STATUS = {
+    410: ResultCode.PREFILL_EVICTED,
+    412: ResultCode.STALE_FENCE,
+    507: ResultCode.ENGINE_MEMORY_FULL,
+}
+
+
+def _error_of_status(status: int) -> RouterError:
+    code = _CODES_BY_STATUS.get(status, ResultCode.ENGINE_FAILED)
+    return RouterError(code, f"engine answered status {status}")
+
+
+async def _token_batches(content: aiohttp.StreamReader) -> AsyncIterator[list[Token]]:
+    """Parse server-sent events; one batch for each read from the socket."""
+    pending = b""
+    while True:
+        data = await content.readany()
+        if not data:
+            raise RouterError(ResultCode.STREAM_INTERRUPTED, "no end marker")
+        *lines, pending = (pending + data).split(b"\n")
+        batch: list[Token] = []
+        for line in lines:
+            if not line.startswith(DATA_PREFIX):
+                continue
+            payload = line[len(DATA_PREFIX) :].strip()
+            if payload == END_OF_STREAM:
+                if batch:
+                    yield batch
+                return
+            batch.append(_parse_token(payload))
+        if batch:
+            yield batch
+
+
+def _parse_token(payload: bytes) -> Token:
+    try:
+        document = json.loads(payload)
+        return Token(document["i"], document["t"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise RouterError(ResultCode.ENGINE_FAILED, "malformed token event") from error
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/rendezvous.py
@@ -0,0 +1,59 @@
+"""Shards of a pool and their owner hosts.
+
+Rendezvous hashing moves only the shards of a host that joined or left. The
+engines of a pool are spread over shards by their rank in a stable hash
+order, so that each shard has both roles in the pool's proportion.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from .configuration import Engine
+
+__all__ = ["MAX_SHARD_ENGINES", "Shard", "owner_of", "shard_ids_of", "shards_of"]
+
+MAX_SHARD_ENGINES = 32
+
+
+@dataclass(frozen=True)
+class Shard:
+    """A part of a pool whose engines have one owner host."""
+
+    id: str
+    pool: str
+    engine_ids: tuple[str, ...]
+
+
+def _score(shard_id: str, host_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{shard_id}\0{host_id}".encode())
+
+
+def owner_of(shard_id: str, host_ids: Iterable[str]) -> str | None:
+    """Return the host that owns a shard, or None without hosts."""
+    return max(
+        host_ids, key=lambda host_id: (_score(shard_id, host_id), host_id), default=None
+    )
+
+
+def shard_ids_of(pool: str, engine_count: int) -> list[str]:
+    """Return the shard ids of a pool with so many engines."""
+    count = max(1, math.ceil(engine_count / MAX_SHARD_ENGINES))
+    return [f"{pool}/{index}" for index in range(count)]
+
+
+def shards_of(pool: str, engines: Sequence[Engine]) -> list[Shard]:
+    """Divide the engines of a pool into shards of at most 32 engines."""
+    shard_ids = shard_ids_of(pool, len(engines))
+    members: list[list[str]] = [[] for _ in shard_ids]
+    ranked = sorted(
+        engines, key=lambda e: (e.role.value, xxhash.xxh3_64_intdigest(e.id.encode()))
+    )
+    for rank, engine in enumerate(ranked):
+        members[rank % len(shard_ids)].append(engine.id)
+    return [
+        Shard(shard_id, pool, tuple(engine_ids))
+        for shard_id, engine_ids in zip(shard_ids, members, strict=True)
+    ]
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/request_ids.py
@@ -0,0 +1,47 @@
+"""Request identifiers.
+
+An identifier names the host and its incarnation (start time in
+milliseconds), so that an engine report shows which requests belong to a
+process that no longer exists.
+"""
+
+import itertools
+from dataclasses import dataclass
+
+__all__ = ["RequestId", "RequestIdSource"]
+
+
+@dataclass(frozen=True, order=True)
+class RequestId:
+    """Identifier of one request, unique over hosts and restarts."""
+
+    host_id: str
+    incarnation: int
+    sequence: int
+
+    def __str__(self) -> str:
+        return f"{self.host_id}.{self.incarnation}.{self.sequence}"
+
+    @classmethod
+    def parse(cls, text: str) -> "RequestId":
+        """Return the identifier of its text form.
+
+        Raises ``ValueError`` when the text is not an identifier.
+        """
+        host_id, incarnation, sequence = text.rsplit(".", 2)
+        if not host_id:
+            raise ValueError(f"request id without host: {text!r}")
+        return cls(host_id, int(incarnation), int(sequence))
+
+
+class RequestIdSource:
+    """Numbers the requests of one process."""
+
+    def __init__(self, host_id: str, incarnation: int) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._sequence = itertools.count(1)
+
+    def next_id(self) -> RequestId:
+        """Return an identifier not given before."""
+        return RequestId(self._host_id, self._incarnation, next(self._sequence))
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/table_client.py
@@ -0,0 +1,136 @@
+"""The interface of the platform's table service, and its HTTP form.
+
+Every failure to get an answer is ``STORE_UNAVAILABLE``. After such a
+failure a write may still have taken effect; the caller must read back.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import quote
+
+import aiohttp
+
+from .http_client import request_json
+from .result_codes import ResultCode, RouterError
+
+__all__ = ["HttpTableClient", "Row", "TableClient", "TransactResult", "Write"]
+
+ABSENT = 0
+
+
+@dataclass(frozen=True)
+class Write:
+    """A conditional write.
+
+    ``expect_version`` 0 requires that the key is absent; None writes
+    without a condition.
+    """
+
+    table: str
+    key: str
+    expect_version: int | None
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Row:
+    """A value with its version, which each write raises by one."""
+
+    key: str
+    version: int
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class TransactResult:
+    """New versions of all writes, or the indexes of failed conditions."""
+
+    versions: tuple[int, ...] = ()
+    failed: tuple[int, ...] = ()
+
+    @property
+    def committed(self) -> bool:
+        """Tell whether all writes took effect."""
+        return not self.failed
+
+
+class TableClient(Protocol):
+    """What the router asks of the table service."""
+
+    async def transact(self, writes: Sequence[Write]) -> TransactResult:
+        """Apply all writes, or none when a condition fails."""
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Return one row, or None."""
+
+    async def scan(self, table: str, after: str, limit: int) -> list[Row]:
+        """Return up to ``limit`` rows after a key, in key order."""
+
+
+class HttpTableClient:
+    """Table client over HTTP."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+
+    async def transact(self, writes: Sequence[Write]) -> TransactResult:
+        """Apply all writes, or none when a condition fails."""
+        body = {
+            "writes": [
+                {
+                    "table": write.table,
+                    "key": write.key,
+                    "expect_version": write.expect_version,
+                    "value": write.value,
+                }
+                for write in writes
+            ]
+        }
+        status, document = await self._call("POST", "/tables/transact", body)
+        if status == 409:
+            return TransactResult(failed=tuple(document["failed"]))
+        _check_status(status)
+        return TransactResult(versions=tuple(document["versions"]))
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Return one row, or None."""
+        path = f"/tables/{quote(table, safe='')}/{quote(key, safe='')}"
+        status, document = await self._call("GET", path, None)
+        if status == 404:
+            return None
+        _check_status(status)
+        return Row(key, document["version"], document["value"])
+
+    async def scan(self, table: str, after: str, limit: int) -> list[Row]:
+        """Return up to ``limit`` rows after a key, in key order."""
+        path = (
+            f"/tables/{quote(table, safe='')}"
+            f"?after={quote(after, safe='')}&limit={limit}"
+        )
+        status, document = await self._call("GET", path, None)
+        _check_status(status)
+        return [
+            Row(item["key"], item["version"], item["value"])
+            for item in document["rows"]
+        ]
+
+    async def _call(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+        return await request_json(
+            self._session,
+            method,
+            self._base_url + path,
+            body=body,
+            timeout_s=self._timeout_s,
+            error_code=ResultCode.STORE_UNAVAILABLE,
+        )
+
+
+def _check_status(status: int) -> None:
+    if status != 200:
+        detail = f"table service answered status {status}"
+        raise RouterError(ResultCode.STORE_UNAVAILABLE, detail)
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/tickets.py
@@ -0,0 +1,186 @@
+"""Tickets and the state they add up to.
+
+Each object keeps the highest ticket number that touched it, and a ticket
+changes an object only when its number is higher. The merged state therefore
+does not depend on the order in which tickets arrive, and never reverts.
+
+The table service keeps accepted tickets in the order of acceptance, each at
+a log position. Polling by position finds a low-numbered ticket that was
+accepted late, which polling by number would miss.
+"""
+
+import hashlib
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+from .configuration import (
+    BackendServer,
+    Configuration,
+    Engine,
+    Model,
+    Pool,
+    RequestClass,
+    RoutingRule,
+    Service,
+    Tenant,
+)
+from .ticket_models import STATE_MODELS_BY_KIND, TicketModel
+
+__all__ = ["ObjectState", "Ticket", "TicketStore"]
+
+Value = TypeVar("Value")
+
+ObjectKey = tuple[str, str]
+
+_CLASSES_BY_KIND: dict[str, tuple[type[Any], str]] = {
+    "model": (Model, "name"),
+    "pool": (Pool, "name"),
+    "engine": (Engine, "id"),
+    "backend_server": (BackendServer, "id"),
+    "service": (Service, "name"),
+    "class": (RequestClass, "name"),
+    "tenant": (Tenant, "name"),
+    "rule": (RoutingRule, "name"),
+}
+
+
+@dataclass(frozen=True)
+class ObjectState:
+    """The state of one object and the ticket number that set it."""
+
+    number: int
+    state: dict[str, Any] | None
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """An accepted ticket at its log position."""
+
+    position: int
+    model: TicketModel
+
+    @property
+    def digest(self) -> str:
+        """Return the SHA-256 of the content, to tell equal tickets."""
+        return digest_of(self.model)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the JSON form kept in the table service."""
+        return {"position": self.position, "ticket": self.model.model_dump(mode="json")}
+
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> "Ticket":
+        """Return the ticket of its JSON form; raises ``ValidationError``."""
+        model = TicketModel.model_validate(document["ticket"])
+        return cls(int(document["position"]), model)
+
+
+def digest_of(model: TicketModel) -> str:
+    """Return the SHA-256 of a ticket's content in canonical JSON."""
+    text = json.dumps(model.model_dump(mode="json"), sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class TicketStore:
+    """The merged state of all tickets seen so far."""
+
+    def __init__(self) -> None:
+        self._objects_by_key: dict[ObjectKey, ObjectState] = {}
+        self._configuration = Configuration()
+
+    @property
+    def position(self) -> int:
+        """Return the log position up to which all tickets are merged."""
+        return self._configuration.position
+
+    @property
+    def number(self) -> int:
+        """Return the highest ticket number merged."""
+        return self._configuration.number
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._configuration
+
+    def apply(self, tickets: Iterable[Ticket]) -> bool:
+        """Merge tickets that follow the present position without a gap.
+
+        Tickets at or below the present position and those after a gap are
+        left out. Return whether any ticket was merged.
+        """
+        position, number = self.position, self.number
+        for ticket in sorted(tickets, key=lambda item: item.position):
+            if ticket.position != position + 1:
+                continue
+            position = ticket.position
+            number = max(number, ticket.model.number)
+            self._merge(ticket.model)
+        if position == self.position:
+            return False
+        self._rebuild(position, number)
+        return True
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the merged state as a JSON document."""
+        objects = [
+            {"kind": kind, "name": name, "number": item.number, "state": item.state}
+            for (kind, name), item in sorted(self._objects_by_key.items())
+        ]
+        return {"position": self.position, "number": self.number, "objects": objects}
+
+    def load_snapshot(self, document: dict[str, Any]) -> bool:
+        """Merge a snapshot when it is ahead; return whether it was used."""
+        if document["position"] <= self.position:
+            return False
+        for item in document["objects"]:
+            self._merge_object(
+                (item["kind"], item["name"]), item["number"], item["state"]
+            )
+        self._rebuild(document["position"], max(self.number, document["number"]))
+        return True
+
+    def _merge(self, model: TicketModel) -> None:
+        for item in model.objects:
+            self._merge_object((item.kind, item.name), model.number, item.state)
+
+    def _merge_object(
+        self, key: ObjectKey, number: int, state: dict[str, Any] | None
+    ) -> None:
+        present = self._objects_by_key.get(key)
+        if present is None or number > present.number:
+            self._objects_by_key[key] = ObjectState(number, state)
+
+    def _rebuild(self, position: int, number: int) -> None:
+        tenants = self._objects_of("tenant", Tenant)
+        self._configuration = Configuration(
+            position=position,
+            number=number,
+            services_by_name=self._objects_of("service", Service),
+            pools_by_name=self._objects_of("pool", Pool),
+            engines_by_id=self._objects_of("engine", Engine),
+            backend_servers_by_id=self._objects_of("backend_server", BackendServer),
+            models_by_name=self._objects_of("model", Model),
+            classes_by_name=self._objects_of("class", RequestClass),
+            tenants_by_name=tenants,
+            rules_by_name=self._objects_of("rule", RoutingRule),
+            tenants_by_key_sha256=MappingProxyType(
+                {key: t for t in tenants.values() for key in t.api_key_sha256}
+            ),
+        )
+
+    def _objects_of(
+        self, kind: str, value_class: type[Value]
+    ) -> "MappingProxyType[str, Value]":
+        _, key_field = _CLASSES_BY_KIND[kind]
+        values: dict[str, Value] = {}
+        for (item_kind, name), item in self._objects_by_key.items():
+            if item_kind != kind or item.state is None:
+                continue
+            state = STATE_MODELS_BY_KIND[kind].model_validate(item.state)
+            fields = {key_field: name, **dict(state)}
+            values[name] = value_class(**fields)
+        return MappingProxyType(values)
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Emulators, load tool and experiments for kumquatrouter."""
--- /dev/null
+++ b/packages/kumquatctl/src/kumquatctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator tool of kumquatrouter."""
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/__init__.py
@@ -0,0 +1,1 @@
+"""Entry-host process of kumquatrouter."""
