--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -64,6 +64,7 @@
     suspicion_s: Seconds = 1.5
     store_timeout_s: Seconds = 1.0
     engine_connect_timeout_s: Seconds = 1.0
+    stream_idle_timeout_s: Seconds = 5.0
     intent_lease_s: Seconds = 5.0
 
 
@@ -118,6 +119,7 @@
     suspicion_s: float
     store_timeout_s: float
     engine_connect_timeout_s: float
+    stream_idle_timeout_s: float
     intent_lease_s: float
 
 
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -70,6 +70,11 @@
         self._waiting_by_request_id: dict[str, _Waiting] = {}
         self._granted_by_request_id: dict[str, _Granted] = {}
 
+    @property
+    def engine_ids(self) -> list[str]:
+        """Return the engines of the shard."""
+        return list(self._engines_by_id)
+
     def update_engines(self, engines: Iterable[Engine]) -> None:
         """Take over the engines of the configuration in force."""
         self._engines_by_id = {engine.id: engine for engine in engines}
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/answers.py
@@ -0,0 +1,113 @@
+"""Formats of answers to callers."""
+
+import json
+import math
+from typing import Any
+
+from aiohttp import web
+
+from kumquat_core.engine_client import Token
+from kumquat_core.request_ids import RequestId
+from kumquat_core.result_codes import Execution, ResultCode, RouterError, spec_of
+
+__all__ = [
+    "StreamFormat",
+    "completion_document",
+    "error_document",
+    "error_response",
+    "success_headers",
+]
+
+END_EVENT = b"data: [DONE]\n\n"
+
+
+def error_document(error: RouterError) -> dict[str, Any]:
+    """Return the body of an error answer."""
+    spec = spec_of(error.code)
+    message = f"{spec.text} {error.detail}".strip()
+    fields: dict[str, Any] = {
+        "code": error.code.value,
+        "name": error.code.name,
+        "message": message,
+        "execution": error.execution.value,
+    }
+    if error.retry_after_s is not None:
+        fields["retry_after_s"] = error.retry_after_s
+    return {"error": fields}
+
+
+def error_response(error: RouterError, request_id: RequestId) -> web.Response:
+    """Return the HTTP answer of a failed request."""
+    headers = {
+        "X-Request-Id": str(request_id),
+        "X-Result-Code": str(error.code.value),
+        "X-Execution": error.execution.value,
+    }
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
+    return web.json_response(
+        error_document(error), status=spec_of(error.code).http_status, headers=headers
+    )
+
+
+class StreamFormat:
+    """Server-sent events of one completion.
+
+    The parts that do not change within a stream are encoded once, since a
+    host forwards some 15,000 tokens a second at the target load.
+    """
+
+    def __init__(self, request_id: RequestId, model: str) -> None:
+        head = json.dumps(
+            {"id": str(request_id), "object": "text_completion", "model": model}
+        )
+        self._head = f'data: {head[:-1]}, "choices": [{{"index": 0, "text": '
+        self._tail = ', "finish_reason": null}]}\n\n'
+
+    def tokens(self, tokens: list[Token]) -> bytes:
+        """Return one event for each token."""
+        head, tail = self._head, self._tail
+        return "".join(
+            [f"{head}{json.dumps(token.text)}{tail}" for token in tokens]
+        ).encode()
+
+    def end(self, finish_reason: str) -> bytes:
+        """Return the last event and the end marker."""
+        event = f'{self._head}"", "finish_reason": "{finish_reason}"}}]}}\n\n'
+        return event.encode() + END_EVENT
+
+    @staticmethod
+    def error(error: RouterError) -> bytes:
+        """Return the event that ends a stream which failed."""
+        return f"event: error\ndata: {json.dumps(error_document(error))}\n\n".encode()
+
+
+def completion_document(
+    request_id: RequestId,
+    model: str,
+    text: str,
+    finish_reason: str,
+    prompt_tokens: int,
+    tokens: int,
+) -> dict[str, Any]:
+    """Return the body of an answer that is not streamed."""
+    return {
+        "id": str(request_id),
+        "object": "text_completion",
+        "model": model,
+        "choices": [{"index": 0, "text": text, "finish_reason": finish_reason}],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": prompt_tokens + tokens,
+        },
+    }
+
+
+def success_headers(request_id: RequestId) -> dict[str, str]:
+    """Return the headers of an answer without an error."""
+    return {
+        "X-Request-Id": str(request_id),
+        "X-Result-Code": str(ResultCode.OK.value),
+        "X-Execution": Execution.RAN.value,
+    }
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -0,0 +1,208 @@
+"""An entry host: all parts of the process and how they fit together."""
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+from kumquat_core.backend_client import HttpBackendClient
+from kumquat_core.clock import SystemClock
+from kumquat_core.engine_client import HttpEngineClient
+from kumquat_core.frames import PeerIdentity
+from kumquat_core.host_list_client import HttpHostListClient
+from kumquat_core.http_client import create_session
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import (
+    AdmissionRequest,
+    CancelAdmission,
+    Message,
+    PrefillDone,
+    Release,
+)
+from kumquat_core.request_ids import RequestIdSource
+from kumquat_core.settings import Address, Options
+from kumquat_core.table_client import HttpTableClient
+from kumquat_core.tickets import TicketStore
+from kumquat_core.timers import TimerService
+
+from .admin_api import AdminApi
+from .background import BackgroundTasks
+from .caller_api import CallerApi
+from .drain import Drain
+from .host_directory import HostDirectory
+from .model_path import ModelPath
+from .owner_client import OwnerClient
+from .peer_links import PeerLinks
+from .peer_server import PeerServer
+from .plain_path import PlainPath
+from .shard_owners import ShardOwners
+from .supervisor import Supervisor, TaskService
+from .ticket_sync import TicketSync
+
+__all__ = ["EntryHost"]
+
+OWNER_UPDATE_PERIOD_S = 0.1
+BACKGROUND_LIMIT_S = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+class _TimerTask(TaskService):
+    """Runs the timer service under the supervisor."""
+
+    def __init__(self, timers: TimerService) -> None:
+        super().__init__()
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Drive the timers until cancelled."""
+        await self._timers.run()
+
+
+class EntryHost:
+    """One entry-host process. Create it inside a running event loop."""
+
+    def __init__(self, options: Options) -> None:
+        clock = SystemClock()
+        incarnation = clock.wall_ms()
+        rng = random.Random(f"{options.seed}/{options.host_id}")
+        timing = options.timing
+        self._options = options
+        self._identity = PeerIdentity(options.host_id, incarnation)
+        self._session = create_session(timing.engine_connect_timeout_s)
+        self._single_use_session = create_session(
+            timing.engine_connect_timeout_s, reuse_connections=False
+        )
+        self._timers = TimerService(clock)
+        self._background = BackgroundTasks()
+        self._drain = Drain(options.limits.max_streams)
+        self._tickets = TicketStore()
+        self._directory = HostDirectory(
+            options,
+            HttpHostListClient(
+                self._session, options.host_list_url, timing.store_timeout_s
+            ),
+        )
+        table_client = HttpTableClient(
+            self._session, options.table_service_url, timing.store_timeout_s
+        )
+        self._ticket_sync = TicketSync(self._tickets, table_client)
+        engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
+        self._links = PeerLinks(self._identity, options.peer_key, self._address_of)
+        self._owners = ShardOwners(
+            options.host_id,
+            options.region,
+            clock,
+            engine_client,
+            self._directory.live_host_ids,
+        )
+        self._owner_client = OwnerClient(
+            options.host_id,
+            clock,
+            self._owners,
+            self._links,
+            self._directory.live_host_ids,
+            rng,
+        )
+        ids = RequestIdSource(options.host_id, incarnation)
+        model_path = ModelPath(
+            clock, engine_client, self._owner_client, self._background, ids
+        )
+        plain_path = PlainPath(
+            clock, HttpBackendClient(self._single_use_session), self._directory, rng
+        )
+        caller_api = CallerApi(
+            options, self._tickets, ids, model_path, plain_path, self._drain
+        )
+        admin_api = AdminApi(
+            options.admin_listen, self._is_ready, self._status, self._drain
+        )
+        peer_server = PeerServer(
+            options.peer_listen, self._identity, options.peer_key, self._on_message
+        )
+        self._supervisor = Supervisor(
+            [_TimerTask(self._timers), peer_server, admin_api, caller_api]
+        )
+
+    @classmethod
+    def from_config(cls, options: Options) -> "EntryHost":
+        """Return an entry host that is not started yet."""
+        return cls(options)
+
+    async def start(self) -> None:
+        """Read the platform's state and start all services."""
+        timing = self._options.timing
+        await asyncio.gather(self._directory.refresh(), self._ticket_sync.poll())
+        self._owners.update(self._tickets.configuration)
+        self._timers.every(timing.ticket_poll_s, self._ticket_sync.poll, "tickets")
+        self._timers.every(
+            timing.host_list_poll_s, self._directory.refresh, "host_list"
+        )
+        self._timers.every(
+            timing.report_poll_s, self._owners.poll_reports, "engine_reports"
+        )
+        self._timers.every(OWNER_UPDATE_PERIOD_S, self._update_owners, "owners")
+        await self._supervisor.start()
+        log_event(
+            logger,
+            "host_started",
+            host=self._identity.host_id,
+            incarnation=self._identity.incarnation,
+            position=self._tickets.position,
+        )
+
+    async def drain(self) -> bool:
+        """Refuse new requests and wait for those in progress.
+
+        Return False when the drain limit was reached first.
+        """
+        self._drain.begin()
+        log_event(logger, "drain_started", in_progress=self._drain.in_progress)
+        finished = await self._drain.wait_idle(self._options.limits.drain_limit_s)
+        log_event(
+            logger,
+            "drain_ended",
+            finished=finished,
+            in_progress=self._drain.in_progress,
+        )
+        return finished
+
+    async def stop(self) -> None:
+        """Stop all services and close all connections."""
+        await self._supervisor.stop()
+        await self._background.drain(BACKGROUND_LIMIT_S)
+        await self._links.close()
+        await self._session.close()
+        await self._single_use_session.close()
+        log_event(logger, "host_stopped", host=self._identity.host_id)
+
+    async def _update_owners(self) -> None:
+        self._owners.update(self._tickets.configuration)
+
+    def _address_of(self, host_id: str) -> Address | None:
+        host = self._directory.host(host_id)
+        return None if host is None else Address(host.ip, host.peer_port)
+
+    async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
+        match message:
+            case AdmissionRequest():
+                return await self._owners.admit(message)
+            case PrefillDone() | Release() | CancelAdmission():
+                self._owners.handle(message)
+        return None
+
+    def _is_ready(self) -> bool:
+        return self._tickets.position > 0
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            "host_id": self._identity.host_id,
+            "incarnation": self._identity.incarnation,
+            "failure_domain": self._options.failure_domain,
+            "ticket_position": self._tickets.position,
+            "ticket_number": self._tickets.number,
+            "in_progress": self._drain.in_progress,
+            "draining": self._drain.draining,
+            "live_hosts": self._directory.live_host_ids(),
+            "owned_shards": self._owners.shard_ids(),
+        }
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -0,0 +1,92 @@
+"""Command line of the entry-host process."""
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+
+from kumquat_core.log_events import configure_logging
+from kumquat_core.result_codes import RouterError
+from kumquat_core.settings import Options, SettingsModel, load_options
+
+from .entry_host import EntryHost
+
+__all__ = ["app"]
+
+app = typer.Typer(
+    help="Entry-host process of kumquatrouter.",
+    no_args_is_help=True,
+    add_completion=True,
+)
+
+EXIT_DRAIN_CUT_SHORT = 3
+EXIT_SETTINGS_INVALID = 2
+
+SettingsOption = Annotated[
+    Path, typer.Option("--settings", help="Settings file in JSON.")
+]
+SettingsArgument = Annotated[Path, typer.Argument(help="Settings file in JSON.")]
+
+
+def _load(path: Path) -> Options:
+    try:
+        return load_options(path)
+    except RouterError as error:
+        typer.echo(f"{path}: settings are not valid ({error.code.value})", err=True)
+        typer.echo(error.detail, err=True)
+        raise typer.Exit(EXIT_SETTINGS_INVALID) from error
+
+
+@app.command()
+def run(settings: SettingsOption) -> None:
+    """Run an entry host until SIGTERM or SIGINT."""
+    options = _load(settings)
+    configure_logging(options.log_level)
+    sys.exit(uvloop.run(_run(options)))
+
+
+@app.command("check-config")
+def check_config(settings: SettingsArgument) -> None:
+    """Check a settings file and report every error at once."""
+    options = _load(settings)
+    typer.echo(f"{settings}: valid, host {options.host_id}")
+
+
+@app.command("settings-schema")
+def settings_schema() -> None:
+    """Print the JSON schema of the settings file."""
+    typer.echo(json.dumps(SettingsModel.model_json_schema(), indent=2))
+
+
+async def _run(options: Options) -> int:
+    """Run until a signal; a second signal ends the drain early."""
+    loop = asyncio.get_running_loop()
+    first_signal, second_signal = asyncio.Event(), asyncio.Event()
+
+    def on_signal() -> None:
+        (second_signal if first_signal.is_set() else first_signal).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    host = EntryHost.from_config(options)
+    await host.start()
+    await first_signal.wait()
+    drain = asyncio.ensure_future(host.drain())
+    cut_short = asyncio.ensure_future(second_signal.wait())
+    done, _ = await asyncio.wait(
+        {drain, cut_short}, return_when=asyncio.FIRST_COMPLETED
+    )
+    finished = drain in done and drain.result()
+    drain.cancel()
+    cut_short.cancel()
+    await host.stop()
+    return 0 if finished else EXIT_DRAIN_CUT_SHORT
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/owner_client.py
@@ -0,0 +1,137 @@
+"""Asks the owner of a shard for admission, here or over a peer stream."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from kumquat_core.clock import Clock
+from kumquat_core.configuration import Configuration
+from kumquat_core.peer_messages import (
+    AdmissionRequest,
+    CancelAdmission,
+    Grant,
+    PrefillDone,
+    Refusal,
+    Release,
+    ShardSummary,
+)
+from kumquat_core.rendezvous import owner_of, shard_ids_of
+from kumquat_core.result_codes import ResultCode, RouterError
+
+from .peer_links import PeerLinks
+from .shard_owners import ShardOwners
+
+__all__ = ["OwnerClient"]
+
+# The owner refuses by itself when the patience ends; the margin covers the
+# way there and back.
+REPLY_MARGIN_S = 0.5
+OWNER_RETRY_DELAY_S = 0.05
+
+
+class OwnerClient:
+    """Finds owners and exchanges admission messages with them."""
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: Clock,
+        owners: ShardOwners,
+        links: PeerLinks,
+        live_host_ids: Callable[[], list[str]],
+        rng: random.Random,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._owners = owners
+        self._links = links
+        self._live_host_ids = live_host_ids
+        self._rng = rng
+        self._summaries_by_shard_id: dict[str, ShardSummary] = {}
+
+    async def admit(
+        self, configuration: Configuration, pool: str, request: AdmissionRequest
+    ) -> Grant:
+        """Return a grant from one of the pool's shards.
+
+        Raises ``RouterError`` with the code of the refusal. An owner that
+        can't be reached is asked again, or its successor, until the patience
+        of the request ends.
+        """
+        give_up_s = self._clock.monotonic() + request.patience_ms / 1000
+        while True:
+            left_ms = int((give_up_s - self._clock.monotonic()) * 1000)
+            if left_ms <= 0:
+                raise RouterError(ResultCode.OWNER_UNAVAILABLE, retry_after_s=1.0)
+            shard_id = self._choose_shard(configuration, pool)
+            reply = await self._ask(
+                replace(request, shard_id=shard_id, patience_ms=left_ms)
+            )
+            match reply:
+                case Grant():
+                    self._remember(reply.summary)
+                    return reply
+                case Refusal(code=ResultCode.OWNER_UNAVAILABLE.value):
+                    await asyncio.sleep(OWNER_RETRY_DELAY_S)
+                case Refusal():
+                    self._remember(reply.summary)
+                    raise RouterError(
+                        ResultCode(reply.code),
+                        reply.detail,
+                        retry_after_s=reply.retry_after_ms / 1000,
+                    )
+
+    async def tell(self, message: PrefillDone | Release | CancelAdmission) -> None:
+        """Send a message about a request to the owner of its shard.
+
+        A message that can't be delivered is dropped: the owner finds the
+        end of the request in the engine's report.
+        """
+        owner = owner_of(message.shard_id, self._live_host_ids())
+        if owner == self._host_id or owner is None:
+            self._owners.handle(message)
+            return
+        try:
+            await self._links.send(owner, message)
+        except RouterError:
+            return
+
+    async def _ask(self, request: AdmissionRequest) -> Grant | Refusal:
+        owner = owner_of(request.shard_id, self._live_host_ids())
+        if owner == self._host_id or owner is None:
+            return await self._owners.admit(request)
+        try:
+            reply = await self._links.call(
+                owner, request, request.patience_ms / 1000 + REPLY_MARGIN_S
+            )
+        except RouterError as error:
+            return _unavailable(request, error.detail)
+        except asyncio.CancelledError:
+            cancel = CancelAdmission(request.request_id, request.shard_id)
+            await asyncio.shield(self.tell(cancel))
+            raise
+        if isinstance(reply, Grant | Refusal):
+            return reply
+        return _unavailable(request, "unexpected reply")
+
+    def _choose_shard(self, configuration: Configuration, pool: str) -> str:
+        """Choose the better of two random shards by their last summaries."""
+        shard_ids = shard_ids_of(pool, len(configuration.engines_of(pool)))
+        if len(shard_ids) == 1:
+            return shard_ids[0]
+        return max(self._rng.sample(shard_ids, 2), key=self._preference)
+
+    def _preference(self, shard_id: str) -> tuple[int, int]:
+        summary = self._summaries_by_shard_id.get(shard_id)
+        if summary is None:
+            return (0, 0)
+        return (-summary.queued, summary.free_pieces)
+
+    def _remember(self, summary: ShardSummary | None) -> None:
+        if summary is not None:
+            self._summaries_by_shard_id[summary.shard_id] = summary
+
+
+def _unavailable(request: AdmissionRequest, detail: str) -> Refusal:
+    return Refusal(request.request_id, ResultCode.OWNER_UNAVAILABLE.value, detail, 1000)
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_server.py
@@ -0,0 +1,104 @@
+"""Accepts streams from other entry hosts: one task for each connection.
+
+Each call is handled in its own task, because an admission may wait in the
+queue. A malformed or foreign frame ends its connection with a numbered code
+and nothing else.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import aiomisc
+
+from kumquat_core.frames import PeerIdentity, handshake, read_frame, write_frame
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import Envelope, Message, decode, encode
+from kumquat_core.result_codes import RouterError
+from kumquat_core.settings import Address
+
+__all__ = ["PeerHandler", "PeerServer"]
+
+PeerHandler = Callable[[PeerIdentity, Message], Awaitable[Message | None]]
+
+logger = logging.getLogger(__name__)
+
+
+class PeerServer(aiomisc.Service):
+    """Listens for peers and passes their messages to a handler."""
+
+    def __init__(
+        self,
+        listen: Address,
+        identity: PeerIdentity,
+        key: bytes,
+        handler: PeerHandler,
+    ) -> None:
+        super().__init__()
+        self._listen = listen
+        self._identity = identity
+        self._key = key
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start listening."""
+        self._server = await asyncio.start_server(
+            self._on_connection, self._listen.ip, self._listen.port
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
+            await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._connections.discard(task)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            peer = await handshake(
+                reader, writer, self._identity, self._key, initiator=False
+            )
+            while True:
+                envelope = decode(await read_frame(reader))
+                call = asyncio.create_task(self._handle(peer, envelope, writer))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+        except RouterError as error:
+            log_event(
+                logger,
+                "peer_connection_closed",
+                code=error.code.value,
+                detail=error.detail,
+            )
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _handle(
+        self, peer: PeerIdentity, envelope: Envelope, writer: asyncio.StreamWriter
+    ) -> None:
+        reply = await self._handler(peer, envelope.message)
+        if reply is None or envelope.correlation_id == 0:
+            return
+        write_frame(writer, encode(Envelope(envelope.correlation_id, reply)))
+        await writer.drain()
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/supervisor.py
@@ -0,0 +1,90 @@
+"""Supervision tree of an entry host.
+
+Children are aiomisc services. They start in order and stop in reverse order.
+A ``TaskService`` runs one coroutine and starts it again, after a growing
+delay, when it fails.
+"""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+import aiomisc
+
+from kumquat_core.log_events import log_event
+
+__all__ = ["Supervisor", "TaskService"]
+
+RESTART_DELAY_S = 0.1
+MAX_RESTART_DELAY_S = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+class TaskService(aiomisc.Service):
+    """A service that consists of one coroutine, ``run``."""
+
+    async def start(self) -> None:
+        """Start the coroutine in its own task."""
+        self._task = asyncio.get_running_loop().create_task(self._run_forever())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Cancel the coroutine and wait for its end."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Do the work of the service until cancelled."""
+        raise NotImplementedError
+
+    async def _run_forever(self) -> None:
+        delay_s = RESTART_DELAY_S
+        while True:
+            try:
+                await self.run()
+                return
+            except Exception as error:
+                log_event(
+                    logger,
+                    "service_failed",
+                    level=logging.ERROR,
+                    service=type(self).__name__,
+                    error=repr(error),
+                    restart_in_s=delay_s,
+                )
+            await asyncio.sleep(delay_s)
+            delay_s = min(delay_s * 2, MAX_RESTART_DELAY_S)
+
+
+class Supervisor:
+    """Starts and stops a sequence of services."""
+
+    def __init__(self, services: Sequence[aiomisc.Service]) -> None:
+        self._services = services
+        self._started: list[aiomisc.Service] = []
+
+    async def start(self) -> None:
+        """Start all services in order; on a failure stop those started."""
+        for service in self._services:
+            service.set_loop(asyncio.get_running_loop())
+            try:
+                await service.start()
+            except Exception:
+                await self.stop()
+                raise
+            self._started.append(service)
+
+    async def stop(self) -> None:
+        """Stop the started services in reverse order."""
+        while self._started:
+            service = self._started.pop()
+            try:
+                await service.stop()
+            except Exception as error:
+                log_event(
+                    logger,
+                    "service_stop_failed",
+                    level=logging.ERROR,
+                    service=type(service).__name__,
+                    error=repr(error),
+                )
