--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/backend_server.py
@@ -0,0 +1,136 @@
+"""Emulated plain backend server.
+
+It counts executions for each request key and for each request body, so that
+a test sees a repetition also when the router uses another key. With
+``checks_fencing`` it refuses a fence lower than the highest seen for a key.
+Faults: ``delay_ms`` before the execution, ``drop_answers`` (number of
+answers dropped after the execution) and ``refuse`` (status 503 before it).
+"""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict
+
+from .answers import receipt
+from .serving import error_middleware, serve_app
+
+__all__ = ["BackendConfig", "BackendServerState", "backend_app", "run_backend"]
+
+
+class BackendConfig(BaseModel):
+    """Settings of one emulated backend server."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    server_id: str
+    service: str
+    port: int
+    checks_fencing: bool = False
+    service_ms: float = 5.0
+
+
+class BackendServerState:
+    """Fences and execution counts of a backend server."""
+
+    def __init__(self, checks_fencing: bool) -> None:
+        self._checks_fencing = checks_fencing
+        self._fences_by_key: dict[str, int] = {}
+        self.executions_by_key: Counter[str] = Counter()
+        self.executions_by_body: Counter[str] = Counter()
+
+    def accept(self, key: str, fence: int) -> bool:
+        """Record the fence of a call; false when it is stale."""
+        highest = self._fences_by_key.get(key, 0)
+        self._fences_by_key[key] = max(highest, fence)
+        return fence >= highest or not self._checks_fencing
+
+    def execute(self, key: str, body: bytes) -> None:
+        """Count an execution."""
+        self.executions_by_key[key] += 1
+        self.executions_by_body[body.decode(errors="replace")] += 1
+
+    def raise_fence(self, key: str, fence: int) -> bool:
+        """Raise the fence of a key; return whether it was ever accepted."""
+        highest = self._fences_by_key.get(key, 0)
+        self._fences_by_key[key] = max(highest, fence)
+        return self.executions_by_key[key] > 0
+
+
+class _Backend:
+    def __init__(self, config: BackendConfig) -> None:
+        self.config = config
+        self.state = BackendServerState(config.checks_fencing)
+        self.delay_ms = 0.0
+        self.drop_answers = 0
+        self.refuse = False
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Execute a call, once its fence is accepted."""
+        body = await request.read()
+        if self.refuse:
+            return web.Response(status=503)
+        if request.method in ("GET", "HEAD"):
+            return self._answer(body)
+        key = request.headers.get("X-Request-Key", "")
+        if not self.state.accept(key, int(request.headers.get("X-Fence", "0"))):
+            return web.json_response({"error": "stale fence"}, status=412)
+        # The call is on its way to execution and cannot be taken back: it
+        # runs on when the caller disconnects.
+        return await asyncio.shield(self._execute(request, key, body))
+
+    async def _execute(
+        self, request: web.Request, key: str, body: bytes
+    ) -> web.StreamResponse:
+        self.state.execute(key, body)
+        await asyncio.sleep((self.config.service_ms + self.delay_ms) / 1000)
+        if self.drop_answers > 0:
+            self.drop_answers -= 1
+            if request.transport is not None:
+                request.transport.abort()
+        return self._answer(body)
+
+    def _answer(self, body: bytes) -> web.Response:
+        content = receipt(self.config.service, body)
+        return web.Response(body=content, content_type="application/json")
+
+    async def fence(self, request: web.Request) -> web.Response:
+        """Raise the fence of a key."""
+        body = await request.json()
+        seen = self.state.raise_fence(body["key"], int(body["fence"]))
+        return web.json_response({"seen": seen})
+
+    async def executions(self, _: web.Request) -> web.Response:
+        """Return the execution counts."""
+        return web.json_response(
+            {
+                "by_key": self.state.executions_by_key,
+                "by_body": self.state.executions_by_body,
+            }
+        )
+
+    async def faults(self, request: web.Request) -> web.Response:
+        """Switch faults."""
+        body: dict[str, Any] = await request.json()
+        self.delay_ms = float(body.get("delay_ms", self.delay_ms))
+        self.drop_answers = int(body.get("drop_answers", self.drop_answers))
+        self.refuse = bool(body.get("refuse", self.refuse))
+        return web.json_response({})
+
+
+def backend_app(config: BackendConfig) -> web.Application:
+    """Return the HTTP application of a backend server."""
+    backend = _Backend(config)
+    app = web.Application(middlewares=[error_middleware])
+    app.router.add_post("/fence", backend.fence)
+    app.router.add_get("/executions", backend.executions)
+    app.router.add_post("/faults", backend.faults)
+    app.router.add_route("*", "/{path:.*}", backend.call)
+    return app
+
+
+async def run_backend(config: BackendConfig) -> None:
+    """Serve a backend server until cancelled."""
+    await serve_app(backend_app(config), config.port)
