Name a token's place in the answer position

Cause: a named tuple can't have a field named index; mypy refused it. Change: the field is named position. Conclusion: type check clean again.

--- a/packages/kumquat_core/src/kumquat_core/engine_client.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -53,14 +53,14 @@
 
 
 class Token(NamedTuple):
-    """One output token and its index in the answer.
+    """One output token and its position in the answer, from 0.
 
     ``literal`` is the text as a JSON string with its quotes. It is passed on
     to the caller as it is, since decoding and encoding each token costs more
     than all other work on it.
     """
 
-    index: int
+    position: int
     literal: str
 
     @property
--- a/packages/kumquatrouter/src/kumquatrouter/model_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_path.py
@@ -340,8 +340,8 @@
         )
 
 
-def _check_order(tokens: list[Token], expected_index: int) -> None:
+def _check_order(tokens: list[Token], expected: int) -> None:
     """Refuse tokens that are missing, repeated or out of order."""
     for offset, token in enumerate(tokens):
-        if token.index != expected_index + offset:
+        if token.position != expected + offset:
             raise RouterError(ResultCode.ENGINE_FAILED, "token out of order")
--- a/tests/core/test_engine_stream.py
+++ b/tests/core/test_engine_stream.py
@@ -41,7 +41,7 @@
 def test_texts_survive_every_split_of_the_stream(size):
     tokens = read_all(events(TEXTS) + END, size)
     assert [token.text for token in tokens] == TEXTS
-    assert [token.index for token in tokens] == list(range(len(TEXTS)))
+    assert [token.position for token in tokens] == list(range(len(TEXTS)))
 
 
 @pytest.mark.parametrize("data", [events(TEXTS), events(TEXTS) + END[:-3], ""])
--- a/tests/router/test_model_path.py
+++ b/tests/router/test_model_path.py
@@ -226,6 +226,6 @@
     harness.engines.indexes = indexes
     with pytest.raises(RouterError):
         asyncio.run(harness.run())
-    delivered = [token.index for token in harness.sink.tokens]
+    delivered = [token.position for token in harness.sink.tokens]
     assert delivered == list(range(len(delivered)))
     harness.assert_all_freed()
