Check bad input at the caller API

Cause: the border had no tests; a request without max_tokens was refused for a model whose longest answer is under the default of 256 tokens. Conclusion: fault found by the test and fixed.

--- a/packages/kumquatrouter/src/kumquatrouter/border.py
+++ b/packages/kumquatrouter/src/kumquatrouter/border.py
@@ -7,7 +7,12 @@
 
 from kumquat_core.result_codes import ResultCode, RouterError
 
-__all__ = ["CompletionModel", "parse_completion", "parse_deadline_ms"]
+__all__ = [
+    "DEFAULT_MAX_TOKENS",
+    "CompletionModel",
+    "parse_completion",
+    "parse_deadline_ms",
+]
 
 DEFAULT_MAX_TOKENS = 256
 MAX_ERRORS_SHOWN = 5
@@ -25,7 +30,7 @@
 
     model: Annotated[str, Field(min_length=1, max_length=128)]
     prompt: Annotated[str, Field(min_length=1)]
-    max_tokens: Annotated[int, Field(gt=0)] = DEFAULT_MAX_TOKENS
+    max_tokens: Annotated[int, Field(gt=0)] | None = None
     stream: bool = False
 
 
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -34,7 +34,12 @@
     error_response,
     success_headers,
 )
-from .border import CompletionModel, parse_completion, parse_deadline_ms
+from .border import (
+    DEFAULT_MAX_TOKENS,
+    CompletionModel,
+    parse_completion,
+    parse_deadline_ms,
+)
 from .drain import Drain
 from .model_path import ModelPath, ModelRequest, ModelTimes
 from .plain_path import PlainPath, PlainRequest
@@ -47,6 +52,9 @@
 # aiohttp ends a connection that sends no request for this time.
 KEEPALIVE_S = 75.0
 
+REQUEST_ID = web.RequestKey("request_id", RequestId)
+TENANT = web.RequestKey("tenant", str)
+
 logger = logging.getLogger(__name__)
 
 Handler = Callable[[web.Request, RequestId], Awaitable[web.StreamResponse]]
@@ -100,7 +108,7 @@
         return self.response
 
     async def _prepare(self, times: ModelTimes) -> web.StreamResponse:
-        request_id = self._http_request["request_id"]
+        request_id = self._http_request[REQUEST_ID]
         headers = success_headers(request_id) | _engine_headers(times)
         headers["Content-Type"] = "text/event-stream"
         headers["Cache-Control"] = "no-cache"
@@ -146,13 +154,17 @@
         self._drain = drain
         self._runner: web.AppRunner | None = None
 
-    async def start(self) -> None:
-        """Start listening."""
+    def create_app(self) -> web.Application:
+        """Return the HTTP application."""
         app = web.Application(client_max_size=self._options.limits.max_body_bytes)
         app.router.add_post("/v1/completions", self._completions)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._plain)
+        return app
+
+    async def start(self) -> None:
+        """Start listening."""
         self._runner = web.AppRunner(
-            app,
+            self.create_app(),
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
@@ -177,7 +189,7 @@
     ) -> web.StreamResponse:
         """Run a handler; every failure becomes an answer with a code."""
         request_id = self._ids.next_id()
-        http_request["request_id"] = request_id
+        http_request[REQUEST_ID] = request_id
         code = ResultCode.OK
         try:
             with self._drain.request():
@@ -203,7 +215,7 @@
                 logger,
                 "request_ended",
                 request=request_id,
-                tenant=http_request.get("tenant"),
+                tenant=http_request.get(TENANT),
                 code=code.value,
             )
 
@@ -220,7 +232,7 @@
         tenant = configuration.tenants_by_key_sha256.get(digest)
         if tenant is None:
             raise RouterError(ResultCode.UNAUTHENTICATED, "unknown key")
-        http_request["tenant"] = tenant.name
+        http_request[TENANT] = tenant.name
         return _Caller(request_id, tenant, configuration)
 
     async def _read_body(self, http_request: web.Request) -> bytes:
@@ -307,7 +319,8 @@
     if prompt_tokens > model.max_prompt_tokens:
         detail = f"{prompt_tokens} > {model.max_prompt_tokens} tokens"
         raise RouterError(ResultCode.PROMPT_TOO_LONG, detail)
-    if body.max_tokens > model.max_output_tokens:
+    max_tokens = body.max_tokens or min(DEFAULT_MAX_TOKENS, model.max_output_tokens)
+    if max_tokens > model.max_output_tokens:
         detail = f"max_tokens: greater than {model.max_output_tokens}"
         raise RouterError(ResultCode.INVALID_FIELD, detail)
     request_class = _request_class(caller, http_request)
@@ -321,7 +334,7 @@
         pool=pool.name,
         prompt=body.prompt,
         prompt_tokens=prompt_tokens,
-        max_tokens=body.max_tokens,
+        max_tokens=max_tokens,
         patience_ms=min(request_class.patience_ms, deadline_ms),
         deadline_ms=deadline_ms,
     )
--- /dev/null
+++ b/tests/router/test_caller_api.py
@@ -0,0 +1,159 @@
+"""Guards against bad input that reaches an engine or gets no numbered code."""
+
+import asyncio
+import hashlib
+import json
+from pathlib import Path
+
+import pytest
+from aiohttp.test_utils import TestClient, TestServer
+
+from kumquat_core.engine_client import Token
+from kumquat_core.request_ids import RequestIdSource
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.settings import Options, SettingsModel
+from kumquat_core.ticket_models import TicketModel
+from kumquat_core.tickets import Ticket, TicketStore
+from kumquatrouter.caller_api import CallerApi
+from kumquatrouter.drain import Drain
+from kumquatrouter.model_path import ModelTimes
+
+CASES = Path(__file__).parent / "bad_requests.txt"
+KEY = "secret"
+AUTH = {"Authorization": f"Bearer {KEY}"}
+ADDRESS = {"ip": "127.0.0.1", "port": 0}
+URL = "http://127.0.0.1:1"
+SETTINGS = SettingsModel.model_validate(
+    {
+        "host_id": "h",
+        "region": "r",
+        "failure_domain": "fd",
+        "caller_listen": ADDRESS,
+        "admin_listen": ADDRESS,
+        "peer_listen": ADDRESS,
+        "platform": {
+            "table_service_url": URL,
+            "object_store_url": URL,
+            "host_list_url": URL,
+            "weight_store_url": URL,
+        },
+        "peer_key_file": "key",
+        "limits": {"max_body_bytes": 4000},
+    }
+)
+CLASS = {
+    "ttft_target_ms": 1,
+    "tbt_target_ms": 1,
+    "patience_ms": 1000,
+    "deadline_ms": 1000,
+}
+OBJECTS = [
+    ("model", "advice", {"max_prompt_tokens": 100, "max_output_tokens": 50}),
+    ("pool", "pool", {"region": "r", "models": ["advice"]}),
+    ("class", "chat", CLASS),
+    ("rule", "r1", {"tenant": "*", "model": "advice", "pool": "pool"}),
+    ("service", "orders", {"kind": "plain"}),
+    (
+        "tenant",
+        "madafu",
+        {
+            "api_key_sha256": [hashlib.sha256(KEY.encode()).hexdigest()],
+            "default_class": "chat",
+        },
+    ),
+]
+
+
+class FakeModelPath:
+    """Answers two tokens, or fails after them."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.failure: RouterError | None = None
+
+    async def run(self, configuration, request, sink) -> ModelTimes:
+        self.calls += 1
+        times = ModelTimes(tokens=2)
+        await sink.write([Token(0, '"a "'), Token(1, '"b"')], times)
+        if self.failure is not None:
+            raise self.failure
+        return times
+
+
+def make_api(path: FakeModelPath, drain: Drain) -> CallerApi:
+    tickets = TicketStore()
+    objects = [{"kind": k, "name": n, "state": s} for k, n, s in OBJECTS]
+    model = TicketModel.model_validate({"number": 1, "author": "t", "objects": objects})
+    tickets.apply([Ticket(1, model)])
+    options = Options.from_settings(SETTINGS, b"key")
+    return CallerApi(options, tickets, RequestIdSource("h", 1), path, None, drain)
+
+
+def call(path, method, url, *, drain=None, **arguments):
+    async def run():
+        api = make_api(path, drain or Drain(10))
+        async with TestClient(TestServer(api.create_app())) as client:
+            response = await client.request(method, url, **arguments)
+            return response.status, response.headers, await response.read()
+
+    return asyncio.run(run())
+
+
+def load_cases() -> list[tuple[str, ...]]:
+    lines = CASES.read_text().splitlines()
+    rows = [line for line in lines if line and not line.startswith("#")]
+    return [tuple(part.strip() for part in row.split("|")) for row in rows]
+
+
+@pytest.mark.parametrize(("code", "headers", "body"), load_cases())
+def test_bad_request_has_its_code_and_reaches_no_engine(code, headers, body):
+    path = FakeModelPath()
+    body = body.replace("LONG", "x" * 1000).replace("HUGE", "x" * 5000)
+    status, answer_headers, content = call(
+        path, "POST", "/v1/completions", data=body, headers=json.loads(headers)
+    )
+    assert answer_headers["X-Result-Code"] == str(ResultCode[code].value)
+    assert 400 <= status < 500
+    assert json.loads(content)["error"]["execution"] == "not_run"
+    assert path.calls == 0
+
+
+def completion(**fields) -> bytes:
+    return json.dumps({"model": "advice", "prompt": "hi", **fields}).encode()
+
+
+def test_answer_without_streaming_is_whole():
+    arguments = {"data": completion(), "headers": AUTH}
+    status, _, content = call(FakeModelPath(), "POST", "/v1/completions", **arguments)
+    assert status == 200
+    assert json.loads(content)["choices"][0]["text"] == "a b"
+
+
+def test_streamed_answer_ends_with_the_end_marker():
+    arguments = {"data": completion(stream=True), "headers": AUTH}
+    _, _, content = call(FakeModelPath(), "POST", "/v1/completions", **arguments)
+    *events, end, empty = content.decode().split("\n\n")
+    texts = [json.loads(e[6:])["choices"][0]["text"] for e in events]
+    assert "".join(texts) == "a b"
+    assert (end, empty) == ("data: [DONE]", "")
+
+
+def test_failed_stream_never_looks_whole():
+    path = FakeModelPath()
+    path.failure = RouterError(ResultCode.STREAM_INTERRUPTED)
+    arguments = {"data": completion(stream=True), "headers": AUTH}
+    _, _, content = call(path, "POST", "/v1/completions", **arguments)
+    assert b"[DONE]" not in content
+    assert b"event: error" in content
+    assert b'"code": 1304' in content
+
+
+def test_draining_host_refuses_as_not_run():
+    drain = Drain(10)
+    drain.begin()
+    path = FakeModelPath()
+    arguments = {"data": completion(), "headers": AUTH}
+    status, headers, _ = call(path, "POST", "/v1/completions", drain=drain, **arguments)
+    assert (status, headers["X-Execution"]) == (503, "not_run")
+    assert "Retry-After" in headers
+    assert path.calls == 0
