--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -12,10 +12,13 @@
 
 from kumquat_core.log_events import configure_logging
 
-from .backend_server import BackendConfig, run_backend
+from .backend_server import BackendHostConfig, run_backends
 from .cost_model import EngineHostConfig
+from .demo import run_demo
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
+from .stack import StackConfig
+from .up import run_up
 
 app = typer.Typer(
     help="Stand-ins, load tool and experiments for kumquatrouter.",
@@ -51,10 +54,10 @@
 
 @app.command()
 def backend(config: ConfigFile) -> None:
-    """Run one emulated backend server."""
+    """Run emulated backend servers, several in one process."""
     configure_logging("info")
-    model = BackendConfig.model_validate_json(config.read_text())
-    _run_until_stopped(run_backend(model))
+    model = BackendHostConfig.model_validate_json(config.read_text())
+    _run_until_stopped(run_backends(model))
 
 
 @app.command()
@@ -65,5 +68,23 @@
     _run_until_stopped(run_platform(model))
 
 
+@app.command()
+def demo(
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 3,
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Run one request of every kind of both firms and check each answer."""
+    config = StackConfig(hosts_per_firm=hosts, seed=seed)
+    if not uvloop.run(run_demo(config)):
+        raise typer.Exit(1)
+
+
+@app.command()
+def up(config: ConfigFile) -> None:
+    """Run the whole set until interrupted and print commands to try it."""
+    model = StackConfig.model_validate_json(config.read_text())
+    _run_until_stopped(run_up(model))
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquat_lab/src/kumquat_lab/backend_server.py
+++ b/packages/kumquat_lab/src/kumquat_lab/backend_server.py
@@ -17,7 +17,13 @@
 from .answers import receipt
 from .serving import error_middleware, serve_app
 
-__all__ = ["BackendConfig", "BackendServerState", "backend_app", "run_backend"]
+__all__ = [
+    "BackendConfig",
+    "BackendHostConfig",
+    "BackendServerState",
+    "backend_app",
+    "run_backends",
+]
 
 
 class BackendConfig(BaseModel):
@@ -32,6 +38,14 @@
     service_ms: float = 5.0
 
 
+class BackendHostConfig(BaseModel):
+    """The backend servers of one process, each on its own port."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    servers: tuple[BackendConfig, ...]
+
+
 class BackendServerState:
     """Fences and execution counts of a backend server."""
 
@@ -131,6 +145,8 @@
     return app
 
 
-async def run_backend(config: BackendConfig) -> None:
-    """Serve a backend server until cancelled."""
-    await serve_app(backend_app(config), config.port)
+async def run_backends(config: BackendHostConfig) -> None:
+    """Serve all backend servers of a configuration until cancelled."""
+    async with asyncio.TaskGroup() as group:
+        for item in config.servers:
+            group.create_task(serve_app(backend_app(item), item.port))
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -15,7 +15,7 @@
 import itertools
 import logging
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -26,6 +26,7 @@
 from kumquat_core.clock import Clock, SystemClock
 from kumquat_core.engine_accounts import pieces_for
 from kumquat_core.log_events import log_event
+from kumquat_core.prefix_blocks import block_hashes
 
 from .answers import seed_of, token_text
 from .cost_model import EngineConfig, EngineHostConfig
@@ -37,7 +38,6 @@
     PrefillResults,
     PrefixCache,
     StoredPrefill,
-    block_hashes,
 )
 from .serving import Handler, error_middleware, serve_app
 
@@ -68,10 +68,12 @@
 class _QueuedPrefill:
     order: tuple[int, int]
     request_id: str = field(compare=False)
-    hashes: list[int] = field(compare=False)
+    model: str = field(compare=False)
+    seed: int = field(compare=False)
+    hashes: tuple[int, ...] = field(compare=False)
     tokens: int = field(compare=False)
     done: "asyncio.Future[int]" = field(compare=False)
-    started: bool = field(compare=False, default=False)
+    spent_s: float = field(compare=False, default=0.0)
 
 
 @dataclass(eq=False)
@@ -119,7 +121,10 @@
         self._reports: deque[tuple[float, dict[str, Any]]] = deque(maxlen=100)
         self._fence = 0
         self.counts = {"prefills": 0, "prefill_tokens": 0, "tokens": 0, "imports": 0}
-        self.busy_s = {"prefill": 0.0, "decode": 0.0}
+        # Seconds spent on prefills, on prefills that were transferred, and on
+        # decode steps.
+        self.busy_s = {"prefill": 0.0, "prefill_used": 0.0, "decode": 0.0}
+        self.prefill_seeds: Counter[int] = Counter()
 
     def slowdown(self) -> float:
         """Return the factor by which work takes longer at present."""
@@ -144,7 +149,9 @@
         item = _QueuedPrefill(
             (-int(body.get("priority", 0)), next(self._order)),
             body["request_id"],
-            block_hashes(model, prompt),
+            model,
+            seed_of(model, prompt),
+            block_hashes(prompt.encode()),
             tokens,
             asyncio.get_running_loop().create_future(),
         )
@@ -158,7 +165,9 @@
         prefill_id = f"{self.config.engine_id}-{item.order[1]}"
         pieces = pieces_for(tokens, self.config.piece_tokens)
         now_s = self._clock.monotonic()
-        result = StoredPrefill(item.request_id, model, prompt, tokens, pieces, now_s)
+        result = StoredPrefill(
+            item.request_id, model, prompt, tokens, pieces, now_s, item.spent_s
+        )
         self.results.store(prefill_id, result)
         return {
             "prefill_id": prefill_id,
@@ -177,12 +186,12 @@
             item = heapq.heappop(self._queue)
             if item.done.done():
                 continue
-            item.started = True
             self._running = item
             cached_tokens = self._cached_tokens(item)
             if await self._spend_prefill(item, cached_tokens):
-                self._cache.store(item.hashes, self._clock.monotonic())
+                self._cache.store(item.model, item.hashes, self._clock.monotonic())
                 self.counts["prefills"] += 1
+                self.prefill_seeds[item.seed] += 1
                 self.counts["prefill_tokens"] += item.tokens - cached_tokens
                 item.done.set_result(cached_tokens)
             self._running = None
@@ -190,7 +199,7 @@
     def _cached_tokens(self, item: _QueuedPrefill) -> int:
         if not item.hashes or item.tokens == 0:
             return 0
-        matched = self._cache.match(item.hashes)
+        matched = self._cache.match(item.model, item.hashes)
         # One token is always computed: its output starts the answer.
         return min(item.tokens - 1, matched * item.tokens // (len(item.hashes) + 1))
 
@@ -204,7 +213,8 @@
             now_s = self._clock.monotonic()
             remaining_s -= (now_s - last_s) / factor
             last_s = now_s
-        self.busy_s["prefill"] += last_s - began_s
+        item.spent_s = last_s - began_s
+        self.busy_s["prefill"] += item.spent_s
         return not item.done.done()
 
     def _drop_prefill(self, item: _QueuedPrefill) -> None:
@@ -229,6 +239,13 @@
             "delay_s": done_s - now_s + self.faults.transfer_stall_s,
         }
 
+    def end_export(self, prefill_id: str) -> None:
+        """Free a result after its transfer."""
+        result = self.results.results_by_id.get(prefill_id)
+        if result is not None:
+            self.busy_s["prefill_used"] += result.spent_s
+            self.results.remove(prefill_id)
+
     async def import_cache(self, body: dict[str, Any]) -> dict[str, Any]:
         """Hold memory and fetch a KV cache from a prefill engine.
 
@@ -543,7 +560,7 @@
         return web.json_response(engine.begin_export(request.match_info["prefill_id"]))
 
     async def release(request: web.Request) -> web.Response:
-        engine.results.remove(request.match_info["prefill_id"])
+        engine.end_export(request.match_info["prefill_id"])
         return web.json_response({})
 
     async def cancel(request: web.Request) -> web.Response:
@@ -569,7 +586,12 @@
     async def counts(_: web.Request) -> web.Response:
         evicted = engine.results.evicted
         return web.json_response(
-            {**engine.counts, "evicted": evicted, "busy_s": engine.busy_s}
+            {
+                **engine.counts,
+                "evicted": evicted,
+                "busy_s": engine.busy_s,
+                "prefill_seeds": engine.prefill_seeds,
+            }
         )
 
     app = web.Application(middlewares=[error_middleware], client_max_size=16_000_000)
--- a/packages/kumquat_lab/src/kumquat_lab/engine_state.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine_state.py
@@ -11,8 +11,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-import xxhash
-
 __all__ = [
     "CacheEvents",
     "EngineMemory",
@@ -22,10 +20,8 @@
     "PrefillResults",
     "PrefixCache",
     "StoredPrefill",
-    "block_hashes",
 ]
 
-BLOCK_BYTES = 1024
 EVENTS_KEPT = 2000
 
 
@@ -38,18 +34,6 @@
         self.message = message
 
 
-def block_hashes(model: str, prompt: str) -> list[int]:
-    """Return the chained hashes of the whole leading blocks of a prompt."""
-    data = prompt.encode()
-    chained = xxhash.xxh3_64_intdigest(model.encode())
-    hashes = []
-    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
-        block = data[start : start + BLOCK_BYTES]
-        chained = xxhash.xxh3_64_intdigest(block, chained)
-        hashes.append(chained)
-    return hashes
-
-
 @dataclass
 class HeldMemory:
     """Memory of one request."""
@@ -98,6 +82,7 @@
     tokens: int
     pieces: int
     stored_s: float
+    spent_s: float = 0.0
     transferring: bool = False
 
 
@@ -207,26 +192,26 @@
     def __init__(self, capacity: int, events: CacheEvents) -> None:
         self._capacity = capacity
         self._events = events
-        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
 
-    def match(self, hashes: Sequence[int]) -> int:
+    def match(self, model: str, hashes: Sequence[int]) -> int:
         """Return the number of leading blocks that are cached."""
         count = 0
         for block in hashes:
-            if block not in self._blocks:
+            if (model, block) not in self._blocks:
                 break
             count += 1
         return count
 
-    def store(self, hashes: Sequence[int], now_s: float) -> None:
+    def store(self, model: str, hashes: Sequence[int], now_s: float) -> None:
         """Cache the blocks of a prompt and mark them as used."""
         # The last blocks go first, so that eviction removes a prompt from
         # its end and keeps the leading blocks usable.
         for block in reversed(hashes[: self._capacity]):
-            if block not in self._blocks:
+            if (model, block) not in self._blocks:
                 self._events.add("stored", block, now_s)
-            self._blocks[block] = None
-            self._blocks.move_to_end(block)
+            self._blocks[model, block] = None
+            self._blocks.move_to_end((model, block))
         while len(self._blocks) > self._capacity:
-            evicted, _ = self._blocks.popitem(last=False)
+            (_, evicted), _ = self._blocks.popitem(last=False)
             self._events.add("evicted", evicted, now_s)
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/firms.py
@@ -0,0 +1,301 @@
+"""The two firms: engines, servers, classes, keys and initial tickets.
+
+The keys are for development only. Sizes follow section 1 of the design page;
+``EngineCounts`` lets an experiment use other pools.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+from kumquat_core.ticket_models import ObjectModel, TicketModel
+
+from .backend_server import BackendConfig
+from .cost_model import EngineConfig
+
+__all__ = [
+    "FIRMS",
+    "EngineCounts",
+    "Firm",
+    "ModelWork",
+    "PlainService",
+    "backend_configs",
+    "engine_configs",
+    "initial_ticket",
+]
+
+BYTES_PER_TOKEN = 4
+LINK_BYTES_PER_S = 1e10
+TICKET_AUTHOR = "lab"
+
+
+@dataclass(frozen=True)
+class ModelWork:
+    """A class of model requests: its share, its sizes and its targets.
+
+    Sizes are ranges in tokens. ``shared_tokens`` at the start of a prompt
+    are common to all requests about one of ``subjects`` trees or carts.
+    """
+
+    class_name: str
+    share: float
+    prompt_tokens: tuple[int, int]
+    output_tokens: tuple[int, int]
+    shared_tokens: int
+    subjects: int
+    ttft_target_ms: int
+    tbt_target_ms: int
+    patience_ms: int
+    deadline_ms: int
+    priority: int
+
+
+@dataclass(frozen=True)
+class PlainService:
+    """A plain service whose calls may not be repeated."""
+
+    name: str
+    class_name: str
+    servers: int
+    checks_fencing: bool
+
+
+@dataclass(frozen=True)
+class Firm:
+    """A tenant, its region and its work."""
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    api_key: str
+    model: str
+    pool: str
+    total_pieces: int
+    work: tuple[ModelWork, ...]
+    services: tuple[PlainService, ...]
+
+    def work_of(self, class_name: str) -> ModelWork:
+        """Return the work of a class."""
+        return next(item for item in self.work if item.class_name == class_name)
+
+
+@dataclass(frozen=True)
+class EngineCounts:
+    """Number of engines of each role in a firm's pool."""
+
+    prefill: int = 1
+    decode: int = 2
+
+
+MADAFU = Firm(
+    name="madafu",
+    region="pwani",
+    failure_domains=("mombasa", "kilifi", "diani"),
+    api_key="madafu-development-key",
+    model="advice",
+    pool="advice-pool",
+    total_pieces=34,
+    work=(
+        ModelWork(
+            class_name="route-advice",
+            share=1.0,
+            prompt_tokens=(600, 1400),
+            output_tokens=(100, 200),
+            shared_tokens=256,
+            subjects=1,
+            ttft_target_ms=8000,
+            tbt_target_ms=60,
+            patience_ms=12_000,
+            deadline_ms=30_000,
+            priority=0,
+        ),
+    ),
+    services=(PlainService("orders", "stock-order", 3, False),),
+)
+
+HAGESTAD = Firm(
+    name="hagestad",
+    region="vestland",
+    failure_domains=("fjord-a", "fjord-b", "fjord-c"),
+    api_key="hagestad-development-key",
+    model="care",
+    pool="care-pool",
+    total_pieces=64,
+    work=(
+        ModelWork(
+            class_name="care-digest",
+            share=0.4,
+            prompt_tokens=(4500, 7500),
+            output_tokens=(60, 100),
+            shared_tokens=2048,
+            subjects=40,
+            ttft_target_ms=4000,
+            tbt_target_ms=50,
+            patience_ms=8000,
+            deadline_ms=30_000,
+            priority=0,
+        ),
+        ModelWork(
+            class_name="owner-check",
+            share=0.6,
+            prompt_tokens=(600, 1000),
+            output_tokens=(40, 80),
+            shared_tokens=512,
+            subjects=40,
+            ttft_target_ms=1000,
+            tbt_target_ms=40,
+            patience_ms=3000,
+            deadline_ms=15_000,
+            priority=1,
+        ),
+    ),
+    services=(
+        PlainService("booking", "booking", 3, True),
+        PlainService("repotting", "repotting", 1, True),
+    ),
+)
+
+FIRMS = (MADAFU, HAGESTAD)
+
+
+def engine_configs(
+    firm: Firm, counts: EngineCounts, ports: list[int], weight_store_url: str
+) -> list[EngineConfig]:
+    """Return the engines of a firm; takes their ports from ``ports``."""
+    roles = ["prefill"] * counts.prefill + ["decode"] * counts.decode
+    return [
+        EngineConfig.model_validate(
+            {
+                "engine_id": f"{firm.model}-{role}-{index}",
+                "port": ports.pop(),
+                "role": role,
+                "models": (firm.model,),
+                "total_pieces": firm.total_pieces,
+                "link_bytes_per_s": LINK_BYTES_PER_S,
+                "checks_fencing": index % 2 == 0,
+                "weight_store_url": weight_store_url,
+            }
+        )
+        for index, role in enumerate(roles)
+    ]
+
+
+def backend_configs(firm: Firm, ports: list[int]) -> list[BackendConfig]:
+    """Return the backend servers of a firm."""
+    return [
+        BackendConfig(
+            server_id=f"{service.name}-{index}",
+            service=service.name,
+            port=ports.pop(),
+            checks_fencing=service.checks_fencing,
+        )
+        for service in firm.services
+        for index in range(service.servers)
+    ]
+
+
+def initial_ticket(
+    firm: Firm,
+    number: int,
+    engines: list[EngineConfig],
+    servers: list[BackendConfig],
+) -> TicketModel:
+    """Return the ticket that creates all objects of a firm."""
+    objects = [
+        *_model_objects(firm),
+        *_tenant_objects(firm),
+        *_class_objects(firm),
+        *_service_objects(firm),
+        *(_engine_object(firm, index, item) for index, item in enumerate(engines)),
+        *(_server_object(firm, index, item) for index, item in enumerate(servers)),
+    ]
+    return TicketModel(number=number, author=TICKET_AUTHOR, objects=tuple(objects))
+
+
+def _object(kind: str, name: str, state: dict[str, Any]) -> ObjectModel:
+    return ObjectModel.model_validate({"kind": kind, "name": name, "state": state})
+
+
+def _model_objects(firm: Firm) -> list[ObjectModel]:
+    model = {"version": "1", "bytes_per_token": BYTES_PER_TOKEN}
+    pool = {"region": firm.region, "models": (firm.model,)}
+    rule = {
+        "tenant": firm.name,
+        "service": f"{firm.model}-service",
+        "model": firm.model,
+        "pool": firm.pool,
+    }
+    return [
+        _object("model", firm.model, model),
+        _object("pool", firm.pool, pool),
+        _object("service", f"{firm.model}-service", {"kind": "model"}),
+        _object("rule", f"{firm.name}-{firm.model}", rule),
+    ]
+
+
+def _tenant_objects(firm: Firm) -> list[ObjectModel]:
+    digest = hashlib.sha256(firm.api_key.encode()).hexdigest()
+    default_class = firm.work[-1].class_name
+    state = {
+        "api_key_sha256": (digest,),
+        "default_class": default_class,
+        "max_concurrent": 10_000,
+        "requests_per_s": 10_000.0,
+    }
+    return [_object("tenant", firm.name, state)]
+
+
+def _class_objects(firm: Firm) -> list[ObjectModel]:
+    return [
+        _object(
+            "class",
+            work.class_name,
+            {
+                "ttft_target_ms": work.ttft_target_ms,
+                "tbt_target_ms": work.tbt_target_ms,
+                "patience_ms": work.patience_ms,
+                "deadline_ms": work.deadline_ms,
+                "priority": work.priority,
+            },
+        )
+        for work in firm.work
+    ]
+
+
+def _service_objects(firm: Firm) -> list[ObjectModel]:
+    objects = []
+    for service in firm.services:
+        state = {"kind": "plain", "repeatable": False, "timeout_ms": 5000}
+        rule = {"tenant": firm.name, "service": service.name}
+        objects.append(_object("service", service.name, state))
+        objects.append(_object("rule", f"{firm.name}-{service.name}", rule))
+    return objects
+
+
+def _engine_object(firm: Firm, index: int, engine: EngineConfig) -> ObjectModel:
+    state = {
+        "url": f"http://127.0.0.1:{engine.port}",
+        "pool": firm.pool,
+        "failure_domain": firm.failure_domains[index % len(firm.failure_domains)],
+        "role": engine.role,
+        "models": engine.models,
+        "total_pieces": engine.total_pieces,
+        "piece_tokens": engine.piece_tokens,
+        "max_requests": engine.max_requests,
+        "prefill_tokens_per_s": engine.prefill_tokens_per_s,
+        "link_bytes_per_s": engine.link_bytes_per_s,
+        "step_base_ms": engine.step_base_ms,
+        "step_request_ms": engine.step_request_ms,
+        "checks_fencing": engine.checks_fencing,
+    }
+    return _object("engine", engine.engine_id, state)
+
+
+def _server_object(firm: Firm, index: int, server: BackendConfig) -> ObjectModel:
+    state = {
+        "url": f"http://127.0.0.1:{server.port}",
+        "service": server.service,
+        "failure_domain": firm.failure_domains[index % len(firm.failure_domains)],
+        "checks_fencing": server.checks_fencing,
+    }
+    return _object("backend_server", server.server_id, state)
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/processes.py
@@ -0,0 +1,116 @@
+"""Child processes of the development tools, on loopback.
+
+Only processes that this module started are ended, each by its own id.
+"""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["ChildProcess", "ProcessGroup", "free_ports"]
+
+STOP_TIMEOUT_S = 5.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of loopback that are free at present."""
+    sockets = []
+    try:
+        for _ in range(count):
+            candidate = socket.socket()
+            candidate.bind(("127.0.0.1", 0))
+            sockets.append(candidate)
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@dataclass
+class ChildProcess:
+    """A process started here; its output goes to ``log_path``."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log_path: Path
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far, in seconds."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory in bytes."""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class ProcessGroup:
+    """Starts processes and ends them together."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self.children_by_name: dict[str, ChildProcess] = {}
+
+    async def start(self, name: str, module: str, *arguments: str) -> ChildProcess:
+        """Start ``python -m module`` with arguments."""
+        log_path = self._directory / f"{name}.log"
+        with log_path.open("ab") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=log_file,
+                stderr=log_file,
+                # Ctrl-C reaches only the tool, which ends its children.
+                start_new_session=True,
+            )
+        child = ChildProcess(name, process, log_path)
+        self.children_by_name[name] = child
+        return child
+
+    def ended(self) -> list[ChildProcess]:
+        """Return the processes that ended by themselves."""
+        return [item for item in self.children_by_name.values() if not item.running]
+
+    async def stop(self) -> None:
+        """End all processes: SIGTERM first, SIGKILL after a time."""
+        children = list(self.children_by_name.values())
+        for child in children:
+            # An entry host ends its drain early at the second signal.
+            child.send(signal.SIGTERM)
+            child.send(signal.SIGTERM)
+        await asyncio.gather(*(self._wait(child) for child in children))
+        self.children_by_name.clear()
+
+    @staticmethod
+    async def _wait(child: ChildProcess) -> None:
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await child.process.wait()
+        except TimeoutError:
+            child.send(signal.SIGKILL)
+            await child.process.wait()
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -0,0 +1,320 @@
+"""The whole system as processes on loopback.
+
+Starts the platform, the engines and backend servers of both firms and the
+entry hosts, writes settings and initial tickets, and waits until every entry
+host is ready and sees all others of its region.
+"""
+
+import asyncio
+import contextlib
+import json
+import tempfile
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, Field
+
+from kumquat_core.http_client import TRANSPORT_ERRORS, create_session
+from kumquat_core.table_client import HttpTableClient, Write
+from kumquat_core.tickets import Ticket
+
+from .backend_server import BackendConfig, BackendHostConfig
+from .cost_model import EngineConfig, EngineHostConfig
+from .firms import (
+    FIRMS,
+    EngineCounts,
+    Firm,
+    backend_configs,
+    engine_configs,
+    initial_ticket,
+)
+from .platform import PlatformConfig
+from .processes import ChildProcess, ProcessGroup, free_ports
+
+__all__ = [
+    "EntryHostPlan",
+    "Stack",
+    "StackConfig",
+    "StackPlan",
+    "running_stack",
+    "with_policy",
+]
+
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.1
+PEER_KEY = "development-peer-key-0123456789abcdef"
+PORTS_PER_STACK = 128
+LAB = "kumquat_lab"
+ROUTER = "kumquatrouter.main"
+
+
+class StackConfig(BaseModel):
+    """Size of a stack; the file of ``up --config`` has this form."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    hosts_per_firm: Annotated[int, Field(gt=0, le=9)] = 3
+    prefill_engines: Annotated[int, Field(gt=0, le=16)] = 1
+    decode_engines: Annotated[int, Field(gt=0, le=16)] = 2
+    policy: Literal["kumquat", "round_robin", "least_reported_load", "two_choices"] = (
+        "kumquat"
+    )
+    seed: int = 1
+    log_level: Literal["debug", "info", "warning", "error"] = "warning"
+    first_port: Annotated[int, Field(ge=0, le=65000)] = 0
+
+
+@dataclass(frozen=True)
+class EntryHostPlan:
+    """Addresses of one entry host."""
+
+    host_id: str
+    firm: str
+    failure_domain: str
+    region: str
+    caller_port: int
+    admin_port: int
+    peer_port: int
+
+    @property
+    def caller_url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://127.0.0.1:{self.caller_port}"
+
+    @property
+    def admin_url(self) -> str:
+        """Return the base URL of the admin interface."""
+        return f"http://127.0.0.1:{self.admin_port}"
+
+
+@dataclass(frozen=True)
+class StackPlan:
+    """Addresses and settings of all parts."""
+
+    config: StackConfig
+    platform_port: int
+    engines_by_firm: dict[str, list[EngineConfig]]
+    servers_by_firm: dict[str, list[BackendConfig]]
+    hosts: list[EntryHostPlan]
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the platform."""
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    @property
+    def engines(self) -> list[EngineConfig]:
+        """Return the engines of both firms."""
+        return [item for engines in self.engines_by_firm.values() for item in engines]
+
+    @property
+    def servers(self) -> list[BackendConfig]:
+        """Return the backend servers of both firms."""
+        return [item for servers in self.servers_by_firm.values() for item in servers]
+
+    def hosts_of(self, firm: Firm) -> list[EntryHostPlan]:
+        """Return the entry hosts of a firm."""
+        return [host for host in self.hosts if host.firm == firm.name]
+
+    @classmethod
+    def from_config(cls, config: StackConfig) -> "StackPlan":
+        """Return a plan on free ports, or on ports from ``first_port``."""
+        if config.first_port:
+            ports = list(range(config.first_port, config.first_port + PORTS_PER_STACK))
+        else:
+            ports = free_ports(PORTS_PER_STACK)
+        ports.reverse()
+        counts = EngineCounts(config.prefill_engines, config.decode_engines)
+        hosts = [
+            _host_plan(firm, index, ports)
+            for firm in FIRMS
+            for index in range(config.hosts_per_firm)
+        ]
+        platform_port = ports.pop()
+        weights = f"http://127.0.0.1:{platform_port}"
+        engines = {
+            firm.name: engine_configs(firm, counts, ports, weights) for firm in FIRMS
+        }
+        servers = {firm.name: backend_configs(firm, ports) for firm in FIRMS}
+        return cls(config, platform_port, engines, servers, hosts)
+
+
+def _host_plan(firm: Firm, index: int, ports: list[int]) -> EntryHostPlan:
+    return EntryHostPlan(
+        host_id=f"{firm.name}-host-{index}",
+        firm=firm.name,
+        failure_domain=firm.failure_domains[index % len(firm.failure_domains)],
+        region=firm.region,
+        caller_port=ports.pop(),
+        admin_port=ports.pop(),
+        peer_port=ports.pop(),
+    )
+
+
+@dataclass
+class Stack:
+    """A running stack."""
+
+    plan: StackPlan
+    directory: Path
+    processes: ProcessGroup
+    session: aiohttp.ClientSession
+    settings_by_host_id: dict[str, Path] = field(default_factory=dict)
+
+    async def start(self) -> None:
+        """Start all parts and wait until they are ready."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await self._start_back_ends()
+            await self._wait_for_back_ends()
+            await self._write_tickets()
+            await self.publish_hosts(self.plan.hosts)
+            for host in self.plan.hosts:
+                await self.start_host(host)
+            await asyncio.gather(*(self._wait_ready(h) for h in self.plan.hosts))
+
+    async def start_host(self, host: EntryHostPlan) -> ChildProcess:
+        """Start one entry host; used again to restart it."""
+        path = self.directory / f"{host.host_id}.json"
+        path.write_text(json.dumps(self._settings(host), indent=2))
+        self.settings_by_host_id[host.host_id] = path
+        return await self.processes.start(
+            host.host_id, ROUTER, "run", "--settings", str(path)
+        )
+
+    async def publish_hosts(self, hosts: list[EntryHostPlan]) -> None:
+        """Replace the platform's host list at once."""
+        body = {
+            "lag_s": 0,
+            "hosts": [
+                {
+                    "host_id": host.host_id,
+                    "address": "127.0.0.1",
+                    "peer_port": host.peer_port,
+                    "failure_domain": host.failure_domain,
+                    "region": host.region,
+                    "state": "live",
+                }
+                for host in hosts
+            ],
+            "backend_servers": [
+                {"id": server.server_id, "state": "live"}
+                for server in self.plan.servers
+            ],
+        }
+        await self.call("PUT", f"{self.plan.platform_url}/hosts", body)
+
+    async def call(self, method: str, url: str, body: Any = None) -> Any:
+        """Call a part of the stack and return the JSON answer."""
+        async with self.session.request(method, url, json=body) as response:
+            return await response.json(content_type=None)
+
+    async def _start_back_ends(self) -> None:
+        platform = PlatformConfig(port=self.plan.platform_port)
+        await self._start_lab("platform", "platform", platform)
+        for firm, engines in self.plan.engines_by_firm.items():
+            host = EngineHostConfig(engines=tuple(engines), seed=self.plan.config.seed)
+            await self._start_lab(f"{firm}-engines", "engine", host)
+        servers = BackendHostConfig(servers=tuple(self.plan.servers))
+        await self._start_lab("backend-servers", "backend", servers)
+
+    async def _start_lab(self, name: str, command: str, config: BaseModel) -> None:
+        path = self.directory / f"{name}.json"
+        path.write_text(config.model_dump_json(indent=2))
+        await self.processes.start(name, LAB, command, "--config", str(path))
+
+    async def _wait_for_back_ends(self) -> None:
+        urls = [f"{self.plan.platform_url}/hosts"]
+        urls += [f"http://127.0.0.1:{e.port}/v1/report" for e in self.plan.engines]
+        urls += [f"http://127.0.0.1:{s.port}/executions" for s in self.plan.servers]
+        await asyncio.gather(*(self._wait_for(url) for url in urls))
+
+    async def _wait_for(self, url: str) -> None:
+        while not await self._answers(url):
+            await asyncio.sleep(READY_POLL_S)
+
+    async def _wait_ready(self, host: EntryHostPlan) -> None:
+        await self._wait_for(f"{host.admin_url}/readyz")
+        expected = {h.host_id for h in self.plan.hosts if h.region == host.region}
+        while True:
+            status = await self.call("GET", f"{host.admin_url}/admin/status")
+            if expected <= set(status["live_hosts"]):
+                return
+            await asyncio.sleep(READY_POLL_S)
+
+    async def _answers(self, url: str) -> bool:
+        self._check_processes()
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except TRANSPORT_ERRORS:
+            return False
+
+    def _check_processes(self) -> None:
+        for child in self.processes.ended():
+            tail = child.log_path.read_text()[-2000:]
+            raise RuntimeError(f"{child.name} ended while starting:\n{tail}")
+
+    async def _write_tickets(self) -> None:
+        table = HttpTableClient(self.session, self.plan.platform_url, 5.0)
+        writes = []
+        for position, firm in enumerate(FIRMS, start=1):
+            model = initial_ticket(
+                firm,
+                position,
+                self.plan.engines_by_firm[firm.name],
+                self.plan.servers_by_firm[firm.name],
+            )
+            document = Ticket(position, model).to_document()
+            key = f"{position:012d}"
+            writes.append(Write("ticket_log", key, 0, document))
+            writes.append(Write("tickets", key, 0, document))
+        writes.append(Write("ticket_head", "head", 0, {"position": len(FIRMS)}))
+        result = await table.transact(writes)
+        if not result.committed:
+            raise RuntimeError("the table service refused the initial tickets")
+
+    def _settings(self, host: EntryHostPlan) -> dict[str, Any]:
+        (self.directory / "peer.key").write_text(PEER_KEY)
+        url = self.plan.platform_url
+        return {
+            "host_id": host.host_id,
+            "region": host.region,
+            "failure_domain": host.failure_domain,
+            "caller_listen": {"port": host.caller_port},
+            "admin_listen": {"port": host.admin_port},
+            "peer_listen": {"port": host.peer_port},
+            "platform": {
+                "table_service_url": url,
+                "object_store_url": url,
+                "host_list_url": url,
+                "weight_store_url": url,
+            },
+            "peer_key_file": "peer.key",
+            "policy": self.plan.config.policy,
+            "log_level": self.plan.config.log_level,
+            "seed": self.plan.config.seed,
+        }
+
+
+@contextlib.asynccontextmanager
+async def running_stack(config: StackConfig) -> AsyncIterator[Stack]:
+    """Start a stack and end its processes afterwards."""
+    with tempfile.TemporaryDirectory(prefix="kumquat-lab-") as name:
+        directory = Path(name)
+        processes = ProcessGroup(directory)
+        async with create_session(2.0) as session:
+            plan = StackPlan.from_config(config)
+            stack = Stack(plan, directory, processes, session)
+            try:
+                await stack.start()
+                yield stack
+            finally:
+                await processes.stop()
+
+
+def with_policy(config: StackConfig, policy: str) -> StackConfig:
+    """Return the same stack with another routing policy."""
+    return StackConfig.model_validate(config.model_dump() | {"policy": policy})
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/up.py
@@ -0,0 +1,50 @@
+"""Runs a stack until interrupted and prints commands to try it."""
+
+import asyncio
+
+import typer
+
+from .firms import FIRMS, Firm
+from .stack import Stack, StackConfig, running_stack
+
+__all__ = ["run_up"]
+
+
+async def run_up(config: StackConfig) -> None:
+    """Run the stack until this task is cancelled."""
+    async with running_stack(config) as stack:
+        for line in _usage(stack):
+            typer.echo(line)
+        await asyncio.Event().wait()
+
+
+def _usage(stack: Stack) -> list[str]:
+    lines = [f"platform  {stack.plan.platform_url}"]
+    for host in stack.plan.hosts:
+        lines.append(f"{host.host_id}  {host.caller_url}  admin {host.admin_url}")
+    lines += [f"{e.engine_id}  http://127.0.0.1:{e.port}" for e in stack.plan.engines]
+    lines += [f"{s.server_id}  http://127.0.0.1:{s.port}" for s in stack.plan.servers]
+    for firm in FIRMS:
+        lines += _commands(firm, stack.plan.hosts_of(firm)[0].caller_url)
+    lines.append("Ctrl-C stops all processes.")
+    return lines
+
+
+def _commands(firm: Firm, url: str) -> list[str]:
+    key = f"-H 'Authorization: Bearer {firm.api_key}'"
+    lines = []
+    for work in firm.work:
+        body = (
+            f'{{"model": "{firm.model}", "prompt": "what is due today", '
+            f'"max_tokens": 20, "stream": true}}'
+        )
+        lines.append(
+            f"curl -N {key} -H 'X-Request-Class: {work.class_name}' "
+            f"-d '{body}' {url}/v1/completions"
+        )
+    for service in firm.services:
+        lines.append(
+            f"curl -i {key} -H 'Idempotency-Key: {service.class_name}-1' "
+            f"-d '{{\"order\": 1}}' {url}/services/{service.name}/{service.class_name}"
+        )
+    return lines
