Add the operator tool without apply and requests

Operators have no way to check a ticket before it is accepted or to look at hosts. kumquatctl checks a ticket with all errors at once (path, value, expected form), compares it with the state in force, predicts its verdict, lists accepted tickets, and asks the hosts' admin listeners for status, decisions and drain.

A value below an API key field is never printed, because a plain key pasted in place of its hash would reach a terminal log.

--- /dev/null
+++ b/tests/ctl/ctl_fakes.py
@@ -0,0 +1,140 @@
+"""A platform in memory for tests of the operator tool."""
+
+import json
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from typer.testing import CliRunner, Result
+
+from kumquat_core.configuration import ServerState
+from kumquat_core.host_list_client import HostList, ListedHost
+from kumquat_core.object_client import StoredObject
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.table_client import Row, TransactResult, Write
+from kumquatctl.main import Tool, app
+from kumquatctl.platform_access import Platform
+from kumquatctl.tool_settings import ToolSettings
+
+SETTINGS = {
+    "table_service_url": "http://127.0.0.1:1",
+    "object_store_url": "http://127.0.0.1:1",
+    "host_list_url": "http://127.0.0.1:1",
+    "admin_port": 9,
+}
+
+
+class FakeTables:
+    def __init__(self) -> None:
+        self.rows: dict[str, dict[str, Row]] = {}
+        self.down = False
+
+    async def transact(self, writes: list[Write]) -> TransactResult:
+        self._check_up()
+        failed = [
+            index
+            for index, write in enumerate(writes)
+            if write.expect_version not in (None, self._version(write))
+        ]
+        if failed:
+            return TransactResult(failed=tuple(failed))
+        versions = []
+        for write in writes:
+            version = self._version(write) + 1
+            table = self.rows.setdefault(write.table, {})
+            table[write.key] = Row(write.key, version, write.value)
+            versions.append(version)
+        return TransactResult(versions=tuple(versions))
+
+    async def get(self, table: str, key: str) -> Row | None:
+        self._check_up()
+        return self.rows.get(table, {}).get(key)
+
+    async def scan(self, table: str, after: str, limit: int) -> list[Row]:
+        self._check_up()
+        rows = self.rows.get(table, {})
+        return [rows[key] for key in sorted(rows) if key > after][:limit]
+
+    def _version(self, write: Write) -> int:
+        row = self.rows.get(write.table, {}).get(write.key)
+        return row.version if row else 0
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise RouterError(ResultCode.STORE_UNAVAILABLE, "connection refused")
+
+
+class FakeObjects:
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+
+    async def get(self, name: str) -> StoredObject | None:
+        content = self.objects.get(name)
+        return None if content is None else StoredObject(content, "1")
+
+    async def put(self, name: str, content: bytes, if_match: str | None) -> bool:
+        self.objects[name] = content
+        return True
+
+
+@dataclass
+class FakeHostList:
+    hosts: list[ListedHost] = field(default_factory=list)
+
+    async def fetch(self) -> HostList:
+        return HostList(tuple(self.hosts), {})
+
+
+class FakeAdmin:
+    def __init__(self) -> None:
+        self.answers: dict[tuple[str, str], tuple[int, object]] = {}
+
+    async def call(self, method: str, url: str) -> tuple[int, object]:
+        answer = self.answers.get((method, url))
+        if answer is None:
+            raise RouterError(ResultCode.PEER_CLOSED, "connection refused")
+        return answer
+
+
+class FakePlatform:
+    """Fakes behind every interface, and a runner for commands."""
+
+    def __init__(self, settings_path) -> None:
+        self.settings_path = settings_path
+        self.tables = FakeTables()
+        self.objects = FakeObjects()
+        self.host_list = FakeHostList()
+        self.admin = FakeAdmin()
+
+    @asynccontextmanager
+    async def connect(self, settings: ToolSettings):
+        yield Platform(settings, self.tables, self.objects, self.host_list, self.admin)
+
+    def add_host(self, host_id: str, ip: str) -> None:
+        host = ListedHost(host_id, ip, 7000, "mombasa", "pwani", ServerState.LIVE)
+        self.host_list.hosts.append(host)
+
+    def run(self, *arguments: str, input_text: str | None = None) -> Result:
+        tool = Tool(self.settings_path, self.connect)
+        return CliRunner().invoke(app, list(arguments), obj=tool, input=input_text)
+
+    def accept(self, position: int, ticket: dict) -> None:
+        """Put a ticket into the log as the acceptance does."""
+        key = f"{position:012d}"
+        value = {"position": position, "ticket": ticket}
+        table = self.rows_of("ticket_log")
+        table[key] = Row(key, 1, value)
+
+    def rows_of(self, table: str) -> dict[str, Row]:
+        return self.tables.rows.setdefault(table, {})
+
+
+def make_ticket(number: int, version: str = "1") -> dict:
+    state = {"version": version}
+    item = {"kind": "model", "name": "advice", "state": state}
+    return {"number": number, "author": "amina", "objects": [item]}
+
+
+def write_ticket(tmp_path, ticket: object) -> str:
+    path = tmp_path / "ticket.json"
+    path.write_text(json.dumps(ticket))
+    return str(path)
--- /dev/null
+++ b/tests/ctl/test_host_commands.py
@@ -0,0 +1,69 @@
+"""Guards against a host that is missing from a report without a word."""
+
+import hashlib
+import json
+
+EXIT_INCOMPLETE = 3
+EXIT_REFUSED = 12
+EXIT_SETTINGS = 16
+
+
+def decision(at_ms: int, step: str) -> dict:
+    return {"at_ms": at_ms, "step": step, "result": "ok", "inputs": {"queue": 1}}
+
+
+def test_status_lists_a_host_that_does_not_answer(platform):
+    platform.add_host("h1", "127.0.0.1")
+    platform.add_host("h2", "127.0.0.2")
+    ready = {"ready": True, "tickets": {"position": 4}, "open_streams": 2}
+    platform.admin.answers["GET", "http://127.0.0.1:9/admin/status"] = (200, ready)
+    result = platform.run("status", "--json")
+    assert result.exit_code == EXIT_INCOMPLETE
+    first, second = json.loads(result.stdout)["hosts"]
+    assert (first["ok"], second["ok"]) == (True, False)
+    assert "connection refused" in second["error"]
+
+
+def test_explain_merges_the_decisions_of_entry_host_and_owner(platform):
+    for number in (1, 2):
+        platform.add_host(f"h{number}", f"127.0.0.{number}")
+        url = f"http://127.0.0.{number}:9/admin/explain/h1.5.7"
+        document = {"decisions": [decision(10 - number, f"step-{number}")]}
+        platform.admin.answers["GET", url] = (200, document)
+    result = platform.run("explain", "h1.5.7", "--json")
+    decisions = json.loads(result.stdout)["decisions"]
+    assert [item["host_id"] for item in decisions] == ["h2", "h1"]
+
+
+def test_explain_refuses_something_that_is_no_request_id(platform):
+    result = platform.run("explain", "abc")
+    assert result.exit_code == 11
+    assert "HOST.INCARNATION.SEQUENCE" in result.stderr
+
+
+def test_drain_of_an_unknown_host_names_the_known_ones(platform):
+    platform.add_host("h1", "127.0.0.1")
+    result = platform.run("drain", "h9")
+    assert result.exit_code == 11
+    assert "listed: h1" in result.stderr
+
+
+def test_store_outage_has_its_own_exit_status(platform):
+    platform.tables.down = True
+    assert platform.run("history").exit_code == EXIT_REFUSED
+
+
+def test_wrong_settings_report_every_error(platform):
+    platform.settings_path.write_text('{"admin_prot": 9, "timeout_s": 0}')
+    result = platform.run("status", "--json")
+    assert result.exit_code == EXIT_SETTINGS
+    errors = json.loads(result.stdout)["error"]["errors"]
+    assert len(errors) == 5
+
+
+def test_hash_key_ignores_the_line_break_of_echo(platform):
+    expected = hashlib.sha256(b"secret").hexdigest()
+    for text in ("secret", "secret\n"):
+        result = platform.run("hash-key", input_text=text)
+        assert result.stdout.strip() == expected
+        assert "secret" not in result.output
