Measure the request path and explain its decisions

The admin listener served readiness and a short status only, so a refusal or a retry could be followed in the logs alone. The listener serves both at /metrics and /admin/explain/ID, and its status names shard owners, engines, memory and the health of the table service.

A stream that fails after its start is counted with the code of the failure; before, the log line of its end said 0.

check-config reports the errors of the settings and of the key file together. A decision of a shard owner is filed under the attempt's identifier, so kumquatctl explain asks all hosts again for each attempt of the request.

--- a/packages/kumquat_core/src/kumquat_core/frames.py
+++ b/packages/kumquat_core/src/kumquat_core/frames.py
@@ -17,6 +17,7 @@
 from .result_codes import ResultCode, RouterError
 
 __all__ = [
+    "LENGTH_BYTES",
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
     "PeerIdentity",
--- a/packages/kumquat_core/src/kumquat_core/metrics.py
+++ b/packages/kumquat_core/src/kumquat_core/metrics.py
@@ -136,7 +136,7 @@
         )
         self._ticket_age = self._gauge(
             "ticket_age_seconds",
-            "Time since tickets were last compared with the store or a peer.",
+            "Time since the ticket log was last read from the store.",
             [],
         )
         self._members = self._gauge(
@@ -191,11 +191,13 @@
         """Record a request's mean time between tokens in seconds."""
         self._tbt.labels(self._classes.label_of(class_name)).observe(seconds)
 
-    def observe_prefill(self, class_name: str, seconds: float, tokens: int) -> None:
-        """Record a finished prefill: seconds and prompt tokens."""
-        label = self._classes.label_of(class_name)
-        self._prefill.labels(label).observe(seconds)
-        self._prefill_tokens.labels(label).inc(tokens)
+    def observe_prefill(self, class_name: str, seconds: float) -> None:
+        """Record the seconds of a finished prefill call."""
+        self._prefill.labels(self._classes.label_of(class_name)).observe(seconds)
+
+    def add_prefill_tokens(self, class_name: str, tokens: int) -> None:
+        """Count prompt tokens sent to a prefill engine."""
+        self._prefill_tokens.labels(self._classes.label_of(class_name)).inc(tokens)
 
     def observe_queue(self, class_name: str, seconds: float) -> None:
         """Record the seconds until the owner granted or refused."""
@@ -228,7 +230,7 @@
             self._store_errors.labels(operation).inc()
 
     def set_tickets(self, position: int, age_s: float) -> None:
-        """Set the log position in force and the age of the last check."""
+        """Set the position in force and the seconds since the log was read."""
         self._ticket_position.set(position)
         self._ticket_age.set(age_s)
 
--- a/packages/kumquatctl/src/kumquatctl/host_commands.py
+++ b/packages/kumquatctl/src/kumquatctl/host_commands.py
@@ -1,5 +1,7 @@
 """The commands on hosts and requests in memory."""
 
+from typing import Any
+
 import typer
 
 from kumquat_core.host_list_client import ListedHost
@@ -19,7 +21,7 @@
     if as_json:
         print_json({"hosts": [_document(answer) for answer in answers]})
     else:
-        columns = ("host", "region", "domain", "state", "position", "streams", "store")
+        columns = ("host", "region", "domain", "state", "position", "requests", "store")
         print_table("Entry hosts", columns, [_status_row(item) for item in answers])
         _print_errors(answers)
     if not all(answer.ok and answer.document.get("ready") for answer in answers):
@@ -35,15 +37,14 @@
         state = "draining"
     else:
         state = "ready" if document.get("ready") else "not ready"
-    tickets = document.get("tickets", {})
     store = "ok" if document.get("store", {}).get("healthy", True) else "failing"
     return (
         host.host_id,
         host.region,
         host.failure_domain,
         state,
-        tickets.get("position", "?"),
-        document.get("open_streams", "?"),
+        document.get("ticket_position", "?"),
+        document.get("in_progress", "?"),
         store,
     )
 
@@ -52,7 +53,8 @@
     """Collect the decisions about a request from all live hosts.
 
     The entry host that took the request and the owners that granted engines
-    each keep their own decisions in memory.
+    each keep their own decisions in memory. Owners know the attempts of a
+    request, not the request.
     """
     try:
         origin = RequestId.parse(request_id)
@@ -60,14 +62,12 @@
         detail = "a request id looks like HOST.INCARNATION.SEQUENCE"
         raise RouterError(ResultCode.INVALID_FIELD, detail) from error
     hosts = await platform.live_hosts()
-    path = f"/admin/explain/{request_id}"
-    answers = await ask_hosts(platform, hosts, "GET", path)
-    decisions = [
-        {**decision, "host_id": answer.host.host_id}
-        for answer in answers
-        if answer.ok
-        for decision in answer.document["decisions"]
-    ]
+    decisions = await _decisions_of(platform, hosts, request_id)
+    attempt_ids = {item["attempt_id"] for item in decisions} - {"", request_id}
+    for attempt_id in sorted(attempt_ids):
+        for decision in await _decisions_of(platform, hosts, attempt_id):
+            if decision not in decisions:
+                decisions.append(decision)
     decisions.sort(key=lambda item: item["at_ms"])
     if as_json:
         print_json({"request_id": request_id, "decisions": decisions})
@@ -83,6 +83,19 @@
         _explain_nothing_found(origin, hosts, as_json)
 
 
+async def _decisions_of(
+    platform: Platform, hosts: list[ListedHost], identifier: str
+) -> list[dict[str, Any]]:
+    path = f"/admin/explain/{identifier}"
+    answers = await ask_hosts(platform, hosts, "GET", path)
+    return [
+        {**decision, "host_id": answer.host.host_id}
+        for answer in answers
+        if answer.ok
+        for decision in answer.document["decisions"]
+    ]
+
+
 def _inputs_text(inputs: dict[str, object]) -> str:
     return "\n".join(f"{name}={value}" for name, value in inputs.items())
 
@@ -117,7 +130,7 @@
     if as_json:
         print_json(_document(answer))
     elif answer.ok:
-        streams = answer.document.get("open_streams", "?")
+        streams = answer.document.get("in_progress", "?")
         state = "draining" if draining else "taking requests"
         console().print(f"{host_id}: {state}, {streams} request(s) in progress")
     else:
--- a/packages/kumquatrouter/src/kumquatrouter/admin_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/admin_api.py
@@ -1,4 +1,8 @@
-"""HTTP interface for the balancer and operators, on a port of its own."""
+"""HTTP interface for the balancer and operators, on a port of its own.
+
+It has no authentication: the settings must bind it to an address that only
+the balancer and operators reach.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -6,17 +10,20 @@
 import aiomisc
 from aiohttp import web
 
+from kumquat_core.metrics import CONTENT_TYPE_LATEST
 from kumquat_core.settings import Address
 
+from .decision_log import DecisionLog
 from .drain import Drain
 
 __all__ = ["AdminApi"]
 
 StatusSource = Callable[[], dict[str, Any]]
+MetricsSource = Callable[[], bytes]
 
 
 class AdminApi(aiomisc.Service):
-    """Serves liveness, readiness, status and drain."""
+    """Serves liveness, readiness, metrics, status, explanations and drain."""
 
     def __init__(
         self,
@@ -24,23 +31,33 @@
         is_ready: Callable[[], bool],
         status: StatusSource,
         drain: Drain,
+        metrics: MetricsSource,
+        decisions: DecisionLog,
     ) -> None:
         super().__init__()
+        self._metrics = metrics
+        self._decisions = decisions
         self._listen = listen
         self._is_ready = is_ready
         self._status = status
         self._drain = drain
         self._runner: web.AppRunner | None = None
 
-    async def start(self) -> None:
-        """Start listening."""
+    def application(self) -> web.Application:
+        """Return the web application."""
         app = web.Application()
         app.router.add_get("/livez", self._livez)
         app.router.add_get("/readyz", self._readyz)
+        app.router.add_get("/metrics", self._get_metrics)
         app.router.add_get("/admin/status", self._get_status)
+        app.router.add_get("/admin/explain/{identifier}", self._explain)
         app.router.add_post("/admin/drain", self._begin_drain)
         app.router.add_post("/admin/undrain", self._end_drain)
-        self._runner = web.AppRunner(app, access_log=None)
+        return app
+
+    async def start(self) -> None:
+        """Start listening."""
+        self._runner = web.AppRunner(self.application(), access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, self._listen.ip, self._listen.port).start()
 
@@ -59,10 +76,26 @@
     async def _get_status(self, _: web.Request) -> web.Response:
         return web.json_response(self._status())
 
+    async def _get_metrics(self, _: web.Request) -> web.Response:
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return web.Response(body=self._metrics(), headers=headers)
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        identifier = request.match_info["identifier"]
+        decisions = self._decisions.find(identifier)
+        documents = [decision.to_document() for decision in decisions]
+        return web.json_response({"identifier": identifier, "decisions": documents})
+
     async def _begin_drain(self, _: web.Request) -> web.Response:
         self._drain.begin()
-        return web.json_response({"draining": True})
+        return web.json_response(self._drain_document())
 
     async def _end_drain(self, _: web.Request) -> web.Response:
         self._drain.end()
-        return web.json_response({"draining": False})
+        return web.json_response(self._drain_document())
+
+    def _drain_document(self) -> dict[str, Any]:
+        return {
+            "draining": self._drain.draining,
+            "in_progress": self._drain.in_progress,
+        }
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from kumquat_core.backend_client import BackendResponse
+from kumquat_core.clock import Clock
 from kumquat_core.configuration import (
     Configuration,
     RequestClass,
@@ -38,12 +39,16 @@
 from .drain import Drain
 from .model_path import ModelPath, ModelRequest, ModelTimes
 from .plain_path import PlainPath, PlainRequest
+from .request_observer import RequestObserver
 
 __all__ = ["CallerApi"]
 
 BEARER = "Bearer "
 MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
+# Label of requests that end before their tenant or class is known.
+UNKNOWN_LABEL = "unknown"
+
 # aiohttp ends a connection that sends no request for this time.
 KEEPALIVE_S = 75.0
 
@@ -136,8 +141,12 @@
         model_path: ModelPath,
         plain_path: PlainPath,
         drain: Drain,
+        clock: Clock,
+        observer: RequestObserver,
     ) -> None:
         super().__init__()
+        self._clock = clock
+        self._observer = observer
         self._options = options
         self._tickets = tickets
         self._ids = ids
@@ -179,6 +188,8 @@
         request_id = self._ids.next_id()
         http_request["request_id"] = request_id
         code = ResultCode.OK
+        began_s = self._clock.monotonic()
+        self._observer.metrics.request_started()
         try:
             with self._drain.request():
                 return await handler(http_request, request_id)
@@ -199,6 +210,15 @@
             )
             return error_response(RouterError(code), request_id)
         finally:
+            # A stream that failed after its start has answered with 200.
+            code = http_request.get("stream_code", code)
+            self._observer.finished(
+                str(request_id),
+                http_request.get("class", UNKNOWN_LABEL),
+                http_request.get("tenant", UNKNOWN_LABEL),
+                code,
+                self._clock.monotonic() - began_s,
+            )
             log_event(
                 logger,
                 "request_ended",
@@ -238,6 +258,7 @@
         caller = self._authenticate(http_request, request_id)
         body = parse_completion(await self._read_body(http_request))
         request = _model_request(caller, body, http_request)
+        http_request["class"] = request.request_class.name
         if body.stream:
             return await self._stream(http_request, caller, request)
         sink = _BufferSink()
@@ -272,6 +293,7 @@
                 code=error.code.value,
                 detail=error.detail,
             )
+            http_request["stream_code"] = error.code
             return await sink.fail(error)
 
     async def _call_service(
@@ -279,6 +301,7 @@
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         service = _find_service(caller, http_request.match_info["service"])
+        http_request["class"] = service.name
         deadline_ms = parse_deadline_ms(http_request.headers) or service.timeout_ms
         request = PlainRequest(
             request_id=request_id,
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from dataclasses import asdict
 from typing import Any
 
 from kumquat_core.backend_client import HttpBackendClient
@@ -12,6 +13,7 @@
 from kumquat_core.host_list_client import HttpHostListClient
 from kumquat_core.http_client import create_session
 from kumquat_core.log_events import log_event
+from kumquat_core.metrics import RouterMetrics
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
@@ -28,14 +30,18 @@
 from .admin_api import AdminApi
 from .background import BackgroundTasks
 from .caller_api import CallerApi
+from .decision_log import DecisionLog
 from .drain import Drain
 from .host_directory import HostDirectory
+from .metered_clients import MeteredTableClient
 from .model_path import ModelPath
 from .owner_client import OwnerClient
 from .peer_links import PeerLinks
 from .peer_server import PeerServer
 from .plain_path import PlainPath
+from .request_observer import RequestObserver
 from .shard_owners import ShardOwners
+from .status_report import engine_documents, owners_by_shard, resident_bytes
 from .supervisor import Supervisor, TaskService
 from .ticket_sync import TicketSync
 
@@ -75,6 +81,10 @@
         )
         self._timers = TimerService(clock)
         self._background = BackgroundTasks()
+        self._clock = clock
+        self._metrics = RouterMetrics()
+        decisions = DecisionLog(clock)
+        observer = RequestObserver(self._metrics, decisions)
         self._drain = Drain(options.limits.max_streams)
         self._tickets = TicketStore()
         self._directory = HostDirectory(
@@ -83,18 +93,29 @@
                 self._session, options.host_list_url, timing.store_timeout_s
             ),
         )
-        table_client = HttpTableClient(
-            self._session, options.table_service_url, timing.store_timeout_s
+        table_client = MeteredTableClient(
+            HttpTableClient(
+                self._session, options.table_service_url, timing.store_timeout_s
+            ),
+            self._metrics,
+            clock,
         )
+        self._table_client = table_client
         self._ticket_sync = TicketSync(self._tickets, table_client)
         engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
-        self._links = PeerLinks(self._identity, options.peer_key, self._address_of)
+        self._links = PeerLinks(
+            self._identity,
+            options.peer_key,
+            self._address_of,
+            self._metrics.add_peer_bytes,
+        )
         self._owners = ShardOwners(
             options.host_id,
             options.region,
             clock,
             engine_client,
             self._directory.live_host_ids,
+            observer,
         )
         self._owner_client = OwnerClient(
             options.host_id,
@@ -106,19 +127,35 @@
         )
         ids = RequestIdSource(options.host_id, incarnation)
         model_path = ModelPath(
-            clock, engine_client, self._owner_client, self._background, ids
+            clock, engine_client, self._owner_client, self._background, ids, observer
         )
         plain_path = PlainPath(
             clock, HttpBackendClient(self._single_use_session), self._directory, rng
         )
         caller_api = CallerApi(
-            options, self._tickets, ids, model_path, plain_path, self._drain
+            options,
+            self._tickets,
+            ids,
+            model_path,
+            plain_path,
+            self._drain,
+            clock,
+            observer,
         )
         admin_api = AdminApi(
-            options.admin_listen, self._is_ready, self._status, self._drain
+            options.admin_listen,
+            self._is_ready,
+            self._status,
+            self._drain,
+            self._render_metrics,
+            decisions,
         )
         peer_server = PeerServer(
-            options.peer_listen, self._identity, options.peer_key, self._on_message
+            options.peer_listen,
+            self._identity,
+            options.peer_key,
+            self._on_message,
+            self._metrics.add_peer_bytes,
         )
         self._supervisor = Supervisor(
             [_TimerTask(self._timers), peer_server, admin_api, caller_api]
@@ -195,14 +232,32 @@
         return self._tickets.position > 0
 
     def _status(self) -> dict[str, Any]:
+        configuration = self._tickets.configuration
+        live_hosts = self._directory.live_host_ids()
         return {
             "host_id": self._identity.host_id,
             "incarnation": self._identity.incarnation,
+            "region": self._options.region,
             "failure_domain": self._options.failure_domain,
+            "ready": self._is_ready() and not self._drain.draining,
             "ticket_position": self._tickets.position,
             "ticket_number": self._tickets.number,
+            "ticket_age_s": self._table_client.scan_age_s,
             "in_progress": self._drain.in_progress,
             "draining": self._drain.draining,
-            "live_hosts": self._directory.live_host_ids(),
+            "live_hosts": live_hosts,
             "owned_shards": self._owners.shard_ids(),
+            "owners": owners_by_shard(configuration, self._options.region, live_hosts),
+            "shards": [asdict(summary) for summary in self._owners.summaries()],
+            "engines": engine_documents(configuration, self._options.region),
+            "store": asdict(self._table_client.health()),
+            "resident_bytes": resident_bytes(),
         }
+
+    def _render_metrics(self) -> bytes:
+        """Return all metrics, with the gauges set to the present state."""
+        live_hosts = self._directory.live_host_ids()
+        self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
+        self._metrics.set_members({"alive": len(live_hosts)})
+        self._metrics.set_ready(self._is_ready() and not self._drain.draining)
+        return self._metrics.render()
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -11,8 +11,9 @@
 import uvloop
 
 from kumquat_core.log_events import configure_logging
-from kumquat_core.result_codes import RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Options, SettingsModel, load_options
+from kumquat_core.settings_checks import check_settings
 
 from .entry_host import EntryHost
 
@@ -52,9 +53,17 @@
 
 @app.command("check-config")
 def check_config(settings: SettingsArgument) -> None:
-    """Check a settings file and report every error at once."""
-    options = _load(settings)
-    typer.echo(f"{settings}: valid, host {options.host_id}")
+    """Check a settings file and its key file; report every error at once."""
+    errors = check_settings(settings)
+    for error in errors:
+        typer.echo(f"{error.path}", err=True)
+        typer.echo(f"  found     {error.value}", err=True)
+        typer.echo(f"  expected  {error.expected}", err=True)
+    if errors:
+        code = ResultCode.SETTINGS_INVALID.value
+        typer.echo(f"{settings}: {len(errors)} error(s) ({code})", err=True)
+        raise typer.Exit(EXIT_SETTINGS_INVALID)
+    typer.echo(f"{settings}: valid, host {load_options(settings).host_id}")
 
 
 @app.command("settings-schema")
--- a/packages/kumquatrouter/src/kumquatrouter/model_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_path.py
@@ -24,6 +24,7 @@
 
 from .background import BackgroundTasks
 from .owner_client import OwnerClient
+from .request_observer import RequestObserver
 
 __all__ = ["AnswerSink", "ModelPath", "ModelRequest", "ModelTimes"]
 
@@ -106,7 +107,9 @@
         owner_client: OwnerClient,
         background: BackgroundTasks,
         ids: RequestIdSource,
+        observer: RequestObserver | None = None,
     ) -> None:
+        self._observer = observer or RequestObserver.from_clock(clock)
         self._clock = clock
         self._engine_client = engine_client
         self._owner_client = owner_client
@@ -128,6 +131,14 @@
                 await self._run_attempts(configuration, request, sink, times, started_s)
         except TimeoutError as error:
             raise RouterError(ResultCode.DEADLINE_EXCEEDED) from error
+        self._observer.answered(
+            str(request.request_id),
+            request.request_class.name,
+            times.ttft_ms,
+            times.tbt_ms,
+            times.tokens,
+            times.attempts,
+        )
         return times
 
     async def _run_attempts(
@@ -145,6 +156,7 @@
                 configuration, request, times, started_s, excluded
             )
             attempt = self._new_attempt(configuration, request, grant, times)
+            delivered = times.tokens
             try:
                 await self._run_attempt(request, attempt, sink, times, started_s)
                 attempt.code = ResultCode.OK
@@ -155,11 +167,13 @@
                     raise
                 if attempt.failed_engine:
                     excluded.append(attempt.failed_engine)
+                self._observer.retried(error.code)
                 self._log_retry(request, attempt, error)
             except asyncio.CancelledError:
                 attempt.code = ResultCode.CALLER_GONE
                 raise
             finally:
+                self._observe_end(request, attempt, times.tokens > delivered)
                 self._background.spawn(self._free(attempt, times), "free_attempt")
 
     async def _admit(
@@ -191,7 +205,19 @@
             resume_tokens=times.tokens,
             attempt=times.attempts,
         )
-        return await self._owner_client.admit(configuration, request.pool, admission)
+        asked_s = self._clock.monotonic()
+        request_id = str(request.request_id)
+        try:
+            grant = await self._owner_client.admit(
+                configuration, request.pool, admission
+            )
+        except RouterError as error:
+            waited_s = self._clock.monotonic() - asked_s
+            self._observer.refused(request_id, admission, error, waited_s)
+            raise
+        waited_s = self._clock.monotonic() - asked_s
+        self._observer.granted(request_id, admission, grant, waited_s)
+        return grant
 
     def _new_attempt(
         self,
@@ -225,6 +251,8 @@
     ) -> PrefillResult:
         attempt.failed_engine = attempt.prefill_engine.id
         attempt.touched.append(attempt.prefill_engine)
+        class_name = request.request_class.name
+        self._observer.prefill_sent(class_name, request.prompt_tokens)
         began_s = self._clock.monotonic()
         prefill = await self._engine_client.prefill(
             attempt.prefill_engine.url,
@@ -234,6 +262,13 @@
             request.patience_ms / 1000,
         )
         times.prefill_ms = (self._clock.monotonic() - began_s) * 1000
+        self._observer.prefill_finished(
+            str(request.request_id),
+            attempt.request_id,
+            class_name,
+            times.prefill_ms / 1000,
+            prefill.cached_tokens,
+        )
         done = PrefillDone(
             attempt.request_id,
             attempt.grant.shard_id,
@@ -324,6 +359,22 @@
                 detail=error.detail,
             )
 
+    def _observe_end(
+        self, request: ModelRequest, attempt: _Attempt, delivered: bool
+    ) -> None:
+        """Record a failed attempt; its prefill is wasted without a token."""
+        if attempt.code is ResultCode.OK:
+            return
+        wasted = bool(attempt.touched) and not delivered
+        self._observer.attempt_failed(
+            str(request.request_id),
+            attempt.request_id,
+            request.request_class.name,
+            attempt.code,
+            attempt.failed_engine,
+            request.prompt_tokens if wasted else 0,
+        )
+
     def _log_retry(
         self, request: ModelRequest, attempt: _Attempt, error: RouterError
     ) -> None:
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -10,7 +10,13 @@
 import logging
 from collections.abc import Callable
 
-from kumquat_core.frames import PeerIdentity, handshake, read_frame, write_frame
+from kumquat_core.frames import (
+    LENGTH_BYTES,
+    PeerIdentity,
+    handshake,
+    read_frame,
+    write_frame,
+)
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import Envelope, Message, decode, encode
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -20,6 +26,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+CountBytes = Callable[[str, int], None]
+
 logger = logging.getLogger(__name__)
 
 
@@ -27,8 +35,14 @@
     """The stream to one peer."""
 
     def __init__(
-        self, host_id: str, address: Address, identity: PeerIdentity, key: bytes
+        self,
+        host_id: str,
+        address: Address,
+        identity: PeerIdentity,
+        key: bytes,
+        count_bytes: CountBytes,
     ) -> None:
+        self._count_bytes = count_bytes
         self._host_id = host_id
         self._address = address
         self._identity = identity
@@ -46,7 +60,7 @@
         writer = await self._connected()
         self._replies_by_id[correlation_id] = reply
         try:
-            write_frame(writer, encode(Envelope(correlation_id, message)))
+            self._write(writer, Envelope(correlation_id, message))
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as error:
@@ -58,7 +72,12 @@
     async def send(self, message: Message) -> None:
         """Send a message that has no reply."""
         writer = await self._connected()
-        write_frame(writer, encode(Envelope(0, message)))
+        self._write(writer, Envelope(0, message))
+
+    def _write(self, writer: asyncio.StreamWriter, envelope: Envelope) -> None:
+        data = encode(envelope)
+        self._count_bytes("out", len(data) + LENGTH_BYTES)
+        write_frame(writer, data)
 
     async def close(self) -> None:
         """Close the stream; open calls fail."""
@@ -99,7 +118,9 @@
     ) -> None:
         try:
             while True:
-                envelope = decode(await read_frame(reader))
+                data = await read_frame(reader)
+                self._count_bytes("in", len(data) + LENGTH_BYTES)
+                envelope = decode(data)
                 reply = self._replies_by_id.get(envelope.correlation_id)
                 if reply is not None and not reply.done():
                     reply.set_result(envelope.message)
@@ -127,7 +148,9 @@
         identity: PeerIdentity,
         key: bytes,
         address_of: Callable[[str], Address | None],
+        count_bytes: CountBytes = lambda direction, count: None,
     ) -> None:
+        self._count_bytes = count_bytes
         self._identity = identity
         self._key = key
         self._address_of = address_of
@@ -156,6 +179,8 @@
             raise RouterError(ResultCode.PEER_CLOSED, f"unknown host {host_id}")
         key = (host_id, address)
         if key not in self._links_by_address:
-            link = _PeerLink(host_id, address, self._identity, self._key)
+            link = _PeerLink(
+                host_id, address, self._identity, self._key, self._count_bytes
+            )
             self._links_by_address[key] = link
         return self._links_by_address[key]
--- a/packages/kumquatrouter/src/kumquatrouter/peer_server.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_server.py
@@ -11,7 +11,13 @@
 
 import aiomisc
 
-from kumquat_core.frames import PeerIdentity, handshake, read_frame, write_frame
+from kumquat_core.frames import (
+    LENGTH_BYTES,
+    PeerIdentity,
+    handshake,
+    read_frame,
+    write_frame,
+)
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import Envelope, Message, decode, encode
 from kumquat_core.result_codes import RouterError
@@ -19,6 +25,7 @@
 
 __all__ = ["PeerHandler", "PeerServer"]
 
+CountBytes = Callable[[str, int], None]
 PeerHandler = Callable[[PeerIdentity, Message], Awaitable[Message | None]]
 
 logger = logging.getLogger(__name__)
@@ -33,8 +40,10 @@
         identity: PeerIdentity,
         key: bytes,
         handler: PeerHandler,
+        count_bytes: CountBytes = lambda direction, count: None,
     ) -> None:
         super().__init__()
+        self._count_bytes = count_bytes
         self._listen = listen
         self._identity = identity
         self._key = key
@@ -79,7 +88,9 @@
                 reader, writer, self._identity, self._key, initiator=False
             )
             while True:
-                envelope = decode(await read_frame(reader))
+                data = await read_frame(reader)
+                self._count_bytes("in", len(data) + LENGTH_BYTES)
+                envelope = decode(data)
                 call = asyncio.create_task(self._handle(peer, envelope, writer))
                 calls.add(call)
                 call.add_done_callback(calls.discard)
@@ -100,5 +111,7 @@
         reply = await self._handler(peer, envelope.message)
         if reply is None or envelope.correlation_id == 0:
             return
-        write_frame(writer, encode(Envelope(envelope.correlation_id, reply)))
+        data = encode(Envelope(envelope.correlation_id, reply))
+        self._count_bytes("out", len(data) + LENGTH_BYTES)
+        write_frame(writer, data)
         await writer.drain()
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/request_observer.py
@@ -0,0 +1,170 @@
+"""What metrics and decision log record of the request path.
+
+The request path calls one method for each event; this module knows which
+metrics and log entries an event becomes.
+"""
+
+from kumquat_core.clock import Clock
+from kumquat_core.metrics import RouterMetrics
+from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal
+from kumquat_core.result_codes import ResultCode, RouterError
+
+from .decision_log import DecisionLog
+
+__all__ = ["RequestObserver"]
+
+
+class RequestObserver:
+    """Records the events of requests."""
+
+    def __init__(self, metrics: RouterMetrics, decisions: DecisionLog) -> None:
+        self.metrics = metrics
+        self.decisions = decisions
+
+    @classmethod
+    def from_clock(cls, clock: Clock) -> "RequestObserver":
+        """Return an observer with metrics and a log of its own."""
+        return cls(RouterMetrics(), DecisionLog(clock))
+
+    def granted(
+        self,
+        request_id: str,
+        admission: AdmissionRequest,
+        grant: Grant,
+        waited_s: float,
+    ) -> None:
+        """Record a grant received by the entry host."""
+        self.metrics.observe_queue(admission.class_name, waited_s)
+        inputs = _admission_inputs(admission) | {
+            "shard": grant.shard_id,
+            "pieces": grant.pieces,
+            "waited_ms": round(waited_s * 1000, 1),
+        }
+        result = f"prefill={grant.prefill_engine} decode={grant.decode_engine}"
+        self.decisions.add(
+            request_id, "admission", result, inputs, admission.request_id
+        )
+
+    def refused(
+        self,
+        request_id: str,
+        admission: AdmissionRequest,
+        error: RouterError,
+        waited_s: float,
+    ) -> None:
+        """Record a refusal received by the entry host."""
+        self.metrics.observe_queue(admission.class_name, waited_s)
+        inputs = _admission_inputs(admission) | {
+            "detail": error.detail,
+            "waited_ms": round(waited_s * 1000, 1),
+        }
+        self.decisions.add(
+            request_id, "admission", error.code.name, inputs, admission.request_id
+        )
+
+    def owner_decided(
+        self, admission: AdmissionRequest, answer: Grant | Refusal
+    ) -> None:
+        """Record what this host decided as the owner of a shard."""
+        inputs = _admission_inputs(admission) | {"shard": admission.shard_id}
+        if answer.summary is not None:
+            inputs["free_pieces"] = answer.summary.free_pieces
+            inputs["queued"] = answer.summary.queued
+            inputs["expected_wait_ms"] = answer.summary.expected_wait_ms
+        match answer:
+            case Grant():
+                result = (
+                    f"prefill={answer.prefill_engine} decode={answer.decode_engine}"
+                )
+            case Refusal():
+                result = ResultCode(answer.code).name
+                inputs["retry_after_ms"] = answer.retry_after_ms
+        self.decisions.add("", "owner", result, inputs, admission.request_id)
+
+    def prefill_sent(self, class_name: str, prompt_tokens: int) -> None:
+        """Count the prompt tokens of a prefill that starts."""
+        self.metrics.add_prefill_tokens(class_name, prompt_tokens)
+
+    def prefill_finished(
+        self,
+        request_id: str,
+        attempt_id: str,
+        class_name: str,
+        seconds: float,
+        cached_tokens: int,
+    ) -> None:
+        """Record a finished prefill."""
+        self.metrics.observe_prefill(class_name, seconds)
+        inputs = {"prefill_ms": round(seconds * 1000, 1), "cached": cached_tokens}
+        self.decisions.add(request_id, "prefill", "done", inputs, attempt_id)
+
+    def attempt_failed(
+        self,
+        request_id: str,
+        attempt_id: str,
+        class_name: str,
+        code: ResultCode,
+        failed_engine: str,
+        wasted_tokens: int,
+    ) -> None:
+        """Record a failed attempt and the prefill work it wasted."""
+        if wasted_tokens:
+            self.metrics.add_wasted_prefill(class_name, wasted_tokens, code)
+        inputs = {"engine": failed_engine, "wasted_tokens": wasted_tokens}
+        self.decisions.add(request_id, "attempt_failed", code.name, inputs, attempt_id)
+
+    def retried(self, code: ResultCode) -> None:
+        """Count a new attempt after a failure."""
+        self.metrics.add_retry(code)
+
+    def answered(
+        self,
+        request_id: str,
+        class_name: str,
+        ttft_ms: float,
+        tbt_ms: float,
+        tokens: int,
+        attempts: int,
+    ) -> None:
+        """Record a complete answer."""
+        self.metrics.observe_ttft(class_name, ttft_ms / 1000)
+        if tbt_ms > 0:
+            self.metrics.observe_tbt(class_name, tbt_ms / 1000)
+        inputs = {
+            "ttft_ms": round(ttft_ms, 1),
+            "tbt_ms": round(tbt_ms, 1),
+            "tokens": tokens,
+            "attempts": attempts,
+        }
+        self.decisions.add(request_id, "answer", ResultCode.OK.name, inputs)
+
+    def finished(
+        self,
+        request_id: str,
+        class_name: str,
+        tenant: str,
+        code: ResultCode,
+        duration_s: float,
+    ) -> None:
+        """Record the end of a request of any kind."""
+        self.metrics.request_finished(class_name, tenant, code, duration_s)
+        inputs = {
+            "tenant": tenant,
+            "class": class_name,
+            "duration_ms": round(duration_s * 1000, 1),
+        }
+        self.decisions.add(request_id, "end", code.name, inputs)
+
+
+def _admission_inputs(admission: AdmissionRequest) -> dict[str, object]:
+    return {
+        "tenant": admission.tenant,
+        "class": admission.class_name,
+        "model": admission.model,
+        "prompt_tokens": admission.prompt_tokens,
+        "max_tokens": admission.max_tokens,
+        "ttft_deadline_ms": admission.ttft_deadline_ms,
+        "patience_ms": admission.patience_ms,
+        "attempt": admission.attempt,
+        "excluded": list(admission.excluded_engines),
+    }
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -21,12 +21,15 @@
     PrefillDone,
     Refusal,
     Release,
+    ShardSummary,
 )
 from kumquat_core.rendezvous import owner_of, shards_of
 from kumquat_core.request_ids import RequestId
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.shard_scheduler import ShardScheduler
 
+from .request_observer import RequestObserver
+
 __all__ = ["ShardOwners"]
 
 OWNER_RETRY_MS = 100
@@ -44,7 +47,9 @@
         clock: Clock,
         engine_client: EngineClient,
         live_host_ids: Callable[[], list[str]],
+        observer: RequestObserver | None = None,
     ) -> None:
+        self._observer = observer or RequestObserver.from_clock(clock)
         self._host_id = host_id
         self._region = region
         self._clock = clock
@@ -57,6 +62,11 @@
         """Return the shards that this host owns at present."""
         return sorted(self._schedulers_by_shard_id)
 
+    def summaries(self) -> list[ShardSummary]:
+        """Return the state of each owned shard."""
+        schedulers = self._schedulers_by_shard_id
+        return [schedulers[shard_id].summary() for shard_id in self.shard_ids()]
+
     def update(self, configuration: Configuration) -> None:
         """Take over the configuration and the present set of live hosts."""
         self._configuration = configuration
@@ -88,7 +98,9 @@
         except asyncio.CancelledError:
             scheduler.cancel(request.request_id)
             raise
-        return answer.unwrap() if is_successful(answer) else answer.failure()
+        decided = answer.unwrap() if is_successful(answer) else answer.failure()
+        self._observer.owner_decided(request, decided)
+        return decided
 
     def handle(self, message: PrefillDone | Release | CancelAdmission) -> None:
         """Apply a message about a request admitted earlier."""
@@ -141,6 +153,7 @@
     async def _sweep(self, url: str, engine_id: str, request_id: str) -> None:
         log_event(logger, "request_swept", engine=engine_id, request=request_id)
         await self._engine_client.cancel(url, request_id)
+        self._observer.metrics.add_sweep(1)
 
 
 def _not_owner(request: AdmissionRequest) -> Refusal:
--- a/tests/ctl/test_host_commands.py
+++ b/tests/ctl/test_host_commands.py
@@ -8,14 +8,20 @@
 EXIT_SETTINGS = 16
 
 
-def decision(at_ms: int, step: str) -> dict:
-    return {"at_ms": at_ms, "step": step, "result": "ok", "inputs": {"queue": 1}}
+def decision(at_ms: int, step: str, attempt_id: str) -> dict:
+    return {
+        "at_ms": at_ms,
+        "attempt_id": attempt_id,
+        "step": step,
+        "result": "ok",
+        "inputs": {"queue": 1},
+    }
 
 
 def test_status_lists_a_host_that_does_not_answer(platform):
     platform.add_host("h1", "127.0.0.1")
     platform.add_host("h2", "127.0.0.2")
-    ready = {"ready": True, "tickets": {"position": 4}, "open_streams": 2}
+    ready = {"ready": True, "ticket_position": 4, "in_progress": 2}
     platform.admin.answers["GET", "http://127.0.0.1:9/admin/status"] = (200, ready)
     result = platform.run("status", "--json")
     assert result.exit_code == EXIT_INCOMPLETE
@@ -24,15 +30,25 @@
     assert "connection refused" in second["error"]
 
 
-def test_explain_merges_the_decisions_of_entry_host_and_owner(platform):
+def test_explain_adds_what_the_owner_decided_about_the_attempt(platform):
+    granted, owner = decision(9, "admission", "h1.5.8"), decision(8, "owner", "h1.5.8")
+    decisions_by_call = {
+        (1, "h1.5.7"): [granted],
+        (2, "h1.5.7"): [],
+        (1, "h1.5.8"): [granted],
+        (2, "h1.5.8"): [owner],
+    }
     for number in (1, 2):
         platform.add_host(f"h{number}", f"127.0.0.{number}")
-        url = f"http://127.0.0.{number}:9/admin/explain/h1.5.7"
-        document = {"decisions": [decision(10 - number, f"step-{number}")]}
-        platform.admin.answers["GET", url] = (200, document)
+    for (number, identifier), decisions in decisions_by_call.items():
+        url = f"http://127.0.0.{number}:9/admin/explain/{identifier}"
+        platform.admin.answers["GET", url] = (200, {"decisions": decisions})
     result = platform.run("explain", "h1.5.7", "--json")
-    decisions = json.loads(result.stdout)["decisions"]
-    assert [item["host_id"] for item in decisions] == ["h2", "h1"]
+    found = json.loads(result.stdout)["decisions"]
+    assert [(item["host_id"], item["step"]) for item in found] == [
+        ("h2", "owner"),
+        ("h1", "admission"),
+    ]
 
 
 def test_explain_refuses_something_that_is_no_request_id(platform):
