Merge a ticket without rebuilding the whole configuration

Cause: each ticket validated all objects again, and each request walked through all engines and rules. Change: only touched objects are validated; kinds without a change are shared with the previous configuration; engines, servers and rules are indexed on first use.

--- a/packages/kumquat_core/src/kumquat_core/configuration.py
+++ b/packages/kumquat_core/src/kumquat_core/configuration.py
@@ -2,11 +2,15 @@
 
 These data classes are immutable. ``tickets.TicketStore`` builds a new
 ``Configuration`` after each change, so that a request keeps one consistent
-view for its whole life.
+view for its whole life. The indexes are made on first use, so that no request
+walks through all engines or rules.
 """
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
+from operator import attrgetter
 from types import MappingProxyType
 from typing import TypeVar
 
@@ -27,6 +31,8 @@
 
 Value = TypeVar("Value")
 
+ALL_TENANTS = "*"
+
 
 class EngineRole(StrEnum):
     """What an engine does at present."""
@@ -186,28 +192,70 @@
     rules_by_name: MappingProxyType[str, RoutingRule] = field(default_factory=_empty)
     tenants_by_key_sha256: MappingProxyType[str, Tenant] = field(default_factory=_empty)
 
+    @cached_property
+    def engines_by_pool(self) -> dict[str, list[Engine]]:
+        """Engines of each pool, leaving ones included."""
+        return _grouped(self.engines_by_id.values(), attrgetter("pool"))
+
+    @cached_property
+    def backend_servers_by_service(self) -> dict[str, list[BackendServer]]:
+        """Backend servers of each service, leaving ones included."""
+        return _grouped(self.backend_servers_by_id.values(), attrgetter("service"))
+
+    @cached_property
+    def rules_by_tenant_and_model(self) -> dict[tuple[str, str], RoutingRule]:
+        """Rules for models; of several the first by name counts."""
+        return _first_by_key(self._sorted_rules(), attrgetter("tenant", "model"))
+
+    @cached_property
+    def rules_by_tenant_and_service(self) -> dict[tuple[str, str], RoutingRule]:
+        """Rules for plain services; of several the first by name counts."""
+        return _first_by_key(self._sorted_rules(), attrgetter("tenant", "service"))
+
     def pool_for(self, tenant: str, model: str) -> Pool | None:
-        """Return the pool that serves a model for a tenant, if any."""
-        for rule in self.rules_by_name.values():
-            if rule.model == model and rule.tenant in (tenant, "*"):
-                return self.pools_by_name.get(rule.pool)
-        return None
+        """Return the pool that serves a model for a tenant, if any.
+
+        A rule that names the tenant goes before one for all tenants.
+        """
+        rules = self.rules_by_tenant_and_model
+        rule = rules.get((tenant, model)) or rules.get((ALL_TENANTS, model))
+        return None if rule is None else self.pools_by_name.get(rule.pool)
 
     def allows_service(self, tenant: str, service: str) -> bool:
         """Tell whether a rule lets the tenant call a plain service."""
-        return any(
-            rule.service == service and rule.tenant in (tenant, "*")
-            for rule in self.rules_by_name.values()
-        )
+        rules = self.rules_by_tenant_and_service
+        return (tenant, service) in rules or (ALL_TENANTS, service) in rules
 
     def backend_servers_of(self, service: str) -> list[BackendServer]:
         """Return the live backend servers of a plain service."""
         return [
             server
-            for server in self.backend_servers_by_id.values()
-            if server.service == service and server.state is ServerState.LIVE
+            for server in self.backend_servers_by_service.get(service, ())
+            if server.state is ServerState.LIVE
         ]
 
     def engines_of(self, pool: str) -> list[Engine]:
         """Return all engines of a pool, leaving ones included."""
-        return [engine for engine in self.engines_by_id.values() if engine.pool == pool]
+        return self.engines_by_pool.get(pool, [])
+
+    def _sorted_rules(self) -> list[RoutingRule]:
+        return sorted(self.rules_by_name.values(), key=attrgetter("name"))
+
+
+def _grouped(
+    values: Iterable[Value], key_of: Callable[[Value], str]
+) -> dict[str, list[Value]]:
+    groups: dict[str, list[Value]] = {}
+    for value in values:
+        groups.setdefault(key_of(value), []).append(value)
+    return groups
+
+
+def _first_by_key(
+    rules: Iterable[RoutingRule],
+    key_of: Callable[[RoutingRule], tuple[str, str]],
+) -> dict[tuple[str, str], RoutingRule]:
+    first: dict[tuple[str, str], RoutingRule] = {}
+    for rule in rules:
+        first.setdefault(key_of(rule), rule)
+    return first
--- a/packages/kumquat_core/src/kumquat_core/tickets.py
+++ b/packages/kumquat_core/src/kumquat_core/tickets.py
@@ -12,9 +12,9 @@
 import hashlib
 import json
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
-from typing import Any, TypeVar
+from typing import Any
 
 from .configuration import (
     BackendServer,
@@ -31,8 +31,6 @@
 
 __all__ = ["ObjectState", "Ticket", "TicketStore"]
 
-Value = TypeVar("Value")
-
 ObjectKey = tuple[str, str]
 
 _CLASSES_BY_KIND: dict[str, tuple[type[Any], str]] = {
@@ -46,6 +44,17 @@
     "rule": (RoutingRule, "name"),
 }
 
+_FIELDS_BY_KIND = {
+    "model": "models_by_name",
+    "pool": "pools_by_name",
+    "engine": "engines_by_id",
+    "backend_server": "backend_servers_by_id",
+    "service": "services_by_name",
+    "class": "classes_by_name",
+    "tenant": "tenants_by_name",
+    "rule": "rules_by_name",
+}
+
 
 @dataclass(frozen=True)
 class ObjectState:
@@ -89,6 +98,10 @@
 
     def __init__(self) -> None:
         self._objects_by_key: dict[ObjectKey, ObjectState] = {}
+        self._values_by_kind: dict[str, dict[str, Any]] = {
+            kind: {} for kind in _CLASSES_BY_KIND
+        }
+        self._changed_kinds: set[str] = set()
         self._configuration = Configuration()
 
     @property
@@ -151,36 +164,35 @@
         self, key: ObjectKey, number: int, state: dict[str, Any] | None
     ) -> None:
         present = self._objects_by_key.get(key)
-        if present is None or number > present.number:
-            self._objects_by_key[key] = ObjectState(number, state)
+        if present is not None and number <= present.number:
+            return
+        self._objects_by_key[key] = ObjectState(number, state)
+        kind, name = key
+        self._changed_kinds.add(kind)
+        if state is None:
+            self._values_by_kind[kind].pop(name, None)
+        else:
+            self._values_by_kind[kind][name] = _value_of(kind, name, state)
 
     def _rebuild(self, position: int, number: int) -> None:
-        tenants = self._objects_of("tenant", Tenant)
-        self._configuration = Configuration(
-            position=position,
-            number=number,
-            services_by_name=self._objects_of("service", Service),
-            pools_by_name=self._objects_of("pool", Pool),
-            engines_by_id=self._objects_of("engine", Engine),
-            backend_servers_by_id=self._objects_of("backend_server", BackendServer),
-            models_by_name=self._objects_of("model", Model),
-            classes_by_name=self._objects_of("class", RequestClass),
-            tenants_by_name=tenants,
-            rules_by_name=self._objects_of("rule", RoutingRule),
-            tenants_by_key_sha256=MappingProxyType(
-                {key: t for t in tenants.values() for key in t.api_key_sha256}
-            ),
+        """Make a new configuration; kinds without a change are shared."""
+        changed = {
+            _FIELDS_BY_KIND[kind]: MappingProxyType(dict(self._values_by_kind[kind]))
+            for kind in self._changed_kinds
+        }
+        if "tenant" in self._changed_kinds:
+            tenants = self._values_by_kind["tenant"].values()
+            changed["tenants_by_key_sha256"] = MappingProxyType(
+                {key: tenant for tenant in tenants for key in tenant.api_key_sha256}
+            )
+        self._changed_kinds = set()
+        self._configuration = replace(
+            self._configuration, position=position, number=number, **changed
         )
 
-    def _objects_of(
-        self, kind: str, value_class: type[Value]
-    ) -> "MappingProxyType[str, Value]":
-        _, key_field = _CLASSES_BY_KIND[kind]
-        values: dict[str, Value] = {}
-        for (item_kind, name), item in self._objects_by_key.items():
-            if item_kind != kind or item.state is None:
-                continue
-            state = STATE_MODELS_BY_KIND[kind].model_validate(item.state)
-            fields = {key_field: name, **dict(state)}
-            values[name] = value_class(**fields)
-        return MappingProxyType(values)
+
+def _value_of(kind: str, name: str, state: dict[str, Any]) -> Any:
+    """Return the data class of an object's state."""
+    value_class, key_field = _CLASSES_BY_KIND[kind]
+    model = STATE_MODELS_BY_KIND[kind].model_validate(state)
+    return value_class(**{key_field: name}, **dict(model))
