--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -59,6 +59,8 @@
 
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
+CLASS_NAME = web.RequestKey("class_name", str)
+STREAM_CODE = web.RequestKey("stream_code", ResultCode)
 
 logger = logging.getLogger(__name__)
 
@@ -223,11 +225,11 @@
             return error_response(RouterError(code), request_id)
         finally:
             # A stream that failed after its start has answered with 200.
-            code = http_request.get("stream_code", code)
+            code = http_request.get(STREAM_CODE, code)
             self._observer.finished(
                 str(request_id),
-                http_request.get("class", UNKNOWN_LABEL),
-                http_request.get("tenant", UNKNOWN_LABEL),
+                http_request.get(CLASS_NAME, UNKNOWN_LABEL),
+                http_request.get(TENANT, UNKNOWN_LABEL),
                 code,
                 self._clock.monotonic() - began_s,
             )
@@ -270,7 +272,7 @@
         caller = self._authenticate(http_request, request_id)
         body = parse_completion(await self._read_body(http_request))
         request = _model_request(caller, body, http_request)
-        http_request["class"] = request.request_class.name
+        http_request[CLASS_NAME] = request.request_class.name
         if body.stream:
             return await self._stream(http_request, caller, request)
         sink = _BufferSink()
@@ -305,7 +307,7 @@
                 code=error.code.value,
                 detail=error.detail,
             )
-            http_request["stream_code"] = error.code
+            http_request[STREAM_CODE] = error.code
             return await sink.fail(error)
 
     async def _call_service(
@@ -313,7 +315,7 @@
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         service = _find_service(caller, http_request.match_info["service"])
-        http_request["class"] = service.name
+        http_request[CLASS_NAME] = service.name
         deadline_ms = parse_deadline_ms(http_request.headers) or service.timeout_ms
         request = PlainRequest(
             request_id=request_id,
--- a/tests/router/test_caller_api.py
+++ b/tests/router/test_caller_api.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
+from kumquat_core.clock import ManualClock
 from kumquat_core.engine_client import Token
 from kumquat_core.request_ids import RequestIdSource
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -17,6 +18,7 @@
 from kumquatrouter.caller_api import CallerApi
 from kumquatrouter.drain import Drain
 from kumquatrouter.model_path import ModelTimes
+from kumquatrouter.request_observer import RequestObserver
 
 CASES = Path(__file__).parent / "bad_requests.txt"
 KEY = "secret"
@@ -86,7 +88,17 @@
     model = TicketModel.model_validate({"number": 1, "author": "t", "objects": objects})
     tickets.apply([Ticket(1, model)])
     options = Options.from_settings(SETTINGS, b"key")
-    return CallerApi(options, tickets, RequestIdSource("h", 1), path, None, drain)
+    clock = ManualClock()
+    return CallerApi(
+        options,
+        tickets,
+        RequestIdSource("h", 1),
+        path,
+        None,
+        drain,
+        clock,
+        RequestObserver.from_clock(clock),
+    )
 
 
 def call(path, method, url, *, drain=None, **arguments):
