--- a/packages/kumquat_core/src/kumquat_core/engine_accounts.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_accounts.py
@@ -1,16 +1,26 @@
-"""Exact accounts of engine memory, kept by the owner of a shard.
+"""Exact accounts of a shard's engines, kept by the owner of the shard.
 
 Memory is counted in pieces. Each reservation belongs to one request id. A
 reservation is made before the prefill starts and is freed by a release, so
 the sum of reservations never exceeds an engine's memory in one owner's
-account.
+account. Prefills in progress and transfer links have accounts of their own.
 """
 
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .configuration import Engine
+from .configuration import Engine, EngineRole, ServerState
+from .link_account import LinkAccount
 
-__all__ = ["EngineAccount", "Reservation", "pieces_for"]
+__all__ = [
+    "EngineAccount",
+    "EngineState",
+    "PrefillJob",
+    "Reservation",
+    "ShardAccounts",
+    "pieces_for",
+]
 
 
 def pieces_for(tokens: int, piece_tokens: int) -> int:
@@ -20,11 +30,15 @@
 
 @dataclass(frozen=True)
 class Reservation:
-    """Memory held by one request since ``since_s``."""
+    """Memory held by one request since ``since_s``.
+
+    ``tbt_target_ms`` is the target of the request's class; 0 means none.
+    """
 
     request_id: str
     pieces: int
     since_s: float
+    tbt_target_ms: float = 0.0
 
 
 @dataclass
@@ -34,6 +48,7 @@
     engine: Engine
     reservations_by_request_id: dict[str, Reservation] = field(default_factory=dict)
     held_pieces: int = 0
+    _counts_by_tbt_ms: Counter[float] = field(default_factory=Counter)
 
     @property
     def free_pieces(self) -> int:
@@ -45,17 +60,38 @@
         """Return the number of requests with a reservation."""
         return len(self.reservations_by_request_id)
 
-    def fits(self, pieces: int) -> bool:
-        """Tell whether a request of so many pieces can be admitted."""
-        has_place = self.request_count < self.engine.max_requests
-        return has_place and pieces <= self.free_pieces
-
-    def reserve(self, request_id: str, pieces: int, now_s: float) -> None:
+    def step_ms(self, request_count: int) -> float:
+        """Return the nominal time of a decode step with so many requests."""
+        engine = self.engine
+        return engine.step_base_ms + engine.step_request_ms * request_count
+
+    def fits(
+        self, pieces: int, tbt_target_ms: float = 0.0, slowness: float = 1.0
+    ) -> bool:
+        """Tell whether a request of so many pieces can be admitted.
+
+        With the request in the batch, a step must still meet the strictest
+        TBT target in it. ``slowness`` multiplies the nominal step time.
+        """
+        count = self.request_count + 1
+        if count > self.engine.max_requests or pieces > self.free_pieces:
+            return False
+        limit_ms = self._strictest_tbt_ms(tbt_target_ms)
+        if not limit_ms or self.step_ms(count) * slowness <= limit_ms:
+            return True
+        # A target below the time of a lone request is met by no batch;
+        # such a request still runs, alone.
+        return count == 1 and self.step_ms(1) > limit_ms
+
+    def reserve(
+        self, request_id: str, pieces: int, now_s: float, tbt_target_ms: float = 0.0
+    ) -> None:
         """Reserve memory; a repeated call replaces the reservation."""
         self.release(request_id)
-        reservation = Reservation(request_id, pieces, now_s)
+        reservation = Reservation(request_id, pieces, now_s, tbt_target_ms)
         self.reservations_by_request_id[request_id] = reservation
         self.held_pieces += pieces
+        self._counts_by_tbt_ms[tbt_target_ms] += 1
 
     def release(self, request_id: str) -> bool:
         """Free a request's memory; return whether it held any."""
@@ -63,4 +99,119 @@
         if reservation is None:
             return False
         self.held_pieces -= reservation.pieces
+        self._counts_by_tbt_ms[reservation.tbt_target_ms] -= 1
+        if not self._counts_by_tbt_ms[reservation.tbt_target_ms]:
+            del self._counts_by_tbt_ms[reservation.tbt_target_ms]
         return True
+
+    def _strictest_tbt_ms(self, tbt_target_ms: float) -> float:
+        targets = [target for target in self._counts_by_tbt_ms if target]
+        if tbt_target_ms:
+            targets.append(tbt_target_ms)
+        return min(targets, default=0.0)
+
+
+@dataclass(frozen=True)
+class PrefillJob:
+    """A prefill in progress; ``nominal_s`` is its time at nominal speed."""
+
+    request_id: str
+    started_s: float
+    nominal_s: float
+    blocks_expected: int = 0
+
+
+@dataclass
+class EngineState:
+    """All accounts of one engine.
+
+    An engine that changes role may still hold work of its former role.
+    """
+
+    engine: Engine
+    account: EngineAccount
+    link: LinkAccount
+    jobs_by_request_id: dict[str, PrefillJob] = field(default_factory=dict)
+
+    @classmethod
+    def from_engine(cls, engine: Engine) -> "EngineState":
+        """Return the empty accounts of an engine."""
+        return cls(engine, EngineAccount(engine), LinkAccount(engine.link_bytes_per_s))
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no request uses the engine."""
+        return not (self.jobs_by_request_id or self.account.request_count)
+
+    def replace_engine(self, engine: Engine) -> None:
+        """Take over new properties and keep what is held."""
+        self.engine = engine
+        self.account.engine = engine
+        self.link.bytes_per_s = engine.link_bytes_per_s
+
+
+class ShardAccounts:
+    """The engines of one shard, found by id or by role and model."""
+
+    def __init__(self) -> None:
+        self.states_by_id: dict[str, EngineState] = {}
+        self._prefill_by_model: dict[str, list[EngineState]] = {}
+        self._decode_by_model: dict[str, list[EngineState]] = {}
+        self._related_by_model: dict[str, frozenset[str]] = {}
+
+    def update(self, engines: Iterable[Engine]) -> None:
+        """Take over the engines in force.
+
+        An engine that is no longer configured keeps its accounts until its
+        last request is released.
+        """
+        engines_by_id = {engine.id: engine for engine in engines}
+        for engine_id, state in list(self.states_by_id.items()):
+            if engine_id not in engines_by_id and state.is_empty:
+                del self.states_by_id[engine_id]
+        for engine in engines_by_id.values():
+            if engine.id in self.states_by_id:
+                self.states_by_id[engine.id].replace_engine(engine)
+            else:
+                self.states_by_id[engine.id] = EngineState.from_engine(engine)
+        self._index(engines_by_id)
+
+    def prefill_engines(self, model: str) -> list[EngineState]:
+        """Return the live prefill engines that serve a model."""
+        return self._prefill_by_model.get(model, [])
+
+    def decode_engines(self, model: str) -> list[EngineState]:
+        """Return the live decode engines that serve a model."""
+        return self._decode_by_model.get(model, [])
+
+    def related_models(self, model: str) -> frozenset[str]:
+        """Return the models that share an engine with a model."""
+        return self._related_by_model.get(model, frozenset({model}))
+
+    def all_decode(self) -> list[EngineState]:
+        """Return the live decode engines of the shard."""
+        return [
+            state
+            for state in self.states_by_id.values()
+            if state.engine.role is EngineRole.DECODE
+            and state.engine.state is ServerState.LIVE
+        ]
+
+    def _index(self, engines_by_id: dict[str, Engine]) -> None:
+        self._prefill_by_model = {}
+        self._decode_by_model = {}
+        related: dict[str, set[str]] = {}
+        for engine in engines_by_id.values():
+            if engine.state is not ServerState.LIVE:
+                continue
+            by_model = (
+                self._prefill_by_model
+                if engine.role is EngineRole.PREFILL
+                else self._decode_by_model
+            )
+            for model in engine.models:
+                by_model.setdefault(model, []).append(self.states_by_id[engine.id])
+                related.setdefault(model, set()).update(engine.models)
+        self._related_by_model = {
+            model: frozenset(models) for model, models in related.items()
+        }
--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/retry_budget.py
@@ -0,0 +1,91 @@
+"""Budgets for repeated work, and the delay before a retry.
+
+Retries are limited to a share of the first attempts of the same tenant and
+pool, so that a failing pool does not receive several times its load.
+"""
+
+import random
+from dataclasses import dataclass
+
+__all__ = ["HedgeBudget", "RetryBudget", "backoff"]
+
+RETRY_SHARE = 0.2
+# Retries that are allowed before any first attempt was counted; also the
+# bound on what a quiet time saves up.
+RETRY_BURST = 10.0
+
+HEDGE_SHARE = 0.05
+HEDGE_BURST_SHARE = 0.02
+
+BASE_DELAY_S = 0.05
+MAX_DELAY_S = 2.0
+
+
+def backoff(attempt: int, rng: random.Random, remaining_s: float) -> float | None:
+    """Return the delay in seconds before retry number ``attempt`` (from 1).
+
+    The delay is uniform between half and the whole of an exponentially
+    growing bound. Returns None when the retry would start past the deadline,
+    which is ``remaining_s`` away.
+    """
+    bound_s = min(MAX_DELAY_S, BASE_DELAY_S * 2.0 ** min(attempt - 1, 16))
+    delay_s = bound_s * rng.uniform(0.5, 1.0)
+    return delay_s if delay_s < remaining_s else None
+
+
+@dataclass
+class _Bucket:
+    tokens: float = RETRY_BURST
+
+
+class RetryBudget:
+    """Retries that each pair of tenant and pool may still use."""
+
+    def __init__(self, share: float = RETRY_SHARE) -> None:
+        self._share = share
+        self._buckets: dict[tuple[str, str], _Bucket] = {}
+
+    def record_first_attempt(self, tenant: str, pool: str) -> None:
+        """Earn a share of a retry."""
+        bucket = self._bucket(tenant, pool)
+        bucket.tokens = min(RETRY_BURST, bucket.tokens + self._share)
+
+    def try_spend(self, tenant: str, pool: str) -> bool:
+        """Use one retry; return false when the budget is used up."""
+        bucket = self._bucket(tenant, pool)
+        if bucket.tokens < 1.0:
+            return False
+        bucket.tokens -= 1.0
+        return True
+
+    def _bucket(self, tenant: str, pool: str) -> _Bucket:
+        return self._buckets.setdefault((tenant, pool), _Bucket())
+
+
+class HedgeBudget:
+    """Limits hedged prefills to a share of the work, counted in tokens.
+
+    Only repeatable model requests may be hedged; the caller checks that.
+    ``spent_tokens`` never exceeds ``share`` of ``work_tokens``. What a quiet
+    time leaves unused is available later only up to a burst.
+    """
+
+    def __init__(self, share: float = HEDGE_SHARE) -> None:
+        self._share = share
+        self._available = 0.0
+        self.work_tokens = 0
+        self.spent_tokens = 0
+
+    def record_work(self, prompt_tokens: int) -> None:
+        """Count the prefill of a first attempt and earn a share of it."""
+        self.work_tokens += prompt_tokens
+        burst = max(self.work_tokens * HEDGE_BURST_SHARE, float(prompt_tokens))
+        self._available = min(burst, self._available + prompt_tokens * self._share)
+
+    def try_spend(self, prompt_tokens: int) -> bool:
+        """Use budget for one hedge; return false when there is too little."""
+        if prompt_tokens > self._available:
+            return False
+        self._available -= prompt_tokens
+        self.spent_tokens += prompt_tokens
+        return True
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -4,19 +4,36 @@
 the prefills in progress. A request waits here, not in an engine, until a
 prefill engine is idle and a decode engine has memory for the whole request;
 both are then granted together, so that no prefill runs without a decode
-place. The queue is ordered by deadline.
+place. A request that cannot be served in time is refused on arrival.
+
+Decisions are made when a message arrives and, while requests wait, by a
+timer, because a prefill that becomes overdue or a target that is missed
+sends no message.
 """
 
 import asyncio
+import itertools
+import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
+from .admission_queue import AdmissionQueue, WaitingRequest
 from .clock import Clock
-from .configuration import Engine, EngineRole, ServerState
-from .engine_accounts import EngineAccount, pieces_for
-from .engine_client import EngineReport
+from .configuration import Configuration, Engine, EngineRole, Model, RequestClass
+from .engine_accounts import EngineState, PrefillJob, ShardAccounts
+from .engine_client import CacheEvent, EngineReport
+from .fair_share import FairShare
+from .pairing import (
+    Hold,
+    NoPlace,
+    Obstacle,
+    Pair,
+    PairChooser,
+    RequestNeeds,
+    nominal_prefill_s,
+)
 from .peer_messages import (
     AdmissionRequest,
     Grant,
@@ -25,120 +42,174 @@
     Release,
     ShardSummary,
 )
+from .prefix_blocks import BLOCK_BYTES
+from .prefix_index import PrefixIndex
 from .request_ids import RequestId
 from .result_codes import ResultCode
+from .rule_set import RuleSet
+from .stragglers import OVERDUE_RATIO, SpeedTracker, overdue_ratio
+from .tenant_limits import TenantLimits
+from .wait_estimate import ArrivalRate, ShardCapacity, WaitEstimator
 
 __all__ = ["ShardScheduler"]
 
-MAX_PREFILLS_PER_ENGINE = 1
-RETRY_AFTER_MS = 1000
+Answer = Result[Grant, Refusal]
 
 # A request that the engine reports but that the account does not know is
 # cancelled only after this age: its grant may still be on the way.
 SWEEP_MIN_AGE_MS = 1000
 
+# A grant is taken as abandoned when the engine does not report its request
+# so long after the prefill; a transfer and a report's lag are shorter.
+ABSENT_AFTER_S = 5.0
+
+# Period of decisions while requests wait.
+TICK_S = 0.02
 
-@dataclass(eq=False)
-class _Waiting:
-    request: AdmissionRequest
-    deadline_s: float
-    answer: "asyncio.Future[Result[Grant, Refusal]]"
+# Requests of one model that are examined past one that does not fit, and
+# how often a request may be overtaken so before it stops the others.
+MAX_EXAMINED = 8
+MAX_BYPASSED = 16
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 30.0
+RETRY_AFTER_JITTER = 0.2
+
+# Sizes for a model that is not configured.
+DEFAULT_KV_BYTES_PER_TOKEN = 160_000.0
+DEFAULT_BYTES_PER_TOKEN = 4.0
 
 
 @dataclass
 class _Granted:
-    request: AdmissionRequest
+    """A grant in the accounts; ``needs`` is None after a takeover."""
+
+    request_id: str
+    tenant: str
     prefill_engine: str
     decode_engine: str
-    prefilling: bool = True
-
-
-@dataclass
-class _Prefills:
-    request_ids: set[str] = field(default_factory=set)
+    granted_s: float
+    needs: RequestNeeds | None
+    prefilled_s: float | None = None
 
 
 class ShardScheduler:
     """Queues requests of one shard and grants engine pairs."""
 
-    def __init__(self, shard_id: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        shard_id: str,
+        clock: Clock,
+        rng: random.Random | None = None,
+        rules: RuleSet | None = None,
+    ) -> None:
         self._shard_id = shard_id
         self._clock = clock
-        self._engines_by_id: dict[str, Engine] = {}
-        self._accounts_by_id: dict[str, EngineAccount] = {}
-        self._prefills_by_id: dict[str, _Prefills] = {}
-        self._waiting_by_request_id: dict[str, _Waiting] = {}
+        self._rng = rng or random.Random(0)
+        self._rules = rules or RuleSet()
+        self._accounts = ShardAccounts()
+        self._speeds = SpeedTracker(enabled=self._rules.stragglers)
+        self._prefixes = PrefixIndex()
+        self._chooser = PairChooser(
+            self._accounts, self._speeds, self._prefixes, self._rules
+        )
+        self._queue = AdmissionQueue(late_last=self._rules.late_last)
+        self._fair_share = FairShare()
+        self._limits = TenantLimits()
+        self._estimator = WaitEstimator()
+        self._arrivals = ArrivalRate()
+        self._classes_by_name: dict[str, RequestClass] = {}
+        self._models_by_name: dict[str, Model] = {}
+        self._answers_by_request_id: dict[str, asyncio.Future[Answer]] = {}
         self._granted_by_request_id: dict[str, _Granted] = {}
+        self._sequence = itertools.count()
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def engine_ids(self) -> list[str]:
         """Return the engines of the shard."""
-        return list(self._engines_by_id)
+        return list(self._accounts.states_by_id)
 
     def update_engines(self, engines: Iterable[Engine]) -> None:
         """Take over the engines of the configuration in force."""
-        self._engines_by_id = {engine.id: engine for engine in engines}
-        for engine in self._engines_by_id.values():
-            if engine.id in self._accounts_by_id:
-                self._accounts_by_id[engine.id].engine = engine
-            else:
-                self._accounts_by_id[engine.id] = EngineAccount(engine)
-            self._prefills_by_id.setdefault(engine.id, _Prefills())
+        self._accounts.update(engines)
+        self._speeds.keep_only(set(self._accounts.states_by_id))
         self._grant_waiting()
 
-    async def admit(self, request: AdmissionRequest) -> Result[Grant, Refusal]:
-        """Wait for a pair of engines; refuse when the patience ends."""
-        deadline_s = self._clock.monotonic() + request.patience_ms / 1000
-        answer: asyncio.Future[Result[Grant, Refusal]] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiting_by_request_id[request.request_id] = _Waiting(
-            request, deadline_s, answer
+    def update_configuration(
+        self, configuration: Configuration, shard_count: int = 1
+    ) -> None:
+        """Take over classes, models and tenants.
+
+        Tenant limits are divided by the number of shards of the pool.
+        """
+        self._classes_by_name = dict(configuration.classes_by_name)
+        self._models_by_name = dict(configuration.models_by_name)
+        tenants = configuration.tenants_by_name
+        self._limits.update(tenants, shard_count)
+        self._fair_share.update_weights(
+            {name: tenant.weight for name, tenant in tenants.items()}
         )
-        self._grant_waiting()
+
+    async def admit(self, request: AdmissionRequest) -> Result[Grant, Refusal]:
+        """Wait for a pair of engines; refuse when the target is out of reach.
+
+        A second call with the same request id takes the place of the first.
+        """
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._withdraw(request.request_id, ResultCode.CONFLICTING_ATTEMPT)
+        self._answers_by_request_id[request.request_id] = answer
+        self._enter(request)
         try:
-            async with asyncio.timeout(request.patience_ms / 1000):
-                return await answer
-        except TimeoutError:
-            return Failure(self._refusal(request, ResultCode.NO_CAPACITY_IN_TIME))
+            return await answer
+        except asyncio.CancelledError:
+            # A grant that its requester no longer waits for is not delivered.
+            if self._answers_by_request_id.get(request.request_id) is answer:
+                self.cancel(request.request_id)
+            raise
         finally:
-            self._waiting_by_request_id.pop(request.request_id, None)
+            if self._answers_by_request_id.get(request.request_id) is answer:
+                del self._answers_by_request_id[request.request_id]
 
     def prefill_done(self, message: PrefillDone) -> None:
         """Free the prefill engine; the decode place is kept."""
         granted = self._granted_by_request_id.get(message.request_id)
-        if granted is not None:
-            self._end_prefill(message.request_id, granted)
-            self._grant_waiting()
+        if granted is None or granted.prefilled_s is not None:
+            return
+        now_s = self._clock.monotonic()
+        granted.prefilled_s = now_s
+        self._observe_prefill(granted, message, now_s)
+        self._end_prefill(granted, now_s, finished=True)
+        self._grant_waiting()
 
     def release(self, message: Release) -> None:
         """Free all that a granted request holds."""
-        self._free(message.request_id)
+        now_s = self._clock.monotonic()
+        granted = self._granted_by_request_id.get(message.request_id)
+        if granted is not None:
+            self._observe_release(granted, message, now_s)
+            self._free(message.request_id)
         self._grant_waiting()
 
     def cancel(self, request_id: str) -> None:
         """Drop a waiting request, or free one that was just granted."""
-        waiting = self._waiting_by_request_id.pop(request_id, None)
-        if waiting is not None and not waiting.answer.done():
-            refusal = self._refusal(waiting.request, ResultCode.CALLER_GONE)
-            waiting.answer.set_result(Failure(refusal))
-        self._free(request_id)
+        self._withdraw(request_id, ResultCode.CALLER_GONE)
         self._grant_waiting()
 
     def drop_host(self, host_id: str, incarnation: int) -> list[tuple[str, str]]:
         """Free the grants of a dead process.
 
-        Return the pairs of engine id and request id to cancel.
+        Returns the pairs of engine id and request id to cancel.
         """
         to_cancel = []
-        for request_id in list(self._granted_by_request_id):
-            parsed = RequestId.parse(request_id)
+        for granted in list(self._granted_by_request_id.values()):
+            parsed = RequestId.parse(granted.request_id)
             if (parsed.host_id, parsed.incarnation) != (host_id, incarnation):
                 continue
-            granted = self._granted_by_request_id[request_id]
-            to_cancel.append((granted.prefill_engine, request_id))
-            to_cancel.append((granted.decode_engine, request_id))
-            self._free(request_id)
+            if granted.prefill_engine:
+                to_cancel.append((granted.prefill_engine, granted.request_id))
+            to_cancel.append((granted.decode_engine, granted.request_id))
+            self._free(granted.request_id)
         self._grant_waiting()
         return to_cancel
 
@@ -151,95 +222,406 @@
             and held.age_ms >= SWEEP_MIN_AGE_MS
         ]
 
+    def adopt(self, engine_id: str, report: EngineReport) -> None:
+        """Account for what an engine holds when the ownership is taken over.
+
+        The report must be fresh. The memory is freed by the release of the
+        request or when a later report no longer shows it.
+        """
+        state = self._accounts.states_by_id.get(engine_id)
+        if state is None or state.engine.role is not EngineRole.DECODE:
+            return
+        now_s = self._clock.monotonic()
+        for held in report.requests:
+            if held.request_id in self._granted_by_request_id:
+                continue
+            state.account.reserve(held.request_id, held.pieces, now_s)
+            self._granted_by_request_id[held.request_id] = _Granted(
+                held.request_id, "", "", engine_id, now_s, None, now_s
+            )
+
+    def free_absent(self, engine_id: str, report: EngineReport) -> list[str]:
+        """Free grants whose request the engine no longer holds.
+
+        Their releases were lost. Returns the request ids.
+        """
+        state = self._accounts.states_by_id.get(engine_id)
+        if state is None:
+            return []
+        limit_s = self._clock.monotonic() - ABSENT_AFTER_S
+        reported = {held.request_id for held in report.requests}
+        absent = [
+            request_id
+            for request_id in state.account.reservations_by_request_id
+            if request_id not in reported
+            and self._prefilled_before(request_id, limit_s)
+        ]
+        for request_id in absent:
+            self._free(request_id)
+        if absent:
+            self._grant_waiting()
+        return absent
+
+    def observe_report(self, engine_id: str, report: EngineReport) -> None:
+        """Take the step time of a load report as an observation of speed."""
+        state = self._accounts.states_by_id.get(engine_id)
+        if state is None or not report.requests or report.step_ms <= 0:
+            return
+        nominal_ms = state.account.step_ms(len(report.requests))
+        now_s = self._clock.monotonic()
+        self._speeds.observe_step(engine_id, nominal_ms, report.step_ms, now_s)
+
+    def observe_cache_events(
+        self, engine_id: str, events: Iterable[CacheEvent]
+    ) -> None:
+        """Correct the beliefs about an engine's prefix cache."""
+        now_s = self._clock.monotonic()
+        for event in events:
+            self._prefixes.apply_event(
+                engine_id, event.sequence, event.kind, event.prefix, now_s
+            )
+
     def summary(self) -> ShardSummary:
         """Return the state of the shard for replies."""
-        free = sum(account.free_pieces for account in self._decode_accounts())
-        queued = len(self._waiting_by_request_id)
-        return ShardSummary(self._shard_id, free, queued, 0)
+        states = self._accounts.all_decode()
+        free = sum(state.account.free_pieces for state in states)
+        wait_s = 0.0
+        if len(self._queue):
+            capacity = self._capacity_of(states, [])
+            wait_s = self._estimator.wait_s(len(self._queue), capacity)
+        return ShardSummary(self._shard_id, free, len(self._queue), int(wait_s * 1000))
+
+    def tick(self) -> None:
+        """Decide what depends on time alone; called while requests wait."""
+        self._grant_waiting()
 
-    def _grant_waiting(self) -> None:
-        waiting = sorted(
-            self._waiting_by_request_id.values(), key=lambda item: item.deadline_s
+    def _enter(self, request: AdmissionRequest) -> None:
+        now_s = self._clock.monotonic()
+        wait_s = self._limits.enter(
+            request.tenant, request.request_id, request.attempt, now_s
         )
-        for item in waiting:
-            if item.answer.done():
+        if wait_s is not None:
+            self._refuse(request, ResultCode.TENANT_LIMIT, wait_s)
+            return
+        self._arrivals.record(now_s)
+        item = self._waiting_request(request, now_s)
+        if self._chooser.lasting_obstacle(item.needs) is not None:
+            self._refuse(request, ResultCode.NO_ENGINE, MAX_RETRY_AFTER_S)
+            return
+        if self._rules.early_refusal and not self._can_be_served(item, now_s):
+            self._refuse_for_capacity(item)
+            return
+        self._queue.push(item)
+        self._grant_waiting()
+
+    def _waiting_request(
+        self, request: AdmissionRequest, now_s: float
+    ) -> WaitingRequest:
+        request_class = self._classes_by_name.get(request.class_name)
+        model = self._models_by_name.get(request.model)
+        needs = RequestNeeds(
+            request,
+            request_class.tbt_target_ms if request_class else 0.0,
+            model.kv_bytes_per_token if model else DEFAULT_KV_BYTES_PER_TOKEN,
+            BLOCK_BYTES / (model.bytes_per_token if model else DEFAULT_BYTES_PER_TOKEN),
+        )
+        service_s = self._chooser.service_s(needs, now_s)
+        give_up_s = now_s + request.patience_ms / 1000
+        target_s = now_s + request.ttft_deadline_ms / 1000
+        latest_start_s = min(target_s - service_s, give_up_s)
+        order_s = latest_start_s if self._rules.slack_order else now_s
+        if request.resume_tokens:
+            # A caller in the midst of its answer has no target time for the
+            # first token any more; it goes ahead of those that still wait.
+            latest_start_s, order_s = give_up_s, now_s
+        return WaitingRequest(
+            needs,
+            latest_start_s,
+            give_up_s,
+            order_s,
+            request_class.priority if request_class else 0,
+            next(self._sequence),
+        )
+
+    def _can_be_served(self, item: WaitingRequest, now_s: float) -> bool:
+        """Tell whether a new request can meet its target, or be late.
+
+        A late request is taken only when the queue drains within its
+        patience; under overload the others would never let it ahead.
+        """
+        if now_s + self._wait_s(item, now_s) <= item.latest_start_s:
+            return True
+        item.late = self._rules.late_last
+        if now_s >= item.give_up_s or self._is_overloaded(item, now_s):
+            return False
+        return now_s + self._wait_s(item, now_s) <= item.give_up_s
+
+    def _is_overloaded(self, item: WaitingRequest, now_s: float) -> bool:
+        capacity = self._capacity(item.model, now_s)
+        offered = self._arrivals.per_s(now_s)
+        return offered > self._estimator.requests_per_s(capacity)
+
+    def _wait_s(self, item: WaitingRequest, now_s: float) -> float:
+        over_share = self._over_share(now_s, item.tenant)
+        related = self._accounts.related_models(item.model)
+        ahead = self._queue.count_before(item, related, over_share)
+        return self._estimator.wait_s(ahead, self._capacity(item.model, now_s))
+
+    def _capacity(self, model: str, now_s: float) -> ShardCapacity:
+        return self._capacity_of(
+            self._accounts.decode_engines(model), self._accounts.prefill_engines(model)
+        )
+
+    def _capacity_of(
+        self, decode: list[EngineState], prefill: list[EngineState]
+    ) -> ShardCapacity:
+        mean_pieces = self._estimator.mean_pieces
+        now_s = self._clock.monotonic()
+        slots, free_slots = 0, 0
+        for state in decode:
+            by_memory = int(state.engine.total_pieces / mean_pieces)
+            engine_slots = min(state.engine.max_requests, by_memory)
+            free = min(
+                engine_slots - state.account.request_count,
+                int(state.account.free_pieces / mean_pieces),
+            )
+            slots += engine_slots
+            free_slots += max(0, free)
+        backlog_s = sum(self._chooser.backlog_s(state, now_s) for state in prefill)
+        return ShardCapacity(slots, free_slots, len(prefill), backlog_s)
+
+    def _over_share(self, now_s: float, arriving: str = "") -> set[str]:
+        if not self._rules.fair_share:
+            return set()
+        tenants = self._queue.tenants()
+        if arriving:
+            tenants.add(arriving)
+        return self._fair_share.over_share(tenants, now_s)
+
+    def _grant_waiting(self) -> None:
+        if not len(self._queue):
+            return
+        now_s = self._clock.monotonic()
+        self._give_up_missed(now_s)
+        granted, impossible = self._examine(now_s)
+        for item, pair in granted:
+            self._queue.remove(item.request_id)
+            self._answer(item.request_id, Success(self._grant_of(item, pair)))
+        for item in impossible:
+            self._queue.remove(item.request_id)
+            self._refuse(item.needs.request, ResultCode.NO_ENGINE, MAX_RETRY_AFTER_S)
+        self._arm_timer()
+
+    def _examine(
+        self, now_s: float
+    ) -> tuple[list[tuple[WaitingRequest, Pair]], list[WaitingRequest]]:
+        """Reserve for all requests that can be granted now.
+
+        Returns them with their pairs, and those that no engine can serve.
+        """
+        granted: list[tuple[WaitingRequest, Pair]] = []
+        impossible: list[WaitingRequest] = []
+        claims_s_by_id: dict[str, float] = {}
+        stopped_models: set[str] = set()
+        passed_by_model: dict[str, list[WaitingRequest]] = {}
+        for item in self._queue.candidates(self._over_share(now_s), stopped_models):
+            if item.model in stopped_models:
                 continue
-            grant = self._try_grant(item.request)
-            if grant is not None:
-                del self._waiting_by_request_id[item.request.request_id]
-                item.answer.set_result(Success(grant))
-
-    def _try_grant(self, request: AdmissionRequest) -> Grant | None:
-        prefill = self._choose_prefill(request)
-        decode = self._choose_decode(request)
-        if prefill is None or decode is None:
-            return None
-        pieces = self._pieces(request, decode.engine)
-        decode.reserve(request.request_id, pieces, self._clock.monotonic())
-        self._prefills_by_id[prefill.id].request_ids.add(request.request_id)
-        self._granted_by_request_id[request.request_id] = _Granted(
-            request, prefill.id, decode.engine.id
+            passed = passed_by_model.setdefault(item.model, [])
+            match self._chooser.choose(item.needs, claims_s_by_id, now_s):
+                case Pair() as pair:
+                    self._reserve(item, pair, now_s)
+                    granted.append((item, pair))
+                    for other in passed:
+                        other.bypassed += 1
+                case Hold(state, prefill_s):
+                    claims = claims_s_by_id.get(state.engine.id, 0.0)
+                    claims_s_by_id[state.engine.id] = claims + prefill_s
+                case NoPlace(Obstacle.NO_ENGINE | Obstacle.TOO_LARGE):
+                    impossible.append(item)
+                case NoPlace(Obstacle.DECODE_FULL):
+                    passed.append(item)
+                    if self._stops_others(item):
+                        stopped_models.add(item.model)
+                case NoPlace():
+                    passed.append(item)
+                    if not item.needs.request.excluded_engines:
+                        stopped_models.add(item.model)
+            if len(passed) >= MAX_EXAMINED:
+                stopped_models.add(item.model)
+        return granted, impossible
+
+    def _stops_others(self, item: WaitingRequest) -> bool:
+        """Tell whether no other request may take the memory that is left."""
+        if item.needs.request.excluded_engines:
+            return False
+        if item.late or item.bypassed >= MAX_BYPASSED:
+            return True
+        return not any(
+            state.account.fits(1) for state in self._accounts.decode_engines(item.model)
+        )
+
+    def _give_up_missed(self, now_s: float) -> None:
+        for item in self._queue.take_missed(now_s):
+            self._refuse_for_capacity(item)
+
+    def _reserve(self, item: WaitingRequest, pair: Pair, now_s: float) -> None:
+        request = item.needs.request
+        request_id = request.request_id
+        pair.decode.account.reserve(
+            request_id, pair.pieces, now_s, item.needs.tbt_target_ms
         )
+        pair.prefill.jobs_by_request_id[request_id] = PrefillJob(
+            request_id, now_s, pair.nominal_prefill_s, pair.blocks_expected
+        )
+        for state in (pair.prefill, pair.decode):
+            state.link.plan(request_id, item.needs.transfer_bytes)
+        self._prefixes.record_sent(pair.prefill.engine.id, request.prefix_blocks, now_s)
+        self._granted_by_request_id[request_id] = _Granted(
+            request_id,
+            request.tenant,
+            pair.prefill.engine.id,
+            pair.decode.engine.id,
+            now_s,
+            item.needs,
+        )
+        self._estimator.observe_pieces(pair.pieces)
+        step_s = pair.decode.account.step_ms(pair.decode.account.request_count) / 1000
+        hold_s = pair.first_token_s + request.max_tokens * step_s
+        self._fair_share.charge(request.tenant, pair.pieces * hold_s, now_s)
+
+    def _grant_of(self, item: WaitingRequest, pair: Pair) -> Grant:
         return Grant(
-            request.request_id,
+            item.request_id,
             self._shard_id,
-            prefill.id,
-            decode.engine.id,
-            pieces,
+            pair.prefill.engine.id,
+            pair.decode.engine.id,
+            pair.pieces,
             self.summary(),
         )
 
-    def _choose_prefill(self, request: AdmissionRequest) -> Engine | None:
-        idle = [
-            engine
-            for engine in self._usable(request, EngineRole.PREFILL)
-            if len(self._prefills_by_id[engine.id].request_ids)
-            < MAX_PREFILLS_PER_ENGINE
-        ]
-        return min(idle, key=lambda engine: engine.id, default=None)
-
-    def _choose_decode(self, request: AdmissionRequest) -> EngineAccount | None:
-        accounts = [
-            self._accounts_by_id[engine.id]
-            for engine in self._usable(request, EngineRole.DECODE)
-        ]
-        fitting = [a for a in accounts if a.fits(self._pieces(request, a.engine))]
-        return max(fitting, key=lambda account: account.free_pieces, default=None)
-
-    def _usable(self, request: AdmissionRequest, role: EngineRole) -> list[Engine]:
-        return [
-            engine
-            for engine in self._engines_by_id.values()
-            if engine.role is role
-            and engine.state is ServerState.LIVE
-            and request.model in engine.models
-            and engine.id not in request.excluded_engines
-        ]
-
-    def _decode_accounts(self) -> list[EngineAccount]:
-        return [
-            self._accounts_by_id[engine.id]
-            for engine in self._engines_by_id.values()
-            if engine.role is EngineRole.DECODE
-        ]
+    def _observe_prefill(
+        self, granted: _Granted, message: PrefillDone, now_s: float
+    ) -> None:
+        state = self._accounts.states_by_id.get(granted.prefill_engine)
+        if state is None or granted.needs is None:
+            return
+        job = state.jobs_by_request_id.get(granted.request_id)
+        if job is None:
+            return
+        request = granted.needs.request
+        tokens = request.prompt_tokens + request.resume_tokens
+        uncached = max(0, tokens - message.cached_tokens)
+        nominal_s = nominal_prefill_s(state.engine, uncached)
+        observed_s = message.prefill_ms / 1000
+        self._speeds.observe_prefill(state.engine.id, nominal_s, observed_s, now_s)
+        self._estimator.observe_prefill(observed_s)
+        cached_blocks = message.cached_tokens / granted.needs.tokens_per_block
+        self._prefixes.correct(state.engine.id, job.blocks_expected, cached_blocks)
+
+    def _observe_release(
+        self, granted: _Granted, message: Release, now_s: float
+    ) -> None:
+        if message.failed_engine:
+            self._speeds.observe_failure(message.failed_engine, now_s)
+        state = self._accounts.states_by_id.get(granted.decode_engine)
+        if state is not None and message.tbt_ms > 0:
+            nominal_ms = state.account.step_ms(state.account.request_count)
+            self._speeds.observe_step(
+                state.engine.id, nominal_ms, message.tbt_ms, now_s
+            )
+        if message.code == ResultCode.OK:
+            self._estimator.observe_hold(now_s - granted.granted_s)
+
+    def _end_prefill(self, granted: _Granted, now_s: float, *, finished: bool) -> None:
+        prefill = self._accounts.states_by_id.get(granted.prefill_engine)
+        decode = self._accounts.states_by_id.get(granted.decode_engine)
+        for state in (prefill, decode):
+            if state is None:
+                continue
+            if finished:
+                state.link.start(granted.request_id, now_s)
+            else:
+                state.link.drop(granted.request_id)
+        if prefill is None:
+            return
+        job = prefill.jobs_by_request_id.pop(granted.request_id, None)
+        if job is not None and not finished:
+            self._observe_ended_early(prefill, job, now_s)
+
+    def _observe_ended_early(
+        self, state: EngineState, job: PrefillJob, now_s: float
+    ) -> None:
+        """Keep the slowness of an overdue prefill that was cancelled."""
+        elapsed_s = now_s - job.started_s
+        usual = self._speeds.prefill_ratio(state.engine.id, now_s)
+        if overdue_ratio(job.nominal_s, elapsed_s) > OVERDUE_RATIO * usual:
+            self._speeds.observe_prefill(
+                state.engine.id, job.nominal_s, elapsed_s, now_s
+            )
 
     def _free(self, request_id: str) -> None:
         granted = self._granted_by_request_id.pop(request_id, None)
         if granted is None:
             return
-        self._end_prefill(request_id, granted)
-        self._accounts_by_id[granted.decode_engine].release(request_id)
+        self._limits.leave(granted.tenant, request_id)
+        if granted.prefilled_s is None:
+            self._end_prefill(granted, self._clock.monotonic(), finished=False)
+        state = self._accounts.states_by_id.get(granted.decode_engine)
+        if state is not None:
+            state.account.release(request_id)
+
+    def _withdraw(self, request_id: str, code: ResultCode) -> None:
+        item = self._queue.remove(request_id)
+        if item is not None:
+            self._refuse(item.needs.request, code, MIN_RETRY_AFTER_S)
+        self._free(request_id)
 
-    def _end_prefill(self, request_id: str, granted: _Granted) -> None:
-        granted.prefilling = False
-        self._prefills_by_id[granted.prefill_engine].request_ids.discard(request_id)
+    def _prefilled_before(self, request_id: str, limit_s: float) -> bool:
+        granted = self._granted_by_request_id.get(request_id)
+        if granted is None or granted.prefilled_s is None:
+            return False
+        return granted.prefilled_s < limit_s
 
-    def _refusal(self, request: AdmissionRequest, code: ResultCode) -> Refusal:
-        return Refusal(
-            request.request_id, code.value, code.name, RETRY_AFTER_MS, self.summary()
+    def _refuse_for_capacity(self, item: WaitingRequest) -> None:
+        now_s = self._clock.monotonic()
+        capacity = self._capacity(item.model, now_s)
+        drain_s = self._estimator.wait_s(len(self._queue), capacity)
+        self._refuse(item.needs.request, ResultCode.NO_CAPACITY_IN_TIME, drain_s)
+
+    def _refuse(
+        self, request: AdmissionRequest, code: ResultCode, retry_after_s: float
+    ) -> None:
+        """Answer a request that is not in the queue any more.
+
+        The delay is varied so that refused callers do not return together.
+        """
+        self._limits.leave(request.tenant, request.request_id)
+        factor = 1.0 + self._rng.uniform(0.0, RETRY_AFTER_JITTER)
+        bounded_s = min(max(retry_after_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        refusal = Refusal(
+            request.request_id,
+            code.value,
+            code.name,
+            int(bounded_s * factor * 1000),
+            self.summary(),
         )
+        self._answer(request.request_id, Failure(refusal))
+
+    def _answer(self, request_id: str, result: Answer) -> None:
+        answer = self._answers_by_request_id.get(request_id)
+        if answer is not None and not answer.done():
+            answer.set_result(result)
 
-    @staticmethod
-    def _pieces(request: AdmissionRequest, engine: Engine) -> int:
-        tokens = request.prompt_tokens + request.max_tokens
-        return pieces_for(tokens, engine.piece_tokens)
+    def _arm_timer(self) -> None:
+        if self._timer is not None or not len(self._queue):
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            return  # a synchronous caller drives ``tick`` itself
+        self._timer = loop.call_later(TICK_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.tick()
--- /dev/null
+++ b/tests/core/scheduling_builders.py
@@ -0,0 +1,122 @@
+"""Builders shared by the tests of the scheduler."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import (
+    Configuration,
+    Engine,
+    EngineRole,
+    Model,
+    RequestClass,
+    ServerState,
+    Tenant,
+)
+from kumquat_core.peer_messages import AdmissionRequest, PrefillDone, Release
+from kumquat_core.result_codes import ResultCode
+from kumquat_core.rule_set import RuleSet
+from kumquat_core.shard_scheduler import ShardScheduler
+
+SHARD = "pool/0"
+TENANTS = {
+    name: Tenant(name, (), "patient", weight, 1000, 1000.0)
+    for name, weight in (("madafu", 1.0), ("hagestad", 1.0))
+}
+CONFIGURATION = Configuration(
+    classes_by_name={
+        "patient": RequestClass("patient", 20000, 50, 30000, 60000, 0),
+        "interactive": RequestClass("interactive", 1000, 50, 2000, 20000, 0),
+    },
+    models_by_name={"advice": Model("advice", "1", 4.0, 65536, 8192, 1000)},
+    tenants_by_name=TENANTS,
+)
+
+
+def make_engine(engine_id: str, **changes) -> Engine:
+    """Return an engine; ids that begin with p are prefill engines."""
+    role = EngineRole.PREFILL if engine_id.startswith("p") else EngineRole.DECODE
+    engine = Engine(
+        id=engine_id,
+        url=f"http://{engine_id}",
+        pool="pool",
+        failure_domain="fd",
+        role=role,
+        models=("advice",),
+        state=ServerState.LIVE,
+        total_pieces=40,
+        piece_tokens=1000,
+        max_requests=20,
+        prefill_tokens_per_s=10000.0,
+        link_bytes_per_s=1e9,
+        step_base_ms=10.0,
+        step_request_ms=1.0,
+        checks_fencing=True,
+    )
+    return replace(engine, **changes)
+
+
+def make_request(number: int, **changes) -> AdmissionRequest:
+    """Return a patient request of 1,000 prompt and 1,000 output tokens."""
+    request = AdmissionRequest(
+        request_id=f"h.1.{number}",
+        shard_id=SHARD,
+        tenant="madafu",
+        class_name="patient",
+        model="advice",
+        prompt_tokens=1000,
+        max_tokens=1000,
+        ttft_deadline_ms=20000,
+        patience_ms=30000,
+    )
+    return replace(request, **changes)
+
+
+class SchedulerWorld:
+    """A scheduler with a manual clock and the answers it gave.
+
+    ``admit`` starts a request; answers arrive in ``grants`` and
+    ``refusals``. The timer of the scheduler is driven by ``advance``.
+    """
+
+    def __init__(self, *engines: Engine, rules: RuleSet | None = None) -> None:
+        self.clock = ManualClock()
+        self.scheduler = ShardScheduler(SHARD, self.clock, random.Random(1), rules)
+        self.scheduler.update_configuration(CONFIGURATION)
+        self.scheduler.update_engines(engines)
+        self.grants = {}
+        self.refusals = {}
+        self.tasks = {}
+
+    async def admit(self, number: int, **changes) -> None:
+        request = make_request(number, **changes)
+        self.tasks[number] = asyncio.ensure_future(self._run(number, request))
+        await self.settle()
+
+    async def _run(self, number: int, request: AdmissionRequest) -> None:
+        answer = await self.scheduler.admit(request)
+        answers = answer.map(lambda grant: self.grants.__setitem__(number, grant))
+        answers.alt(lambda refusal: self.refusals.__setitem__(number, refusal))
+
+    async def prefilled(self, number: int, prefill_ms: float = 100.0) -> None:
+        done = PrefillDone(f"h.1.{number}", SHARD, prefill_ms, 0)
+        self.scheduler.prefill_done(done)
+        await self.settle()
+
+    async def released(self, number: int, **changes) -> None:
+        release = Release(f"h.1.{number}", SHARD, ResultCode.OK.value)
+        self.scheduler.release(replace(release, **changes))
+        await self.settle()
+
+    async def advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.scheduler.tick()
+        await self.settle()
+
+    async def settle(self) -> None:
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+    def free_pieces(self) -> int:
+        return self.scheduler.summary().free_pieces
--- /dev/null
+++ b/tests/core/test_shard_scheduler.py
@@ -0,0 +1,303 @@
+"""Guards against overcommitted memory, forgotten requests and late answers."""
+
+import asyncio
+from dataclasses import replace
+
+from hypothesis import given, settings, strategies as st
+from scheduling_builders import (
+    CONFIGURATION,
+    SHARD,
+    TENANTS,
+    SchedulerWorld,
+    make_engine,
+)
+
+from kumquat_core.configuration import EngineRole
+from kumquat_core.engine_client import EngineReport, HeldRequest
+from kumquat_core.peer_messages import PrefillDone
+from kumquat_core.result_codes import ResultCode
+from kumquat_core.rule_set import RuleSet
+
+INTERACTIVE = {
+    "class_name": "interactive",
+    "ttft_deadline_ms": 1000,
+    "patience_ms": 2000,
+}
+
+
+def run(scenario) -> None:
+    asyncio.run(scenario())
+
+
+def report_of(*request_ids: str) -> EngineReport:
+    held = tuple(HeldRequest(request_id, 2, 9000) for request_id in request_ids)
+    return EngineReport(0, EngineRole.DECODE, ("advice",), 40, 2, held, 0, 0.0)
+
+
+def test_no_prefill_starts_without_a_decode_place():
+    async def scenario():
+        world = SchedulerWorld(
+            make_engine("p1"), make_engine("p2"), make_engine("d1", total_pieces=2)
+        )
+        await world.admit(1)
+        await world.admit(2)
+        assert list(world.grants) == [1]
+        await world.released(1)
+        assert list(world.grants) == [1, 2]
+
+    run(scenario)
+
+
+def test_urgent_request_overtakes_patient_ones():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        await world.admit(1)
+        await world.admit(2)
+        await world.admit(3, **INTERACTIVE)
+        await world.prefilled(1)
+        assert list(world.grants) == [1, 3]
+
+    run(scenario)
+
+
+def test_impossible_target_is_refused_before_a_prefill_is_spent():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        # One prefill takes 1 s, so the third behind it starts too late.
+        await world.admit(1, prompt_tokens=10000)
+        await world.prefilled(1, 1000.0)
+        for number in (2, 3, 4):
+            await world.admit(number, prompt_tokens=10000)
+        await world.admit(5, **INTERACTIVE)
+        refusal = world.refusals[5]
+        assert refusal.code == ResultCode.NO_CAPACITY_IN_TIME
+        assert refusal.retry_after_ms >= 100
+        assert 5 not in world.grants
+
+    run(scenario)
+
+
+def test_waiting_request_is_answered_when_its_patience_ends():
+    async def scenario():
+        world = SchedulerWorld(
+            make_engine("p1"),
+            make_engine("d1"),
+            rules=RuleSet(early_refusal=False),
+        )
+        await world.admit(1)
+        await world.admit(2, **INTERACTIVE)
+        await world.advance(2.1)
+        assert world.refusals[2].code == ResultCode.NO_CAPACITY_IN_TIME
+
+    run(scenario)
+
+
+def test_large_request_is_not_overtaken_for_ever():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1", total_pieces=8))
+        for number in (0, 1):
+            await world.admit(number)
+            await world.prefilled(number)
+        await world.admit(100, max_tokens=6000)  # needs 7 of 8 pieces
+        for number in range(2, 60):
+            await world.admit(number, ttft_deadline_ms=15000)
+            await world.prefilled(number)
+            await world.released(number - 2)
+            await world.advance(0.2)
+        assert 100 in world.grants
+
+    run(scenario)
+
+
+def test_batch_stays_within_the_tbt_target_of_its_strictest_class():
+    async def scenario():
+        # 10 ms + 1 ms a request: 5 requests meet 15 ms, 6 do not.
+        world = SchedulerWorld(
+            *(make_engine(f"p{i}") for i in range(9)), make_engine("d1")
+        )
+        classes = dict(CONFIGURATION.classes_by_name)
+        classes["strict"] = replace(classes["interactive"], tbt_target_ms=15)
+        world.scheduler.update_configuration(
+            replace(CONFIGURATION, classes_by_name=classes)
+        )
+        await world.admit(0, class_name="strict")
+        for number in range(1, 9):
+            await world.admit(number)
+        assert len(world.grants) == 5
+
+    run(scenario)
+
+
+def test_grant_that_cannot_be_delivered_is_freed():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        await world.admit(1)
+        await world.admit(2)
+        done = PrefillDone("h.1.1", SHARD, 100.0, 0)
+        world.scheduler.prefill_done(done)  # grants 2
+        world.tasks[2].cancel()
+        await world.settle()
+        assert not world.grants.get(2)
+        assert world.free_pieces() == 38
+
+    run(scenario)
+
+
+def test_tenant_over_its_limit_is_refused_and_counted_out():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        tenants = {"madafu": replace(TENANTS["madafu"], max_concurrent=1)}
+        world.scheduler.update_configuration(
+            replace(CONFIGURATION, tenants_by_name=tenants)
+        )
+        await world.admit(1)
+        await world.admit(2)
+        assert world.refusals[2].code == ResultCode.TENANT_LIMIT
+        await world.released(1)
+        await world.admit(3)
+        assert 3 in world.grants
+
+    run(scenario)
+
+
+def test_flood_of_one_tenant_leaves_the_other_its_share():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1", max_requests=1))
+        for number in range(20):
+            await world.admit(number)
+        for number in range(20, 24):
+            await world.admit(number, tenant="hagestad", ttft_deadline_ms=25000)
+        for _ in range(9):
+            latest = list(world.grants)[-1]
+            await world.prefilled(latest)
+            await world.released(latest)
+        others = [number for number in world.grants if number >= 20]
+        assert len(others) == 4
+
+    run(scenario)
+
+
+def test_grants_of_a_dead_process_are_freed():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        await world.admit(1)
+        cancels = world.scheduler.drop_host("h", 1)
+        assert cancels == [("p1", "h.1.1"), ("d1", "h.1.1")]
+        assert world.free_pieces() == 40
+
+    run(scenario)
+
+
+def test_new_owner_accounts_for_what_the_engines_hold():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        world.scheduler.adopt("d1", report_of("old.1.1"))
+        assert world.free_pieces() == 38
+        await world.advance(6.0)
+        assert world.scheduler.free_absent("d1", report_of()) == ["old.1.1"]
+        assert world.free_pieces() == 40
+
+    run(scenario)
+
+
+def test_lost_release_is_found_in_the_report():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        await world.admit(1)
+        await world.prefilled(1)
+        assert world.scheduler.free_absent("d1", report_of()) == []
+        await world.advance(6.0)
+        assert world.scheduler.free_absent("d1", report_of("h.1.1")) == []
+        assert world.scheduler.free_absent("d1", report_of()) == ["h.1.1"]
+
+    run(scenario)
+
+
+def test_overdue_prefill_shifts_load_before_it_ends():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("p2"), make_engine("d1"))
+        await world.admit(1)
+        await world.admit(2)
+        slow = world.grants[1].prefill_engine
+        await world.prefilled(2)
+        await world.advance(0.4)
+        # Cancelled while overdue: the engine must not look idle and fast.
+        await world.released(1, code=ResultCode.CALLER_GONE.value)
+        for number in range(3, 7):
+            await world.admit(number)
+            assert world.grants[number].prefill_engine != slow
+            await world.prefilled(number)
+            await world.released(number)
+        await world.advance(10.0)
+        await world.admit(7)
+        await world.admit(8)
+        assert slow in {world.grants[n].prefill_engine for n in (7, 8)}
+
+    run(scenario)
+
+
+def test_failed_engine_does_not_attract_all_requests():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("p2"), make_engine("d1"))
+        await world.admit(1)
+        failed = world.grants[1].prefill_engine
+        await world.released(
+            1, code=ResultCode.ENGINE_FAILED.value, failed_engine=failed
+        )
+        await world.admit(2)
+        assert world.grants[2].prefill_engine != failed
+
+    run(scenario)
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["admit", "prefilled", "released", "cancel", "wait"]),
+        st.integers(0, 11),
+        st.integers(1, 7000),
+    ),
+    max_size=60,
+)
+
+
+@given(ACTIONS)
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_accounts_hold_under_any_order_of_messages(actions):
+    """Never over memory, each request answered, all memory freed at last."""
+
+    async def scenario():
+        world = SchedulerWorld(
+            make_engine("p1"),
+            make_engine("p2"),
+            make_engine("d1", total_pieces=8, max_requests=3),
+            make_engine("d2", total_pieces=5),
+        )
+        started = set()
+        for action, number, tokens in actions:
+            if action == "admit" and number not in started:
+                started.add(number)
+                await world.admit(number, max_tokens=tokens)
+            elif action == "prefilled":
+                await world.prefilled(number)
+            elif action == "released":
+                await world.released(number)
+            elif action == "cancel":
+                world.scheduler.cancel(f"h.1.{number}")
+                await world.settle()
+            elif action == "wait":
+                await world.advance(tokens / 1000)
+            for engine_id in ("d1", "d2"):
+                state = world.scheduler._accounts.states_by_id[engine_id]
+                held = state.account.reservations_by_request_id.values()
+                assert sum(item.pieces for item in held) == state.account.held_pieces
+                assert state.account.held_pieces <= state.engine.total_pieces
+                assert len(held) <= state.engine.max_requests
+        await world.advance(31.0)
+        assert started == world.grants.keys() | world.refusals.keys()
+        for number in started:
+            await world.released(number)
+        assert world.free_pieces() == 13
+        for state in world.scheduler._accounts.states_by_id.values():
+            assert state.is_empty
+
+    run(scenario)
