--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -15,6 +15,7 @@
 from .backend_server import BackendHostConfig, run_backends
 from .cost_model import EngineHostConfig
 from .demo import run_demo
+from .doc_tables import render_page
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
 from .stack import StackConfig
@@ -86,5 +87,13 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command("doc-tables")
+def doc_tables(
+    page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
+) -> None:
+    """Rewrite the generated tables of the configuration page."""
+    page.write_text(render_page(page.read_text()))
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquatctl/src/kumquatctl/host_commands.py
+++ b/packages/kumquatctl/src/kumquatctl/host_commands.py
@@ -13,6 +13,10 @@
 
 __all__ = ["drain", "explain", "status"]
 
+# The owner decides before the entry host learns of it, often within the
+# same millisecond.
+OWNER_STEP = "owner"
+
 
 async def status(platform: Platform, as_json: bool) -> None:
     """Show every live host of the host list."""
@@ -68,7 +72,7 @@
         for decision in await _decisions_of(platform, hosts, attempt_id):
             if decision not in decisions:
                 decisions.append(decision)
-    decisions.sort(key=lambda item: item["at_ms"])
+    decisions.sort(key=lambda item: (item["at_ms"], item["step"] != OWNER_STEP))
     if as_json:
         print_json({"request_id": request_id, "decisions": decisions})
     elif decisions:
