--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from kumquat_core.backend_client import BackendResponse
+from kumquat_core.clock import Clock
 from kumquat_core.configuration import (
     Configuration,
     RequestClass,
@@ -34,19 +35,31 @@
     error_response,
     success_headers,
 )
-from .border import CompletionModel, parse_completion, parse_deadline_ms
+from .border import (
+    DEFAULT_MAX_TOKENS,
+    CompletionModel,
+    parse_completion,
+    parse_deadline_ms,
+)
 from .drain import Drain
 from .model_path import ModelPath, ModelRequest, ModelTimes
 from .plain_path import PlainPath, PlainRequest
+from .request_observer import RequestObserver
 
 __all__ = ["CallerApi"]
 
 BEARER = "Bearer "
 MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
+# Label of requests that end before their tenant or class is known.
+UNKNOWN_LABEL = "unknown"
+
 # aiohttp ends a connection that sends no request for this time.
 KEEPALIVE_S = 75.0
 
+REQUEST_ID = web.RequestKey("request_id", RequestId)
+TENANT = web.RequestKey("tenant", str)
+
 logger = logging.getLogger(__name__)
 
 Handler = Callable[[web.Request, RequestId], Awaitable[web.StreamResponse]]
@@ -100,7 +113,7 @@
         return self.response
 
     async def _prepare(self, times: ModelTimes) -> web.StreamResponse:
-        request_id = self._http_request["request_id"]
+        request_id = self._http_request[REQUEST_ID]
         headers = success_headers(request_id) | _engine_headers(times)
         headers["Content-Type"] = "text/event-stream"
         headers["Cache-Control"] = "no-cache"
@@ -136,8 +149,12 @@
         model_path: ModelPath,
         plain_path: PlainPath,
         drain: Drain,
+        clock: Clock,
+        observer: RequestObserver,
     ) -> None:
         super().__init__()
+        self._clock = clock
+        self._observer = observer
         self._options = options
         self._tickets = tickets
         self._ids = ids
@@ -146,13 +163,17 @@
         self._drain = drain
         self._runner: web.AppRunner | None = None
 
-    async def start(self) -> None:
-        """Start listening."""
+    def create_app(self) -> web.Application:
+        """Return the HTTP application."""
         app = web.Application(client_max_size=self._options.limits.max_body_bytes)
         app.router.add_post("/v1/completions", self._completions)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._plain)
+        return app
+
+    async def start(self) -> None:
+        """Start listening."""
         self._runner = web.AppRunner(
-            app,
+            self.create_app(),
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
@@ -177,8 +198,10 @@
     ) -> web.StreamResponse:
         """Run a handler; every failure becomes an answer with a code."""
         request_id = self._ids.next_id()
-        http_request["request_id"] = request_id
+        http_request[REQUEST_ID] = request_id
         code = ResultCode.OK
+        began_s = self._clock.monotonic()
+        self._observer.metrics.request_started()
         try:
             with self._drain.request():
                 return await handler(http_request, request_id)
@@ -199,11 +222,20 @@
             )
             return error_response(RouterError(code), request_id)
         finally:
+            # A stream that failed after its start has answered with 200.
+            code = http_request.get("stream_code", code)
+            self._observer.finished(
+                str(request_id),
+                http_request.get("class", UNKNOWN_LABEL),
+                http_request.get("tenant", UNKNOWN_LABEL),
+                code,
+                self._clock.monotonic() - began_s,
+            )
             log_event(
                 logger,
                 "request_ended",
                 request=request_id,
-                tenant=http_request.get("tenant"),
+                tenant=http_request.get(TENANT),
                 code=code.value,
             )
 
@@ -220,7 +252,7 @@
         tenant = configuration.tenants_by_key_sha256.get(digest)
         if tenant is None:
             raise RouterError(ResultCode.UNAUTHENTICATED, "unknown key")
-        http_request["tenant"] = tenant.name
+        http_request[TENANT] = tenant.name
         return _Caller(request_id, tenant, configuration)
 
     async def _read_body(self, http_request: web.Request) -> bytes:
@@ -238,6 +270,7 @@
         caller = self._authenticate(http_request, request_id)
         body = parse_completion(await self._read_body(http_request))
         request = _model_request(caller, body, http_request)
+        http_request["class"] = request.request_class.name
         if body.stream:
             return await self._stream(http_request, caller, request)
         sink = _BufferSink()
@@ -272,6 +305,7 @@
                 code=error.code.value,
                 detail=error.detail,
             )
+            http_request["stream_code"] = error.code
             return await sink.fail(error)
 
     async def _call_service(
@@ -279,6 +313,7 @@
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         service = _find_service(caller, http_request.match_info["service"])
+        http_request["class"] = service.name
         deadline_ms = parse_deadline_ms(http_request.headers) or service.timeout_ms
         request = PlainRequest(
             request_id=request_id,
@@ -307,7 +342,8 @@
     if prompt_tokens > model.max_prompt_tokens:
         detail = f"{prompt_tokens} > {model.max_prompt_tokens} tokens"
         raise RouterError(ResultCode.PROMPT_TOO_LONG, detail)
-    if body.max_tokens > model.max_output_tokens:
+    max_tokens = body.max_tokens or min(DEFAULT_MAX_TOKENS, model.max_output_tokens)
+    if max_tokens > model.max_output_tokens:
         detail = f"max_tokens: greater than {model.max_output_tokens}"
         raise RouterError(ResultCode.INVALID_FIELD, detail)
     request_class = _request_class(caller, http_request)
@@ -321,7 +357,7 @@
         pool=pool.name,
         prompt=body.prompt,
         prompt_tokens=prompt_tokens,
-        max_tokens=body.max_tokens,
+        max_tokens=max_tokens,
         patience_ms=min(request_class.patience_ms, deadline_ms),
         deadline_ms=deadline_ms,
     )
