Select the policy by settings and give retries a budget

Cause: the entry host always used the shard owner, so baselines could not be compared, and retries had no budget and no backoff.

Change: LocalChoice replaces OwnerClient for the baseline policies and polls lagging reports; ModelPath takes its retry rules (budgeted, or until the deadline for baselines); ShardOwners passes on classes, load reports and cache events. disabled_rules in the settings switches rules off for measurements. held_grants and adopt serve a new owner.

--- a/packages/kumquat_core/src/kumquat_core/baselines.py
+++ b/packages/kumquat_core/src/kumquat_core/baselines.py
@@ -16,7 +16,7 @@
 from .clock import Clock
 from .configuration import Configuration, Engine, EngineRole, ServerState
 from .engine_accounts import pieces_for
-from .engine_client import CacheEvent, EngineReport
+from .engine_client import EngineReport
 from .peer_messages import (
     AdmissionRequest,
     Grant,
@@ -129,30 +129,10 @@
     def cancel(self, request_id: str) -> None:
         """Do nothing: no request waits here."""
 
-    def drop_host(self, host_id: str, incarnation: int) -> list[tuple[str, str]]:
-        """Return nothing: grants are not accounted for."""
-        return []
-
-    def unknown_requests(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Return nothing: every request is unknown here."""
-        return []
-
-    def adopt(self, engine_id: str, report: EngineReport) -> None:
-        """Do nothing: there are no accounts."""
-
-    def free_absent(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Return nothing: there are no accounts."""
-        return []
-
     def observe_report(self, engine_id: str, report: EngineReport) -> None:
         """Keep the last load report of an engine."""
         self._reports_by_id[engine_id] = report
 
-    def observe_cache_events(
-        self, engine_id: str, events: Iterable[CacheEvent]
-    ) -> None:
-        """Do nothing: baselines do not use the prefix caches."""
-
     def summary(self) -> ShardSummary:
         """Return an empty summary."""
         return ShardSummary(self._shard_id, 0, 0, 0)
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -19,6 +19,7 @@
     "CancelAdmission",
     "Envelope",
     "Grant",
+    "HeldGrant",
     "MemberUpdate",
     "Message",
     "Ping",
@@ -173,6 +174,17 @@
     shard_id: str
 
 
+@dataclass(frozen=True)
+class HeldGrant:
+    """A grant that an entry host still uses."""
+
+    request_id: str
+    prefill_engine: str
+    decode_engine: str
+    pieces: int
+    prefilling: bool
+
+
 @dataclass(frozen=True)
 class TicketFetch:
     """Asks for the tickets after a log position."""
--- a/packages/kumquat_core/src/kumquat_core/prefix_index.py
+++ b/packages/kumquat_core/src/kumquat_core/prefix_index.py
@@ -102,6 +102,11 @@
         elif kind == "evicted" and sent_s is not None and sent_s <= now_s - EVENT_LAG_S:
             del cache.sent_s_by_block[block]
 
+    def last_sequence(self, engine_id: str) -> int:
+        """Return the number of the last event applied; 0 before any."""
+        cache = self._caches_by_engine_id.get(engine_id)
+        return 0 if cache is None else cache.last_sequence
+
     def forget_engine(self, engine_id: str) -> None:
         """Drop all beliefs about an engine, for example after its restart."""
         self._caches_by_engine_id.pop(engine_id, None)
--- a/packages/kumquat_core/src/kumquat_core/retry_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/retry_budget.py
@@ -6,8 +6,18 @@
 
 import random
 from dataclasses import dataclass
+from typing import Protocol
 
-__all__ = ["HedgeBudget", "RetryBudget", "backoff"]
+__all__ = [
+    "BudgetedRetries",
+    "DeadlineRetries",
+    "HedgeBudget",
+    "RetryBudget",
+    "RetryRules",
+    "backoff",
+]
+
+MAX_RETRIES = 2
 
 RETRY_SHARE = 0.2
 # Retries that are allowed before any first attempt was counted; also the
@@ -62,6 +72,57 @@
         return self._buckets.setdefault((tenant, pool), _Bucket())
 
 
+class RetryRules(Protocol):
+    """Decides whether and when a failed attempt is repeated."""
+
+    def record_first_attempt(self, tenant: str, pool: str) -> None:
+        """Note that a request begins."""
+
+    def delay_s(
+        self, tenant: str, pool: str, attempt: int, remaining_s: float
+    ) -> float | None:
+        """Return the delay after failed attempt ``attempt``, or None."""
+
+
+class BudgetedRetries:
+    """At most ``MAX_RETRIES`` retries of a request, within the budget."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._budget = RetryBudget()
+
+    def record_first_attempt(self, tenant: str, pool: str) -> None:
+        """Earn a share of a retry."""
+        self._budget.record_first_attempt(tenant, pool)
+
+    def delay_s(
+        self, tenant: str, pool: str, attempt: int, remaining_s: float
+    ) -> float | None:
+        """Return the delay after failed attempt ``attempt``, or None."""
+        if attempt > MAX_RETRIES:
+            return None
+        delay_s = backoff(attempt, self._rng, remaining_s)
+        if delay_s is None or not self._budget.try_spend(tenant, pool):
+            return None
+        return delay_s
+
+
+class DeadlineRetries:
+    """Retries until the deadline; the baselines have no other means."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def record_first_attempt(self, tenant: str, pool: str) -> None:
+        """Do nothing: there is no budget."""
+
+    def delay_s(
+        self, tenant: str, pool: str, attempt: int, remaining_s: float
+    ) -> float | None:
+        """Return the delay after failed attempt ``attempt``, or None."""
+        return backoff(attempt, self._rng, remaining_s)
+
+
 class HedgeBudget:
     """Limits hedged prefills to a share of the work, counted in tokens.
 
--- a/packages/kumquat_core/src/kumquat_core/scheduling_policy.py
+++ b/packages/kumquat_core/src/kumquat_core/scheduling_policy.py
@@ -10,7 +10,7 @@
 from .baselines import LeastReportedLoad, LocalScheduler, RoundRobin, TwoChoices
 from .clock import Clock
 from .configuration import Configuration, Engine
-from .engine_client import CacheEvent, EngineReport
+from .engine_client import EngineReport
 from .peer_messages import (
     AdmissionRequest,
     Grant,
@@ -44,7 +44,7 @@
 
 
 class Scheduler(Protocol):
-    """What a shard's owner, or a host with a baseline policy, asks."""
+    """What all policies have in common."""
 
     @property
     def engine_ids(self) -> list[str]:
@@ -70,26 +70,9 @@
     def cancel(self, request_id: str) -> None:
         """Drop a request."""
 
-    def drop_host(self, host_id: str, incarnation: int) -> list[tuple[str, str]]:
-        """Free the grants of a dead process; return what to cancel."""
-
-    def unknown_requests(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Return reported requests that no grant accounts for."""
-
-    def adopt(self, engine_id: str, report: EngineReport) -> None:
-        """Account for what an engine holds at a takeover."""
-
-    def free_absent(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Free grants whose request the engine no longer holds."""
-
     def observe_report(self, engine_id: str, report: EngineReport) -> None:
         """Take a load report into account."""
 
-    def observe_cache_events(
-        self, engine_id: str, events: Iterable[CacheEvent]
-    ) -> None:
-        """Take cache events into account."""
-
     def summary(self) -> ShardSummary:
         """Return the state of the shard for replies."""
 
--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -82,6 +82,7 @@
     policy: Literal["kumquat", "round_robin", "least_reported_load", "two_choices"] = (
         "kumquat"
     )
+    disabled_rules: tuple[Name, ...] = ()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     seed: int = 0
     limits: LimitsModel = Field(default_factory=LimitsModel)
@@ -139,6 +140,7 @@
     weight_store_url: str
     peer_key: bytes = field(repr=False)
     policy: str
+    disabled_rules: tuple[str, ...]
     log_level: str
     seed: int
     limits: Limits
@@ -160,6 +162,7 @@
             weight_store_url=model.platform.weight_store_url,
             peer_key=peer_key,
             policy=model.policy,
+            disabled_rules=model.disabled_rules,
             log_level=model.log_level,
             seed=model.seed,
             limits=Limits(**model.limits.model_dump()),
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -21,7 +21,7 @@
 
 from .admission_queue import AdmissionQueue, WaitingRequest
 from .clock import Clock
-from .configuration import Configuration, Engine, EngineRole, Model, RequestClass
+from .configuration import Configuration, Engine, Model, RequestClass
 from .engine_accounts import EngineState, PrefillJob, ShardAccounts
 from .engine_client import CacheEvent, EngineReport
 from .fair_share import FairShare
@@ -37,6 +37,7 @@
 from .peer_messages import (
     AdmissionRequest,
     Grant,
+    HeldGrant,
     PrefillDone,
     Refusal,
     Release,
@@ -59,9 +60,8 @@
 # cancelled only after this age: its grant may still be on the way.
 SWEEP_MIN_AGE_MS = 1000
 
-# A grant is taken as abandoned when the engine does not report its request
-# so long after the prefill; a transfer and a report's lag are shorter.
-ABSENT_AFTER_S = 5.0
+# Assumed time of a prefill that an earlier owner granted.
+ADOPTED_PREFILL_S = 0.5
 
 # Period of decisions while requests wait.
 TICK_S = 0.02
@@ -88,6 +88,7 @@
     tenant: str
     prefill_engine: str
     decode_engine: str
+    pieces: int
     granted_s: float
     needs: RequestNeeds | None
     prefilled_s: float | None = None
@@ -107,6 +108,8 @@
         self._clock = clock
         self._rng = rng or random.Random(0)
         self._rules = rules or RuleSet()
+        self._engines: list[Engine] = []
+        self._configuration: Configuration | None = None
         self._accounts = ShardAccounts()
         self._speeds = SpeedTracker(enabled=self._rules.stragglers)
         self._prefixes = PrefixIndex()
@@ -128,10 +131,14 @@
     @property
     def engine_ids(self) -> list[str]:
         """Return the engines of the shard."""
-        return list(self._accounts.states_by_id)
+        return [engine.id for engine in self._engines]
 
     def update_engines(self, engines: Iterable[Engine]) -> None:
         """Take over the engines of the configuration in force."""
+        engines = list(engines)
+        if engines == self._engines:
+            return
+        self._engines = engines
         self._accounts.update(engines)
         self._speeds.keep_only(set(self._accounts.states_by_id))
         self._grant_waiting()
@@ -143,6 +150,9 @@
 
         Tenant limits are divided by the number of shards of the pool.
         """
+        if configuration is self._configuration:
+            return
+        self._configuration = configuration
         self._classes_by_name = dict(configuration.classes_by_name)
         self._models_by_name = dict(configuration.models_by_name)
         tenants = configuration.tenants_by_name
@@ -222,45 +232,46 @@
             and held.age_ms >= SWEEP_MIN_AGE_MS
         ]
 
-    def adopt(self, engine_id: str, report: EngineReport) -> None:
-        """Account for what an engine holds when the ownership is taken over.
+    def held_grants(self) -> list[HeldGrant]:
+        """Return all grants in the account."""
+        return [
+            HeldGrant(
+                granted.request_id,
+                granted.prefill_engine,
+                granted.decode_engine,
+                granted.pieces,
+                granted.prefilled_s is None,
+            )
+            for granted in self._granted_by_request_id.values()
+        ]
+
+    def adopt(self, held: HeldGrant) -> None:
+        """Take a grant of an earlier owner into the account.
 
-        The report must be fresh. The memory is freed by the release of the
-        request or when a later report no longer shows it.
+        Grants on engines that are not of this shard are left out.
         """
-        state = self._accounts.states_by_id.get(engine_id)
-        if state is None or state.engine.role is not EngineRole.DECODE:
+        decode = self._accounts.states_by_id.get(held.decode_engine)
+        if decode is None or held.request_id in self._granted_by_request_id:
             return
         now_s = self._clock.monotonic()
-        for held in report.requests:
-            if held.request_id in self._granted_by_request_id:
-                continue
-            state.account.reserve(held.request_id, held.pieces, now_s)
-            self._granted_by_request_id[held.request_id] = _Granted(
-                held.request_id, "", "", engine_id, now_s, None, now_s
+        decode.account.reserve(held.request_id, held.pieces, now_s)
+        prefill = self._accounts.states_by_id.get(held.prefill_engine)
+        prefilling = held.prefilling and prefill is not None
+        if held.prefilling and prefill is not None:
+            # Its size is not known; it counts as overdue when it takes long.
+            prefill.jobs_by_request_id[held.request_id] = PrefillJob(
+                held.request_id, now_s, ADOPTED_PREFILL_S
             )
-
-    def free_absent(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Free grants whose request the engine no longer holds.
-
-        Their releases were lost. Returns the request ids.
-        """
-        state = self._accounts.states_by_id.get(engine_id)
-        if state is None:
-            return []
-        limit_s = self._clock.monotonic() - ABSENT_AFTER_S
-        reported = {held.request_id for held in report.requests}
-        absent = [
-            request_id
-            for request_id in state.account.reservations_by_request_id
-            if request_id not in reported
-            and self._prefilled_before(request_id, limit_s)
-        ]
-        for request_id in absent:
-            self._free(request_id)
-        if absent:
-            self._grant_waiting()
-        return absent
+        self._granted_by_request_id[held.request_id] = _Granted(
+            held.request_id,
+            "",
+            held.prefill_engine,
+            held.decode_engine,
+            held.pieces,
+            now_s,
+            None,
+            None if prefilling else now_s,
+        )
 
     def observe_report(self, engine_id: str, report: EngineReport) -> None:
         """Take the step time of a load report as an observation of speed."""
@@ -281,6 +292,10 @@
                 engine_id, event.sequence, event.kind, event.prefix, now_s
             )
 
+    def last_cache_event(self, engine_id: str) -> int:
+        """Return the number of the last cache event seen of an engine."""
+        return self._prefixes.last_sequence(engine_id)
+
     def summary(self) -> ShardSummary:
         """Return the state of the shard for replies."""
         states = self._accounts.all_decode()
@@ -482,6 +497,7 @@
             request.tenant,
             pair.prefill.engine.id,
             pair.decode.engine.id,
+            pair.pieces,
             now_s,
             item.needs,
         )
@@ -577,12 +593,6 @@
             self._refuse(item.needs.request, code, MIN_RETRY_AFTER_S)
         self._free(request_id)
 
-    def _prefilled_before(self, request_id: str, limit_s: float) -> bool:
-        granted = self._granted_by_request_id.get(request_id)
-        if granted is None or granted.prefilled_s is None:
-            return False
-        return granted.prefilled_s < limit_s
-
     def _refuse_for_capacity(self, item: WaitingRequest) -> None:
         now_s = self._clock.monotonic()
         capacity = self._capacity(item.model, now_s)
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -22,7 +22,15 @@
     Release,
 )
 from kumquat_core.request_ids import RequestIdSource
+from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
+from kumquat_core.scheduling_policy import (
+    Kumquat,
+    create_scheduler,
+    decides_locally,
+    policy_of,
+)
 from kumquat_core.settings import Address, Options
+from kumquat_core.shard_scheduler import ShardScheduler
 from kumquat_core.table_client import HttpTableClient
 from kumquat_core.tickets import TicketStore
 from kumquat_core.timers import TimerService
@@ -33,6 +41,7 @@
 from .decision_log import DecisionLog
 from .drain import Drain
 from .host_directory import HostDirectory
+from .local_choice import LocalChoice
 from .metered_clients import MeteredTableClient
 from .model_path import ModelPath
 from .owner_client import OwnerClient
@@ -40,7 +49,7 @@
 from .peer_server import PeerServer
 from .plain_path import PlainPath
 from .request_observer import RequestObserver
-from .shard_owners import ShardOwners
+from .shard_owners import CreateScheduler, ShardOwners
 from .status_report import engine_documents, owners_by_shard, resident_bytes
 from .supervisor import Supervisor, TaskService
 from .ticket_sync import TicketSync
@@ -73,6 +82,7 @@
         incarnation = clock.wall_ms()
         rng = random.Random(f"{options.seed}/{options.host_id}")
         timing = options.timing
+        self._policy = policy_of(options.policy, options.disabled_rules)
         self._options = options
         self._identity = PeerIdentity(options.host_id, incarnation)
         self._session = create_session(timing.engine_connect_timeout_s)
@@ -116,6 +126,7 @@
             engine_client,
             self._directory.live_host_ids,
             observer,
+            self._create_shard_scheduler(rng),
         )
         self._owner_client = OwnerClient(
             options.host_id,
@@ -126,8 +137,19 @@
             rng,
         )
         ids = RequestIdSource(options.host_id, incarnation)
+        self._local_choice = LocalChoice(
+            engine_client,
+            lambda pool: create_scheduler(self._policy, pool, clock, rng),
+        )
+        locally = decides_locally(self._policy)
         model_path = ModelPath(
-            clock, engine_client, self._owner_client, self._background, ids, observer
+            clock,
+            engine_client,
+            self._local_choice if locally else self._owner_client,
+            self._background,
+            ids,
+            observer,
+            DeadlineRetries(rng) if locally else BudgetedRetries(rng),
         )
         plain_path = PlainPath(
             clock, HttpBackendClient(self._single_use_session), self._directory, rng
@@ -178,6 +200,9 @@
         self._timers.every(
             timing.report_poll_s, self._owners.poll_reports, "engine_reports"
         )
+        self._timers.every(
+            timing.report_poll_s, self._poll_local_reports, "local_reports"
+        )
         self._timers.every(OWNER_UPDATE_PERIOD_S, self._update_owners, "owners")
         await self._supervisor.start()
         log_event(
@@ -213,9 +238,16 @@
         await self._single_use_session.close()
         log_event(logger, "host_stopped", host=self._identity.host_id)
 
+    async def _poll_local_reports(self) -> None:
+        await self._local_choice.poll_reports(self._tickets.configuration)
+
     async def _update_owners(self) -> None:
         self._owners.update(self._tickets.configuration)
 
+    def _create_shard_scheduler(self, rng: random.Random) -> CreateScheduler:
+        rules = self._policy.rules if isinstance(self._policy, Kumquat) else None
+        return lambda shard_id, clock: ShardScheduler(shard_id, clock, rng, rules)
+
     def _address_of(self, host_id: str) -> Address | None:
         host = self._directory.host(host_id)
         return None if host is None else Address(host.ip, host.peer_port)
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -30,12 +30,18 @@
 
 from .request_observer import RequestObserver
 
-__all__ = ["ShardOwners"]
+__all__ = ["CreateScheduler", "ShardOwners"]
 
 OWNER_RETRY_MS = 100
 
 logger = logging.getLogger(__name__)
 
+CreateScheduler = Callable[[str, Clock], ShardScheduler]
+
+
+def _create_scheduler(shard_id: str, clock: Clock) -> ShardScheduler:
+    return ShardScheduler(shard_id, clock)
+
 
 class ShardOwners:
     """Schedulers of the shards that this host owns."""
@@ -48,7 +54,9 @@
         engine_client: EngineClient,
         live_host_ids: Callable[[], list[str]],
         observer: RequestObserver | None = None,
+        create_scheduler: CreateScheduler | None = None,
     ) -> None:
+        self._create_scheduler = create_scheduler or _create_scheduler
         self._observer = observer or RequestObserver.from_clock(clock)
         self._host_id = host_id
         self._region = region
@@ -75,12 +83,14 @@
         for pool in configuration.pools_by_name.values():
             if pool.region != self._region:
                 continue
-            for shard in shards_of(pool.name, configuration.engines_of(pool.name)):
+            shards = shards_of(pool.name, configuration.engines_of(pool.name))
+            for shard in shards:
                 if owner_of(shard.id, live) != self._host_id:
                     continue
                 scheduler = self._schedulers_by_shard_id.get(shard.id)
                 if scheduler is None:
-                    scheduler = ShardScheduler(shard.id, self._clock)
+                    scheduler = self._create_scheduler(shard.id, self._clock)
+                scheduler.update_configuration(configuration, len(shards))
                 scheduler.update_engines(
                     configuration.engines_by_id[engine_id]
                     for engine_id in shard.engine_ids
@@ -131,6 +141,10 @@
             return
         try:
             report = await self._engine_client.report(engine.url, fresh=True)
+            scheduler.observe_report(engine_id, report)
+            after = scheduler.last_cache_event(engine_id)
+            events = await self._engine_client.cache_events(engine.url, after)
+            scheduler.observe_cache_events(engine_id, events)
             for request_id in scheduler.unknown_requests(engine_id, report):
                 if self._is_abandoned(request_id):
                     await self._sweep(engine.url, engine_id, request_id)
