--- a/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
+++ b/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
@@ -41,6 +41,7 @@
         "peer_key_file": "File with the key shared by all entry hosts, relative to "
         "the settings file; at least 16 bytes",
         "policy": "Routing policy; all but `kumquat` are baselines for comparison",
+        "disabled_rules": "Names of routing decisions to leave out, for experiments",
         "log_level": "Least level that is logged",
         "seed": "Seed of random choices; the host id is mixed in",
         "limits.max_body_bytes": "Largest request body in bytes",
--- a/packages/kumquatctl/src/kumquatctl/main.py
+++ b/packages/kumquatctl/src/kumquatctl/main.py
@@ -17,7 +17,7 @@
 from kumquat_core.ticket_checks import check_ticket_text
 from kumquat_core.ticket_models import TicketModel
 
-from . import host_commands, ticket_commands
+from . import host_commands, request_commands, ticket_commands
 from .output import fail, fail_with_errors, print_json
 from .platform_access import Platform, open_platform
 from .tool_settings import ENVIRONMENT_VARIABLE, ToolSettings, load_tool_settings
@@ -133,6 +133,27 @@
     _run(context, as_json, lambda p: host_commands.explain(p, request_id, as_json))
 
 
+@app.command("requests")
+def show_request(
+    context: typer.Context,
+    tenant: Annotated[str, typer.Argument(help="Tenant, for example madafu.")],
+    service: Annotated[str, typer.Argument(help="Plain service, for example orders.")],
+    key: Annotated[
+        str,
+        typer.Argument(
+            help="The caller's Idempotency-Key, or the request id if it sent none."
+        ),
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Show the recorded outcome of a non-repeatable request."""
+    _run(
+        context,
+        as_json,
+        lambda p: request_commands.show(p, tenant, service, key, as_json),
+    )
+
+
 HostArgument = Annotated[str, typer.Argument(help="Host id, as `status` shows it.")]
 
 
