Run calls that may not be repeated under the idempotency record

Cause: stock orders, bookings and repotting orders were refused as not run. Change: the plain path sends through the guard; another backend server is tried only after the guard proved that the call did not run; the outcome is awaited past the caller's deadline and recorded; the drain waits for it. An error status of a backend server counts as unknown, since it does not tell whether the call ran.

--- a/packages/kumquat_core/src/kumquat_core/result_codes.py
+++ b/packages/kumquat_core/src/kumquat_core/result_codes.py
@@ -181,7 +181,10 @@
         "The request may have run; its outcome is not known.",
     ),
     CodeSpec(
-        ResultCode.BACKEND_FAILED, _RAN, 502, "The backend server answered an error."
+        ResultCode.BACKEND_FAILED,
+        _UNKNOWN,
+        502,
+        "The backend server answered an error.",
     ),
     CodeSpec(
         ResultCode.ENGINE_MEMORY_FULL, _UNKNOWN, 503, "The engine had no memory left."
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -25,7 +25,7 @@
 from kumquat_core.engine_client import Token
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdSource
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.result_codes import ResultCode, RouterError, spec_of
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
 
@@ -405,6 +405,7 @@
         headers["Content-Type"] = answer.content_type
     if answer.status >= 500:
         headers["X-Result-Code"] = str(ResultCode.BACKEND_FAILED.value)
+        headers["X-Execution"] = spec_of(ResultCode.BACKEND_FAILED).execution.value
     return web.Response(status=answer.status, body=answer.body, headers=headers)
 
 
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -12,6 +12,7 @@
 from kumquat_core.frames import PeerIdentity
 from kumquat_core.host_list_client import HttpHostListClient
 from kumquat_core.http_client import create_session
+from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.log_events import log_event
 from kumquat_core.metrics import RouterMetrics
 from kumquat_core.peer_messages import (
@@ -59,6 +60,10 @@
 OWNER_UPDATE_PERIOD_S = 0.1
 BACKGROUND_LIMIT_S = 5.0
 
+# Outcomes of calls that may not be repeated are recorded before the process
+# ends; in an outage of the store they are given up after this time.
+OUTCOME_LIMIT_S = 30.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -151,9 +156,15 @@
             observer,
             DeadlineRetries(rng) if locally else BudgetedRetries(rng),
         )
-        plain_path = PlainPath(
-            clock, HttpBackendClient(self._single_use_session), self._directory, rng
+        backend_client = HttpBackendClient(self._single_use_session)
+        self._guard = IdempotencyGuard.from_config(
+            options,
+            table=table_client,
+            backend=backend_client,
+            clock=clock,
+            is_live=self._directory.is_live,
         )
+        plain_path = PlainPath(clock, backend_client, self._directory, self._guard, rng)
         caller_api = CallerApi(
             options,
             self._tickets,
@@ -221,11 +232,13 @@
         self._drain.begin()
         log_event(logger, "drain_started", in_progress=self._drain.in_progress)
         finished = await self._drain.wait_idle(self._options.limits.drain_limit_s)
+        unsettled = await self._guard.drain(OUTCOME_LIMIT_S)
         log_event(
             logger,
             "drain_ended",
             finished=finished,
             in_progress=self._drain.in_progress,
+            unsettled=unsettled,
         )
         return finished
 
--- a/packages/kumquatrouter/src/kumquatrouter/host_directory.py
+++ b/packages/kumquatrouter/src/kumquatrouter/host_directory.py
@@ -47,6 +47,10 @@
         }
         return sorted(live | {self._own_id})
 
+    def is_live(self, host_id: str, incarnation: int) -> bool:
+        """Tell whether a host is listed as live, whatever its incarnation."""
+        return host_id in self.live_host_ids()
+
     def host(self, host_id: str) -> ListedHost | None:
         """Return a host by id, or None when it is not listed."""
         return self._hosts_by_id.get(host_id)
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -9,6 +9,9 @@
 import hashlib
 import random
 from dataclasses import dataclass
+from functools import partial
+
+from returns.pipeline import is_successful
 
 from kumquat_core.backend_client import (
     BackendClient,
@@ -22,6 +25,7 @@
     ServerState,
     Service,
 )
+from kumquat_core.idempotency import IdempotencyGuard, IdempotentCall, record_key
 from kumquat_core.request_ids import RequestId
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
 
@@ -31,6 +35,11 @@
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 MAX_ATTEMPTS = 3
+NO_FENCE = 0
+
+# The outcome of a call that may not be repeated is awaited beyond the
+# caller's deadline, so that a repeated call gets it from the record.
+LATE_ANSWER_FACTOR = 3
 
 
 @dataclass(frozen=True)
@@ -52,6 +61,13 @@
         """Tell whether the call may run twice."""
         return self.service.repeatable or self.method in REPEATABLE_METHODS
 
+    @property
+    def record_key(self) -> str:
+        """Return the key of the call's record and at the backend server."""
+        return record_key(
+            self.tenant, self.service.name, self.idempotency_key, str(self.request_id)
+        )
+
     @property
     def body_hash(self) -> str:
         """Return the hash that tells calls with one key apart."""
@@ -67,11 +83,13 @@
         clock: Clock,
         backend_client: BackendClient,
         directory: HostDirectory,
+        guard: IdempotencyGuard,
         rng: random.Random,
     ) -> None:
         self._clock = clock
         self._backend_client = backend_client
         self._directory = directory
+        self._guard = guard
         self._rng = rng
 
     async def run(
@@ -80,9 +98,32 @@
         """Answer a call; raises ``RouterError`` when it can't be answered."""
         if request.repeatable:
             return await self._run_repeatable(configuration, request)
-        raise RouterError(
-            ResultCode.STORE_UNAVAILABLE, "no store for the idempotency record"
-        )
+        return await self._run_once(configuration, request)
+
+    async def _run_once(
+        self, configuration: Configuration, request: PlainRequest
+    ) -> BackendResponse:
+        """Run a call at most once.
+
+        Another backend server is tried only when the guard has proved that
+        the call did not run, because no connection could be opened.
+        """
+        deadline_s = self._clock.monotonic() + request.deadline_ms / 1000
+        failure = RouterError(ResultCode.BACKEND_UNREACHABLE, retry_after_s=1.0)
+        for server in self._candidates(configuration, request):
+            answer = await self._guard.run(
+                _idempotent_call(server, request, deadline_s),
+                partial(self._send, server, request),
+            )
+            if is_successful(answer):
+                outcome = answer.unwrap()
+                return BackendResponse(
+                    outcome.status, outcome.content_type, outcome.body
+                )
+            failure = answer.failure()
+            if failure.code is not ResultCode.BACKEND_UNREACHABLE:
+                break
+        raise failure
 
     async def _run_repeatable(
         self, configuration: Configuration, request: PlainRequest
@@ -92,7 +133,7 @@
             async with asyncio.timeout(request.deadline_ms / 1000):
                 for server in self._candidates(configuration, request):
                     try:
-                        return await self._send(server, request, 0)
+                        return await self._send(server, request, NO_FENCE)
                     except RouterError as error:
                         failure = error
         except TimeoutError as error:
@@ -121,15 +162,30 @@
     async def _send(
         self, server: BackendServer, request: PlainRequest, fence: int
     ) -> BackendResponse:
-        key = request.idempotency_key or str(request.request_id)
         call = BackendRequest(
             method=request.method,
             path=request.path,
             body=request.body,
             headers=request.headers,
-            key=f"{request.tenant}/{request.service.name}/{key}",
+            key=request.record_key,
             fence=fence,
         )
-        return await self._backend_client.send(
-            server.url, call, request.service.timeout_ms / 1000
-        )
+        timeout_s = request.service.timeout_ms / 1000
+        if not request.repeatable:
+            timeout_s *= LATE_ANSWER_FACTOR
+        return await self._backend_client.send(server.url, call, timeout_s)
+
+
+def _idempotent_call(
+    server: BackendServer, request: PlainRequest, deadline_s: float
+) -> IdempotentCall:
+    return IdempotentCall(
+        tenant=request.tenant,
+        service=request.service.name,
+        key=request.idempotency_key,
+        request_id=str(request.request_id),
+        body_hash=request.body_hash,
+        deadline_s=deadline_s,
+        server_url=server.url,
+        checks_fencing=server.checks_fencing,
+    )
