--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -13,10 +13,12 @@
 from kumquat_core.log_events import configure_logging
 
 from .backend_server import BackendHostConfig, run_backends
+from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
 from .demo import run_demo
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
+from .scenarios import ScenarioName, ScenarioOptions
 from .stack import StackConfig
 from .up import run_up
 
@@ -86,5 +88,47 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command()
+def compare(
+    scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
+    policies: Annotated[str, typer.Option(help="comma-separated")] = ",".join(POLICIES),
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 12.0,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+    load: Annotated[
+        float, typer.Option(help="multiple of capacity; 0: the scenario's own")
+    ] = 0.0,
+    crest_height: Annotated[
+        float, typer.Option(help="arrival rate of the burst, multiple of capacity")
+    ] = 5.0,
+    stragglers: Annotated[int, typer.Option(help="slow engines of a pool")] = 1,
+    straggler_slowdown: float = 10.0,
+    straggler_window_s: float = 2.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 2,
+    prefill_engines: Annotated[int, typer.Option(help="for each firm")] = 2,
+    decode_engines: Annotated[int, typer.Option(help="for each firm")] = 4,
+) -> None:
+    """Compare routing policies under the same arrivals and faults."""
+    options = ScenarioOptions(
+        seed=seed,
+        seconds=seconds,
+        load=load,
+        crest_height=crest_height,
+        stragglers=stragglers,
+        straggler_slowdown=straggler_slowdown,
+        straggler_window_s=straggler_window_s,
+    )
+    config = StackConfig(
+        hosts_per_firm=hosts,
+        prefill_engines=prefill_engines,
+        decode_engines=decode_engines,
+        seed=seed,
+        log_level="error",
+    )
+    names = policies.split(",")
+    document = uvloop.run(compare_policies(scenario, options, names, config))
+    write_json(document, json_file)
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquat_lab/src/kumquat_lab/arrivals.py
+++ b/packages/kumquat_lab/src/kumquat_lab/arrivals.py
@@ -32,7 +32,7 @@
     rng: random.Random, rate_per_s: float, begin_s: float, end_s: float
 ) -> list[float]:
     """Return the times of a Poisson process."""
-    times = []
+    times: list[float] = []
     if rate_per_s <= 0:
         return times
     at_s = begin_s + rng.expovariate(rate_per_s)
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -187,11 +187,11 @@
             if item.done.done():
                 continue
             self._running = item
+            self.prefill_seeds[item.seed] += 1
             cached_tokens = self._cached_tokens(item)
             if await self._spend_prefill(item, cached_tokens):
                 self._cache.store(item.model, item.hashes, self._clock.monotonic())
                 self.counts["prefills"] += 1
-                self.prefill_seeds[item.seed] += 1
                 self.counts["prefill_tokens"] += item.tokens - cached_tokens
                 item.done.set_result(cached_tokens)
             self._running = None
