--- a/packages/kumquat_lab/src/kumquat_lab/arrivals.py
+++ b/packages/kumquat_lab/src/kumquat_lab/arrivals.py
@@ -6,6 +6,7 @@
 prompt, as care histories of one tree do.
 """
 
+import itertools
 import json
 import random
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 __all__ = ["Arrival", "make_model_call", "make_plain_call", "poisson_times"]
 
 ALPHABET = "abcdefghijklmnopqrstuvwxyz0123456789"
+WORDS = tuple("".join(item) + " " for item in itertools.product(ALPHABET, repeat=3))
 PLAIN_LIMIT_S = 8.0
 
 
@@ -43,10 +45,7 @@
 
 
 def _words(rng: random.Random, count: int) -> str:
-    letters = rng.choices(ALPHABET, k=3 * count)
-    return "".join(
-        f"{letters[i]}{letters[i + 1]}{letters[i + 2]} " for i in range(0, 3 * count, 3)
-    )
+    return "".join(rng.choices(WORDS, k=count))
 
 
 def make_prompt(rng: random.Random, work: ModelWork) -> str:
--- a/packages/kumquat_lab/src/kumquat_lab/limit.py
+++ b/packages/kumquat_lab/src/kumquat_lab/limit.py
@@ -9,7 +9,9 @@
   transfer and one step still meet the TTFT target;
 - decode: a least share of the steps of one engine, between the earliest end
   of prefill and transfer and the time at which the last token still meets
-  the TBT target.
+  the TBT target;
+- start: the same share, up to the latest first token, except for those
+  requests that are still decoding then, no more than there are places.
 
 A set of engines can do at most ``engines * length`` seconds of work in a
 window. Of the requests whose windows lie inside it, enough must fail that
@@ -20,7 +22,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import numpy as np
 
@@ -74,11 +76,17 @@
 
     Two bounds of the decode work hold at once: ``decode_by_count`` from the
     number of requests in a batch, ``decode_by_memory`` from their pieces.
+    ``latest_first_token_s`` is the end of the TTFT target.
     """
 
     prefill: WindowedWork
     decode_by_count: WindowedWork
     decode_by_memory: WindowedWork
+    latest_first_token_s: float
+
+    def start_by(self, work: WindowedWork) -> WindowedWork:
+        """Return decode work in the window up to the first token."""
+        return replace(work, end_s=self.latest_first_token_s)
 
 
 def demands_of(
@@ -119,21 +127,35 @@
         WindowedWork(at_s, prefill_end_s, prefill_s),
         WindowedWork(begin_s, last_s, by_count),
         WindowedWork(begin_s, last_s, by_memory),
+        first_s,
     )
 
 
 def bound_goodput(demands: Sequence[Demand], resources: PoolResources) -> int:
     """Return the largest number of requests that can be good."""
+    engines = resources.decode_engines
+    places = engines * resources.engine.max_requests
+    by_count = [d.decode_by_count for d in demands]
+    by_memory = [d.decode_by_memory for d in demands]
+    start_by_count = [d.start_by(d.decode_by_count) for d in demands]
+    start_by_memory = [d.start_by(d.decode_by_memory) for d in demands]
     failures = max(
         least_failures([d.prefill for d in demands], resources.prefill_engines),
-        least_failures([d.decode_by_count for d in demands], resources.decode_engines),
-        least_failures([d.decode_by_memory for d in demands], resources.decode_engines),
+        least_failures(by_count, engines),
+        least_failures(by_memory, engines),
+        least_failures(start_by_count, engines, places),
+        least_failures(start_by_memory, engines, places),
     )
     return len(demands) - failures
 
 
-def least_failures(work: Sequence[WindowedWork], engines: int) -> int:
-    """Return the least number of items that cannot be done in time."""
+def least_failures(
+    work: Sequence[WindowedWork], engines: int, unfinished: int = 0
+) -> int:
+    """Return the least number of items that cannot be done in time.
+
+    In each window, ``unfinished`` items need not be done by its end.
+    """
     if not work:
         return 0
     begin = np.array([item.begin_s for item in work])
@@ -154,7 +176,7 @@
             done = np.searchsorted(
                 np.cumsum(cost[inside]), capacity_s + 1e-9, side="right"
             )
-            failed = int(inside.sum()) - int(done)
+            failed = int(inside.sum()) - int(done) - unfinished
             best[last] = max(best[last], best[first] + failed)
     return best[-1]
 
