--- a/packages/kumquat_core/src/kumquat_core/ticket_models.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_models.py
@@ -10,7 +10,13 @@
 
 from .configuration import EngineRole, ServerState, ServiceKind
 
-__all__ = ["STATE_MODELS_BY_KIND", "ObjectModel", "TicketModel"]
+__all__ = [
+    "STATE_MODELS_BY_KIND",
+    "ObjectModel",
+    "SnapshotModel",
+    "SnapshotObjectModel",
+    "TicketModel",
+]
 
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[\w.@*-]+$")]
 Positive = Annotated[int, Field(gt=0)]
@@ -158,3 +164,19 @@
         if len(keys) != len(set(keys)):
             raise ValueError("an object occurs more than once")
         return self
+
+
+class SnapshotObjectModel(ObjectModel):
+    """One object of a snapshot with the number that set its state."""
+
+    number: Annotated[int, Field(gt=0, lt=10**12)]
+
+
+class SnapshotModel(BaseModel):
+    """The merged state of all tickets up to a log position."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    position: Annotated[int, Field(ge=0, lt=10**12)]
+    number: Annotated[int, Field(ge=0, lt=10**12)]
+    objects: tuple[SnapshotObjectModel, ...]
--- a/packages/kumquat_core/src/kumquat_core/tickets.py
+++ b/packages/kumquat_core/src/kumquat_core/tickets.py
@@ -119,6 +119,11 @@
         """Return the configuration in force."""
         return self._configuration
 
+    def number_of(self, kind: str, name: str) -> int:
+        """Return the ticket number that set an object; 0 if none did."""
+        present = self._objects_by_key.get((kind, name))
+        return 0 if present is None else present.number
+
     def apply(self, tickets: Iterable[Ticket]) -> bool:
         """Merge tickets that follow the present position without a gap.
 
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -1,6 +1,5 @@
 """An entry host: all parts of the process and how they fit together."""
 
-import asyncio
 import logging
 import random
 from dataclasses import asdict
@@ -14,12 +13,14 @@
 from kumquat_core.http_client import create_session
 from kumquat_core.log_events import log_event
 from kumquat_core.metrics import RouterMetrics
+from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
     Message,
     PrefillDone,
     Release,
+    TicketFetch,
 )
 from kumquat_core.request_ids import RequestIdSource
 from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
@@ -32,6 +33,7 @@
 from kumquat_core.settings import Address, Options
 from kumquat_core.shard_scheduler import ShardScheduler
 from kumquat_core.table_client import HttpTableClient
+from kumquat_core.ticket_log import TicketLog
 from kumquat_core.tickets import TicketStore
 from kumquat_core.timers import TimerService
 
@@ -59,6 +61,9 @@
 OWNER_UPDATE_PERIOD_S = 0.1
 BACKGROUND_LIMIT_S = 5.0
 
+# A newcomer reads the tickets of at most this period after the snapshot.
+SNAPSHOT_PERIOD_S = 60.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -111,7 +116,6 @@
             clock,
         )
         self._table_client = table_client
-        self._ticket_sync = TicketSync(self._tickets, table_client)
         engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
         self._links = PeerLinks(
             self._identity,
@@ -119,6 +123,17 @@
             self._address_of,
             self._metrics.add_peer_bytes,
         )
+        object_client = HttpObjectClient(
+            self._session, options.object_store_url, timing.store_timeout_s
+        )
+        self._ticket_sync = TicketSync(
+            options.host_id,
+            self._tickets,
+            TicketLog(table_client, object_client, rng),
+            self._links.call,
+            self._directory.live_host_ids,
+            rng,
+        )
         self._owners = ShardOwners(
             options.host_id,
             options.region,
@@ -191,9 +206,14 @@
     async def start(self) -> None:
         """Read the platform's state and start all services."""
         timing = self._options.timing
-        await asyncio.gather(self._directory.refresh(), self._ticket_sync.poll())
+        # In an outage of the store, the peers of the host list are asked.
+        await self._directory.refresh()
+        await self._ticket_sync.start()
         self._owners.update(self._tickets.configuration)
         self._timers.every(timing.ticket_poll_s, self._ticket_sync.poll, "tickets")
+        self._timers.every(
+            SNAPSHOT_PERIOD_S, self._ticket_sync.write_snapshot, "ticket_snapshot"
+        )
         self._timers.every(
             timing.host_list_poll_s, self._directory.refresh, "host_list"
         )
@@ -258,6 +278,8 @@
                 return await self._owners.admit(message)
             case PrefillDone() | Release() | CancelAdmission():
                 self._owners.handle(message)
+            case TicketFetch():
+                return self._ticket_sync.answer_fetch(message)
         return None
 
     def _is_ready(self) -> bool:
--- a/packages/kumquatrouter/src/kumquatrouter/ticket_sync.py
+++ b/packages/kumquatrouter/src/kumquatrouter/ticket_sync.py
@@ -1,58 +1,165 @@
-"""Keeps the configuration in force up to date from the ticket log."""
+"""Keeps the configuration in force up to date.
+
+The ticket log is polled. A peer that is ahead is asked for what is missing,
+which also works while the store is down. One host at a time writes the
+snapshot for newcomers: the owner of its name by rendezvous hashing. Two
+hosts that both take themselves for the owner do no harm, because the write
+is conditional and an older snapshot never replaces a newer one.
+"""
 
 import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Success
 
 from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import Message, TicketBatch, TicketFetch
+from kumquat_core.rendezvous import owner_of
 from kumquat_core.result_codes import RouterError
-from kumquat_core.table_client import TableClient
-from kumquat_core.tickets import Ticket, TicketStore
+from kumquat_core.ticket_exchange import TicketTail, merge_batch
+from kumquat_core.ticket_log import TicketLog
+from kumquat_core.tickets import TicketStore
 
-__all__ = ["TICKET_LOG_TABLE", "TicketSync", "position_key"]
+__all__ = ["TicketSync"]
 
-TICKET_LOG_TABLE = "ticket_log"
-POSITION_DIGITS = 12
-BATCH_ROWS = 500
+SNAPSHOT_OWNERSHIP_ID = "ticket-snapshot"
+FETCH_TIMEOUT_S = 2.0
 
-logger = logging.getLogger(__name__)
+# Bounds the messages of one poll in an outage, at any number of hosts.
+MAX_PEERS_ASKED = 3
+
+# Bounds one fetch; the next ping of a host that is ahead starts another.
+MAX_FETCH_ROUNDS = 50
 
+logger = logging.getLogger(__name__)
 
-def position_key(position: int) -> str:
-    """Return the table key of a log position; keys sort like positions."""
-    return f"{position:0{POSITION_DIGITS}d}"
+CallPeer = Callable[[str, Message, float], Awaitable[Message]]
 
 
 class TicketSync:
-    """Polls the ticket log and merges new tickets."""
+    """Reads tickets from the log and from peers, and writes snapshots."""
 
-    def __init__(self, store: TicketStore, table_client: TableClient) -> None:
+    def __init__(
+        self,
+        host_id: str,
+        store: TicketStore,
+        log: TicketLog,
+        call_peer: CallPeer,
+        live_host_ids: Callable[[], list[str]],
+        rng: random.Random,
+    ) -> None:
+        self._host_id = host_id
         self._store = store
-        self._table_client = table_client
+        self._log = log
+        self._call_peer = call_peer
+        self._live_host_ids = live_host_ids
+        self._rng = rng
+        self._tail = TicketTail(store)
+        self._fetching = False
+        self._snapshot_position = 0
+
+    async def start(self) -> None:
+        """Read snapshot and log; in an outage, the state of a peer."""
+        match await self._log.start(self._tail):
+            case Failure(error):
+                self._log_failure("ticket_start_failed", error)
+                await self._fetch_from_any_peer()
+        self._log_position("tickets_read")
 
     async def poll(self) -> None:
         """Merge the tickets accepted since the last poll."""
-        while True:
-            after = position_key(self._store.position)
-            try:
-                rows = await self._table_client.scan(
-                    TICKET_LOG_TABLE, after, BATCH_ROWS
-                )
-            except RouterError as error:
+        match await self._log.catch_up(self._tail):
+            case Success(True):
+                self._log_position("tickets_merged")
+            case Failure(error):
+                self._log_failure("ticket_poll_failed", error)
+                await self._fetch_from_any_peer()
+
+    async def on_peer_position(self, host_id: str, position: int) -> None:
+        """Fetch from a peer whose ping shows a higher log position."""
+        if position > self._store.position:
+            await self._fetch(host_id)
+
+    def answer_fetch(self, message: TicketFetch) -> TicketBatch:
+        """Return what brings a peer forward."""
+        return self._tail.batch_after(message.after_position)
+
+    async def write_snapshot(self) -> None:
+        """Write a snapshot when this host is in charge and has news."""
+        position = self._store.position
+        if position <= self._snapshot_position:
+            return
+        if owner_of(SNAPSHOT_OWNERSHIP_ID, self._live_host_ids()) != self._host_id:
+            return
+        match await self._log.write_snapshot(self._store):
+            case Success(outcome):
+                self._snapshot_position = position
                 log_event(
                     logger,
-                    "ticket_poll_failed",
-                    level=logging.WARNING,
-                    detail=error.detail,
+                    "ticket_snapshot",
+                    position=position,
+                    outcome=outcome.value,
                 )
+            case Failure(error):
+                self._log_failure("ticket_snapshot_failed", error)
+
+    async def _fetch_from_any_peer(self) -> None:
+        """Ask a few random peers until one has something newer."""
+        peers = [item for item in self._live_host_ids() if item != self._host_id]
+        self._rng.shuffle(peers)
+        for host_id in peers[:MAX_PEERS_ASKED]:
+            position = self._store.position
+            await self._fetch(host_id)
+            if self._store.position > position:
                 return
-            self._merge([Ticket.from_document(row.value) for row in rows])
-            if len(rows) < BATCH_ROWS:
-                return
 
-    def _merge(self, tickets: list[Ticket]) -> None:
-        if self._store.apply(tickets):
-            log_event(
-                logger,
-                "tickets_merged",
-                position=self._store.position,
-                number=self._store.number,
-            )
+    async def _fetch(self, host_id: str) -> None:
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            for _ in range(MAX_FETCH_ROUNDS):
+                if not await self._fetch_batch(host_id):
+                    return
+        finally:
+            self._fetching = False
+
+    async def _fetch_batch(self, host_id: str) -> bool:
+        """Merge one batch; return whether the peer may have more."""
+        message = TicketFetch(self._store.position)
+        try:
+            reply = await self._call_peer(host_id, message, FETCH_TIMEOUT_S)
+        except RouterError as error:
+            self._log_failure("ticket_fetch_failed", error, peer=host_id)
+            return False
+        if not isinstance(reply, TicketBatch):
+            return False
+        match merge_batch(self._tail, reply):
+            case Success(True):
+                self._log_position("tickets_fetched", peer=host_id)
+                return self._store.position < reply.position
+            case Failure(error):
+                self._log_failure("ticket_batch_invalid", error, peer=host_id)
+        return False
+
+    def _log_position(self, event: str, peer: str | None = None) -> None:
+        log_event(
+            logger,
+            event,
+            position=self._store.position,
+            number=self._store.number,
+            peer=peer,
+        )
+
+    def _log_failure(
+        self, event: str, error: RouterError, peer: str | None = None
+    ) -> None:
+        log_event(
+            logger,
+            event,
+            level=logging.WARNING,
+            code=error.code.value,
+            detail=error.detail,
+            peer=peer,
+        )
