--- a/packages/kumquatctl/src/kumquatctl/main.py
+++ b/packages/kumquatctl/src/kumquatctl/main.py
@@ -17,7 +17,7 @@
 from kumquat_core.ticket_checks import check_ticket_text
 from kumquat_core.ticket_models import TicketModel
 
-from . import host_commands, request_commands, ticket_commands
+from . import apply_command, host_commands, request_commands, ticket_commands
 from .output import fail, fail_with_errors, print_json
 from .platform_access import Platform, open_platform
 from .tool_settings import ENVIRONMENT_VARIABLE, ToolSettings, load_tool_settings
@@ -102,6 +102,30 @@
     _run(context, as_json, lambda p: ticket_commands.plan(p, ticket, as_json))
 
 
+@app.command()
+def apply(
+    context: typer.Context,
+    ticket_file: TicketFile,
+    wait: Annotated[
+        bool,
+        typer.Option("--wait", help="Wait until every live host has it in force."),
+    ] = False,
+    wait_limit_s: Annotated[
+        float,
+        typer.Option("--wait-limit", help="Longest wait in seconds.", min=0),
+    ] = 30.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Apply a ticket. Applying the same file again changes nothing."""
+    ticket = _read_ticket(ticket_file, as_json)
+    limit_s = wait_limit_s if wait else None
+    _run(
+        context,
+        as_json,
+        lambda p: apply_command.apply(p, ticket, limit_s, as_json),
+    )
+
+
 @app.command()
 def history(
     context: typer.Context,
--- a/packages/kumquatctl/src/kumquatctl/platform_access.py
+++ b/packages/kumquatctl/src/kumquatctl/platform_access.py
@@ -1,12 +1,14 @@
 """Connections of the tool: platform services and admin listeners."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import aiohttp
+from returns.result import Failure, Success
 
 from kumquat_core.configuration import ServerState
 from kumquat_core.host_list_client import (
@@ -18,6 +20,7 @@
 from kumquat_core.object_client import HttpObjectClient, ObjectClient
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.table_client import HttpTableClient, TableClient
+from kumquat_core.ticket_log import TicketLog
 from kumquat_core.tickets import Ticket, TicketStore
 
 from .tool_settings import ToolSettings
@@ -33,10 +36,6 @@
     "read_state",
 ]
 
-TICKET_LOG_TABLE = "ticket_log"
-POSITION_DIGITS = 12
-BATCH_ROWS = 500
-
 # Bounds the sockets of one command when hundreds of hosts are asked.
 MAX_CONCURRENT_HOSTS = 50
 
@@ -76,6 +75,10 @@
     host_list: HostListClient
     admin: AdminClient
 
+    def ticket_log(self) -> TicketLog:
+        """Return the log of accepted tickets."""
+        return TicketLog(self.tables, self.objects, random.Random())
+
     async def live_hosts(self) -> list[ListedHost]:
         """Return the live entry hosts in the order of their ids."""
         hosts = (await self.host_list.fetch()).hosts
@@ -147,20 +150,31 @@
 
 
 async def read_log(platform: Platform, after_position: int) -> list[Ticket]:
-    """Return the accepted tickets after a log position, in order."""
+    """Return the accepted tickets after a log position, in order.
+
+    Raises ``RouterError`` when the table service does not answer.
+    """
+    log = platform.ticket_log()
     tickets: list[Ticket] = []
     position = after_position
     while True:
-        after = f"{position:0{POSITION_DIGITS}d}"
-        rows = await platform.tables.scan(TICKET_LOG_TABLE, after, BATCH_ROWS)
-        tickets.extend(Ticket.from_document(row.value) for row in rows)
-        if len(rows) < BATCH_ROWS:
-            return tickets
-        position = tickets[-1].position
+        match await log.read_after(position):
+            case Failure(error):
+                raise error
+            case Success([]):
+                return tickets
+            case Success(batch):
+                tickets.extend(batch)
+                position = batch[-1].position
 
 
 async def read_state(platform: Platform) -> TicketStore:
-    """Return the state that all accepted tickets add up to."""
+    """Return the state that all accepted tickets add up to.
+
+    Raises ``RouterError`` when the stores do not answer.
+    """
     store = TicketStore()
-    store.apply(await read_log(platform, 0))
+    match await platform.ticket_log().start(store):
+        case Failure(error):
+            raise error
     return store
--- a/packages/kumquatctl/src/kumquatctl/ticket_commands.py
+++ b/packages/kumquatctl/src/kumquatctl/ticket_commands.py
@@ -4,11 +4,12 @@
 
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.ticket_checks import missing_references
+from kumquat_core.ticket_log import HEAD_KEY, HEAD_TABLE, TICKETS_TABLE, ticket_key
 from kumquat_core.ticket_models import TicketModel
 from kumquat_core.tickets import Ticket, TicketStore, digest_of
 
 from .output import console, print_json, print_table
-from .platform_access import Platform, read_log
+from .platform_access import Platform, read_log, read_state
 from .ticket_changes import Action, ObjectChange, changes_of
 
 __all__ = ["diff", "history", "plan", "show_valid"]
@@ -25,8 +26,7 @@
 
 async def diff(platform: Platform, ticket: TicketModel, as_json: bool) -> None:
     """Show the fields that a ticket would change."""
-    _, store = await _read(platform)
-    changes = changes_of(ticket, store)
+    changes = changes_of(ticket, await read_state(platform))
     if as_json:
         print_json({"number": ticket.number, "changes": _documents(changes)})
         return
@@ -45,9 +45,9 @@
 
 async def plan(platform: Platform, ticket: TicketModel, as_json: bool) -> None:
     """Tell whether a ticket would be accepted and what it would do."""
-    tickets, store = await _read(platform)
+    store = await read_state(platform)
     changes = changes_of(ticket, store)
-    verdict = _verdict(ticket, tickets, changes)
+    verdict = await _verdict(platform, ticket, changes)
     next_number = store.number + 1
     warnings = _new_missing_references(ticket, store)
     if as_json:
@@ -75,7 +75,9 @@
 
 async def history(platform: Platform, limit: int, name: str, as_json: bool) -> None:
     """List accepted tickets, the newest first."""
-    tickets, _ = await _read(platform)
+    # Without a filter the newest positions are enough; the log may be long.
+    after = 0 if name else await _head_position(platform) - limit
+    tickets = await read_log(platform, max(0, after))
     matching = [item for item in tickets if not name or name in _names(item)]
     newest = matching[::-1][:limit]
     if as_json:
@@ -88,21 +90,19 @@
     print_table("Accepted tickets", ("position", "number", "author", "objects"), rows)
 
 
-async def _read(platform: Platform) -> tuple[list[Ticket], TicketStore]:
-    tickets = await read_log(platform, 0)
-    store = TicketStore()
-    store.apply(tickets)
-    return tickets, store
+async def _head_position(platform: Platform) -> int:
+    head = await platform.tables.get(HEAD_TABLE, HEAD_KEY)
+    return 0 if head is None else int(head.value["position"])
 
 
-def _verdict(
-    ticket: TicketModel, tickets: list[Ticket], changes: list[ObjectChange]
+async def _verdict(
+    platform: Platform, ticket: TicketModel, changes: list[ObjectChange]
 ) -> str:
     """Return ``accept``, ``already accepted`` or the refusing code."""
-    for accepted in tickets:
-        if accepted.model.number == ticket.number:
-            same = accepted.digest == digest_of(ticket)
-            return "already accepted" if same else ResultCode.TICKET_CONFLICT.name
+    accepted = await platform.tables.get(TICKETS_TABLE, ticket_key(ticket.number))
+    if accepted is not None:
+        same = accepted.value.get("digest") == digest_of(ticket)
+        return "already accepted" if same else ResultCode.TICKET_CONFLICT.name
     if all(change.number_in_force > ticket.number for change in changes):
         return ResultCode.TICKET_SUPERSEDED.name
     if any(change.action is Action.SUPERSEDED for change in changes):
--- a/tests/ctl/ctl_fakes.py
+++ b/tests/ctl/ctl_fakes.py
@@ -1,6 +1,8 @@
 """A platform in memory for tests of the operator tool."""
 
+import asyncio
 import json
+import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -11,6 +13,9 @@
 from kumquat_core.object_client import StoredObject
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.table_client import Row, TransactResult, Write
+from kumquat_core.ticket_log import TicketLog
+from kumquat_core.ticket_models import TicketModel
+from kumquat_core.tickets import TicketStore
 from kumquatctl.main import Tool, app
 from kumquatctl.platform_access import Platform
 from kumquatctl.tool_settings import ToolSettings
@@ -117,12 +122,11 @@
         tool = Tool(self.settings_path, self.connect)
         return CliRunner().invoke(app, list(arguments), obj=tool, input=input_text)
 
-    def accept(self, position: int, ticket: dict) -> None:
-        """Put a ticket into the log as the acceptance does."""
-        key = f"{position:012d}"
-        value = {"position": position, "ticket": ticket}
-        table = self.rows_of("ticket_log")
-        table[key] = Row(key, 1, value)
+    def accept(self, ticket: dict) -> None:
+        """Accept a ticket as ``apply`` does."""
+        log = TicketLog(self.tables, self.objects, random.Random(1))
+        model = TicketModel.model_validate(ticket)
+        asyncio.run(log.accept(model, TicketStore())).unwrap()
 
     def rows_of(self, table: str) -> dict[str, Row]:
         return self.tables.rows.setdefault(table, {})
--- a/tests/ctl/test_ticket_files.py
+++ b/tests/ctl/test_ticket_files.py
@@ -55,7 +55,7 @@
 
 
 def test_diff_shows_only_changed_fields_with_defaults_filled_in(platform, tmp_path):
-    platform.accept(1, make_ticket(5, "1"))
+    platform.accept(make_ticket(5, "1"))
     ticket = make_ticket(6, "2")
     ticket["objects"][0]["state"]["bytes_per_token"] = 4.0
     result = platform.run("diff", write_ticket(tmp_path, ticket), "--json")
@@ -71,7 +71,7 @@
 
 
 def test_plan_predicts_each_verdict(platform, tmp_path):
-    platform.accept(1, make_ticket(5, "1"))
+    platform.accept(make_ticket(5, "1"))
     verdicts = {
         "accept": make_ticket(6, "2"),
         "already accepted": make_ticket(5, "1"),
@@ -90,8 +90,8 @@
 
 
 def test_history_shows_the_newest_first_and_filters(platform):
-    platform.accept(1, make_ticket(5))
-    platform.accept(2, make_ticket(3))
+    platform.accept(make_ticket(5))
+    platform.accept(make_ticket(3))
     tickets = json.loads(platform.run("history", "--json").stdout)["tickets"]
     assert [item["ticket"]["number"] for item in tickets] == [3, 5]
     result = platform.run("history", "--object", "model/other", "--json")
