--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -179,7 +179,9 @@
             clock=clock,
             is_live=self._directory.is_live,
         )
-        plain_path = PlainPath(clock, backend_client, self._directory, self._guard, rng)
+        plain_path = PlainPath(
+            clock, backend_client, self._directory, self._guard, rng, observer
+        )
         caller_api = CallerApi(
             options,
             self._tickets,
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -30,6 +30,7 @@
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
 
 from .host_directory import HostDirectory
+from .request_observer import RequestObserver
 
 __all__ = ["PlainPath", "PlainRequest"]
 
@@ -85,7 +86,9 @@
         directory: HostDirectory,
         guard: IdempotencyGuard,
         rng: random.Random,
+        observer: RequestObserver | None = None,
     ) -> None:
+        self._observer = observer or RequestObserver.from_clock(clock)
         self._clock = clock
         self._backend_client = backend_client
         self._directory = directory
@@ -117,10 +120,12 @@
             )
             if is_successful(answer):
                 outcome = answer.unwrap()
+                self._observe(request, server, ResultCode.OK)
                 return BackendResponse(
                     outcome.status, outcome.content_type, outcome.body
                 )
             failure = answer.failure()
+            self._observe(request, server, failure.code)
             if failure.code is not ResultCode.BACKEND_UNREACHABLE:
                 break
         raise failure
@@ -133,13 +138,27 @@
             async with asyncio.timeout(request.deadline_ms / 1000):
                 for server in self._candidates(configuration, request):
                     try:
-                        return await self._send(server, request, NO_FENCE)
+                        answer = await self._send(server, request, NO_FENCE)
+                        self._observe(request, server, ResultCode.OK)
+                        return answer
                     except RouterError as error:
+                        self._observe(request, server, error.code)
                         failure = error
         except TimeoutError as error:
             raise RouterError(ResultCode.DEADLINE_EXCEEDED) from error
         raise failure
 
+    def _observe(
+        self, request: PlainRequest, server: BackendServer, code: ResultCode
+    ) -> None:
+        self._observer.server_tried(
+            str(request.request_id),
+            server.id,
+            code,
+            repeatable=request.repeatable,
+            checks_fencing=server.checks_fencing,
+        )
+
     def _candidates(
         self, configuration: Configuration, request: PlainRequest
     ) -> list[BackendServer]:
--- a/packages/kumquatrouter/src/kumquatrouter/request_observer.py
+++ b/packages/kumquatrouter/src/kumquatrouter/request_observer.py
@@ -138,6 +138,23 @@
         }
         self.decisions.add(request_id, "answer", ResultCode.OK.name, inputs)
 
+    def server_tried(
+        self,
+        request_id: str,
+        server_id: str,
+        code: ResultCode,
+        *,
+        repeatable: bool,
+        checks_fencing: bool,
+    ) -> None:
+        """Record the outcome of a call at one backend server."""
+        inputs = {
+            "server": server_id,
+            "repeatable": repeatable,
+            "checks_fencing": checks_fencing,
+        }
+        self.decisions.add(request_id, "server", code.name, inputs)
+
     def finished(
         self,
         request_id: str,
--- /dev/null
+++ b/tests/ctl/test_api_page.py
@@ -0,0 +1,73 @@
+"""Guards against examples for callers that misread an interrupted answer."""
+
+import io
+import json
+import re
+import textwrap
+import urllib.error
+import urllib.request
+from email.message import Message
+from pathlib import Path
+
+import pytest
+
+PAGE = Path(__file__).parents[2] / "docs" / "api.md"
+PYTHON_BLOCK = re.compile(r"^    import .*?(?=^\S)", re.MULTILINE | re.DOTALL)
+
+
+def example(name: str):
+    for block in PYTHON_BLOCK.findall(PAGE.read_text()):
+        names: dict = {}
+        exec(textwrap.dedent(block), names)
+        if name in names:
+            return names[name]
+    raise AssertionError(f"no example {name}")
+
+
+def token(text: str) -> bytes:
+    event = {"choices": [{"index": 0, "text": text, "finish_reason": None}]}
+    return f"data: {json.dumps(event)}\n\n".encode()
+
+
+def answer_with(monkeypatch, *answers) -> list:
+    calls, pending = [], list(answers)
+
+    def open_url(request, timeout):
+        calls.append(request)
+        answer = pending.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return io.BytesIO(answer)
+
+    monkeypatch.setattr(urllib.request, "urlopen", open_url)
+    monkeypatch.setattr("time.sleep", lambda seconds: None)
+    return calls
+
+
+def refusal(status: int, execution: str) -> urllib.error.HTTPError:
+    headers = Message()
+    headers["X-Execution"] = execution
+    return urllib.error.HTTPError("http://router", status, "", headers, None)
+
+
+def test_stream_example_yields_a_complete_answer(monkeypatch):
+    answer_with(monkeypatch, token("a ") + token("b") + b"data: [DONE]\n\n")
+    assert list(example("stream")("key", "prompt")) == ["a ", "b"]
+
+
+@pytest.mark.parametrize(
+    "end", [b"", b'event: error\ndata: {"error": {"code": 1304}}\n\n']
+)
+def test_stream_example_raises_on_an_incomplete_answer(monkeypatch, end):
+    answer_with(monkeypatch, token("a ") + end)
+    with pytest.raises(RuntimeError):
+        list(example("stream")("key", "prompt"))
+
+
+def test_order_example_repeats_with_the_same_key_only_when_not_run(monkeypatch):
+    calls = answer_with(monkeypatch, refusal(503, "not_run"), b"done")
+    assert example("order")("key", "7", b"{}") == b"done"
+    assert [call.get_header("Idempotency-key") for call in calls] == ["order-7"] * 2
+    answer_with(monkeypatch, refusal(504, "unknown"))
+    with pytest.raises(urllib.error.HTTPError):
+        example("order")("key", "7", b"{}")
