--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -43,6 +43,7 @@
 ]
 
 INDIRECT_PINGS = 2
+LEAVE_PINGS = 3
 REMOTE_PERIODS = 10
 RECONNECT_PERIODS = 4
 
@@ -255,6 +256,24 @@
         staying = [host_id for host_id in live if not self._is_leaving(host_id)]
         return staying or live
 
+    @property
+    def sees_majority(self) -> bool:
+        """Tell whether most listed hosts of the region are live here.
+
+        A host that was cut off from the others would otherwise take all of
+        them for dead. Of two hosts, one is enough.
+        """
+        listed = {
+            host_id
+            for host_id, member in self.members_by_id.items()
+            if member.region == self._own.region
+            and member.listed is not None
+            and not member.leaving
+        }
+        others = set(self._live_members_of(self._own.region))
+        total = len(listed | others) + 1
+        return total <= 2 or 2 * (len(others) + 1) > total
+
     def liveness(self, host_id: str, incarnation: int) -> Liveness:
         """Return what is known of a process.
 
@@ -346,6 +365,15 @@
         self.counters.pings += len(chosen)
         return chosen
 
+    def leave(self) -> list[tuple[str, Ping]]:
+        """Declare the own process dead; return the pings that tell it."""
+        self.superseded = True
+        self._own = replace(self._own, state="dead")
+        self._queue.put(self._own)
+        members = self._live_members_of(self._own.region)
+        chosen = self._rng.sample(members, min(LEAVE_PINGS, len(members)))
+        return [(host_id, self.ping_for(host_id)) for host_id in chosen]
+
     def probe_soon(self, host_id: str) -> None:
         """Ping a live member of the region in the next period."""
         member = self.members_by_id.get(host_id)
@@ -491,6 +519,8 @@
                 self._log("superseded_by_newer_process", update, logging.ERROR)
             self.superseded = True
             return
+        if self.superseded:
+            return
         if update.incarnation < self._own.incarnation:
             self._queue.put(self._own)
             return
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -19,6 +19,8 @@
     "CancelAdmission",
     "Envelope",
     "Grant",
+    "GrantsHeld",
+    "GrantsQuery",
     "HeldGrant",
     "MemberUpdate",
     "Message",
@@ -185,6 +187,31 @@
     prefilling: bool
 
 
+@dataclass(frozen=True)
+class GrantsQuery:
+    """Asks an entry host which requests it still holds.
+
+    Either the requests are named, or the engines whose grants are meant.
+    """
+
+    request_ids: tuple[str, ...] = ()
+    engine_ids: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class GrantsHeld:
+    """Answers ``GrantsQuery``.
+
+    ``waiting`` lists the asked requests that have no grant yet. Request
+    ids are not used twice, so a request in neither list is over for good.
+    """
+
+    host_id: str
+    incarnation: int
+    grants: tuple[HeldGrant, ...] = ()
+    waiting: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class TicketFetch:
     """Asks for the tickets after a log position."""
@@ -206,6 +233,8 @@
     | AdmissionRequest
     | CancelAdmission
     | Grant
+    | GrantsHeld
+    | GrantsQuery
     | Ping
     | PingRequest
     | PrefillDone
@@ -234,6 +263,8 @@
     13: PrefillDone,
     14: Release,
     15: CancelAdmission,
+    16: GrantsQuery,
+    17: GrantsHeld,
     20: TicketFetch,
     21: TicketBatch,
 }
@@ -249,6 +280,7 @@
 _NESTED_TYPES: dict[str, type[Any]] = {
     "updates": MemberUpdate,
     "summary": ShardSummary,
+    "grants": HeldGrant,
 }
 
 
@@ -293,6 +325,6 @@
     if nested_type is None or value is None:
         return value
     names = [item.name for item in fields(nested_type)]
-    if name == "updates":
+    if name in ("updates", "grants"):
         return tuple(dict(zip(names, item, strict=True)) for item in value)
     return dict(zip(names, value, strict=True))
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -13,15 +13,21 @@
 from kumquat_core.host_list_client import HttpHostListClient
 from kumquat_core.http_client import create_session
 from kumquat_core.log_events import log_event
+from kumquat_core.membership import Membership
 from kumquat_core.metrics import RouterMetrics
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
+    GrantsHeld,
+    GrantsQuery,
     Message,
+    Ping,
+    PingRequest,
     PrefillDone,
     Release,
 )
 from kumquat_core.request_ids import RequestIdSource
+from kumquat_core.result_codes import RouterError
 from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
 from kumquat_core.scheduling_policy import (
     Kumquat,
@@ -29,7 +35,7 @@
     decides_locally,
     policy_of,
 )
-from kumquat_core.settings import Address, Options
+from kumquat_core.settings import Options
 from kumquat_core.shard_scheduler import ShardScheduler
 from kumquat_core.table_client import HttpTableClient
 from kumquat_core.tickets import TicketStore
@@ -40,8 +46,10 @@
 from .caller_api import CallerApi
 from .decision_log import DecisionLog
 from .drain import Drain
+from .held_grants import HeldGrants, TrackedAdmissions
 from .host_directory import HostDirectory
 from .local_choice import LocalChoice
+from .membership_driver import MembershipDriver
 from .metered_clients import MeteredTableClient
 from .model_path import ModelPath
 from .owner_client import OwnerClient
@@ -58,6 +66,7 @@
 
 OWNER_UPDATE_PERIOD_S = 0.1
 BACKGROUND_LIMIT_S = 5.0
+GRANTS_QUERY_TIMEOUT_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -97,8 +106,8 @@
         observer = RequestObserver(self._metrics, decisions)
         self._drain = Drain(options.limits.max_streams)
         self._tickets = TicketStore()
+        self._fetching_tickets = False
         self._directory = HostDirectory(
-            options,
             HttpHostListClient(
                 self._session, options.host_list_url, timing.store_timeout_s
             ),
@@ -113,18 +122,31 @@
         self._table_client = table_client
         self._ticket_sync = TicketSync(self._tickets, table_client)
         engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
+        self._membership = Membership.from_config(
+            options, incarnation, clock, lambda: self._tickets.position
+        )
         self._links = PeerLinks(
             self._identity,
             options.peer_key,
-            self._address_of,
+            self._membership.address_of,
+            clock,
+            rng,
+            self._membership.probe_soon,
             self._metrics.add_peer_bytes,
         )
+        self._membership_driver = MembershipDriver(
+            self._membership, self._links, timing, clock, self._on_ticket_position
+        )
+        self._held = HeldGrants(options.host_id, incarnation)
         self._owners = ShardOwners(
             options.host_id,
             options.region,
             clock,
             engine_client,
-            self._directory.live_host_ids,
+            self._membership,
+            self._background,
+            self._query_grants,
+            lambda: self._directory.backend_states_by_id,
             observer,
             self._create_shard_scheduler(rng),
         )
@@ -133,7 +155,7 @@
             clock,
             self._owners,
             self._links,
-            self._directory.live_host_ids,
+            self._membership.owner_candidates,
             rng,
         )
         ids = RequestIdSource(options.host_id, incarnation)
@@ -145,7 +167,9 @@
         model_path = ModelPath(
             clock,
             engine_client,
-            self._local_choice if locally else self._owner_client,
+            TrackedAdmissions(
+                self._local_choice if locally else self._owner_client, self._held
+            ),
             self._background,
             ids,
             observer,
@@ -180,7 +204,13 @@
             self._metrics.add_peer_bytes,
         )
         self._supervisor = Supervisor(
-            [_TimerTask(self._timers), peer_server, admin_api, caller_api]
+            [
+                _TimerTask(self._timers),
+                peer_server,
+                self._membership_driver,
+                admin_api,
+                caller_api,
+            ]
         )
 
     @classmethod
@@ -191,12 +221,10 @@
     async def start(self) -> None:
         """Read the platform's state and start all services."""
         timing = self._options.timing
-        await asyncio.gather(self._directory.refresh(), self._ticket_sync.poll())
+        await asyncio.gather(self._refresh_hosts(), self._ticket_sync.poll())
         self._owners.update(self._tickets.configuration)
         self._timers.every(timing.ticket_poll_s, self._ticket_sync.poll, "tickets")
-        self._timers.every(
-            timing.host_list_poll_s, self._directory.refresh, "host_list"
-        )
+        self._timers.every(timing.host_list_poll_s, self._refresh_hosts, "host_list")
         self._timers.every(
             timing.report_poll_s, self._owners.poll_reports, "engine_reports"
         )
@@ -231,6 +259,7 @@
 
     async def stop(self) -> None:
         """Stop all services and close all connections."""
+        await self._membership_driver.announce_leave()
         await self._supervisor.stop()
         await self._background.drain(BACKGROUND_LIMIT_S)
         await self._links.close()
@@ -248,9 +277,33 @@
         rules = self._policy.rules if isinstance(self._policy, Kumquat) else None
         return lambda shard_id, clock: ShardScheduler(shard_id, clock, rng, rules)
 
-    def _address_of(self, host_id: str) -> Address | None:
-        host = self._directory.host(host_id)
-        return None if host is None else Address(host.ip, host.peer_port)
+    async def _refresh_hosts(self) -> None:
+        if await self._directory.refresh():
+            self._membership.apply_host_list(self._directory.hosts())
+
+    def _on_ticket_position(self, host_id: str, position: int) -> None:
+        """Fetch tickets at once when a peer has newer ones."""
+        if position > self._tickets.position and not self._fetching_tickets:
+            self._fetching_tickets = True
+            self._background.spawn(self._fetch_tickets(), "fetch_tickets")
+
+    async def _fetch_tickets(self) -> None:
+        try:
+            await self._ticket_sync.poll()
+        finally:
+            self._fetching_tickets = False
+
+    async def _query_grants(
+        self, host_id: str, query: GrantsQuery
+    ) -> GrantsHeld | None:
+        """Ask a host, this one included, for the grants it holds."""
+        if host_id == self._identity.host_id:
+            return self._held.answer(query)
+        try:
+            reply = await self._links.call(host_id, query, GRANTS_QUERY_TIMEOUT_S)
+        except RouterError:
+            return None
+        return reply if isinstance(reply, GrantsHeld) else None
 
     async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
         match message:
@@ -258,6 +311,10 @@
                 return await self._owners.admit(message)
             case PrefillDone() | Release() | CancelAdmission():
                 self._owners.handle(message)
+            case GrantsQuery():
+                return self._held.answer(message)
+            case Ping() | PingRequest():
+                return await self._membership_driver.handle(peer.host_id, message)
         return None
 
     def _is_ready(self) -> bool:
@@ -265,7 +322,7 @@
 
     def _status(self) -> dict[str, Any]:
         configuration = self._tickets.configuration
-        live_hosts = self._directory.live_host_ids()
+        live_hosts = self._membership.live_host_ids()
         return {
             "host_id": self._identity.host_id,
             "incarnation": self._identity.incarnation,
@@ -288,7 +345,7 @@
 
     def _render_metrics(self) -> bytes:
         """Return all metrics, with the gauges set to the present state."""
-        live_hosts = self._directory.live_host_ids()
+        live_hosts = self._membership.live_host_ids()
         self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
         self._metrics.set_members({"alive": len(live_hosts)})
         self._metrics.set_ready(self._is_ready() and not self._drain.draining)
--- a/packages/kumquatrouter/src/kumquatrouter/model_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_path.py
@@ -266,7 +266,10 @@
         prefill_engine = configuration.engines_by_id.get(grant.prefill_engine)
         decode_engine = configuration.engines_by_id.get(grant.decode_engine)
         if prefill_engine is None or decode_engine is None:
-            raise RouterError(ResultCode.NO_ENGINE, "engine left the configuration")
+            code = ResultCode.NO_ENGINE
+            release = Release(grant.request_id, grant.shard_id, code.value)
+            self._background.spawn(self._owner_client.tell(release), "free_grant")
+            raise RouterError(code, "engine left the configuration")
         times.prefill_engine = prefill_engine.id
         times.decode_engine = decode_engine.id
         return _Attempt(grant.request_id, grant, prefill_engine, decode_engine)
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -1,15 +1,21 @@
 """Streams to other entry hosts: one task for each peer.
 
-A link is opened when the first message is sent. Calls are matched to their
-replies by correlation id. When the stream ends, all open calls fail with
-``PEER_CLOSED`` at once, and the next call opens a new stream.
+The task of a link connects when a message waits, sends what is queued and
+reads the replies, which are matched to calls by correlation id. When the
+stream ends, all open calls fail with ``PEER_CLOSED`` at once. A link that
+could not connect fails further messages at once until its delay, which
+grows and is randomised, is over. The bytes that wait for a slow or frozen
+peer are bounded; a message beyond the bound fails with ``PEER_CLOSED``.
 """
 
 import asyncio
 import itertools
 import logging
+import random
+from collections import deque
 from collections.abc import Callable
 
+from kumquat_core.clock import Clock
 from kumquat_core.frames import (
     LENGTH_BYTES,
     PeerIdentity,
@@ -22,9 +28,19 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address
 
-__all__ = ["PeerLinks"]
+__all__ = ["MAX_QUEUED_BYTES", "PeerLinks"]
 
 CONNECT_TIMEOUT_S = 1.0
+FIRST_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 2.0
+
+# 380 links hold at most 380 MB in theory; in practice only links to frozen
+# peers fill up, and those are dropped after SILENT_LINK_S.
+MAX_QUEUED_BYTES = 1024 * 1024
+
+# A stream over a cut path stays open for minutes. When a call got no reply
+# and nothing arrived for this time, a new stream is opened instead.
+SILENT_LINK_S = 1.0
 
 CountBytes = Callable[[str, int], None]
 
@@ -32,7 +48,7 @@
 
 
 class _PeerLink:
-    """The stream to one peer."""
+    """The stream to one peer at one address."""
 
     def __init__(
         self,
@@ -40,121 +56,183 @@
         address: Address,
         identity: PeerIdentity,
         key: bytes,
+        clock: Clock,
+        rng: random.Random,
+        on_break: Callable[[str], None],
         count_bytes: CountBytes,
     ) -> None:
+        self.address = address
         self._count_bytes = count_bytes
         self._host_id = host_id
-        self._address = address
         self._identity = identity
         self._key = key
+        self._clock = clock
+        self._rng = rng
+        self._on_break = on_break
         self._correlation_ids = itertools.count(1)
         self._replies_by_id: dict[int, asyncio.Future[Message]] = {}
-        self._writer: asyncio.StreamWriter | None = None
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._queue_filled = asyncio.Event()
+        self._failures = 0
+        self._retry_at_s = 0.0
+        self._received_s = 0.0
         self._task: asyncio.Task[None] | None = None
-        self._lock = asyncio.Lock()
 
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Send a message and return its reply."""
         correlation_id = next(self._correlation_ids)
         reply: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
-        writer = await self._connected()
+        self.send(Envelope(correlation_id, message))
         self._replies_by_id[correlation_id] = reply
+        sent_s = self._clock.monotonic()
         try:
-            self._write(writer, Envelope(correlation_id, message))
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as error:
-            detail = f"no reply from {self._host_id}"
-            raise RouterError(ResultCode.PEER_CLOSED, detail) from error
+            self._drop_if_silent(sent_s)
+            raise self._error("no reply") from error
         finally:
             self._replies_by_id.pop(correlation_id, None)
 
-    async def send(self, message: Message) -> None:
-        """Send a message that has no reply."""
-        writer = await self._connected()
-        self._write(writer, Envelope(0, message))
-
-    def _write(self, writer: asyncio.StreamWriter, envelope: Envelope) -> None:
+    def send(self, envelope: Envelope) -> None:
+        """Queue a message; raises ``PEER_CLOSED`` when it can't be sent."""
+        if self._clock.monotonic() < self._retry_at_s:
+            raise self._error("not connected")
         data = encode(envelope)
-        self._count_bytes("out", len(data) + LENGTH_BYTES)
-        write_frame(writer, data)
+        if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
+            raise self._error("send queue is full")
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self._queue_filled.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """Close the stream; open calls fail."""
+        """End the stream; open calls fail."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _connected(self) -> asyncio.StreamWriter:
-        async with self._lock:
-            if self._writer is None:
-                await self._connect()
-            if self._writer is None:
-                raise RouterError(ResultCode.PEER_CLOSED, self._host_id)
-            return self._writer
+    async def _run(self) -> None:
+        """Serve one stream from its connection to its end."""
+        code = ResultCode.PEER_CLOSED
+        try:
+            reader, writer = await self._connect()
+            await self._serve(reader, writer)
+        except RouterError as error:
+            code = error.code
+        finally:
+            self._fail_all()
+            log_event(logger, "peer_link_closed", peer=self._host_id, code=code.value)
+            self._on_break(self._host_id)
 
-    async def _connect(self) -> None:
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
-                    self._address.ip, self._address.port
+                    self.address.ip, self.address.port
                 )
         except (OSError, TimeoutError) as error:
-            raise RouterError(ResultCode.PEER_CLOSED, self._host_id) from error
+            self._delay_retry()
+            raise self._error("not connected") from error
         try:
             peer = await handshake(
                 reader, writer, self._identity, self._key, initiator=True
             )
             if peer.host_id != self._host_id:
                 raise RouterError(ResultCode.PEER_AUTHENTICATION, "other host id")
-        except RouterError:
-            writer.close()
+        except BaseException:
+            self._delay_retry()
+            writer.transport.abort()
             raise
-        self._writer = writer
-        self._task = asyncio.create_task(self._read_replies(reader, writer))
+        self._failures = 0
+        self._received_s = self._clock.monotonic()
+        return reader, writer
 
-    async def _read_replies(
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        sender = asyncio.create_task(self._write(writer))
         try:
             while True:
                 data = await read_frame(reader)
                 self._count_bytes("in", len(data) + LENGTH_BYTES)
                 envelope = decode(data)
+                self._received_s = self._clock.monotonic()
                 reply = self._replies_by_id.get(envelope.correlation_id)
                 if reply is not None and not reply.done():
                     reply.set_result(envelope.message)
-        except RouterError as error:
-            log_event(
-                logger, "peer_link_closed", peer=self._host_id, code=error.code.value
-            )
         finally:
-            self._writer = None
-            writer.close()
-            self._fail_calls()
+            sender.cancel()
+            writer.transport.abort()
 
-    def _fail_calls(self) -> None:
+    async def _write(self, writer: asyncio.StreamWriter) -> None:
+        """Send what is queued; the reader finds the end of the stream."""
+        try:
+            while True:
+                await self._queue_filled.wait()
+                while self._queue:
+                    data = self._queue.popleft()
+                    self._queued_bytes -= len(data)
+                    self._count_bytes("out", len(data) + LENGTH_BYTES)
+                    write_frame(writer, data)
+                    await writer.drain()
+                self._queue_filled.clear()
+        except ConnectionError:
+            writer.transport.abort()
+
+    def _drop_if_silent(self, sent_s: float) -> None:
+        """End a stream on which nothing arrived for too long."""
+        silent_s = self._clock.monotonic() - max(self._received_s, 0.0)
+        is_silent = self._received_s < sent_s and silent_s >= SILENT_LINK_S
+        if is_silent and self._task is not None:
+            self._task.cancel()
+
+    def _delay_retry(self) -> None:
+        self._failures += 1
+        exponent = min(self._failures - 1, 10)
+        delay_s = min(MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * 2**exponent)
+        delay_s *= self._rng.uniform(0.5, 1.0)
+        self._retry_at_s = self._clock.monotonic() + delay_s
+
+    def _fail_all(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._queue_filled.clear()
         for reply in self._replies_by_id.values():
             if not reply.done():
-                error = RouterError(ResultCode.PEER_CLOSED, self._host_id)
-                reply.set_exception(error)
+                reply.set_exception(self._error("link closed"))
+
+    def _error(self, reason: str) -> RouterError:
+        return RouterError(ResultCode.PEER_CLOSED, f"{self._host_id}: {reason}")
 
 
 class PeerLinks:
-    """Links to all peers, opened on demand."""
+    """Links to all peers, opened on demand.
+
+    ``on_break`` is called with the host id each time a link ends.
+    """
 
     def __init__(
         self,
         identity: PeerIdentity,
         key: bytes,
         address_of: Callable[[str], Address | None],
+        clock: Clock,
+        rng: random.Random,
+        on_break: Callable[[str], None] = lambda host_id: None,
         count_bytes: CountBytes = lambda direction, count: None,
     ) -> None:
         self._count_bytes = count_bytes
         self._identity = identity
         self._key = key
         self._address_of = address_of
-        self._links_by_address: dict[tuple[str, Address], _PeerLink] = {}
+        self._clock = clock
+        self._rng = rng
+        self._on_break = on_break
+        self._links_by_host_id: dict[str, _PeerLink] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def call(self, host_id: str, message: Message, timeout_s: float) -> Message:
         """Send a message to a host and return its reply.
@@ -165,22 +243,39 @@
         return await self._link(host_id).call(message, timeout_s)
 
     async def send(self, host_id: str, message: Message) -> None:
-        """Send a message that has no reply."""
-        await self._link(host_id).send(message)
+        """Queue a message that has no reply.
+
+        Raises ``RouterError`` with ``PEER_CLOSED`` when the peer is known
+        to be out of reach or too much is queued for it.
+        """
+        self._link(host_id).send(Envelope(0, message))
 
     async def close(self) -> None:
         """Close all links."""
-        for link in self._links_by_address.values():
+        for link in self._links_by_host_id.values():
             await link.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
 
     def _link(self, host_id: str) -> _PeerLink:
         address = self._address_of(host_id)
         if address is None:
             raise RouterError(ResultCode.PEER_CLOSED, f"unknown host {host_id}")
-        key = (host_id, address)
-        if key not in self._links_by_address:
-            link = _PeerLink(
-                host_id, address, self._identity, self._key, self._count_bytes
-            )
-            self._links_by_address[key] = link
-        return self._links_by_address[key]
+        link = self._links_by_host_id.get(host_id)
+        if link is not None and link.address == address:
+            return link
+        if link is not None:
+            closing = asyncio.create_task(link.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
+        link = _PeerLink(
+            host_id,
+            address,
+            self._identity,
+            self._key,
+            self._clock,
+            self._rng,
+            self._on_break,
+            self._count_bytes,
+        )
+        self._links_by_host_id[host_id] = link
+        return link
--- a/packages/kumquatrouter/src/kumquatrouter/peer_server.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_server.py
@@ -2,7 +2,9 @@
 
 Each call is handled in its own task, because an admission may wait in the
 queue. A malformed or foreign frame ends its connection with a numbered code
-and nothing else.
+and nothing else. The calls in progress of one connection are bounded; beyond
+the bound nothing is read from it, so that a peer that does not take its
+replies holds no further memory.
 """
 
 import asyncio
@@ -28,6 +30,11 @@
 CountBytes = Callable[[str, int], None]
 PeerHandler = Callable[[PeerIdentity, Message], Awaitable[Message | None]]
 
+# An owner of a full shard serves a few hundred waiting requests of one host
+# at the target size.
+MAX_CALLS_PER_CONNECTION = 1024
+REPLY_TIMEOUT_S = 10.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -83,17 +90,24 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         calls: set[asyncio.Task[None]] = set()
+        places = asyncio.Semaphore(MAX_CALLS_PER_CONNECTION)
+
+        def on_call_done(call: "asyncio.Task[None]") -> None:
+            calls.discard(call)
+            places.release()
+
         try:
             peer = await handshake(
                 reader, writer, self._identity, self._key, initiator=False
             )
             while True:
+                await places.acquire()
                 data = await read_frame(reader)
                 self._count_bytes("in", len(data) + LENGTH_BYTES)
                 envelope = decode(data)
                 call = asyncio.create_task(self._handle(peer, envelope, writer))
                 calls.add(call)
-                call.add_done_callback(calls.discard)
+                call.add_done_callback(on_call_done)
         except RouterError as error:
             log_event(
                 logger,
@@ -108,10 +122,25 @@
     async def _handle(
         self, peer: PeerIdentity, envelope: Envelope, writer: asyncio.StreamWriter
     ) -> None:
-        reply = await self._handler(peer, envelope.message)
+        try:
+            reply = await self._handler(peer, envelope.message)
+        except Exception as error:
+            log_event(
+                logger,
+                "peer_call_failed",
+                level=logging.ERROR,
+                peer=peer.host_id,
+                message=type(envelope.message).__name__,
+                error=repr(error),
+            )
+            return
         if reply is None or envelope.correlation_id == 0:
             return
         data = encode(Envelope(envelope.correlation_id, reply))
         self._count_bytes("out", len(data) + LENGTH_BYTES)
-        write_frame(writer, data)
-        await writer.drain()
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                write_frame(writer, data)
+                await writer.drain()
+        except (OSError, TimeoutError):
+            writer.transport.abort()
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -1,40 +1,48 @@
-"""The shards that this host owns, each with its scheduler.
+"""The shards that this host owns, by rendezvous hash over the live hosts.
 
-Reports of the engines are polled to find requests that hold engine memory
-without a grant. Those of processes that no longer run are cancelled.
+A shard that is gained is taken over in the background, and one that is lost
+sends its waiting requests to the new owner. When a process dies, its grants
+are freed here and at the engines.
 """
 
 import asyncio
-import logging
-from collections.abc import Callable
-
-from returns.pipeline import is_successful
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 
 from kumquat_core.clock import Clock
-from kumquat_core.configuration import Configuration
+from kumquat_core.configuration import Configuration, Engine, ServerState
 from kumquat_core.engine_client import EngineClient
-from kumquat_core.log_events import log_event
+from kumquat_core.membership import ChangeKind, Membership, MembershipChange
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
     Grant,
+    GrantsHeld,
+    GrantsQuery,
     PrefillDone,
     Refusal,
     Release,
     ShardSummary,
 )
-from kumquat_core.rendezvous import owner_of, shards_of
-from kumquat_core.request_ids import RequestId
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.rendezvous import Shard, owner_of, shards_of
+from kumquat_core.result_codes import RouterError
 from kumquat_core.shard_scheduler import ShardScheduler
 
+from .background import BackgroundTasks
+from .owned_shard import OwnedShard, not_owner
 from .request_observer import RequestObserver
+from .shard_sweep import SweepRules
 
 __all__ = ["CreateScheduler", "ShardOwners"]
 
-OWNER_RETRY_MS = 100
+# A starting host knows no other host; it owns nothing until it has tried
+# all listed hosts of its region, or until this time.
+SETTLE_LIMIT_S = 3.0
+
+# Used until the configuration names a class with its deadline.
+DEFAULT_DEADLINE_MS = 300_000
 
-logger = logging.getLogger(__name__)
+QueryHost = Callable[[str, GrantsQuery], Awaitable[GrantsHeld | None]]
 
 CreateScheduler = Callable[[str, Clock], ShardScheduler]
 
@@ -44,7 +52,11 @@
 
 
 class ShardOwners:
-    """Schedulers of the shards that this host owns."""
+    """The owned shards by id.
+
+    ``query_host`` asks a host, this one included, for the grants it holds.
+    ``back_end_states`` returns the states that the host list gives.
+    """
 
     def __init__(
         self,
@@ -52,7 +64,10 @@
         region: str,
         clock: Clock,
         engine_client: EngineClient,
-        live_host_ids: Callable[[], list[str]],
+        membership: Membership,
+        background: BackgroundTasks,
+        query_host: QueryHost,
+        back_end_states: Callable[[], Mapping[str, ServerState]],
         observer: RequestObserver | None = None,
         create_scheduler: CreateScheduler | None = None,
     ) -> None:
@@ -62,118 +77,118 @@
         self._region = region
         self._clock = clock
         self._engine_client = engine_client
-        self._live_host_ids = live_host_ids
+        self._membership = membership
+        self._background = background
+        self._back_end_states = back_end_states
+        self._started_s = clock.monotonic()
         self._configuration = Configuration()
-        self._schedulers_by_shard_id: dict[str, ShardScheduler] = {}
+        self._shards_by_id: dict[str, OwnedShard] = {}
+        self._rules = SweepRules(
+            membership.liveness, query_host, self._cancel, self._may_cancel
+        )
+        membership.subscribe(self._on_member_change)
 
     def shard_ids(self) -> list[str]:
         """Return the shards that this host owns at present."""
-        return sorted(self._schedulers_by_shard_id)
+        return sorted(self._shards_by_id)
 
     def summaries(self) -> list[ShardSummary]:
         """Return the state of each owned shard."""
-        schedulers = self._schedulers_by_shard_id
-        return [schedulers[shard_id].summary() for shard_id in self.shard_ids()]
+        shards = self._shards_by_id
+        return [shards[shard_id].scheduler.summary() for shard_id in self.shard_ids()]
 
     def update(self, configuration: Configuration) -> None:
         """Take over the configuration and the present set of live hosts."""
         self._configuration = configuration
-        live = self._live_host_ids()
-        owned: dict[str, ShardScheduler] = {}
+        if not self._is_settled():
+            return
+        candidates = self._membership.owner_candidates()
+        owned: dict[str, OwnedShard] = {}
         for pool in configuration.pools_by_name.values():
             if pool.region != self._region:
                 continue
             shards = shards_of(pool.name, configuration.engines_of(pool.name))
             for shard in shards:
-                if owner_of(shard.id, live) != self._host_id:
-                    continue
-                scheduler = self._schedulers_by_shard_id.get(shard.id)
-                if scheduler is None:
-                    scheduler = self._create_scheduler(shard.id, self._clock)
-                scheduler.update_configuration(configuration, len(shards))
-                scheduler.update_engines(
-                    configuration.engines_by_id[engine_id]
-                    for engine_id in shard.engine_ids
-                )
-                owned[shard.id] = scheduler
-        self._schedulers_by_shard_id = owned
+                if owner_of(shard.id, candidates) == self._host_id:
+                    owned[shard.id] = self._owned(shard, len(shards))
+        for shard_id, lost in self._shards_by_id.items():
+            if shard_id not in owned:
+                lost.close()
+        self._shards_by_id = owned
 
     async def admit(self, request: AdmissionRequest) -> Grant | Refusal:
-        """Wait for a grant; a grant that can't be delivered is freed."""
-        scheduler = self._schedulers_by_shard_id.get(request.shard_id)
-        if scheduler is None:
-            return _not_owner(request)
-        try:
-            answer = await scheduler.admit(request)
-        except asyncio.CancelledError:
-            scheduler.cancel(request.request_id)
-            raise
-        decided = answer.unwrap() if is_successful(answer) else answer.failure()
+        """Wait for a grant from the shard of a request."""
+        shard = self._shards_by_id.get(request.shard_id)
+        if shard is None:
+            return not_owner(request)
+        decided = await shard.admit(request)
         self._observer.owner_decided(request, decided)
         return decided
 
     def handle(self, message: PrefillDone | Release | CancelAdmission) -> None:
         """Apply a message about a request admitted earlier."""
-        scheduler = self._schedulers_by_shard_id.get(message.shard_id)
-        if scheduler is None:
-            return
-        match message:
-            case PrefillDone():
-                scheduler.prefill_done(message)
-            case Release():
-                scheduler.release(message)
-            case CancelAdmission(request_id=request_id):
-                scheduler.cancel(request_id)
+        shard = self._shards_by_id.get(message.shard_id)
+        if shard is not None:
+            shard.handle(message)
 
     async def poll_reports(self) -> None:
         """Compare the reports of all owned engines with the accounts."""
-        await asyncio.gather(
-            *(
-                self._poll_engine(scheduler, engine_id)
-                for scheduler in self._schedulers_by_shard_id.values()
-                for engine_id in scheduler.engine_ids
+        await asyncio.gather(*(shard.poll() for shard in self._shards_by_id.values()))
+
+    def _owned(self, shard: Shard, shard_count: int) -> OwnedShard:
+        """Return an owned shard; one that is new is taken over."""
+        engines = [self._engine(engine_id) for engine_id in shard.engine_ids]
+        owned = self._shards_by_id.get(shard.id)
+        is_new = owned is None
+        if owned is None:
+            scheduler = self._create_scheduler(shard.id, self._clock)
+            owned = OwnedShard(
+                shard.id, scheduler, self._clock, self._engine_client, self._rules
             )
-        )
-
-    async def _poll_engine(self, scheduler: ShardScheduler, engine_id: str) -> None:
+        owned.scheduler.update_configuration(self._configuration, shard_count)
+        owned.update_engines(engines)
+        if is_new:
+            take_over = owned.take_over(self._membership.live_host_ids)
+            self._background.spawn(take_over, "take_over_shard")
+        return owned
+
+    def _engine(self, engine_id: str) -> Engine:
+        """Return an engine; the host list may say first that it leaves."""
+        engine = self._configuration.engines_by_id[engine_id]
+        if self._back_end_states().get(engine_id) is ServerState.LEAVING:
+            return replace(engine, state=ServerState.LEAVING)
+        return engine
+
+    def _is_settled(self) -> bool:
+        waited_s = self._clock.monotonic() - self._started_s
+        return self._membership.settled or waited_s >= SETTLE_LIMIT_S
+
+    def _on_member_change(self, change: MembershipChange) -> None:
+        if change.kind is not ChangeKind.DIED:
+            return
+        for shard in self._shards_by_id.values():
+            drop = shard.drop_process(change.host_id, change.incarnation)
+            self._background.spawn(drop, "drop_process")
+
+    def _may_cancel(self, age_ms: int) -> bool:
+        """Tell whether a dead process's request of this age may be freed.
+
+        In a minority the others may be live on the far side of a cut; their
+        requests are freed once no request can be that old.
+        """
+        if self._membership.sees_majority:
+            return True
+        classes = self._configuration.classes_by_name.values()
+        deadlines = [item.deadline_ms for item in classes]
+        return age_ms > max(deadlines, default=DEFAULT_DEADLINE_MS)
+
+    async def _cancel(self, engine_id: str, request_id: str) -> None:
+        """Free a request at an engine; the next sweep repeats a failure."""
         engine = self._configuration.engines_by_id.get(engine_id)
         if engine is None:
             return
-        try:
-            report = await self._engine_client.report(engine.url, fresh=True)
-            scheduler.observe_report(engine_id, report)
-            after = scheduler.last_cache_event(engine_id)
-            events = await self._engine_client.cache_events(engine.url, after)
-            scheduler.observe_cache_events(engine_id, events)
-            for request_id in scheduler.unknown_requests(engine_id, report):
-                if self._is_abandoned(request_id):
-                    await self._sweep(engine.url, engine_id, request_id)
-        except RouterError as error:
-            log_event(
-                logger,
-                "engine_report_failed",
-                level=logging.DEBUG,
-                engine=engine_id,
-                detail=error.detail,
-            )
-
-    def _is_abandoned(self, request_id: str) -> bool:
-        try:
-            host_id = RequestId.parse(request_id).host_id
-        except ValueError:
-            return False
-        return host_id not in self._live_host_ids()
-
-    async def _sweep(self, url: str, engine_id: str, request_id: str) -> None:
-        log_event(logger, "request_swept", engine=engine_id, request=request_id)
-        await self._engine_client.cancel(url, request_id)
         self._observer.metrics.add_sweep(1)
-
-
-def _not_owner(request: AdmissionRequest) -> Refusal:
-    return Refusal(
-        request.request_id,
-        ResultCode.OWNER_UNAVAILABLE.value,
-        "not the owner of the shard",
-        OWNER_RETRY_MS,
-    )
+        try:
+            await self._engine_client.cancel(engine.url, request_id)
+        except RouterError:
+            return
