--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -1,6 +1,5 @@
 """An entry host: all parts of the process and how they fit together."""
 
-import asyncio
 import logging
 import random
 from dataclasses import asdict
@@ -16,6 +15,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.membership import Membership
 from kumquat_core.metrics import RouterMetrics
+from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
@@ -26,6 +26,7 @@
     PingRequest,
     PrefillDone,
     Release,
+    TicketFetch,
 )
 from kumquat_core.request_ids import RequestIdSource
 from kumquat_core.result_codes import RouterError
@@ -39,6 +40,7 @@
 from kumquat_core.settings import Options
 from kumquat_core.shard_scheduler import ShardScheduler
 from kumquat_core.table_client import HttpTableClient
+from kumquat_core.ticket_log import TicketLog
 from kumquat_core.tickets import TicketStore
 from kumquat_core.timers import TimerService
 
@@ -73,6 +75,9 @@
 # ends; in an outage of the store they are given up after this time.
 OUTCOME_LIMIT_S = 30.0
 
+# A newcomer reads the tickets of at most this period after the snapshot.
+SNAPSHOT_PERIOD_S = 60.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -111,7 +116,6 @@
         observer = RequestObserver(self._metrics, decisions)
         self._drain = Drain(options.limits.max_streams)
         self._tickets = TicketStore()
-        self._fetching_tickets = False
         self._directory = HostDirectory(
             HttpHostListClient(
                 self._session, options.host_list_url, timing.store_timeout_s
@@ -125,7 +129,6 @@
             clock,
         )
         self._table_client = table_client
-        self._ticket_sync = TicketSync(self._tickets, table_client)
         engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
         self._membership = Membership.from_config(
             options, incarnation, clock, lambda: self._tickets.position
@@ -143,6 +146,17 @@
             self._membership, self._links, timing, clock, self._on_ticket_position
         )
         self._held = HeldGrants(options.host_id, incarnation)
+        object_client = HttpObjectClient(
+            self._session, options.object_store_url, timing.store_timeout_s
+        )
+        self._ticket_sync = TicketSync(
+            options.host_id,
+            self._tickets,
+            TicketLog(table_client, object_client, rng),
+            self._links.call,
+            self._ticket_peers,
+            rng,
+        )
         self._owners = ShardOwners(
             options.host_id,
             options.region,
@@ -232,9 +246,14 @@
     async def start(self) -> None:
         """Read the platform's state and start all services."""
         timing = self._options.timing
-        await asyncio.gather(self._refresh_hosts(), self._ticket_sync.poll())
+        # In an outage of the store, the peers of the host list are asked.
+        await self._refresh_hosts()
+        await self._ticket_sync.start()
         self._owners.update(self._tickets.configuration)
         self._timers.every(timing.ticket_poll_s, self._ticket_sync.poll, "tickets")
+        self._timers.every(
+            SNAPSHOT_PERIOD_S, self._ticket_sync.write_snapshot, "ticket_snapshot"
+        )
         self._timers.every(timing.host_list_poll_s, self._refresh_hosts, "host_list")
         self._timers.every(
             timing.report_poll_s, self._owners.poll_reports, "engine_reports"
@@ -296,15 +315,24 @@
 
     def _on_ticket_position(self, host_id: str, position: int) -> None:
         """Fetch tickets at once when a peer has newer ones."""
-        if position > self._tickets.position and not self._fetching_tickets:
-            self._fetching_tickets = True
-            self._background.spawn(self._fetch_tickets(), "fetch_tickets")
+        if position > self._tickets.position:
+            fetch = self._ticket_sync.on_peer_position(host_id, position)
+            self._background.spawn(fetch, "fetch_tickets")
 
-    async def _fetch_tickets(self) -> None:
-        try:
-            await self._ticket_sync.poll()
-        finally:
-            self._fetching_tickets = False
+    def _ticket_peers(self) -> list[str]:
+        """Return the hosts to ask for tickets.
+
+        A starting host has met nobody yet and asks the listed ones.
+        """
+        live = self._membership.live_host_ids()
+        if len(live) > 1:
+            return live
+        listed = {
+            host.host_id
+            for host in self._directory.hosts()
+            if host.region == self._options.region
+        }
+        return sorted({*live, *listed})
 
     async def _query_grants(
         self, host_id: str, query: GrantsQuery
@@ -328,6 +356,8 @@
                 return self._held.answer(message)
             case Ping() | PingRequest():
                 return await self._membership_driver.handle(peer.host_id, message)
+            case TicketFetch():
+                return self._ticket_sync.answer_fetch(message)
         return None
 
     def _is_ready(self) -> bool:
