Add the decision-cost benchmark and cut the cost of a pass

Cause: a pass evaluated prefill engines for requests without a decode place and searched every lane for missed targets; choosing a shard formatted the ids of all shards.

Change: decode places are checked first, lanes without missed targets are skipped, a shard is chosen by index. The benchmark keeps arrivals slow enough for the links.

--- a/packages/kumquat_core/src/kumquat_core/admission_queue.py
+++ b/packages/kumquat_core/src/kumquat_core/admission_queue.py
@@ -88,6 +88,10 @@
     def count_before(self, key: QueueKey) -> int:
         return bisect_left(self.entries, key, key=_entry_key)
 
+    def may_have_past(self, now_s: float) -> bool:
+        first, last = self.entries[0][0], self.entries[-1][0]
+        return last.late or first.moment_s <= now_s
+
 
 def _entry_key(entry: tuple[QueueKey, WaitingRequest]) -> QueueKey:
     return entry[0]
@@ -191,6 +195,8 @@
     def _past(self, now_s: float) -> list[WaitingRequest]:
         past: list[WaitingRequest] = []
         for _, _, lane in self._lanes():
+            if not lane.may_have_past(now_s):
+                continue
             first_late = lane.count_before(_end_of_tier(False))
             on_time_end = lane.count_before(_start_of(False, now_s))
             late_end = lane.count_before(_start_of(True, now_s))
--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -121,6 +121,17 @@
     blocks_expected: int
 
 
+@dataclass(frozen=True)
+class _DecodeChoice:
+    first_token_s: float
+    negative_free_pieces: int
+    state: EngineState
+
+    @property
+    def key(self) -> tuple[float, int, str]:
+        return (self.first_token_s, self.negative_free_pieces, self.state.engine.id)
+
+
 class PairChooser:
     """Chooses pairs from the accounts of one shard."""
 
@@ -147,21 +158,31 @@
         obstacle = self.lasting_obstacle(needs)
         if obstacle is not None:
             return NoPlace(obstacle)
+        decode_states = self._fitting_decode(needs, now_s)
+        if not decode_states:
+            return NoPlace(Obstacle.DECODE_FULL)
         prefill = self._choose_prefill(needs, claims_s_by_id, now_s)
         if prefill is None:
             return NoPlace(Obstacle.PREFILL_BUSY)
-        decode = self._choose_decode(needs, prefill, now_s)
-        if not isinstance(decode, EngineState):
-            return NoPlace(decode)
+        decode = self._choose_decode(needs, prefill, decode_states, now_s)
+        if decode is None:
+            return NoPlace(Obstacle.LINK_BUSY)
         if prefill.start_s > EARLY_GRANT_S:
             return Hold(prefill.state, prefill.finish_s - prefill.start_s)
         return Pair(
             prefill.state,
-            decode,
-            needs.pieces(decode),
+            decode.state,
+            needs.pieces(decode.state),
             prefill.nominal_s,
             prefill.blocks_expected,
-            self._first_token_s(needs, prefill, decode, now_s),
+            decode.first_token_s,
+        )
+
+    def has_ready_prefill(self, model: str, now_s: float) -> bool:
+        """Tell whether any prefill engine of a model can start now."""
+        return any(
+            self._is_ready(state, now_s)
+            for state in self._accounts.prefill_engines(model)
         )
 
     def lasting_obstacle(self, needs: RequestNeeds) -> Obstacle | None:
@@ -257,33 +278,43 @@
         uncached = max(0.0, tokens - blocks * needs.tokens_per_block)
         return nominal_prefill_s(state.engine, uncached), blocks
 
-    def _choose_decode(
-        self, needs: RequestNeeds, prefill: _PrefillChoice, now_s: float
-    ) -> EngineState | Obstacle:
+    def _fitting_decode(self, needs: RequestNeeds, now_s: float) -> list[EngineState]:
         states = self._permitted(
             needs, self._accounts.decode_engines(needs.request.model), now_s
         )
-        fitting = [state for state in states if self.fits(needs, state, now_s)]
-        if not fitting:
-            return Obstacle.DECODE_FULL
+        return [state for state in states if self.fits(needs, state, now_s)]
+
+    def _choose_decode(
+        self,
+        needs: RequestNeeds,
+        prefill: _PrefillChoice,
+        states: Sequence[EngineState],
+        now_s: float,
+    ) -> _DecodeChoice | None:
+        """Return the engine with the earliest first token, then most memory.
+
+        Returns None when the links would make every result wait too long.
+        """
         ready_at_s = now_s + prefill.finish_s
-        if self._rules.link_limit:
-            fitting = [
-                state
-                for state in fitting
-                if self._link_wait_s(prefill.state, state, ready_at_s)
-                <= MAX_LINK_WAIT_S
-            ]
-            if not fitting:
-                return Obstacle.LINK_BUSY
-        return min(
-            fitting,
-            key=lambda state: (
-                self._first_token_s(needs, prefill, state, now_s),
-                -state.account.free_pieces,
-                state.engine.id,
-            ),
-        )
+        size = needs.transfer_bytes
+        source_wait_s = prefill.state.link.wait_s(ready_at_s)
+        source_transfer_s = prefill.state.link.transfer_s(size)
+        best: _DecodeChoice | None = None
+        for state in states:
+            wait_s = max(source_wait_s, state.link.wait_s(ready_at_s))
+            if self._rules.link_limit and wait_s > MAX_LINK_WAIT_S:
+                continue
+            transfer_s = max(source_transfer_s, state.link.transfer_s(size))
+            step_s = self._step_s(state, now_s)
+            first_token_s = prefill.finish_s + wait_s + transfer_s + step_s
+            choice = _DecodeChoice(first_token_s, -state.account.free_pieces, state)
+            if best is None or choice.key < best.key:
+                best = choice
+        return best
+
+    def _step_s(self, state: EngineState, now_s: float) -> float:
+        step_ms = state.account.step_ms(state.account.request_count + 1)
+        return step_ms / 1000 * self._speeds.step_ratio(state.engine.id, now_s)
 
     def fits(self, needs: RequestNeeds, state: EngineState, now_s: float) -> bool:
         """Tell whether a decode engine can take a request now."""
@@ -293,29 +324,6 @@
         slowness = max(1.0, self._speeds.step_ratio(state.engine.id, now_s))
         return state.account.fits(pieces, needs.tbt_target_ms, slowness)
 
-    def _first_token_s(
-        self,
-        needs: RequestNeeds,
-        prefill: _PrefillChoice,
-        decode: EngineState,
-        now_s: float,
-    ) -> float:
-        ready_at_s = now_s + prefill.finish_s
-        size = needs.transfer_bytes
-        transfer_s = max(
-            prefill.state.link.transfer_s(size), decode.link.transfer_s(size)
-        )
-        step_ms = decode.account.step_ms(decode.account.request_count + 1)
-        step_s = step_ms / 1000 * self._speeds.step_ratio(decode.engine.id, now_s)
-        wait_s = self._link_wait_s(prefill.state, decode, ready_at_s)
-        return prefill.finish_s + wait_s + transfer_s + step_s
-
-    @staticmethod
-    def _link_wait_s(
-        prefill: EngineState, decode: EngineState, ready_at_s: float
-    ) -> float:
-        return max(prefill.link.wait_s(ready_at_s), decode.link.wait_s(ready_at_s))
-
     def _permitted(
         self, needs: RequestNeeds, states: Sequence[EngineState], now_s: float
     ) -> Sequence[EngineState]:
@@ -327,4 +335,6 @@
         excluded = needs.request.excluded_engines
         if excluded:
             states = [s for s in states if s.engine.id not in excluded] or states
+        if not self._speeds.has_failures:
+            return states
         return [s for s in states if not self._speeds.is_blocked(s.engine.id, now_s)]
--- a/packages/kumquat_core/src/kumquat_core/rendezvous.py
+++ b/packages/kumquat_core/src/kumquat_core/rendezvous.py
@@ -13,7 +13,15 @@
 
 from .configuration import Engine
 
-__all__ = ["MAX_SHARD_ENGINES", "Shard", "owner_of", "shard_ids_of", "shards_of"]
+__all__ = [
+    "MAX_SHARD_ENGINES",
+    "Shard",
+    "owner_of",
+    "shard_count_of",
+    "shard_id_of",
+    "shard_ids_of",
+    "shards_of",
+]
 
 MAX_SHARD_ENGINES = 32
 
@@ -38,10 +46,19 @@
     )
 
 
+def shard_count_of(engine_count: int) -> int:
+    """Return the number of shards of a pool with so many engines."""
+    return max(1, math.ceil(engine_count / MAX_SHARD_ENGINES))
+
+
+def shard_id_of(pool: str, index: int) -> str:
+    """Return the id of one shard of a pool."""
+    return f"{pool}/{index}"
+
+
 def shard_ids_of(pool: str, engine_count: int) -> list[str]:
     """Return the shard ids of a pool with so many engines."""
-    count = max(1, math.ceil(engine_count / MAX_SHARD_ENGINES))
-    return [f"{pool}/{index}" for index in range(count)]
+    return [shard_id_of(pool, index) for index in range(shard_count_of(engine_count))]
 
 
 def shards_of(pool: str, engines: Sequence[Engine]) -> list[Shard]:
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -442,6 +442,9 @@
         for item in self._queue.candidates(self._over_share(now_s), stopped_models):
             if item.model in stopped_models:
                 continue
+            if not self._chooser.has_ready_prefill(item.model, now_s):
+                stopped_models.add(item.model)
+                continue
             passed = passed_by_model.setdefault(item.model, [])
             match self._chooser.choose(item.needs, claims_s_by_id, now_s):
                 case Pair() as pair:
--- a/packages/kumquat_core/src/kumquat_core/stragglers.py
+++ b/packages/kumquat_core/src/kumquat_core/stragglers.py
@@ -131,6 +131,11 @@
         failures.count += 1
         failures.blocked_until_s = now_s + block_s
 
+    @property
+    def has_failures(self) -> bool:
+        """Tell whether any engine failed and has not succeeded since."""
+        return bool(self._failures_by_id)
+
     def is_blocked(self, engine_id: str, now_s: float) -> bool:
         """Tell whether an engine waits after a failure."""
         failures = self._failures_by_id.get(engine_id)
--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -14,6 +14,7 @@
 
 from .backend_server import BackendHostConfig, run_backends
 from .cost_model import EngineHostConfig
+from .decision_cost import run_decision_cost
 from .demo import run_demo
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
@@ -86,5 +87,13 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command("decision-cost")
+def decision_cost(
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Print the time of one scheduling decision by number of engines."""
+    uvloop.run(run_decision_cost(seed))
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
@@ -0,0 +1,184 @@
+"""Time of one scheduling decision by the number of engines.
+
+A decision is what one request costs in all: the entry host chooses a shard,
+the owner of the shard admits the request, hears of its prefill and of its
+release. All engines are in the configuration of the host; it owns one shard.
+With a full queue each request waits behind ``QUEUED`` others, so that a
+decision also takes a request out of a long queue.
+"""
+
+import asyncio
+import random
+import time
+from collections import deque
+from dataclasses import dataclass
+
+from rich.console import Console
+
+from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import (
+    Configuration,
+    Engine,
+    EngineRole,
+    Model,
+    RequestClass,
+    ServerState,
+)
+from kumquat_core.peer_messages import (
+    AdmissionRequest,
+    Grant,
+    PrefillDone,
+    Release,
+    ShardSummary,
+)
+from kumquat_core.rendezvous import shard_ids_of, shards_of
+from kumquat_core.result_codes import ResultCode
+from kumquat_core.rule_set import RuleSet
+from kumquat_core.shard_choice import choose_shard
+from kumquat_core.shard_scheduler import ShardScheduler
+
+__all__ = ["run_decision_cost"]
+
+POOL = "pool"
+ENGINE_COUNTS = (10, 100, 1000)
+DECISIONS = 4000
+WARM_UP = 500
+QUEUED = 2000
+TENANTS = 20
+# Slow enough that the transfer links never limit.
+ARRIVAL_PERIOD_S = 0.02
+# Every third engine is a prefill engine, as in the current pools.
+PREFILL_SHARE = 3
+
+CONFIGURATION = Configuration(
+    classes_by_name={  # type: ignore[arg-type]
+        "patient": RequestClass("patient", 60_000, 60, 90_000, 120_000, 0)
+    },
+    models_by_name={  # type: ignore[arg-type]
+        "advice": Model("advice", "1", 4.0, 65536, 8192, 160_000)
+    },
+)
+
+
+@dataclass(frozen=True)
+class _Cost:
+    """Mean and 99th percentile of the decisions, in microseconds."""
+
+    mean_us: float
+    p99_us: float
+
+
+async def run_decision_cost(seed: int) -> None:
+    """Measure all sizes and print one line for each."""
+    console = Console(soft_wrap=True, highlight=False)
+    console.print(f"seed {seed}, {DECISIONS} decisions each, microseconds")
+    for engine_count in ENGINE_COUNTS:
+        for queued in (0, QUEUED):
+            cost = await _Measurement(engine_count, queued, seed).run()
+            console.print(
+                f"engines {engine_count:5}  queued {queued:5}  "
+                f"mean {cost.mean_us:7.1f}  p99 {cost.p99_us:7.1f}"
+            )
+
+
+class _Measurement:
+    """One owner with its shard and a stream of requests."""
+
+    def __init__(self, engine_count: int, queued: int, seed: int) -> None:
+        self._engine_count = engine_count
+        self._queued = queued
+        self._rng = random.Random(f"{seed}/{engine_count}/{queued}")
+        self._clock = ManualClock()
+        engines = [_engine(index) for index in range(engine_count)]
+        shard = shards_of(POOL, engines)[0]
+        self._shard_id = shard.id
+        # Early refusal would empty the queue that is to be measured.
+        rules = RuleSet(early_refusal=not queued)
+        self._scheduler = ShardScheduler(
+            shard.id, self._clock, random.Random(seed), rules
+        )
+        self._scheduler.update_configuration(CONFIGURATION)
+        members = set(shard.engine_ids)
+        self._scheduler.update_engines(e for e in engines if e.id in members)
+        self._summaries_by_shard_id = {
+            shard_id: ShardSummary(shard_id, self._rng.randrange(100), 0, 0)
+            for shard_id in shard_ids_of(POOL, engine_count)
+        }
+        self._granted: deque[str] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._number = 0
+
+    async def run(self) -> _Cost:
+        """Fill the queue, then time the decisions."""
+        for _ in range(self._queued):
+            await self._arrive()
+        times_us = []
+        for _ in range(WARM_UP + DECISIONS):
+            self._clock.advance(ARRIVAL_PERIOD_S)
+            began_ns = time.perf_counter_ns()
+            choose_shard(
+                POOL, self._engine_count, self._summaries_by_shard_id, self._rng
+            )
+            await self._arrive()
+            self._end_oldest()
+            times_us.append((time.perf_counter_ns() - began_ns) / 1000)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        measured = sorted(times_us[WARM_UP:])
+        return _Cost(sum(measured) / len(measured), measured[int(0.99 * len(measured))])
+
+    async def _arrive(self) -> None:
+        self._number += 1
+        request = AdmissionRequest(
+            request_id=f"h.1.{self._number}",
+            shard_id=self._shard_id,
+            tenant=f"tenant-{self._rng.randrange(TENANTS)}",
+            class_name="patient",
+            model="advice",
+            prompt_tokens=self._rng.randint(100, 3000),
+            max_tokens=200,
+            ttft_deadline_ms=self._rng.randint(40_000, 60_000),
+            patience_ms=90_000,
+            prefix_blocks=tuple(self._rng.randrange(1000) for _ in range(8)),
+        )
+        task = asyncio.ensure_future(self._admit(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.sleep(0)
+
+    async def _admit(self, request: AdmissionRequest) -> None:
+        answer = await self._scheduler.admit(request)
+        answer.map(self._keep)
+
+    def _keep(self, grant: Grant) -> None:
+        done = PrefillDone(grant.request_id, self._shard_id, 50.0, 0)
+        self._scheduler.prefill_done(done)
+        self._granted.append(grant.request_id)
+
+    def _end_oldest(self) -> None:
+        if self._granted:
+            code = ResultCode.OK.value
+            request_id = self._granted.popleft()
+            self._scheduler.release(Release(request_id, self._shard_id, code))
+
+
+def _engine(index: int) -> Engine:
+    role = EngineRole.DECODE if index % PREFILL_SHARE else EngineRole.PREFILL
+    return Engine(
+        id=f"engine-{index}",
+        url="http://127.0.0.1:1",
+        pool=POOL,
+        failure_domain="fd",
+        role=role,
+        models=("advice",),
+        state=ServerState.LIVE,
+        total_pieces=40,
+        piece_tokens=1024,
+        max_requests=20,
+        prefill_tokens_per_s=20000.0,
+        link_bytes_per_s=1e10,
+        step_base_ms=12.0,
+        step_request_ms=0.9,
+        checks_fencing=True,
+    )
--- a/packages/kumquatrouter/src/kumquatrouter/owner_client.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owner_client.py
@@ -16,8 +16,9 @@
     Release,
     ShardSummary,
 )
-from kumquat_core.rendezvous import owner_of, shard_ids_of
+from kumquat_core.rendezvous import owner_of
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.shard_choice import choose_shard
 
 from .peer_links import PeerLinks
 from .shard_owners import ShardOwners
@@ -117,16 +118,12 @@
 
     def _choose_shard(self, configuration: Configuration, pool: str) -> str:
         """Choose the better of two random shards by their last summaries."""
-        shard_ids = shard_ids_of(pool, len(configuration.engines_of(pool)))
-        if len(shard_ids) == 1:
-            return shard_ids[0]
-        return max(self._rng.sample(shard_ids, 2), key=self._preference)
-
-    def _preference(self, shard_id: str) -> tuple[int, int]:
-        summary = self._summaries_by_shard_id.get(shard_id)
-        if summary is None:
-            return (0, 0)
-        return (-summary.queued, summary.free_pieces)
+        return choose_shard(
+            pool,
+            len(configuration.engines_of(pool)),
+            self._summaries_by_shard_id,
+            self._rng,
+        )
 
     def _remember(self, summary: ShardSummary | None) -> None:
         if summary is not None:
