--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -15,6 +15,7 @@
 from .backend_server import BackendHostConfig, run_backends
 from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
+from .decision_cost import run_decision_cost
 from .demo import run_demo
 from .doc_tables import render_page
 from .engine import run_engines
@@ -139,5 +140,13 @@
     write_json(document, json_file)
 
 
+@app.command("decision-cost")
+def decision_cost(
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Print the time of one scheduling decision by number of engines."""
+    uvloop.run(run_decision_cost(seed))
+
+
 if __name__ == "__main__":
     app()
