--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -13,17 +13,23 @@
 from kumquat_core.http_client import create_session
 from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.log_events import log_event
+from kumquat_core.membership import Membership
 from kumquat_core.metrics import RouterMetrics
 from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.peer_messages import (
     AdmissionRequest,
     CancelAdmission,
+    GrantsHeld,
+    GrantsQuery,
     Message,
+    Ping,
+    PingRequest,
     PrefillDone,
     Release,
     TicketFetch,
 )
 from kumquat_core.request_ids import RequestIdSource
+from kumquat_core.result_codes import RouterError
 from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
 from kumquat_core.scheduling_policy import (
     Kumquat,
@@ -31,7 +37,7 @@
     decides_locally,
     policy_of,
 )
-from kumquat_core.settings import Address, Options
+from kumquat_core.settings import Options
 from kumquat_core.shard_scheduler import ShardScheduler
 from kumquat_core.table_client import HttpTableClient
 from kumquat_core.ticket_log import TicketLog
@@ -43,8 +49,10 @@
 from .caller_api import CallerApi
 from .decision_log import DecisionLog
 from .drain import Drain
+from .held_grants import HeldGrants, TrackedAdmissions
 from .host_directory import HostDirectory
 from .local_choice import LocalChoice
+from .membership_driver import MembershipDriver
 from .metered_clients import MeteredTableClient
 from .model_path import ModelPath
 from .owner_client import OwnerClient
@@ -61,6 +69,7 @@
 
 OWNER_UPDATE_PERIOD_S = 0.1
 BACKGROUND_LIMIT_S = 5.0
+GRANTS_QUERY_TIMEOUT_S = 0.5
 
 # Outcomes of calls that may not be repeated are recorded before the process
 # ends; in an outage of the store they are given up after this time.
@@ -108,7 +117,6 @@
         self._drain = Drain(options.limits.max_streams)
         self._tickets = TicketStore()
         self._directory = HostDirectory(
-            options,
             HttpHostListClient(
                 self._session, options.host_list_url, timing.store_timeout_s
             ),
@@ -122,12 +130,22 @@
         )
         self._table_client = table_client
         engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
+        self._membership = Membership.from_config(
+            options, incarnation, clock, lambda: self._tickets.position
+        )
         self._links = PeerLinks(
             self._identity,
             options.peer_key,
-            self._address_of,
+            self._membership.address_of,
+            clock,
+            rng,
+            self._membership.probe_soon,
             self._metrics.add_peer_bytes,
         )
+        self._membership_driver = MembershipDriver(
+            self._membership, self._links, timing, clock, self._on_ticket_position
+        )
+        self._held = HeldGrants(options.host_id, incarnation)
         object_client = HttpObjectClient(
             self._session, options.object_store_url, timing.store_timeout_s
         )
@@ -136,7 +154,7 @@
             self._tickets,
             TicketLog(table_client, object_client, rng),
             self._links.call,
-            self._directory.live_host_ids,
+            self._ticket_peers,
             rng,
         )
         self._owners = ShardOwners(
@@ -144,7 +162,10 @@
             options.region,
             clock,
             engine_client,
-            self._directory.live_host_ids,
+            self._membership,
+            self._background,
+            self._query_grants,
+            lambda: self._directory.backend_states_by_id,
             observer,
             self._create_shard_scheduler(rng),
         )
@@ -153,7 +174,7 @@
             clock,
             self._owners,
             self._links,
-            self._directory.live_host_ids,
+            self._membership.owner_candidates,
             rng,
         )
         ids = RequestIdSource(options.host_id, incarnation)
@@ -165,7 +186,9 @@
         model_path = ModelPath(
             clock,
             engine_client,
-            self._local_choice if locally else self._owner_client,
+            TrackedAdmissions(
+                self._local_choice if locally else self._owner_client, self._held
+            ),
             self._background,
             ids,
             observer,
@@ -177,7 +200,7 @@
             table=table_client,
             backend=backend_client,
             clock=clock,
-            is_live=self._directory.is_live,
+            is_live=self._membership.is_live,
         )
         plain_path = PlainPath(
             clock, backend_client, self._directory, self._guard, rng, observer
@@ -208,7 +231,13 @@
             self._metrics.add_peer_bytes,
         )
         self._supervisor = Supervisor(
-            [_TimerTask(self._timers), peer_server, admin_api, caller_api]
+            [
+                _TimerTask(self._timers),
+                peer_server,
+                self._membership_driver,
+                admin_api,
+                caller_api,
+            ]
         )
 
     @classmethod
@@ -220,16 +249,14 @@
         """Read the platform's state and start all services."""
         timing = self._options.timing
         # In an outage of the store, the peers of the host list are asked.
-        await self._directory.refresh()
+        await self._refresh_hosts()
         await self._ticket_sync.start()
         self._owners.update(self._tickets.configuration)
         self._timers.every(timing.ticket_poll_s, self._ticket_sync.poll, "tickets")
         self._timers.every(
             SNAPSHOT_PERIOD_S, self._ticket_sync.write_snapshot, "ticket_snapshot"
         )
-        self._timers.every(
-            timing.host_list_poll_s, self._directory.refresh, "host_list"
-        )
+        self._timers.every(timing.host_list_poll_s, self._refresh_hosts, "host_list")
         self._timers.every(
             timing.report_poll_s, self._owners.poll_reports, "engine_reports"
         )
@@ -266,6 +293,7 @@
 
     async def stop(self) -> None:
         """Stop all services and close all connections."""
+        await self._membership_driver.announce_leave()
         await self._supervisor.stop()
         await self._background.drain(BACKGROUND_LIMIT_S)
         await self._links.close()
@@ -283,9 +311,42 @@
         rules = self._policy.rules if isinstance(self._policy, Kumquat) else None
         return lambda shard_id, clock: ShardScheduler(shard_id, clock, rng, rules)
 
-    def _address_of(self, host_id: str) -> Address | None:
-        host = self._directory.host(host_id)
-        return None if host is None else Address(host.ip, host.peer_port)
+    async def _refresh_hosts(self) -> None:
+        if await self._directory.refresh():
+            self._membership.apply_host_list(self._directory.hosts())
+
+    def _on_ticket_position(self, host_id: str, position: int) -> None:
+        """Fetch tickets at once when a peer has newer ones."""
+        if position > self._tickets.position:
+            fetch = self._ticket_sync.on_peer_position(host_id, position)
+            self._background.spawn(fetch, "fetch_tickets")
+
+    def _ticket_peers(self) -> list[str]:
+        """Return the hosts to ask for tickets.
+
+        A starting host has met nobody yet and asks the listed ones.
+        """
+        live = self._membership.live_host_ids()
+        if len(live) > 1:
+            return live
+        listed = {
+            host.host_id
+            for host in self._directory.hosts()
+            if host.region == self._options.region
+        }
+        return sorted({*live, *listed})
+
+    async def _query_grants(
+        self, host_id: str, query: GrantsQuery
+    ) -> GrantsHeld | None:
+        """Ask a host, this one included, for the grants it holds."""
+        if host_id == self._identity.host_id:
+            return self._held.answer(query)
+        try:
+            reply = await self._links.call(host_id, query, GRANTS_QUERY_TIMEOUT_S)
+        except RouterError:
+            return None
+        return reply if isinstance(reply, GrantsHeld) else None
 
     async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
         match message:
@@ -293,6 +354,10 @@
                 return await self._owners.admit(message)
             case PrefillDone() | Release() | CancelAdmission():
                 self._owners.handle(message)
+            case GrantsQuery():
+                return self._held.answer(message)
+            case Ping() | PingRequest():
+                return await self._membership_driver.handle(peer.host_id, message)
             case TicketFetch():
                 return self._ticket_sync.answer_fetch(message)
         return None
@@ -302,7 +367,7 @@
 
     def _status(self) -> dict[str, Any]:
         configuration = self._tickets.configuration
-        live_hosts = self._directory.live_host_ids()
+        live_hosts = self._membership.live_host_ids()
         return {
             "host_id": self._identity.host_id,
             "incarnation": self._identity.incarnation,
@@ -325,7 +390,7 @@
 
     def _render_metrics(self) -> bytes:
         """Return all metrics, with the gauges set to the present state."""
-        live_hosts = self._directory.live_host_ids()
+        live_hosts = self._membership.live_host_ids()
         self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
         self._metrics.set_members({"alive": len(live_hosts)})
         self._metrics.set_ready(self._is_ready() and not self._drain.draining)
