Measure the slopes of costs over hosts, engines, accounts and tokens

docs/CAPACITY.md needs figures for the target size from the real code. python -m kumquat_lab slopes times small loops at three sizes each and fits bytes, processor time and memory; the memory of the interpreter with its libraries is measured in processes of their own.

--- a/packages/kumquat_core/src/kumquat_core/metrics.py
+++ b/packages/kumquat_core/src/kumquat_core/metrics.py
@@ -39,6 +39,9 @@
 DURATION_BUCKETS_S = (0.01, 0.05, 0.2, 1.0, 4.0, 8.0, 16.0, 32.0, 64.0, 300.0)
 STORE_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
 
+# "listed" is a host of the host list that has not answered yet.
+MEMBER_STATES = ("listed", "alive", "suspect", "dead")
+
 FIRST_REFUSAL_CODE = 1100
 FIRST_FAILURE_CODE = 1300
 
@@ -119,7 +122,9 @@
             "Prompt tokens whose prefill did not lead to an answer.",
             ["class", "reason"],
         )
-        self._sweeps = self._counter("sweeps", "Sweeps of abandoned requests.", [])
+        self._sweeps = self._counter(
+            "sweeps", "Comparisons of a shard's account with its engines.", []
+        )
         self._swept = self._counter(
             "swept_requests", "Abandoned requests cancelled at engines.", []
         )
@@ -140,7 +145,7 @@
             [],
         )
         self._members = self._gauge(
-            "members", "Known entry hosts by state: alive, suspect, dead.", ["state"]
+            "members", "Known entry hosts by membership state.", ["state"]
         )
         self._open_streams = self._gauge(
             "open_streams", "Requests in progress on this host.", []
@@ -218,10 +223,13 @@
         """Count a hedged prefill; ``won`` if its result was used."""
         self._hedges.labels("won" if won else "lost").inc()
 
-    def add_sweep(self, cancelled: int) -> None:
-        """Count a sweep and the abandoned requests it cancelled."""
-        self._sweeps.inc()
-        self._swept.inc(cancelled)
+    def add_sweeps(self, count: int) -> None:
+        """Count comparisons of a shard's account with its engines."""
+        self._sweeps.inc(count)
+
+    def add_swept_request(self) -> None:
+        """Count an abandoned request that is cancelled at an engine."""
+        self._swept.inc()
 
     def observe_store(self, operation: str, seconds: float, *, failed: bool) -> None:
         """Record a platform call, for example ``table_transact``."""
@@ -236,7 +244,7 @@
 
     def set_members(self, counts_by_state: Mapping[str, int]) -> None:
         """Set the number of known hosts for each membership state."""
-        for state in ("alive", "suspect", "dead"):
+        for state in MEMBER_STATES:
             self._members.labels(state).set(counts_by_state.get(state, 0))
 
     def set_ready(self, ready: bool) -> None:
--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -21,6 +21,7 @@
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
 from .scenarios import ScenarioName, ScenarioOptions
+from .slopes import run_slopes
 from .stack import StackConfig
 from .up import run_up
 
@@ -148,5 +149,14 @@
     uvloop.run(run_decision_cost(seed))
 
 
+@app.command()
+def slopes(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Measure how costs grow with the number of hosts, engines and so on."""
+    run_slopes(seed, json_file)
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
@@ -37,7 +37,7 @@
 from kumquat_core.shard_choice import choose_shard
 from kumquat_core.shard_scheduler import ShardScheduler
 
-__all__ = ["run_decision_cost"]
+__all__ = ["DecisionCost", "measure_decisions", "run_decision_cost"]
 
 POOL = "pool"
 ENGINE_COUNTS = (10, 100, 1000)
@@ -61,20 +61,25 @@
 
 
 @dataclass(frozen=True)
-class _Cost:
+class DecisionCost:
     """Mean and 99th percentile of the decisions, in microseconds."""
 
     mean_us: float
     p99_us: float
 
 
+async def measure_decisions(engine_count: int, queued: int, seed: int) -> DecisionCost:
+    """Return the cost of a decision for one size and queue length."""
+    return await _Measurement(engine_count, queued, seed).run()
+
+
 async def run_decision_cost(seed: int) -> None:
     """Measure all sizes and print one line for each."""
     console = Console(soft_wrap=True, highlight=False)
     console.print(f"seed {seed}, {DECISIONS} decisions each, microseconds")
     for engine_count in ENGINE_COUNTS:
         for queued in (0, QUEUED):
-            cost = await _Measurement(engine_count, queued, seed).run()
+            cost = await measure_decisions(engine_count, queued, seed)
             console.print(
                 f"engines {engine_count:5}  queued {queued:5}  "
                 f"mean {cost.mean_us:7.1f}  p99 {cost.p99_us:7.1f}"
@@ -108,7 +113,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
 
-    async def run(self) -> _Cost:
+    async def run(self) -> DecisionCost:
         """Fill the queue, then time the decisions."""
         for _ in range(self._queued):
             await self._arrive()
@@ -126,7 +131,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         measured = sorted(times_us[WARM_UP:])
-        return _Cost(sum(measured) / len(measured), measured[int(0.99 * len(measured))])
+        return DecisionCost(
+            sum(measured) / len(measured), measured[int(0.99 * len(measured))]
+        )
 
     async def _arrive(self) -> None:
         self._number += 1
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_control.py
@@ -0,0 +1,407 @@
+"""Slopes of the control state: messages, members, tickets, owners, metrics."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import Configuration, EngineRole
+from kumquat_core.metrics import RouterMetrics
+from kumquat_core.peer_messages import (
+    AdmissionRequest,
+    Envelope,
+    Grant,
+    MemberUpdate,
+    Message,
+    Ping,
+    PrefillDone,
+    Release,
+    ShardSummary,
+    TicketBatch,
+    decode,
+    encode,
+)
+from kumquat_core.rendezvous import owner_of, shards_of
+from kumquat_core.result_codes import ResultCode
+from kumquat_core.shard_choice import choose_shard
+from kumquat_core.shard_scheduler import ShardScheduler
+from kumquat_core.ticket_models import ObjectModel, TicketModel
+from kumquat_core.tickets import Ticket, TicketStore
+from kumquatrouter.decision_log import DecisionLog
+from kumquatrouter.request_observer import RequestObserver
+
+from .decision_cost import measure_decisions
+from .membership_costs import MemoryNetwork
+from .slope_series import Series, held_bytes, least_us
+
+__all__ = ["control_series"]
+
+LENGTH_BYTES = 4
+REGIONS = 7
+POOLS_OF_REGION = 9
+HOSTS_OF_REGION = 55
+ENGINE_SIZES = (1000, 4000, 12_000)
+SHARD_SIZES = (8, 16, 32)
+MEMBER_SIZES = (28, 95, 380)
+ACCOUNT_SIZES = (100, 400, 1100)
+PREFIX_BLOCKS = 4096
+
+# More than the decode places of the largest shard, so that requests wait.
+WAITING = 1000
+MEMBERSHIP_SECONDS = 10.0
+SUMMARY = ShardSummary("care-pool/17", 300, 4, 120)
+REQUEST_ID = "vestland-041.1796355462550.123456"
+
+
+def control_series(seed: int) -> list[Series]:
+    """Measure all control state."""
+    return [
+        *_message_series(),
+        *_membership_series(seed),
+        *_ticket_series(),
+        *_owner_series(seed),
+        *_scheduler_series(seed),
+        *_metrics_series(),
+    ]
+
+
+def _message_series() -> list[Series]:
+    cases: list[tuple[str, str, tuple[int, ...], Callable[[int], Message]]] = [
+        ("Ping", "member updates", (0, 4, 8), _ping),
+        ("AdmissionRequest", "prefix blocks", (0, 16, 64), _admission),
+        ("Grant", "messages", (1, 2, 3), lambda _: _grant()),
+        ("PrefillDone", "messages", (1, 2, 3), lambda _: _prefill_done()),
+        ("Release", "messages", (1, 2, 3), lambda _: _release()),
+        ("TicketBatch", "tickets of one engine", (1, 10, 100), _ticket_batch),
+    ]
+    series = []
+    for name, size_name, sizes, create in cases:
+        envelopes = [(size, Envelope(7, create(size))) for size in sizes]
+        frames = [(size, encode(envelope)) for size, envelope in envelopes]
+        series += [
+            Series(
+                f"{name} on the wire",
+                size_name,
+                "bytes",
+                tuple((size, len(data) + LENGTH_BYTES) for size, data in frames),
+            ),
+            Series(
+                f"{name} encode",
+                size_name,
+                "us",
+                tuple((s, least_us(partial(encode, e), 300)) for s, e in envelopes),
+            ),
+            Series(
+                f"{name} decode",
+                size_name,
+                "us",
+                tuple((s, least_us(partial(decode, d), 300)) for s, d in frames),
+            ),
+        ]
+    return series
+
+
+def _ping(updates: int) -> Ping:
+    return Ping(
+        "vestland-041",
+        1796355462550,
+        5_000_000,
+        tuple(
+            MemberUpdate(
+                f"vestland-{index:03}",
+                1796355462550 + index,
+                3,
+                "alive",
+                "192.0.2.101",
+                8082,
+                "fjord-a",
+                "vestland",
+            )
+            for index in range(updates)
+        ),
+    )
+
+
+def _admission(blocks: int) -> AdmissionRequest:
+    rng = random.Random(blocks)
+    return AdmissionRequest(
+        REQUEST_ID,
+        "care-pool/17",
+        "tenant-0417",
+        "care-digest",
+        "care",
+        blocks * 256 + 200,
+        475,
+        1300,
+        8000,
+        tuple(rng.getrandbits(63) for _ in range(blocks)),
+    )
+
+
+def _grant() -> Grant:
+    engines = ("care-prefill-0031", "care-decode-0112")
+    return Grant(REQUEST_ID, SUMMARY.shard_id, *engines, 9, SUMMARY)
+
+
+def _prefill_done() -> PrefillDone:
+    return PrefillDone(REQUEST_ID, SUMMARY.shard_id, 123.4, 512)
+
+
+def _release() -> Release:
+    code = ResultCode.OK.value
+    return Release(REQUEST_ID, SUMMARY.shard_id, code, 123.4, 234.5, 31.2, 475)
+
+
+def _ticket_batch(count: int) -> TicketBatch:
+    documents = tuple(
+        Ticket(number, _engine_ticket(number, number)).to_document()
+        for number in range(1, count + 1)
+    )
+    return TicketBatch(count, documents)
+
+
+def _engine_ticket(number: int, engine: int) -> TicketModel:
+    return TicketModel(
+        number=number, author="operator", objects=(_engine_object(engine),)
+    )
+
+
+def _engine_object(engine: int) -> ObjectModel:
+    region, pool = engine % REGIONS, engine // REGIONS % POOLS_OF_REGION
+    state = {
+        "url": f"http://192.0.2.{engine % 250}:8000",
+        "pool": f"pool-{region}-{pool}",
+        "failure_domain": f"domain-{engine % 25}",
+        "role": "decode" if engine % 5 else "prefill",
+        "models": [f"model-{pool}"],
+    }
+    return ObjectModel(kind="engine", name=f"engine-{engine:05}", state=state)
+
+
+def _pool_objects() -> list[ObjectModel]:
+    return [
+        ObjectModel(
+            kind="pool",
+            name=f"pool-{region}-{pool}",
+            state={"region": f"region-{region}", "models": [f"model-{pool}"]},
+        )
+        for region in range(REGIONS)
+        for pool in range(POOLS_OF_REGION)
+    ]
+
+
+def _tenant_object(index: int) -> ObjectModel:
+    state = {"api_key_sha256": [f"{index:064x}"], "default_class": "chat"}
+    return ObjectModel(kind="tenant", name=f"tenant-{index:04}", state=state)
+
+
+def _store_of(objects: list[ObjectModel]) -> TicketStore:
+    """Return a store as a started host has it: filled by a snapshot."""
+    items = [
+        {"kind": o.kind, "name": o.name, "number": 1, "state": o.state} for o in objects
+    ]
+    store = TicketStore()
+    store.load_snapshot({"position": 1, "number": 1, "objects": items})
+    return store
+
+
+def _store_of_engines(count: int) -> TicketStore:
+    engines = [_engine_object(index) for index in range(count)]
+    return _store_of(_pool_objects() + engines)
+
+
+def _store_of_accounts(count: int) -> TicketStore:
+    return _store_of([_tenant_object(index) for index in range(count)])
+
+
+def _apply_next(store: TicketStore, engines: int) -> None:
+    """Merge a further ticket about one of the engines."""
+    position = store.position + 1
+    store.apply([Ticket(position, _engine_ticket(position, position % engines))])
+
+
+def _load(document: dict[str, Any]) -> None:
+    TicketStore().load_snapshot(document)
+
+
+def _membership_series(seed: int) -> list[Series]:
+    rates, traffic, times, memory = [], [], [], []
+    for size in MEMBER_SIZES:
+        network = MemoryNetwork(seed)
+        for index in range(size):
+            network.add(f"host-{index:03}", f"region-{index % REGIONS}")
+        network.publish_list()
+        network.run(20.0)
+        network.sent_messages = network.sent_bytes = 0
+        began_ns = time.process_time_ns()
+        network.run(MEMBERSHIP_SECONDS)
+        spent_us = (time.process_time_ns() - began_ns) / 1000
+        host_seconds = size * MEMBERSHIP_SECONDS
+        rates.append((size, network.sent_messages / host_seconds))
+        traffic.append((size, network.sent_bytes / host_seconds))
+        times.append((size, spent_us / host_seconds))
+        memory.append((size, _member_bytes(seed, size)))
+    return [
+        Series("membership messages of a host", "hosts", "1/s", tuple(rates)),
+        Series("membership traffic of a host", "hosts", "bytes/s", tuple(traffic)),
+        Series("membership time of a host", "hosts", "us/s", tuple(times)),
+        Series("membership memory of a host", "hosts", "bytes", tuple(memory)),
+    ]
+
+
+def _member_bytes(seed: int, size: int) -> int:
+    """Return the memory of one host's view of all members."""
+
+    def create() -> MemoryNetwork:
+        others = MemoryNetwork(seed)
+        for index in range(size):
+            others.add(f"host-{index:03}", f"region-{index % REGIONS}")
+        others.publish_list()
+        return others
+
+    # Every one of the members holds a view of all of them.
+    return held_bytes(create) // size
+
+
+def _ticket_series() -> list[Series]:
+    applied, memory, snapshots, loads = [], [], [], []
+    for size in ENGINE_SIZES:
+        store = _store_of_engines(size)
+        applied.append((size, least_us(partial(_apply_next, store, size), 20)))
+        memory.append((size, held_bytes(partial(_store_of_engines, size))))
+        document = store.snapshot()
+        packed = encode(Envelope(1, TicketBatch(1, (), document)))
+        snapshots.append((size, len(packed)))
+        loads.append((size, least_us(partial(_load, document), 1)))
+    accounts = [
+        (size, held_bytes(partial(_store_of_accounts, size))) for size in ACCOUNT_SIZES
+    ]
+    return [
+        Series("merge a ticket of one engine", "engines", "us", tuple(applied)),
+        Series("configuration memory", "engines", "bytes", tuple(memory)),
+        Series("configuration memory", "accounts", "bytes", tuple(accounts)),
+        Series("snapshot on the wire", "engines", "bytes", tuple(snapshots)),
+        Series("load a snapshot", "engines", "us", tuple(loads)),
+    ]
+
+
+def _owner_series(seed: int) -> list[Series]:
+    updates, lookups = [], []
+    hosts = [f"host-{index:03}" for index in range(HOSTS_OF_REGION)]
+    rng = random.Random(seed)
+    for size in ENGINE_SIZES:
+        configuration = _store_of_engines(size).configuration
+        updates.append((size, least_us(partial(_own, configuration, hosts), 5)))
+        lookups.append((size, least_us(partial(_choose, configuration, rng), 20)))
+    return [
+        Series("owners of a region's shards", "engines", "us", tuple(updates)),
+        Series("choose a shard for a request", "engines", "us", tuple(lookups)),
+    ]
+
+
+def _own(configuration: Configuration, hosts: list[str]) -> None:
+    """Find the owners of all shards of one region."""
+    for pool in configuration.pools_by_name.values():
+        if pool.region != "region-0":
+            continue
+        for shard in shards_of(pool.name, configuration.engines_of(pool.name)):
+            owner_of(shard.id, hosts)
+
+
+def _choose(configuration: Configuration, rng: random.Random) -> None:
+    """Choose a shard of a pool as an entry host does for each request."""
+    count = len(configuration.engines_of("pool-0-0"))
+    choose_shard("pool-0-0", count, {}, rng)
+
+
+def _scheduler_series(seed: int) -> list[Series]:
+    times, queued, memory = [], [], []
+    for size in SHARD_SIZES:
+        idle = asyncio.run(measure_decisions(size, 0, seed))
+        full = asyncio.run(measure_decisions(size, WAITING, seed))
+        times.append((size, idle.mean_us))
+        queued.append((size, full.mean_us))
+        memory.append((size, held_bytes(partial(_scheduler, size))))
+    return [
+        Series("decide about a request", "engines of the shard", "us", tuple(times)),
+        Series(
+            f"decide, {WAITING} waiting", "engines of the shard", "us", tuple(queued)
+        ),
+        Series("scheduler memory", "engines of the shard", "bytes", tuple(memory)),
+    ]
+
+
+def _scheduler(size: int) -> ShardScheduler:
+    """Return a scheduler with a full prefix index of its prefill engines."""
+    configuration = _store_of([_engine_object(index) for index in range(size)])
+    engines = configuration.configuration.engines_by_id.values()
+    scheduler = ShardScheduler("pool/0", ManualClock())
+    scheduler.update_engines(engines)
+    rng = random.Random(size)
+    for engine in engines:
+        if engine.role is not EngineRole.PREFILL:
+            continue
+        blocks = [rng.getrandbits(63) for _ in range(PREFIX_BLOCKS)]
+        scheduler._prefixes.record_sent(engine.id, blocks, 0.0)
+    return scheduler
+
+
+def _metrics_series() -> list[Series]:
+    times, renders, sizes, memory, log = [], [], [], [], []
+    for count in ACCOUNT_SIZES:
+        observer = RequestObserver.from_clock(ManualClock())
+        for index in range(count):
+            _record_request(observer, index)
+        turn = itertools.count()
+        record = partial(_record_next, observer, turn, count)
+        times.append((count, least_us(record, 200)))
+        renders.append((count, least_us(observer.metrics.render, 3)))
+        sizes.append((count, len(observer.metrics.render())))
+        memory.append((count, held_bytes(partial(_metrics_of, count))))
+    for decisions in (500, 1000, 2000):
+        log.append((decisions, held_bytes(partial(_log_of, decisions))))
+    return [
+        Series("record one request", "accounts", "us", tuple(times)),
+        Series("render the metrics", "accounts", "us", tuple(renders)),
+        Series("metrics page", "accounts", "bytes", tuple(sizes)),
+        Series("metrics memory", "accounts", "bytes", tuple(memory)),
+        Series("decision log memory", "decisions", "bytes", tuple(log)),
+    ]
+
+
+def _record_request(observer: RequestObserver, index: int) -> None:
+    """Make all calls that one answered model request makes."""
+    admission, grant = _admission(16), _grant()
+    observer.metrics.request_started()
+    observer.granted(REQUEST_ID, admission, grant, 0.01)
+    observer.owner_decided(admission, grant)
+    observer.prefill_sent("care-digest", 4000)
+    observer.prefill_finished(REQUEST_ID, REQUEST_ID, "care-digest", 0.2, 512)
+    observer.answered(REQUEST_ID, "care-digest", 234.5, 31.2, 475, 1)
+    tenant = f"tenant-{index:04}"
+    observer.finished(REQUEST_ID, "care-digest", tenant, ResultCode.OK, 16.0)
+
+
+def _record_next(
+    observer: RequestObserver, turn: "itertools.count[int]", accounts: int
+) -> None:
+    _record_request(observer, next(turn) % accounts)
+
+
+def _metrics_of(accounts: int) -> RouterMetrics:
+    observer = RequestObserver.from_clock(ManualClock())
+    for index in range(accounts):
+        _record_request(observer, index)
+    return observer.metrics
+
+
+def _log_of(decisions: int) -> DecisionLog:
+    observer = RequestObserver(RouterMetrics(), DecisionLog(ManualClock()))
+    admission, grant = _admission(16), _grant()
+    for _ in range(decisions):
+        observer.owner_decided(admission, grant)
+    return observer.decisions
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections import Counter
 from dataclasses import asdict
 from typing import Any
 
@@ -390,8 +391,8 @@
 
     def _render_metrics(self) -> bytes:
         """Return all metrics, with the gauges set to the present state."""
-        live_hosts = self._membership.live_host_ids()
+        members = self._membership.members_by_id.values()
         self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
-        self._metrics.set_members({"alive": len(live_hosts)})
+        self._metrics.set_members(Counter(m.state.name.lower() for m in members))
         self._metrics.set_ready(self._is_ready() and not self._drain.draining)
         return self._metrics.render()
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -162,6 +162,7 @@
 
     async def poll_reports(self) -> None:
         """Compare the reports of all owned engines with the accounts."""
+        self._observer.metrics.add_sweeps(len(self._shards_by_id))
         await asyncio.gather(*(shard.poll() for shard in self._shards_by_id.values()))
 
     def _owned(self, shard: Shard, shard_count: int) -> OwnedShard:
@@ -216,7 +217,7 @@
         engine = self._configuration.engines_by_id.get(engine_id)
         if engine is None:
             return
-        self._observer.metrics.add_sweep(1)
+        self._observer.metrics.add_swept_request()
         try:
             await self._engine_client.cancel(engine.url, request_id)
         except RouterError:
