Hedge prefills that are overdue

Cause: a request on an engine that slows down by ten waits for the whole slow period, though other engines are idle; the tracker only helps the requests that come after. A disconnect was also reported to the owner as a failure of the engine in use, so callers that hang up could get an engine avoided. The model path is split: requests, attempts and hedging have own modules. A release after a disconnect names no failed engine.

--- a/packages/kumquat_core/src/kumquat_core/result_codes.py
+++ b/packages/kumquat_core/src/kumquat_core/result_codes.py
@@ -45,6 +45,7 @@
     NOT_READY = 1210
     CALLER_GONE = 1211
     CONFLICTING_ATTEMPT = 1212
+    ATTEMPT_REPLACED = 1213
     ENGINE_FAILED = 1301
     TRANSFER_FAILED = 1302
     PREFILL_EVICTED = 1303
@@ -157,6 +158,12 @@
         409,
         "Another attempt of this request took over.",
     ),
+    CodeSpec(
+        ResultCode.ATTEMPT_REPLACED,
+        _UNKNOWN,
+        503,
+        "Another attempt of the same request was faster; never sent to a caller.",
+    ),
     CodeSpec(ResultCode.ENGINE_FAILED, _UNKNOWN, 502, "The engine failed."),
     CodeSpec(
         ResultCode.TRANSFER_FAILED, _UNKNOWN, 502, "The KV cache transfer failed."
--- a/packages/kumquat_core/src/kumquat_core/rule_set.py
+++ b/packages/kumquat_core/src/kumquat_core/rule_set.py
@@ -23,6 +23,7 @@
     tbt_limit: bool = True
     link_limit: bool = True
     hold_for_faster: bool = True
+    hedging: bool = True
 
     @classmethod
     def without(cls, names: Iterable[str]) -> "RuleSet":
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -30,7 +30,7 @@
 )
 from kumquat_core.request_ids import RequestIdSource
 from kumquat_core.result_codes import RouterError
-from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
+from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries, HedgeBudget
 from kumquat_core.scheduling_policy import (
     Kumquat,
     create_scheduler,
@@ -193,6 +193,7 @@
             ids,
             observer,
             DeadlineRetries(rng) if locally else BudgetedRetries(rng),
+            self._hedge_budget(),
         )
         backend_client = HttpBackendClient(self._single_use_session)
         self._guard = IdempotencyGuard.from_config(
@@ -309,6 +310,12 @@
         rules = self._policy.rules if isinstance(self._policy, Kumquat) else None
         return lambda shard_id, clock: ShardScheduler(shard_id, clock, rng, rules)
 
+    def _hedge_budget(self) -> HedgeBudget | None:
+        match self._policy:
+            case Kumquat(rules) if rules.hedging:
+                return HedgeBudget()
+        return None
+
     async def _refresh_hosts(self) -> None:
         if await self._directory.refresh():
             self._membership.apply_host_list(self._directory.hosts())
--- a/packages/kumquatrouter/src/kumquatrouter/model_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_path.py
@@ -1,45 +1,34 @@
 """The path of one model request, from admission to the last token.
 
 Each attempt asks the shard owner for a pair of engines, runs the prefill,
-transfers the KV cache and streams the tokens. Model requests are repeatable:
-after a failure the next attempt excludes the failed engine and resumes at
-the first token that was not delivered. All engine memory of an attempt is
-freed when it ends, however it ends. Each attempt has an identifier of its
-own, so that freeing an old attempt can't touch a new one.
+transfers the KV cache and streams the tokens. After a failure the next
+attempt excludes the failed engine and resumes at the first token that was
+not delivered.
 """
 
 import asyncio
 import logging
 import random
-from dataclasses import dataclass, field
-from typing import Protocol
+from functools import partial
 
 from kumquat_core.clock import Clock
-from kumquat_core.configuration import Configuration, Engine, Model, RequestClass
-from kumquat_core.engine_client import EngineClient, PrefillResult, Token
+from kumquat_core.configuration import Configuration
+from kumquat_core.engine_client import EngineClient
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import (
-    AdmissionRequest,
-    CancelAdmission,
-    Grant,
-    PrefillDone,
-    Release,
-)
+from kumquat_core.peer_messages import AdmissionRequest, Grant, Release
 from kumquat_core.prefix_blocks import block_hashes
-from kumquat_core.request_ids import RequestId, RequestIdSource
+from kumquat_core.request_ids import RequestIdSource
 from kumquat_core.result_codes import ResultCode, RouterError
-from kumquat_core.retry_budget import BudgetedRetries, RetryRules
+from kumquat_core.retry_budget import BudgetedRetries, HedgeBudget, RetryRules
 
+from .attempt import Attempt, AttemptRunner
 from .background import BackgroundTasks
+from .hedged_prefill import HEDGE_PATIENCE_MS, HedgedPrefill
+from .model_request import AdmissionClient, AnswerSink, ModelRequest, ModelTimes
 from .request_observer import RequestObserver
 
 __all__ = ["AdmissionClient", "AnswerSink", "ModelPath", "ModelRequest", "ModelTimes"]
 
-# A transfer that takes four times its nominal time has stalled; the floor
-# covers the start of short transfers.
-TRANSFER_TIMEOUT_FACTOR = 4.0
-MIN_TRANSFER_TIMEOUT_S = 0.5
-
 RETRIED_CODES = frozenset(
     {
         ResultCode.ENGINE_FAILED,
@@ -53,69 +42,11 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class ModelRequest:
-    """A validated request for a model."""
-
-    request_id: RequestId
-    tenant: str
-    request_class: RequestClass
-    model: Model
-    pool: str
-    prompt: str
-    prompt_tokens: int
-    max_tokens: int
-    patience_ms: int
-    deadline_ms: int
-
-
-@dataclass
-class ModelTimes:
-    """What one request observed; times in milliseconds."""
-
-    prefill_ms: float = 0.0
-    ttft_ms: float = 0.0
-    tbt_ms: float = 0.0
-    tokens: int = 0
-    attempts: int = 0
-    prefill_engine: str = ""
-    decode_engine: str = ""
-
-
-class AdmissionClient(Protocol):
-    """Chooses engines for a request and is told of its progress."""
-
-    async def admit(
-        self, configuration: Configuration, pool: str, request: AdmissionRequest
-    ) -> Grant:
-        """Return a grant; raises ``RouterError`` for a refusal."""
-
-    async def tell(self, message: PrefillDone | Release | CancelAdmission) -> None:
-        """Pass on a message about a request."""
-
-
-class AnswerSink(Protocol):
-    """Receives the answer of a model request."""
-
-    async def write(self, tokens: list[Token], times: ModelTimes) -> None:
-        """Deliver tokens to the caller; waits while the caller is slow."""
-
-
-@dataclass
-class _Attempt:
-    """One attempt: its engines and the engines that hold something."""
-
-    request_id: str
-    grant: Grant
-    prefill_engine: Engine
-    decode_engine: Engine
-    failed_engine: str = ""
-    code: ResultCode = ResultCode.INTERNAL_ERROR
-    touched: list[Engine] = field(default_factory=list)
-
-
 class ModelPath:
-    """Runs model requests."""
+    """Runs model requests.
+
+    Without a ``hedge_budget`` no prefill is hedged.
+    """
 
     def __init__(
         self,
@@ -126,14 +57,18 @@
         ids: RequestIdSource,
         observer: RequestObserver | None = None,
         retries: RetryRules | None = None,
+        hedge_budget: HedgeBudget | None = None,
     ) -> None:
         self._retries = retries or BudgetedRetries(random.Random(0))
         self._observer = observer or RequestObserver.from_clock(clock)
         self._clock = clock
-        self._engine_client = engine_client
         self._owner_client = owner_client
         self._background = background
         self._ids = ids
+        self._runner = AttemptRunner(
+            clock, engine_client, owner_client, background, self._observer
+        )
+        self._hedged = HedgedPrefill(self._runner, self._observer, hedge_budget)
 
     async def run(
         self, configuration: Configuration, request: ModelRequest, sink: AnswerSink
@@ -172,17 +107,26 @@
         self._retries.record_first_attempt(request.tenant, request.pool)
         while True:
             times.attempts += 1
-            grant = await self._admit(
+            attempt = await self._admit(
                 configuration, request, times, started_s, excluded
             )
-            attempt = self._new_attempt(configuration, request, grant, times)
             delivered = times.tokens
+            code = ResultCode.INTERNAL_ERROR
+            admit_second = partial(
+                self._admit_second, configuration, request, times, started_s
+            )
             try:
-                await self._run_attempt(request, attempt, sink, times, started_s)
-                attempt.code = ResultCode.OK
+                attempt, prefill = await self._hedged.run(
+                    request, attempt, times, admit_second
+                )
+                times.prefill_engine = attempt.prefill_engine.id
+                times.decode_engine = attempt.decode_engine.id
+                await self._runner.transfer(request, attempt, prefill)
+                await self._runner.decode(request, attempt, sink, times, started_s)
+                code = ResultCode.OK
                 return
             except RouterError as error:
-                attempt.code = error.code
+                code = error.code
                 delay_s = self._retry_delay_s(request, error, times, started_s)
                 if delay_s is None:
                     raise
@@ -191,11 +135,12 @@
                 self._observer.retried(error.code)
                 self._log_retry(request, attempt, error)
             except asyncio.CancelledError:
-                attempt.code = ResultCode.CALLER_GONE
+                code = ResultCode.CALLER_GONE
                 raise
             finally:
-                self._observe_end(request, attempt, times.tokens > delivered)
-                self._background.spawn(self._free(attempt, times), "free_attempt")
+                self._runner.end(
+                    request, attempt, code, times, delivered=times.tokens > delivered
+                )
             await asyncio.sleep(delay_s)
 
     def _retry_delay_s(
@@ -213,6 +158,19 @@
             request.tenant, request.pool, times.attempts, remaining_s
         )
 
+    async def _admit_second(
+        self,
+        configuration: Configuration,
+        request: ModelRequest,
+        times: ModelTimes,
+        started_s: float,
+        slow_engine: str,
+    ) -> Attempt:
+        """Ask for a pair of engines without the slow one, if idle now."""
+        return await self._admit(
+            configuration, request, times, started_s, [slow_engine], HEDGE_PATIENCE_MS
+        )
+
     async def _admit(
         self,
         configuration: Configuration,
@@ -220,12 +178,15 @@
         times: ModelTimes,
         started_s: float,
         excluded: list[str],
-    ) -> Grant:
+        max_patience_ms: int | None = None,
+    ) -> Attempt:
         spent_ms = (self._clock.monotonic() - started_s) * 1000
         budget_ms = request.patience_ms if times.tokens == 0 else request.deadline_ms
         left_ms = int(budget_ms - spent_ms)
         if left_ms <= 0:
             raise RouterError(ResultCode.DEADLINE_EXCEEDED)
+        if max_patience_ms is not None:
+            left_ms = min(left_ms, max_patience_ms)
         target_ms = int(request.request_class.ttft_target_ms - spent_ms)
         admission = AdmissionRequest(
             request_id=str(self._ids.next_id()),
@@ -254,15 +215,9 @@
             raise
         waited_s = self._clock.monotonic() - asked_s
         self._observer.granted(request_id, admission, grant, waited_s)
-        return grant
+        return self._new_attempt(configuration, grant)
 
-    def _new_attempt(
-        self,
-        configuration: Configuration,
-        request: ModelRequest,
-        grant: Grant,
-        times: ModelTimes,
-    ) -> _Attempt:
+    def _new_attempt(self, configuration: Configuration, grant: Grant) -> Attempt:
         prefill_engine = configuration.engines_by_id.get(grant.prefill_engine)
         decode_engine = configuration.engines_by_id.get(grant.decode_engine)
         if prefill_engine is None or decode_engine is None:
@@ -270,153 +225,10 @@
             release = Release(grant.request_id, grant.shard_id, code.value)
             self._background.spawn(self._owner_client.tell(release), "free_grant")
             raise RouterError(code, "engine left the configuration")
-        times.prefill_engine = prefill_engine.id
-        times.decode_engine = decode_engine.id
-        return _Attempt(grant.request_id, grant, prefill_engine, decode_engine)
-
-    async def _run_attempt(
-        self,
-        request: ModelRequest,
-        attempt: _Attempt,
-        sink: AnswerSink,
-        times: ModelTimes,
-        started_s: float,
-    ) -> None:
-        prefill = await self._prefill(request, attempt, times)
-        await self._transfer(request, attempt, prefill)
-        await self._decode(request, attempt, sink, times, started_s)
-
-    async def _prefill(
-        self, request: ModelRequest, attempt: _Attempt, times: ModelTimes
-    ) -> PrefillResult:
-        attempt.failed_engine = attempt.prefill_engine.id
-        attempt.touched.append(attempt.prefill_engine)
-        class_name = request.request_class.name
-        self._observer.prefill_sent(class_name, request.prompt_tokens)
-        began_s = self._clock.monotonic()
-        prefill = await self._engine_client.prefill(
-            attempt.prefill_engine.url,
-            attempt.request_id,
-            request.model.name,
-            request.prompt,
-            request.patience_ms / 1000,
-        )
-        times.prefill_ms = (self._clock.monotonic() - began_s) * 1000
-        self._observer.prefill_finished(
-            str(request.request_id),
-            attempt.request_id,
-            class_name,
-            times.prefill_ms / 1000,
-            prefill.cached_tokens,
-        )
-        done = PrefillDone(
-            attempt.request_id,
-            attempt.grant.shard_id,
-            times.prefill_ms,
-            prefill.cached_tokens,
-        )
-        self._background.spawn(self._owner_client.tell(done), "prefill_done")
-        return prefill
-
-    async def _transfer(
-        self, request: ModelRequest, attempt: _Attempt, prefill: PrefillResult
-    ) -> None:
-        attempt.failed_engine = attempt.decode_engine.id
-        attempt.touched.append(attempt.decode_engine)
-        nominal_s = (
-            prefill.tokens
-            * request.model.kv_bytes_per_token
-            / attempt.decode_engine.link_bytes_per_s
-        )
-        await self._engine_client.import_cache(
-            attempt.decode_engine.url,
-            attempt.request_id,
-            request.model.name,
-            attempt.prefill_engine.url,
-            prefill,
-            attempt.grant.pieces,
-            max(MIN_TRANSFER_TIMEOUT_S, nominal_s * TRANSFER_TIMEOUT_FACTOR),
-        )
-
-    async def _decode(
-        self,
-        request: ModelRequest,
-        attempt: _Attempt,
-        sink: AnswerSink,
-        times: ModelTimes,
-        started_s: float,
-    ) -> None:
-        first_s = 0.0
-        start_index = times.tokens
-        async for tokens in self._engine_client.decode(
-            attempt.decode_engine.url,
-            attempt.request_id,
-            request.max_tokens,
-            start_index,
-        ):
-            now_s = self._clock.monotonic()
-            if times.tokens == 0:
-                times.ttft_ms = (now_s - started_s) * 1000
-            if not first_s:
-                first_s = now_s
-            _check_order(tokens, times.tokens)
-            times.tokens += len(tokens)
-            await sink.write(tokens, times)
-        received = times.tokens - start_index
-        if received > 1:
-            elapsed_ms = (self._clock.monotonic() - first_s) * 1000
-            times.tbt_ms = elapsed_ms / (received - 1)
-        attempt.failed_engine = ""
-
-    async def _free(self, attempt: _Attempt, times: ModelTimes) -> None:
-        """Free the attempt's memory at the engines, then at the owner."""
-        if attempt.code is not ResultCode.OK:
-            await asyncio.gather(
-                *(self._cancel(engine, attempt) for engine in attempt.touched)
-            )
-        release = Release(
-            attempt.request_id,
-            attempt.grant.shard_id,
-            attempt.code.value,
-            times.prefill_ms,
-            times.ttft_ms,
-            times.tbt_ms,
-            times.tokens,
-            attempt.failed_engine,
-        )
-        await self._owner_client.tell(release)
-
-    async def _cancel(self, engine: Engine, attempt: _Attempt) -> None:
-        try:
-            await self._engine_client.cancel(engine.url, attempt.request_id)
-        except RouterError as error:
-            log_event(
-                logger,
-                "engine_cancel_failed",
-                level=logging.WARNING,
-                engine=engine.id,
-                request=attempt.request_id,
-                detail=error.detail,
-            )
-
-    def _observe_end(
-        self, request: ModelRequest, attempt: _Attempt, delivered: bool
-    ) -> None:
-        """Record a failed attempt; its prefill is wasted without a token."""
-        if attempt.code is ResultCode.OK:
-            return
-        wasted = bool(attempt.touched) and not delivered
-        self._observer.attempt_failed(
-            str(request.request_id),
-            attempt.request_id,
-            request.request_class.name,
-            attempt.code,
-            attempt.failed_engine,
-            request.prompt_tokens if wasted else 0,
-        )
+        return Attempt(grant.request_id, grant, prefill_engine, decode_engine)
 
     def _log_retry(
-        self, request: ModelRequest, attempt: _Attempt, error: RouterError
+        self, request: ModelRequest, attempt: Attempt, error: RouterError
     ) -> None:
         log_event(
             logger,
@@ -429,10 +241,3 @@
             code=error.code.value,
             detail=error.detail,
         )
-
-
-def _check_order(tokens: list[Token], expected: int) -> None:
-    """Refuse tokens that are missing, repeated or out of order."""
-    for offset, token in enumerate(tokens):
-        if token.position != expected + offset:
-            raise RouterError(ResultCode.ENGINE_FAILED, "token out of order")
--- a/tests/router/test_model_path.py
+++ b/tests/router/test_model_path.py
@@ -18,6 +18,7 @@
 from kumquat_core.peer_messages import Grant, Release, ShardSummary
 from kumquat_core.request_ids import RequestId, RequestIdSource
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.retry_budget import HedgeBudget
 from kumquatrouter.background import BackgroundTasks
 from kumquatrouter.model_path import ModelPath, ModelRequest
 
@@ -47,6 +48,7 @@
 
 ENGINES = {
     "p1": make_engine("p1", EngineRole.PREFILL),
+    "p2": make_engine("p2", EngineRole.PREFILL),
     "d1": make_engine("d1", EngineRole.DECODE),
     "d2": make_engine("d2", EngineRole.DECODE),
 }
@@ -77,7 +79,7 @@
 
     async def _stage(self, stage: str, url: str, request_id: str) -> None:
         self.held.add((url, request_id))
-        if stage in self.stall_at:
+        if stage in self.stall_at or url in self.stall_at:
             await asyncio.Event().wait()
         if stage in self.fail_at:
             raise self.fail_at.pop(stage)
@@ -113,11 +115,12 @@
 
     async def admit(self, configuration, pool, request) -> Grant:
         free = [e for e in ("d1", "d2") if e not in request.excluded_engines]
+        prefill = "p2" if "p1" in request.excluded_engines else "p1"
         if not free:
             raise RouterError(ResultCode.NO_ENGINE)
         self.granted.add(request.request_id)
         summary = ShardSummary("pool/0", 1, 0, 0)
-        return Grant(request.request_id, "pool/0", "p1", free[0], 1, summary)
+        return Grant(request.request_id, "pool/0", prefill, free[0], 1, summary)
 
     async def tell(self, message) -> None:
         if isinstance(message, Release):
@@ -138,7 +141,7 @@
 class Harness:
     """A model path with fakes on both sides."""
 
-    def __init__(self) -> None:
+    def __init__(self, hedge_budget: HedgeBudget | None = None) -> None:
         self.engines = FakeEngines()
         self.owner = FakeOwner()
         self.sink = ListSink()
@@ -149,6 +152,7 @@
             self.owner,
             self.background,
             RequestIdSource("h", 1),
+            hedge_budget=hedge_budget,
         )
 
     async def run(self):
@@ -177,7 +181,9 @@
 
     harness = asyncio.run(scenario())
     harness.assert_all_freed()
-    assert [r.code for r in harness.owner.releases] == [ResultCode.CALLER_GONE]
+    release = harness.owner.releases[0]
+    # A disconnect must not count as a failure of the engine in use.
+    assert (release.code, release.failed_engine) == (ResultCode.CALLER_GONE, "")
 
 
 def _stalled_at(harness: Harness, stage: str) -> bool:
@@ -229,3 +235,63 @@
     delivered = [token.position for token in harness.sink.tokens]
     assert delivered == list(range(len(delivered)))
     harness.assert_all_freed()
+
+
+def run_hedged(share: float, *stalled: str) -> tuple[Harness, list[int]]:
+    harness = Harness(HedgeBudget(share))
+    harness.engines.stall_at.update(stalled)
+    asyncio.run(harness.run())
+    codes = [release.code for release in harness.owner.releases]
+    return harness, codes
+
+
+def test_overdue_prefill_is_replaced_and_freed():
+    harness, codes = run_hedged(1.0, "http://p1")
+    assert harness.sink.tokens == ANSWER
+    assert sorted(codes) == [ResultCode.OK, ResultCode.ATTEMPT_REPLACED]
+    harness.assert_all_freed()
+
+
+def test_prefill_in_time_is_not_hedged():
+    harness, codes = run_hedged(1.0)
+    assert codes == [ResultCode.OK]
+    harness.assert_all_freed()
+
+
+def test_disconnect_during_a_hedge_frees_both_attempts():
+    async def scenario() -> Harness:
+        harness = Harness(HedgeBudget(1.0))
+        harness.engines.stall_at.update(("http://p1", "http://p2"))
+        task = asyncio.create_task(harness.run())
+        while len(harness.engines.held) < 2:
+            await asyncio.sleep(0.001)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        return harness
+
+    harness = asyncio.run(scenario())
+    assert len(harness.owner.releases) == 2
+    harness.assert_all_freed()
+
+
+def test_failed_hedge_leaves_the_first_attempt_alone():
+    async def scenario() -> Harness:
+        harness = Harness(HedgeBudget(1.0))
+        release_first = asyncio.Event()
+        original = harness.engines.prefill
+
+        async def prefill(url, *args):
+            if url == "http://p2":
+                release_first.set()
+                raise RouterError(ResultCode.ENGINE_FAILED)
+            await release_first.wait()
+            return await original(url, *args)
+
+        harness.engines.prefill = prefill
+        await harness.run()
+        return harness
+
+    harness = asyncio.run(scenario())
+    assert harness.sink.tokens == ANSWER
+    harness.assert_all_freed()
