Bound the work of a pass when memory is full

Cause: with a long queue each pass examined up to eight requests against every decode engine, and requests that wait for a faster engine were not counted at all.

Change: the pass is a module of its own.

--- a/packages/kumquat_core/src/kumquat_core/engine_accounts.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_accounts.py
@@ -53,7 +53,8 @@
     @property
     def free_pieces(self) -> int:
         """Return the pieces that are not reserved; never negative."""
-        return max(0, self.engine.total_pieces - self.held_pieces)
+        free = self.engine.total_pieces - self.held_pieces
+        return free if free > 0 else 0
 
     @property
     def request_count(self) -> int:
--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -282,7 +282,16 @@
         states = self._permitted(
             needs, self._accounts.decode_engines(needs.request.model), now_s
         )
-        return [state for state in states if self.fits(needs, state, now_s)]
+        request = needs.request
+        # Most engines are full at a demand peak; memory alone rules them out
+        # at little cost.
+        tokens = request.prompt_tokens + request.max_tokens
+        return [
+            state
+            for state in states
+            if state.account.free_pieces * state.engine.piece_tokens >= tokens
+            and self.fits(needs, state, now_s)
+        ]
 
     def _choose_decode(
         self,
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -25,15 +25,8 @@
 from .engine_accounts import EngineState, PrefillJob, ShardAccounts
 from .engine_client import CacheEvent, EngineReport
 from .fair_share import FairShare
-from .pairing import (
-    Hold,
-    NoPlace,
-    Obstacle,
-    Pair,
-    PairChooser,
-    RequestNeeds,
-    nominal_prefill_s,
-)
+from .grant_pass import GrantPass
+from .pairing import Pair, PairChooser, RequestNeeds, nominal_prefill_s
 from .peer_messages import (
     AdmissionRequest,
     Grant,
@@ -66,11 +59,6 @@
 # Period of decisions while requests wait.
 TICK_S = 0.02
 
-# Requests of one model that are examined past one that does not fit, and
-# how often a request may be overtaken so before it stops the others.
-MAX_EXAMINED = 8
-MAX_BYPASSED = 16
-
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
 RETRY_AFTER_JITTER = 0.2
@@ -418,72 +406,24 @@
             return
         now_s = self._clock.monotonic()
         self._give_up_missed(now_s)
-        granted, impossible = self._examine(now_s)
-        for item, pair in granted:
+        grant_pass = GrantPass(self._chooser, self._accounts, self._reserve, now_s)
+        grant_pass.run(
+            self._queue.candidates(self._over_share(now_s), grant_pass.stopped_models)
+        )
+        for item, pair in grant_pass.granted:
             self._queue.remove(item.request_id)
             self._answer(item.request_id, Success(self._grant_of(item, pair)))
-        for item in impossible:
+        for item in grant_pass.impossible:
             self._queue.remove(item.request_id)
             self._refuse(item.needs.request, ResultCode.NO_ENGINE, MAX_RETRY_AFTER_S)
         self._arm_timer()
 
-    def _examine(
-        self, now_s: float
-    ) -> tuple[list[tuple[WaitingRequest, Pair]], list[WaitingRequest]]:
-        """Reserve for all requests that can be granted now.
-
-        Returns them with their pairs, and those that no engine can serve.
-        """
-        granted: list[tuple[WaitingRequest, Pair]] = []
-        impossible: list[WaitingRequest] = []
-        claims_s_by_id: dict[str, float] = {}
-        stopped_models: set[str] = set()
-        passed_by_model: dict[str, list[WaitingRequest]] = {}
-        for item in self._queue.candidates(self._over_share(now_s), stopped_models):
-            if item.model in stopped_models:
-                continue
-            if not self._chooser.has_ready_prefill(item.model, now_s):
-                stopped_models.add(item.model)
-                continue
-            passed = passed_by_model.setdefault(item.model, [])
-            match self._chooser.choose(item.needs, claims_s_by_id, now_s):
-                case Pair() as pair:
-                    self._reserve(item, pair, now_s)
-                    granted.append((item, pair))
-                    for other in passed:
-                        other.bypassed += 1
-                case Hold(state, prefill_s):
-                    claims = claims_s_by_id.get(state.engine.id, 0.0)
-                    claims_s_by_id[state.engine.id] = claims + prefill_s
-                case NoPlace(Obstacle.NO_ENGINE | Obstacle.TOO_LARGE):
-                    impossible.append(item)
-                case NoPlace(Obstacle.DECODE_FULL):
-                    passed.append(item)
-                    if self._stops_others(item):
-                        stopped_models.add(item.model)
-                case NoPlace():
-                    passed.append(item)
-                    if not item.needs.request.excluded_engines:
-                        stopped_models.add(item.model)
-            if len(passed) >= MAX_EXAMINED:
-                stopped_models.add(item.model)
-        return granted, impossible
-
-    def _stops_others(self, item: WaitingRequest) -> bool:
-        """Tell whether no other request may take the memory that is left."""
-        if item.needs.request.excluded_engines:
-            return False
-        if item.late or item.bypassed >= MAX_BYPASSED:
-            return True
-        return not any(
-            state.account.fits(1) for state in self._accounts.decode_engines(item.model)
-        )
-
     def _give_up_missed(self, now_s: float) -> None:
         for item in self._queue.take_missed(now_s):
             self._refuse_for_capacity(item)
 
-    def _reserve(self, item: WaitingRequest, pair: Pair, now_s: float) -> None:
+    def _reserve(self, item: WaitingRequest, pair: Pair) -> None:
+        now_s = self._clock.monotonic()
         request = item.needs.request
         request_id = request.request_id
         pair.decode.account.reserve(
