--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -203,7 +203,9 @@
             clock=clock,
             is_live=self._membership.is_live,
         )
-        plain_path = PlainPath(clock, backend_client, self._directory, self._guard, rng)
+        plain_path = PlainPath(
+            clock, backend_client, self._directory, self._guard, rng, observer
+        )
         caller_api = CallerApi(
             options,
             self._tickets,
