End the processes of a killed tool and lock single runs

Cause: a comparison killed by SIGTERM left its entry hosts and engines running, and these kept the inherited lock file of the run. Conclusion: no process remains after the tool is killed.

--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Coroutine
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import typer
 import uvloop
@@ -22,6 +22,8 @@
 from .stack import StackConfig
 from .up import run_up
 
+Result = TypeVar("Result")
+
 app = typer.Typer(
     help="Stand-ins, load tool and experiments for kumquatrouter.",
     no_args_is_help=True,
@@ -32,6 +34,27 @@
 ConfigFile = Annotated[Path, typer.Option("--config", help="JSON configuration file")]
 
 
+LockFile = Annotated[
+    Path | None, typer.Option("--lock", help="lock file held during each run")
+]
+
+EXIT_INTERRUPTED = 130
+
+
+def _run_tool(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run a tool; SIGTERM cancels it, so that it ends its processes."""
+
+    async def supervise() -> Result:
+        task = asyncio.ensure_future(main)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        return uvloop.run(supervise())
+    except (asyncio.CancelledError, KeyboardInterrupt) as error:
+        raise typer.Exit(EXIT_INTERRUPTED) from error
+
+
 def _run_until_stopped(main: Coroutine[Any, Any, None]) -> None:
     """Run a server; SIGINT and SIGTERM end it with exit status 0."""
 
@@ -77,7 +100,7 @@
 ) -> None:
     """Run one request of every kind of both firms and check each answer."""
     config = StackConfig(hosts_per_firm=hosts, seed=seed)
-    if not uvloop.run(run_demo(config)):
+    if not _run_tool(run_demo(config)):
         raise typer.Exit(1)
 
 
@@ -107,6 +130,7 @@
     hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 2,
     prefill_engines: Annotated[int, typer.Option(help="for each firm")] = 2,
     decode_engines: Annotated[int, typer.Option(help="for each firm")] = 4,
+    lock: LockFile = None,
 ) -> None:
     """Compare routing policies under the same arrivals and faults."""
     options = ScenarioOptions(
@@ -126,7 +150,7 @@
         log_level="error",
     )
     names = policies.split(",")
-    document = uvloop.run(compare_policies(scenario, options, names, config))
+    document = _run_tool(compare_policies(scenario, options, names, config, lock))
     write_json(document, json_file)
 
 
--- a/packages/kumquat_lab/src/kumquat_lab/compare.py
+++ b/packages/kumquat_lab/src/kumquat_lab/compare.py
@@ -2,11 +2,16 @@
 
 Each policy gets a stack of its own: engines, platform and entry hosts start
 anew, so no cache or account carries over. The policies run one after
-another, so that they do not compete for the machine.
+another, so that they do not compete for the machine. With a lock file, each
+run holds the lock for itself only.
 """
 
+import asyncio
+import contextlib
+import fcntl
 import json
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +27,7 @@
 )
 from .stack import StackConfig, StackPlan, running_stack, with_policy
 
-__all__ = ["POLICIES", "compare_policies", "write_json"]
+__all__ = ["POLICIES", "compare_policies", "measuring_lock", "write_json"]
 
 POLICIES = ("kumquat", "round_robin", "least_reported_load", "two_choices")
 
@@ -32,6 +37,7 @@
     options: ScenarioOptions,
     policies: Sequence[str],
     config: StackConfig,
+    lock_path: Path | None = None,
 ) -> dict[str, Any]:
     """Run a scenario with each policy and return the figures."""
     plan = StackPlan.from_config(config)
@@ -51,39 +57,62 @@
         },
         "policies": {},
     }
+    runner = _Runner(config, limit_per_s, lock_path)
     for policy in policies:
-        document["policies"][policy] = await _run(scenario, config, policy, limit_per_s)
+        document["policies"][policy] = await runner.run(scenario, policy)
     if name is ScenarioName.STRAGGLER:
-        await _run_without_stragglers(document, scenario, config, limit_per_s)
+        await _run_without_stragglers(document, scenario, runner)
     return document
 
 
-async def _run(
-    scenario: Scenario, config: StackConfig, policy: str, limit_per_s: float
-) -> dict[str, Any]:
-    async with running_stack(with_policy(config, policy)) as stack:
-        result = await run_load(stack, scenario)
-    figures = summarize(result, scenario.options.seconds, limit_per_s)
-    typer.echo(
-        f"{scenario.name:9} {policy:20} goodput {figures['goodput_per_s']:7.2f}/s "
-        f"= {figures['goodput_of_limit']:.3f} of the limit, "
-        f"prefill wasted {figures['prefill_wasted']:.3f}",
-        err=True,
-    )
-    return figures
+@contextlib.asynccontextmanager
+async def measuring_lock(path: Path | None) -> AsyncIterator[None]:
+    """Hold a lock file, so that measurements on one machine take turns."""
+    if path is None:
+        yield
+        return
+    with path.open("a") as lock_file:
+        await asyncio.to_thread(fcntl.flock, lock_file, fcntl.LOCK_EX)
+        yield
+
+
+@dataclass(frozen=True)
+class _Runner:
+    """Runs scenarios on stacks of one size."""
+
+    config: StackConfig
+    limit_per_s: float
+    lock_path: Path | None
+
+    async def run(self, scenario: Scenario, policy: str) -> dict[str, Any]:
+        """Run a scenario with one policy on a new stack."""
+        config = with_policy(self.config, policy)
+        async with (
+            measuring_lock(self.lock_path),
+            running_stack(config) as stack,
+        ):
+            result = await run_load(stack, scenario)
+        figures = summarize(result, scenario.options.seconds, self.limit_per_s)
+        typer.echo(
+            f"{scenario.name:9} {policy:20} "
+            f"goodput {figures['goodput_per_s']:7.2f}/s "
+            f"= {figures['goodput_of_limit']:.3f} of the limit, "
+            f"prefill wasted {figures['prefill_wasted']:.3f}",
+            err=True,
+        )
+        return figures
 
 
 async def _run_without_stragglers(
     document: dict[str, Any],
     scenario: Scenario,
-    config: StackConfig,
-    limit_per_s: float,
+    runner: _Runner,
 ) -> None:
     """Repeat the same arrivals without faults, and compare p99 TTFT."""
     calm = Scenario(scenario.name, scenario.options, scenario.arrivals, ())
     document["without_stragglers"] = {}
     for policy, figures in document["policies"].items():
-        reference = await _run(calm, config, policy, limit_per_s)
+        reference = await runner.run(calm, policy)
         document["without_stragglers"][policy] = reference
         figures["p99_ttft_ratio"] = {
             class_name: round(
--- a/packages/kumquat_lab/src/kumquat_lab/firms.py
+++ b/packages/kumquat_lab/src/kumquat_lab/firms.py
@@ -5,7 +5,8 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 from kumquat_core.ticket_models import ObjectModel, TicketModel
@@ -81,10 +82,14 @@
 
 @dataclass(frozen=True)
 class EngineCounts:
-    """Number of engines of each role in a firm's pool."""
+    """Number of engines of each role in a firm's pool.
+
+    ``changes`` replaces fields of every engine's configuration.
+    """
 
     prefill: int = 1
     decode: int = 2
+    changes: Mapping[str, float] = field(default_factory=dict)
 
 
 MADAFU = Firm(
@@ -174,6 +179,7 @@
                 "link_bytes_per_s": LINK_BYTES_PER_S,
                 "checks_fencing": index % 2 == 0,
                 "weight_store_url": weight_store_url,
+                **counts.changes,
             }
         )
         for index, role in enumerate(roles)
--- a/packages/kumquat_lab/src/kumquat_lab/processes.py
+++ b/packages/kumquat_lab/src/kumquat_lab/processes.py
@@ -1,10 +1,13 @@
 """Child processes of the development tools, on loopback.
 
-Only processes that this module started are ended, each by its own id.
+Only processes that this module started are ended, each by its own id. The
+kernel ends a child when the tool itself dies, so that a killed tool leaves
+no process behind that holds ports or files.
 """
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import signal
 import socket
@@ -15,6 +18,14 @@
 __all__ = ["ChildProcess", "ProcessGroup", "free_ports"]
 
 STOP_TIMEOUT_S = 5.0
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None)
+
+
+def _end_with_parent() -> None:
+    """Runs in the child before its program: end when the parent ends."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def free_ports(count: int) -> list[int]:
@@ -87,6 +98,7 @@
                 stderr=log_file,
                 # Ctrl-C reaches only the tool, which ends its children.
                 start_new_session=True,
+                preexec_fn=_end_with_parent,
             )
         child = ChildProcess(name, process, log_path)
         self.children_by_name[name] = child
--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -66,6 +66,7 @@
     seed: int = 1
     log_level: Literal["debug", "info", "warning", "error"] = "warning"
     first_port: Annotated[int, Field(ge=0, le=65000)] = 0
+    engine_changes: dict[str, float] = Field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -128,7 +129,9 @@
         else:
             ports = free_ports(PORTS_PER_STACK)
         ports.reverse()
-        counts = EngineCounts(config.prefill_engines, config.decode_engines)
+        counts = EngineCounts(
+            config.prefill_engines, config.decode_engines, config.engine_changes
+        )
         hosts = [
             _host_plan(firm, index, ports)
             for firm in FIRMS
