Add bench and the measurement of the router's cost

Change: bench runs the comparisons, judges each target and draws plots; cost compares with direct calls of the engines and measures tokens for each processor second and memory for each open stream. Conclusion: not measured yet.

--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -13,11 +13,13 @@
 from kumquat_core.log_events import configure_logging
 
 from .backend_server import BackendHostConfig, run_backends
-from .compare import POLICIES, compare_policies, write_json
+from .bench import BENCH_RUNS, run_bench, write_results
+from .compare import POLICIES, compare_policies, measuring_lock, write_json
 from .cost_model import EngineHostConfig
 from .demo import run_demo
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
+from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
 from .stack import StackConfig
 from .up import run_up
@@ -154,5 +156,40 @@
     write_json(document, json_file)
 
 
+@app.command()
+def bench(
+    directory: Annotated[Path, typer.Option(help="for results")] = Path("bench"),
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=60)] = 10.0,
+    runs: Annotated[str, typer.Option(help="comma-separated")] = ",".join(
+        run.label for run in BENCH_RUNS
+    ),
+    lock: LockFile = None,
+    only_write: Annotated[
+        bool, typer.Option("--only-write", help="write the table, run nothing")
+    ] = False,
+) -> None:
+    """Run all scenarios and write a table and plots."""
+    if only_write:
+        write_results(directory)
+        return
+    _run_tool(run_bench(directory, seed, seconds, runs.split(","), lock))
+
+
+@app.command()
+def cost(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+    lock: LockFile = None,
+) -> None:
+    """Measure what an entry host costs in time, processor and memory."""
+
+    async def measure() -> dict[str, Any]:
+        async with measuring_lock(lock):
+            return await measure_cost(seed)
+
+    write_json(_run_tool(measure()), json_file)
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/bench.py
@@ -0,0 +1,311 @@
+"""Runs all scenarios and writes a table and plots under ``bench/``.
+
+``COMMAND`` and the seed stand in the table. Targets are those of section 1
+of the design page; each is shown as met or not met.
+"""
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+from .compare import POLICIES, compare_policies
+from .firms import FIRMS, HAGESTAD
+from .scenarios import ScenarioName, ScenarioOptions
+from .stack import StackConfig
+
+matplotlib.use("Agg")
+
+import matplotlib.pyplot as plt
+
+__all__ = ["BENCH_RUNS", "BenchRun", "judge", "run_bench", "write_results"]
+
+COMMAND = "python -m kumquat_lab bench"
+MAIN = "kumquat"
+INTERACTIVE = "owner-check"
+
+
+@dataclass(frozen=True)
+class BenchRun:
+    """One comparison of the bench; ``label`` names its files."""
+
+    label: str
+    scenario: ScenarioName
+    policies: tuple[str, ...]
+    load: float = 0.0
+
+
+BENCH_RUNS = (
+    BenchRun("steady", ScenarioName.STEADY, POLICIES),
+    BenchRun("crest", ScenarioName.CREST, POLICIES),
+    BenchRun("straggler", ScenarioName.STRAGGLER, POLICIES),
+    BenchRun("overload-2", ScenarioName.OVERLOAD, POLICIES, 2.0),
+    BenchRun("overload-5", ScenarioName.OVERLOAD, (MAIN,), 5.0),
+    BenchRun("cancel", ScenarioName.CANCEL, (MAIN,)),
+    BenchRun("outage", ScenarioName.OUTAGE, (MAIN,)),
+)
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """A target, what was measured, and whether it was met."""
+
+    target: str
+    measured: str
+    met: bool
+
+
+Documents = dict[str, dict[str, Any]]
+
+
+async def run_bench(
+    directory: Path,
+    seed: int,
+    seconds: float,
+    labels: Sequence[str],
+    lock_path: Path | None,
+) -> None:
+    """Run the comparisons named by ``labels`` and write all results."""
+    directory.mkdir(parents=True, exist_ok=True)
+    for run in BENCH_RUNS:
+        if run.label not in labels:
+            continue
+        options = ScenarioOptions(seed=seed, seconds=seconds, load=run.load)
+        config = StackConfig(
+            hosts_per_firm=2,
+            prefill_engines=2,
+            decode_engines=4,
+            seed=seed,
+            log_level="error",
+        )
+        document = await compare_policies(
+            run.scenario, options, run.policies, config, lock_path
+        )
+        text = json.dumps(document, indent=1)
+        (directory / f"{run.label}.json").write_text(text + "\n")
+    write_results(directory)
+
+
+def write_results(directory: Path) -> None:
+    """Write ``results.md`` and the plots from the result files."""
+    documents = {
+        run.label: json.loads((directory / f"{run.label}.json").read_text())
+        for run in BENCH_RUNS
+        if (directory / f"{run.label}.json").exists()
+    }
+    lines = ["# Results of the bench", "", *_heading(documents), ""]
+    lines += [*_verdict_table(judge(documents)), "", *_figure_table(documents)]
+    (directory / "results.md").write_text("\n".join(lines) + "\n")
+    _plot_goodput(documents, directory / "goodput.png")
+    _plot_latency(documents, directory / "ttft.png")
+
+
+def _heading(documents: Documents) -> list[str]:
+    runs = sorted({(d["seed"], d["seconds"]) for d in documents.values()})
+    described = "; ".join(f"seed {seed}, {seconds:g} s" for seed, seconds in runs)
+    return [
+        f"Command: `{COMMAND}`; {described}. `docs/lab.md` describes the scenarios",
+        "and the limit. All processes share one machine, so times include its load.",
+    ]
+
+
+def judge(documents: Documents) -> list[Verdict]:
+    """Return the targets that the present documents allow to judge."""
+    judges: dict[str, Callable[[Documents], list[Verdict]]] = {
+        "steady": _judge_steady,
+        "crest": _judge_crest,
+        "overload-2": _judge_overload,
+        "straggler": _judge_straggler,
+        "cancel": _judge_cancel,
+    }
+    verdicts = [
+        verdict
+        for label, check in judges.items()
+        if label in documents
+        for verdict in check(documents)
+    ]
+    return [*verdicts, *_judge_always(documents)]
+
+
+def _figures(documents: Documents, label: str) -> dict[str, Any]:
+    figures: dict[str, Any] = documents[label]["policies"][MAIN]
+    return figures
+
+
+def _at_least(target: str, value: float, limit: float) -> Verdict:
+    return Verdict(f"{target} >= {limit:g}", f"{value:.3f}", value >= limit)
+
+
+def _at_most(target: str, value: float, limit: float) -> Verdict:
+    return Verdict(f"{target} <= {limit:g}", f"{value:.3f}", value <= limit)
+
+
+def _judge_steady(documents: Documents) -> list[Verdict]:
+    figures = _figures(documents, "steady")
+    return [
+        _at_least("steady: goodput / limit", figures["goodput_of_limit"], 0.97),
+        _at_most("steady: prefill wasted", figures["prefill_wasted"], 0.01),
+    ]
+
+
+def _judge_crest(documents: Documents) -> list[Verdict]:
+    policies = documents["crest"]["policies"]
+    figures = policies[MAIN]
+    best = max(
+        (item["goodput_per_s"] for name, item in policies.items() if name != MAIN),
+        default=0.0,
+    )
+    ratio = figures["goodput_per_s"] / best if best else float("inf")
+    work = HAGESTAD.work_of(INTERACTIVE)
+    ttft, tbt = (
+        figures[key].get(INTERACTIVE, {"p95": float("inf")})["p95"]
+        for key in ("ttft_ms", "tbt_ms")
+    )
+    return [
+        _at_least("crest: goodput / limit", figures["goodput_of_limit"], 0.90),
+        _at_least("crest: goodput / best baseline", ratio, 1.5),
+        _at_most(f"crest: {INTERACTIVE} TTFT p95 ms", ttft, work.ttft_target_ms),
+        _at_most(f"crest: {INTERACTIVE} TBT p95 ms", tbt, work.tbt_target_ms),
+    ]
+
+
+def _judge_overload(documents: Documents) -> list[Verdict]:
+    labels = [name for name in ("overload-2", "overload-5") if name in documents]
+    verdicts = []
+    for label in labels:
+        figures = _figures(documents, label)
+        untruthful = figures["refused_untruthfully"]
+        verdicts += [
+            _at_least(f"{label}: goodput / limit", figures["goodput_of_limit"], 0.85),
+            _at_most(f"{label}: prefill wasted", figures["prefill_wasted"], 0.02),
+            _at_most(f"{label}: untruthful refusals", untruthful, 0),
+        ]
+    if len(labels) == 2:
+        two, five = (_figures(documents, label)["goodput_per_s"] for label in labels)
+        verdicts.append(
+            _at_least("overload: goodput at 5 times / at 2 times", five / two, 0.95)
+        )
+    return verdicts
+
+
+def _judge_straggler(documents: Documents) -> list[Verdict]:
+    figures = _figures(documents, "straggler")
+    verdicts = [
+        _at_most(f"straggler: {name} p99 TTFT / without", ratio, 1.5)
+        for name, ratio in figures["p99_ttft_ratio"].items()
+        if name in _model_classes()
+    ]
+    requests = sum(
+        sum(kinds.values())
+        for name, kinds in figures["outcomes_by_class"].items()
+        if name in _model_classes()
+    )
+    extra = figures["retries"] / requests
+    return [*verdicts, _at_most("straggler: repeated prefills", extra, 0.05)]
+
+
+def _judge_cancel(documents: Documents) -> list[Verdict]:
+    held = _figures(documents, "cancel")["held_after_1s"]
+    return [_at_most("cancel: pieces held after 1 s", held, 0)]
+
+
+def _judge_always(documents: Documents) -> list[Verdict]:
+    verdicts = []
+    for name in ("doubled", "damaged", "lost"):
+        total = sum(_figures(documents, label)[name] for label in documents)
+        verdicts.append(_at_most(f"all scenarios: {name}", total, 0))
+    return verdicts
+
+
+def _model_classes() -> set[str]:
+    return {work.class_name for firm in FIRMS for work in firm.work}
+
+
+def _verdict_table(verdicts: list[Verdict]) -> list[str]:
+    lines = ["## Targets", "", "| target | measured | |", "|---|---|---|"]
+    for item in verdicts:
+        state = "met" if item.met else "**not met**"
+        lines.append(f"| {item.target} | {item.measured} | {state} |")
+    return lines
+
+
+def _figure_table(documents: Documents) -> list[str]:
+    lines = [
+        "## Figures",
+        "",
+        "| run | policy | goodput/s | of limit | prefill wasted | TTFT p50/p95/p99 ms "
+        "owner-check | route-advice | refused by code | repeated prefills | doubled | "
+        "damaged | lost | held |",
+        "|" + "---|" * 14,
+    ]
+    for label, document in documents.items():
+        for policy, figures in document["policies"].items():
+            lines.append(_figure_row(label, policy, figures))
+        for policy, figures in document.get("without_stragglers", {}).items():
+            lines.append(_figure_row(f"{label}, none slow", policy, figures))
+    return lines
+
+
+def _figure_row(label: str, policy: str, figures: dict[str, Any]) -> str:
+    refused = ", ".join(f"{c}: {n}" for c, n in figures["refused_by_code"].items())
+    cells = [
+        label,
+        policy,
+        f"{figures['goodput_per_s']:.2f}",
+        f"{figures['goodput_of_limit']:.3f}",
+        f"{figures['prefill_wasted']:.3f}",
+        _three(figures["ttft_ms"].get(INTERACTIVE)),
+        _three(figures["ttft_ms"].get("route-advice")),
+        refused or "none",
+        *(str(figures[name]) for name in ("retries", "doubled", "damaged", "lost")),
+        str(figures["held_after_1s"]),
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def _three(values: dict[str, float] | None) -> str:
+    if values is None:
+        return "-"
+    return "/".join(f"{values[name]:.0f}" for name in ("p50", "p95", "p99"))
+
+
+def _plot_goodput(documents: Documents, path: Path) -> None:
+    figure, axes = plt.subplots(figsize=(9, 4))
+    width = 0.8 / len(POLICIES)
+    for offset, policy in enumerate(POLICIES):
+        points = [
+            (index + offset * width, document["policies"][policy]["goodput_of_limit"])
+            for index, document in enumerate(documents.values())
+            if policy in document["policies"]
+        ]
+        axes.bar([x for x, _ in points], [y for _, y in points], width, label=policy)
+    axes.set_xticks([index + 0.3 for index in range(len(documents))], list(documents))
+    axes.set_ylabel("goodput / limit")
+    axes.set_ylim(0, 1.1)
+    axes.legend(ncols=4, loc="upper center", fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    plt.close(figure)
+
+
+def _plot_latency(documents: Documents, path: Path) -> None:
+    figure, axes = plt.subplots(figsize=(9, 4))
+    for policy in POLICIES:
+        points = [
+            (index, document["policies"][policy]["ttft_ms"][INTERACTIVE]["p99"])
+            for index, document in enumerate(documents.values())
+            if INTERACTIVE in document["policies"].get(policy, {}).get("ttft_ms", {})
+        ]
+        axes.plot([x for x, _ in points], [y for _, y in points], "o-", label=policy)
+    target_ms = HAGESTAD.work_of(INTERACTIVE).ttft_target_ms
+    axes.axhline(target_ms, color="grey", linestyle="--", label="target")
+    axes.set_xticks(range(len(documents)), list(documents))
+    axes.set_ylabel(f"{INTERACTIVE} p99 TTFT, ms")
+    axes.set_yscale("log")
+    axes.legend(ncols=5, loc="upper center", fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    plt.close(figure)
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/router_cost.py
@@ -0,0 +1,222 @@
+"""Measures what an entry host costs: time, processor and memory.
+
+- added time to first token: the same requests to the emulated engines
+  directly and through an entry host, in turn, on an idle stack;
+- tokens forwarded for each processor second of one entry-host process;
+- memory for each open stream, with one caller that reads nothing.
+"""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import aiohttp
+import numpy as np
+
+from kumquat_core.engine_client import HttpEngineClient
+from kumquat_core.http_client import create_session
+
+from .arrivals import make_prompt
+from .caller import ModelCall, call_model
+from .firms import MADAFU
+from .stack import Stack, StackConfig, running_stack
+
+__all__ = ["measure_cost"]
+
+PAIRS = 200
+SHORT_ANSWER_TOKENS = 4
+FORWARD_STREAMS = 150
+FORWARD_TOKENS = 250
+OPEN_STREAMS = 1000
+OPEN_STEP_MS = 500.0
+OPEN_HOLD_S = 10.0
+OPEN_TOKENS = 60
+OPEN_TIMEOUT_S = 40.0
+CLIENT_BUFFER_BYTES = 4096
+
+
+async def measure_cost(seed: int) -> dict[str, Any]:
+    """Run all three measurements."""
+    return {
+        "seed": seed,
+        "added_ttft_ms": await _measure_ttft(seed),
+        "forwarding": await _measure_forwarding(seed),
+        "open_streams": await _measure_memory(seed),
+    }
+
+
+def _call(rng: random.Random, tokens: int) -> ModelCall:
+    work = MADAFU.work[0]
+    return ModelCall(
+        api_key=MADAFU.api_key,
+        model=MADAFU.model,
+        class_name=work.class_name,
+        prompt=make_prompt(rng, work),
+        max_tokens=tokens,
+        deadline_ms=work.deadline_ms,
+    )
+
+
+async def _measure_ttft(seed: int) -> dict[str, Any]:
+    config = StackConfig(
+        hosts_per_firm=2, prefill_engines=1, decode_engines=1, log_level="error"
+    )
+    rng = random.Random(f"{seed}/ttft")
+    direct, routed = [], []
+    async with running_stack(config) as stack, create_session(2.0) as session:
+        hosts = stack.plan.hosts_of(MADAFU)
+        for index in range(PAIRS):
+            # The same size for both, but another prompt, so that the prefix
+            # cache does not favour the second one.
+            first = _call(rng, SHORT_ANSWER_TOKENS)
+            second = _same_length(first, _call(rng, SHORT_ANSWER_TOKENS))
+            direct.append(await _direct_ttft_ms(stack, session, first, index))
+            host = hosts[index % len(hosts)]
+            outcome = await call_model(session, host.caller_url, second)
+            if outcome.kind != "ok":
+                raise RuntimeError(f"request failed: {outcome}")
+            routed.append(outcome.ttft_ms)
+    added = np.array(routed) - np.array(direct)
+    return {
+        "pairs": PAIRS,
+        "direct_p50": _percentile(direct, 50),
+        "direct_p99": _percentile(direct, 99),
+        "routed_p50": _percentile(routed, 50),
+        "routed_p99": _percentile(routed, 99),
+        "added_p50": _percentile(list(added), 50),
+        "added_p99": _percentile(list(added), 99),
+    }
+
+
+def _same_length(first: ModelCall, second: ModelCall) -> ModelCall:
+    """Return ``second`` with its prompt cut or padded to the other length."""
+    length = len(first.prompt)
+    prompt = (second.prompt + second.prompt)[:length]
+    return ModelCall(**{**vars(second), "prompt": prompt})
+
+
+def _percentile(values: list[float], rank: int) -> float:
+    return round(float(np.percentile(values, rank)), 2)
+
+
+async def _direct_ttft_ms(
+    stack: Stack, session: aiohttp.ClientSession, call: ModelCall, index: int
+) -> float:
+    client = HttpEngineClient(session, 5.0)
+    prefill_url, decode_url = (
+        f"http://127.0.0.1:{engine.port}"
+        for engine in stack.plan.engines_by_firm[MADAFU.name]
+    )
+    request_id = f"direct.1.{index}"
+    started_s = time.monotonic()
+    result = await client.prefill(prefill_url, request_id, call.model, call.prompt, 5)
+    await client.import_cache(
+        decode_url, request_id, call.model, prefill_url, result, 2, 5
+    )
+    first_s = 0.0
+    async for _ in client.decode(decode_url, request_id, call.max_tokens, 0):
+        first_s = first_s or time.monotonic()
+    return (first_s - started_s) * 1000
+
+
+async def _measure_forwarding(seed: int) -> dict[str, Any]:
+    config = StackConfig(
+        hosts_per_firm=1, prefill_engines=2, decode_engines=8, log_level="error"
+    )
+    rng = random.Random(f"{seed}/forward")
+    calls = [_call(rng, FORWARD_TOKENS) for _ in range(FORWARD_STREAMS)]
+    async with running_stack(config) as stack, create_session(2.0) as session:
+        host = stack.plan.hosts_of(MADAFU)[0]
+        child = stack.processes.children_by_name[host.host_id]
+        cpu_s, began_s = child.cpu_s(), time.monotonic()
+        outcomes = await asyncio.gather(
+            *(call_model(session, host.caller_url, call) for call in calls)
+        )
+        elapsed_s = time.monotonic() - began_s
+        cpu_s = child.cpu_s() - cpu_s
+    tokens = sum(outcome.tokens for outcome in outcomes)
+    return {
+        "streams": FORWARD_STREAMS,
+        "answers_right": sum(outcome.kind == "ok" for outcome in outcomes),
+        "tokens": tokens,
+        "elapsed_s": round(elapsed_s, 2),
+        "cpu_s": round(cpu_s, 2),
+        "tokens_per_cpu_s": round(tokens / cpu_s),
+    }
+
+
+async def _measure_memory(seed: int) -> dict[str, Any]:
+    config = StackConfig(
+        hosts_per_firm=1,
+        prefill_engines=2,
+        decode_engines=2,
+        log_level="error",
+        engine_changes={
+            "max_requests": OPEN_STREAMS,
+            "total_pieces": OPEN_STREAMS * 3,
+            "step_base_ms": OPEN_STEP_MS,
+            "step_request_ms": 0.0,
+            "prefill_overhead_ms": 1.0,
+            "prefill_tokens_per_s": 1e6,
+            "link_bytes_per_s": 1e13,
+        },
+    )
+    rng = random.Random(f"{seed}/memory")
+    async with running_stack(config) as stack, create_session(5.0) as session:
+        host = stack.plan.hosts_of(MADAFU)[0]
+        child = stack.processes.children_by_name[host.host_id]
+        before = child.resident_bytes()
+        slow = await _open_without_reading(host.caller_port, _call(rng, 8000))
+        calls = [_call(rng, OPEN_TOKENS) for _ in range(OPEN_STREAMS)]
+        tasks = [
+            asyncio.create_task(call_model(session, host.caller_url, call))
+            for call in calls
+        ]
+        opened = await _wait_for_streams(stack, host.admin_url)
+        at_start = child.resident_bytes()
+        await asyncio.sleep(OPEN_HOLD_S)
+        at_end = child.resident_bytes()
+        outcomes = await asyncio.gather(*tasks)
+        slow.close()
+    return {
+        "streams": opened,
+        "answers_right": sum(outcome.kind == "ok" for outcome in outcomes),
+        "resident_before_bytes": before,
+        "resident_with_streams_bytes": at_start,
+        "resident_after_10_s_bytes": at_end,
+        "bytes_per_stream": round((at_end - before) / max(1, opened)),
+    }
+
+
+async def _open_without_reading(port: int, call: ModelCall) -> asyncio.StreamWriter:
+    """Send a streamed request and never read its answer."""
+    _, writer = await asyncio.open_connection(
+        "127.0.0.1", port, limit=CLIENT_BUFFER_BYTES
+    )
+    body = (
+        f'{{"model": "{call.model}", "prompt": "{call.prompt}", '
+        f'"max_tokens": {call.max_tokens}, "stream": true}}'
+    )
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: localhost\r\n"
+        f"Authorization: Bearer {call.api_key}\r\n"
+        f"X-Request-Class: {call.class_name}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write((head + body).encode())
+    await writer.drain()
+    return writer
+
+
+async def _wait_for_streams(stack: Stack, admin_url: str) -> int:
+    """Wait until the host counts all requests as in progress."""
+    limit_s = time.monotonic() + OPEN_TIMEOUT_S
+    count = 0
+    while time.monotonic() < limit_s:
+        status = await stack.call("GET", f"{admin_url}/admin/status")
+        count = int(status["in_progress"])
+        if count > OPEN_STREAMS:
+            break
+        await asyncio.sleep(0.2)
+    return count
