--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -17,6 +17,7 @@
 from .compare import POLICIES, compare_policies, measuring_lock, write_json
 from .cost_model import EngineHostConfig
 from .demo import run_demo
+from .doc_tables import render_page
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
 from .router_cost import measure_cost
@@ -113,6 +114,14 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command("doc-tables")
+def doc_tables(
+    page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
+) -> None:
+    """Rewrite the generated tables of the configuration page."""
+    page.write_text(render_page(page.read_text()))
+
+
 @app.command()
 def compare(
     scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
