--- a/packages/kumquat_lab/src/kumquat_lab/caller.py
+++ b/packages/kumquat_lab/src/kumquat_lab/caller.py
@@ -19,7 +19,15 @@
 
 from .answers import answer_text, receipt
 
-__all__ = ["CallOutcome", "ModelCall", "PlainCall", "call_model", "call_plain"]
+__all__ = [
+    "AnswerReader",
+    "CallOutcome",
+    "EndOfCallError",
+    "ModelCall",
+    "PlainCall",
+    "call_model",
+    "call_plain",
+]
 
 # Beyond the deadline that the router itself enforces.
 CLIENT_MARGIN_S = 5.0
@@ -70,12 +78,12 @@
     detail: str = ""
 
 
-class _EndOfCallError(Exception):
+class EndOfCallError(Exception):
     """Ends a call whose client disconnects at a chosen token."""
 
 
 @dataclass
-class _StreamReader:
+class AnswerReader:
     """Collects the events of one stream."""
 
     call: ModelCall
@@ -117,7 +125,7 @@
         self.parts.append(text)
         self.outcome.tokens = len(self.parts)
         if self.call.cancel_after_tokens == len(self.parts):
-            raise _EndOfCallError
+            raise EndOfCallError
 
     def finish(self) -> None:
         """Judge the whole answer."""
@@ -140,7 +148,7 @@
 ) -> CallOutcome:
     """Send a model request and read its stream to the end."""
     outcome = CallOutcome(call.class_name)
-    reader = _StreamReader(call, outcome, time.monotonic())
+    reader = AnswerReader(call, outcome, time.monotonic())
     limit_s = call.deadline_ms / 1000 + CLIENT_MARGIN_S
     if call.cancel_after_s is not None:
         limit_s = min(limit_s, call.cancel_after_s)
@@ -149,7 +157,7 @@
             await _stream(session, base_url, call, reader)
         if not outcome.code > 0:
             reader.finish()
-    except _EndOfCallError:
+    except EndOfCallError:
         reader.finish()
         outcome.kind = "damaged" if outcome.kind == "damaged" else "cancelled"
     except TimeoutError:
@@ -165,7 +173,7 @@
     session: aiohttp.ClientSession,
     base_url: str,
     call: ModelCall,
-    reader: _StreamReader,
+    reader: AnswerReader,
 ) -> None:
     body = {
         "model": call.model,
