--- a/tests/lab/test_engine.py
+++ b/tests/lab/test_engine.py
@@ -14,7 +14,8 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_lab.answers import answer_text
 from kumquat_lab.cost_model import EngineConfig
-from kumquat_lab.engine import EmulatedEngine, engine_app
+from kumquat_lab.emulated_engine import EmulatedEngine
+from kumquat_lab.engine import engine_app
 from kumquat_lab.engine_state import EngineError
 
 PROMPT = "aa bb cc dd"
