--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -14,7 +14,13 @@
 
 from .backend_server import BackendHostConfig, run_backends
 from .bench import BENCH_RUNS, run_bench, write_results
-from .compare import POLICIES, compare_policies, write_json
+from .compare import (
+    POLICIES,
+    compare_policies,
+    compare_side_by_side,
+    measuring_lock,
+    write_json,
+)
 from .cost_model import EngineHostConfig
 from .decision_cost import run_decision_cost
 from .demo import run_demo
@@ -142,6 +148,9 @@
     hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 2,
     prefill_engines: Annotated[int, typer.Option(help="for each firm")] = 2,
     decode_engines: Annotated[int, typer.Option(help="for each firm")] = 4,
+    side_by_side: Annotated[
+        bool, typer.Option("--side-by-side", help="all policies at once")
+    ] = False,
     lock: LockFile = None,
 ) -> None:
     """Compare routing policies under the same arrivals and faults."""
@@ -162,7 +171,13 @@
         log_level="error",
     )
     names = policies.split(",")
-    document = _run_tool(compare_policies(scenario, options, names, config, lock))
+    run = compare_side_by_side if side_by_side else compare_policies
+
+    async def run_locked() -> dict[str, Any]:
+        async with measuring_lock(lock):
+            return await run(scenario, options, names, config)
+
+    document = _run_tool(run_locked())
     write_json(document, json_file)
 
 
