--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -26,6 +26,7 @@
 from .demo import run_demo
 from .doc_tables import render_page
 from .engine import run_engines
+from .load import load_running_stack
 from .platform import PlatformConfig, run_platform
 from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
@@ -129,6 +130,23 @@
     page.write_text(render_page(page.read_text()))
 
 
+@app.command()
+def load(
+    config: ConfigFile,
+    scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 10.0,
+    multiple: Annotated[
+        float, typer.Option("--load", help="multiple of capacity; 0: the scenario's")
+    ] = 0.0,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Send a scenario to the stack that ``up`` runs with the same config."""
+    model = StackConfig.model_validate_json(config.read_text())
+    options = ScenarioOptions(seed=seed, seconds=seconds, load=multiple)
+    write_json(_run_tool(load_running_stack(model, scenario, options)), json_file)
+
+
 @app.command()
 def compare(
     scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
--- a/packages/kumquat_lab/src/kumquat_lab/load.py
+++ b/packages/kumquat_lab/src/kumquat_lab/load.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import random
+import tempfile
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -21,10 +23,18 @@
 from .answers import seed_of
 from .arrivals import Arrival
 from .caller import CallOutcome, ModelCall, PlainCall, call_model, call_plain
-from .scenarios import FaultEvent, Scenario
-from .stack import Stack
-
-__all__ = ["LoadResult", "run_load", "summarize"]
+from .processes import ProcessGroup
+from .scenarios import (
+    FaultEvent,
+    Scenario,
+    ScenarioName,
+    ScenarioOptions,
+    build_scenario,
+    goodput_limit,
+)
+from .stack import Stack, StackConfig, StackPlan
+
+__all__ = ["LoadResult", "load_running_stack", "run_load", "summarize"]
 
 SETTLE_S = 1.0
 START_DELAY_S = 0.5
@@ -76,9 +86,30 @@
     return result
 
 
+async def load_running_stack(
+    config: StackConfig, name: ScenarioName, options: ScenarioOptions
+) -> dict[str, Any]:
+    """Run a scenario against the stack that ``up`` runs with this config.
+
+    Raises ``ValueError`` when the config leaves the ports open.
+    """
+    if not config.first_port:
+        raise ValueError("first_port must be set to find a running stack")
+    plan = StackPlan.from_config(config)
+    scenario = build_scenario(name, options, plan)
+    limit = sum(goodput_limit(scenario, plan).values()) / options.seconds
+    async with create_session(2.0) as session:
+        directory = Path(tempfile.gettempdir())
+        stack = Stack(plan, directory, ProcessGroup(directory), session)
+        result = await run_load(stack, scenario)
+    return summarize(result, options.seconds, limit)
+
+
 def _hosts_cpu_s(stack: Stack) -> float:
-    names = [host.host_id for host in stack.plan.hosts]
-    return sum(stack.processes.children_by_name[name].cpu_s() for name in names)
+    """Return the processor time of the entry hosts started here."""
+    children = stack.processes.children_by_name
+    names = [host.host_id for host in stack.plan.hosts if host.host_id in children]
+    return sum(children[name].cpu_s() for name in names)
 
 
 async def _switch_fault(stack: Stack, event: FaultEvent, begin_s: float) -> None:
