Check the protocols with an explicit-state model checker

Cause: the invariants must hold under every combination of faults, which tests of the code reach only in part.

A search that is cut short fails.

A call whose deadline passed while the record shows another attempt answers "unknown", not "not run".

--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -490,7 +490,7 @@
         record = stored.record
         if record is not None and record.state is RecordState.DONE:
             return record.recorded_outcome()
-        if progress.phase is _Phase.OTHER_ATTEMPT:
+        if progress.phase is _Phase.OTHER_ATTEMPT or _may_run(record):
             return _in_progress()
         return _too_late()
 
@@ -556,6 +556,11 @@
         return False
 
 
+def _may_run(record: Record | None) -> bool:
+    """Tell whether a recorded attempt has run or can still run."""
+    return record is not None and record.state is not RecordState.CANCELLED
+
+
 def _refused(code: ResultCode, detail: str) -> _Answer:
     return Failure(RouterError(code, detail, retry_after_s=RETRY_AFTER_S))
 
--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -13,6 +13,7 @@
 from kumquat_core.log_events import configure_logging
 
 from .backend_server import BackendHostConfig, run_backends
+from .check_model import run_checks
 from .cost_model import EngineHostConfig
 from .demo import run_demo
 from .engine import run_engines
@@ -86,5 +87,12 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command(name="check-model")
+def check_model() -> None:
+    """Explore the specifications of the protocols exhaustively."""
+    if not run_checks():
+        raise typer.Exit(1)
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/check_model.py
@@ -0,0 +1,70 @@
+"""Checks all specifications: ``python -m kumquat_lab check-model``.
+
+The bounds are chosen so that every search ends by itself. A search that
+reaches its limit of states fails the check, because it proves nothing.
+"""
+
+from collections.abc import Iterator
+
+from .model_checks import CheckResult, Specification, run_check
+from .spec_memory import MemoryModel, memory_specification
+from .spec_requests import RequestsModel, requests_specification
+from .spec_tickets import Outage, TicketsModel, tickets_specification
+
+__all__ = ["run_checks", "specifications"]
+
+REQUESTS_MODELS = (
+    RequestsModel(calls=2, checks_fencing=True, faults=2, crashes=2),
+    RequestsModel(calls=2, checks_fencing=True, faults=1, crashes=1, attempts=2),
+    RequestsModel(calls=3, checks_fencing=True, faults=0, crashes=0),
+    RequestsModel(calls=2, checks_fencing=False, faults=2, crashes=2),
+    RequestsModel(calls=2, checks_fencing=False, faults=1, crashes=1, attempts=2),
+    RequestsModel(calls=3, checks_fencing=False, faults=0, crashes=1),
+)
+TICKETS_MODELS = (
+    TicketsModel(numbers=(2, 1), faults=2),
+    TicketsModel(numbers=(2, 1), outage=Outage.FINAL),
+    TicketsModel(numbers=(2, 1, 1), faults=1),
+    TicketsModel(numbers=(3, 2, 1), faults=0),
+    TicketsModel(numbers=(2, 1), hosts=3, faults=0),
+)
+MEMORY_MODELS = (
+    MemoryModel(pieces=1, crashes=2, faults=1),
+    MemoryModel(pieces=2, crashes=2, faults=1),
+)
+
+
+def specifications() -> Iterator[Specification]:
+    """Return all specifications with the bounds of the regular check."""
+    yield from map(requests_specification, REQUESTS_MODELS)
+    yield from map(tickets_specification, TICKETS_MODELS)
+    yield from map(memory_specification, MEMORY_MODELS)
+
+
+def run_checks() -> bool:
+    """Check all specifications, print the results, return success."""
+    results = []
+    for specification in specifications():
+        result = run_check(specification)
+        print(_line(result), flush=True)
+        for name, labels in result.violations.items():
+            print(f"  {name} is violated after:")
+            print("".join(f"    {label}\n" for label in labels), end="")
+        results.append(result)
+    states = sum(result.states for result in results)
+    seconds = sum(result.seconds for result in results)
+    passed = all(result.passed for result in results)
+    verdict = "passed" if passed else "FAILED"
+    print(f"{verdict}: {len(results)} models, {states} states, {seconds:.1f} s")
+    return passed
+
+
+def _line(result: CheckResult) -> str:
+    if result.violations:
+        verdict = "violated"
+    else:
+        verdict = "holds" if result.exhaustive else "not exhaustive"
+    return (
+        f"{result.name}: {verdict}, {result.states} states "
+        f"(limit {result.max_states}), {result.seconds:.1f} s"
+    )
