--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -14,10 +14,14 @@
 
 from .backend_server import BackendHostConfig, run_backends
 from .check_model import run_checks
+from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
+from .decision_cost import run_decision_cost
 from .demo import run_demo
+from .doc_tables import render_page
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
+from .scenarios import ScenarioName, ScenarioOptions
 from .stack import StackConfig
 from .up import run_up
 
@@ -94,5 +98,63 @@
         raise typer.Exit(1)
 
 
+@app.command("doc-tables")
+def doc_tables(
+    page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
+) -> None:
+    """Rewrite the generated tables of the configuration page."""
+    page.write_text(render_page(page.read_text()))
+
+
+@app.command()
+def compare(
+    scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
+    policies: Annotated[str, typer.Option(help="comma-separated")] = ",".join(POLICIES),
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 12.0,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+    load: Annotated[
+        float, typer.Option(help="multiple of capacity; 0: the scenario's own")
+    ] = 0.0,
+    crest_height: Annotated[
+        float, typer.Option(help="arrival rate of the burst, multiple of capacity")
+    ] = 5.0,
+    stragglers: Annotated[int, typer.Option(help="slow engines of a pool")] = 1,
+    straggler_slowdown: float = 10.0,
+    straggler_window_s: float = 2.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 2,
+    prefill_engines: Annotated[int, typer.Option(help="for each firm")] = 2,
+    decode_engines: Annotated[int, typer.Option(help="for each firm")] = 4,
+) -> None:
+    """Compare routing policies under the same arrivals and faults."""
+    options = ScenarioOptions(
+        seed=seed,
+        seconds=seconds,
+        load=load,
+        crest_height=crest_height,
+        stragglers=stragglers,
+        straggler_slowdown=straggler_slowdown,
+        straggler_window_s=straggler_window_s,
+    )
+    config = StackConfig(
+        hosts_per_firm=hosts,
+        prefill_engines=prefill_engines,
+        decode_engines=decode_engines,
+        seed=seed,
+        log_level="error",
+    )
+    names = policies.split(",")
+    document = uvloop.run(compare_policies(scenario, options, names, config))
+    write_json(document, json_file)
+
+
+@app.command("decision-cost")
+def decision_cost(
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Print the time of one scheduling decision by number of engines."""
+    uvloop.run(run_decision_cost(seed))
+
+
 if __name__ == "__main__":
     app()
