--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 check-model: setup
 	$(BIN)/python -m kumquat_lab check-model
 
-test: pytest
+test: pytest features check-model
 
 demo: setup
 	$(BIN)/python -m kumquat_lab demo
