--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -288,7 +288,7 @@
             if stored is None:
                 match await self._records.read(key):
                     case StoreDown():
-                        return self._store_down(progress)
+                        return self._store_down(call, progress)
                     case present:
                         stored = present
             if self._is_over(call, progress):
@@ -298,7 +298,7 @@
                 case LostRace(present):
                     stored = present
                 case StoreDown():
-                    return self._store_down(progress)
+                    return self._store_down(call, progress)
                 case None:
                     stored = None
                     remaining_s = call.deadline_s - self._clock.monotonic()
@@ -494,10 +494,13 @@
             return _in_progress()
         return _too_late()
 
-    def _store_down(self, progress: _Progress) -> _Answer:
+    def _store_down(self, call: IdempotentCall, progress: _Progress) -> _Answer:
         if progress.phase is _Phase.OTHER_ATTEMPT:
             return _in_progress()
-        return _refused(ResultCode.STORE_UNAVAILABLE, "before the dispatch")
+        detail = "this call did not run"
+        if call.key is not None:
+            detail += "; earlier calls with its key are not known"
+        return _refused(ResultCode.STORE_UNAVAILABLE, detail)
 
     def _may_replace(self, record: Record, call: IdempotentCall) -> bool:
         """Tell whether an intent may be replaced.
