--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Coroutine
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import typer
 import uvloop
@@ -13,18 +13,31 @@
 from kumquat_core.log_events import configure_logging
 
 from .backend_server import BackendHostConfig, run_backends
+from .bench import BENCH_RUNS, run_bench, write_results
+from .compare import (
+    POLICIES,
+    compare_policies,
+    compare_side_by_side,
+    measuring_lock,
+    write_json,
+)
+from .check_model import run_checks
 from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
 from .decision_cost import run_decision_cost
 from .demo import run_demo
 from .doc_tables import render_page
 from .engine import run_engines
+from .load import load_running_stack
 from .platform import PlatformConfig, run_platform
+from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
 from .slopes import run_slopes
 from .stack import StackConfig
 from .up import run_up
 
+Result = TypeVar("Result")
+
 app = typer.Typer(
     help="Stand-ins, load tool and experiments for kumquatrouter.",
     no_args_is_help=True,
@@ -35,6 +48,27 @@
 ConfigFile = Annotated[Path, typer.Option("--config", help="JSON configuration file")]
 
 
+LockFile = Annotated[
+    Path | None, typer.Option("--lock", help="lock file held during each run")
+]
+
+EXIT_INTERRUPTED = 130
+
+
+def _run_tool(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run a tool; SIGTERM cancels it, so that it ends its processes."""
+
+    async def supervise() -> Result:
+        task = asyncio.ensure_future(main)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        return uvloop.run(supervise())
+    except (asyncio.CancelledError, KeyboardInterrupt) as error:
+        raise typer.Exit(EXIT_INTERRUPTED) from error
+
+
 def _run_until_stopped(main: Coroutine[Any, Any, None]) -> None:
     """Run a server; SIGINT and SIGTERM end it with exit status 0."""
 
@@ -80,7 +114,7 @@
 ) -> None:
     """Run one request of every kind of both firms and check each answer."""
     config = StackConfig(hosts_per_firm=hosts, seed=seed)
-    if not uvloop.run(run_demo(config)):
+    if not _run_tool(run_demo(config)):
         raise typer.Exit(1)
 
 
@@ -91,6 +125,13 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command(name="check-model")
+def check_model() -> None:
+    """Explore the specifications of the protocols exhaustively."""
+    if not run_checks():
+        raise typer.Exit(1)
+
+
 @app.command("doc-tables")
 def doc_tables(
     page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
@@ -99,6 +140,23 @@
     page.write_text(render_page(page.read_text()))
 
 
+@app.command()
+def load(
+    config: ConfigFile,
+    scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 10.0,
+    multiple: Annotated[
+        float, typer.Option("--load", help="multiple of capacity; 0: the scenario's")
+    ] = 0.0,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Send a scenario to the stack that ``up`` runs with the same config."""
+    model = StackConfig.model_validate_json(config.read_text())
+    options = ScenarioOptions(seed=seed, seconds=seconds, load=multiple)
+    write_json(_run_tool(load_running_stack(model, scenario, options)), json_file)
+
+
 @app.command()
 def compare(
     scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
@@ -118,6 +176,10 @@
     hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 2,
     prefill_engines: Annotated[int, typer.Option(help="for each firm")] = 2,
     decode_engines: Annotated[int, typer.Option(help="for each firm")] = 4,
+    side_by_side: Annotated[
+        bool, typer.Option("--side-by-side", help="all policies at once")
+    ] = False,
+    lock: LockFile = None,
 ) -> None:
     """Compare routing policies under the same arrivals and faults."""
     options = ScenarioOptions(
@@ -137,10 +199,46 @@
         log_level="error",
     )
     names = policies.split(",")
-    document = uvloop.run(compare_policies(scenario, options, names, config))
+    run = compare_side_by_side if side_by_side else compare_policies
+
+    async def run_locked() -> dict[str, Any]:
+        async with measuring_lock(lock):
+            return await run(scenario, options, names, config)
+
+    document = _run_tool(run_locked())
     write_json(document, json_file)
 
 
+@app.command()
+def bench(
+    directory: Annotated[Path, typer.Option(help="for results")] = Path("bench"),
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=60)] = 10.0,
+    runs: Annotated[str, typer.Option(help="comma-separated")] = ",".join(
+        run.label for run in BENCH_RUNS
+    ),
+    lock: LockFile = None,
+    only_write: Annotated[
+        bool, typer.Option("--only-write", help="write the table, run nothing")
+    ] = False,
+) -> None:
+    """Run all scenarios and write a table and plots."""
+    if only_write:
+        write_results(directory)
+        return
+    _run_tool(run_bench(directory, seed, seconds, runs.split(","), lock))
+
+
+@app.command()
+def cost(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+    lock: LockFile = None,
+) -> None:
+    """Measure what an entry host costs in time, processor and memory."""
+    write_json(_run_tool(measure_cost(seed, lock)), json_file)
+
+
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
