Add a torture run with random faults over all processes

Change: kumquat_lab torture kills, stops and restarts hosts and engines, disturbs the platform and the backend servers, races tickets and repeats calls, then counts violations. An error answer of a backend server was counted as lost by the client; it is now a failure with code 1307.

--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -20,6 +21,7 @@
 from .platform import PlatformConfig, run_platform
 from .scenarios import ScenarioName, ScenarioOptions
 from .stack import StackConfig
+from .torture import run_torture
 from .up import run_up
 
 app = typer.Typer(
@@ -130,5 +132,19 @@
     write_json(document, json_file)
 
 
+@app.command()
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquat_lab/src/kumquat_lab/caller.py
+++ b/packages/kumquat_lab/src/kumquat_lab/caller.py
@@ -16,6 +16,7 @@
 import aiohttp
 
 from kumquat_core.http_client import TRANSPORT_ERRORS
+from kumquat_core.result_codes import ResultCode
 
 from .answers import answer_text, receipt
 
@@ -24,6 +25,7 @@
 # Beyond the deadline that the router itself enforces.
 CLIENT_MARGIN_S = 5.0
 END_OF_STREAM = b"[DONE]"
+BACKEND_FAILED = ResultCode.BACKEND_FAILED.value
 
 
 @dataclass(frozen=True)
@@ -209,7 +211,10 @@
             content = await response.read()
             _take_headers(outcome, response)
             outcome.ttft_ms = (time.monotonic() - started_s) * 1000
-            if response.status != 200:
+            if response.headers.get("X-Result-Code") == str(BACKEND_FAILED):
+                # The body is the backend server's own error answer.
+                outcome.kind, outcome.code = "failed", BACKEND_FAILED
+            elif response.status != 200:
                 _take_error(outcome, json.loads(content))
             elif content == receipt(call.service, call.body):
                 outcome.kind, outcome.code = "ok", 0
--- a/packages/kumquatrouter/src/kumquatrouter/model_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_path.py
@@ -27,7 +27,7 @@
 )
 from kumquat_core.prefix_blocks import block_hashes
 from kumquat_core.request_ids import RequestId, RequestIdSource
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquat_core.retry_budget import BudgetedRetries, RetryRules
 
 from .background import BackgroundTasks
@@ -251,6 +251,14 @@
         except RouterError as error:
             waited_s = self._clock.monotonic() - asked_s
             self._observer.refused(request_id, admission, error, waited_s)
+            if times.attempts > 1 and error.execution is Execution.NOT_RUN:
+                # An earlier attempt may have run.
+                raise RouterError(
+                    error.code,
+                    error.detail,
+                    retry_after_s=error.retry_after_s,
+                    execution=Execution.UNKNOWN,
+                ) from error
             raise
         waited_s = self._clock.monotonic() - asked_s
         self._observer.granted(request_id, admission, grant, waited_s)
--- a/tests/router/test_model_path.py
+++ b/tests/router/test_model_path.py
@@ -17,7 +17,7 @@
 from kumquat_core.engine_client import PrefillResult, Token
 from kumquat_core.peer_messages import Grant, Release, ShardSummary
 from kumquat_core.request_ids import RequestId, RequestIdSource
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquatrouter.background import BackgroundTasks
 from kumquatrouter.model_path import ModelPath, ModelRequest
 
@@ -110,11 +110,14 @@
     def __init__(self) -> None:
         self.granted: set[str] = set()
         self.releases: list[Release] = []
+        self.refuse_after = 10
 
     async def admit(self, configuration, pool, request) -> Grant:
         free = [e for e in ("d1", "d2") if e not in request.excluded_engines]
         if not free:
             raise RouterError(ResultCode.NO_ENGINE)
+        if request.attempt > self.refuse_after:
+            raise RouterError(ResultCode.NO_CAPACITY_IN_TIME)
         self.granted.add(request.request_id)
         summary = ShardSummary("pool/0", 1, 0, 0)
         return Grant(request.request_id, "pool/0", "p1", free[0], 1, summary)
@@ -203,6 +206,16 @@
     harness.assert_all_freed()
 
 
+def test_refusal_after_a_failed_attempt_does_not_say_not_run():
+    harness = Harness()
+    harness.engines.fail_at["transfer"] = RouterError(ResultCode.TRANSFER_FAILED)
+    harness.owner.refuse_after = 1
+    with pytest.raises(RouterError) as caught:
+        asyncio.run(harness.run())
+    assert caught.value.code is ResultCode.NO_CAPACITY_IN_TIME
+    assert caught.value.execution is Execution.UNKNOWN
+
+
 def test_cut_stream_resumes_at_the_first_missing_token():
     harness = Harness()
     harness.engines.cut_after["http://d1"] = 3
