Ask a process that was declared dead before its requests are freed

A handshake whose peer went away raised an error that nothing handled.

A host that notices its own pause raises its sequence at once. The handshake reports PEER_CLOSED.

--- a/packages/kumquat_core/src/kumquat_core/frames.py
+++ b/packages/kumquat_core/src/kumquat_core/frames.py
@@ -84,6 +84,8 @@
             return await _handshake(reader, writer, identity, key, initiator)
     except TimeoutError as error:
         raise RouterError(ResultCode.PEER_PROTOCOL, "handshake timeout") from error
+    except ConnectionError as error:
+        raise RouterError(ResultCode.PEER_CLOSED, type(error).__name__) from error
 
 
 async def _handshake(
--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -79,10 +79,15 @@
 
 
 class Liveness(StrEnum):
-    """What is known of one process."""
+    """What is known of one process.
+
+    A dead process was declared dead and may only be paused or cut off. A
+    replaced one has ended for certain.
+    """
 
     LIVE = "live"
     DEAD = "dead"
+    REPLACED = "replaced"
     UNKNOWN = "unknown"
 
 
@@ -288,7 +293,9 @@
             return Liveness.UNKNOWN
         if state is MemberState.LISTED or incarnation > known:
             return Liveness.UNKNOWN
-        if incarnation < known or state is MemberState.DEAD:
+        if incarnation < known:
+            return Liveness.REPLACED
+        if state is MemberState.DEAD:
             return Liveness.DEAD
         return Liveness.LIVE
 
@@ -582,6 +589,10 @@
         for member in self.members_by_id.values():
             if member.state is MemberState.SUSPECT:
                 member.since_s = now_s
+        # The others have suspected this process by now, or declared it dead.
+        if not self.superseded:
+            self._own = replace(self._own, sequence=self._own.sequence + 1)
+            self._queue.put(self._own)
 
     def _set_region_lost(self, region: str, *, lost: bool) -> None:
         if lost == (region in self._lost_regions):
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -258,7 +258,7 @@
         except ValueError:
             return False
         state = self._rules.liveness(parsed.host_id, parsed.incarnation)
-        return state is Liveness.DEAD
+        return state in (Liveness.DEAD, Liveness.REPLACED)
 
     def _update_scheduler(self) -> None:
         """Pass on the engines; those not read yet get no new work."""
--- a/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
@@ -4,7 +4,8 @@
 *orphan*), and the account may hold a grant that no engine shows (an
 *absent* grant, whose release was lost). The entry host of the request
 decides both: what it still holds is taken into the account, what it does
-not hold is freed. A request of a dead process is freed without asking. A
+not hold is freed. A process that was declared dead is asked too, since it
+may have returned from a pause; without an answer its requests are freed. A
 request whose host is live but gives no answer is left alone, so that a live
 stream is never cancelled.
 """
@@ -99,9 +100,25 @@
 
     async def drop_process(self, host_id: str, incarnation: int) -> None:
         """Free the grants of a dead process, here and at the engines."""
+        process = (host_id, incarnation)
+        held = [grant.request_id for grant in self._scheduler.held_grants()]
+        request_ids = _by_process(held).get(process, [])
+        if request_ids and await self._has_ended(process):
+            await self._drop(process)
+
+    async def _has_ended(self, process: Process) -> bool:
+        """Tell whether a process is dead and does not answer."""
+        host_id, incarnation = process
+        state = self._rules.liveness(host_id, incarnation)
+        if state is not Liveness.DEAD:
+            return state is Liveness.REPLACED
+        reply = await self._rules.query(host_id, GrantsQuery())
+        return reply is None or reply.incarnation != incarnation
+
+    async def _drop(self, process: Process) -> None:
         if not self._rules.may_cancel(0):
             return
-        dropped = self._scheduler.drop_host(host_id, incarnation)
+        dropped = self._scheduler.drop_host(*process)
         await asyncio.gather(*(self._rules.cancel(*item) for item in dropped))
 
     async def _run_process(
@@ -114,8 +131,8 @@
         """Free or keep the requests of one process."""
         state = self._rules.liveness(*process)
         asked = [request_id for request_id in request_ids if request_id in due]
-        if state is Liveness.DEAD:
-            await self.drop_process(*process)
+        if await self._has_ended(process):
+            await self._drop(process)
             await self._cancel_all(request_ids, holdings_by_id, state)
             for request_id in asked:
                 if request_id not in holdings_by_id:
