--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -16,7 +16,9 @@
 from .backend_server import BackendHostConfig, run_backends
 from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
+from .decision_cost import run_decision_cost
 from .demo import run_demo
+from .doc_tables import render_page
 from .engine import run_engines
 from .platform import PlatformConfig, run_platform
 from .scenarios import ScenarioName, ScenarioOptions
@@ -90,6 +92,14 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command("doc-tables")
+def doc_tables(
+    page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
+) -> None:
+    """Rewrite the generated tables of the configuration page."""
+    page.write_text(render_page(page.read_text()))
+
+
 @app.command()
 def compare(
     scenario: Annotated[ScenarioName, typer.Option(help="kind of load and faults")],
@@ -146,5 +156,13 @@
         raise typer.Exit(1)
 
 
+@app.command("decision-cost")
+def decision_cost(
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Print the time of one scheduling decision by number of engines."""
+    uvloop.run(run_decision_cost(seed))
+
+
 if __name__ == "__main__":
     app()
