Issue engine orders under a fencing number

Cause: nothing brought an engine to the role and models of the configuration, and a paused owner could have given orders after its successor.

Change: the owner compares reports with the configuration and orders what is missing, once in 5 s for each engine. The fencing number is taken by a conditional write with the first order; a refused number is forgotten.

--- a/packages/kumquat_core/src/kumquat_core/table_client.py
+++ b/packages/kumquat_core/src/kumquat_core/table_client.py
@@ -14,7 +14,7 @@
 from .http_client import request_json
 from .result_codes import ResultCode, RouterError
 
-__all__ = ["HttpTableClient", "Row", "TableClient", "TransactResult", "Write"]
+__all__ = ["ABSENT", "HttpTableClient", "Row", "TableClient", "TransactResult", "Write"]
 
 ABSENT = 0
 
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -49,6 +49,7 @@
 from .caller_api import CallerApi
 from .decision_log import DecisionLog
 from .drain import Drain
+from .engine_orders import EngineOrders
 from .held_grants import HeldGrants, TrackedAdmissions
 from .host_directory import HostDirectory
 from .local_choice import LocalChoice
@@ -168,6 +169,7 @@
             lambda: self._directory.backend_states_by_id,
             observer,
             self._create_shard_scheduler(rng),
+            EngineOrders(options.host_id, incarnation, table_client, engine_client),
         )
         self._owner_client = OwnerClient(
             options.host_id,
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -44,6 +44,10 @@
 TAKEOVER_RETRY_S = 0.25
 
 
+def _ignore_report(shard_id: str, engine: Engine, report: EngineReport) -> None:
+    """Do nothing with a report."""
+
+
 class OwnedShard:
     """The scheduler of one shard and all that keeps its account exact."""
 
@@ -54,7 +58,9 @@
         clock: Clock,
         engine_client: EngineClient,
         rules: SweepRules,
+        on_report: Callable[[str, Engine, EngineReport], None] = _ignore_report,
     ) -> None:
+        self._on_report = on_report
         self.shard_id = shard_id
         self.scheduler = scheduler
         self._clock = clock
@@ -169,6 +175,9 @@
             self._update_scheduler()
         for engine_id, report in reports_by_id.items():
             self.scheduler.observe_report(engine_id, report)
+            if engine_id in self._engines_by_id:
+                engine = self._engines_by_id[engine_id]
+                self._on_report(self.shard_id, engine, report)
         await asyncio.gather(
             self._sweep.run(reports_by_id),
             *(self._read_cache_events(engine_id) for engine_id in reports_by_id),
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 
 from kumquat_core.clock import Clock
 from kumquat_core.configuration import Configuration, Engine, ServerState
-from kumquat_core.engine_client import EngineClient
+from kumquat_core.engine_client import EngineClient, EngineOrder, EngineReport
+from kumquat_core.log_events import log_event
 from kumquat_core.membership import ChangeKind, Membership, MembershipChange
 from kumquat_core.peer_messages import (
     AdmissionRequest,
@@ -29,6 +31,7 @@
 from kumquat_core.shard_scheduler import ShardScheduler
 
 from .background import BackgroundTasks
+from .engine_orders import EngineOrders
 from .owned_shard import OwnedShard, not_owner
 from .request_observer import RequestObserver
 from .shard_sweep import SweepRules
@@ -39,9 +42,14 @@
 # all listed hosts of its region, or until this time.
 SETTLE_LIMIT_S = 3.0
 
+# A model takes seconds to load; the engine reports it only then.
+ORDER_PERIOD_S = 5.0
+
 # Used until the configuration names a class with its deadline.
 DEFAULT_DEADLINE_MS = 300_000
 
+logger = logging.getLogger(__name__)
+
 QueryHost = Callable[[str, GrantsQuery], Awaitable[GrantsHeld | None]]
 
 CreateScheduler = Callable[[str, Clock], ShardScheduler]
@@ -94,7 +102,10 @@
         back_end_states: Callable[[], Mapping[str, ServerState]],
         observer: RequestObserver | None = None,
         create_scheduler: CreateScheduler | None = None,
+        orders: EngineOrders | None = None,
     ) -> None:
+        self._orders = orders
+        self._ordered_s_by_engine_id: dict[str, float] = {}
         self._create_scheduler = create_scheduler or _create_scheduler
         self._observer = observer or RequestObserver.from_clock(clock)
         self._host_id = host_id
@@ -143,6 +154,8 @@
         for shard_id, lost in self._shards_by_id.items():
             if shard_id not in owned:
                 lost.close()
+                if self._orders is not None:
+                    self._orders.forget(shard_id)
         self._shards_by_id = owned
 
     async def admit(self, request: AdmissionRequest) -> Grant | Refusal:
@@ -172,7 +185,12 @@
         if owned is None:
             scheduler = self._create_scheduler(shard.id, self._clock)
             owned = OwnedShard(
-                shard.id, scheduler, self._clock, self._engine_client, self._rules
+                shard.id,
+                scheduler,
+                self._clock,
+                self._engine_client,
+                self._rules,
+                self._on_report,
             )
         owned.scheduler.update_configuration(self._configuration, shard_count)
         owned.update_engines(engines)
@@ -188,6 +206,45 @@
             return replace(engine, state=ServerState.LEAVING)
         return engine
 
+    def _on_report(self, shard_id: str, engine: Engine, report: EngineReport) -> None:
+        """Order what a report lacks of the engine's configured state."""
+        order = self._missing_order(engine, report)
+        if order is None or self._orders is None:
+            return
+        now_s = self._clock.monotonic()
+        last_s = self._ordered_s_by_engine_id.get(engine.id)
+        if last_s is not None and now_s - last_s < ORDER_PERIOD_S:
+            return
+        self._ordered_s_by_engine_id[engine.id] = now_s
+        self._background.spawn(self._issue(shard_id, engine, order), "engine_order")
+
+    def _missing_order(
+        self, engine: Engine, report: EngineReport
+    ) -> EngineOrder | None:
+        if report.role is not engine.role:
+            return EngineOrder(0, "set_role", role=engine.role.value)
+        for name in engine.models:
+            model = self._configuration.models_by_name.get(name)
+            if model is not None and name not in report.models:
+                return EngineOrder(0, "load_model", name, model.version)
+        return None
+
+    async def _issue(self, shard_id: str, engine: Engine, order: EngineOrder) -> None:
+        if self._orders is None or shard_id not in self._shards_by_id:
+            return
+        try:
+            await self._orders.issue(shard_id, engine, order)
+        except RouterError as error:
+            log_event(
+                logger,
+                "engine_order_failed",
+                level=logging.WARNING,
+                engine=engine.id,
+                kind=order.kind,
+                code=error.code.value,
+                detail=error.detail,
+            )
+
     def _is_settled(self) -> bool:
         waited_s = self._clock.monotonic() - self._started_s
         return self._membership.settled or waited_s >= SETTLE_LIMIT_S
