Describe membership and recovery as behave features

Change: members in memory and a shard world with engines and hosts drive scenarios of death, freeze and return, cuts, replacement, owner death and lost messages. The shard world moves from the test file to kumquat_lab, so that tests and features share it.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,7 @@
+"""Settings of all features: no logs of the code under test."""
+
+import logging
+
+
+def before_all(context):
+    logging.disable(logging.CRITICAL)
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/shard_world.py
@@ -0,0 +1,144 @@
+"""Engines and entry hosts in memory, as the owner of a shard sees them.
+
+One prefill engine ``p1`` and one decode engine ``d1`` with four pieces. A
+clock moves by hand. Hosts hold grants and answer queries; a test makes them
+silent, dead or replaced.
+"""
+
+from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import Engine, EngineRole, ServerState
+from kumquat_core.engine_client import (
+    CacheEvent,
+    EngineReport,
+    HeldRequest,
+    HttpEngineClient,
+)
+from kumquat_core.membership import Liveness
+from kumquat_core.peer_messages import Grant, GrantsHeld, GrantsQuery, ShardSummary
+from kumquat_core.request_ids import RequestId
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.shard_scheduler import ShardScheduler
+from kumquatrouter.held_grants import HeldGrants
+from kumquatrouter.owned_shard import OwnedShard
+from kumquatrouter.shard_sweep import SweepRules
+
+__all__ = ["ENGINES", "ShardWorld", "make_engine"]
+
+POLL_S = 0.5
+
+
+def make_engine(engine_id: str, role: EngineRole) -> Engine:
+    """Return an engine; its URL is its id."""
+    return Engine(
+        id=engine_id,
+        url=engine_id,
+        pool="pool",
+        failure_domain="fd",
+        role=role,
+        models=("advice",),
+        state=ServerState.LIVE,
+        total_pieces=4,
+        piece_tokens=1024,
+        max_requests=20,
+        prefill_tokens_per_s=20000.0,
+        link_bytes_per_s=1e10,
+        step_base_ms=10.0,
+        step_request_ms=1.0,
+        checks_fencing=True,
+    )
+
+
+ENGINES = [make_engine("p1", EngineRole.PREFILL), make_engine("d1", EngineRole.DECODE)]
+
+
+class ShardWorld:
+    """Engines, hosts and their liveness, as a shard owner sees them."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.held_by_engine: dict[str, dict[str, int]] = {"p1": {}, "d1": {}}
+        self.unreachable: set[str] = set()
+        self.hosts = {"h1": HeldGrants("h1", 1), "h2": HeldGrants("h2", 1)}
+        self.silent_hosts: set[str] = set()
+        self.liveness_by_host = {"h1": Liveness.LIVE, "h2": Liveness.LIVE}
+        self.majority = True
+        self.shard = self.new_owner()
+
+    def new_owner(self) -> OwnedShard:
+        """Return the shard at an owner that has not taken it over yet."""
+        rules = SweepRules(self.liveness, self.query, self.cancel, self.may_cancel)
+        scheduler = ShardScheduler("pool/0", self.clock)
+        client = _ReportClient(self)
+        shard = OwnedShard("pool/0", scheduler, self.clock, client, rules)
+        shard.update_engines(ENGINES)
+        return shard
+
+    def liveness(self, host_id: str, incarnation: int) -> Liveness:
+        """Return what membership says of a process."""
+        return self.liveness_by_host.get(host_id, Liveness.UNKNOWN)
+
+    def may_cancel(self, age_ms: int) -> bool:
+        """Tell whether an ended process may be swept."""
+        return self.majority or age_ms > 30_000
+
+    async def query(self, host_id: str, query: GrantsQuery) -> GrantsHeld | None:
+        """Ask a host for the grants it holds."""
+        if host_id in self.silent_hosts or host_id not in self.hosts:
+            return None
+        return self.hosts[host_id].answer(query)
+
+    async def cancel(self, engine_id: str, request_id: str) -> None:
+        """Free a request at an engine."""
+        self.held_by_engine[engine_id].pop(request_id, None)
+
+    def hold(self, request_id: str, pieces: int = 1, *, granted: bool = True) -> None:
+        """Let a host hold a grant, and the decode engine memory for it."""
+        host = self.hosts[RequestId.parse(request_id).host_id]
+        summary = ShardSummary("pool/0", 0, 0, 0)
+        host.begin(request_id)
+        if granted:
+            host.granted(Grant(request_id, "pool/0", "p1", "d1", pieces, summary))
+            host.prefill_done(request_id)
+        self.held_by_engine["d1"][request_id] = pieces
+
+    async def take_over(self) -> None:
+        """Let the present owner take the shard over."""
+        await self.shard.take_over(lambda: list(self.hosts))
+
+    async def polls(self, count: int = 8) -> None:
+        """Run the periodic comparison several times."""
+        for _ in range(count):
+            self.clock.advance(POLL_S)
+            await self.shard.poll()
+
+    @property
+    def held_ids(self) -> set[str]:
+        """Return the requests that the decode engine holds."""
+        return set(self.held_by_engine["d1"])
+
+    @property
+    def account_ids(self) -> set[str]:
+        """Return the requests in the owner's account."""
+        return {grant.request_id for grant in self.shard.scheduler.held_grants()}
+
+
+class _ReportClient(HttpEngineClient):
+    """Reports of the engines of a world."""
+
+    def __init__(self, world: "ShardWorld") -> None:
+        self._world = world
+
+    async def report(self, url: str, *, fresh: bool) -> EngineReport:
+        """Return what an engine holds."""
+        if url in self._world.unreachable:
+            raise RouterError(ResultCode.ENGINE_FAILED)
+        held = tuple(
+            HeldRequest(request_id, pieces, 100)
+            for request_id, pieces in self._world.held_by_engine[url].items()
+        )
+        role = EngineRole.PREFILL if url.startswith("p") else EngineRole.DECODE
+        return EngineReport(0, role, ("advice",), 4, 0, held, 0, 10.0)
+
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Return no events."""
+        return []
--- a/packages/kumquatrouter/src/kumquatrouter/held_grants.py
+++ b/packages/kumquatrouter/src/kumquatrouter/held_grants.py
@@ -61,6 +61,10 @@
         """Remove a request that uses no engine any more."""
         self._grants_by_request_id.pop(request_id, None)
 
+    def held(self, request_id: str) -> HeldGrant | None:
+        """Return the grant of a request, if it has one."""
+        return self._grants_by_request_id.get(request_id)
+
     def answer(self, query: GrantsQuery) -> GrantsHeld:
         """Return what is held of the requests and engines asked for."""
         engine_ids = set(query.engine_ids)
--- a/tests/router/test_engine_orders.py
+++ b/tests/router/test_engine_orders.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import pytest
-from test_shard_ownership import ENGINES
 
 from kumquat_core.engine_client import EngineOrder
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_lab.memory_fakes import MemoryTable
+from kumquat_lab.shard_world import ENGINES
 from kumquatrouter.engine_orders import EngineOrders
 
 ORDER = EngineOrder(0, "set_role", role="decode")
--- a/tests/router/test_shard_ownership.py
+++ b/tests/router/test_shard_ownership.py
@@ -5,48 +5,12 @@
 
 import pytest
 
-from kumquat_core.clock import ManualClock
-from kumquat_core.configuration import Engine, EngineRole, ServerState
-from kumquat_core.engine_client import EngineReport, HeldRequest
+from kumquat_core.configuration import EngineRole
 from kumquat_core.membership import Liveness
-from kumquat_core.peer_messages import (
-    AdmissionRequest,
-    Grant,
-    GrantsHeld,
-    GrantsQuery,
-    Refusal,
-    Release,
-    ShardSummary,
-)
-from kumquat_core.request_ids import RequestId
-from kumquat_core.result_codes import ResultCode, RouterError
-from kumquat_core.shard_scheduler import ShardScheduler
-from kumquatrouter.held_grants import HeldGrants
-from kumquatrouter.owned_shard import OwnedShard
-from kumquatrouter.shard_sweep import SweepRules
-
-
-def make_engine(engine_id: str, role: EngineRole) -> Engine:
-    return Engine(
-        id=engine_id,
-        url=engine_id,
-        pool="pool",
-        failure_domain="fd",
-        role=role,
-        models=("advice",),
-        state=ServerState.LIVE,
-        total_pieces=4,
-        piece_tokens=1024,
-        max_requests=20,
-        prefill_tokens_per_s=20000.0,
-        link_bytes_per_s=1e10,
-        step_base_ms=10.0,
-        step_request_ms=1.0,
-        checks_fencing=True,
-    )
-
-
-ENGINES = [make_engine("p1", EngineRole.PREFILL), make_engine("d1", EngineRole.DECODE)]
+from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal, Release
+from kumquat_core.result_codes import ResultCode
+from kumquat_lab.shard_world import ENGINES, ShardWorld, make_engine
+
 REQUEST = AdmissionRequest(
     request_id="h1.1.1",
     shard_id="pool/0",
@@ -60,83 +24,13 @@
 )
 
 
-class World:
-    """Engines, hosts and their liveness, as a shard owner sees them."""
-
-    def __init__(self) -> None:
-        self.clock = ManualClock()
-        self.held_by_engine: dict[str, dict[str, int]] = {"p1": {}, "d1": {}}
-        self.unreachable: set[str] = set()
-        self.hosts = {"h1": HeldGrants("h1", 1), "h2": HeldGrants("h2", 1)}
-        self.silent_hosts: set[str] = set()
-        self.liveness_by_host = {"h1": Liveness.LIVE, "h2": Liveness.LIVE}
-        self.majority = True
-        rules = SweepRules(self.liveness, self.query, self.cancel, self.may_cancel)
-        self.shard = OwnedShard(
-            "pool/0", ShardScheduler("pool/0", self.clock), self.clock, self, rules
-        )
-        self.shard.update_engines(ENGINES)
-
-    def liveness(self, host_id: str, incarnation: int) -> Liveness:
-        return self.liveness_by_host.get(host_id, Liveness.UNKNOWN)
-
-    def may_cancel(self, age_ms: int) -> bool:
-        return self.majority or age_ms > 30_000
-
-    async def query(self, host_id: str, query: GrantsQuery) -> GrantsHeld | None:
-        if host_id in self.silent_hosts or host_id not in self.hosts:
-            return None
-        return self.hosts[host_id].answer(query)
-
-    async def cancel(self, engine_id: str, request_id: str) -> None:
-        self.held_by_engine[engine_id].pop(request_id, None)
-
-    async def report(self, url: str, *, fresh: bool) -> EngineReport:
-        if url in self.unreachable:
-            raise RouterError(ResultCode.ENGINE_FAILED)
-        held = tuple(
-            HeldRequest(request_id, pieces, 100)
-            for request_id, pieces in self.held_by_engine[url].items()
-        )
-        role = EngineRole.DECODE if url == "d1" else EngineRole.PREFILL
-        return EngineReport(0, role, ("advice",), 4, 0, held, 0, 10.0)
-
-    async def cache_events(self, url: str, after: int) -> list:
-        return []
-
-    def hold(self, request_id: str, pieces: int = 1, *, granted: bool = True) -> None:
-        """Let a host hold a grant, and the engine memory for it."""
-        host = self.hosts[RequestId.parse(request_id).host_id]
-        summary = ShardSummary("pool/0", 0, 0, 0)
-        host.begin(request_id)
-        if granted:
-            host.granted(Grant(request_id, "pool/0", "p1", "d1", pieces, summary))
-        self.held_by_engine["d1"][request_id] = pieces
-
-    async def take_over(self) -> None:
-        await self.shard.take_over(lambda: list(self.hosts))
-
-    async def polls(self, count: int = 8) -> None:
-        for _ in range(count):
-            self.clock.advance(0.5)
-            await self.shard.poll()
-
-    @property
-    def held_ids(self) -> set[str]:
-        return set(self.held_by_engine["d1"])
-
-    @property
-    def account_ids(self) -> set[str]:
-        return {grant.request_id for grant in self.shard.scheduler.held_grants()}
-
-
 def run(scenario) -> None:
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
 def test_new_owner_grants_no_memory_that_is_held():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7", pieces=4)
         waiting = asyncio.create_task(world.shard.admit(REQUEST))
         await world.take_over()
@@ -152,7 +46,7 @@
 
 def test_new_owner_counts_a_grant_that_no_engine_shows_yet():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7", pieces=4)
         world.held_by_engine["d1"].clear()
         await world.take_over()
@@ -163,7 +57,7 @@
 
 def test_unread_engine_gets_no_grant():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         engines = [*ENGINES, make_engine("d2", EngineRole.DECODE)]
         world.held_by_engine["d2"] = {}
         world.shard.update_engines(engines)
@@ -178,7 +72,7 @@
 
 def test_lost_shard_sends_waiting_requests_to_the_new_owner():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7", pieces=4)
         await world.take_over()
         waiting = asyncio.create_task(world.shard.admit(REQUEST))
@@ -195,7 +89,7 @@
 
 def test_repeated_admission_replaces_the_one_whose_answer_was_lost():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         assert isinstance(await world.shard.admit(REQUEST), Grant)
         assert isinstance(await world.shard.admit(REQUEST), Grant)
@@ -207,7 +101,7 @@
 @pytest.mark.parametrize("state", [Liveness.DEAD, Liveness.REPLACED])
 def test_requests_of_an_ended_process_are_freed(state):
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7")
         world.hold("h2.1.7")
         await world.take_over()
@@ -221,7 +115,7 @@
 
 def test_entry_host_and_owner_that_die_together_leave_nothing():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7", pieces=2)
         world.liveness_by_host["h1"] = Liveness.DEAD
         world.silent_hosts.add("h1")
@@ -234,7 +128,7 @@
 
 def test_process_that_never_was_met_is_freed_after_seconds():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.held_by_engine["d1"]["gone.5.1"] = 2
         await world.take_over()
         await world.polls(4)
@@ -249,7 +143,7 @@
 @pytest.mark.parametrize("granted", [True, False])
 def test_request_that_its_host_claims_is_never_cancelled(granted):
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         world.hold("h1.1.7", granted=granted)
         await world.polls(20)
@@ -261,7 +155,7 @@
 
 def test_request_of_a_live_host_without_answer_is_left_alone():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         world.hold("h1.1.7")
         world.silent_hosts.add("h1")
@@ -273,7 +167,7 @@
 
 def test_host_that_returned_from_a_pause_keeps_its_requests():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7")
         await world.take_over()
         world.liveness_by_host["h1"] = Liveness.DEAD
@@ -286,7 +180,7 @@
 
 def test_minority_frees_only_what_is_older_than_any_request():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7")
         await world.take_over()
         world.majority = False
@@ -300,7 +194,7 @@
 
 def test_request_that_its_host_has_ended_is_cancelled():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         world.held_by_engine["d1"]["h1.1.7"] = 1
         await world.polls(3)
@@ -311,7 +205,7 @@
 
 def test_request_whose_end_reached_neither_owner_nor_engine_is_freed():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         world.hold("h1.1.7")
         await world.take_over()
         world.hosts["h1"].end("h1.1.7")
@@ -323,7 +217,7 @@
 
 def test_lost_release_frees_the_account():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         assert isinstance(await world.shard.admit(REQUEST), Grant)
         await world.polls(8)
@@ -334,7 +228,7 @@
 
 def test_long_prefill_keeps_its_grant():
     async def scenario() -> None:
-        world = World()
+        world = ShardWorld()
         await world.take_over()
         world.hosts["h1"].begin(REQUEST.request_id)
         grant = await world.shard.admit(REQUEST)
