Test the membership driver and the change of owners

Change: such holdings are not adopted. The status shows the owners among the candidates and the lost regions; the metrics show hosts by state.

--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -19,7 +19,7 @@
 import logging
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
@@ -250,6 +250,12 @@
             live.add(self._own.host_id)
         return sorted(live)
 
+    def counts_by_state(self) -> dict[str, int]:
+        """Return the number of known hosts in each state, own included."""
+        counts = Counter(m.state.name.lower() for m in self.members_by_id.values())
+        counts["alive"] += 1
+        return dict(counts)
+
     def owner_candidates(self) -> list[str]:
         """Return the live hosts of the region that are not leaving.
 
--- a/packages/kumquat_lab/src/kumquat_lab/shard_world.py
+++ b/packages/kumquat_lab/src/kumquat_lab/shard_world.py
@@ -62,14 +62,14 @@
         self.silent_hosts: set[str] = set()
         self.liveness_by_host = {"h1": Liveness.LIVE, "h2": Liveness.LIVE}
         self.majority = True
+        self.engine_client = _ReportClient(self)
         self.shard = self.new_owner()
 
     def new_owner(self) -> OwnedShard:
         """Return the shard at an owner that has not taken it over yet."""
         rules = SweepRules(self.liveness, self.query, self.cancel, self.may_cancel)
         scheduler = ShardScheduler("pool/0", self.clock)
-        client = _ReportClient(self)
-        shard = OwnedShard("pool/0", scheduler, self.clock, client, rules)
+        shard = OwnedShard("pool/0", scheduler, self.clock, self.engine_client, rules)
         shard.update_engines(ENGINES)
         return shard
 
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -381,7 +381,12 @@
             "draining": self._drain.draining,
             "live_hosts": live_hosts,
             "owned_shards": self._owners.shard_ids(),
-            "owners": owners_by_shard(configuration, self._options.region, live_hosts),
+            "owners": owners_by_shard(
+                configuration,
+                self._options.region,
+                self._membership.owner_candidates(),
+            ),
+            "lost_regions": sorted(self._membership.lost_regions),
             "shards": [asdict(summary) for summary in self._owners.summaries()],
             "engines": engine_documents(configuration, self._options.region),
             "store": asdict(self._table_client.health()),
@@ -390,8 +395,7 @@
 
     def _render_metrics(self) -> bytes:
         """Return all metrics, with the gauges set to the present state."""
-        live_hosts = self._membership.live_host_ids()
         self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
-        self._metrics.set_members({"alive": len(live_hosts)})
+        self._metrics.set_members(self._membership.counts_by_state())
         self._metrics.set_ready(self._is_ready() and not self._drain.draining)
         return self._metrics.render()
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -249,25 +249,27 @@
     def _adopt_holdings(self, reports_by_id: Mapping[str, EngineReport]) -> None:
         """Take into the account what decode engines hold.
 
-        Holdings of dead processes are left to the sweep, which frees them.
+        Holdings of dead processes are left to the sweep, which asks them
+        first and frees what they do not hold.
         Prefill engines evict their results by themselves.
         """
         for engine_id, report in reports_by_id.items():
             if report.role is not EngineRole.DECODE:
                 continue
             for held in report.requests:
-                if self._is_dead(held.request_id):
+                if not self._may_run(held.request_id):
                     continue
                 grant = HeldGrant(held.request_id, "", engine_id, held.pieces, False)
                 self.scheduler.adopt(grant)
 
-    def _is_dead(self, request_id: str) -> bool:
+    def _may_run(self, request_id: str) -> bool:
+        """Tell whether a request may still run; foreign ids belong to none."""
         try:
             parsed = RequestId.parse(request_id)
         except ValueError:
             return False
         state = self._rules.liveness(parsed.host_id, parsed.incarnation)
-        return state in (Liveness.DEAD, Liveness.REPLACED)
+        return state in (Liveness.LIVE, Liveness.UNKNOWN)
 
     def _update_scheduler(self) -> None:
         """Pass on the engines; those not read yet get no new work."""
--- /dev/null
+++ b/tests/router/test_shard_owners.py
@@ -0,0 +1,122 @@
+"""Guards against two lasting owners and work for engines that leave."""
+
+import asyncio
+from types import MappingProxyType
+
+from kumquat_core.configuration import Configuration, Pool, ServerState
+from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal
+from kumquat_core.rendezvous import owner_of
+from kumquat_lab.membership_costs import MemoryNetwork
+from kumquat_lab.shard_world import ENGINES, ShardWorld, make_engine
+from kumquatrouter.background import BackgroundTasks
+from kumquatrouter.shard_owners import ShardOwners
+
+ALL_ENGINES = [*ENGINES, make_engine("d2", ENGINES[1].role)]
+CONFIGURATION = Configuration(
+    position=1,
+    pools_by_name=MappingProxyType({"pool": Pool("pool", "r", ("advice",))}),
+    engines_by_id=MappingProxyType({engine.id: engine for engine in ALL_ENGINES}),
+)
+HOST_IDS = ["h0", "h1", "h2"]
+OWNER = owner_of("pool/0", HOST_IDS)
+REQUEST = AdmissionRequest(
+    "h9.1.1", "pool/0", "t", "c", "advice", 100, 100, 5000, 5000, (), ()
+)
+
+
+class Cluster:
+    """Members in memory, each with its owned shards."""
+
+    def __init__(self) -> None:
+        self.network = MemoryNetwork(1)
+        self.world = ShardWorld()
+        self.world.held_by_engine["d2"] = {}
+        self.states: dict[str, ServerState] = {}
+        self.background = BackgroundTasks()
+        self.owners_by_id = {host_id: self.start(host_id) for host_id in HOST_IDS}
+
+    def start(self, host_id: str) -> ShardOwners:
+        return ShardOwners(
+            host_id,
+            "r",
+            self.network.clock,
+            self.world.engine_client,
+            self.network.add(host_id),
+            self.background,
+            self.world.query,
+            lambda: self.states,
+        )
+
+    async def settle(self, seconds: float = 5) -> None:
+        self.network.publish_list()
+        self.network.run(seconds)
+        await self.update()
+
+    async def update(self) -> None:
+        for owners in self.owners_by_id.values():
+            owners.update(CONFIGURATION)
+        await self.background.drain(1.0)
+
+    def owner_ids(self) -> list[str]:
+        return [name for name, item in self.owners_by_id.items() if item.shard_ids()]
+
+
+def run(scenario) -> None:
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_starting_host_owns_nothing_before_it_met_the_others():
+    async def scenario() -> None:
+        cluster = Cluster()
+        cluster.network.publish_list()
+        await cluster.update()
+        assert cluster.owner_ids() == []
+
+    run(scenario)
+
+
+def test_one_owner_and_its_successor():
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.settle()
+        assert cluster.owner_ids() == [OWNER]
+        dead = cluster.owners_by_id.pop(OWNER)
+        cluster.network.remove(OWNER)
+        await cluster.settle(10)
+        rest = [host_id for host_id in HOST_IDS if host_id != OWNER]
+        successor = owner_of("pool/0", rest)
+        assert cluster.owner_ids() == [successor]
+        grant = await cluster.owners_by_id[successor].admit(REQUEST)
+        assert isinstance(grant, Grant)
+        assert dead.shard_ids() == ["pool/0"]
+
+    run(scenario)
+
+
+def test_owner_that_returns_takes_over_and_the_other_stops_granting():
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.settle()
+        cluster.network.frozen.add(OWNER)
+        await cluster.settle(10)
+        successor = next(name for name in cluster.owner_ids() if name != OWNER)
+        cluster.network.frozen.discard(OWNER)
+        await cluster.settle(10)
+        assert cluster.owner_ids() == [OWNER]
+        refusal = await cluster.owners_by_id[successor].admit(REQUEST)
+        assert isinstance(refusal, Refusal)
+
+    run(scenario)
+
+
+def test_engine_that_the_host_list_calls_leaving_gets_no_new_work():
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.settle()
+        cluster.states = {"d1": ServerState.LEAVING}
+        await cluster.update()
+        grant = await cluster.owners_by_id[OWNER].admit(REQUEST)
+        assert isinstance(grant, Grant)
+        assert grant.decode_engine == "d2"
+
+    run(scenario)
