--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -19,7 +19,7 @@
 import logging
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
@@ -79,10 +79,15 @@
 
 
 class Liveness(StrEnum):
-    """What is known of one process."""
+    """What is known of one process.
+
+    A dead process was declared dead and may only be paused or cut off. A
+    replaced one has ended for certain.
+    """
 
     LIVE = "live"
     DEAD = "dead"
+    REPLACED = "replaced"
     UNKNOWN = "unknown"
 
 
@@ -245,6 +250,12 @@
             live.add(self._own.host_id)
         return sorted(live)
 
+    def counts_by_state(self) -> dict[str, int]:
+        """Return the number of known hosts in each state, own included."""
+        counts = Counter(m.state.name.lower() for m in self.members_by_id.values())
+        counts["alive"] += 1
+        return dict(counts)
+
     def owner_candidates(self) -> list[str]:
         """Return the live hosts of the region that are not leaving.
 
@@ -259,7 +270,9 @@
         """Tell whether most listed hosts of the region are live here.
 
         A host that was cut off from the others would otherwise take all of
-        them for dead. Of two hosts, one is enough.
+        them for dead. Half of them suffice with the lowest host id among
+        them, so that only one side of an even split has a majority. Of two
+        hosts, one is enough.
         """
         listed = {
             host_id
@@ -268,9 +281,11 @@
             and member.listed is not None
             and not member.leaving
         }
-        others = set(self._live_members_of(self._own.region))
-        total = len(listed | others) + 1
-        return total <= 2 or 2 * (len(others) + 1) > total
+        live = {*self._live_members_of(self._own.region), self._own.host_id}
+        known = listed | live
+        if len(known) <= 2 or 2 * len(live) > len(known):
+            return True
+        return 2 * len(live) == len(known) and min(known) in live
 
     def liveness(self, host_id: str, incarnation: int) -> Liveness:
         """Return what is known of a process.
@@ -288,7 +303,9 @@
             return Liveness.UNKNOWN
         if state is MemberState.LISTED or incarnation > known:
             return Liveness.UNKNOWN
-        if incarnation < known or state is MemberState.DEAD:
+        if incarnation < known:
+            return Liveness.REPLACED
+        if state is MemberState.DEAD:
             return Liveness.DEAD
         return Liveness.LIVE
 
@@ -582,6 +599,10 @@
         for member in self.members_by_id.values():
             if member.state is MemberState.SUSPECT:
                 member.since_s = now_s
+        # The others have suspected this process by now, or declared it dead.
+        if not self.superseded:
+            self._own = replace(self._own, sequence=self._own.sequence + 1)
+            self._queue.put(self._own)
 
     def _set_region_lost(self, region: str, *, lost: bool) -> None:
         if lost == (region in self._lost_regions):
--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -14,6 +15,7 @@
 
 from .backend_server import BackendHostConfig, run_backends
 from .bench import BENCH_RUNS, run_bench, write_results
+from .check_model import run_checks
 from .compare import (
     POLICIES,
     compare_policies,
@@ -21,8 +23,6 @@
     measuring_lock,
     write_json,
 )
-from .check_model import run_checks
-from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
 from .decision_cost import run_decision_cost
 from .demo import run_demo
@@ -33,6 +33,7 @@
 from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
 from .stack import StackConfig
+from .torture import run_torture
 from .up import run_up
 
 Result = TypeVar("Result")
@@ -238,6 +239,19 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -44,6 +44,10 @@
 TAKEOVER_RETRY_S = 0.25
 
 
+def _ignore_report(shard_id: str, engine: Engine, report: EngineReport) -> None:
+    """Do nothing with a report."""
+
+
 class OwnedShard:
     """The scheduler of one shard and all that keeps its account exact."""
 
@@ -54,7 +58,9 @@
         clock: Clock,
         engine_client: EngineClient,
         rules: SweepRules,
+        on_report: Callable[[str, Engine, EngineReport], None] = _ignore_report,
     ) -> None:
+        self._on_report = on_report
         self.shard_id = shard_id
         self.scheduler = scheduler
         self._clock = clock
@@ -169,6 +175,9 @@
             self._update_scheduler()
         for engine_id, report in reports_by_id.items():
             self.scheduler.observe_report(engine_id, report)
+            if engine_id in self._engines_by_id:
+                engine = self._engines_by_id[engine_id]
+                self._on_report(self.shard_id, engine, report)
         await asyncio.gather(
             self._sweep.run(reports_by_id),
             *(self._read_cache_events(engine_id) for engine_id in reports_by_id),
@@ -240,25 +249,27 @@
     def _adopt_holdings(self, reports_by_id: Mapping[str, EngineReport]) -> None:
         """Take into the account what decode engines hold.
 
-        Holdings of dead processes are left to the sweep, which frees them.
+        Holdings of dead processes are left to the sweep, which asks them
+        first and frees what they do not hold.
         Prefill engines evict their results by themselves.
         """
         for engine_id, report in reports_by_id.items():
             if report.role is not EngineRole.DECODE:
                 continue
             for held in report.requests:
-                if self._is_dead(held.request_id):
+                if not self._may_run(held.request_id):
                     continue
                 grant = HeldGrant(held.request_id, "", engine_id, held.pieces, False)
                 self.scheduler.adopt(grant)
 
-    def _is_dead(self, request_id: str) -> bool:
+    def _may_run(self, request_id: str) -> bool:
+        """Tell whether a request may still run; foreign ids belong to none."""
         try:
             parsed = RequestId.parse(request_id)
         except ValueError:
             return False
         state = self._rules.liveness(parsed.host_id, parsed.incarnation)
-        return state is Liveness.DEAD
+        return state in (Liveness.LIVE, Liveness.UNKNOWN)
 
     def _update_scheduler(self) -> None:
         """Pass on the engines; those not read yet get no new work."""
