--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -33,6 +34,7 @@
 from .scenarios import ScenarioName, ScenarioOptions
 from .slopes import run_slopes
 from .stack import StackConfig
+from .torture import run_torture
 from .up import run_up
 
 Result = TypeVar("Result")
@@ -238,6 +240,19 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
--- a/packages/kumquatrouter/src/kumquatrouter/status_report.py
+++ b/packages/kumquatrouter/src/kumquatrouter/status_report.py
@@ -27,21 +27,26 @@
     }
 
 
-def engine_documents(configuration: Configuration, region: str) -> list[dict[str, Any]]:
-    """Return the engines of a region with role, state and memory."""
+def engine_documents(
+    configuration: Configuration, region: str, held_pieces_by_engine: dict[str, int]
+) -> list[dict[str, Any]]:
+    """Return the engines of a region with role, state and memory.
+
+    ``held_pieces`` is null for engines whose owner is another host.
+    """
     pools = {
         pool.name
         for pool in configuration.pools_by_name.values()
         if pool.region == region
     }
     return [
-        _engine_document(engine)
+        _engine_document(engine, held_pieces_by_engine.get(engine.id))
         for engine in configuration.engines_by_id.values()
         if engine.pool in pools
     ]
 
 
-def _engine_document(engine: Engine) -> dict[str, Any]:
+def _engine_document(engine: Engine, held_pieces: int | None) -> dict[str, Any]:
     return {
         "id": engine.id,
         "pool": engine.pool,
@@ -49,6 +54,7 @@
         "role": engine.role.value,
         "state": engine.state.value,
         "total_pieces": engine.total_pieces,
+        "held_pieces": held_pieces,
     }
 
 
