--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -239,6 +239,7 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
+@app.command()
 def torture(
     seed: int = 1,
     seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
