--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -32,6 +32,7 @@
 from .platform import PlatformConfig, run_platform
 from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
+from .slopes import run_slopes
 from .stack import StackConfig
 from .torture import run_torture
 from .up import run_up
@@ -261,5 +262,14 @@
     uvloop.run(run_decision_cost(seed))
 
 
+@app.command()
+def slopes(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Measure how costs grow with the number of hosts, engines and so on."""
+    run_slopes(seed, json_file)
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -397,7 +397,11 @@
             ),
             "lost_regions": sorted(self._membership.lost_regions),
             "shards": [asdict(summary) for summary in self._owners.summaries()],
-            "engines": engine_documents(configuration, self._options.region),
+            "engines": engine_documents(
+                configuration,
+                self._options.region,
+                self._owners.held_pieces_by_engine(),
+            ),
             "store": asdict(self._table_client.health()),
             "resident_bytes": resident_bytes(),
         }
