Claim ports below the range of outgoing connections

Change: a stack claims a block of ports from 10240 to 32000 by a socket that stays bound. Conclusion: stacks side by side do not get the same ports.

--- a/packages/kumquat_lab/src/kumquat_lab/processes.py
+++ b/packages/kumquat_lab/src/kumquat_lab/processes.py
@@ -9,16 +9,22 @@
 import contextlib
 import ctypes
 import os
+import random
 import signal
 import socket
 import sys
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ["ChildProcess", "ProcessGroup", "free_ports"]
+__all__ = ["ChildProcess", "ProcessGroup", "claim_ports"]
 
 STOP_TIMEOUT_S = 5.0
 PR_SET_PDEATHSIG = 1
+FIRST_PORT = 10240
+LAST_PORT = 32000
+BLOCK_PORTS = 128
+
+_claims: list[socket.socket] = []
 
 _libc = ctypes.CDLL(None)
 
@@ -28,18 +34,46 @@
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that are free at present."""
-    sockets = []
+def claim_ports(count: int) -> list[int]:
+    """Return ports of loopback that no other tool of this machine claims.
+
+    A block of ports below the range of outgoing connections is claimed by a
+    socket bound to its first port until this process ends. Ports that the
+    kernel chooses are not safe: before a child listens, an outgoing
+    connection of any process may get the same port.
+    """
+    if count > BLOCK_PORTS - 1:
+        raise ValueError(f"at most {BLOCK_PORTS - 1} ports")
+    starts = list(range(FIRST_PORT, LAST_PORT - BLOCK_PORTS, BLOCK_PORTS))
+    random.SystemRandom().shuffle(starts)
+    for start in starts:
+        claim = _bind(start)
+        if claim is None:
+            continue
+        ports = list(range(start + 1, start + 1 + count))
+        if all(map(_is_free, ports)):
+            _claims.append(claim)
+            return ports
+        claim.close()
+    raise OSError("no block of free ports")
+
+
+def _bind(port: int) -> socket.socket | None:
+    candidate = socket.socket()
     try:
-        for _ in range(count):
-            candidate = socket.socket()
-            candidate.bind(("127.0.0.1", 0))
-            sockets.append(candidate)
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+        candidate.bind(("127.0.0.1", port))
+    except OSError:
+        candidate.close()
+        return None
+    return candidate
+
+
+def _is_free(port: int) -> bool:
+    candidate = _bind(port)
+    if candidate is None:
+        return False
+    candidate.close()
+    return True
 
 
 @dataclass
--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -33,7 +33,7 @@
     initial_ticket,
 )
 from .platform import PlatformConfig
-from .processes import ChildProcess, ProcessGroup, free_ports
+from .processes import ChildProcess, ProcessGroup, claim_ports
 
 __all__ = [
     "EntryHostPlan",
@@ -47,7 +47,7 @@
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.1
 PEER_KEY = "development-peer-key-0123456789abcdef"
-PORTS_PER_STACK = 128
+PORTS_PER_STACK = 127
 LAB = "kumquat_lab"
 ROUTER = "kumquatrouter.main"
 
@@ -123,11 +123,11 @@
 
     @classmethod
     def from_config(cls, config: StackConfig) -> "StackPlan":
-        """Return a plan on free ports, or on ports from ``first_port``."""
+        """Return a plan on claimed ports, or on ports from ``first_port``."""
         if config.first_port:
             ports = list(range(config.first_port, config.first_port + PORTS_PER_STACK))
         else:
-            ports = free_ports(PORTS_PER_STACK)
+            ports = claim_ports(PORTS_PER_STACK)
         ports.reverse()
         counts = EngineCounts(
             config.prefill_engines, config.decode_engines, config.engine_changes
