--- a/packages/kumquat_lab/src/kumquat_lab/router_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/router_cost.py
@@ -141,12 +141,15 @@
     async with running_stack(config) as stack, create_session(2.0) as session:
         host = stack.plan.hosts_of(MADAFU)[0]
         child = stack.processes.children_by_name[host.host_id]
+        engines = stack.processes.children_by_name[f"{MADAFU.name}-engines"]
+        engines_cpu_s = engines.cpu_s()
         cpu_s, began_s = child.cpu_s(), time.monotonic()
         outcomes = await asyncio.gather(
             *(call_model(session, host.caller_url, call) for call in calls)
         )
         elapsed_s = time.monotonic() - began_s
         cpu_s = child.cpu_s() - cpu_s
+        engines_cpu_s = engines.cpu_s() - engines_cpu_s
     tokens = sum(outcome.tokens for outcome in outcomes)
     return {
         "streams": FORWARD_STREAMS,
@@ -155,6 +158,8 @@
         "elapsed_s": round(elapsed_s, 2),
         "cpu_s": round(cpu_s, 2),
         "tokens_per_cpu_s": round(tokens / cpu_s),
+        "emulated_engines": config.prefill_engines + config.decode_engines,
+        "emulated_engines_cpu_s": round(engines_cpu_s, 2),
     }
 
 
