--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -21,6 +21,8 @@
     measuring_lock,
     write_json,
 )
+from .check_model import run_checks
+from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
 from .decision_cost import run_decision_cost
 from .demo import run_demo
@@ -122,6 +124,13 @@
     _run_until_stopped(run_up(model))
 
 
+@app.command(name="check-model")
+def check_model() -> None:
+    """Explore the specifications of the protocols exhaustively."""
+    if not run_checks():
+        raise typer.Exit(1)
+
+
 @app.command("doc-tables")
 def doc_tables(
     page: Annotated[Path, typer.Argument()] = Path("docs/configuration.md"),
