--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -14,6 +14,7 @@
 
 from .backend_server import BackendHostConfig, run_backends
 from .bench import BENCH_RUNS, run_bench, write_results
+from .check_model import run_checks
 from .compare import (
     POLICIES,
     compare_policies,
@@ -21,8 +22,6 @@
     measuring_lock,
     write_json,
 )
-from .check_model import run_checks
-from .compare import POLICIES, compare_policies, write_json
 from .cost_model import EngineHostConfig
 from .decision_cost import run_decision_cost
 from .demo import run_demo
