--- a/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
@@ -6,6 +6,8 @@
 behind or wrong about its position cannot revert anything.
 """
 
+import json
+import zlib
 from collections import deque
 from collections.abc import Iterable
 from typing import Any
@@ -13,7 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from .peer_messages import TicketBatch
-from .result_codes import RouterError
+from .result_codes import ResultCode, RouterError
 from .ticket_log import TicketTarget, parse_snapshot, parse_tickets
 from .tickets import Ticket, TicketStore
 
@@ -23,8 +25,16 @@
 # peers have long read the store; the memory stays below 2 MB.
 MAX_TAIL_TICKETS = 1000
 
-# Bounds a frame; the peer asks again for the rest.
+# Bound a frame; the peer asks again for the rest. One ticket of 10,000
+# objects stays below the 4 MiB of a frame and is sent alone.
 MAX_BATCH_TICKETS = 200
+MAX_BATCH_BYTES = 1_000_000
+
+# The state of 12,000 engines with all fields written out is 4.0 MB, as much
+# as a frame holds, so snapshots are compressed. The limit of the expanded
+# size bounds the memory that a malformed batch can take.
+SNAPSHOT_FIELD = "deflated_json"
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 
 
 class TicketTail:
@@ -65,21 +75,43 @@
             return TicketBatch(present)
         tail_is_current = self._tickets and self._tickets[-1].position == present
         if not tail_is_current or self._tickets[0].position > position + 1:
-            return TicketBatch(present, snapshot=self._store.snapshot())
-        documents: list[dict[str, Any]] = [
-            ticket.to_document()
-            for ticket in self._tickets
-            if ticket.position > position
-        ]
-        return TicketBatch(present, tuple(documents[:MAX_BATCH_TICKETS]))
+            return TicketBatch(present, snapshot=_packed(self._store.snapshot()))
+        later = [ticket for ticket in self._tickets if ticket.position > position]
+        return TicketBatch(present, tuple(_first_documents(later)))
 
 
 def merge_batch(target: TicketTarget, batch: TicketBatch) -> Result[bool, RouterError]:
     """Merge a peer's batch; return whether the state changed."""
     if batch.snapshot is not None:
-        match parse_snapshot(batch.snapshot):
-            case Success(document):
-                return Success(target.load_snapshot(document))
-            case failure:
-                return Failure(failure.failure())
+        snapshot = _unpacked(batch.snapshot).bind(parse_snapshot)
+        return snapshot.map(target.load_snapshot)
     return parse_tickets(batch.documents).map(target.apply)
+
+
+def _first_documents(tickets: list[Ticket]) -> list[dict[str, Any]]:
+    """Return the documents of the first tickets that fit in one batch."""
+    documents: list[dict[str, Any]] = []
+    size_bytes = 0
+    for ticket in tickets[:MAX_BATCH_TICKETS]:
+        document = ticket.to_document()
+        size_bytes += len(json.dumps(document))
+        if documents and size_bytes > MAX_BATCH_BYTES:
+            break
+        documents.append(document)
+    return documents
+
+
+def _packed(document: dict[str, Any]) -> dict[str, Any]:
+    return {SNAPSHOT_FIELD: zlib.compress(json.dumps(document).encode())}
+
+
+def _unpacked(packed: dict[str, Any]) -> Result[Any, RouterError]:
+    try:
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(packed[SNAPSHOT_FIELD], MAX_SNAPSHOT_BYTES)
+        if not inflater.eof:
+            raise ValueError("truncated or too large")
+        return Success(json.loads(content))
+    except (KeyError, TypeError, ValueError, zlib.error) as error:
+        detail = f"malformed snapshot: {type(error).__name__}"
+        return Failure(RouterError(ResultCode.TICKET_INVALID, detail))
--- a/tests/core/test_ticket_log.py
+++ b/tests/core/test_ticket_log.py
@@ -4,12 +4,14 @@
 import itertools
 import json
 import random
+import zlib
 
 import pytest
 from hypothesis import given, settings, strategies as st
 from returns.result import Failure, Success
 
-from kumquat_core.peer_messages import TicketBatch
+from kumquat_core.frames import MAX_FRAME_BYTES
+from kumquat_core.peer_messages import Envelope, TicketBatch, encode
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquat_core.ticket_exchange import TicketTail, merge_batch
 from kumquat_core.ticket_log import (
@@ -260,10 +262,46 @@
     target[data.draw(st.sampled_from(sorted(target)))] = data.draw(json_values)
     store = TicketStore()
     before = store.snapshot()
-    result = merge_batch(TicketTail(store), TicketBatch(9, (), document))
+    packed = {"deflated_json": zlib.compress(json.dumps(document).encode())}
+    result = merge_batch(TicketTail(store), TicketBatch(9, (), packed))
     if isinstance(result, Failure):
         assert result.failure().code is ResultCode.TICKET_INVALID
         assert store.snapshot() == before
     malformed = data.draw(st.dictionaries(st.text(max_size=8), json_values))
     result = merge_batch(TicketTail(store), TicketBatch(9, (malformed,)))
     assert result.failure().code is ResultCode.TICKET_INVALID
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [
+        {},
+        {"deflated_json": 1},
+        {"deflated_json": b"x"},
+        {"deflated_json": zlib.compress(b"{}")[:-3]},
+        {"deflated_json": zlib.compress(b"not JSON")},
+    ],
+)
+def test_snapshot_that_cannot_be_unpacked_changes_nothing(packed):
+    store = TicketStore()
+    result = merge_batch(TicketTail(store), TicketBatch(9, (), packed))
+    assert result.failure().code is ResultCode.TICKET_INVALID
+    assert store.position == 0
+
+
+def test_batch_of_large_tickets_fits_in_a_frame():
+    names = [f"model-{index:04d}" for index in range(2000)]
+    tickets = [
+        Ticket(number, make_model(number, "v" * 100, names)) for number in range(1, 31)
+    ]
+    sender, receiver = TicketStore(), TicketStore()
+    tail = TicketTail(sender)
+    tail.apply(tickets)
+    rounds = 0
+    while receiver.position < sender.position:
+        batch = tail.batch_after(receiver.position)
+        assert len(encode(Envelope(1, batch))) < MAX_FRAME_BYTES
+        assert merge_batch(TicketTail(receiver), batch) == Success(True)
+        rounds += 1
+    assert 1 < rounds < 30
+    assert receiver.snapshot() == sender.snapshot()
