Send calls to backend servers once, also PUT and DELETE

Cause: aiohttp repeats requests with idempotent methods once after a broken connection, also on a new connection. A PUT or DELETE of a non-repeatable service was sent twice; when the second connection was refused, the call was even reported as not run.

Change: the session without connection reuse turns the repetition off.

--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -20,7 +20,10 @@
 def create_session(
     connect_timeout_s: float, *, reuse_connections: bool = True
 ) -> aiohttp.ClientSession:
-    """Return a client session without a total timeout."""
+    """Return a client session without a total timeout.
+
+    A session that does not reuse connections sends each request once.
+    """
     if reuse_connections:
         connector = aiohttp.TCPConnector(
             limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
@@ -28,7 +31,12 @@
     else:
         connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s)
-    return aiohttp.ClientSession(connector=connector, timeout=timeout)
+    session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+    if not reuse_connections:
+        # aiohttp repeats PUT and DELETE once after a broken connection, also
+        # on a new one, and has no public option against it.
+        session._retry_connection = False
+    return session
 
 
 async def request_json(
