--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -174,7 +174,7 @@
             await self.publish_hosts(self.plan.hosts)
             for host in self.plan.hosts:
                 await self.start_host(host)
-            await asyncio.gather(*(self._wait_ready(h) for h in self.plan.hosts))
+            await asyncio.gather(*(self.wait_ready(h) for h in self.plan.hosts))
 
     async def start_host(self, host: EntryHostPlan) -> ChildProcess:
         """Start one entry host; used again to restart it."""
@@ -236,7 +236,8 @@
         while not await self._answers(url):
             await asyncio.sleep(READY_POLL_S)
 
-    async def _wait_ready(self, host: EntryHostPlan) -> None:
+    async def wait_ready(self, host: EntryHostPlan) -> None:
+        """Wait until a host is ready and sees all others of its region."""
         await self._wait_for(f"{host.admin_url}/readyz")
         expected = {h.host_id for h in self.plan.hosts if h.region == host.region}
         while True:
