Declare a process dead when its address refuses connections

Cause: a killed process was suspected for 1.5 s like a silent one.

Change: a link that was connected and is then refused reports that the process has ended; membership declares it dead at once and a process that runs after all refutes it.

--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -446,6 +446,16 @@
         if target not in self._urgent:
             self._urgent.append(target)
 
+    def process_ended(self, host_id: str) -> None:
+        """Declare a process dead whose address refuses connections.
+
+        Without the suspicion time, which serves to tell a death from lost
+        messages. A process that runs after all refutes it.
+        """
+        member = self.members_by_id.get(host_id)
+        if member is not None and member.live:
+            self._merge(replace(member.update, state="dead"))
+
     # Messages
 
     def handle(self, message: Ping | PingRequest | Ack, sender: str) -> None:
--- a/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
+++ b/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
@@ -17,6 +17,7 @@
 from kumquat_core.result_codes import RouterError
 from kumquat_core.settings import Timing
 
+from .peer_links import PeerRefusedError
 from .supervisor import TaskService
 
 __all__ = ["MembershipDriver", "PeerCaller"]
@@ -113,6 +114,9 @@
         factor = 2 if isinstance(message, PingRequest) else 1
         try:
             reply = await self._links.call(host_id, message, factor * self._timeout_s)
+        except PeerRefusedError:
+            self._membership.process_ended(host_id)
+            return None
         except RouterError:
             return None
         if not isinstance(reply, Ack):
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -28,7 +28,7 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address
 
-__all__ = ["MAX_QUEUED_BYTES", "PeerLinks"]
+__all__ = ["MAX_QUEUED_BYTES", "PeerLinks", "PeerRefusedError"]
 
 CONNECT_TIMEOUT_S = 1.0
 FIRST_RETRY_DELAY_S = 0.05
@@ -47,6 +47,13 @@
 logger = logging.getLogger(__name__)
 
 
+class PeerRefusedError(RouterError):
+    """A peer that was connected before refuses connections.
+
+    Nothing listens at its address any more, so its process has ended.
+    """
+
+
 class _PeerLink:
     """The stream to one peer at one address."""
 
@@ -74,6 +81,7 @@
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._queue_filled = asyncio.Event()
+        self._was_connected = False
         self._failures = 0
         self._retry_at_s = 0.0
         self._unanswered_since_s: float | None = None
@@ -117,15 +125,21 @@
 
     async def _run(self) -> None:
         """Serve one stream from its connection to its end."""
-        code = ResultCode.PEER_CLOSED
+        error = self._error("link closed")
         try:
             reader, writer = await self._connect()
             await self._serve(reader, writer)
-        except RouterError as error:
-            code = error.code
+        except RouterError as cause:
+            error = cause
         finally:
-            self._fail_all()
-            log_event(logger, "peer_link_closed", peer=self._host_id, code=code.value)
+            self._fail_all(error)
+            log_event(
+                logger,
+                "peer_link_closed",
+                peer=self._host_id,
+                code=error.code.value,
+                detail=error.detail,
+            )
             self._on_break(self._host_id)
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -136,6 +150,10 @@
                 )
         except (OSError, TimeoutError) as error:
             self._delay_retry()
+            if isinstance(error, ConnectionRefusedError) and self._was_connected:
+                raise PeerRefusedError(
+                    ResultCode.PEER_CLOSED, f"{self._host_id}: refused"
+                ) from error
             raise self._error("not connected") from error
         try:
             peer = await handshake(
@@ -148,6 +166,7 @@
             writer.transport.abort()
             raise
         self._failures = 0
+        self._was_connected = True
         return reader, writer
 
     async def _serve(
@@ -197,13 +216,13 @@
         delay_s *= self._rng.uniform(0.5, 1.0)
         self._retry_at_s = self._clock.monotonic() + delay_s
 
-    def _fail_all(self) -> None:
+    def _fail_all(self, error: RouterError) -> None:
         self._queue.clear()
         self._queued_bytes = 0
         self._queue_filled.clear()
         for reply in self._replies_by_id.values():
             if not reply.done():
-                reply.set_exception(self._error("link closed"))
+                reply.set_exception(error)
 
     def _error(self, reason: str) -> RouterError:
         return RouterError(ResultCode.PEER_CLOSED, f"{self._host_id}: {reason}")
--- a/tests/router/test_membership_driver.py
+++ b/tests/router/test_membership_driver.py
@@ -9,6 +9,7 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import TimingModel
 from kumquatrouter.membership_driver import MembershipDriver
+from kumquatrouter.peer_links import PeerRefusedError
 
 TIMING = TimingModel(ping_timeout_s=0.05)
 
@@ -23,12 +24,15 @@
     def __init__(self) -> None:
         self.refusing: set[str] = set()
         self.hanging: set[str] = set()
+        self.ended: set[str] = set()
         self.reached_indirectly = True
         self.position = 0
         self.calls: list[tuple[str, Message]] = []
 
     async def call(self, host_id: str, message: Message, timeout_s: float) -> Message:
         self.calls.append((host_id, message))
+        if host_id in self.ended:
+            raise PeerRefusedError(ResultCode.PEER_CLOSED)
         if host_id in self.hanging:
             await asyncio.sleep(timeout_s)
         if host_id in self.refusing or host_id in self.hanging:
@@ -84,6 +88,13 @@
     assert node.membership.liveness("a", 1) is Liveness.LIVE
 
 
+def test_process_whose_address_refuses_connections_is_dead_at_once():
+    node = Node()
+    node.links.ended.add("a")
+    asyncio.run(node.periods(6))
+    assert node.membership.liveness("a", 1) is Liveness.DEAD
+
+
 def test_hanging_peer_does_not_delay_the_next_period():
     async def scenario() -> None:
         node = Node()
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -19,7 +19,7 @@
 )
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address
-from kumquatrouter.peer_links import MAX_QUEUED_BYTES, PeerLinks
+from kumquatrouter.peer_links import MAX_QUEUED_BYTES, PeerLinks, PeerRefusedError
 from kumquatrouter.peer_server import PeerServer
 
 KEY = b"key"
@@ -107,6 +107,24 @@
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+def test_refusal_tells_an_ended_process_from_one_never_reached():
+    async def scenario() -> None:
+        async with Pair(answer) as pair:
+            good, pair.address = pair.address, Address("127.0.0.1", 1)
+            with pytest.raises(RouterError) as caught:
+                await pair.links.call("b", PING, 5)
+            assert not isinstance(caught.value, PeerRefusedError)
+            pair.address = good
+            await pair.links.call("b", PING, 5)
+            await pair.server.stop()
+            while not pair.broken[1:]:
+                await asyncio.sleep(0.001)
+            with pytest.raises(PeerRefusedError):
+                await pair.links.call("b", PING, 5)
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
 def test_queue_for_a_frozen_peer_is_bounded():
     async def frozen(reader, writer) -> None:
         await asyncio.Event().wait()
