Let back ends leave in the torture run

Change: servers and engines leave by the host list; work that begins more than 4 s later counts as a violation (the list is read every 2 s).

--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -9,7 +9,7 @@
 import contextlib
 import json
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -188,8 +188,15 @@
             host.host_id, ROUTER, "run", "--settings", str(path)
         )
 
-    async def publish_hosts(self, hosts: list[EntryHostPlan]) -> None:
-        """Replace the platform's host list at once."""
+    async def publish_hosts(
+        self, hosts: list[EntryHostPlan], leaving: Collection[str] = ()
+    ) -> None:
+        """Replace the platform's host list at once.
+
+        ``leaving`` are the ids of servers and engines that leave.
+        """
+        back_end_ids = [server.server_id for server in self.plan.servers]
+        back_end_ids += [engine.engine_id for engine in self.plan.engines]
         body = {
             "lag_s": 0,
             "hosts": [
@@ -204,8 +211,8 @@
                 for host in hosts
             ],
             "backend_servers": [
-                {"id": server.server_id, "state": "live"}
-                for server in self.plan.servers
+                {"id": item, "state": "leaving" if item in leaving else "live"}
+                for item in back_end_ids
             ],
         }
         await self.call("PUT", f"{self.plan.platform_url}/hosts", body)
--- a/packages/kumquat_lab/src/kumquat_lab/torture.py
+++ b/packages/kumquat_lab/src/kumquat_lab/torture.py
@@ -72,6 +72,7 @@
     held: int = 0
     reverted_tickets: int = 0
     late_tickets: int = 0
+    work_for_leaving: int = 0
     faults: dict[str, int] = field(default_factory=dict)
     outcomes: dict[str, int] = field(default_factory=dict)
     details: list[str] = field(default_factory=list)
@@ -86,6 +87,7 @@
             self.held,
             self.reverted_tickets,
             self.late_tickets,
+            self.work_for_leaving,
         )
         return self.max_executions > 1 or any(counts)
 
@@ -266,6 +268,7 @@
         executions = await self._executions()
         prefills = await self._prefills()
         result.requests = len(self._sent)
+        result.work_for_leaving = self._faults.work_for_leaving
         result.faults = dict(sorted(self._faults.counts_by_kind.items()))
         kinds = Counter(f"{s.outcome.kind}/{s.outcome.code}" for s in self._sent)
         result.outcomes = dict(sorted(kinds.items()))
--- a/packages/kumquat_lab/src/kumquat_lab/torture_faults.py
+++ b/packages/kumquat_lab/src/kumquat_lab/torture_faults.py
@@ -25,6 +25,11 @@
 DISTURBANCE_MARGIN_S = 1.0
 HOST_READY_LIMIT_S = 15.0
 HOST_LIST_LAG_S = 2.0
+
+# Hosts read the list every 2 s; a request granted before may still have its
+# prefill to run.
+LEAVE_LIMIT_S = 4.0
+LEAVE_WATCH_S = 2.0
 READY_POLL_S = 0.1
 ENGINE_COMMAND = ("kumquat_lab", "engine", "--config")
 
@@ -50,7 +55,9 @@
     rng: random.Random
     counts_by_kind: Counter[str] = field(default_factory=Counter)
     disturbances: list[Disturbance] = field(default_factory=list)
+    work_for_leaving: int = 0
     _down: set[str] = field(default_factory=set)
+    _leaving: set[str] = field(default_factory=set)
     _killed: set[str] = field(default_factory=set)
 
     async def run(self, until_s: float, mean_pause_s: float) -> None:
@@ -69,6 +76,8 @@
             "store_slow": self.slow_store,
             "store_answers_lost": self.lose_answers,
             "host_list_wrong": self.falsify_host_list,
+            "server_leaving": self.leave_server,
+            "engine_leaving": self.leave_engine,
             "backend_slow": self.slow_backend,
             "backend_answers_lost": self.drop_backend_answers,
             "backend_refuses": self.refuse_backend,
@@ -181,6 +190,57 @@
         await asyncio.sleep(self.rng.uniform(1.0, 4.0))
         await self._publish_hosts()
 
+    async def leave_server(self) -> None:
+        """Let a backend server leave, and count its new work afterwards."""
+        servers = self.stack.plan.servers
+        services = Counter(server.service for server in servers)
+        server = self.rng.choice([s for s in servers if services[s.service] > 1])
+        url = f"http://127.0.0.1:{server.port}/executions"
+
+        async def work() -> int:
+            return sum((await self.stack.call("GET", url))["by_body"].values())
+
+        await self._leave(server.server_id, work)
+
+    async def leave_engine(self) -> None:
+        """Let an engine leave, and count its new work afterwards."""
+        engine = self.rng.choice(self.stack.plan.engines)
+        url = f"http://127.0.0.1:{engine.port}/counts"
+
+        async def work() -> int:
+            counts = await self.stack.call("GET", url)
+            return int(counts["prefills"]) + int(counts["imports"])
+
+        await self._leave(engine.engine_id, work)
+
+    async def _leave(
+        self, back_end_id: str, work: Callable[[], Coroutine[Any, Any, int]]
+    ) -> None:
+        """Count work that begins more than a few seconds after the leave.
+
+        Nothing is counted when a host or an engine process was disturbed: a
+        host that returns from a pause has read no list meanwhile.
+        """
+        begin_s = time.monotonic()
+        self._leaving.add(back_end_id)
+        await self._publish_hosts()
+        await asyncio.sleep(LEAVE_LIMIT_S)
+        try:
+            before = await work()
+            await asyncio.sleep(LEAVE_WATCH_S)
+            after = await work()
+        except TRANSPORT_ERRORS:
+            before = after = 0
+        end_s = time.monotonic()
+        self._leaving.discard(back_end_id)
+        await self._publish_hosts()
+        disturbed = any(
+            self.was_disturbed(host.host_id, begin_s, end_s)
+            for host in self.stack.plan.hosts
+        )
+        if after > before and not disturbed:
+            self.work_for_leaving += after - before
+
     async def slow_backend(self) -> None:
         """Delay the executions of one backend server."""
         await self._backend_fault({"delay_ms": 2500}, {"delay_ms": 0})
@@ -229,7 +289,7 @@
     async def _publish_hosts(self, dropped: str = "") -> None:
         hidden = {*self._killed, dropped}
         hosts = [h for h in self.stack.plan.hosts if h.host_id not in hidden]
-        await self.stack.publish_hosts(hosts)
+        await self.stack.publish_hosts(hosts, self._leaving)
 
     async def _wait_ready(self, host: EntryHostPlan) -> None:
         """Wait until a host is ready; it is not while the store is down."""
