Limit the engine reports that an owner reads a second

Cause: an owner read all its engines twice a second. With 32 engines that is 64 reports of about 1.9 KB a second, twelve times the 10 KB a second that a host may spend on control. Change: timing.max_reports_per_s (default 12) bounds the reads; engines are read in turn.

--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -59,6 +59,7 @@
     ticket_poll_s: Seconds = 3.0
     host_list_poll_s: Seconds = 2.0
     report_poll_s: Seconds = 0.5
+    max_reports_per_s: Annotated[float, Field(gt=0)] = 12.0
     ping_period_s: Seconds = 0.5
     ping_timeout_s: Seconds = 0.4
     suspicion_s: Seconds = 1.5
@@ -115,6 +116,7 @@
     ticket_poll_s: float
     host_list_poll_s: float
     report_poll_s: float
+    max_reports_per_s: float
     ping_period_s: float
     ping_timeout_s: float
     suspicion_s: float
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from dataclasses import asdict
+from functools import partial
 from typing import Any
 
 from kumquat_core.backend_client import HttpBackendClient
@@ -260,9 +261,9 @@
             SNAPSHOT_PERIOD_S, self._ticket_sync.write_snapshot, "ticket_snapshot"
         )
         self._timers.every(timing.host_list_poll_s, self._refresh_hosts, "host_list")
-        self._timers.every(
-            timing.report_poll_s, self._owners.poll_reports, "engine_reports"
-        )
+        reports = max(1, round(timing.max_reports_per_s * timing.report_poll_s))
+        poll_reports = partial(self._owners.poll_reports, reports)
+        self._timers.every(timing.report_poll_s, poll_reports, "engine_reports")
         self._timers.every(
             timing.report_poll_s, self._poll_local_reports, "local_reports"
         )
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 
 from returns.pipeline import is_successful
@@ -161,11 +161,14 @@
             case CancelAdmission(request_id=request_id):
                 self.scheduler.cancel(request_id)
 
-    async def poll(self) -> None:
-        """Compare fresh reports with the account."""
+    async def poll(self, engine_ids: Collection[str] | None = None) -> None:
+        """Compare fresh reports with the account.
+
+        Reads the given engines, or all of the shard.
+        """
         if not self._ready.is_set():
             return
-        reports_by_id = await self._read_reports()
+        reports_by_id = await self._read_reports(engine_ids)
         if self._closed:
             return
         unread = set(reports_by_id) - self._read_engine_ids
@@ -209,8 +212,14 @@
             raise
         return answer.unwrap() if is_successful(answer) else answer.failure()
 
-    async def _read_reports(self) -> dict[str, EngineReport]:
-        engines = list(self._engines_by_id.values())
+    async def _read_reports(
+        self, engine_ids: Collection[str] | None = None
+    ) -> dict[str, EngineReport]:
+        engines = [
+            engine
+            for engine in self._engines_by_id.values()
+            if engine_ids is None or engine.id in engine_ids
+        ]
         reports = await asyncio.gather(*(self._report_of(engine) for engine in engines))
         return {
             engine.id: report
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -119,6 +119,7 @@
         self._configuration = Configuration()
         self._shards_by_id: dict[str, OwnedShard] = {}
         self._basis: _OwnershipBasis | None = None
+        self._next_engine = 0
         self._rules = SweepRules(
             membership.liveness, query_host, self._cancel, self._may_cancel
         )
@@ -182,10 +183,33 @@
         if shard is not None:
             shard.handle(message)
 
-    async def poll_reports(self) -> None:
-        """Compare the reports of all owned engines with the accounts."""
+    async def poll_reports(self, limit: int | None = None) -> None:
+        """Compare reports of owned engines with the accounts.
+
+        Reads at most ``limit`` engines and goes on with the others at the
+        next call, so that the cost does not grow with the engines owned.
+        """
         self._observer.metrics.add_sweeps(len(self._shards_by_id))
-        await asyncio.gather(*(shard.poll() for shard in self._shards_by_id.values()))
+        chosen = self._next_engines(limit)
+        await asyncio.gather(
+            *(self._shards_by_id[shard_id].poll(ids) for shard_id, ids in chosen)
+        )
+
+    def _next_engines(self, limit: int | None) -> list[tuple[str, set[str]]]:
+        """Return the engines to read next, grouped by shard."""
+        engines = [
+            (shard_id, engine_id)
+            for shard_id in self.shard_ids()
+            for engine_id in self._shards_by_id[shard_id].engine_ids
+        ]
+        count = len(engines) if limit is None else min(limit, len(engines))
+        start = self._next_engine
+        self._next_engine = (start + count) % max(1, len(engines))
+        ids_by_shard: dict[str, set[str]] = {}
+        for offset in range(count):
+            shard_id, engine_id = engines[(start + offset) % len(engines)]
+            ids_by_shard.setdefault(shard_id, set()).add(engine_id)
+        return list(ids_by_shard.items())
 
     def _owned(self, shard: Shard, shard_count: int) -> OwnedShard:
         """Return an owned shard; one that is new is taken over."""
--- a/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
@@ -41,6 +41,10 @@
 UNKNOWN_PROCESS_AGE_S = 6.0
 MAX_QUERY_IDS = 256
 
+# Longer than a round of reading all engines of a host: 32 engines at 4
+# reports a second take 8 s.
+FORGET_AGE_S = 30.0
+
 logger = logging.getLogger(__name__)
 
 Process = tuple[str, int]
@@ -81,6 +85,7 @@
         self._clock = clock
         self._rules = rules
         self._first_seen_s_by_request_id: dict[str, float] = {}
+        self._last_seen_s_by_request_id: dict[str, float] = {}
 
     async def run(self, reports_by_engine_id: Mapping[str, EngineReport]) -> None:
         """Compare fresh reports of engines of the shard with the account."""
@@ -212,15 +217,28 @@
     def _due(self, ages_s_by_id: Mapping[str, float]) -> set[str]:
         """Return the requests known or not confirmed for their age."""
         now_s = self._clock.monotonic()
-        earlier = self._first_seen_s_by_request_id
-        first_seen = {r: earlier.get(r, now_s) for r in ages_s_by_id}
-        self._first_seen_s_by_request_id = first_seen
+        self._forget_old(now_s)
+        first_seen = self._first_seen_s_by_request_id
+        for request_id in ages_s_by_id:
+            first_seen.setdefault(request_id, now_s)
+            self._last_seen_s_by_request_id[request_id] = now_s
         return {
             request_id
             for request_id, age_s in ages_s_by_id.items()
             if now_s - first_seen[request_id] >= age_s
         }
 
+    def _forget_old(self, now_s: float) -> None:
+        """Forget requests that are over.
+
+        Not every engine is read each time, so that a request missing from
+        one comparison may still be held.
+        """
+        for request_id, last_seen_s in list(self._last_seen_s_by_request_id.items()):
+            if now_s - last_seen_s > FORGET_AGE_S:
+                del self._last_seen_s_by_request_id[request_id]
+                self._first_seen_s_by_request_id.pop(request_id, None)
+
     def _is_old(self, request_id: str) -> bool:
         first_seen_s = self._first_seen_s_by_request_id[request_id]
         return self._clock.monotonic() - first_seen_s >= UNKNOWN_PROCESS_AGE_S
--- a/tests/router/test_shard_owners.py
+++ b/tests/router/test_shard_owners.py
@@ -120,3 +120,22 @@
         assert grant.decode_engine == "d2"
 
     run(scenario)
+
+
+def test_limited_polling_reads_every_engine_in_turn():
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.settle()
+        read: list[str] = []
+        original = cluster.world.engine_client.report
+
+        async def report(url: str, *, fresh: bool):
+            read.append(url)
+            return await original(url, fresh=fresh)
+
+        cluster.world.engine_client.report = report
+        for _ in ALL_ENGINES:
+            await cluster.owners_by_id[OWNER].poll_reports(1)
+        assert sorted(read) == sorted(engine.url for engine in ALL_ENGINES)
+
+    run(scenario)
