Keep taking requests while the balancer learns of a drain

Cause: a host that drains refused new requests at once, but the balancer sends on until its next readiness check. Change: readiness turns off first and requests are taken for limits.drain_notice_s (2 s); answers close reused connections meanwhile. A drain that is cut short is logged.

--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -50,6 +50,7 @@
     body_timeout_s: Seconds = 10.0
     max_streams: Annotated[int, Field(gt=0)] = 4000
     stream_buffer_bytes: Annotated[int, Field(gt=0)] = 65536
+    drain_notice_s: Annotated[float, Field(ge=0)] = 2.0
     drain_limit_s: Seconds = 300.0
 
 
@@ -106,6 +107,7 @@
     body_timeout_s: float
     max_streams: int
     stream_buffer_bytes: int
+    drain_notice_s: float
     drain_limit_s: float
 
 
--- a/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
@@ -247,7 +247,7 @@
 async def _held_callers(count: int) -> int:
     """Return the memory of streams at the caller API, in bytes."""
     clock = SystemClock()
-    drain = Drain(max(STREAM_COUNTS))
+    drain = Drain(max(STREAM_COUNTS), clock)
     api = CallerApi(
         Options.from_settings(SETTINGS, b"key"),
         caller_tickets(),
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -170,8 +170,16 @@
         app = web.Application(client_max_size=self._options.limits.max_body_bytes)
         app.router.add_post("/v1/completions", self._completions)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._plain)
+        app.on_response_prepare.append(self._close_when_draining)
         return app
 
+    async def _close_when_draining(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        """End reused connections, so that the balancer opens new ones."""
+        if self._drain.draining:
+            response.force_close()
+
     async def start(self) -> None:
         """Start listening."""
         self._runner = web.AppRunner(
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -116,7 +116,8 @@
         self._metrics = RouterMetrics()
         decisions = DecisionLog(clock)
         observer = RequestObserver(self._metrics, decisions)
-        self._drain = Drain(options.limits.max_streams)
+        limits = options.limits
+        self._drain = Drain(limits.max_streams, clock, limits.drain_notice_s)
         self._tickets = TicketStore()
         self._directory = HostDirectory(
             HttpHostListClient(
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import signal
 import sys
 from pathlib import Path
@@ -10,7 +11,7 @@
 import typer
 import uvloop
 
-from kumquat_core.log_events import configure_logging
+from kumquat_core.log_events import configure_logging, log_event
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Options, SettingsModel, load_options
 from kumquat_core.settings_checks import check_settings
@@ -25,6 +26,8 @@
     add_completion=True,
 )
 
+logger = logging.getLogger(__name__)
+
 EXIT_DRAIN_CUT_SHORT = 3
 EXIT_SETTINGS_INVALID = 2
 
@@ -91,6 +94,8 @@
         {drain, cut_short}, return_when=asyncio.FIRST_COMPLETED
     )
     finished = drain in done and drain.result()
+    if not finished:
+        log_event(logger, "drain_cut_short", level=logging.WARNING)
     drain.cancel()
     cut_short.cancel()
     await host.stop()
--- a/tests/router/test_admin_api.py
+++ b/tests/router/test_admin_api.py
@@ -23,7 +23,7 @@
 class Harness:
     def __init__(self) -> None:
         self.ready = True
-        self.drain = Drain(10)
+        self.drain = Drain(10, ManualClock())
         self.metrics = RouterMetrics()
         self.decisions = DecisionLog(CLOCK, limit=3)
         self.api = AdminApi(
--- a/tests/router/test_caller_api.py
+++ b/tests/router/test_caller_api.py
@@ -103,7 +103,7 @@
 
 def call(path, method, url, *, drain=None, **arguments):
     async def run():
-        api = make_api(path, drain or Drain(10))
+        api = make_api(path, drain or Drain(10, ManualClock()))
         async with TestClient(TestServer(api.create_app())) as client:
             response = await client.request(method, url, **arguments)
             return response.status, response.headers, await response.read()
@@ -161,7 +161,7 @@
 
 
 def test_draining_host_refuses_as_not_run():
-    drain = Drain(10)
+    drain = Drain(10, ManualClock())
     drain.begin()
     path = FakeModelPath()
     arguments = {"data": completion(), "headers": AUTH}
