--- a/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
+++ b/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
@@ -49,10 +49,12 @@
         "limits.max_streams": "Most requests in progress; further ones are refused",
         "limits.stream_buffer_bytes": "Bytes kept for a slow caller before the "
         "router stops reading from the engine",
+        "limits.drain_notice_s": "Time in seconds in which a draining host still takes requests",
         "limits.drain_limit_s": "Longest drain in seconds; then the process ends",
         "timing.ticket_poll_s": "Period of reading the ticket log, in seconds",
         "timing.host_list_poll_s": "Period of reading the host list, in seconds",
         "timing.report_poll_s": "Period of reading engine reports, in seconds",
+        "timing.max_reports_per_s": "Most engine reports that a host reads a second",
         "timing.ping_period_s": "Period of the heartbeat, in seconds",
         "timing.ping_timeout_s": "Time for an answer to a heartbeat, in seconds",
         "timing.suspicion_s": "Time from suspicion to death, in seconds",
