Apply the bound on the buffer of a slow caller

Cause: limits.stream_buffer_bytes was read but had no effect; the default of the library was in force. Change: the bound is set on the connection before the answer starts.

--- a/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
+++ b/packages/kumquat_lab/src/kumquat_lab/doc_tables.py
@@ -49,7 +49,8 @@
         "limits.max_streams": "Most requests in progress; further ones are refused",
         "limits.stream_buffer_bytes": "Bytes kept for a slow caller before the "
         "router stops reading from the engine",
-        "limits.drain_notice_s": "Time in seconds in which a draining host still takes requests",
+        "limits.drain_notice_s": "Time in seconds for which a draining host still "
+        "takes requests",
         "limits.drain_limit_s": "Longest drain in seconds; then the process ends",
         "timing.ticket_poll_s": "Period of reading the ticket log, in seconds",
         "timing.host_list_poll_s": "Period of reading the host list, in seconds",
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -79,9 +79,15 @@
 class _StreamSink:
     """Writes tokens to the caller as server-sent events."""
 
-    def __init__(self, http_request: web.Request, stream_format: StreamFormat) -> None:
+    def __init__(
+        self,
+        http_request: web.Request,
+        stream_format: StreamFormat,
+        buffer_bytes: int,
+    ) -> None:
         self._http_request = http_request
         self._format = stream_format
+        self._buffer_bytes = buffer_bytes
         self.response: web.StreamResponse | None = None
 
     async def write(self, tokens: list[Token], times: ModelTimes) -> None:
@@ -119,6 +125,10 @@
         headers = success_headers(request_id) | _engine_headers(times)
         headers["Content-Type"] = "text/event-stream"
         headers["Cache-Control"] = "no-cache"
+        if self._http_request.transport is not None:
+            # Above this mark ``write`` waits, and no more tokens are read
+            # from the engine.
+            self._http_request.transport.set_write_buffer_limits(self._buffer_bytes)
         response = web.StreamResponse(headers=headers)
         await response.prepare(self._http_request)
         return response
@@ -300,7 +310,8 @@
         self, http_request: web.Request, caller: _Caller, request: ModelRequest
     ) -> web.StreamResponse:
         stream_format = StreamFormat(request.request_id, request.model.name)
-        sink = _StreamSink(http_request, stream_format)
+        buffer_bytes = self._options.limits.stream_buffer_bytes
+        sink = _StreamSink(http_request, stream_format, buffer_bytes)
         try:
             times = await self._model_path.run(caller.configuration, request, sink)
             return await sink.finish(_finish_reason(request, times), times)
