--- a/packages/kumquat_lab/src/kumquat_lab/caller.py
+++ b/packages/kumquat_lab/src/kumquat_lab/caller.py
@@ -47,6 +47,11 @@
     cancel_after_tokens: int | None = None
     cancel_after_s: float | None = None
 
+    @property
+    def cancels(self) -> bool:
+        """Tell whether the caller means to disconnect."""
+        return self.cancel_after_tokens is not None or self.cancel_after_s is not None
+
 
 @dataclass(frozen=True)
 class PlainCall:
--- a/tests/lab/test_bench.py
+++ b/tests/lab/test_bench.py
@@ -1,5 +1,6 @@
 """Guards against a bench that shows a missed target as met."""
 
+import dataclasses
 import random
 from typing import Any
 
@@ -68,6 +69,14 @@
         assert not is_good(arrival, CallOutcome("owner-check", **(good | change)))
 
 
+def test_request_that_the_limit_leaves_out_is_never_good():
+    work = HAGESTAD.work_of("owner-check")
+    call = make_model_call(random.Random(1), HAGESTAD, work)
+    call = dataclasses.replace(call, cancel_after_s=1.5)
+    outcome = CallOutcome("owner-check", kind="ok", ttft_ms=10.0, tbt_ms=10.0)
+    assert not is_good(Arrival(0.0, HAGESTAD, call), outcome)
+
+
 def test_answer_is_the_sequence_of_its_tokens_and_differs_by_prompt():
     text = answer_text("m", "a b", 5)
     assert len(text.split()) == 5
