--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -31,7 +32,9 @@
 from .platform import PlatformConfig, run_platform
 from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
+from .slopes import run_slopes
 from .stack import StackConfig
+from .torture import run_torture
 from .up import run_up
 
 Result = TypeVar("Result")
@@ -237,6 +240,20 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
+@app.command()
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
@@ -245,5 +262,14 @@
     uvloop.run(run_decision_cost(seed))
 
 
+@app.command()
+def slopes(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Measure how costs grow with the number of hosts, engines and so on."""
+    run_slopes(seed, json_file)
+
+
 if __name__ == "__main__":
     app()
