Keep the legends of the bench's plots beside the data

Cause: the legend covered bars near the limit, and lines joined scenarios that have no order. Change: legends stand above the axes; the latencies are points.

--- a/packages/kumquat_lab/src/kumquat_lab/bench.py
+++ b/packages/kumquat_lab/src/kumquat_lab/bench.py
@@ -296,7 +296,7 @@
 
 
 def _plot_goodput(documents: Documents, path: Path) -> None:
-    figure, axes = plt.subplots(figsize=(9, 4))
+    figure, axes = plt.subplots(figsize=(9, 4), layout="constrained")
     width = 0.8 / len(POLICIES)
     for offset, policy in enumerate(POLICIES):
         points = [
@@ -308,27 +308,25 @@
     axes.set_xticks([index + 0.3 for index in range(len(documents))], list(documents))
     axes.set_ylabel("goodput / limit")
     axes.set_ylim(0, 1.1)
-    axes.legend(ncols=4, loc="upper center", fontsize="small")
-    figure.tight_layout()
+    figure.legend(ncols=4, loc="outside upper center", fontsize="small")
     figure.savefig(path, dpi=110)
     plt.close(figure)
 
 
 def _plot_latency(documents: Documents, path: Path) -> None:
-    figure, axes = plt.subplots(figsize=(9, 4))
+    figure, axes = plt.subplots(figsize=(9, 4), layout="constrained")
     for policy in POLICIES:
         points = [
             (index, document["policies"][policy]["ttft_ms"][INTERACTIVE]["p99"])
             for index, document in enumerate(documents.values())
             if INTERACTIVE in document["policies"].get(policy, {}).get("ttft_ms", {})
         ]
-        axes.plot([x for x, _ in points], [y for _, y in points], "o-", label=policy)
+        axes.plot([x for x, _ in points], [y for _, y in points], "o", label=policy)
     target_ms = HAGESTAD.work_of(INTERACTIVE).ttft_target_ms
     axes.axhline(target_ms, color="grey", linestyle="--", label="target")
     axes.set_xticks(range(len(documents)), list(documents))
     axes.set_ylabel(f"{INTERACTIVE} p99 TTFT, ms")
     axes.set_yscale("log")
-    axes.legend(ncols=5, loc="upper center", fontsize="small")
-    figure.tight_layout()
+    figure.legend(ncols=5, loc="outside upper center", fontsize="small")
     figure.savefig(path, dpi=110)
     plt.close(figure)
