Keep suspicions inside the region of the member

Change: suspicions heard from other regions are ignored; a target in another region is pinged by two members of that region before it is suspected; a stale suspicion is answered; while many updates wait a second probe must fail first; a host that only heard of a suspicion waits twice as long as the one that probes.

--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -28,7 +28,7 @@
 from .configuration import ServerState
 from .host_list_client import ListedHost
 from .log_events import log_event
-from .member_updates import UpdateQueue
+from .member_updates import MAX_UPDATES_PER_MESSAGE, UpdateQueue
 from .peer_messages import Ack, MemberUpdate, Message, Ping, PingRequest
 from .settings import Address, Options
 
@@ -59,6 +59,10 @@
 # the answers it missed say nothing about the others.
 OWN_PAUSE_PERIODS = 3.0
 
+# A host that suspects a member asks it again in each period; those that only
+# heard of it wait longer, so that a late refutation kills nobody.
+HEARSAY_FACTOR = 2.0
+
 # Gossip ends long before; an older statement could otherwise bring a
 # forgotten member back.
 DEAD_RETENTION_S = 120.0
@@ -189,6 +193,8 @@
         self._misses_by_region: Counter[str] = Counter()
         self._live_ids_by_region: dict[str, list[str]] = {}
         self._expiring_ids: set[str] = set()
+        self._doubted: set[str] = set()
+        self._suspected_here: set[str] = set()
         self._list_applied = False
         self._period = 0
         self._last_period_s = clock.monotonic()
@@ -414,9 +420,8 @@
     def second_calls(self, target: str) -> list[tuple[str, Message]]:
         """Return the calls to make after a direct ping without answer.
 
-        Two members of the region ping the target; for a host of another
-        region two others of that region are pinged instead, to tell the
-        loss of the host from the loss of the region.
+        Two members of the target's region are asked to ping it. For another
+        region this also tells the loss of the host from that of the region.
         """
         member = self.members_by_id.get(target)
         if member is None or not member.live:
@@ -428,8 +433,6 @@
         ]
         chosen = self._rng.sample(helpers, min(INDIRECT_PINGS, len(helpers)))
         self.counters.indirect_pings += len(chosen)
-        if member.region != self._own.region:
-            return [(host_id, self.ping_for(host_id)) for host_id in chosen]
         return [(host_id, self._ping_request(host_id, target)) for host_id in chosen]
 
     def probe_failed(self, target: str, *, others_answered: bool) -> None:
@@ -446,11 +449,28 @@
             self._miss_region(member.region, target)
             return
         if member.state is MemberState.ALIVE:
+            if self._must_ask_again(target):
+                return
             self.counters.suspicions += 1
+            self._suspected_here.add(target)
             self._merge(replace(member.update, state="suspect"))
         if target not in self._urgent:
             self._urgent.append(target)
 
+    def _must_ask_again(self, target: str) -> bool:
+        """Tell whether a second probe has to fail before a suspicion.
+
+        When many updates wait, messages are being lost, and gossip about
+        suspicions that are refuted at once would delay the others.
+        """
+        if len(self._queue) <= MAX_UPDATES_PER_MESSAGE or target in self._doubted:
+            self._doubted.discard(target)
+            return False
+        self._doubted.add(target)
+        if target not in self._urgent:
+            self._urgent.append(target)
+        return True
+
     def process_ended(self, host_id: str) -> None:
         """Declare a process dead whose address refuses connections.
 
@@ -505,6 +525,8 @@
         if member is None:
             self._merge_unknown(update, state)
             return
+        if informant and state is MemberState.SUSPECT and self._is_remote(member):
+            return
         known = (member.update.incarnation, member.update.sequence, member.state)
         if (update.incarnation, update.sequence, state) > known:
             self._replace(member, update, state)
@@ -513,6 +535,8 @@
         """Add a host that is not listed yet; a dead one is of no interest."""
         if state is MemberState.DEAD:
             return
+        if state is MemberState.SUSPECT and update.region != self._own.region:
+            state, update = MemberState.ALIVE, replace(update, state="alive")
         member = Member(
             replace(update, incarnation=0), MemberState.LISTED, self._clock.monotonic()
         )
@@ -530,13 +554,18 @@
         member.state = state
         member.since_s = self._clock.monotonic()
         member.tried = True
-        self._queue.put(update)
+        is_new_process = update.incarnation != before.incarnation
+        # Suspicions and their refutations stay in the region of the member;
+        # what passes on to other regions is who lives.
+        if not self._is_remote(member) or is_new_process or was_live != member.live:
+            self._queue.put(update)
         self._live_ids_by_region.clear()
         if state > MemberState.ALIVE:
             self._expiring_ids.add(update.host_id)
+        if state is not MemberState.SUSPECT:
+            self._suspected_here.discard(update.host_id)
         if state is MemberState.SUSPECT:
             self._log("member_suspected", update)
-        is_new_process = update.incarnation != before.incarnation
         if was_live and (is_new_process or not member.live):
             self.counters.deaths += 1
             self._tell(ChangeKind.DIED, before)
@@ -557,7 +586,11 @@
         if update.incarnation < self._own.incarnation:
             self._queue.put(self._own)
             return
-        if state is MemberState.ALIVE or update.sequence < self._own.sequence:
+        if state is MemberState.ALIVE:
+            return
+        if update.sequence < self._own.sequence:
+            # Refuted earlier, but the informant has not heard of it.
+            self._queue.put(self._own)
             return
         self._own = replace(self._own, sequence=update.sequence + 1)
         self._queue.put(self._own)
@@ -570,6 +603,7 @@
         It does not lift a suspicion: the suspect hears of it with the next
         message and refutes it for everyone.
         """
+        self._doubted.discard(host_id)
         member = self.members_by_id.get(host_id)
         if member is None:
             return
@@ -596,10 +630,12 @@
                 self._expiring_ids.discard(host_id)
                 continue
             age_s = now_s - member.since_s
+            if host_id not in self._suspected_here:
+                age_s /= HEARSAY_FACTOR
             match member.state:
                 case MemberState.SUSPECT if age_s >= timeout_s:
                     self._merge(replace(member.update, state="dead"))
-                case MemberState.DEAD if age_s >= DEAD_RETENTION_S:
+                case MemberState.DEAD if now_s - member.since_s >= DEAD_RETENTION_S:
                     if member.listed is None:
                         del self.members_by_id[host_id]
                 case _:
@@ -706,6 +742,9 @@
         member = self.members_by_id.get(host_id)
         return member is not None and member.live
 
+    def _is_remote(self, member: Member) -> bool:
+        return member.region != self._own.region
+
     def _is_leaving(self, host_id: str) -> bool:
         member = self.members_by_id.get(host_id)
         return member is not None and member.leaving
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -102,6 +102,17 @@
     assert membership.liveness("h1", 1) is Liveness.DEAD
 
 
+def test_late_suspicion_is_answered_by_an_earlier_refutation():
+    network = make_network(3)
+    suspect = network.members_by_id["h1"]
+    stale = replace(suspect.own, state="suspect")
+    suspect.handle(Ping("h0", 1, 0, (stale,)), "h0")
+    for _ in range(50):
+        suspect.ack_for("h0")
+    suspect.handle(Ping("h2", 1, 0, (stale,)), "h2")
+    assert suspect.own in suspect.ack_for("h2").updates
+
+
 def test_list_may_lag_in_both_directions():
     network = make_network()
     listed = [listed_host(m) for m in network.members_by_id.values()]
@@ -152,6 +163,21 @@
         assert membership.live_host_ids("b") == ["b0", "b1", "b2"]
 
 
+def test_suspicion_heard_from_another_region_kills_nobody():
+    network = MemoryNetwork(1)
+    for host_id, region in (("a0", "a"), ("a1", "a"), ("b0", "b"), ("b1", "b")):
+        network.add(host_id, region)
+    network.publish_list()
+    network.run(30)
+    observer = network.members_by_id["a0"]
+    stale = replace(network.members_by_id["b1"].own, state="suspect")
+    observer.handle(Ping("b0", 1, 0, (stale,)), "b0")
+    network.frozen.update(("b0", "b1"))
+    network.run(15)
+    assert observer.liveness("b1", 1) is Liveness.LIVE
+    assert observer.counters.deaths == 0
+
+
 def test_lost_messages_do_not_make_a_region_lost():
     network = MemoryNetwork(2, loss=0.1)
     for region in ("a", "b"):
