--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -32,6 +32,7 @@
 from .platform import PlatformConfig, run_platform
 from .router_cost import measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
+from .slopes import run_slopes
 from .stack import StackConfig
 from .torture import run_torture
 from .up import run_up
@@ -209,20 +210,6 @@
     write_json(document, json_file)
 
 
-@app.command()
-def torture(
-    seed: int = 1,
-    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
-    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
-    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
-) -> None:
-    """Run random faults under load; exit status 1 on a violated invariant."""
-    result = uvloop.run(run_torture(seed, seconds, hosts))
-    write_json(asdict(result), json_file)
-    if result.violated:
-        raise typer.Exit(1)
-
-
 @app.command()
 def bench(
     directory: Annotated[Path, typer.Option(help="for results")] = Path("bench"),
@@ -253,6 +240,20 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
+@app.command()
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
@@ -261,5 +262,14 @@
     uvloop.run(run_decision_cost(seed))
 
 
+@app.command()
+def slopes(
+    seed: int = 1,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Measure how costs grow with the number of hosts, engines and so on."""
+    run_slopes(seed, json_file)
+
+
 if __name__ == "__main__":
     app()
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -133,6 +133,15 @@
         shards = self._shards_by_id
         return [shards[shard_id].scheduler.summary() for shard_id in self.shard_ids()]
 
+    def held_pieces_by_engine(self) -> dict[str, int]:
+        """Return the pieces granted on each decode engine of owned shards."""
+        held: dict[str, int] = {}
+        for shard in self._shards_by_id.values():
+            held |= dict.fromkeys(shard.scheduler.engine_ids, 0)
+            for grant in shard.scheduler.held_grants():
+                held[grant.decode_engine] += grant.pieces
+        return held
+
     def update(self, configuration: Configuration) -> None:
         """Take over the configuration and the present set of live hosts."""
         self._configuration = configuration
@@ -175,6 +184,7 @@
 
     async def poll_reports(self) -> None:
         """Compare the reports of all owned engines with the accounts."""
+        self._observer.metrics.add_sweeps(len(self._shards_by_id))
         await asyncio.gather(*(shard.poll() for shard in self._shards_by_id.values()))
 
     def _owned(self, shard: Shard, shard_count: int) -> OwnedShard:
@@ -273,7 +283,7 @@
         engine = self._configuration.engines_by_id.get(engine_id)
         if engine is None:
             return
-        self._observer.metrics.add_sweep(1)
+        self._observer.metrics.add_swept_request()
         try:
             await self._engine_client.cancel(engine.url, request_id)
         except RouterError:
