--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -34,9 +34,10 @@
 FIRST_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 2.0
 
-# 380 links hold at most 380 MB in theory; in practice only links to frozen
-# peers fill up, and those are dropped after SILENT_LINK_S.
-MAX_QUEUED_BYTES = 1024 * 1024
+# Only links to slow or frozen peers fill up, until SILENT_LINK_S drops them.
+# A failure domain of 15 hosts that freezes holds 4 MB of the 32 MB that
+# control may take.
+MAX_QUEUED_BYTES = 256 * 1024
 
 # A stream over a cut path stays open for minutes. When nothing arrived for
 # this time after a call, a new stream is opened instead.
