Report a superseded process as not ready

Cause: a paused process that was replaced under its host id went on to take requests, which the shard owners then freed.

--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -372,7 +372,7 @@
         return None
 
     def _is_ready(self) -> bool:
-        return self._tickets.position > 0
+        return self._tickets.position > 0 and not self._membership.superseded
 
     def _status(self) -> dict[str, Any]:
         configuration = self._tickets.configuration
--- a/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_sweep.py
@@ -160,16 +160,23 @@
                     self._scheduler.cancel(request_id)
             return
         grants_by_id = {grant.request_id: grant for grant in reply.grants}
+        # Read once: a shard has up to 640 grants, and all are asked about.
+        known_by_id = {g.request_id: g for g in self._scheduler.held_grants()}
         for request_id in query.request_ids:
             self._first_seen_s_by_request_id.pop(request_id, None)
             if request_id in reply.waiting:
                 continue
             grant = grants_by_id.get(request_id)
             holdings = holdings_by_id.get(request_id, [])
-            await self._settle(request_id, grant, holdings)
+            known = known_by_id.get(request_id)
+            await self._settle(request_id, grant, known, holdings)
 
     async def _settle(
-        self, request_id: str, grant: HeldGrant | None, holdings: list[_Holding]
+        self,
+        request_id: str,
+        grant: HeldGrant | None,
+        known: HeldGrant | None,
+        holdings: list[_Holding],
     ) -> None:
         """Bring account and engines in line with what the host holds."""
         used = {grant.prefill_engine, grant.decode_engine} if grant else set()
@@ -179,7 +186,6 @@
         if grant is None:
             self._scheduler.cancel(request_id)
             return
-        known = {g.request_id: g for g in self._scheduler.held_grants()}.get(request_id)
         if known is not None and (
             known.decode_engine == grant.decode_engine and known.prefill_engine
         ):
