Settle only when the first pings have ended

Cause: a starting host counted its first pings as tried when it sent them, and could take over all shards before the answers arrived.

Change: a member is tried when its probe has ended.

--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -130,12 +130,17 @@
 
 @dataclass(eq=False)
 class Member:
-    """One host as this host knows it; ``since_s`` dates the state."""
+    """One host as this host knows it; ``since_s`` dates the state.
+
+    ``asked`` tells that it was pinged at least once, and ``tried`` that the
+    result is known.
+    """
 
     update: MemberUpdate
     state: MemberState
     since_s: float
     listed: ListedHost | None = None
+    asked: bool = False
     tried: bool = False
 
     @property
@@ -241,7 +246,11 @@
     @property
     def settled(self) -> bool:
         """Tell whether every listed host of the region was tried once."""
-        return self._list_applied and not self._untried()
+        return self._list_applied and all(
+            member.tried
+            for member in self.members_by_id.values()
+            if not self._is_remote(member)
+        )
 
     @property
     def lost_regions(self) -> frozenset[str]:
@@ -384,10 +393,10 @@
             targets.append(self._next_lost_member())
         if self._period % REMOTE_PERIODS == 0:
             targets.append(self._next_remote())
-        targets.extend(self._untried()[:JOIN_PINGS_PER_PERIOD])
+        targets.extend(self._not_asked()[:JOIN_PINGS_PER_PERIOD])
         chosen = list(dict.fromkeys(target for target in targets if target))
         for host_id in chosen:
-            self.members_by_id[host_id].tried = True
+            self.members_by_id[host_id].asked = True
         self.counters.pings += len(chosen)
         return chosen
 
@@ -400,6 +409,12 @@
         chosen = self._rng.sample(members, min(LEAVE_PINGS, len(members)))
         return [(host_id, self.ping_for(host_id)) for host_id in chosen]
 
+    def probe_ended(self, target: str) -> None:
+        """Take notice that the result of a probe is known."""
+        member = self.members_by_id.get(target)
+        if member is not None:
+            member.tried = True
+
     def probe_soon(self, host_id: str) -> None:
         """Ping a live member of the region in the next period."""
         member = self.members_by_id.get(host_id)
@@ -553,7 +568,7 @@
         member.update = update
         member.state = state
         member.since_s = self._clock.monotonic()
-        member.tried = True
+        member.asked = member.tried = True
         is_new_process = update.incarnation != before.incarnation
         # Suspicions and their refutations stay in the region of the member;
         # what passes on to other regions is who lives.
@@ -715,11 +730,11 @@
             self._rng.shuffle(queue)
         return None
 
-    def _untried(self) -> list[str]:
+    def _not_asked(self) -> list[str]:
         return [
             host_id
             for host_id, member in self.members_by_id.items()
-            if not member.tried and member.region == self._own.region
+            if not member.asked and not self._is_remote(member)
         ]
 
     def _live_members_of(self, region: str) -> list[str]:
--- a/packages/kumquat_lab/src/kumquat_lab/membership_costs.py
+++ b/packages/kumquat_lab/src/kumquat_lab/membership_costs.py
@@ -114,6 +114,7 @@
         membership = self.members_by_id[host_id]
         for target in membership.next_pings():
             if self._ping(host_id, target):
+                membership.probe_ended(target)
                 continue
             calls = membership.second_calls(target)
             replies = [self._call(host_id, *call) for call in calls]
@@ -131,6 +132,7 @@
             origin = self.members_by_id.get(probe.origin)
             if origin is not None and probe.origin not in self.frozen:
                 origin.probe_failed(probe.target, others_answered=probe.others_answered)
+                origin.probe_ended(probe.target)
 
     def _ping(self, origin: str, target: str) -> bool:
         ping = self.members_by_id[origin].ping_for(target)
--- a/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
+++ b/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
@@ -68,7 +68,7 @@
         """Start the probes of one period and return their tasks."""
         started = []
         for target in self._membership.next_pings():
-            probe = asyncio.get_running_loop().create_task(self._probe(target))
+            probe = asyncio.get_running_loop().create_task(self._run_probe(target))
             self._probes.add(probe)
             probe.add_done_callback(self._on_probe_done)
             started.append(probe)
@@ -90,6 +90,10 @@
             sender, message.target, reached=reached
         )
 
+    async def _run_probe(self, target: str) -> None:
+        await self._probe(target)
+        self._membership.probe_ended(target)
+
     async def _probe(self, target: str) -> None:
         paused_before = self._membership.counters.own_pauses
         if await self._ping(target):
--- a/tests/router/test_membership_driver.py
+++ b/tests/router/test_membership_driver.py
@@ -4,6 +4,8 @@
 import random
 
 from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import ServerState
+from kumquat_core.host_list_client import ListedHost
 from kumquat_core.membership import Liveness, Membership
 from kumquat_core.peer_messages import Ack, MemberUpdate, Message, Ping, PingRequest
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -106,6 +108,21 @@
     asyncio.run(scenario())
 
 
+def test_host_is_not_settled_while_its_first_pings_are_open():
+    async def scenario() -> None:
+        node = Node()
+        listed = ListedHost("d", "127.0.0.1", 1, "d", "r", ServerState.LIVE)
+        node.links.hanging.add("d")
+        node.membership.apply_host_list([listed])
+        probes = node.driver.start_period()
+        await asyncio.sleep(0)
+        assert not node.membership.settled
+        await asyncio.gather(*probes)
+        assert node.membership.settled
+
+    asyncio.run(scenario())
+
+
 def test_indirect_ping_reports_that_the_target_was_not_reached():
     async def scenario() -> None:
         node = Node()
