--- a/packages/kumquat_lab/src/kumquat_lab/__main__.py
+++ b/packages/kumquat_lab/src/kumquat_lab/__main__.py
@@ -210,6 +210,20 @@
     write_json(document, json_file)
 
 
+@app.command()
+def torture(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
+    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
+) -> None:
+    """Run random faults under load; exit status 1 on a violated invariant."""
+    result = uvloop.run(run_torture(seed, seconds, hosts))
+    write_json(asdict(result), json_file)
+    if result.violated:
+        raise typer.Exit(1)
+
+
 @app.command()
 def bench(
     directory: Annotated[Path, typer.Option(help="for results")] = Path("bench"),
@@ -240,20 +254,6 @@
     write_json(_run_tool(measure_cost(seed, lock)), json_file)
 
 
-@app.command()
-def torture(
-    seed: int = 1,
-    seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
-    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 4,
-    json_file: Annotated[Path | None, typer.Option("--json", help="result")] = None,
-) -> None:
-    """Run random faults under load; exit status 1 on a violated invariant."""
-    result = uvloop.run(run_torture(seed, seconds, hosts))
-    write_json(asdict(result), json_file)
-    if result.violated:
-        raise typer.Exit(1)
-
-
 @app.command("decision-cost")
 def decision_cost(
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
