--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -9,8 +9,8 @@
 
 Inside a region each host pings one member in each period. Across regions a
 host pings one member of one other region every few periods, whatever the
-number of members. A region is lost when three of its members in a row do
-not answer; the states of its members are then left as they are.
+number of members. A region is lost when three of its members do not answer,
+twice in a row; the states of its members are then left as they are.
 
 The class does no input or output; ``membership_driver`` of the entry host
 sends what it returns.
@@ -28,7 +28,7 @@
 from .configuration import ServerState
 from .host_list_client import ListedHost
 from .log_events import log_event
-from .member_updates import UpdateQueue
+from .member_updates import MAX_UPDATES_PER_MESSAGE, UpdateQueue
 from .peer_messages import Ack, MemberUpdate, Message, Ping, PingRequest
 from .settings import Address, Options
 
@@ -47,6 +47,10 @@
 REMOTE_PERIODS = 10
 RECONNECT_PERIODS = 4
 
+# At 10% message loss one miss of three members has a probability of 0.7%,
+# which 380 hosts would meet every few seconds.
+REGION_MISSES = 2
+
 # A starting host learns the members of its region by one ping to each,
 # spread over periods so that the burst stays small at 380 hosts.
 JOIN_PINGS_PER_PERIOD = 16
@@ -55,6 +59,10 @@
 # the answers it missed say nothing about the others.
 OWN_PAUSE_PERIODS = 3.0
 
+# A host that suspects a member asks it again in each period; those that only
+# heard of it wait longer, so that a late refutation kills nobody.
+HEARSAY_FACTOR = 2.0
+
 # Gossip ends long before; an older statement could otherwise bring a
 # forgotten member back.
 DEAD_RETENTION_S = 120.0
@@ -122,12 +130,17 @@
 
 @dataclass(eq=False)
 class Member:
-    """One host as this host knows it; ``since_s`` dates the state."""
+    """One host as this host knows it; ``since_s`` dates the state.
+
+    ``asked`` tells that it was pinged at least once, and ``tried`` that the
+    result is known.
+    """
 
     update: MemberUpdate
     state: MemberState
     since_s: float
     listed: ListedHost | None = None
+    asked: bool = False
     tried: bool = False
 
     @property
@@ -182,8 +195,11 @@
         self._urgent: deque[str] = deque()
         self._remote_round: list[str] = []
         self._lost_regions: set[str] = set()
+        self._misses_by_region: Counter[str] = Counter()
         self._live_ids_by_region: dict[str, list[str]] = {}
         self._expiring_ids: set[str] = set()
+        self._doubted: set[str] = set()
+        self._suspected_here: set[str] = set()
         self._list_applied = False
         self._period = 0
         self._last_period_s = clock.monotonic()
@@ -230,7 +246,11 @@
     @property
     def settled(self) -> bool:
         """Tell whether every listed host of the region was tried once."""
-        return self._list_applied and not self._untried()
+        return self._list_applied and all(
+            member.tried
+            for member in self.members_by_id.values()
+            if not self._is_remote(member)
+        )
 
     @property
     def lost_regions(self) -> frozenset[str]:
@@ -373,10 +393,10 @@
             targets.append(self._next_lost_member())
         if self._period % REMOTE_PERIODS == 0:
             targets.append(self._next_remote())
-        targets.extend(self._untried()[:JOIN_PINGS_PER_PERIOD])
+        targets.extend(self._not_asked()[:JOIN_PINGS_PER_PERIOD])
         chosen = list(dict.fromkeys(target for target in targets if target))
         for host_id in chosen:
-            self.members_by_id[host_id].tried = True
+            self.members_by_id[host_id].asked = True
         self.counters.pings += len(chosen)
         return chosen
 
@@ -389,6 +409,12 @@
         chosen = self._rng.sample(members, min(LEAVE_PINGS, len(members)))
         return [(host_id, self.ping_for(host_id)) for host_id in chosen]
 
+    def probe_ended(self, target: str) -> None:
+        """Take notice that the result of a probe is known."""
+        member = self.members_by_id.get(target)
+        if member is not None:
+            member.tried = True
+
     def probe_soon(self, host_id: str) -> None:
         """Ping a live member of the region in the next period."""
         member = self.members_by_id.get(host_id)
@@ -409,9 +435,8 @@
     def second_calls(self, target: str) -> list[tuple[str, Message]]:
         """Return the calls to make after a direct ping without answer.
 
-        Two members of the region ping the target; for a host of another
-        region two others of that region are pinged instead, to tell the
-        loss of the host from the loss of the region.
+        Two members of the target's region are asked to ping it. For another
+        region this also tells the loss of the host from that of the region.
         """
         member = self.members_by_id.get(target)
         if member is None or not member.live:
@@ -423,8 +448,6 @@
         ]
         chosen = self._rng.sample(helpers, min(INDIRECT_PINGS, len(helpers)))
         self.counters.indirect_pings += len(chosen)
-        if member.region != self._own.region:
-            return [(host_id, self.ping_for(host_id)) for host_id in chosen]
         return [(host_id, self._ping_request(host_id, target)) for host_id in chosen]
 
     def probe_failed(self, target: str, *, others_answered: bool) -> None:
@@ -438,14 +461,41 @@
         if member is None or not member.live:
             return
         if member.region != self._own.region and not others_answered:
-            self._set_region_lost(member.region, lost=True)
+            self._miss_region(member.region, target)
             return
         if member.state is MemberState.ALIVE:
+            if self._must_ask_again(target):
+                return
             self.counters.suspicions += 1
+            self._suspected_here.add(target)
             self._merge(replace(member.update, state="suspect"))
         if target not in self._urgent:
             self._urgent.append(target)
 
+    def _must_ask_again(self, target: str) -> bool:
+        """Tell whether a second probe has to fail before a suspicion.
+
+        When many updates wait, messages are being lost, and gossip about
+        suspicions that are refuted at once would delay the others.
+        """
+        if len(self._queue) <= MAX_UPDATES_PER_MESSAGE or target in self._doubted:
+            self._doubted.discard(target)
+            return False
+        self._doubted.add(target)
+        if target not in self._urgent:
+            self._urgent.append(target)
+        return True
+
+    def process_ended(self, host_id: str) -> None:
+        """Declare a process dead whose address refuses connections.
+
+        Without the suspicion time, which serves to tell a death from lost
+        messages. A process that runs after all refutes it.
+        """
+        member = self.members_by_id.get(host_id)
+        if member is not None and member.live:
+            self._merge(replace(member.update, state="dead"))
+
     # Messages
 
     def handle(self, message: Ping | PingRequest | Ack, sender: str) -> None:
@@ -490,6 +540,8 @@
         if member is None:
             self._merge_unknown(update, state)
             return
+        if informant and state is MemberState.SUSPECT and self._is_remote(member):
+            return
         known = (member.update.incarnation, member.update.sequence, member.state)
         if (update.incarnation, update.sequence, state) > known:
             self._replace(member, update, state)
@@ -498,6 +550,8 @@
         """Add a host that is not listed yet; a dead one is of no interest."""
         if state is MemberState.DEAD:
             return
+        if state is MemberState.SUSPECT and update.region != self._own.region:
+            state, update = MemberState.ALIVE, replace(update, state="alive")
         member = Member(
             replace(update, incarnation=0), MemberState.LISTED, self._clock.monotonic()
         )
@@ -514,14 +568,19 @@
         member.update = update
         member.state = state
         member.since_s = self._clock.monotonic()
-        member.tried = True
-        self._queue.put(update)
+        member.asked = member.tried = True
+        is_new_process = update.incarnation != before.incarnation
+        # Suspicions and their refutations stay in the region of the member;
+        # what passes on to other regions is who lives.
+        if not self._is_remote(member) or is_new_process or was_live != member.live:
+            self._queue.put(update)
         self._live_ids_by_region.clear()
         if state > MemberState.ALIVE:
             self._expiring_ids.add(update.host_id)
+        if state is not MemberState.SUSPECT:
+            self._suspected_here.discard(update.host_id)
         if state is MemberState.SUSPECT:
             self._log("member_suspected", update)
-        is_new_process = update.incarnation != before.incarnation
         if was_live and (is_new_process or not member.live):
             self.counters.deaths += 1
             self._tell(ChangeKind.DIED, before)
@@ -542,7 +601,11 @@
         if update.incarnation < self._own.incarnation:
             self._queue.put(self._own)
             return
-        if state is MemberState.ALIVE or update.sequence < self._own.sequence:
+        if state is MemberState.ALIVE:
+            return
+        if update.sequence < self._own.sequence:
+            # Refuted earlier, but the informant has not heard of it.
+            self._queue.put(self._own)
             return
         self._own = replace(self._own, sequence=update.sequence + 1)
         self._queue.put(self._own)
@@ -555,10 +618,12 @@
         It does not lift a suspicion: the suspect hears of it with the next
         message and refutes it for everyone.
         """
+        self._doubted.discard(host_id)
         member = self.members_by_id.get(host_id)
         if member is None:
             return
         if member.region != self._own.region:
+            self._misses_by_region[member.region] = 0
             self._set_region_lost(member.region, lost=False)
         if incarnation > member.update.incarnation:
             address = member.address
@@ -580,10 +645,12 @@
                 self._expiring_ids.discard(host_id)
                 continue
             age_s = now_s - member.since_s
+            if host_id not in self._suspected_here:
+                age_s /= HEARSAY_FACTOR
             match member.state:
                 case MemberState.SUSPECT if age_s >= timeout_s:
                     self._merge(replace(member.update, state="dead"))
-                case MemberState.DEAD if age_s >= DEAD_RETENTION_S:
+                case MemberState.DEAD if now_s - member.since_s >= DEAD_RETENTION_S:
                     if member.listed is None:
                         del self.members_by_id[host_id]
                 case _:
@@ -604,6 +671,14 @@
             self._own = replace(self._own, sequence=self._own.sequence + 1)
             self._queue.put(self._own)
 
+    def _miss_region(self, region: str, target: str) -> None:
+        """Note that three members did not answer; ask again at once."""
+        self._misses_by_region[region] += 1
+        if self._misses_by_region[region] >= REGION_MISSES:
+            self._set_region_lost(region, lost=True)
+        elif target not in self._urgent:
+            self._urgent.append(target)
+
     def _set_region_lost(self, region: str, *, lost: bool) -> None:
         if lost == (region in self._lost_regions):
             return
@@ -655,11 +730,11 @@
             self._rng.shuffle(queue)
         return None
 
-    def _untried(self) -> list[str]:
+    def _not_asked(self) -> list[str]:
         return [
             host_id
             for host_id, member in self.members_by_id.items()
-            if not member.tried and member.region == self._own.region
+            if not member.asked and not self._is_remote(member)
         ]
 
     def _live_members_of(self, region: str) -> list[str]:
@@ -682,6 +757,9 @@
         member = self.members_by_id.get(host_id)
         return member is not None and member.live
 
+    def _is_remote(self, member: Member) -> bool:
+        return member.region != self._own.region
+
     def _is_leaving(self, host_id: str) -> bool:
         member = self.members_by_id.get(host_id)
         return member is not None and member.leaving
--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -9,7 +9,7 @@
 import contextlib
 import json
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -33,7 +33,7 @@
     initial_ticket,
 )
 from .platform import PlatformConfig
-from .processes import ChildProcess, ProcessGroup, free_ports
+from .processes import ChildProcess, ProcessGroup, claim_ports
 
 __all__ = [
     "EntryHostPlan",
@@ -47,7 +47,7 @@
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.1
 PEER_KEY = "development-peer-key-0123456789abcdef"
-PORTS_PER_STACK = 128
+PORTS_PER_STACK = 127
 LAB = "kumquat_lab"
 ROUTER = "kumquatrouter.main"
 
@@ -123,11 +123,11 @@
 
     @classmethod
     def from_config(cls, config: StackConfig) -> "StackPlan":
-        """Return a plan on free ports, or on ports from ``first_port``."""
+        """Return a plan on claimed ports, or on ports from ``first_port``."""
         if config.first_port:
             ports = list(range(config.first_port, config.first_port + PORTS_PER_STACK))
         else:
-            ports = free_ports(PORTS_PER_STACK)
+            ports = claim_ports(PORTS_PER_STACK)
         ports.reverse()
         counts = EngineCounts(
             config.prefill_engines, config.decode_engines, config.engine_changes
@@ -177,7 +177,7 @@
             await self.publish_hosts(self.plan.hosts)
             for host in self.plan.hosts:
                 await self.start_host(host)
-            await asyncio.gather(*(self._wait_ready(h) for h in self.plan.hosts))
+            await asyncio.gather(*(self.wait_ready(h) for h in self.plan.hosts))
 
     async def start_host(self, host: EntryHostPlan) -> ChildProcess:
         """Start one entry host; used again to restart it."""
@@ -188,8 +188,15 @@
             host.host_id, ROUTER, "run", "--settings", str(path)
         )
 
-    async def publish_hosts(self, hosts: list[EntryHostPlan]) -> None:
-        """Replace the platform's host list at once."""
+    async def publish_hosts(
+        self, hosts: list[EntryHostPlan], leaving: Collection[str] = ()
+    ) -> None:
+        """Replace the platform's host list at once.
+
+        ``leaving`` are the ids of servers and engines that leave.
+        """
+        back_end_ids = [server.server_id for server in self.plan.servers]
+        back_end_ids += [engine.engine_id for engine in self.plan.engines]
         body = {
             "lag_s": 0,
             "hosts": [
@@ -204,8 +211,8 @@
                 for host in hosts
             ],
             "backend_servers": [
-                {"id": server.server_id, "state": "live"}
-                for server in self.plan.servers
+                {"id": item, "state": "leaving" if item in leaving else "live"}
+                for item in back_end_ids
             ],
         }
         await self.call("PUT", f"{self.plan.platform_url}/hosts", body)
@@ -239,7 +246,8 @@
         while not await self._answers(url):
             await asyncio.sleep(READY_POLL_S)
 
-    async def _wait_ready(self, host: EntryHostPlan) -> None:
+    async def wait_ready(self, host: EntryHostPlan) -> None:
+        """Wait until a host is ready and sees all others of its region."""
         await self._wait_for(f"{host.admin_url}/readyz")
         expected = {h.host_id for h in self.plan.hosts if h.region == host.region}
         while True:
--- a/tests/router/test_membership_driver.py
+++ b/tests/router/test_membership_driver.py
@@ -4,11 +4,14 @@
 import random
 
 from kumquat_core.clock import ManualClock
+from kumquat_core.configuration import ServerState
+from kumquat_core.host_list_client import ListedHost
 from kumquat_core.membership import Liveness, Membership
 from kumquat_core.peer_messages import Ack, MemberUpdate, Message, Ping, PingRequest
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import TimingModel
 from kumquatrouter.membership_driver import MembershipDriver
+from kumquatrouter.peer_links import PeerRefusedError
 
 TIMING = TimingModel(ping_timeout_s=0.05)
 
@@ -23,12 +26,15 @@
     def __init__(self) -> None:
         self.refusing: set[str] = set()
         self.hanging: set[str] = set()
+        self.ended: set[str] = set()
         self.reached_indirectly = True
         self.position = 0
         self.calls: list[tuple[str, Message]] = []
 
     async def call(self, host_id: str, message: Message, timeout_s: float) -> Message:
         self.calls.append((host_id, message))
+        if host_id in self.ended:
+            raise PeerRefusedError(ResultCode.PEER_CLOSED)
         if host_id in self.hanging:
             await asyncio.sleep(timeout_s)
         if host_id in self.refusing or host_id in self.hanging:
@@ -84,6 +90,13 @@
     assert node.membership.liveness("a", 1) is Liveness.LIVE
 
 
+def test_process_whose_address_refuses_connections_is_dead_at_once():
+    node = Node()
+    node.links.ended.add("a")
+    asyncio.run(node.periods(6))
+    assert node.membership.liveness("a", 1) is Liveness.DEAD
+
+
 def test_hanging_peer_does_not_delay_the_next_period():
     async def scenario() -> None:
         node = Node()
@@ -95,6 +108,21 @@
     asyncio.run(scenario())
 
 
+def test_host_is_not_settled_while_its_first_pings_are_open():
+    async def scenario() -> None:
+        node = Node()
+        listed = ListedHost("d", "127.0.0.1", 1, "d", "r", ServerState.LIVE)
+        node.links.hanging.add("d")
+        node.membership.apply_host_list([listed])
+        probes = node.driver.start_period()
+        await asyncio.sleep(0)
+        assert not node.membership.settled
+        await asyncio.gather(*probes)
+        assert node.membership.settled
+
+    asyncio.run(scenario())
+
+
 def test_indirect_ping_reports_that_the_target_was_not_reached():
     async def scenario() -> None:
         node = Node()
