--- a/packages/kumquatctl/src/kumquatctl/main.py
+++ b/packages/kumquatctl/src/kumquatctl/main.py
@@ -185,7 +185,7 @@
 def drain(
     context: typer.Context, host_id: HostArgument, as_json: JsonOption = False
 ) -> None:
-    """Stop new requests on a host; those in progress finish."""
+    """Make a host not ready; requests in progress finish."""
     _run(context, as_json, lambda p: host_commands.drain(p, host_id, True, as_json))
 
 
