--- a/packages/kumquat_lab/src/kumquat_lab/bench.py
+++ b/packages/kumquat_lab/src/kumquat_lab/bench.py
@@ -131,11 +131,13 @@
 
 def _heading(documents: Documents) -> list[str]:
     runs = sorted({(d["seed"], d["seconds"]) for d in documents.values()})
-    described = "; ".join(f"seed {seed}, {seconds:g} s" for seed, seconds in runs)
+    commands = ", ".join(
+        f"`{COMMAND} --seed {seed} --seconds {seconds:g}`" for seed, seconds in runs
+    )
     return [
-        f"Command: `{COMMAND}`; {described}. `docs/lab.md` describes the scenarios",
-        "and the limit. The policies of a scenario run side by side on one machine, so",
-        "times include its load.",
+        f"Command: {commands}, possibly as several calls with `--runs`.",
+        "`docs/lab.md` describes the scenarios and the limit. The policies of a",
+        "scenario run side by side on one machine, so times include its load.",
     ]
 
 
