Estimate waits by class and give up late work under overload

Short interactive requests were refused because the wait counted all requests ahead at one mean prefill time, 36 long digests were served after their target, and 20 route-advice answers missed the target by a little.

Change: lanes and mean times are kept by class; a request with a long prefill gives way to one with a short prefill; a request that missed its target under overload is refused at once; the target has a margin for messages and the running decode step; the next prefill is granted up to 8 ms before the present one ends.

--- a/packages/kumquat_core/src/kumquat_core/admission_queue.py
+++ b/packages/kumquat_core/src/kumquat_core/admission_queue.py
@@ -2,8 +2,8 @@
 
 Requests are kept sorted by the latest time at which they can be granted and
 still meet their target, so slack need not be recomputed as time passes and
-nothing is sorted again at an event. There is one lane for each model and
-tenant; candidates are taken from the heads of the lanes. A request that
+nothing is sorted again at an event. There is one lane for each model, tenant
+and class; candidates are taken from the heads of the lanes. A request that
 missed its target time moves behind all others of its lane and is still
 served until its patience ends, but never before one that can be on time.
 """
@@ -11,6 +11,7 @@
 import heapq
 import math
 from bisect import bisect_left, insort
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -63,6 +64,11 @@
         """Return the tenant of the request."""
         return self.needs.request.tenant
 
+    @property
+    def class_name(self) -> str:
+        """Return the class of the request."""
+        return self.needs.request.class_name
+
     @property
     def key(self) -> QueueKey:
         """Return the position in the lane."""
@@ -73,7 +79,7 @@
 
 @dataclass
 class _Lane:
-    """Waiting requests of one model and tenant, in order of their keys."""
+    """Waiting requests of one model, tenant and class, by key."""
 
     entries: list[tuple[QueueKey, WaitingRequest]] = field(default_factory=list)
 
@@ -93,6 +99,9 @@
         return last.late or first.moment_s <= now_s
 
 
+_LaneKey = tuple[str, str]
+
+
 def _entry_key(entry: tuple[QueueKey, WaitingRequest]) -> QueueKey:
     return entry[0]
 
@@ -103,7 +112,7 @@
     def __init__(self, *, late_last: bool = True) -> None:
         self._late_last = late_last
         self._items_by_request_id: dict[str, WaitingRequest] = {}
-        self._lanes_by_model: dict[str, dict[str, _Lane]] = {}
+        self._lanes_by_model: dict[str, dict[_LaneKey, _Lane]] = {}
 
     def __len__(self) -> int:
         return len(self._items_by_request_id)
@@ -117,7 +126,7 @@
         assert item.request_id not in self._items_by_request_id
         self._items_by_request_id[item.request_id] = item
         lanes = self._lanes_by_model.setdefault(item.model, {})
-        lanes.setdefault(item.tenant, _Lane()).push(item)
+        lanes.setdefault((item.tenant, item.class_name), _Lane()).push(item)
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Take a request out of the queue and return it."""
@@ -125,17 +134,18 @@
         if item is None:
             return None
         lanes = self._lanes_by_model[item.model]
-        lane = lanes[item.tenant]
+        lane_key = (item.tenant, item.class_name)
+        lane = lanes[lane_key]
         lane.remove(item)
         if not lane.entries:
-            del lanes[item.tenant]
+            del lanes[lane_key]
             if not lanes:
                 del self._lanes_by_model[item.model]
         return item
 
     def tenants(self) -> set[str]:
         """Return the tenants with waiting requests."""
-        return {tenant for lanes in self._lanes_by_model.values() for tenant in lanes}
+        return {tenant for _, (tenant, _), _ in self._lanes()}
 
     def candidates(
         self, over_share: set[str], stopped_models: set[str]
@@ -149,35 +159,58 @@
         """
         entries = [
             _ordered(lane, tenant in over_share, number, model, stopped_models)
-            for number, (model, tenant, lane) in enumerate(self._lanes())
+            for number, (model, (tenant, _), lane) in enumerate(self._lanes())
         ]
         for entry in heapq.merge(*entries):
             yield entry.item
 
     def count_before(
         self, item: WaitingRequest, models: frozenset[str], over_share: set[str]
-    ) -> int:
-        """Return how many requests would be granted before ``item``."""
-        key = item.key
-        count = 0
+    ) -> Counter[str]:
+        """Return how many requests of each class precede ``item``."""
+        counts: Counter[str] = Counter()
+        item_over = item.tenant in over_share
         for model in models:
-            for tenant, lane in self._lanes_by_model.get(model, {}).items():
+            for (tenant, class_name), lane in self._lanes_by_model.get(
+                model, {}
+            ).items():
                 tenant_over = tenant in over_share
-                item_over = item.tenant in over_share
                 if tenant_over == item_over:
-                    count += lane.count_before(key)
+                    counts[class_name] += lane.count_before(item.key)
                 elif item_over:
-                    count += lane.count_before(_end_of_tier(item.late))
+                    counts[class_name] += lane.count_before(_end_of_tier(item.late))
                 elif item.late:
-                    count += lane.count_before(_end_of_tier(False))
-        return count
-
-    def take_missed(self, now_s: float) -> list[WaitingRequest]:
+                    counts[class_name] += lane.count_before(_end_of_tier(False))
+        return counts
+
+    def counts(self) -> Counter[str]:
+        """Return how many requests of each class wait."""
+        counts: Counter[str] = Counter()
+        for _, (_, class_name), lane in self._lanes():
+            counts[class_name] += len(lane.entries)
+        return counts
+
+    def last_before(
+        self, item: WaitingRequest, class_name: str, count: int
+    ) -> list[WaitingRequest]:
+        """Return the last requests of a class and model before ``item``."""
+        found: list[tuple[QueueKey, WaitingRequest]] = []
+        for (_, lane_class), lane in self._lanes_by_model.get(item.model, {}).items():
+            if lane_class == class_name:
+                end = lane.count_before(item.key)
+                found.extend(lane.entries[max(0, end - count) : end])
+        found.sort(key=_entry_key, reverse=True)
+        return [waiting for _, waiting in found[:count]]
+
+    def take_missed(
+        self, now_s: float
+    ) -> tuple[list[WaitingRequest], list[WaitingRequest]]:
         """Move requests past their latest start behind the others.
 
-        Returns the requests, now out of the queue, whose patience ended.
+        Returns the requests whose patience ended, which are out of the
+        queue, and those that were moved.
         """
-        ended = []
+        ended, moved = [], []
         for item in self._past(now_s):
             self.remove(item.request_id)
             if now_s >= item.give_up_s:
@@ -185,12 +218,13 @@
             else:
                 item.late = True
                 self.push(item)
-        return ended
+                moved.append(item)
+        return ended, moved
 
-    def _lanes(self) -> Iterator[tuple[str, str, _Lane]]:
+    def _lanes(self) -> Iterator[tuple[str, _LaneKey, _Lane]]:
         for model, lanes in self._lanes_by_model.items():
-            for tenant, lane in lanes.items():
-                yield model, tenant, lane
+            for lane_key, lane in lanes.items():
+                yield model, lane_key, lane
 
     def _past(self, now_s: float) -> list[WaitingRequest]:
         past: list[WaitingRequest] = []
--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -32,7 +32,7 @@
 
 # A grant for the next prefill may go out this long before the present one
 # is expected to end; it covers the message from owner to engine.
-EARLY_GRANT_S = 0.002
+EARLY_GRANT_S = 0.008
 
 # The result of a prefill is evicted within a second; its transfer must not
 # wait longer than this for the link.
@@ -178,6 +178,17 @@
             decode.first_token_s,
         )
 
+    def next_ready_s(self, now_s: float) -> float:
+        """Return when the next busy prefill engine can be granted again."""
+        return min(
+            (
+                self._start_s(state, now_s) - EARLY_GRANT_S
+                for state in self._accounts.states_by_id.values()
+                if len(state.jobs_by_request_id) == 1
+            ),
+            default=math.inf,
+        )
+
     def has_ready_prefill(self, model: str, now_s: float) -> bool:
         """Tell whether any prefill engine of a model can start now."""
         return any(
@@ -204,9 +215,10 @@
             ratio = self._speeds.prefill_ratio(state.engine.id, now_s)
             transfer_s = state.link.transfer_s(needs.transfer_bytes)
             prefill_s = min(prefill_s, scaled_time_s(nominal_s, ratio) + transfer_s)
+        # The first token comes with the step after the one in progress.
         step_s = min(
             (
-                state.account.step_ms(1) / 1000
+                2 * state.account.step_ms(state.engine.max_requests) / 1000
                 for state in self._accounts.decode_engines(request.model)
             ),
             default=0.0,
--- a/packages/kumquat_core/src/kumquat_core/rule_set.py
+++ b/packages/kumquat_core/src/kumquat_core/rule_set.py
@@ -16,6 +16,7 @@
 
     slack_order: bool = True
     early_refusal: bool = True
+    displacement: bool = True
     fair_share: bool = True
     late_last: bool = True
     prefix_cache: bool = True
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -56,8 +56,17 @@
 # Assumed time of a prefill that an earlier owner granted.
 ADOPTED_PREFILL_S = 0.5
 
+# Time from the arrival at the entry host to the owner and back that the
+# owner does not see, and variation of the times it estimates.
+TARGET_MARGIN_S = 0.05
+
+# A request is given up for another only if its prefill takes this many times
+# as long.
+DISPLACEMENT_FACTOR = 2.0
+
 # Period of decisions while requests wait.
 TICK_S = 0.02
+MIN_TICK_S = 0.002
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
@@ -291,7 +300,7 @@
         wait_s = 0.0
         if len(self._queue):
             capacity = self._capacity_of(states, [])
-            wait_s = self._estimator.wait_s(len(self._queue), capacity)
+            wait_s = self._estimator.wait_s(self._queue.counts(), capacity)
         return ShardSummary(self._shard_id, free, len(self._queue), int(wait_s * 1000))
 
     def tick(self) -> None:
@@ -328,7 +337,7 @@
             model.kv_bytes_per_token if model else DEFAULT_KV_BYTES_PER_TOKEN,
             BLOCK_BYTES / (model.bytes_per_token if model else DEFAULT_BYTES_PER_TOKEN),
         )
-        service_s = self._chooser.service_s(needs, now_s)
+        service_s = self._chooser.service_s(needs, now_s) + TARGET_MARGIN_S
         give_up_s = now_s + request.patience_ms / 1000
         target_s = now_s + request.ttft_deadline_ms / 1000
         latest_start_s = min(target_s - service_s, give_up_s)
@@ -354,11 +363,38 @@
         """
         if now_s + self._wait_s(item, now_s) <= item.latest_start_s:
             return True
+        if self._rules.displacement and self._displace_for(item, now_s):
+            return True
         item.late = self._rules.late_last
         if now_s >= item.give_up_s or self._is_overloaded(item, now_s):
             return False
         return now_s + self._wait_s(item, now_s) <= item.give_up_s
 
+    def _displace_for(self, item: WaitingRequest, now_s: float) -> bool:
+        """Refuse a waiting request with a long prefill in favour of ``item``.
+
+        One long prefill takes the time of several short ones. It is given up
+        only when that alone lets the new request be on time.
+        """
+        over_share = self._over_share(now_s, item.tenant)
+        related = self._accounts.related_models(item.model)
+        ahead = self._queue.count_before(item, related, over_share)
+        own_s = self._estimator.prefill_s(item.class_name)
+        longest = max(ahead, key=self._estimator.prefill_s, default="")
+        if self._estimator.prefill_s(longest) < DISPLACEMENT_FACTOR * own_s:
+            return False
+        ahead[longest] -= 1
+        wait_s = self._estimator.wait_s(ahead, self._capacity(item.model, now_s))
+        if now_s + wait_s > item.latest_start_s:
+            return False
+        for victim in self._queue.last_before(item, longest, 1):
+            if victim.priority > item.priority or victim.needs.request.resume_tokens:
+                return False
+            self._queue.remove(victim.request_id)
+            self._refuse_for_capacity(victim)
+            return True
+        return False
+
     def _is_overloaded(self, item: WaitingRequest, now_s: float) -> bool:
         capacity = self._capacity(item.model, now_s)
         offered = self._arrivals.per_s(now_s)
@@ -419,8 +455,18 @@
         self._arm_timer()
 
     def _give_up_missed(self, now_s: float) -> None:
-        for item in self._queue.take_missed(now_s):
+        """Refuse requests whose patience ended, or that are late for good.
+
+        Under overload a late request would wait in vain: all capacity goes
+        to those that can be on time.
+        """
+        ended, missed = self._queue.take_missed(now_s)
+        for item in ended:
             self._refuse_for_capacity(item)
+        for item in missed:
+            if self._rules.early_refusal and self._is_overloaded(item, now_s):
+                self._queue.remove(item.request_id)
+                self._refuse_for_capacity(item)
 
     def _reserve(self, item: WaitingRequest, pair: Pair) -> None:
         now_s = self._clock.monotonic()
@@ -474,7 +520,7 @@
         nominal_s = nominal_prefill_s(state.engine, uncached)
         observed_s = message.prefill_ms / 1000
         self._speeds.observe_prefill(state.engine.id, nominal_s, observed_s, now_s)
-        self._estimator.observe_prefill(observed_s)
+        self._estimator.observe_prefill(request.class_name, observed_s)
         cached_blocks = message.cached_tokens / granted.needs.tokens_per_block
         self._prefixes.correct(state.engine.id, job.blocks_expected, cached_blocks)
 
@@ -489,8 +535,9 @@
             self._speeds.observe_step(
                 state.engine.id, nominal_ms, message.tbt_ms, now_s
             )
-        if message.code == ResultCode.OK:
-            self._estimator.observe_hold(now_s - granted.granted_s)
+        if message.code == ResultCode.OK and granted.needs is not None:
+            class_name = granted.needs.request.class_name
+            self._estimator.observe_hold(class_name, now_s - granted.granted_s)
 
     def _end_prefill(self, granted: _Granted, now_s: float, *, finished: bool) -> None:
         prefill = self._accounts.states_by_id.get(granted.prefill_engine)
@@ -539,7 +586,7 @@
     def _refuse_for_capacity(self, item: WaitingRequest) -> None:
         now_s = self._clock.monotonic()
         capacity = self._capacity(item.model, now_s)
-        drain_s = self._estimator.wait_s(len(self._queue), capacity)
+        drain_s = self._estimator.wait_s(self._queue.counts(), capacity)
         self._refuse(item.needs.request, ResultCode.NO_CAPACITY_IN_TIME, drain_s)
 
     def _refuse(
@@ -573,7 +620,13 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return  # a synchronous caller drives ``tick`` itself
-        self._timer = loop.call_later(TICK_S, self._on_timer)
+        self._timer = loop.call_later(self._next_tick_s(), self._on_timer)
+
+    def _next_tick_s(self) -> float:
+        """Return the time to the next end of a prefill, within bounds."""
+        now_s = self._clock.monotonic()
+        ready_s = self._chooser.next_ready_s(now_s)
+        return min(TICK_S, max(MIN_TICK_S, ready_s))
 
     def _on_timer(self) -> None:
         self._timer = None
--- /dev/null
+++ b/tests/core/test_pairing.py
@@ -0,0 +1,122 @@
+"""Guards against a wrong pair: slow, uncached, congested or overfull."""
+
+from scheduling_builders import make_engine, make_request
+
+from kumquat_core.engine_accounts import PrefillJob, ShardAccounts
+from kumquat_core.pairing import Hold, NoPlace, Obstacle, PairChooser, RequestNeeds
+from kumquat_core.prefix_index import PrefixIndex
+from kumquat_core.rule_set import RuleSet
+from kumquat_core.stragglers import SpeedTracker
+
+KV_BYTES = 10_000.0
+
+
+class Shard:
+    """A chooser with its parts."""
+
+    def __init__(self, *engine_ids: str, **changes) -> None:
+        self.accounts = ShardAccounts()
+        self.accounts.update(make_engine(e, **changes) for e in engine_ids)
+        self.speeds = SpeedTracker()
+        self.prefixes = PrefixIndex()
+        self.chooser = PairChooser(self.accounts, self.speeds, self.prefixes, RuleSet())
+
+    def choose(self, now_s: float = 0.0, **changes):
+        request = make_request(1, **changes)
+        needs = RequestNeeds(request, 50.0, KV_BYTES, 250.0)
+        return self.chooser.choose(needs, {}, now_s)
+
+    def start_prefill(self, engine_id: str, nominal_s: float) -> None:
+        jobs = self.accounts.states_by_id[engine_id].jobs_by_request_id
+        jobs["other"] = PrefillJob("other", 0.0, nominal_s)
+
+
+def test_cached_prefix_attracts_the_request():
+    shard = Shard("p1", "p2", "d1")
+    blocks = (11, 12, 13)
+    shard.prefixes.record_sent("p2", blocks, 0.0)
+    assert shard.choose(prefix_blocks=blocks).prefill.engine.id == "p2"
+
+
+def test_request_waits_for_a_much_faster_engine():
+    shard = Shard("p1", "p2", "d1")
+    shard.speeds.observe_prefill("p2", 0.1, 0.1, 0.0)
+    shard.speeds.observe_prefill("p1", 0.1, 3.0, 0.0)
+    shard.start_prefill("p2", 0.05)
+    choice = shard.choose()
+    assert isinstance(choice, Hold)
+    assert choice.prefill.engine.id == "p2"
+
+
+def test_congested_link_stops_a_prefill_that_would_be_evicted():
+    shard = Shard("p1", "d1")
+    shard.accounts.states_by_id["d1"].link.plan("other", 1e9)
+    assert shard.choose() == NoPlace(Obstacle.LINK_BUSY)
+
+
+def test_decode_engine_with_a_free_link_is_preferred():
+    shard = Shard("p1", "d1", "d2")
+    shard.accounts.states_by_id["d1"].link.plan("other", 1e8)
+    assert shard.choose().decode.engine.id == "d2"
+
+
+def test_slow_decode_engine_takes_no_request_it_would_slow_down():
+    shard = Shard("p1", "d1")
+    shard.speeds.observe_step("d1", 10.0, 100.0, 0.0)
+    assert shard.choose() == NoPlace(Obstacle.DECODE_FULL)
+    assert not isinstance(shard.choose(now_s=10.0), NoPlace)
+
+
+def test_request_larger_than_every_engine_is_impossible():
+    assert Shard("p1", "d1").choose(max_tokens=50000) == NoPlace(Obstacle.TOO_LARGE)
+
+
+def test_exclusion_of_all_engines_is_left_out():
+    pair = Shard("p1", "d1").choose(excluded_engines=("p1",))
+    assert pair.prefill.engine.id == "p1"
+
+
+def test_late_and_missing_cache_events_only_change_beliefs():
+    index = PrefixIndex()
+    index.record_sent("p1", (1, 2, 3), 10.0)
+    index.apply_event("p1", 5, "evicted", 3, 10.5)  # older than the request
+    assert index.matched_blocks("p1", (1, 2, 3)) == 3
+    index.apply_event("p1", 6, "evicted", 3, 20.0)
+    assert index.matched_blocks("p1", (1, 2, 3)) == 2
+    index.apply_event("p1", 6, "evicted", 2, 20.0)  # repeated number
+    assert index.matched_blocks("p1", (1, 2)) == 2
+    index.apply_event("p1", 9, "stored", 7, 30.0)  # events 7 and 8 were lost
+    assert index.matched_blocks("p1", (1, 2)) == 0
+
+
+def test_belief_shrinks_when_the_engine_evicts_sooner():
+    index = PrefixIndex()
+    prompts = [tuple(range(n * 100, n * 100 + 50)) for n in range(10)]
+    for prompt in prompts:
+        index.record_sent("p1", prompt, 0.0)
+    for _ in range(30):
+        index.correct("p1", 50, 0)
+    assert index.matched_blocks("p1", prompts[0]) == 0
+    assert index.matched_blocks("p1", prompts[-1]) == 50
+
+
+def test_lone_slow_engine_is_tried_again():
+    speeds = SpeedTracker()
+    for _ in range(5):
+        speeds.observe_prefill("p1", 0.1, 2.0, 0.0)
+    assert speeds.prefill_ratio("p1", 0.0) > 5
+    assert speeds.prefill_ratio("p1", 10.0) < 2
+
+
+def test_failures_block_longer_each_time_until_a_success():
+    speeds = SpeedTracker()
+    now_s, blocked = 0.0, []
+    for _ in range(4):
+        speeds.observe_failure("p1", now_s)
+        began_s = now_s
+        while speeds.is_blocked("p1", now_s):
+            now_s += 0.05
+        blocked.append(now_s - began_s)
+    assert blocked == sorted(blocked) and blocked[-1] > 4 * blocked[0]
+    speeds.observe_prefill("p1", 0.1, 0.1, now_s)
+    assert not speeds.has_failures
