--- a/tests/core/test_shard_scheduler.py
+++ b/tests/core/test_shard_scheduler.py
@@ -70,6 +70,40 @@
     run(scenario)
 
 
+def test_long_prefill_gives_way_to_a_short_one():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        digest = {"class_name": "digest", "prompt_tokens": 10000}
+        check = INTERACTIVE | {"prompt_tokens": 100}
+        await world.admit(1, **digest)
+        await world.prefilled(1, 1000.0)
+        await world.admit(2, **check)
+        await world.prefilled(2, 10.0)
+        await world.admit(3, prompt_tokens=100)
+        await world.admit(4, **digest, ttft_deadline_ms=1600)
+        await world.admit(5, **check)
+        assert world.refusals[4].code == ResultCode.NO_CAPACITY_IN_TIME
+        assert 5 not in world.refusals
+
+    run(scenario)
+
+
+def test_late_request_is_refused_at_once_under_overload():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
+        await world.admit(0, prompt_tokens=10000)
+        await world.prefilled(0, 1000.0)
+        await world.admit(1, prompt_tokens=10000)
+        await world.admit(2, prompt_tokens=10000, ttft_deadline_ms=3000)
+        for number in range(3, 20):
+            await world.admit(number, prompt_tokens=10000)
+        assert 2 not in world.refusals
+        await world.advance(2.5)
+        assert world.refusals[2].code == ResultCode.NO_CAPACITY_IN_TIME
+
+    run(scenario)
+
+
 def test_waiting_request_is_answered_when_its_patience_ends():
     async def scenario():
         world = SchedulerWorld(
