Displace the costliest waiting request under overload

Cause: under overload the number of requests served in time depends on which ones are refused. The class alone does not tell: with one class all requests were equal, although their memory and length differ twofold.

Change: each waiting request has a cost, the time it takes of the whole shard at its scarcest resource. A new request that cannot be on time takes the place of the costliest waiting one ahead of it, if that costs 1.3 times as much, has no higher priority, and its refusal suffices.

--- a/packages/kumquat_core/src/kumquat_core/admission_queue.py
+++ b/packages/kumquat_core/src/kumquat_core/admission_queue.py
@@ -21,6 +21,10 @@
 __all__ = ["AdmissionQueue", "QueueKey", "WaitingRequest"]
 
 
+# Requests examined to find a costly one ahead of another.
+COSTLY_EXAMINED = 4
+
+
 class QueueKey(NamedTuple):
     """Order in a lane; ``late`` requests follow all others."""
 
@@ -36,8 +40,10 @@
 
     ``latest_start_s`` is the last time at which a grant meets the TTFT
     target; a grant after ``give_up_s`` is of no use any more. ``order_s`` is
-    the position among the requests that can be on time. ``bypassed`` counts
-    the smaller requests that went ahead while this one did not fit.
+    the position among the requests that can be on time. ``cost_s`` is the
+    time the request takes of the whole shard at its scarcest resource.
+    ``bypassed`` counts the smaller requests that went ahead while this one
+    did not fit.
     """
 
     needs: RequestNeeds
@@ -46,6 +52,7 @@
     order_s: float
     priority: int
     sequence: int
+    cost_s: float = 0.0
     late: bool = False
     bypassed: int = 0
 
@@ -113,6 +120,8 @@
         self._late_last = late_last
         self._items_by_request_id: dict[str, WaitingRequest] = {}
         self._lanes_by_model: dict[str, dict[_LaneKey, _Lane]] = {}
+        # Requests that left the queue are dropped when they reach the top.
+        self._costs_by_model: dict[str, list[tuple[float, int, WaitingRequest]]] = {}
 
     def __len__(self) -> int:
         return len(self._items_by_request_id)
@@ -127,6 +136,9 @@
         self._items_by_request_id[item.request_id] = item
         lanes = self._lanes_by_model.setdefault(item.model, {})
         lanes.setdefault((item.tenant, item.class_name), _Lane()).push(item)
+        if not item.late:
+            heap = self._costs_by_model.setdefault(item.model, [])
+            heapq.heappush(heap, (-item.cost_s, item.sequence, item))
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Take a request out of the queue and return it."""
@@ -141,6 +153,7 @@
             del lanes[lane_key]
             if not lanes:
                 del self._lanes_by_model[item.model]
+                self._costs_by_model.pop(item.model, None)
         return item
 
     def tenants(self) -> set[str]:
@@ -190,17 +203,26 @@
             counts[class_name] += len(lane.entries)
         return counts
 
-    def last_before(
-        self, item: WaitingRequest, class_name: str, count: int
-    ) -> list[WaitingRequest]:
-        """Return the last requests of a class and model before ``item``."""
-        found: list[tuple[QueueKey, WaitingRequest]] = []
-        for (_, lane_class), lane in self._lanes_by_model.get(item.model, {}).items():
-            if lane_class == class_name:
-                end = lane.count_before(item.key)
-                found.extend(lane.entries[max(0, end - count) : end])
-        found.sort(key=_entry_key, reverse=True)
-        return [waiting for _, waiting in found[:count]]
+    def costliest_before(self, item: WaitingRequest) -> WaitingRequest | None:
+        """Return a costly request of the same model that precedes ``item``.
+
+        It is the costliest of those few that cost most of all; None if all
+        of these come after ``item``.
+        """
+        heap = self._costs_by_model.get(item.model, [])
+        later: list[tuple[float, int, WaitingRequest]] = []
+        found = None
+        while heap and found is None and len(later) < COSTLY_EXAMINED:
+            _, _, waiting = heap[0]
+            if self._items_by_request_id.get(waiting.request_id) is not waiting:
+                heapq.heappop(heap)
+            elif waiting.key < item.key:
+                found = waiting
+            else:
+                later.append(heapq.heappop(heap))
+        for entry in later:
+            heapq.heappush(heap, entry)
+        return found
 
     def take_missed(
         self, now_s: float
--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -225,6 +225,29 @@
         )
         return prefill_s + step_s
 
+    def cost_s(self, needs: RequestNeeds, now_s: float) -> float:
+        """Return the time a request takes of all engines together.
+
+        It is the larger of its prefill time over the prefill engines and
+        its share of decode memory for the time of its tokens.
+        """
+        request = needs.request
+        prefill = self._accounts.prefill_engines(request.model)
+        decode = self._accounts.decode_engines(request.model)
+        prefill_s = min(
+            (self._nominal_prefill(needs, state)[0] for state in prefill), default=0.0
+        )
+        share = sum(state.engine.total_pieces / needs.pieces(state) for state in decode)
+        step_s = max(
+            (
+                state.account.step_ms(state.engine.max_requests) / 1000
+                for state in decode
+            ),
+            default=0.0,
+        )
+        decode_s = request.max_tokens * step_s / max(1.0, share)
+        return max(prefill_s / max(1, len(prefill)), decode_s)
+
     def backlog_s(self, state: EngineState, now_s: float) -> float:
         """Return the expected rest of the prefills in progress."""
         return sum(
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -60,9 +60,8 @@
 # owner does not see, and variation of the times it estimates.
 TARGET_MARGIN_S = 0.05
 
-# A request is given up for another only if its prefill takes this many times
-# as long.
-DISPLACEMENT_FACTOR = 2.0
+# A request is given up for another only if it costs this many times as much.
+DISPLACEMENT_FACTOR = 1.3
 
 # Period of decisions while requests wait.
 TICK_S = 0.02
@@ -353,6 +352,7 @@
             order_s,
             request_class.priority if request_class else 0,
             next(self._sequence),
+            self._chooser.cost_s(needs, now_s),
         )
 
     def _can_be_served(self, item: WaitingRequest, now_s: float) -> bool:
@@ -371,29 +371,26 @@
         return now_s + self._wait_s(item, now_s) <= item.give_up_s
 
     def _displace_for(self, item: WaitingRequest, now_s: float) -> bool:
-        """Refuse a waiting request with a long prefill in favour of ``item``.
+        """Refuse a costly waiting request in favour of ``item``.
 
-        One long prefill takes the time of several short ones. It is given up
-        only when that alone lets the new request be on time.
+        One long request takes the capacity of several short ones. It is
+        given up only when that alone lets the new request be on time.
         """
+        victim = self._queue.costliest_before(item)
+        if victim is None or victim.cost_s < DISPLACEMENT_FACTOR * item.cost_s:
+            return False
+        if victim.priority > item.priority or victim.needs.request.resume_tokens:
+            return False
         over_share = self._over_share(now_s, item.tenant)
         related = self._accounts.related_models(item.model)
         ahead = self._queue.count_before(item, related, over_share)
-        own_s = self._estimator.prefill_s(item.class_name)
-        longest = max(ahead, key=self._estimator.prefill_s, default="")
-        if self._estimator.prefill_s(longest) < DISPLACEMENT_FACTOR * own_s:
-            return False
-        ahead[longest] -= 1
+        ahead[victim.class_name] -= 1
         wait_s = self._estimator.wait_s(ahead, self._capacity(item.model, now_s))
         if now_s + wait_s > item.latest_start_s:
             return False
-        for victim in self._queue.last_before(item, longest, 1):
-            if victim.priority > item.priority or victim.needs.request.resume_tokens:
-                return False
-            self._queue.remove(victim.request_id)
-            self._refuse_for_capacity(victim)
-            return True
-        return False
+        self._queue.remove(victim.request_id)
+        self._refuse_for_capacity(victim)
+        return True
 
     def _is_overloaded(self, item: WaitingRequest, now_s: float) -> bool:
         capacity = self._capacity(item.model, now_s)
