Build sample engines in one place

Cause: four places built the same engine with 15 fields each. Change: one builder in the development package. Conclusion: clean-up.

--- a/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
@@ -19,10 +19,8 @@
 from kumquat_core.configuration import (
     Configuration,
     Engine,
-    EngineRole,
     Model,
     RequestClass,
-    ServerState,
 )
 from kumquat_core.peer_messages import (
     AdmissionRequest,
@@ -37,6 +35,8 @@
 from kumquat_core.shard_choice import choose_shard
 from kumquat_core.shard_scheduler import ShardScheduler
 
+from .sample_engines import make_engine
+
 __all__ = ["DecisionCost", "measure_decisions", "run_decision_cost"]
 
 POOL = "pool"
@@ -171,21 +171,13 @@
 
 
 def _engine(index: int) -> Engine:
-    role = EngineRole.DECODE if index % PREFILL_SHARE else EngineRole.PREFILL
-    return Engine(
-        id=f"engine-{index}",
-        url="http://127.0.0.1:1",
+    kind = "engine" if index % PREFILL_SHARE else "prefill"
+    return make_engine(
+        f"{kind}-{index}",
         pool=POOL,
-        failure_domain="fd",
-        role=role,
-        models=("advice",),
-        state=ServerState.LIVE,
-        total_pieces=40,
         piece_tokens=1024,
-        max_requests=20,
         prefill_tokens_per_s=20000.0,
         link_bytes_per_s=1e10,
         step_base_ms=12.0,
         step_request_ms=0.9,
-        checks_fencing=True,
     )
--- a/packages/kumquat_lab/src/kumquat_lab/shard_world.py
+++ b/packages/kumquat_lab/src/kumquat_lab/shard_world.py
@@ -6,7 +6,7 @@
 """
 
 from kumquat_core.clock import ManualClock
-from kumquat_core.configuration import Engine, EngineRole, ServerState
+from kumquat_core.configuration import Engine, EngineRole
 from kumquat_core.engine_client import (
     CacheEvent,
     EngineReport,
@@ -22,33 +22,19 @@
 from kumquatrouter.owned_shard import OwnedShard
 from kumquatrouter.shard_sweep import SweepRules
 
-__all__ = ["ENGINES", "ShardWorld", "make_engine"]
+from .sample_engines import make_engine
+
+__all__ = ["ENGINES", "ShardWorld", "make_small_engine"]
 
 POLL_S = 0.5
 
 
-def make_engine(engine_id: str, role: EngineRole) -> Engine:
-    """Return an engine; its URL is its id."""
-    return Engine(
-        id=engine_id,
-        url=engine_id,
-        pool="pool",
-        failure_domain="fd",
-        role=role,
-        models=("advice",),
-        state=ServerState.LIVE,
-        total_pieces=4,
-        piece_tokens=1024,
-        max_requests=20,
-        prefill_tokens_per_s=20000.0,
-        link_bytes_per_s=1e10,
-        step_base_ms=10.0,
-        step_request_ms=1.0,
-        checks_fencing=True,
-    )
-
-
-ENGINES = [make_engine("p1", EngineRole.PREFILL), make_engine("d1", EngineRole.DECODE)]
+def make_small_engine(engine_id: str) -> Engine:
+    """Return an engine with room for four pieces; its URL is its id."""
+    return make_engine(engine_id, url=engine_id, total_pieces=4, piece_tokens=1024)
+
+
+ENGINES = [make_small_engine("p1"), make_small_engine("d1")]
 
 
 class ShardWorld:
--- a/tests/core/scheduling_builders.py
+++ b/tests/core/scheduling_builders.py
@@ -8,10 +8,8 @@
 from kumquat_core.configuration import (
     Configuration,
     Engine,
-    EngineRole,
     Model,
     RequestClass,
-    ServerState,
     Tenant,
 )
 from kumquat_core.peer_messages import AdmissionRequest, PrefillDone, Release
@@ -34,29 +32,6 @@
 )
 
 
-def make_engine(engine_id: str, **changes) -> Engine:
-    """Return an engine; ids that begin with p are prefill engines."""
-    role = EngineRole.PREFILL if engine_id.startswith("p") else EngineRole.DECODE
-    engine = Engine(
-        id=engine_id,
-        url=f"http://{engine_id}",
-        pool="pool",
-        failure_domain="fd",
-        role=role,
-        models=("advice",),
-        state=ServerState.LIVE,
-        total_pieces=40,
-        piece_tokens=1000,
-        max_requests=20,
-        prefill_tokens_per_s=10000.0,
-        link_bytes_per_s=1e9,
-        step_base_ms=10.0,
-        step_request_ms=1.0,
-        checks_fencing=True,
-    )
-    return replace(engine, **changes)
-
-
 def make_request(number: int, **changes) -> AdmissionRequest:
     """Return a patient request of 1,000 prompt and 1,000 output tokens."""
     request = AdmissionRequest(
--- a/tests/core/test_budgets.py
+++ b/tests/core/test_budgets.py
@@ -5,7 +5,7 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
-from scheduling_builders import make_engine, make_request
+from scheduling_builders import make_request
 
 from kumquat_core.clock import ManualClock
 from kumquat_core.configuration import EngineRole
@@ -13,6 +13,7 @@
 from kumquat_core.retry_budget import BudgetedRetries, HedgeBudget, RetryBudget, backoff
 from kumquat_core.role_changes import EngineLoad, LoadModel, RoleAdvisor, SetRole
 from kumquat_core.scheduling_policy import create_scheduler, decides_locally, policy_of
+from kumquat_lab.sample_engines import make_engine
 
 
 def test_retries_stay_a_share_of_first_attempts():
--- a/tests/core/test_pairing.py
+++ b/tests/core/test_pairing.py
@@ -1,12 +1,13 @@
 """Guards against a wrong pair: slow, uncached, congested or overfull."""
 
-from scheduling_builders import make_engine, make_request
+from scheduling_builders import make_request
 
 from kumquat_core.engine_accounts import PrefillJob, ShardAccounts
 from kumquat_core.pairing import Hold, NoPlace, Obstacle, PairChooser, RequestNeeds
 from kumquat_core.prefix_index import PrefixIndex
 from kumquat_core.rule_set import RuleSet
 from kumquat_core.stragglers import SpeedTracker
+from kumquat_lab.sample_engines import make_engine
 
 KV_BYTES = 10_000.0
 
--- a/tests/core/test_shard_scheduler.py
+++ b/tests/core/test_shard_scheduler.py
@@ -9,12 +9,12 @@
     SHARD,
     TENANTS,
     SchedulerWorld,
-    make_engine,
 )
 
 from kumquat_core.peer_messages import HeldGrant, PrefillDone
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.rule_set import RuleSet
+from kumquat_lab.sample_engines import make_engine
 
 INTERACTIVE = {
     "class_name": "interactive",
--- a/tests/router/test_model_path.py
+++ b/tests/router/test_model_path.py
@@ -8,17 +8,15 @@
 from kumquat_core.clock import ManualClock
 from kumquat_core.configuration import (
     Configuration,
-    Engine,
-    EngineRole,
     Model,
     RequestClass,
-    ServerState,
 )
 from kumquat_core.engine_client import PrefillResult, Token
 from kumquat_core.peer_messages import Grant, Release, ShardSummary
 from kumquat_core.request_ids import RequestId, RequestIdSource
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquat_core.retry_budget import HedgeBudget
+from kumquat_lab.sample_engines import make_engine
 from kumquatrouter.background import BackgroundTasks
 from kumquatrouter.model_path import ModelPath, ModelRequest
 
@@ -26,31 +24,11 @@
 PREFILL = PrefillResult("p1", 10, 0, 1, 1000)
 
 
-def make_engine(engine_id: str, role: EngineRole) -> Engine:
-    return Engine(
-        id=engine_id,
-        url=f"http://{engine_id}",
-        pool="pool",
-        failure_domain="fd",
-        role=role,
-        models=("advice",),
-        state=ServerState.LIVE,
-        total_pieces=10,
-        piece_tokens=1024,
-        max_requests=20,
-        prefill_tokens_per_s=1000.0,
-        link_bytes_per_s=1e9,
-        step_base_ms=10.0,
-        step_request_ms=1.0,
-        checks_fencing=True,
-    )
-
-
 ENGINES = {
-    "p1": make_engine("p1", EngineRole.PREFILL),
-    "p2": make_engine("p2", EngineRole.PREFILL),
-    "d1": make_engine("d1", EngineRole.DECODE),
-    "d2": make_engine("d2", EngineRole.DECODE),
+    "p1": make_engine("p1", prefill_tokens_per_s=1000.0),
+    "p2": make_engine("p2", prefill_tokens_per_s=1000.0),
+    "d1": make_engine("d1", prefill_tokens_per_s=1000.0),
+    "d2": make_engine("d2", prefill_tokens_per_s=1000.0),
 }
 CONFIGURATION = Configuration(position=1, engines_by_id=ENGINES)
 REQUEST = ModelRequest(
--- a/tests/router/test_shard_owners.py
+++ b/tests/router/test_shard_owners.py
@@ -7,11 +7,11 @@
 from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal
 from kumquat_core.rendezvous import owner_of
 from kumquat_lab.membership_costs import MemoryNetwork
-from kumquat_lab.shard_world import ENGINES, ShardWorld, make_engine
+from kumquat_lab.shard_world import ENGINES, ShardWorld, make_small_engine
 from kumquatrouter.background import BackgroundTasks
 from kumquatrouter.shard_owners import ShardOwners
 
-ALL_ENGINES = [*ENGINES, make_engine("d2", ENGINES[1].role)]
+ALL_ENGINES = [*ENGINES, make_small_engine("d2")]
 CONFIGURATION = Configuration(
     position=1,
     pools_by_name=MappingProxyType({"pool": Pool("pool", "r", ("advice",))}),
--- a/tests/router/test_shard_ownership.py
+++ b/tests/router/test_shard_ownership.py
@@ -5,11 +5,10 @@
 
 import pytest
 
-from kumquat_core.configuration import EngineRole
 from kumquat_core.membership import Liveness
 from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal, Release
 from kumquat_core.result_codes import ResultCode
-from kumquat_lab.shard_world import ENGINES, ShardWorld, make_engine
+from kumquat_lab.shard_world import ENGINES, ShardWorld, make_small_engine
 
 REQUEST = AdmissionRequest(
     request_id="h1.1.1",
@@ -58,7 +57,7 @@
 def test_unread_engine_gets_no_grant():
     async def scenario() -> None:
         world = ShardWorld()
-        engines = [*ENGINES, make_engine("d2", EngineRole.DECODE)]
+        engines = [*ENGINES, make_small_engine("d2")]
         world.held_by_engine["d2"] = {}
         world.shard.update_engines(engines)
         world.unreachable.add("d1")
