--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/answer_sinks.py
@@ -0,0 +1,85 @@
+"""Where the tokens of a model request go: a stream or a buffer."""
+
+from aiohttp import web
+
+from kumquat_core.engine_client import Token
+from kumquat_core.result_codes import ResultCode, RouterError
+
+from .answers import StreamFormat, engine_headers, success_headers
+from .model_request import ModelRequest, ModelTimes
+
+__all__ = ["BufferSink", "StreamSink"]
+
+
+class StreamSink:
+    """Writes tokens to the caller as server-sent events."""
+
+    def __init__(
+        self,
+        http_request: web.Request,
+        request: ModelRequest,
+        buffer_bytes: int,
+    ) -> None:
+        self._http_request = http_request
+        self._request_id = request.request_id
+        self._format = StreamFormat(request.request_id, request.model.name)
+        self._buffer_bytes = buffer_bytes
+        self.response: web.StreamResponse | None = None
+
+    async def write(self, tokens: list[Token], times: ModelTimes) -> None:
+        """Send tokens; waits while the caller reads slowly."""
+        try:
+            if self.response is None:
+                self.response = await self._prepare(times)
+            await self.response.write(self._format.tokens(tokens))
+        except ConnectionError as error:
+            raise RouterError(ResultCode.CALLER_GONE) from error
+
+    async def finish(self, finish_reason: str, times: ModelTimes) -> web.StreamResponse:
+        """Send the end of the stream."""
+        try:
+            if self.response is None:
+                self.response = await self._prepare(times)
+            await self.response.write(self._format.end(finish_reason))
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise RouterError(ResultCode.CALLER_GONE) from error
+        return self.response
+
+    async def fail(self, error: RouterError) -> web.StreamResponse:
+        """Send an error event, without the end marker."""
+        assert self.response is not None
+        try:
+            await self.response.write(self._format.error(error))
+            await self.response.write_eof()
+        except ConnectionError:
+            pass
+        return self.response
+
+    async def _prepare(self, times: ModelTimes) -> web.StreamResponse:
+        headers = success_headers(self._request_id) | engine_headers(times)
+        headers["Content-Type"] = "text/event-stream"
+        headers["Cache-Control"] = "no-cache"
+        if self._http_request.transport is not None:
+            # Above this mark ``write`` waits, and no more tokens are read
+            # from the engine.
+            self._http_request.transport.set_write_buffer_limits(self._buffer_bytes)
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(self._http_request)
+        return response
+
+
+class BufferSink:
+    """Collects the text of an answer that is not streamed."""
+
+    def __init__(self) -> None:
+        self._parts: list[str] = []
+
+    @property
+    def text(self) -> str:
+        """Return the text received so far."""
+        return "".join(self._parts)
+
+    async def write(self, tokens: list[Token], times: ModelTimes) -> None:
+        """Keep tokens."""
+        self._parts.extend(token.text for token in tokens)
--- a/packages/kumquatrouter/src/kumquatrouter/answers.py
+++ b/packages/kumquatrouter/src/kumquatrouter/answers.py
@@ -6,15 +6,21 @@
 
 from aiohttp import web
 
+from kumquat_core.backend_client import BackendResponse
 from kumquat_core.engine_client import Token
 from kumquat_core.request_ids import RequestId
 from kumquat_core.result_codes import Execution, ResultCode, RouterError, spec_of
 
+from .model_request import ModelRequest, ModelTimes
+
 __all__ = [
     "StreamFormat",
     "completion_document",
+    "engine_headers",
     "error_document",
     "error_response",
+    "finish_reason",
+    "service_response",
     "success_headers",
 ]
 
@@ -109,3 +115,27 @@
         "X-Result-Code": str(ResultCode.OK.value),
         "X-Execution": Execution.RAN.value,
     }
+
+
+def service_response(request_id: RequestId, answer: BackendResponse) -> web.Response:
+    """Return the answer of a backend server."""
+    headers = success_headers(request_id)
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    if answer.status >= 500:
+        headers["X-Result-Code"] = str(ResultCode.BACKEND_FAILED.value)
+        headers["X-Execution"] = spec_of(ResultCode.BACKEND_FAILED).execution.value
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+
+def engine_headers(times: ModelTimes) -> dict[str, str]:
+    """Return the headers that name the engines of an answer."""
+    return {
+        "X-Prefill-Engine": times.prefill_engine,
+        "X-Decode-Engine": times.decode_engine,
+    }
+
+
+def finish_reason(request: ModelRequest, times: ModelTimes) -> str:
+    """Return why an answer ended, as the published API names it."""
+    return "length" if times.tokens >= request.max_tokens else "stop"
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -8,48 +8,45 @@
 import hashlib
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import aiomisc
 from aiohttp import web
 
-from kumquat_core.backend_client import BackendResponse
 from kumquat_core.clock import Clock
-from kumquat_core.configuration import (
-    Configuration,
-    RequestClass,
-    Service,
-    ServiceKind,
-    Tenant,
-)
-from kumquat_core.engine_client import Token
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdSource
-from kumquat_core.result_codes import ResultCode, RouterError, spec_of
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
 
+from .answer_sinks import BufferSink, StreamSink
 from .answers import (
-    StreamFormat,
     completion_document,
+    engine_headers,
     error_response,
+    finish_reason,
+    service_response,
     success_headers,
 )
 from .border import (
-    DEFAULT_MAX_TOKENS,
-    CompletionModel,
     parse_completion,
     parse_deadline_ms,
 )
+from .caller_requests import (
+    Caller,
+    find_service,
+    idempotency_key,
+    model_request,
+    service_path,
+)
 from .drain import Drain
-from .model_path import ModelPath, ModelRequest, ModelTimes
+from .model_path import ModelPath, ModelRequest
 from .plain_path import PlainPath, PlainRequest
 from .request_observer import RequestObserver
 
 __all__ = ["CallerApi"]
 
 BEARER = "Bearer "
-MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
 # Label of requests that end before their tenant or class is known.
 UNKNOWN_LABEL = "unknown"
@@ -67,89 +64,6 @@
 Handler = Callable[[web.Request, RequestId], Awaitable[web.StreamResponse]]
 
 
-@dataclass(frozen=True)
-class _Caller:
-    """An authenticated request before its body is looked at."""
-
-    request_id: RequestId
-    tenant: Tenant
-    configuration: Configuration
-
-
-class _StreamSink:
-    """Writes tokens to the caller as server-sent events."""
-
-    def __init__(
-        self,
-        http_request: web.Request,
-        stream_format: StreamFormat,
-        buffer_bytes: int,
-    ) -> None:
-        self._http_request = http_request
-        self._format = stream_format
-        self._buffer_bytes = buffer_bytes
-        self.response: web.StreamResponse | None = None
-
-    async def write(self, tokens: list[Token], times: ModelTimes) -> None:
-        """Send tokens; waits while the caller reads slowly."""
-        try:
-            if self.response is None:
-                self.response = await self._prepare(times)
-            await self.response.write(self._format.tokens(tokens))
-        except ConnectionError as error:
-            raise RouterError(ResultCode.CALLER_GONE) from error
-
-    async def finish(self, finish_reason: str, times: ModelTimes) -> web.StreamResponse:
-        """Send the end of the stream."""
-        try:
-            if self.response is None:
-                self.response = await self._prepare(times)
-            await self.response.write(self._format.end(finish_reason))
-            await self.response.write_eof()
-        except ConnectionError as error:
-            raise RouterError(ResultCode.CALLER_GONE) from error
-        return self.response
-
-    async def fail(self, error: RouterError) -> web.StreamResponse:
-        """Send an error event, without the end marker."""
-        assert self.response is not None
-        try:
-            await self.response.write(self._format.error(error))
-            await self.response.write_eof()
-        except ConnectionError:
-            pass
-        return self.response
-
-    async def _prepare(self, times: ModelTimes) -> web.StreamResponse:
-        request_id = self._http_request[REQUEST_ID]
-        headers = success_headers(request_id) | _engine_headers(times)
-        headers["Content-Type"] = "text/event-stream"
-        headers["Cache-Control"] = "no-cache"
-        if self._http_request.transport is not None:
-            # Above this mark ``write`` waits, and no more tokens are read
-            # from the engine.
-            self._http_request.transport.set_write_buffer_limits(self._buffer_bytes)
-        response = web.StreamResponse(headers=headers)
-        await response.prepare(self._http_request)
-        return response
-
-
-class _BufferSink:
-    """Collects the text of an answer that is not streamed."""
-
-    def __init__(self) -> None:
-        self._parts: list[str] = []
-
-    @property
-    def text(self) -> str:
-        """Return the text received so far."""
-        return "".join(self._parts)
-
-    async def write(self, tokens: list[Token], times: ModelTimes) -> None:
-        """Keep tokens."""
-        self._parts.extend(token.text for token in tokens)
-
-
 class CallerApi(aiomisc.Service):
     """Serves callers over HTTP."""
 
@@ -259,9 +173,7 @@
                 code=code.value,
             )
 
-    def _authenticate(
-        self, http_request: web.Request, request_id: RequestId
-    ) -> _Caller:
+    def _authenticate(self, http_request: web.Request, request_id: RequestId) -> Caller:
         configuration = self._tickets.configuration
         if configuration.position == 0:
             raise RouterError(ResultCode.NOT_READY, retry_after_s=2.0)
@@ -273,7 +185,7 @@
         if tenant is None:
             raise RouterError(ResultCode.UNAUTHENTICATED, "unknown key")
         http_request[TENANT] = tenant.name
-        return _Caller(request_id, tenant, configuration)
+        return Caller(request_id, tenant, configuration)
 
     async def _read_body(self, http_request: web.Request) -> bytes:
         try:
@@ -289,32 +201,31 @@
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         body = parse_completion(await self._read_body(http_request))
-        request = _model_request(caller, body, http_request)
+        request = model_request(caller, body, http_request)
         http_request[CLASS_NAME] = request.request_class.name
         if body.stream:
             return await self._stream(http_request, caller, request)
-        sink = _BufferSink()
+        sink = BufferSink()
         times = await self._model_path.run(caller.configuration, request, sink)
         document = completion_document(
             request_id,
             request.model.name,
             sink.text,
-            _finish_reason(request, times),
+            finish_reason(request, times),
             request.prompt_tokens,
             times.tokens,
         )
-        headers = success_headers(request_id) | _engine_headers(times)
+        headers = success_headers(request_id) | engine_headers(times)
         return web.json_response(document, headers=headers)
 
     async def _stream(
-        self, http_request: web.Request, caller: _Caller, request: ModelRequest
+        self, http_request: web.Request, caller: Caller, request: ModelRequest
     ) -> web.StreamResponse:
-        stream_format = StreamFormat(request.request_id, request.model.name)
         buffer_bytes = self._options.limits.stream_buffer_bytes
-        sink = _StreamSink(http_request, stream_format, buffer_bytes)
+        sink = StreamSink(http_request, request, buffer_bytes)
         try:
             times = await self._model_path.run(caller.configuration, request, sink)
-            return await sink.finish(_finish_reason(request, times), times)
+            return await sink.finish(finish_reason(request, times), times)
         except RouterError as error:
             if sink.response is None:
                 raise
@@ -333,7 +244,7 @@
         self, http_request: web.Request, request_id: RequestId
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
-        service = _find_service(caller, http_request.match_info["service"])
+        service = find_service(caller, http_request.match_info["service"])
         http_request[CLASS_NAME] = service.name
         deadline_ms = parse_deadline_ms(http_request.headers) or service.timeout_ms
         request = PlainRequest(
@@ -341,99 +252,11 @@
             tenant=caller.tenant.name,
             service=service,
             method=http_request.method,
-            path=_service_path(http_request),
+            path=service_path(http_request),
             body=await self._read_body(http_request),
             headers=dict(http_request.headers),
-            idempotency_key=_idempotency_key(http_request),
+            idempotency_key=idempotency_key(http_request),
             deadline_ms=min(deadline_ms, service.timeout_ms),
         )
         answer = await self._plain_path.run(caller.configuration, request)
-        return _service_response(request_id, answer)
-
-
-def _model_request(
-    caller: _Caller, body: CompletionModel, http_request: web.Request
-) -> ModelRequest:
-    configuration, tenant = caller.configuration, caller.tenant
-    pool = configuration.pool_for(tenant.name, body.model)
-    model = configuration.models_by_name.get(body.model)
-    if pool is None or model is None:
-        raise RouterError(ResultCode.UNKNOWN_MODEL, body.model)
-    prompt_tokens = max(1, round(len(body.prompt.encode()) / model.bytes_per_token))
-    if prompt_tokens > model.max_prompt_tokens:
-        detail = f"{prompt_tokens} > {model.max_prompt_tokens} tokens"
-        raise RouterError(ResultCode.PROMPT_TOO_LONG, detail)
-    max_tokens = body.max_tokens or min(DEFAULT_MAX_TOKENS, model.max_output_tokens)
-    if max_tokens > model.max_output_tokens:
-        detail = f"max_tokens: greater than {model.max_output_tokens}"
-        raise RouterError(ResultCode.INVALID_FIELD, detail)
-    request_class = _request_class(caller, http_request)
-    deadline_ms = parse_deadline_ms(http_request.headers) or request_class.deadline_ms
-    deadline_ms = min(deadline_ms, request_class.deadline_ms)
-    return ModelRequest(
-        request_id=caller.request_id,
-        tenant=tenant.name,
-        request_class=request_class,
-        model=model,
-        pool=pool.name,
-        prompt=body.prompt,
-        prompt_tokens=prompt_tokens,
-        max_tokens=max_tokens,
-        patience_ms=min(request_class.patience_ms, deadline_ms),
-        deadline_ms=deadline_ms,
-    )
-
-
-def _request_class(caller: _Caller, http_request: web.Request) -> RequestClass:
-    name = http_request.headers.get("X-Request-Class", caller.tenant.default_class)
-    request_class = caller.configuration.classes_by_name.get(name)
-    if request_class is None:
-        raise RouterError(
-            ResultCode.INVALID_FIELD, f"X-Request-Class: no class {name!r}"
-        )
-    return request_class
-
-
-def _find_service(caller: _Caller, name: str) -> Service:
-    service = caller.configuration.services_by_name.get(name)
-    if service is None or service.kind is not ServiceKind.PLAIN:
-        raise RouterError(ResultCode.UNKNOWN_SERVICE, name)
-    if not caller.configuration.allows_service(caller.tenant.name, name):
-        raise RouterError(ResultCode.FORBIDDEN, name)
-    return service
-
-
-def _service_path(http_request: web.Request) -> str:
-    path = http_request.match_info["path"]
-    query = http_request.query_string
-    return f"{path}?{query}" if query else path
-
-
-def _idempotency_key(http_request: web.Request) -> str | None:
-    key = http_request.headers.get("Idempotency-Key")
-    if key is None:
-        return None
-    if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_LENGTH or not key.isprintable():
-        raise RouterError(ResultCode.INVALID_IDEMPOTENCY_KEY)
-    return key
-
-
-def _service_response(request_id: RequestId, answer: BackendResponse) -> web.Response:
-    headers = success_headers(request_id)
-    if answer.content_type:
-        headers["Content-Type"] = answer.content_type
-    if answer.status >= 500:
-        headers["X-Result-Code"] = str(ResultCode.BACKEND_FAILED.value)
-        headers["X-Execution"] = spec_of(ResultCode.BACKEND_FAILED).execution.value
-    return web.Response(status=answer.status, body=answer.body, headers=headers)
-
-
-def _engine_headers(times: ModelTimes) -> dict[str, str]:
-    return {
-        "X-Prefill-Engine": times.prefill_engine,
-        "X-Decode-Engine": times.decode_engine,
-    }
-
-
-def _finish_reason(request: ModelRequest, times: ModelTimes) -> str:
-    return "length" if times.tokens >= request.max_tokens else "stop"
+        return service_response(request_id, answer)
--- /dev/null
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_requests.py
@@ -0,0 +1,108 @@
+"""From an authenticated HTTP request to a request of the router."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from kumquat_core.configuration import (
+    Configuration,
+    RequestClass,
+    Service,
+    ServiceKind,
+    Tenant,
+)
+from kumquat_core.request_ids import RequestId
+from kumquat_core.result_codes import ResultCode, RouterError
+
+from .border import DEFAULT_MAX_TOKENS, CompletionModel, parse_deadline_ms
+from .model_request import ModelRequest
+
+__all__ = [
+    "Caller",
+    "find_service",
+    "idempotency_key",
+    "model_request",
+    "service_path",
+]
+
+MAX_IDEMPOTENCY_KEY_LENGTH = 128
+
+
+@dataclass(frozen=True)
+class Caller:
+    """An authenticated request before its body is looked at."""
+
+    request_id: RequestId
+    tenant: Tenant
+    configuration: Configuration
+
+
+def model_request(
+    caller: Caller, body: CompletionModel, http_request: web.Request
+) -> ModelRequest:
+    """Return the request that a body asks for, checked against its limits."""
+    configuration, tenant = caller.configuration, caller.tenant
+    pool = configuration.pool_for(tenant.name, body.model)
+    model = configuration.models_by_name.get(body.model)
+    if pool is None or model is None:
+        raise RouterError(ResultCode.UNKNOWN_MODEL, body.model)
+    prompt_tokens = max(1, round(len(body.prompt.encode()) / model.bytes_per_token))
+    if prompt_tokens > model.max_prompt_tokens:
+        detail = f"{prompt_tokens} > {model.max_prompt_tokens} tokens"
+        raise RouterError(ResultCode.PROMPT_TOO_LONG, detail)
+    max_tokens = body.max_tokens or min(DEFAULT_MAX_TOKENS, model.max_output_tokens)
+    if max_tokens > model.max_output_tokens:
+        detail = f"max_tokens: greater than {model.max_output_tokens}"
+        raise RouterError(ResultCode.INVALID_FIELD, detail)
+    request_class = _request_class(caller, http_request)
+    deadline_ms = parse_deadline_ms(http_request.headers) or request_class.deadline_ms
+    deadline_ms = min(deadline_ms, request_class.deadline_ms)
+    return ModelRequest(
+        request_id=caller.request_id,
+        tenant=tenant.name,
+        request_class=request_class,
+        model=model,
+        pool=pool.name,
+        prompt=body.prompt,
+        prompt_tokens=prompt_tokens,
+        max_tokens=max_tokens,
+        patience_ms=min(request_class.patience_ms, deadline_ms),
+        deadline_ms=deadline_ms,
+    )
+
+
+def _request_class(caller: Caller, http_request: web.Request) -> RequestClass:
+    name = http_request.headers.get("X-Request-Class", caller.tenant.default_class)
+    request_class = caller.configuration.classes_by_name.get(name)
+    if request_class is None:
+        raise RouterError(
+            ResultCode.INVALID_FIELD, f"X-Request-Class: no class {name!r}"
+        )
+    return request_class
+
+
+def find_service(caller: Caller, name: str) -> Service:
+    """Return a plain service that the caller may use."""
+    service = caller.configuration.services_by_name.get(name)
+    if service is None or service.kind is not ServiceKind.PLAIN:
+        raise RouterError(ResultCode.UNKNOWN_SERVICE, name)
+    if not caller.configuration.allows_service(caller.tenant.name, name):
+        raise RouterError(ResultCode.FORBIDDEN, name)
+    return service
+
+
+def service_path(http_request: web.Request) -> str:
+    """Return path and query of a call to a plain service."""
+    path = http_request.match_info["path"]
+    query = http_request.query_string
+    return f"{path}?{query}" if query else path
+
+
+def idempotency_key(http_request: web.Request) -> str | None:
+    """Return the caller's idempotency key, if any."""
+    key = http_request.headers.get("Idempotency-Key")
+    if key is None:
+        return None
+    if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_LENGTH or not key.isprintable():
+        raise RouterError(ResultCode.INVALID_IDEMPOTENCY_KEY)
+    return key
