Report slow decode steps while the stream goes on

Cause: the owner learned of a slow decode engine from a release, seconds late, or from a report every 0.5 s, and kept placing requests there.

Change: the entry host sends SlowStep when the gap between two tokens is three full steps, at most once in 100 ms for each engine.

--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -321,11 +321,19 @@
         # Most engines are full at a demand peak; memory alone rules them out
         # at little cost.
         tokens = request.prompt_tokens + request.max_tokens
-        return [
+        with_memory = [
             state
             for state in states
             if state.account.free_pieces * state.engine.piece_tokens >= tokens
-            and self.fits(needs, state, now_s)
+        ]
+        # When all look slow it may be this host that was paused; waiting for
+        # a fast engine is of no use then.
+        usual = min(
+            (self._speeds.step_ratio(state.engine.id, now_s) for state in states),
+            default=1.0,
+        )
+        return [
+            state for state in with_memory if self._fits(needs, state, usual, now_s)
         ]
 
     def _choose_decode(
@@ -360,12 +368,14 @@
         step_ms = state.account.step_ms(state.account.request_count + 1)
         return step_ms / 1000 * self._speeds.step_ratio(state.engine.id, now_s)
 
-    def fits(self, needs: RequestNeeds, state: EngineState, now_s: float) -> bool:
-        """Tell whether a decode engine can take a request now."""
+    def _fits(
+        self, needs: RequestNeeds, state: EngineState, usual: float, now_s: float
+    ) -> bool:
         pieces = needs.pieces(state)
         if not self._rules.tbt_limit:
             return state.account.fits(pieces)
-        slowness = max(1.0, self._speeds.step_ratio(state.engine.id, now_s))
+        ratio = self._speeds.step_ratio(state.engine.id, now_s)
+        slowness = max(1.0, ratio / max(1.0, usual))
         return state.account.fits(pieces, needs.tbt_target_ms, slowness)
 
     def _permitted(
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -28,8 +28,10 @@
     "PingRequest",
     "PrefillDone",
     "Refusal",
+    "Progress",
     "Release",
     "ShardSummary",
+    "SlowStep",
     "TicketBatch",
     "TicketFetch",
     "decode",
@@ -151,6 +153,18 @@
     cached_tokens: int
 
 
+@dataclass(frozen=True)
+class SlowStep:
+    """A stream waited much longer for a token than a full batch takes.
+
+    Sent while the stream goes on, because a release comes seconds later.
+    """
+
+    request_id: str
+    shard_id: str
+    gap_ms: float
+
+
 @dataclass(frozen=True)
 class Release:
     """The request no longer uses its engines.
@@ -228,6 +242,9 @@
     snapshot: dict[str, Any] | None = None
 
 
+# What an entry host tells the owner of a shard about a request.
+Progress = PrefillDone | SlowStep | Release | CancelAdmission
+
 Message = (
     Ack
     | AdmissionRequest
@@ -240,6 +257,7 @@
     | PrefillDone
     | Refusal
     | Release
+    | SlowStep
     | TicketBatch
     | TicketFetch
 )
@@ -262,6 +280,7 @@
     12: Refusal,
     13: PrefillDone,
     14: Release,
+    18: SlowStep,
     15: CancelAdmission,
     16: GrantsQuery,
     17: GrantsHeld,
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -35,6 +35,7 @@
     Refusal,
     Release,
     ShardSummary,
+    SlowStep,
 )
 from .prefix_blocks import BLOCK_BYTES
 from .prefix_index import PrefixIndex
@@ -188,6 +189,19 @@
         self._end_prefill(granted, now_s, finished=True)
         self._grant_waiting()
 
+    def slow_step(self, message: SlowStep) -> None:
+        """Note that a decode engine is slow right now."""
+        granted = self._granted_by_request_id.get(message.request_id)
+        if granted is None:
+            return
+        state = self._accounts.states_by_id.get(granted.decode_engine)
+        if state is not None:
+            nominal_ms = state.account.step_ms(state.account.request_count)
+            now_s = self._clock.monotonic()
+            self._speeds.observe_step(
+                state.engine.id, nominal_ms, message.gap_ms, now_s
+            )
+
     def release(self, message: Release) -> None:
         """Free all that a granted request holds."""
         now_s = self._clock.monotonic()
--- a/packages/kumquatrouter/src/kumquatrouter/attempt.py
+++ b/packages/kumquatrouter/src/kumquatrouter/attempt.py
@@ -13,7 +13,7 @@
 from kumquat_core.configuration import Engine
 from kumquat_core.engine_client import EngineClient, PrefillResult, Token
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import Grant, PrefillDone, Release
+from kumquat_core.peer_messages import Grant, PrefillDone, Release, SlowStep
 from kumquat_core.result_codes import ResultCode, RouterError
 
 from .background import BackgroundTasks
@@ -27,6 +27,11 @@
 TRANSFER_TIMEOUT_FACTOR = 4.0
 MIN_TRANSFER_TIMEOUT_S = 0.5
 
+# A step this many times longer than that of a full batch is reported to the
+# shard owner, once in a period for each engine.
+SLOW_STEP_FACTOR = 3.0
+SLOW_STEP_PERIOD_S = 0.1
+
 NOT_THE_ENGINE = frozenset(
     {ResultCode.OK, ResultCode.CALLER_GONE, ResultCode.ATTEMPT_REPLACED}
 )
@@ -68,6 +73,7 @@
         self._admissions = admissions
         self._background = background
         self._observer = observer
+        self._slow_told_s_by_engine_id: dict[str, float] = {}
 
     async def prefill(self, request: ModelRequest, attempt: Attempt) -> PrefillResult:
         """Run the prefill; the owner learns that its engine is idle again."""
@@ -121,6 +127,22 @@
             max(MIN_TRANSFER_TIMEOUT_S, nominal_s * TRANSFER_TIMEOUT_FACTOR),
         )
 
+    def _note_gap(self, attempt: Attempt, gap_s: float, now_s: float) -> None:
+        """Tell the owner of a step that took far too long.
+
+        All streams of an engine see the same step; one message is enough.
+        """
+        engine = attempt.decode_engine
+        step_ms = engine.step_base_ms + engine.step_request_ms * engine.max_requests
+        if gap_s * 1000 < SLOW_STEP_FACTOR * step_ms:
+            return
+        told_s = self._slow_told_s_by_engine_id.get(engine.id)
+        if told_s is not None and now_s - told_s < SLOW_STEP_PERIOD_S:
+            return
+        self._slow_told_s_by_engine_id[engine.id] = now_s
+        news = SlowStep(attempt.request_id, attempt.grant.shard_id, gap_s * 1000)
+        self._background.spawn(self._admissions.tell(news), "slow_step")
+
     async def decode(
         self,
         request: ModelRequest,
@@ -130,7 +152,7 @@
         started_s: float,
     ) -> None:
         """Stream the tokens that the caller does not have yet."""
-        first_s = 0.0
+        first_s = written_s = 0.0
         start_index = times.tokens
         async for tokens in self._engine_client.decode(
             attempt.decode_engine.url,
@@ -143,9 +165,12 @@
                 times.ttft_ms = (now_s - started_s) * 1000
             if not first_s:
                 first_s = now_s
+            else:
+                self._note_gap(attempt, now_s - written_s, now_s)
             _check_order(tokens, times.tokens)
             times.tokens += len(tokens)
             await sink.write(tokens, times)
+            written_s = self._clock.monotonic()
         received = times.tokens - start_index
         if received > 1:
             elapsed_ms = (self._clock.monotonic() - first_s) * 1000
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -27,6 +27,7 @@
     PingRequest,
     PrefillDone,
     Release,
+    SlowStep,
     TicketFetch,
 )
 from kumquat_core.request_ids import RequestIdSource
@@ -363,7 +364,7 @@
         match message:
             case AdmissionRequest():
                 return await self._owners.admit(message)
-            case PrefillDone() | Release() | CancelAdmission():
+            case PrefillDone() | SlowStep() | Release() | CancelAdmission():
                 self._owners.handle(message)
             case GrantsQuery():
                 return self._held.answer(message)
--- a/packages/kumquatrouter/src/kumquatrouter/held_grants.py
+++ b/packages/kumquatrouter/src/kumquatrouter/held_grants.py
@@ -17,6 +17,7 @@
     GrantsQuery,
     HeldGrant,
     PrefillDone,
+    Progress,
     Release,
 )
 
@@ -106,7 +107,7 @@
         self._held.granted(grant)
         return grant
 
-    async def tell(self, message: PrefillDone | Release | CancelAdmission) -> None:
+    async def tell(self, message: Progress) -> None:
         """Pass on a message about a request."""
         match message:
             case PrefillDone():
--- a/packages/kumquatrouter/src/kumquatrouter/local_choice.py
+++ b/packages/kumquatrouter/src/kumquatrouter/local_choice.py
@@ -16,6 +16,7 @@
     CancelAdmission,
     Grant,
     PrefillDone,
+    Progress,
     Release,
 )
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -55,7 +56,7 @@
             retry_after_s=refusal.retry_after_ms / 1000,
         )
 
-    async def tell(self, message: PrefillDone | Release | CancelAdmission) -> None:
+    async def tell(self, message: Progress) -> None:
         """Pass a message on to the scheduler of its pool."""
         scheduler = self._schedulers_by_pool.get(message.shard_id)
         if scheduler is None:
--- a/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owned_shard.py
@@ -26,8 +26,10 @@
     GrantsQuery,
     HeldGrant,
     PrefillDone,
+    Progress,
     Refusal,
     Release,
+    SlowStep,
 )
 from kumquat_core.request_ids import RequestId
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -151,11 +153,13 @@
             if self._admissions_by_request_id.get(request.request_id) is admission:
                 del self._admissions_by_request_id[request.request_id]
 
-    def handle(self, message: PrefillDone | Release | CancelAdmission) -> None:
+    def handle(self, message: Progress) -> None:
         """Apply a message about a request admitted earlier."""
         match message:
             case PrefillDone():
                 self.scheduler.prefill_done(message)
+            case SlowStep():
+                self.scheduler.slow_step(message)
             case Release():
                 self.scheduler.release(message)
             case CancelAdmission(request_id=request_id):
--- a/packages/kumquatrouter/src/kumquatrouter/owner_client.py
+++ b/packages/kumquatrouter/src/kumquatrouter/owner_client.py
@@ -11,9 +11,8 @@
     AdmissionRequest,
     CancelAdmission,
     Grant,
-    PrefillDone,
+    Progress,
     Refusal,
-    Release,
     ShardSummary,
 )
 from kumquat_core.rendezvous import owner_of
@@ -83,7 +82,7 @@
                         retry_after_s=reply.retry_after_ms / 1000,
                     )
 
-    async def tell(self, message: PrefillDone | Release | CancelAdmission) -> None:
+    async def tell(self, message: Progress) -> None:
         """Send a message about a request to the owner of its shard.
 
         A message that can't be delivered is dropped: the owner finds the
--- a/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
+++ b/packages/kumquatrouter/src/kumquatrouter/shard_owners.py
@@ -17,13 +17,11 @@
 from kumquat_core.membership import ChangeKind, Membership, MembershipChange
 from kumquat_core.peer_messages import (
     AdmissionRequest,
-    CancelAdmission,
     Grant,
     GrantsHeld,
     GrantsQuery,
-    PrefillDone,
+    Progress,
     Refusal,
-    Release,
     ShardSummary,
 )
 from kumquat_core.rendezvous import Shard, owner_of, shards_of
@@ -177,7 +175,7 @@
         self._observer.owner_decided(request, decided)
         return decided
 
-    def handle(self, message: PrefillDone | Release | CancelAdmission) -> None:
+    def handle(self, message: Progress) -> None:
         """Apply a message about a request admitted earlier."""
         shard = self._shards_by_id.get(message.shard_id)
         if shard is not None:
--- a/tests/core/test_shard_scheduler.py
+++ b/tests/core/test_shard_scheduler.py
@@ -12,7 +12,7 @@
     make_engine,
 )
 
-from kumquat_core.peer_messages import HeldGrant, PrefillDone
+from kumquat_core.peer_messages import HeldGrant, PrefillDone, SlowStep
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.rule_set import RuleSet
 
@@ -256,6 +256,21 @@
     run(scenario)
 
 
+def test_slow_decode_step_shifts_load_while_streams_go_on():
+    async def scenario():
+        world = SchedulerWorld(make_engine("p1"), make_engine("d1"), make_engine("d2"))
+        await world.admit(1)
+        await world.prefilled(1)
+        slow = world.grants[1].decode_engine
+        world.scheduler.slow_step(SlowStep("h.1.1", SHARD, 300.0))
+        for number in range(2, 6):
+            await world.admit(number)
+            await world.prefilled(number)
+            assert world.grants[number].decode_engine != slow
+
+    run(scenario)
+
+
 def test_failed_engine_does_not_attract_all_requests():
     async def scenario():
         world = SchedulerWorld(make_engine("p1"), make_engine("p2"), make_engine("d1"))
