--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -50,6 +50,7 @@
     body_timeout_s: Seconds = 10.0
     max_streams: Annotated[int, Field(gt=0)] = 4000
     stream_buffer_bytes: Annotated[int, Field(gt=0)] = 65536
+    drain_notice_s: Annotated[float, Field(ge=0)] = 2.0
     drain_limit_s: Seconds = 300.0
 
 
@@ -59,6 +60,7 @@
     ticket_poll_s: Seconds = 3.0
     host_list_poll_s: Seconds = 2.0
     report_poll_s: Seconds = 0.5
+    max_reports_per_s: Annotated[float, Field(gt=0)] = 12.0
     ping_period_s: Seconds = 0.5
     ping_timeout_s: Seconds = 0.4
     suspicion_s: Seconds = 1.5
@@ -105,6 +107,7 @@
     body_timeout_s: float
     max_streams: int
     stream_buffer_bytes: int
+    drain_notice_s: float
     drain_limit_s: float
 
 
@@ -115,6 +118,7 @@
     ticket_poll_s: float
     host_list_poll_s: float
     report_poll_s: float
+    max_reports_per_s: float
     ping_period_s: float
     ping_timeout_s: float
     suspicion_s: float
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from dataclasses import asdict
+from functools import partial
 from typing import Any
 
 from kumquat_core.backend_client import HttpBackendClient
@@ -26,6 +27,7 @@
     PingRequest,
     PrefillDone,
     Release,
+    SlowStep,
     TicketFetch,
 )
 from kumquat_core.request_ids import RequestIdSource
@@ -115,7 +117,8 @@
         self._metrics = RouterMetrics()
         decisions = DecisionLog(clock)
         observer = RequestObserver(self._metrics, decisions)
-        self._drain = Drain(options.limits.max_streams)
+        limits = options.limits
+        self._drain = Drain(limits.max_streams, clock, limits.drain_notice_s)
         self._tickets = TicketStore()
         self._directory = HostDirectory(
             HttpHostListClient(
@@ -260,9 +263,9 @@
             SNAPSHOT_PERIOD_S, self._ticket_sync.write_snapshot, "ticket_snapshot"
         )
         self._timers.every(timing.host_list_poll_s, self._refresh_hosts, "host_list")
-        self._timers.every(
-            timing.report_poll_s, self._owners.poll_reports, "engine_reports"
-        )
+        reports = max(1, round(timing.max_reports_per_s * timing.report_poll_s))
+        poll_reports = partial(self._owners.poll_reports, reports)
+        self._timers.every(timing.report_poll_s, poll_reports, "engine_reports")
         self._timers.every(
             timing.report_poll_s, self._poll_local_reports, "local_reports"
         )
@@ -361,7 +364,7 @@
         match message:
             case AdmissionRequest():
                 return await self._owners.admit(message)
-            case PrefillDone() | Release() | CancelAdmission():
+            case PrefillDone() | SlowStep() | Release() | CancelAdmission():
                 self._owners.handle(message)
             case GrantsQuery():
                 return self._held.answer(message)
@@ -372,7 +375,7 @@
         return None
 
     def _is_ready(self) -> bool:
-        return self._tickets.position > 0
+        return self._tickets.position > 0 and not self._membership.superseded
 
     def _status(self) -> dict[str, Any]:
         configuration = self._tickets.configuration
--- a/tests/router/test_shard_owners.py
+++ b/tests/router/test_shard_owners.py
@@ -7,11 +7,11 @@
 from kumquat_core.peer_messages import AdmissionRequest, Grant, Refusal
 from kumquat_core.rendezvous import owner_of
 from kumquat_lab.membership_costs import MemoryNetwork
-from kumquat_lab.shard_world import ENGINES, ShardWorld, make_engine
+from kumquat_lab.shard_world import ENGINES, ShardWorld, make_small_engine
 from kumquatrouter.background import BackgroundTasks
 from kumquatrouter.shard_owners import ShardOwners
 
-ALL_ENGINES = [*ENGINES, make_engine("d2", ENGINES[1].role)]
+ALL_ENGINES = [*ENGINES, make_small_engine("d2")]
 CONFIGURATION = Configuration(
     position=1,
     pools_by_name=MappingProxyType({"pool": Pool("pool", "r", ("advice",))}),
@@ -120,3 +120,22 @@
         assert grant.decode_engine == "d2"
 
     run(scenario)
+
+
+def test_limited_polling_reads_every_engine_in_turn():
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.settle()
+        read: list[str] = []
+        original = cluster.world.engine_client.report
+
+        async def report(url: str, *, fresh: bool):
+            read.append(url)
+            return await original(url, fresh=fresh)
+
+        cluster.world.engine_client.report = report
+        for _ in ALL_ENGINES:
+            await cluster.owners_by_id[OWNER].poll_reports(1)
+        assert sorted(read) == sorted(engine.url for engine in ALL_ENGINES)
+
+    run(scenario)
