Fail calls to a host that is declared dead

Cause: a request that waited at a frozen owner stayed with it until its link was found silent, although another host had taken over.

Change: the link to a host that is declared dead is ended at once.

--- a/packages/kumquat_lab/src/kumquat_lab/recovery_time.py
+++ b/packages/kumquat_lab/src/kumquat_lab/recovery_time.py
@@ -1,9 +1,9 @@
 """Measures how long a killed entry host is felt.
 
-``python -m kumquat_lab.recovery_time --seed 1`` kills, several times, the
-owner of a shard and an entry host with running streams. It prints the time
-until the next grant after an owner's death and the time until the engines
-hold nothing for the dead host.
+``python -m kumquat_lab.recovery_time --seed 1`` kills and stops, several
+times, the owner of a shard, and kills an entry host with running streams. It
+prints the time from the fault to the first token of the next request and the
+time until the engines hold nothing for the dead host.
 """
 
 import asyncio
@@ -50,6 +50,19 @@
         await self._restart([owner])
         return outcome.ttft_ms / 1000
 
+    async def owner_freeze_s(self) -> float:
+        """Stop the owner while a request arrives; return its TTFT in s."""
+        owner = await self._owner()
+        other = next(h for h in self._stack.plan.hosts_of(MADAFU) if h != owner)
+        child = self._stack.processes.children_by_name[owner.host_id]
+        child.send(signal.SIGSTOP)
+        outcome = await self._call(other)
+        child.send(signal.SIGCONT)
+        if outcome.kind != "ok":
+            raise RuntimeError(f"request while the owner is stopped: {outcome}")
+        await asyncio.sleep(REST_S)
+        return outcome.ttft_ms / 1000
+
     async def host_death_s(self, *, with_owner: bool) -> float:
         """Kill a host with streams; return the time until all is freed."""
         owner = await self._owner()
@@ -108,11 +121,13 @@
     async with running_stack(config) as stack, create_session(2.0) as session:
         recovery = _Recovery(stack, session, seed)
         owner = [await recovery.owner_death_s() for _ in range(repeats)]
+        frozen = [await recovery.owner_freeze_s() for _ in range(repeats)]
         host = [await recovery.host_death_s(with_owner=False) for _ in range(repeats)]
         both = [await recovery.host_death_s(with_owner=True) for _ in range(repeats)]
     return {
         "seed": seed,
         "next_token_after_owner_death_s": [round(item, 2) for item in owner],
+        "next_token_after_owner_freeze_s": [round(item, 2) for item in frozen],
         "freed_after_host_death_s": [round(item, 2) for item in host],
         "freed_after_host_and_owner_death_s": [round(item, 2) for item in both],
     }
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -14,7 +14,7 @@
 from kumquat_core.http_client import create_session
 from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.log_events import log_event
-from kumquat_core.membership import Membership
+from kumquat_core.membership import ChangeKind, Membership, MembershipChange
 from kumquat_core.metrics import RouterMetrics
 from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.peer_messages import (
@@ -148,6 +148,7 @@
         self._membership_driver = MembershipDriver(
             self._membership, self._links, timing, clock, self._on_ticket_position
         )
+        self._membership.subscribe(self._on_member_change)
         self._held = HeldGrants(options.host_id, incarnation)
         object_client = HttpObjectClient(
             self._session, options.object_store_url, timing.store_timeout_s
@@ -326,6 +327,10 @@
         if await self._directory.refresh():
             self._membership.apply_host_list(self._directory.hosts())
 
+    def _on_member_change(self, change: MembershipChange) -> None:
+        if change.kind is ChangeKind.DIED:
+            self._links.drop(change.host_id)
+
     def _on_ticket_position(self, host_id: str, position: int) -> None:
         """Fetch tickets at once when a peer has newer ones."""
         if position > self._tickets.position:
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -118,6 +118,11 @@
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
 
+    def drop(self) -> None:
+        """End the stream without waiting; open calls fail."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def close(self) -> None:
         """End the stream; open calls fail."""
         if self._task is not None:
@@ -271,6 +276,16 @@
         """
         self._link(host_id).send(Envelope(0, message))
 
+    def drop(self, host_id: str) -> None:
+        """End the stream to a host that is dead; its open calls fail.
+
+        A frozen host keeps the stream open, and calls would wait for it
+        although another host has taken over.
+        """
+        link = self._links_by_host_id.get(host_id)
+        if link is not None:
+            link.drop()
+
     async def close(self) -> None:
         """Close all links."""
         for link in self._links_by_host_id.values():
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -145,6 +145,19 @@
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+def test_calls_to_a_host_that_is_declared_dead_fail_at_once():
+    async def scenario() -> None:
+        async with Pair(never_answer) as pair:
+            call = asyncio.create_task(pair.links.call("b", PING, 60))
+            while not pair.server._connections:
+                await asyncio.sleep(0.001)
+            pair.links.drop("b")
+            with pytest.raises(RouterError):
+                await call
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
 def test_silent_stream_is_replaced():
     async def scenario() -> None:
         async with Pair(never_answer) as pair:
