--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -409,6 +409,7 @@
         if dispatched.checks_fencing and response.status == HTTP_PRECONDITION_FAILED:
             progress.may_send = False
             progress.phase = _Phase.OTHER_ATTEMPT
+            _log_attempt("idempotent_attempt_fenced", dispatched)
             return await self._cancel_fenced(key, version, cancelled)
         outcome = RecordedOutcome(
             response.status, response.content_type, response.body, dispatched.attempt
@@ -452,6 +453,7 @@
         self, key: str, version: int, dispatched: Record
     ) -> _Answer:
         unknown = replace(dispatched, state=RecordState.UNKNOWN)
+        _log_attempt("idempotent_outcome_unknown", dispatched)
         match await self._records.move(key, version, unknown):
             case LostRace() | StoreDown():
                 self._spawn(unknown.attempt, self._settle(key, unknown))
@@ -461,6 +463,7 @@
         self, key: str, version: int, record: Record
     ) -> "_Answer | MoveFailure | None":
         """Settle an attempt whose holder can no longer answer for it."""
+        _log_attempt("idempotent_holder_dead", record)
         if record.checks_fencing:
             fence = record.fence + 1
             try:
@@ -536,13 +539,7 @@
             await backoff.wait()
         # An outcome is never overwritten, and another attempt never touched.
         if final.state is RecordState.DONE:
-            log_event(
-                logger,
-                "outcome_not_recorded",
-                level=logging.ERROR,
-                attempt=final.attempt,
-                fence=final.fence,
-            )
+            _log_attempt("outcome_not_recorded", final, level=logging.ERROR)
 
     async def _settle_from(
         self, key: str, present: StoredRecord, final: Record
@@ -559,6 +556,17 @@
         return False
 
 
+def _log_attempt(event: str, record: Record, level: int = logging.WARNING) -> None:
+    log_event(
+        logger,
+        event,
+        level=level,
+        attempt=record.attempt,
+        fence=record.fence,
+        state=record.state.value,
+    )
+
+
 def _may_run(record: Record | None) -> bool:
     """Tell whether a recorded attempt has run or can still run."""
     return record is not None and record.state is not RecordState.CANCELLED
--- a/packages/kumquat_lab/src/kumquat_lab/spec_requests.py
+++ b/packages/kumquat_lab/src/kumquat_lab/spec_requests.py
@@ -10,6 +10,9 @@
 The final moves of a holder (``done``, ``cancelled``, ``unknown``) are one
 atomic step on its own attempt, or a background step at any later time; this
 covers their lost and delayed writes.
+
+Calls are interchangeable, so states that differ only in the numbering of the
+calls are one state. In a counterexample the numbers may change between steps.
 """
 
 from dataclasses import dataclass
@@ -468,7 +471,51 @@
         for call, answer in zip(calls, state.server.answers, strict=True)
     )
     server = state.server._replace(answers=answers)
-    return state._replace(late_writes=late, calls=calls, server=server)
+    return _sorted(state._replace(late_writes=late, calls=calls, server=server))
+
+
+def _sorted(state: State) -> State:
+    """Number the calls in a fixed order, because they are interchangeable."""
+    server = state.server
+    late_by_call: dict[int, list[tuple[int, Record]]] = {}
+    for version, record in state.late_writes:
+        anonymous = (version, record._replace(call=-1))
+        late_by_call.setdefault(record.call, []).append(anonymous)
+
+    def signature(index: int) -> Any:
+        return (
+            state.calls[index],
+            server.runs[index],
+            server.requests[index],
+            server.answers[index],
+            state.record.call == index,
+            sorted(late_by_call.get(index, [])),
+        )
+
+    order = sorted(range(len(state.calls)), key=signature)
+    if order == list(range(len(order))):
+        return state
+    number_of = {old: new for new, old in enumerate(order)} | {-1: -1}
+
+    def renumbered(record: Record) -> Record:
+        return record._replace(call=number_of[record.call])
+
+    return state._replace(
+        record=renumbered(state.record),
+        late_writes=frozenset(
+            (version, renumbered(record)) for version, record in state.late_writes
+        ),
+        calls=_permuted(state.calls, order),
+        server=server._replace(
+            runs=_permuted(server.runs, order),
+            requests=_permuted(server.requests, order),
+            answers=_permuted(server.answers, order),
+        ),
+    )
+
+
+def _permuted(values: tuple[Any, ...], order: list[int]) -> tuple[Any, ...]:
+    return tuple(values[old] for old in order)
 
 
 def _normal_call(call: Call) -> Call:
