--- a/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
+++ b/packages/kumquatrouter/src/kumquatrouter/membership_driver.py
@@ -17,6 +17,7 @@
 from kumquat_core.result_codes import RouterError
 from kumquat_core.settings import Timing
 
+from .peer_links import PeerRefusedError
 from .supervisor import TaskService
 
 __all__ = ["MembershipDriver", "PeerCaller"]
@@ -67,7 +68,7 @@
         """Start the probes of one period and return their tasks."""
         started = []
         for target in self._membership.next_pings():
-            probe = asyncio.get_running_loop().create_task(self._probe(target))
+            probe = asyncio.get_running_loop().create_task(self._run_probe(target))
             self._probes.add(probe)
             probe.add_done_callback(self._on_probe_done)
             started.append(probe)
@@ -89,6 +90,10 @@
             sender, message.target, reached=reached
         )
 
+    async def _run_probe(self, target: str) -> None:
+        await self._probe(target)
+        self._membership.probe_ended(target)
+
     async def _probe(self, target: str) -> None:
         paused_before = self._membership.counters.own_pauses
         if await self._ping(target):
@@ -113,6 +118,9 @@
         factor = 2 if isinstance(message, PingRequest) else 1
         try:
             reply = await self._links.call(host_id, message, factor * self._timeout_s)
+        except PeerRefusedError:
+            self._membership.process_ended(host_id)
+            return None
         except RouterError:
             return None
         if not isinstance(reply, Ack):
