Answer a repeated call from its record when no backend server is live

Cause: a call whose service had no live backend server was refused as not run before the record was read. A repeated call whose first attempt had run was told "not run".

Change: `IdempotencyGuard.recorded` reads the record without an attempt, and the plain path answers from it. Tests of the plain path cover the choice of the next server, the fence of each attempt, and leaving servers.

Conclusion: the recorded state decides every repeated call that can read it.

--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -206,6 +206,29 @@
             return self._answer_of_failed_task(progress, task)
         return task.result()
 
+    async def recorded(self, call: IdempotentCall) -> _Answer | None:
+        """Return what the record says about an earlier call with the key.
+
+        For a call that cannot be sent at present. None means that no
+        attempt is recorded that may have run, or that the store is down.
+        """
+        key = record_key(call.tenant, call.service, call.key, call.request_id)
+        match await self._records.read(key):
+            case StoredRecord(record=Record() as record):
+                pass
+            case _:
+                return None
+        if record.body_hash != call.body_hash:
+            return Failure(RouterError(ResultCode.IDEMPOTENCY_KEY_REUSED))
+        match record.state:
+            case RecordState.CANCELLED:
+                return None
+            case RecordState.DONE:
+                return record.recorded_outcome()
+            case RecordState.UNKNOWN:
+                return _outcome_unknown()
+        return _in_progress()
+
     async def drain(self, limit_s: float | None = None) -> int:
         """Wait for all work in progress; return how many tasks remain."""
         deadline_s = None if limit_s is None else self._clock.monotonic() + limit_s
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -113,7 +113,11 @@
         """
         deadline_s = self._clock.monotonic() + request.deadline_ms / 1000
         failure = RouterError(ResultCode.BACKEND_UNREACHABLE, retry_after_s=1.0)
-        for server in self._candidates(configuration, request):
+        try:
+            servers = self._candidates(configuration, request)
+        except RouterError as error:
+            return await self._recorded(request, error)
+        for server in servers:
             answer = await self._guard.run(
                 _idempotent_call(server, request, deadline_s),
                 partial(self._send, server, request),
@@ -130,6 +134,18 @@
                 break
         raise failure
 
+    async def _recorded(
+        self, request: PlainRequest, refusal: RouterError
+    ) -> BackendResponse:
+        """Answer from the record; an earlier call may have run."""
+        answer = await self._guard.recorded(_idempotent_call(None, request, 0.0))
+        if answer is None:
+            raise refusal
+        if not is_successful(answer):
+            raise answer.failure()
+        outcome = answer.unwrap()
+        return BackendResponse(outcome.status, outcome.content_type, outcome.body)
+
     async def _run_repeatable(
         self, configuration: Configuration, request: PlainRequest
     ) -> BackendResponse:
@@ -196,7 +212,7 @@
 
 
 def _idempotent_call(
-    server: BackendServer, request: PlainRequest, deadline_s: float
+    server: BackendServer | None, request: PlainRequest, deadline_s: float
 ) -> IdempotentCall:
     return IdempotentCall(
         tenant=request.tenant,
@@ -205,6 +221,6 @@
         request_id=str(request.request_id),
         body_hash=request.body_hash,
         deadline_s=deadline_s,
-        server_url=server.url,
-        checks_fencing=server.checks_fencing,
+        server_url=server.url if server else "",
+        checks_fencing=server.checks_fencing if server else False,
     )
--- /dev/null
+++ b/tests/router/test_plain_path.py
@@ -0,0 +1,136 @@
+"""Guards against a plain call that runs twice or at a leaving server."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from kumquat_core.backend_client import BackendResponse
+from kumquat_core.configuration import (
+    BackendServer,
+    Configuration,
+    ServerState,
+    Service,
+    ServiceKind,
+)
+from kumquat_core.idempotency import IdempotencyGuard
+from kumquat_core.request_ids import RequestId
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_lab.memory_fakes import MemoryTable
+from kumquat_lab.virtual_time import run_in_virtual_time
+from kumquatrouter.plain_path import PlainPath, PlainRequest
+
+SERVERS = ("s1", "s2", "s3")
+SERVICE = Service("booking", ServiceKind.PLAIN, repeatable=False, timeout_ms=1000)
+
+
+@dataclass
+class Backends:
+    """Backend servers; ``errors_by_id`` says which fail, and how."""
+
+    errors_by_id: dict[str, ResultCode] = field(default_factory=dict)
+    backend_states_by_id: dict[str, ServerState] = field(default_factory=dict)
+    sent: list[tuple[str, str, int]] = field(default_factory=list)
+
+    async def send(self, url, request, timeout_s):
+        server_id = url.removeprefix("http://")
+        self.sent.append((server_id, request.key, request.fence))
+        if server_id in self.errors_by_id:
+            raise RouterError(self.errors_by_id[server_id])
+        return BackendResponse(201, "text/plain", f"by {server_id}".encode())
+
+    async def raise_fence(self, url, key, fence):
+        return True
+
+
+def make_configuration():
+    servers = {
+        name: BackendServer(
+            name, f"http://{name}", "booking", "fjord-a", ServerState.LIVE, False
+        )
+        for name in SERVERS
+    }
+    return Configuration(backend_servers_by_id=servers)
+
+
+def run_calls(backends, count=1, before_last=lambda: None):
+    """Make calls with one key; return the results as text."""
+
+    class Observer:
+        def __getattr__(self, name):
+            return lambda *arguments, **keywords: None
+
+    async def main(clock):
+        guard = IdempotencyGuard(
+            MemoryTable(), backends, clock, lambda *_: True, intent_lease_s=5.0
+        )
+        path = PlainPath(clock, backends, backends, guard, random.Random(1), Observer())
+        results = []
+        for sequence in range(1, count + 1):
+            if sequence == count:
+                before_last()
+            request = PlainRequest(
+                RequestId("h", 1, sequence),
+                "hagestad",
+                SERVICE,
+                "POST",
+                "/book",
+                b"tree",
+                {},
+                "key",
+                5000,
+            )
+            try:
+                response = await path.run(make_configuration(), request)
+                results.append(f"{response.status} {response.body.decode()}")
+            except RouterError as error:
+                results.append(f"{error.code.name} {error.execution.value}")
+        return results
+
+    return run_in_virtual_time(main)
+
+
+def test_next_server_is_tried_with_a_higher_fence_when_none_was_reached():
+    refused = dict.fromkeys(("s1", "s2"), ResultCode.BACKEND_UNREACHABLE)
+    backends = Backends(errors_by_id=refused)
+    assert run_calls(backends) == ["201 by s3"]
+    fences = [fence for _, _, fence in backends.sent]
+    assert fences == list(range(1, len(fences) + 1))
+    assert {key for _, key, _ in backends.sent} == {"hagestad/booking/key/key"}
+
+
+@pytest.mark.parametrize(
+    "code", [ResultCode.OUTCOME_UNKNOWN, ResultCode.INTERNAL_ERROR]
+)
+def test_no_other_server_is_tried_after_a_byte_was_sent(code):
+    backends = Backends(errors_by_id=dict.fromkeys(SERVERS, code))
+    assert run_calls(backends, 2) == ["OUTCOME_UNKNOWN unknown"] * 2
+    assert len(backends.sent) == 1
+
+
+def test_leaving_server_gets_no_new_call():
+    leaving = dict.fromkeys(("s1", "s2"), ServerState.LEAVING)
+    backends = Backends(backend_states_by_id=leaving)
+    assert run_calls(backends) == ["201 by s3"]
+    assert [server for server, _, _ in backends.sent] == ["s3"]
+
+
+@pytest.mark.parametrize(
+    ("error", "expected"),
+    [
+        (None, "201 by"),
+        (ResultCode.OUTCOME_UNKNOWN, "OUTCOME_UNKNOWN unknown"),
+        (ResultCode.BACKEND_UNREACHABLE, "BACKEND_UNREACHABLE not_run"),
+    ],
+)
+def test_repeated_call_without_any_server_gets_what_is_recorded(error, expected):
+    backends = Backends()
+    if error is not None:
+        backends.errors_by_id = dict.fromkeys(SERVERS, error)
+
+    def all_leave():
+        backends.backend_states_by_id = dict.fromkeys(SERVERS, ServerState.LEAVING)
+
+    first, second = run_calls(backends, 2, all_leave)
+    assert first.startswith(expected)
+    assert second == first
