--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -32,7 +32,7 @@
 
 # A grant for the next prefill may go out this long before the present one
 # is expected to end; it covers the message from owner to engine.
-EARLY_GRANT_S = 0.002
+EARLY_GRANT_S = 0.008
 
 # The result of a prefill is evicted within a second; its transfer must not
 # wait longer than this for the link.
@@ -178,6 +178,17 @@
             decode.first_token_s,
         )
 
+    def next_ready_s(self, now_s: float) -> float:
+        """Return when the next busy prefill engine can be granted again."""
+        return min(
+            (
+                self._start_s(state, now_s) - EARLY_GRANT_S
+                for state in self._accounts.states_by_id.values()
+                if len(state.jobs_by_request_id) == 1
+            ),
+            default=math.inf,
+        )
+
     def has_ready_prefill(self, model: str, now_s: float) -> bool:
         """Tell whether any prefill engine of a model can start now."""
         return any(
@@ -204,15 +215,39 @@
             ratio = self._speeds.prefill_ratio(state.engine.id, now_s)
             transfer_s = state.link.transfer_s(needs.transfer_bytes)
             prefill_s = min(prefill_s, scaled_time_s(nominal_s, ratio) + transfer_s)
+        # The first token comes with the step after the one in progress.
         step_s = min(
             (
-                state.account.step_ms(1) / 1000
+                2 * state.account.step_ms(state.engine.max_requests) / 1000
                 for state in self._accounts.decode_engines(request.model)
             ),
             default=0.0,
         )
         return prefill_s + step_s
 
+    def cost_s(self, needs: RequestNeeds, now_s: float) -> float:
+        """Return the time a request takes of all engines together.
+
+        It is the larger of its prefill time over the prefill engines and
+        its share of decode memory for the time of its tokens.
+        """
+        request = needs.request
+        prefill = self._accounts.prefill_engines(request.model)
+        decode = self._accounts.decode_engines(request.model)
+        prefill_s = min(
+            (self._nominal_prefill(needs, state)[0] for state in prefill), default=0.0
+        )
+        share = sum(state.engine.total_pieces / needs.pieces(state) for state in decode)
+        step_s = max(
+            (
+                state.account.step_ms(state.engine.max_requests) / 1000
+                for state in decode
+            ),
+            default=0.0,
+        )
+        decode_s = request.max_tokens * step_s / max(1.0, share)
+        return max(prefill_s / max(1, len(prefill)), decode_s)
+
     def backlog_s(self, state: EngineState, now_s: float) -> float:
         """Return the expected rest of the prefills in progress."""
         return sum(
@@ -286,11 +321,19 @@
         # Most engines are full at a demand peak; memory alone rules them out
         # at little cost.
         tokens = request.prompt_tokens + request.max_tokens
-        return [
+        with_memory = [
             state
             for state in states
             if state.account.free_pieces * state.engine.piece_tokens >= tokens
-            and self.fits(needs, state, now_s)
+        ]
+        # When all look slow it may be this host that was paused; waiting for
+        # a fast engine is of no use then.
+        usual = min(
+            (self._speeds.step_ratio(state.engine.id, now_s) for state in states),
+            default=1.0,
+        )
+        return [
+            state for state in with_memory if self._fits(needs, state, usual, now_s)
         ]
 
     def _choose_decode(
@@ -325,12 +368,14 @@
         step_ms = state.account.step_ms(state.account.request_count + 1)
         return step_ms / 1000 * self._speeds.step_ratio(state.engine.id, now_s)
 
-    def fits(self, needs: RequestNeeds, state: EngineState, now_s: float) -> bool:
-        """Tell whether a decode engine can take a request now."""
+    def _fits(
+        self, needs: RequestNeeds, state: EngineState, usual: float, now_s: float
+    ) -> bool:
         pieces = needs.pieces(state)
         if not self._rules.tbt_limit:
             return state.account.fits(pieces)
-        slowness = max(1.0, self._speeds.step_ratio(state.engine.id, now_s))
+        ratio = self._speeds.step_ratio(state.engine.id, now_s)
+        slowness = max(1.0, ratio / max(1.0, usual))
         return state.account.fits(pieces, needs.tbt_target_ms, slowness)
 
     def _permitted(
