Let requests with time to spare wait for a cached prefix

Cause: with several prefill engines and a queue, the next request went to whichever engine became idle, so the caches of all engines held all prefixes and evicted them.

Change: while others wait, an engine's own prefill time counts as much as the finish; compare accepts kumquat-RULE for the policy without a rule.

--- a/packages/kumquat_core/src/kumquat_core/grant_pass.py
+++ b/packages/kumquat_core/src/kumquat_core/grant_pass.py
@@ -38,7 +38,11 @@
 
 
 class GrantPass:
-    """Examines waiting requests; ``reserve`` is called for each grant."""
+    """Examines waiting requests; ``reserve`` is called for each grant.
+
+    With ``others_wait``, a request with time to spare may wait for an engine
+    that has more of its prompt cached.
+    """
 
     def __init__(
         self,
@@ -46,11 +50,14 @@
         accounts: ShardAccounts,
         reserve: Reserve,
         now_s: float,
+        *,
+        others_wait: bool = False,
     ) -> None:
         self._chooser = chooser
         self._accounts = accounts
         self._reserve = reserve
         self._now_s = now_s
+        self._others_wait = others_wait
         self._claims_s_by_engine_id: dict[str, float] = {}
         self._states_by_model: dict[str, _ModelState] = {}
         self.stopped_models: set[str] = set()
@@ -107,8 +114,11 @@
         tbt_ms = item.needs.tbt_target_ms
         if tokens >= state.full_for.get(tbt_ms, tokens + 1):
             return NoPlace(Obstacle.DECODE_FULL)
+        spare_s = 0.0
+        if self._others_wait and not item.late:
+            spare_s = item.latest_start_s - self._now_s
         choice = self._chooser.choose(
-            item.needs, self._claims_s_by_engine_id, self._now_s
+            item.needs, self._claims_s_by_engine_id, self._now_s, spare_s
         )
         if choice == NoPlace(Obstacle.DECODE_FULL) and not request.excluded_engines:
             state.full_for[tbt_ms] = tokens
--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -44,6 +44,10 @@
 PREFILL_OVERHEAD_S = 0.006
 
 
+# Added to the score of an engine that could only start too late.
+TOO_LATE_S = 1000.0
+
+
 def nominal_prefill_s(engine: Engine, uncached_tokens: float) -> float:
     """Return the time of a prefill at the engine's configured rate."""
     return PREFILL_OVERHEAD_S + uncached_tokens / engine.prefill_tokens_per_s
@@ -120,6 +124,18 @@
     nominal_s: float
     blocks_expected: int
 
+    def score_s(self, spare_s: float) -> float:
+        """Return a score that is lower for a better engine.
+
+        With time to spare, the time taken of the engine counts as much as
+        the finish, because other requests wait for it.
+        """
+        if spare_s <= 0:
+            return self.finish_s
+        if self.start_s > spare_s:
+            return TOO_LATE_S + self.finish_s
+        return self.finish_s + (self.finish_s - self.start_s)
+
 
 @dataclass(frozen=True)
 class _DecodeChoice:
@@ -148,12 +164,18 @@
         self._rules = rules
 
     def choose(
-        self, needs: RequestNeeds, claims_s_by_id: dict[str, float], now_s: float
+        self,
+        needs: RequestNeeds,
+        claims_s_by_id: dict[str, float],
+        now_s: float,
+        spare_s: float = 0.0,
     ) -> Pair | Hold | NoPlace:
         """Return a pair, or why there is none.
 
         ``claims_s_by_id`` holds prefill seconds that requests ahead in the
-        queue are going to use on an engine that is still busy.
+        queue are going to use on an engine that is still busy. The request
+        can start ``spare_s`` from now and still be on time; for so long it
+        may wait for an engine that has more of its prompt cached.
         """
         obstacle = self.lasting_obstacle(needs)
         if obstacle is not None:
@@ -161,7 +183,7 @@
         decode_states = self._fitting_decode(needs, now_s)
         if not decode_states:
             return NoPlace(Obstacle.DECODE_FULL)
-        prefill = self._choose_prefill(needs, claims_s_by_id, now_s)
+        prefill = self._choose_prefill(needs, claims_s_by_id, now_s, spare_s)
         if prefill is None:
             return NoPlace(Obstacle.PREFILL_BUSY)
         decode = self._choose_decode(needs, prefill, decode_states, now_s)
@@ -258,7 +280,11 @@
         )
 
     def _choose_prefill(
-        self, needs: RequestNeeds, claims_s_by_id: dict[str, float], now_s: float
+        self,
+        needs: RequestNeeds,
+        claims_s_by_id: dict[str, float],
+        now_s: float,
+        spare_s: float,
     ) -> _PrefillChoice | None:
         states = self._permitted(
             needs, self._accounts.prefill_engines(needs.request.model), now_s
@@ -270,7 +296,7 @@
             if not self._rules.hold_for_faster and not self._is_ready(state, now_s):
                 continue
             choice = self._prefill_choice(needs, state, claims_s_by_id, now_s)
-            if best is None or choice.finish_s < best.finish_s:
+            if best is None or choice.score_s(spare_s) < best.score_s(spare_s):
                 best = choice
         return best
 
--- a/packages/kumquat_core/src/kumquat_core/rule_set.py
+++ b/packages/kumquat_core/src/kumquat_core/rule_set.py
@@ -20,6 +20,7 @@
     fair_share: bool = True
     late_last: bool = True
     prefix_cache: bool = True
+    prefix_order: bool = True
     stragglers: bool = True
     tbt_limit: bool = True
     link_limit: bool = True
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -453,7 +453,13 @@
             return
         now_s = self._clock.monotonic()
         self._give_up_missed(now_s)
-        grant_pass = GrantPass(self._chooser, self._accounts, self._reserve, now_s)
+        grant_pass = GrantPass(
+            self._chooser,
+            self._accounts,
+            self._reserve,
+            now_s,
+            others_wait=self._rules.prefix_order and len(self._queue) > 1,
+        )
         grant_pass.run(
             self._queue.candidates(self._over_share(now_s), grant_pass.stopped_models)
         )
--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -63,6 +63,7 @@
     policy: Literal["kumquat", "round_robin", "least_reported_load", "two_choices"] = (
         "kumquat"
     )
+    disabled_rules: tuple[str, ...] = ()
     seed: int = 1
     log_level: Literal["debug", "info", "warning", "error"] = "warning"
     first_port: Annotated[int, Field(ge=0, le=65000)] = 0
@@ -306,6 +307,7 @@
             },
             "peer_key_file": "peer.key",
             "policy": self.plan.config.policy,
+            "disabled_rules": self.plan.config.disabled_rules,
             "log_level": self.plan.config.log_level,
             "seed": self.plan.config.seed,
         }
@@ -328,5 +330,10 @@
 
 
 def with_policy(config: StackConfig, policy: str) -> StackConfig:
-    """Return the same stack with another routing policy."""
-    return StackConfig.model_validate(config.model_dump() | {"policy": policy})
+    """Return the same stack with another routing policy.
+
+    ``kumquat-RULE`` is the ``kumquat`` policy without a rule.
+    """
+    name, *disabled_rules = policy.split("-")
+    changes = {"policy": name, "disabled_rules": disabled_rules}
+    return StackConfig.model_validate(config.model_dump() | changes)
--- a/tests/core/test_pairing.py
+++ b/tests/core/test_pairing.py
@@ -21,10 +21,10 @@
         self.prefixes = PrefixIndex()
         self.chooser = PairChooser(self.accounts, self.speeds, self.prefixes, RuleSet())
 
-    def choose(self, now_s: float = 0.0, **changes):
+    def choose(self, now_s: float = 0.0, spare_s: float = 0.0, **changes):
         request = make_request(1, **changes)
         needs = RequestNeeds(request, 50.0, KV_BYTES, 250.0)
-        return self.chooser.choose(needs, {}, now_s)
+        return self.chooser.choose(needs, {}, now_s, spare_s)
 
     def start_prefill(self, engine_id: str, nominal_s: float) -> None:
         jobs = self.accounts.states_by_id[engine_id].jobs_by_request_id
@@ -48,6 +48,17 @@
     assert choice.prefill.engine.id == "p2"
 
 
+def test_patient_request_waits_for_its_prefix_only_with_time_to_spare():
+    shard = Shard("p1", "p2", "d1")
+    blocks = (11, 12, 13)
+    shard.prefixes.record_sent("p2", blocks, 0.0)
+    shard.start_prefill("p2", 0.1)
+    prompt = {"prefix_blocks": blocks, "prompt_tokens": 1500}
+    assert shard.choose(**prompt).prefill.engine.id == "p1"
+    assert isinstance(shard.choose(spare_s=1.0, **prompt), Hold)
+    assert shard.choose(spare_s=0.05, **prompt).prefill.engine.id == "p1"
+
+
 def test_congested_link_stops_a_prefill_that_would_be_evicted():
     shard = Shard("p1", "d1")
     shard.accounts.states_by_id["d1"].link.plan("other", 1e9)
