Drop waiting requests of a dead process; record first effects

A slow caller's backpressure counted as time between tokens and made its decode engine look slow.

Change: waiting requests of the process are dropped too; ids of another form are left out; time spent writing to the caller is not counted.

--- a/packages/kumquat_core/src/kumquat_core/admission_queue.py
+++ b/packages/kumquat_core/src/kumquat_core/admission_queue.py
@@ -130,6 +130,10 @@
         """Return a waiting request, if it is in the queue."""
         return self._items_by_request_id.get(request_id)
 
+    def request_ids(self) -> list[str]:
+        """Return the ids of all waiting requests."""
+        return list(self._items_by_request_id)
+
     def push(self, item: WaitingRequest) -> None:
         """Add a request; its id must not be in the queue."""
         assert item.request_id not in self._items_by_request_id
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -217,14 +217,17 @@
         self._grant_waiting()
 
     def drop_host(self, host_id: str, incarnation: int) -> list[tuple[str, str]]:
-        """Free the grants of a dead process.
+        """Free the grants of a dead process and drop what it waits for.
 
         Returns the pairs of engine id and request id to cancel.
         """
+        process = (host_id, incarnation)
+        for request_id in self._queue.request_ids():
+            if _process_of(request_id) == process:
+                self._withdraw(request_id, ResultCode.CALLER_GONE)
         to_cancel = []
         for granted in list(self._granted_by_request_id.values()):
-            parsed = RequestId.parse(granted.request_id)
-            if (parsed.host_id, parsed.incarnation) != (host_id, incarnation):
+            if _process_of(granted.request_id) != process:
                 continue
             if granted.prefill_engine:
                 to_cancel.append((granted.prefill_engine, granted.request_id))
@@ -648,3 +651,12 @@
     def _on_timer(self) -> None:
         self._timer = None
         self.tick()
+
+
+def _process_of(request_id: str) -> tuple[str, int] | None:
+    """Return host id and incarnation; None for an id of another form."""
+    try:
+        parsed = RequestId.parse(request_id)
+    except ValueError:
+        return None
+    return parsed.host_id, parsed.incarnation
--- a/packages/kumquatrouter/src/kumquatrouter/attempt.py
+++ b/packages/kumquatrouter/src/kumquatrouter/attempt.py
@@ -152,7 +152,7 @@
         started_s: float,
     ) -> None:
         """Stream the tokens that the caller does not have yet."""
-        first_s = written_s = 0.0
+        first_s = written_s = writing_s = 0.0
         start_index = times.tokens
         async for tokens in self._engine_client.decode(
             attempt.decode_engine.url,
@@ -171,10 +171,12 @@
             times.tokens += len(tokens)
             await sink.write(tokens, times)
             written_s = self._clock.monotonic()
+            writing_s += written_s - now_s
         received = times.tokens - start_index
         if received > 1:
-            elapsed_ms = (self._clock.monotonic() - first_s) * 1000
-            times.tbt_ms = elapsed_ms / (received - 1)
+            # A slow caller must not make the engine look slow.
+            elapsed_s = self._clock.monotonic() - first_s - writing_s
+            times.tbt_ms = elapsed_s * 1000 / (received - 1)
         attempt.failed_engine = ""
 
     def end(
--- a/tests/core/test_shard_scheduler.py
+++ b/tests/core/test_shard_scheduler.py
@@ -208,9 +208,12 @@
     async def scenario():
         world = SchedulerWorld(make_engine("p1"), make_engine("d1"))
         await world.admit(1)
+        await world.admit(2)  # waits for the prefill engine
         cancels = world.scheduler.drop_host("h", 1)
+        await world.settle()
         assert cancels == [("p1", "h.1.1"), ("d1", "h.1.1")]
         assert world.free_pieces() == 40
+        assert 2 not in world.grants
 
     run(scenario)
 
