Keep saved hedge budget after a short prompt

Cause: what a quiet time saved was capped by 2% of the work or the present prompt, whichever was larger, so a short prompt wiped it out. Change: the cap is three of the largest prompts seen; the share of 5% still bounds all spending.

--- a/packages/kumquat_core/src/kumquat_core/retry_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/retry_budget.py
@@ -25,7 +25,8 @@
 RETRY_BURST = 10.0
 
 HEDGE_SHARE = 0.05
-HEDGE_BURST_SHARE = 0.02
+# Hedges of the largest prompt that a quiet time saves up.
+HEDGE_BURST_PROMPTS = 3
 
 BASE_DELAY_S = 0.05
 MAX_DELAY_S = 2.0
@@ -128,19 +129,22 @@
 
     Only repeatable model requests may be hedged; the caller checks that.
     ``spent_tokens`` never exceeds ``share`` of ``work_tokens``. What a quiet
-    time leaves unused is available later only up to a burst.
+    time leaves unused is available later up to a few of the largest prompts
+    seen, so that a slow period after a run of short prompts finds budget.
     """
 
     def __init__(self, share: float = HEDGE_SHARE) -> None:
         self._share = share
         self._available = 0.0
+        self._largest_tokens = 0
         self.work_tokens = 0
         self.spent_tokens = 0
 
     def record_work(self, prompt_tokens: int) -> None:
         """Count the prefill of a first attempt and earn a share of it."""
         self.work_tokens += prompt_tokens
-        burst = max(self.work_tokens * HEDGE_BURST_SHARE, float(prompt_tokens))
+        self._largest_tokens = max(self._largest_tokens, prompt_tokens)
+        burst = float(self._largest_tokens * HEDGE_BURST_PROMPTS)
         self._available = min(burst, self._available + prompt_tokens * self._share)
 
     def try_spend(self, prompt_tokens: int) -> bool:
--- a/tests/core/test_budgets.py
+++ b/tests/core/test_budgets.py
@@ -49,6 +49,14 @@
         assert budget.spent_tokens <= 0.05 * budget.work_tokens + 1e-6
 
 
+def test_saved_hedge_budget_survives_a_short_prompt():
+    budget = HedgeBudget(0.05)
+    for _ in range(40):
+        budget.record_work(1000)
+    budget.record_work(10)
+    assert budget.try_spend(1000)
+
+
 def test_share_follows_the_weights():
     share = FairShare()
     share.update_weights({"madafu": 3.0})
