--- a/packages/kumquat_core/src/kumquat_core/admission_queue.py
+++ b/packages/kumquat_core/src/kumquat_core/admission_queue.py
@@ -22,7 +22,7 @@
 
 
 # Requests examined to find a costly one ahead of another.
-COSTLY_EXAMINED = 4
+COSTLY_EXAMINED = 200
 
 
 class QueueKey(NamedTuple):
@@ -120,8 +120,6 @@
         self._late_last = late_last
         self._items_by_request_id: dict[str, WaitingRequest] = {}
         self._lanes_by_model: dict[str, dict[_LaneKey, _Lane]] = {}
-        # Requests that left the queue are dropped when they reach the top.
-        self._costs_by_model: dict[str, list[tuple[float, int, WaitingRequest]]] = {}
 
     def __len__(self) -> int:
         return len(self._items_by_request_id)
@@ -140,9 +138,6 @@
         self._items_by_request_id[item.request_id] = item
         lanes = self._lanes_by_model.setdefault(item.model, {})
         lanes.setdefault((item.tenant, item.class_name), _Lane()).push(item)
-        if not item.late:
-            heap = self._costs_by_model.setdefault(item.model, [])
-            heapq.heappush(heap, (-item.cost_s, item.sequence, item))
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Take a request out of the queue and return it."""
@@ -157,7 +152,6 @@
             del lanes[lane_key]
             if not lanes:
                 del self._lanes_by_model[item.model]
-                self._costs_by_model.pop(item.model, None)
         return item
 
     def tenants(self) -> set[str]:
@@ -208,24 +202,20 @@
         return counts
 
     def costliest_before(self, item: WaitingRequest) -> WaitingRequest | None:
-        """Return a costly request of the same model that precedes ``item``.
+        """Return the costliest request of the same model before ``item``.
 
-        It is the costliest of those few that cost most of all; None if all
-        of these come after ``item``.
+        Of each lane only the nearest requests before ``item`` are examined,
+        and no more than a bounded number in all.
         """
-        heap = self._costs_by_model.get(item.model, [])
-        later: list[tuple[float, int, WaitingRequest]] = []
         found = None
-        while heap and found is None and len(later) < COSTLY_EXAMINED:
-            _, _, waiting = heap[0]
-            if self._items_by_request_id.get(waiting.request_id) is not waiting:
-                heapq.heappop(heap)
-            elif waiting.key < item.key:
-                found = waiting
-            else:
-                later.append(heapq.heappop(heap))
-        for entry in later:
-            heapq.heappush(heap, entry)
+        left = COSTLY_EXAMINED
+        for lane in self._lanes_by_model.get(item.model, {}).values():
+            end = lane.count_before(item.key)
+            nearest = lane.entries[max(0, end - left) : end]
+            left -= len(nearest)
+            for _, waiting in nearest:
+                if found is None or waiting.cost_s > found.cost_s:
+                    found = waiting
         return found
 
     def take_missed(
