--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -64,6 +64,10 @@
 # A request is given up for another only if it costs this many times as much.
 DISPLACEMENT_FACTOR = 1.3
 
+# The exchange makes the queue shorter for all others, so the estimated wait
+# may exceed the time to spare by this factor.
+DISPLACEMENT_TOLERANCE = 1.1
+
 # Period of decisions while requests wait.
 TICK_S = 0.02
 MIN_TICK_S = 0.002
@@ -403,7 +407,8 @@
         ahead = self._queue.count_before(item, related, over_share)
         ahead[victim.class_name] -= 1
         wait_s = self._estimator.wait_s(ahead, self._capacity(item.model, now_s))
-        if now_s + wait_s > item.latest_start_s:
+        spare_s = item.latest_start_s - now_s
+        if wait_s > spare_s * DISPLACEMENT_TOLERANCE:
             return False
         self._queue.remove(victim.request_id)
         self._refuse_for_capacity(victim)
