--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/server_commands.py
@@ -0,0 +1,62 @@
+"""Commands that run stand-ins and whole stacks."""
+
+from typing import Annotated
+
+import typer
+
+from kumquat_core.log_events import configure_logging
+
+from .backend_server import BackendHostConfig, run_backends
+from .command_runners import ConfigFile, run_tool, run_until_stopped
+from .cost_model import EngineHostConfig
+from .demo import run_demo
+from .engine import run_engines
+from .platform import PlatformConfig, run_platform
+from .stack import StackConfig
+from .up import run_up
+
+__all__ = ["app"]
+
+app = typer.Typer()
+
+
+@app.command()
+def engine(config: ConfigFile) -> None:
+    """Run emulated engines, several in one process."""
+    configure_logging("info")
+    model = EngineHostConfig.model_validate_json(config.read_text())
+    run_until_stopped(run_engines(model))
+
+
+@app.command()
+def backend(config: ConfigFile) -> None:
+    """Run emulated backend servers, several in one process."""
+    configure_logging("info")
+    model = BackendHostConfig.model_validate_json(config.read_text())
+    run_until_stopped(run_backends(model))
+
+
+@app.command()
+def platform(config: ConfigFile) -> None:
+    """Run the emulated platform."""
+    configure_logging("info")
+    model = PlatformConfig.model_validate_json(config.read_text())
+    run_until_stopped(run_platform(model))
+
+
+@app.command()
+def demo(
+    hosts: Annotated[int, typer.Option(help="entry hosts for each firm")] = 3,
+    seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
+) -> None:
+    """Run one request of every kind of both firms and check each answer."""
+    config = StackConfig(hosts_per_firm=hosts, seed=seed)
+    if not run_tool(run_demo(config)):
+        raise typer.Exit(1)
+
+
+@app.command()
+def up(config: ConfigFile) -> None:
+    """Run the whole set until interrupted and print commands to try it."""
+    model = StackConfig.model_validate_json(config.read_text())
+    run_until_stopped(run_up(model))
