--- a/packages/kumquat_core/src/kumquat_core/prefix_index.py
+++ b/packages/kumquat_core/src/kumquat_core/prefix_index.py
@@ -107,10 +107,6 @@
         cache = self._caches_by_engine_id.get(engine_id)
         return 0 if cache is None else cache.last_sequence
 
-    def forget_engine(self, engine_id: str) -> None:
-        """Drop all beliefs about an engine, for example after its restart."""
-        self._caches_by_engine_id.pop(engine_id, None)
-
     @staticmethod
     def _trim(cache: _EngineCache) -> None:
         while len(cache.sent_s_by_block) > cache.capacity_blocks:
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -15,7 +15,6 @@
 import itertools
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
@@ -26,7 +25,8 @@
 from .engine_client import CacheEvent, EngineReport
 from .fair_share import FairShare
 from .grant_pass import GrantPass
-from .pairing import Pair, PairChooser, RequestNeeds, nominal_prefill_s
+from .granted_requests import GrantedRequest
+from .pairing import Pair, PairChooser, RequestNeeds
 from .peer_messages import (
     AdmissionRequest,
     Grant,
@@ -42,7 +42,8 @@
 from .request_ids import RequestId
 from .result_codes import ResultCode
 from .rule_set import RuleSet
-from .stragglers import OVERDUE_RATIO, SpeedTracker, overdue_ratio
+from .shard_observations import ShardObservations
+from .stragglers import SpeedTracker
 from .tenant_limits import TenantLimits
 from .wait_estimate import ArrivalRate, ShardCapacity, WaitEstimator
 
@@ -50,10 +51,6 @@
 
 Answer = Result[Grant, Refusal]
 
-# A request that the engine reports but that the account does not know is
-# cancelled only after this age: its grant may still be on the way.
-SWEEP_MIN_AGE_MS = 1000
-
 # Assumed time of a prefill that an earlier owner granted.
 ADOPTED_PREFILL_S = 0.5
 
@@ -81,20 +78,6 @@
 DEFAULT_BYTES_PER_TOKEN = 4.0
 
 
-@dataclass
-class _Granted:
-    """A grant in the accounts; ``needs`` is None after a takeover."""
-
-    request_id: str
-    tenant: str
-    prefill_engine: str
-    decode_engine: str
-    pieces: int
-    granted_s: float
-    needs: RequestNeeds | None
-    prefilled_s: float | None = None
-
-
 class ShardScheduler:
     """Queues requests of one shard and grants engine pairs."""
 
@@ -121,11 +104,14 @@
         self._fair_share = FairShare()
         self._limits = TenantLimits()
         self._estimator = WaitEstimator()
+        self._observations = ShardObservations(
+            clock, self._accounts, self._speeds, self._prefixes, self._estimator
+        )
         self._arrivals = ArrivalRate()
         self._classes_by_name: dict[str, RequestClass] = {}
         self._models_by_name: dict[str, Model] = {}
         self._answers_by_request_id: dict[str, asyncio.Future[Answer]] = {}
-        self._granted_by_request_id: dict[str, _Granted] = {}
+        self._granted_by_request_id: dict[str, GrantedRequest] = {}
         self._sequence = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -189,7 +175,7 @@
             return
         now_s = self._clock.monotonic()
         granted.prefilled_s = now_s
-        self._observe_prefill(granted, message, now_s)
+        self._observations.prefill(granted, message, now_s)
         self._end_prefill(granted, now_s, finished=True)
         self._grant_waiting()
 
@@ -211,7 +197,7 @@
         now_s = self._clock.monotonic()
         granted = self._granted_by_request_id.get(message.request_id)
         if granted is not None:
-            self._observe_release(granted, message, now_s)
+            self._observations.release(granted, message, now_s)
             self._free(message.request_id)
         self._grant_waiting()
 
@@ -240,15 +226,6 @@
         self._grant_waiting()
         return to_cancel
 
-    def unknown_requests(self, engine_id: str, report: EngineReport) -> list[str]:
-        """Return reported requests that no grant accounts for."""
-        return [
-            held.request_id
-            for held in report.requests
-            if held.request_id not in self._granted_by_request_id
-            and held.age_ms >= SWEEP_MIN_AGE_MS
-        ]
-
     def held_grants(self) -> list[HeldGrant]:
         """Return all grants in the account."""
         return [
@@ -279,7 +256,7 @@
             prefill.jobs_by_request_id[held.request_id] = PrefillJob(
                 held.request_id, now_s, ADOPTED_PREFILL_S
             )
-        self._granted_by_request_id[held.request_id] = _Granted(
+        self._granted_by_request_id[held.request_id] = GrantedRequest(
             held.request_id,
             "",
             held.prefill_engine,
@@ -292,22 +269,13 @@
 
     def observe_report(self, engine_id: str, report: EngineReport) -> None:
         """Take the step time of a load report as an observation of speed."""
-        state = self._accounts.states_by_id.get(engine_id)
-        if state is None or not report.requests or report.step_ms <= 0:
-            return
-        nominal_ms = state.account.step_ms(len(report.requests))
-        now_s = self._clock.monotonic()
-        self._speeds.observe_step(engine_id, nominal_ms, report.step_ms, now_s)
+        self._observations.report(engine_id, report)
 
     def observe_cache_events(
         self, engine_id: str, events: Iterable[CacheEvent]
     ) -> None:
         """Correct the beliefs about an engine's prefix cache."""
-        now_s = self._clock.monotonic()
-        for event in events:
-            self._prefixes.apply_event(
-                engine_id, event.sequence, event.kind, event.prefix, now_s
-            )
+        self._observations.cache_events(engine_id, events)
 
     def last_cache_event(self, engine_id: str) -> int:
         """Return the number of the last cache event seen of an engine."""
@@ -506,7 +474,7 @@
         for state in (pair.prefill, pair.decode):
             state.link.plan(request_id, item.needs.transfer_bytes)
         self._prefixes.record_sent(pair.prefill.engine.id, request.prefix_blocks, now_s)
-        self._granted_by_request_id[request_id] = _Granted(
+        self._granted_by_request_id[request_id] = GrantedRequest(
             request_id,
             request.tenant,
             pair.prefill.engine.id,
@@ -530,41 +498,9 @@
             self.summary(),
         )
 
-    def _observe_prefill(
-        self, granted: _Granted, message: PrefillDone, now_s: float
+    def _end_prefill(
+        self, granted: GrantedRequest, now_s: float, *, finished: bool
     ) -> None:
-        state = self._accounts.states_by_id.get(granted.prefill_engine)
-        if state is None or granted.needs is None:
-            return
-        job = state.jobs_by_request_id.get(granted.request_id)
-        if job is None:
-            return
-        request = granted.needs.request
-        tokens = request.prompt_tokens + request.resume_tokens
-        uncached = max(0, tokens - message.cached_tokens)
-        nominal_s = nominal_prefill_s(state.engine, uncached)
-        observed_s = message.prefill_ms / 1000
-        self._speeds.observe_prefill(state.engine.id, nominal_s, observed_s, now_s)
-        self._estimator.observe_prefill(request.class_name, observed_s)
-        cached_blocks = message.cached_tokens / granted.needs.tokens_per_block
-        self._prefixes.correct(state.engine.id, job.blocks_expected, cached_blocks)
-
-    def _observe_release(
-        self, granted: _Granted, message: Release, now_s: float
-    ) -> None:
-        if message.failed_engine:
-            self._speeds.observe_failure(message.failed_engine, now_s)
-        state = self._accounts.states_by_id.get(granted.decode_engine)
-        if state is not None and message.tbt_ms > 0:
-            nominal_ms = state.account.step_ms(state.account.request_count)
-            self._speeds.observe_step(
-                state.engine.id, nominal_ms, message.tbt_ms, now_s
-            )
-        if message.code == ResultCode.OK and granted.needs is not None:
-            class_name = granted.needs.request.class_name
-            self._estimator.observe_hold(class_name, now_s - granted.granted_s)
-
-    def _end_prefill(self, granted: _Granted, now_s: float, *, finished: bool) -> None:
         prefill = self._accounts.states_by_id.get(granted.prefill_engine)
         decode = self._accounts.states_by_id.get(granted.decode_engine)
         for state in (prefill, decode):
@@ -578,18 +514,7 @@
             return
         job = prefill.jobs_by_request_id.pop(granted.request_id, None)
         if job is not None and not finished:
-            self._observe_ended_early(prefill, job, now_s)
-
-    def _observe_ended_early(
-        self, state: EngineState, job: PrefillJob, now_s: float
-    ) -> None:
-        """Keep the slowness of an overdue prefill that was cancelled."""
-        elapsed_s = now_s - job.started_s
-        usual = self._speeds.prefill_ratio(state.engine.id, now_s)
-        if overdue_ratio(job.nominal_s, elapsed_s) > OVERDUE_RATIO * usual:
-            self._speeds.observe_prefill(
-                state.engine.id, job.nominal_s, elapsed_s, now_s
-            )
+            self._observations.ended_early(prefill, job, now_s)
 
     def _free(self, request_id: str) -> None:
         granted = self._granted_by_request_id.pop(request_id, None)
