Shorten the wiring of an entry host and plain names

Cause: one constructor had 120 lines; a few names and comments were not the terms of the field. Change: the wiring is divided by external systems, peers, shards and services; names of the role advisor, of membership and of displacement.

--- a/packages/kumquat_core/src/kumquat_core/engine_accounts.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_accounts.py
@@ -80,7 +80,7 @@
         limit_ms = self._strictest_tbt_ms(tbt_target_ms)
         if not limit_ms or self.step_ms(count) * slowness <= limit_ms:
             return True
-        # A target below the time of a lone request is met by no batch;
+        # A target below the time of a single request is met by no batch;
         # such a request still runs, alone.
         return count == 1 and self.step_ms(1) > limit_ms
 
--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -99,9 +99,10 @@
     """A call of a non-repeatable service.
 
     ``deadline_s`` is on the scale of the clock's ``monotonic``. Without a
-    ``key`` the request id is the key. ``first_attempt`` is the caller's word
-    that no earlier call had its key. ``server_url`` is the backend server
+    ``key`` the request id is the key. ``server_url`` is the backend server
     that ``send`` uses; the fence of this attempt is raised there.
+    ``first_attempt`` is the caller's statement that no earlier call had its
+    key.
     """
 
     tenant: str
@@ -547,7 +548,7 @@
     def _may_replace(self, record: Record, call: IdempotentCall) -> bool:
         """Tell whether an intent may be replaced.
 
-        This is only a matter of courtesy: the version protects the record
+        This only avoids needless conflicts: the version protects the record
         also when the clocks of two hosts differ.
         """
         age_s = (self._clock.wall_ms() - record.created_ms) / 1000
--- a/packages/kumquat_core/src/kumquat_core/membership.py
+++ b/packages/kumquat_core/src/kumquat_core/membership.py
@@ -61,7 +61,7 @@
 
 # A host that suspects a member asks it again in each period; those that only
 # heard of it wait longer, so that a late refutation kills nobody.
-HEARSAY_FACTOR = 2.0
+INDIRECT_SUSPICION_FACTOR = 2.0
 
 # Gossip ends long before; an older statement could otherwise bring a
 # forgotten member back.
@@ -646,7 +646,7 @@
                 continue
             age_s = now_s - member.since_s
             if host_id not in self._suspected_here:
-                age_s /= HEARSAY_FACTOR
+                age_s /= INDIRECT_SUSPICION_FACTOR
             match member.state:
                 case MemberState.SUSPECT if age_s >= timeout_s:
                     self._merge(replace(member.update, state="dead"))
--- a/packages/kumquat_core/src/kumquat_core/retry_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/retry_budget.py
@@ -21,11 +21,11 @@
 
 RETRY_SHARE = 0.2
 # Retries that are allowed before any first attempt was counted; also the
-# bound on what a quiet time saves up.
+# bound on what is saved while there are few retries.
 RETRY_BURST = 10.0
 
 HEDGE_SHARE = 0.05
-# Hedges of the largest prompt that a quiet time saves up.
+# Hedges of the largest prompt that unused budget may save up.
 HEDGE_BURST_PROMPTS = 3
 
 BASE_DELAY_S = 0.05
@@ -128,9 +128,9 @@
     """Limits hedged prefills to a share of the work, counted in tokens.
 
     Only repeatable model requests may be hedged; the caller checks that.
-    ``spent_tokens`` never exceeds ``share`` of ``work_tokens``. What a quiet
-    time leaves unused is available later up to a few of the largest prompts
-    seen, so that a slow period after a run of short prompts finds budget.
+    ``spent_tokens`` never exceeds ``share`` of ``work_tokens``. Unused
+    budget is available later up to a few of the largest prompts seen, so
+    that a slow period after a run of short prompts finds budget.
     """
 
     def __init__(self, share: float = HEDGE_SHARE) -> None:
--- a/packages/kumquat_core/src/kumquat_core/role_changes.py
+++ b/packages/kumquat_core/src/kumquat_core/role_changes.py
@@ -4,7 +4,7 @@
 issues the order that ``RoleAdvisor.decide`` returns. A change pays off only
 when the imbalance lasts, since the engine first finishes its work, so an
 imbalance must hold for some time, the receiving side must clearly need the
-engine, the giving side must be able to spare it, and changes are far apart.
+engine, the donor side must be able to spare it, and changes are far apart.
 """
 
 from collections.abc import Mapping, Sequence
@@ -14,7 +14,7 @@
 
 __all__ = ["EngineLoad", "LoadModel", "RoleAdvisor", "SetRole"]
 
-# The needy role is above the upper and the giving role, without the engine,
+# The loaded role is above the upper and the donor role, without the engine,
 # still below the lower limit; the distance is the hysteresis.
 UPPER_USE = 0.85
 LOWER_USE = 0.6
@@ -49,7 +49,7 @@
 
 
 @dataclass(frozen=True)
-class _Wish:
+class _Proposal:
     order: SetRole | LoadModel
     cause: tuple[str, str]
 
@@ -75,50 +75,52 @@
         """
         if now_s < self._quiet_until_s:
             return None
-        wish = _wish_for_model(loads, refused_by_model) or _wish_for_role(loads)
-        if wish is None:
+        proposal = _propose_for_model(loads, refused_by_model) or _propose_for_role(
+            loads
+        )
+        if proposal is None:
             self._cause = None
             return None
-        if wish.cause != self._cause:
-            self._cause = wish.cause
+        if proposal.cause != self._cause:
+            self._cause = proposal.cause
             self._since_s = now_s
         if now_s - self._since_s < SUSTAIN_S:
             return None
         self._cause = None
         self._quiet_until_s = now_s + COOL_DOWN_S
-        return wish.order
+        return proposal.order
 
 
-def _wish_for_role(loads: Sequence[EngineLoad]) -> _Wish | None:
-    for needy in EngineRole:
-        giving = next(role for role in EngineRole if role is not needy)
-        needing = [load for load in loads if load.role is needy]
-        givers = [load for load in loads if load.role is giving]
-        if len(givers) < 2 or not needing:
+def _propose_for_role(loads: Sequence[EngineLoad]) -> _Proposal | None:
+    for loaded in EngineRole:
+        donor_role = next(role for role in EngineRole if role is not loaded)
+        loaded_engines = [load for load in loads if load.role is loaded]
+        donors = [load for load in loads if load.role is donor_role]
+        if len(donors) < 2 or not loaded_engines:
             continue
-        if _mean_use(needing) < UPPER_USE:
+        if _mean_use(loaded_engines) < UPPER_USE:
             continue
-        spare = min(givers, key=lambda load: (load.use, load.engine_id))
-        if not _can_spare(spare, givers):
+        spare = min(donors, key=lambda load: (load.use, load.engine_id))
+        if not _can_spare(spare, donors):
             continue
-        return _Wish(SetRole(spare.engine_id, needy), ("role", needy.value))
+        return _Proposal(SetRole(spare.engine_id, loaded), ("role", loaded.value))
     return None
 
 
-def _can_spare(engine: EngineLoad, givers: Sequence[EngineLoad]) -> bool:
+def _can_spare(engine: EngineLoad, donors: Sequence[EngineLoad]) -> bool:
     """Tell whether the other engines of the role can take its work.
 
     Each of its models must stay served by another engine of the role.
     """
-    others = [load for load in givers if load is not engine]
-    use_after = sum(load.use for load in givers) / len(others)
+    others = [load for load in donors if load is not engine]
+    use_after = sum(load.use for load in donors) / len(others)
     served = {model for load in others for model in load.models}
     return use_after <= LOWER_USE and served.issuperset(engine.models)
 
 
-def _wish_for_model(
+def _propose_for_model(
     loads: Sequence[EngineLoad], refused_by_model: Mapping[str, int]
-) -> _Wish | None:
+) -> _Proposal | None:
     wanted = [model for model, count in refused_by_model.items() if count]
     for model in sorted(wanted):
         for role in EngineRole:
@@ -126,7 +128,7 @@
             if not engines or any(model in load.models for load in engines):
                 continue
             least = min(engines, key=lambda load: (load.use, load.engine_id))
-            return _Wish(LoadModel(least.engine_id, model), (role.value, model))
+            return _Proposal(LoadModel(least.engine_id, model), (role.value, model))
     return None
 
 
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -331,7 +331,7 @@
         latest_start_s = min(target_s - service_s, give_up_s)
         order_s = latest_start_s if self._rules.slack_order else now_s
         if request.resume_tokens:
-            # A caller in the midst of its answer has no target time for the
+            # A caller that already reads its answer has no target time for the
             # first token any more; it goes ahead of those that still wait.
             latest_start_s, order_s = give_up_s, now_s
         return WaitingRequest(
@@ -365,21 +365,21 @@
         One long request takes the capacity of several short ones. It is
         given up only when that alone lets the new request be on time.
         """
-        victim = self._queue.costliest_before(item)
-        if victim is None or victim.cost_s < DISPLACEMENT_FACTOR * item.cost_s:
+        displaced = self._queue.costliest_before(item)
+        if displaced is None or displaced.cost_s < DISPLACEMENT_FACTOR * item.cost_s:
             return False
-        if victim.priority > item.priority or victim.needs.request.resume_tokens:
+        if displaced.priority > item.priority or displaced.needs.request.resume_tokens:
             return False
         over_share = self._over_share(now_s, item.tenant)
         related = self._accounts.related_models(item.model)
         ahead = self._queue.count_before(item, related, over_share)
-        ahead[victim.class_name] -= 1
+        ahead[displaced.class_name] -= 1
         wait_s = self._estimator.wait_s(ahead, self._capacity(item.model, now_s))
         spare_s = item.latest_start_s - now_s
         if wait_s > spare_s * DISPLACEMENT_TOLERANCE:
             return False
-        self._queue.remove(victim.request_id)
-        self._refuse_for_capacity(victim)
+        self._queue.remove(displaced.request_id)
+        self._refuse_for_capacity(displaced)
         return True
 
     def _is_overloaded(self, item: WaitingRequest, now_s: float) -> bool:
--- a/packages/kumquat_core/src/kumquat_core/stragglers.py
+++ b/packages/kumquat_core/src/kumquat_core/stragglers.py
@@ -74,7 +74,7 @@
         self._speeds_by_id[engine_id] = _Speed(value, now_s)
         step = min(ratio, 2 * self._long_run) - self._long_run
         self._long_run += LONG_RUN_WEIGHT * step
-        # The median alone would take the slowness of a lone engine as usual
+        # The median alone would take the slowness of a single engine as usual
         # and so never send it work again.
         middle = median_low(speed.ratio for speed in self._speeds_by_id.values())
         self._usual = min(middle, self._long_run)
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -100,127 +100,161 @@
     """One entry-host process. Create it inside a running event loop."""
 
     def __init__(self, options: Options) -> None:
-        clock = SystemClock()
-        incarnation = clock.wall_ms()
-        rng = random.Random(f"{options.seed}/{options.host_id}")
-        timing = options.timing
-        self._policy = policy_of(options.policy, options.disabled_rules)
         self._options = options
-        self._identity = PeerIdentity(options.host_id, incarnation)
-        self._session = create_session(timing.engine_connect_timeout_s)
-        self._single_use_session = create_session(
-            timing.engine_connect_timeout_s, reuse_connections=False
-        )
-        self._timers = TimerService(clock)
+        self._policy = policy_of(options.policy, options.disabled_rules)
+        self._clock = SystemClock()
+        self._rng = random.Random(f"{options.seed}/{options.host_id}")
+        self._identity = PeerIdentity(options.host_id, self._clock.wall_ms())
+        self._timers = TimerService(self._clock)
         self._background = BackgroundTasks()
-        self._clock = clock
         self._metrics = RouterMetrics()
-        decisions = DecisionLog(clock)
-        observer = RequestObserver(self._metrics, decisions)
+        self._decisions = DecisionLog(self._clock)
+        self._observer = RequestObserver(self._metrics, self._decisions)
         limits = options.limits
-        self._drain = Drain(limits.max_streams, clock, limits.drain_notice_s)
+        self._drain = Drain(limits.max_streams, self._clock, limits.drain_notice_s)
         self._tickets = TicketStore()
+        self._held = HeldGrants(options.host_id, self._identity.incarnation)
+        self._connect_platform()
+        self._join_peers()
+        self._own_shards()
+        self._supervisor = self._create_supervisor()
+
+    def _connect_platform(self) -> None:
+        """Create the clients of the external systems."""
+        options, timing = self._options, self._options.timing
+        connect_s, store_s = timing.engine_connect_timeout_s, timing.store_timeout_s
+        self._session = create_session(connect_s)
+        self._single_use_session = create_session(connect_s, reuse_connections=False)
         self._directory = HostDirectory(
-            HttpHostListClient(
-                self._session, options.host_list_url, timing.store_timeout_s
-            ),
+            HttpHostListClient(self._session, options.host_list_url, store_s)
         )
-        table_client = MeteredTableClient(
-            HttpTableClient(
-                self._session, options.table_service_url, timing.store_timeout_s
-            ),
+        self._table_client = MeteredTableClient(
+            HttpTableClient(self._session, options.table_service_url, store_s),
             self._metrics,
-            clock,
+            self._clock,
+        )
+        self._object_client = HttpObjectClient(
+            self._session, options.object_store_url, store_s
         )
-        self._table_client = table_client
-        engine_client = HttpEngineClient(self._session, timing.stream_idle_timeout_s)
+        self._engine_client = HttpEngineClient(
+            self._session, timing.stream_idle_timeout_s
+        )
+        self._backend_client = HttpBackendClient(self._single_use_session)
+
+    def _join_peers(self) -> None:
+        """Create membership, peer links and ticket synchronisation."""
+        options = self._options
         self._membership = Membership.from_config(
-            options, incarnation, clock, lambda: self._tickets.position
+            options,
+            self._identity.incarnation,
+            self._clock,
+            lambda: self._tickets.position,
         )
         self._links = PeerLinks(
             self._identity,
             options.peer_key,
             self._membership.address_of,
-            clock,
-            rng,
+            self._clock,
+            self._rng,
             self._membership.probe_soon,
             self._metrics.add_peer_bytes,
         )
         self._membership_driver = MembershipDriver(
-            self._membership, self._links, timing, clock, self._on_ticket_position
+            self._membership,
+            self._links,
+            options.timing,
+            self._clock,
+            self._on_ticket_position,
         )
         self._membership.subscribe(self._on_member_change)
-        self._held = HeldGrants(options.host_id, incarnation)
-        object_client = HttpObjectClient(
-            self._session, options.object_store_url, timing.store_timeout_s
-        )
         self._ticket_sync = TicketSync(
             options.host_id,
             self._tickets,
-            TicketLog(table_client, object_client, rng),
+            TicketLog(self._table_client, self._object_client, self._rng),
             self._links.call,
             self._ticket_peers,
-            rng,
+            self._rng,
         )
+
+    def _own_shards(self) -> None:
+        """Create the owner's side of admission and the client of owners."""
+        host_id = self._options.host_id
         self._owners = ShardOwners(
-            options.host_id,
-            options.region,
-            clock,
-            engine_client,
+            host_id,
+            self._options.region,
+            self._clock,
+            self._engine_client,
             self._membership,
             self._background,
             self._query_grants,
             lambda: self._directory.backend_states_by_id,
-            observer,
-            self._create_shard_scheduler(rng),
-            EngineOrders(options.host_id, incarnation, table_client, engine_client),
+            self._observer,
+            self._create_shard_scheduler(self._rng),
+            EngineOrders(
+                host_id,
+                self._identity.incarnation,
+                self._table_client,
+                self._engine_client,
+            ),
         )
         self._owner_client = OwnerClient(
-            options.host_id,
-            clock,
+            host_id,
+            self._clock,
             self._owners,
             self._links,
             self._membership.owner_candidates,
-            rng,
+            self._rng,
         )
-        ids = RequestIdSource(options.host_id, incarnation)
         self._local_choice = LocalChoice(
-            engine_client,
-            lambda pool: create_scheduler(self._policy, pool, clock, rng),
+            self._engine_client,
+            lambda pool: create_scheduler(self._policy, pool, self._clock, self._rng),
         )
+
+    def _create_model_path(self, ids: RequestIdSource) -> ModelPath:
         locally = decides_locally(self._policy)
-        model_path = ModelPath(
-            clock,
-            engine_client,
-            TrackedAdmissions(
-                self._local_choice if locally else self._owner_client, self._held
-            ),
+        admissions = self._local_choice if locally else self._owner_client
+        retries = DeadlineRetries(self._rng) if locally else BudgetedRetries(self._rng)
+        return ModelPath(
+            self._clock,
+            self._engine_client,
+            TrackedAdmissions(admissions, self._held),
             self._background,
             ids,
-            observer,
-            DeadlineRetries(rng) if locally else BudgetedRetries(rng),
+            self._observer,
+            retries,
             self._hedge_budget(),
         )
-        backend_client = HttpBackendClient(self._single_use_session)
+
+    def _create_plain_path(self) -> PlainPath:
         self._guard = IdempotencyGuard.from_config(
-            options,
-            table=table_client,
-            backend=backend_client,
-            clock=clock,
+            self._options,
+            table=self._table_client,
+            backend=self._backend_client,
+            clock=self._clock,
             is_live=self._membership.is_live,
         )
-        plain_path = PlainPath(
-            clock, backend_client, self._directory, self._guard, rng, observer
+        return PlainPath(
+            self._clock,
+            self._backend_client,
+            self._directory,
+            self._guard,
+            self._rng,
+            self._observer,
         )
+
+    def _create_supervisor(self) -> Supervisor:
+        """Create all services; callers are served last and stopped first."""
+        options = self._options
+        ids = RequestIdSource(options.host_id, self._identity.incarnation)
         caller_api = CallerApi(
             options,
             self._tickets,
             ids,
-            model_path,
-            plain_path,
+            self._create_model_path(ids),
+            self._create_plain_path(),
             self._drain,
-            clock,
-            observer,
+            self._clock,
+            self._observer,
         )
         admin_api = AdminApi(
             options.admin_listen,
@@ -228,7 +262,7 @@
             self._status,
             self._drain,
             self._render_metrics,
-            decisions,
+            self._decisions,
         )
         peer_server = PeerServer(
             options.peer_listen,
@@ -237,14 +271,9 @@
             self._on_message,
             self._metrics.add_peer_bytes,
         )
-        self._supervisor = Supervisor(
-            [
-                _TimerTask(self._timers),
-                peer_server,
-                self._membership_driver,
-                admin_api,
-                caller_api,
-            ]
+        timers = _TimerTask(self._timers)
+        return Supervisor(
+            [timers, peer_server, self._membership_driver, admin_api, caller_api]
         )
 
     @classmethod
