--- a/packages/kumquatrouter/src/kumquatrouter/attempt.py
+++ b/packages/kumquatrouter/src/kumquatrouter/attempt.py
@@ -117,15 +117,21 @@
             * request.model.kv_bytes_per_token
             / attempt.decode_engine.link_bytes_per_s
         )
-        await self._engine_client.import_cache(
-            attempt.decode_engine.url,
-            attempt.request_id,
-            request.model.name,
-            attempt.prefill_engine.url,
-            prefill,
-            attempt.grant.pieces,
-            max(MIN_TRANSFER_TIMEOUT_S, nominal_s * TRANSFER_TIMEOUT_FACTOR),
-        )
+        try:
+            await self._engine_client.import_cache(
+                attempt.decode_engine.url,
+                attempt.request_id,
+                request.model.name,
+                attempt.prefill_engine.url,
+                prefill,
+                attempt.grant.pieces,
+                max(MIN_TRANSFER_TIMEOUT_S, nominal_s * TRANSFER_TIMEOUT_FACTOR),
+            )
+        except RouterError as error:
+            if error.code is ResultCode.PREFILL_EVICTED:
+                # The result waited too long; the decode engine is sound.
+                attempt.failed_engine = ""
+            raise
 
     def _note_gap(self, attempt: Attempt, gap_s: float, now_s: float) -> None:
         """Tell the owner of a step that took far too long.
--- a/tests/router/test_request_observer.py
+++ b/tests/router/test_request_observer.py
@@ -2,18 +2,17 @@
 
 import asyncio
 
-from test_model_path import Harness
-
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_lab.model_world import ModelWorld
 from kumquatrouter.request_observer import RequestObserver
 
 
 def run_observed(prepare) -> RequestObserver:
     async def run() -> RequestObserver:
-        harness = Harness()
-        prepare(harness)
-        observer = harness.path._observer
-        await harness.run()
+        world = ModelWorld()
+        prepare(world)
+        observer = world.path._observer
+        await world.run()
         return observer
 
     return asyncio.run(run())
@@ -24,8 +23,8 @@
 
 
 def test_evicted_prefill_counts_as_wasted_and_is_explained():
-    def evict(harness: Harness) -> None:
-        harness.engines.fail_at["transfer"] = RouterError(ResultCode.PREFILL_EVICTED)
+    def evict(world: ModelWorld) -> None:
+        world.engines.fail_at["transfer"] = [RouterError(ResultCode.PREFILL_EVICTED)]
 
     observer = run_observed(evict)
     labels = {"class": "advice", "reason": "PREFILL_EVICTED"}
@@ -44,8 +43,8 @@
 
 
 def test_stream_that_resumes_wastes_no_prefill():
-    def cut(harness: Harness) -> None:
-        harness.engines.cut_after["http://d1"] = 3
+    def cut(world: ModelWorld) -> None:
+        world.engines.cut_after["http://d1"] = 3
 
     observer = run_observed(cut)
     reason = {"class": "advice", "reason": "STREAM_INTERRUPTED"}
