Print each mutant in the model check

Cause: the mutants ran in the unit tests only, so the model check did not show that it can fail. Change: one list of mutants for the tests and the command, which fails when the checker accepts one.

--- a/packages/kumquat_lab/src/kumquat_lab/check_model.py
+++ b/packages/kumquat_lab/src/kumquat_lab/check_model.py
@@ -1,7 +1,8 @@
 """Checks all specifications: ``python -m kumquat_lab check-model``.
 
 The bounds are chosen so that every search ends by itself. A search that
-reaches its limit of states fails the check, because it proves nothing.
+reaches its limit of states fails the check, because it proves nothing. So
+does a mutant of a protocol that the checker accepts.
 """
 
 import time
@@ -9,6 +10,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from .model_checks import CheckResult, Specification, run_check
+from .model_mutants import Mutant, all_mutants, mutant_of
 from .spec_memory import MemoryModel, memory_specification
 from .spec_requests import RequestsModel, requests_specification
 from .spec_tickets import Outage, TicketsModel, tickets_specification
@@ -59,14 +61,26 @@
         for result in pool.map(_run_numbered, range(len(list(specifications())))):
             _print_result(result)
             results.append(result)
+        caught = list(pool.map(_catch, all_mutants()))
     states = sum(result.states for result in results)
     seconds = time.perf_counter() - began_s
-    passed = all(result.passed for result in results)
+    passed = all(result.passed for result in results) and all(caught)
     verdict = "passed" if passed else "FAILED"
-    print(f"{verdict}: {len(results)} models, {states} states, {seconds:.1f} s")
+    print(
+        f"{verdict}: {len(results)} models, {states} states, "
+        f"{sum(caught)} of {len(caught)} mutants caught, {seconds:.1f} s"
+    )
     return passed
 
 
+def _catch(mutant: Mutant) -> bool:
+    """Tell whether the checker refutes a mutant; print its trace length."""
+    trace = run_check(mutant_of(mutant)).violations.get(mutant.violated)
+    verdict = "NOT caught" if trace is None else f"caught after {len(trace)} steps"
+    print(f"mutant {mutant.protocol}/{mutant.name}: {verdict}", flush=True)
+    return trace is not None
+
+
 def _run_numbered(number: int) -> CheckResult:
     """Check one specification in a worker; specifications can't be sent."""
     return run_check(list(specifications())[number])
--- /dev/null
+++ b/packages/kumquat_lab/src/kumquat_lab/model_mutants.py
@@ -0,0 +1,62 @@
+"""Mutants of the protocols: each breaks one rule.
+
+The checker must find a counterexample of the property that the rule
+protects. A mutant that it accepts would show that the check cannot fail.
+"""
+
+from dataclasses import dataclass
+
+from . import spec_memory, spec_requests, spec_tickets
+from .model_checks import Specification
+from .spec_memory import MemoryModel, memory_specification
+from .spec_requests import RequestsModel, requests_specification
+from .spec_tickets import Outage, TicketsModel, tickets_specification
+
+__all__ = ["Mutant", "all_mutants", "mutant_of"]
+
+MAX_TICKETS_STATES = 20_000
+
+# Mutants of rules that concern only backend servers of one kind.
+NEEDS_NO_FENCING = {"trusts_missing_fence"}
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A broken rule and the property that the checker must refute."""
+
+    protocol: str
+    name: str
+    violated: str
+
+
+def all_mutants() -> list[Mutant]:
+    """Return the mutants of all protocols."""
+    mutants_by_protocol = {
+        "requests": spec_requests.MUTANTS,
+        "tickets": spec_tickets.MUTANTS,
+        "memory": spec_memory.MUTANTS,
+    }
+    return [
+        Mutant(protocol, name, violated)
+        for protocol, mutants in mutants_by_protocol.items()
+        for name, violated in mutants.items()
+    ]
+
+
+def mutant_of(mutant: Mutant) -> Specification:
+    """Return the specification with the broken rule."""
+    name = mutant.name
+    match mutant.protocol:
+        case "requests":
+            faults = 2 if name == "send_without_proof" else 1
+            fencing = name not in NEEDS_NO_FENCING
+            model = RequestsModel(2, fencing, faults, crashes=1, mutant=name)
+            return requests_specification(model)
+        case "tickets":
+            outage = Outage.FINAL if name == "no_peer_fetch" else Outage.PASSING
+            numbers = (2, 1, 1) if name == "number_not_checked" else (2, 1)
+            tickets = TicketsModel(numbers, outage=outage, mutant=name)
+            return tickets_specification(tickets, max_states=MAX_TICKETS_STATES)
+        case "memory":
+            return memory_specification(MemoryModel(crashes=1, mutant=name))
+    raise ValueError(mutant.protocol)
