--- a/tests/core/test_engine_stream.py
+++ b/tests/core/test_engine_stream.py
@@ -3,9 +3,12 @@
 import asyncio
 import json
 
+import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
-from kumquat_core.engine_client import Token, _token_batches
+from kumquat_core.engine_client import HttpEngineClient, Token, _token_batches
 from kumquat_core.result_codes import ResultCode, RouterError
 
 TEXTS = ["a ", 'quote " and \\ slash', "tab\tline\n", "\u00e6\u00f8\u00e5 \u2603", ""]
@@ -67,3 +70,33 @@
     with pytest.raises(RouterError) as caught:
         read_all(event + END, 10000)
     assert caught.value.code is ResultCode.ENGINE_FAILED
+
+
+class SilentEngine:
+    """Sends one token and then nothing."""
+
+    async def decode(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b'data: {"i": 0, "t": "a"}\n\n')
+        await asyncio.Event().wait()
+        return response
+
+
+def test_silent_engine_is_given_up_but_a_slow_caller_is_not():
+    async def scenario() -> list[str]:
+        app = web.Application()
+        app.router.add_post("/v1/decode", SilentEngine().decode)
+        received: list[str] = []
+        async with TestServer(app) as server, aiohttp.ClientSession() as session:
+            client = HttpEngineClient(session, idle_timeout_s=0.05)
+            url = str(server.make_url("")).rstrip("/")
+            with pytest.raises(RouterError) as caught:
+                async for batch in client.decode(url, "h.1.1", 5, 0):
+                    # The caller takes longer than the idle timeout.
+                    await asyncio.sleep(0.15)
+                    received += [token.text for token in batch]
+        assert caught.value.code is ResultCode.STREAM_INTERRUPTED
+        return received
+
+    assert asyncio.run(scenario()) == ["a"]
