Close two more ways to a false not run

Cause: a read-through of every not run against its proof. A repeated call whose service, rule or API key had left the configuration was refused as not run without a view of its record. A repeatable call whose first attempt may have run, and whose next one was refused a connection, ended as not run. Change: with a key that may have a predecessor only codes that rest on the record keep not run; a refusal no longer replaces a failure that may have run. Figures: one test for each failed before the change and passes now. Conclusion: fixed.

--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -59,13 +59,17 @@
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
 CLASS_NAME = web.RequestKey("class_name", str)
-# Refusals that are made before the record of an idempotency key is read.
-REFUSED_BY_HOST = frozenset(
+# Codes whose "not run" rests on the record of the idempotency key. All other
+# refusals are made without it; the configuration, for example, may have
+# changed since an earlier call with the key.
+PROVED_BY_RECORD = frozenset(
     {
-        ResultCode.DRAINING,
-        ResultCode.NOT_READY,
-        ResultCode.NO_CAPACITY_IN_TIME,
-        ResultCode.SLOW_SENDER,
+        ResultCode.IDEMPOTENCY_KEY_REUSED,
+        ResultCode.INVALID_IDEMPOTENCY_KEY,
+        ResultCode.DEADLINE_BEFORE_START,
+        ResultCode.STORE_UNAVAILABLE,
+        ResultCode.BACKEND_UNREACHABLE,
+        ResultCode.CONFLICTING_ATTEMPT,
     }
 )
 
@@ -153,10 +157,11 @@
                 return await handler(http_request, request_id)
         except RouterError as error:
             code = error.code
-            if code in REFUSED_BY_HOST and may_have_predecessor(http_request):
+            if _lacks_proof(error) and may_have_predecessor(http_request):
+                note = "An earlier call with this key may have run."
                 error = RouterError(
                     code,
-                    "An earlier call with this key may have run.",
+                    f"{error.detail} {note}".strip(),
                     retry_after_s=error.retry_after_s,
                     execution=Execution.UNKNOWN,
                 )
@@ -280,3 +285,8 @@
         )
         answer = await self._plain_path.run(caller.configuration, request)
         return service_response(request_id, answer)
+
+
+def _lacks_proof(error: RouterError) -> bool:
+    """Tell whether "not run" was said without a view of a record."""
+    return error.execution is Execution.NOT_RUN and error.code not in PROVED_BY_RECORD
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -160,7 +160,10 @@
                         return answer
                     except RouterError as error:
                         self._observe(request, server, error.code)
-                        failure = error
+                        # A refusal that follows an attempt which may have
+                        # run must not turn the answer into "not run".
+                        if failure.execution is Execution.NOT_RUN:
+                            failure = error
         except TimeoutError as error:
             raise RouterError(ResultCode.DEADLINE_EXCEEDED) from error
         raise failure
--- a/tests/router/test_caller_api.py
+++ b/tests/router/test_caller_api.py
@@ -186,3 +186,12 @@
     url = "/services/orders/stock-order"
     _, answer_headers, _ = call(FakeModelPath(), "POST", url, drain=drain, **arguments)
     assert answer_headers["X-Execution"] == execution
+
+
+def test_service_that_left_does_not_deny_an_earlier_call():
+    url = "/services/gone/stock-order"
+    headers = AUTH | {"Idempotency-Key": "k"}
+    arguments = {"data": b"{}", "headers": headers}
+    _, answer_headers, _ = call(FakeModelPath(), "POST", url, **arguments)
+    assert answer_headers["X-Result-Code"] == str(ResultCode.UNKNOWN_SERVICE.value)
+    assert answer_headers["X-Execution"] == "unknown"
--- a/tests/router/test_plain_path.py
+++ b/tests/router/test_plain_path.py
@@ -1,7 +1,7 @@
 """Guards against a plain call that runs twice or at a leaving server."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -15,10 +15,11 @@
 )
 from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.request_ids import RequestId
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquat_lab.memory_fakes import MemoryTable
 from kumquat_lab.virtual_time import run_in_virtual_time
 from kumquatrouter.plain_path import PlainPath, PlainRequest
+from kumquatrouter.request_observer import RequestObserver
 
 SERVERS = ("s1", "s2", "s3")
 SERVICE = Service("booking", ServiceKind.PLAIN, repeatable=False, timeout_ms=1000)
@@ -134,3 +135,37 @@
     first, second = run_calls(backends, 2, all_leave)
     assert first.startswith(expected)
     assert second == first
+
+
+def test_repeatable_call_that_may_have_run_is_not_refused_as_not_run():
+    class FirstMayRun(Backends):
+        async def send(self, url, request, timeout_s):
+            self.sent.append((url, request.key, request.fence))
+            first = len(self.sent) == 1
+            unknown, unreachable = (
+                ResultCode.OUTCOME_UNKNOWN,
+                ResultCode.BACKEND_UNREACHABLE,
+            )
+            raise RouterError(unknown if first else unreachable)
+
+    async def main(clock):
+        backends = FirstMayRun()
+        observer = RequestObserver.from_clock(clock)
+        path = PlainPath(clock, backends, backends, None, random.Random(1), observer)
+        request = PlainRequest(
+            RequestId("h", 1, 1),
+            "hagestad",
+            replace(SERVICE, repeatable=True),
+            "POST",
+            "x",
+            b"",
+            {},
+            None,
+            1000,
+        )
+        with pytest.raises(RouterError) as caught:
+            await path.run(make_configuration(), request)
+        assert len(backends.sent) == 3
+        return caught.value.execution
+
+    assert run_in_virtual_time(main) is Execution.UNKNOWN
