--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := packages/kumquat_core/src packages/kumquatrouter/src packages/kumquatctl/src packages/kumquat_lab/src
+SOURCES := packages/kumquat_core/src packages/kumquatrouter/src packages/kumquatctl/src packages/kumquat_lab/src packages/kumquat_relay/src
 
 # The sources of this checkout go before those installed in VENV, so that
 # several worktrees can share one environment.
@@ -22,15 +22,15 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests features
-	$(BIN)/ruff check --fix packages tests features
+	$(BIN)/ruff format packages tests features platform
+	$(BIN)/ruff check --fix packages tests features platform
 
 lint: setup
-	$(BIN)/ruff format --check packages tests features
-	$(BIN)/ruff check packages tests features
+	$(BIN)/ruff format --check packages tests features platform
+	$(BIN)/ruff check packages tests features platform
 
 types: setup
-	$(BIN)/mypy $(SOURCES)
+	$(BIN)/mypy $(SOURCES) platform/kumquat_platform
 
 pytest: setup
 	$(BIN)/python -m pytest
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -22,6 +22,7 @@
     "GrantsHeld",
     "GrantsQuery",
     "HeldGrant",
+    "HeldRun",
     "MemberUpdate",
     "Message",
     "Ping",
@@ -30,6 +31,13 @@
     "Refusal",
     "Progress",
     "Release",
+    "RunEnded",
+    "RunGrant",
+    "RunPrefilled",
+    "RunRefusal",
+    "RunRequest",
+    "RunsHeld",
+    "RunsNoted",
     "ShardSummary",
     "SlowStep",
     "TicketBatch",
@@ -242,6 +250,97 @@
     snapshot: dict[str, Any] | None = None
 
 
+@dataclass(frozen=True)
+class RunRequest:
+    """Asks the owner of a service for a place at its model engines.
+
+    Times are remaining milliseconds. ``objective_ms`` is the time until the
+    first event is late and is negative when it is; ``patience_ms`` the time
+    until the caller leaves.
+    """
+
+    request_id: str
+    service: str
+    prompt_tokens: int
+    expected_tokens: int
+    priority: int
+    objective_ms: int
+    patience_ms: int
+    excluded: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class RunGrant:
+    """A place at a decode engine; no prefill engine if it reads itself."""
+
+    request_id: str
+    decode_engine: str
+    prefill_engine: str
+    waited_ms: int
+
+
+@dataclass(frozen=True)
+class RunRefusal:
+    """The owner of a service has no place for a request in time."""
+
+    request_id: str
+    reason: str
+    retry_after_ms: int
+    waiting: int
+
+
+@dataclass(frozen=True)
+class RunPrefilled:
+    """The prompt of a granted request was read in ``read_ms``."""
+
+    request_id: str
+    service: str
+    read_ms: float
+
+
+@dataclass(frozen=True)
+class RunEnded:
+    """A request holds no place any more, or waits no longer.
+
+    ``gap_ms`` is the mean time between its events, 0 when there were too
+    few. ``full_engine`` refused it for lack of room; ``failed_engine``
+    failed it.
+    """
+
+    request_id: str
+    service: str
+    gap_ms: float = 0.0
+    full_engine: str = ""
+    failed_engine: str = ""
+
+
+@dataclass(frozen=True)
+class HeldRun:
+    """A run that a host still holds."""
+
+    request_id: str
+    decode_engine: str
+    prompt_tokens: int
+    expected_tokens: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class RunsHeld:
+    """All runs of a service that a host holds; also its heartbeat."""
+
+    service: str
+    runs: tuple[HeldRun, ...] = ()
+
+
+@dataclass(frozen=True)
+class RunsNoted:
+    """Answers ``RunsHeld``."""
+
+    host_id: str
+    free_places: int
+
+
 # What an entry host tells the owner of a shard about a request.
 Progress = PrefillDone | SlowStep | Release | CancelAdmission
 
@@ -257,6 +356,13 @@
     | PrefillDone
     | Refusal
     | Release
+    | RunEnded
+    | RunGrant
+    | RunPrefilled
+    | RunRefusal
+    | RunRequest
+    | RunsHeld
+    | RunsNoted
     | SlowStep
     | TicketBatch
     | TicketFetch
@@ -286,6 +392,13 @@
     17: GrantsHeld,
     20: TicketFetch,
     21: TicketBatch,
+    30: RunRequest,
+    31: RunGrant,
+    32: RunRefusal,
+    33: RunPrefilled,
+    34: RunEnded,
+    35: RunsHeld,
+    36: RunsNoted,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
@@ -300,6 +413,7 @@
     "updates": MemberUpdate,
     "summary": ShardSummary,
     "grants": HeldGrant,
+    "runs": HeldRun,
 }
 _NAMES_BY_TYPE: dict[type[Any], tuple[str, ...]] = {
     message_type: tuple(item.name for item in fields(message_type))
@@ -367,6 +481,6 @@
     if nested_type is None or value is None:
         return value
     names = [item.name for item in fields(nested_type)]
-    if name in ("updates", "grants"):
+    if name in ("updates", "grants", "runs"):
         return tuple(dict(zip(names, item, strict=True)) for item in value)
     return dict(zip(names, value, strict=True))
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -0,0 +1,231 @@
+"""Asks the owner of a service for places, and reports the runs held.
+
+A report goes to the owner every ``REPORT_S``. One that stays unanswered
+makes the next host the owner: the link to the silent one is dropped, and the
+requests that waited there ask again.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import (
+    HeldRun,
+    RunEnded,
+    RunGrant,
+    RunPrefilled,
+    RunRefusal,
+    RunRequest,
+    RunsHeld,
+    RunsNoted,
+)
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquatrouter.peer_links import PeerLinks
+
+from .beliefs import Beliefs
+from .owner_choice import OwnerChoice
+from .stream_owner import StreamOwner
+
+__all__ = ["Admission", "PlaceRefusedError"]
+
+REPORT_S = 0.5
+# A hundred times the way between failure domains; a busy host still answers.
+REPORT_TIMEOUT_S = 0.3
+# The owner refuses by itself when the patience ends.
+REPLY_MARGIN_S = 0.3
+MAX_OWNERS_TRIED = 4
+NO_OWNER_RETRY_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class PlaceRefusedError(Exception):
+    """The owner has no place in time."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@dataclass
+class _Held:
+    request: RunRequest
+    decode_engine: str
+    owner: str
+    since_s: float
+
+
+class Admission:
+    """The places that this host asks for and holds."""
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: Clock,
+        beliefs: Beliefs,
+        links: PeerLinks,
+        owners: OwnerChoice,
+        local: StreamOwner,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._beliefs = beliefs
+        self._links = links
+        self._owners = owners
+        self._local = local
+        self._held_by_id: dict[str, _Held] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def place(self, request: RunRequest) -> RunGrant:
+        """Return a granted place; raises ``PlaceRefusedError``."""
+        began_s = self._clock.monotonic()
+        for _ in range(MAX_OWNERS_TRIED):
+            owner = self._owners.owner(request.service)
+            try:
+                answer = await self._ask(owner, request)
+            except RouterError as error:
+                self._note_unreachable(owner, error.detail)
+                continue
+            if isinstance(answer, RunRefusal):
+                raise PlaceRefusedError(answer.reason, answer.retry_after_ms / 1000)
+            held = _Held(request, answer.decode_engine, owner, self._clock.monotonic())
+            self._held_by_id[request.request_id] = held
+            return answer
+        log_event(
+            logger,
+            "no_owner",
+            level=logging.WARNING,
+            request=request.request_id,
+            ms=round((self._clock.monotonic() - began_s) * 1000),
+        )
+        raise PlaceRefusedError("no_owner", NO_OWNER_RETRY_S)
+
+    def prefilled(self, request_id: str, read_ms: float) -> None:
+        """Tell the owner that the prompt was read."""
+        held = self._held_by_id.get(request_id)
+        if held is None:
+            return
+        message = RunPrefilled(request_id, held.request.service, read_ms)
+        if held.owner == self._host_id:
+            self._local.prefilled(message)
+        else:
+            self._send(held.owner, message)
+
+    def ended(
+        self,
+        request_id: str,
+        gap_ms: float = 0.0,
+        full_engine: str = "",
+        failed_engine: str = "",
+    ) -> None:
+        """Give a place back."""
+        held = self._held_by_id.pop(request_id, None)
+        if held is None:
+            return
+        message = RunEnded(
+            request_id, held.request.service, gap_ms, full_engine, failed_engine
+        )
+        self._tell_ended(held.owner, message)
+
+    async def report(self) -> None:
+        """Report the runs of each service to its owner."""
+        if self._beliefs.routes is None:
+            return
+        for name, spec in self._beliefs.routes.services_by_name.items():
+            if spec.engine is not None:
+                await self._report_service(name)
+
+    @property
+    def held_count(self) -> int:
+        """Return the number of places that this host holds."""
+        return len(self._held_by_id)
+
+    async def _ask(self, owner: str, request: RunRequest) -> RunGrant | RunRefusal:
+        """Return the owner's decision; a cancelled wait is withdrawn."""
+        try:
+            if owner == self._host_id:
+                return await self._local.admit(request, self._host_id)
+            timeout_s = request.patience_ms / 1000 + REPLY_MARGIN_S
+            answer = await self._links.call(owner, request, timeout_s)
+        except asyncio.CancelledError:
+            ended = RunEnded(request.request_id, request.service)
+            self._tell_ended(owner, ended)
+            raise
+        if not isinstance(answer, RunGrant | RunRefusal):
+            raise RouterError(ResultCode.PEER_PROTOCOL, type(answer).__name__)
+        return answer
+
+    def _tell_ended(self, owner: str, message: RunEnded) -> None:
+        if owner == self._host_id:
+            self._local.ended(message)
+        else:
+            self._send(owner, message)
+        current = self._owners.owner(message.service)
+        if current not in (owner, self._host_id):
+            self._send(current, message)
+
+    def _send(self, host_id: str, message: RunEnded | RunPrefilled) -> None:
+        task = asyncio.ensure_future(self._send_now(host_id, message))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _send_now(self, host_id: str, message: RunEnded | RunPrefilled) -> None:
+        try:
+            await self._links.send(host_id, message)
+        except RouterError as error:
+            # The next report tells the owner the same.
+            log_event(
+                logger,
+                "message_not_sent",
+                level=logging.DEBUG,
+                peer=host_id,
+                request=message.request_id,
+                detail=error.detail,
+            )
+
+    async def _report_service(self, service: str) -> None:
+        owner = self._owners.owner(service)
+        await self._report_to(owner, service)
+        away = self._owners.to_probe(service)
+        if away is not None:
+            await self._report_to(away, service)
+
+    async def _report_to(self, owner: str, service: str) -> None:
+        now_s = self._clock.monotonic()
+        runs = tuple(
+            HeldRun(
+                request_id,
+                held.decode_engine,
+                held.request.prompt_tokens,
+                held.request.expected_tokens,
+                int((now_s - held.since_s) * 1000),
+            )
+            for request_id, held in self._held_by_id.items()
+            if held.request.service == service
+        )
+        message = RunsHeld(service, runs)
+        if owner == self._host_id:
+            self._local.held(message, self._host_id)
+            return
+        try:
+            answer = await self._links.call(owner, message, REPORT_TIMEOUT_S)
+        except RouterError as error:
+            self._note_unreachable(owner, error.detail)
+            return
+        if isinstance(answer, RunsNoted) and self._owners.reachable(owner):
+            log_event(logger, "dependency_regained", dependency="owner", peer=owner)
+
+    def _note_unreachable(self, owner: str, detail: str) -> None:
+        self._links.drop(owner)
+        if self._owners.unreachable(owner):
+            log_event(
+                logger,
+                "dependency_lost",
+                level=logging.WARNING,
+                dependency="owner",
+                peer=owner,
+                reason=detail,
+            )
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -0,0 +1,291 @@
+"""The HTTP server for callers.
+
+A request is read whole, matched to its route and handed to the plain or the
+stream relay. When the caller leaves, its work is cancelled at the engine,
+except for a request that may not be repeated: its outcome is worth more than
+the place it takes.
+"""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from http import HTTPStatus
+
+import aiomisc
+from aiohttp import web
+from multidict import CIMultiDict
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.result_codes import ResultCode
+from kumquat_core.settings import Address
+
+from .answer_sink import CallerGoneError
+from .beliefs import Beliefs
+from .caller_request import CallerRequest
+from .plain_relay import PlainRelay
+from .protocols import EngineDialect
+from .relay_answers import Answer, failure, misuse, refusal
+from .relay_metrics import RelayMetrics
+from .routes import CallerLimits, RouteKind, RouteTable
+from .shutdown import Shutdown
+from .stream_relay import StreamRelay
+
+__all__ = ["CallerServer"]
+
+# Used until a configuration states them.
+FIRST_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
+NOT_READY_RETRY_S = 1.0
+# Callers reuse connections that were idle for up to four fifths of the
+# limit; closing later than the limit loses nothing.
+IDLE_MARGIN_S = 2.0
+BACKLOG = 512
+
+logger = logging.getLogger(__name__)
+
+
+class _StreamSink:
+    """Sends the answer of a stream over one HTTP response."""
+
+    def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
+        self._http_request = http_request
+        self._close = close
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def started(self) -> bool:
+        return self.response is not None
+
+    async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        if self._close:
+            response.force_close()
+        if self._http_request.version >= (1, 1):
+            response.enable_chunked_encoding()
+        self.response = response
+        try:
+            await response.prepare(self._http_request)
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+    async def write(self, data: bytes) -> None:
+        assert self.response is not None
+        try:
+            await self.response.write(data)
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+    async def finish(self) -> None:
+        assert self.response is not None
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+
+class CallerServer(aiomisc.Service):
+    """Serves callers over HTTP/1.1."""
+
+    def __init__(
+        self,
+        listen: Address,
+        clock: Clock,
+        beliefs: Beliefs,
+        plain: PlainRelay,
+        streams: StreamRelay,
+        dialect: EngineDialect,
+        shutdown: Shutdown,
+        metrics: RelayMetrics,
+    ) -> None:
+        super().__init__()
+        self._listen = listen
+        self._clock = clock
+        self._beliefs = beliefs
+        self._plain = plain
+        self._streams = streams
+        self._dialect = dialect
+        self._shutdown = shutdown
+        self._metrics = metrics
+        self._detached: set[asyncio.Task[Answer]] = set()
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Start listening."""
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=FIRST_LIMITS.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
+            max_line_size=FIRST_LIMITS.max_header_bytes,
+            max_field_size=FIRST_LIMITS.max_header_bytes,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, self._listen.ip, self._listen.port, backlog=BACKLOG
+        ).start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening and close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        with self._shutdown.request():
+            arrived_s = self._clock.monotonic()
+            result = await self._read(http_request)
+            if isinstance(result, Answer):
+                self._note_end(None, result.code, result.reason, arrived_s)
+                return self._response(result)
+            if result.route.kind is RouteKind.STREAM:
+                return await self._stream(http_request, result)
+            return await self._call(result)
+
+    async def _read(self, http_request: web.BaseRequest) -> CallerRequest | Answer:
+        """Return the request, or the answer to one that cannot be served."""
+        routes = self._beliefs.routes
+        limits = routes.limits if routes is not None else FIRST_LIMITS
+        if http_request.headers.get("Expect", "").lower() == "100-continue":
+            assert http_request.transport is not None
+            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = bytearray()
+        async for chunk in http_request.content.iter_any():
+            body += chunk
+            if len(body) > limits.max_body_bytes:
+                return misuse(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
+        if routes is None:
+            return refusal(ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_S)
+        return self._match(http_request, routes, bytes(body))
+
+    def _match(
+        self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
+    ) -> CallerRequest | Answer:
+        facts = self._dialect.read_request(http_request.raw_headers)
+        target = http_request.raw_path
+        route = routes.match(facts.host, target)
+        if route is None:
+            log_event(
+                logger,
+                "no_route",
+                request=facts.request_id,
+                host=facts.host,
+                version=routes.version,
+            )
+            return misuse(404, ResultCode.UNKNOWN_SERVICE, "no_route")
+        if not facts.request_id:
+            return misuse(400, ResultCode.INVALID_FIELD, "no_request_id")
+        service = route.service_for(facts.request_id)
+        request = CallerRequest(
+            facts,
+            http_request.method,
+            target,
+            body,
+            route,
+            service,
+            self._clock.monotonic(),
+        )
+        log_event(
+            logger,
+            "request_read",
+            request=request.id,
+            route=route.name,
+            service=service,
+            version=routes.version,
+            left_ms=request.left_ms(request.arrived_s),
+            bytes=len(body),
+            prompt_tokens=facts.prompt.prompt_tokens if facts.prompt else None,
+            expected_tokens=facts.prompt.expected_tokens if facts.prompt else None,
+            max_tokens=facts.prompt.max_output_tokens if facts.prompt else None,
+        )
+        return request
+
+    async def _call(self, request: CallerRequest) -> web.StreamResponse:
+        task = asyncio.ensure_future(self._plain.run(request))
+        try:
+            if request.route.may_repeat:
+                answer = await task
+            else:
+                self._detached.add(task)
+                task.add_done_callback(self._detached.discard)
+                answer = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._note_end(
+                request, ResultCode.CALLER_GONE, "caller_gone", request.arrived_s
+            )
+            raise
+        except Exception as error:
+            answer = self._internal_error(request, error)
+        self._note_end(request, answer.code, answer.reason, request.arrived_s)
+        return self._response(answer)
+
+    async def _stream(
+        self, http_request: web.BaseRequest, request: CallerRequest
+    ) -> web.StreamResponse:
+        sink = _StreamSink(http_request, close=self._shutdown.draining)
+        code, reason = ResultCode.CALLER_GONE, "caller_gone"
+        answer: Answer | None = None
+        try:
+            outcome = await self._streams.run(request, sink)
+            code, reason, answer = outcome.code, outcome.reason, outcome.answer
+        except CallerGoneError:
+            pass
+        except Exception as error:
+            answer = self._internal_error(request, error)
+            code, reason = answer.code, answer.reason
+        finally:
+            self._note_end(request, code, reason, request.arrived_s)
+        if sink.response is None:
+            return self._response(answer or failure(code, reason))
+        # The answer has begun; only a broken connection shows that it is not
+        # complete.
+        if reason != "complete" and http_request.transport is not None:
+            http_request.transport.abort()
+        return sink.response
+
+    def _internal_error(self, request: CallerRequest, error: Exception) -> Answer:
+        log_event(
+            logger,
+            "request_failed",
+            level=logging.ERROR,
+            request=request.id,
+            error=repr(error),
+        )
+        return failure(ResultCode.INTERNAL_ERROR, "internal_error")
+
+    def _response(self, answer: Answer) -> web.Response:
+        response = web.Response(
+            status=answer.status,
+            reason=_reason_phrase(answer.status),
+            headers=CIMultiDict(answer.headers),
+            body=answer.body,
+        )
+        if self._shutdown.draining:
+            response.force_close()
+        return response
+
+    def _note_end(
+        self,
+        request: CallerRequest | None,
+        code: ResultCode,
+        reason: str,
+        began_s: float,
+    ) -> None:
+        took_s = self._clock.monotonic() - began_s
+        kind = request.route.kind.value if request is not None else "none"
+        self._metrics.request_ended(kind, code, took_s)
+        log_event(
+            logger,
+            "request_ended",
+            request=request.id if request is not None else None,
+            route=request.route.name if request is not None else None,
+            code=code.value,
+            reason=reason,
+            ms=round(took_s * 1000, 1),
+        )
+
+
+def _reason_phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -0,0 +1,304 @@
+"""Calls to model engines: read a prompt, run a stream, free a result."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+
+from .caller_request import CallerRequest
+from .engine_connection import (
+    AnswerHead,
+    ConnectionBrokenError,
+    EngineConnection,
+    SendFailedError,
+)
+from .engine_pool import EnginePool
+from .engine_registry import EngineEntry, EngineRegistry
+from .protocols import EngineDialect, PrefillResult, SendOptions
+
+__all__ = ["EngineCalls", "NotRunError", "OpenStream", "RunFailedError"]
+
+# A prompt of 11,000 tokens is read in 0.3 s by an engine slowed by its
+# neighbours; a longer silence costs more than letting the decode engine read.
+PREFILL_TIMEOUT_S = 1.2
+RELEASE_TIMEOUT_S = 1.0
+# A first event comes 0.1 to 0.4 s after the send; events 0.05 s apart.
+FIRST_EVENT_TIMEOUT_S = 1.5
+SILENCE_S = 1.2
+MAX_SMALL_BODY = 64 * 1024
+EVENT_STREAM = b"text/event-stream"
+
+logger = logging.getLogger(__name__)
+
+
+class NotRunError(Exception):
+    """The run did not begin and will not."""
+
+    def __init__(
+        self, reason: str, *, full: bool = False, unreachable: bool = False
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.full = full
+        self.unreachable = unreachable
+
+
+class RunFailedError(Exception):
+    """The run failed; the engine may have worked on it."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass
+class OpenStream:
+    """An answer whose head has arrived."""
+
+    engine_id: str
+    status: int
+    headers: list[tuple[str, str]]
+    is_event_stream: bool
+    _connection: EngineConnection
+    _pool: EnginePool
+    _clock: Clock
+    _open: bool = True
+    _first_s: float | None = field(default=None)
+    _last_s: float = 0.0
+
+    async def chunks(self, give_up_on_silence: bool = False) -> AsyncIterator[bytes]:
+        """Yield the body; raises ``RunFailedError`` when it breaks.
+
+        ``give_up_on_silence`` is for streams that can continue elsewhere.
+        """
+        body = self._connection.read_body()
+        while True:
+            limit_s = SILENCE_S if give_up_on_silence else None
+            if limit_s is not None and self._first_s is None:
+                limit_s = FIRST_EVENT_TIMEOUT_S
+            try:
+                async with asyncio.timeout(limit_s):
+                    chunk = await anext(body)
+            except StopAsyncIteration:
+                return
+            except ConnectionBrokenError as error:
+                raise RunFailedError(str(error)) from error
+            except TimeoutError as error:
+                raise RunFailedError("silent") from error
+            self._last_s = self._clock.monotonic()
+            if self._first_s is None:
+                self._first_s = self._last_s
+            yield chunk
+
+    def finish(self) -> None:
+        """Keep the connection after the whole answer was read."""
+        self._open = False
+        self._pool.give_back(self._connection)
+
+    def abort_if_open(self) -> None:
+        """End the run at the engine unless it has ended."""
+        if self._open:
+            self._open = False
+            self._connection.abort()
+
+    def mean_gap_ms(self, events: int) -> float:
+        """Return the mean time between events, 0 when there were too few."""
+        if events < 3 or self._first_s is None:
+            return 0.0
+        return (self._last_s - self._first_s) * 1000 / (events - 1)
+
+
+class EngineCalls:
+    """Sends requests of callers to model engines."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        pool: EnginePool,
+        registry: EngineRegistry,
+        dialect: EngineDialect,
+    ) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._registry = registry
+        self._dialect = dialect
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def prefill(
+        self, request: CallerRequest, entry: EngineEntry
+    ) -> PrefillResult | None:
+        """Have a prompt read; return None when that failed in any way."""
+        began_s = self._clock.monotonic()
+        left_ms = request.left_ms(began_s)
+        options = SendOptions(entry.id, left_ms, prefill_only=True)
+        result, reason = None, "ok"
+        try:
+            async with asyncio.timeout(min(PREFILL_TIMEOUT_S, left_ms / 1000)):
+                head, body = await self._exchange(request, entry, options)
+            if head.status == 200:
+                result = self._dialect.prefill_result(body, entry.address)
+            else:
+                reason = f"status_{head.status}"
+        except (SendFailedError, ConnectionBrokenError, ValueError) as error:
+            reason = f"{type(error).__name__}: {error}"
+        except TimeoutError:
+            reason = "timeout"
+        log_event(
+            logger,
+            "prefill",
+            request=request.id,
+            engine=entry.id,
+            ms=round((self._clock.monotonic() - began_s) * 1000, 1),
+            outcome=reason,
+            tokens=result.tokens if result else None,
+        )
+        return result
+
+    async def open_stream(
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        source: PrefillResult | None,
+        resume_after: int | None,
+    ) -> OpenStream:
+        """Start a run and return its answer from the head on.
+
+        Raises ``NotRunError`` and ``RunFailedError``.
+        """
+        began_s = self._clock.monotonic()
+        connection = await self._take(request, entry)
+        options = SendOptions(
+            entry.id,
+            request.left_ms(self._clock.monotonic()),
+            prefill_source=source.source if source else "",
+            resume_after=resume_after,
+        )
+        try:
+            head = await self._head(request, connection, options)
+            if self._dialect.not_executed(head):
+                await _read_small(connection)
+                self._pool.give_back(connection)
+                self._log_sent(request, entry, began_s, f"rejected_{head.status}")
+                full = head.status == 503 and source is None
+                raise NotRunError(f"status_{head.status}", full=full)
+        except SendFailedError as error:
+            connection.abort()
+            raise NotRunError("send_failed") from error
+        except ConnectionBrokenError as error:
+            connection.abort()
+            self._log_sent(request, entry, began_s, f"broken: {error}")
+            raise RunFailedError(f"no answer: {error}") from error
+        except TimeoutError as error:
+            connection.abort()
+            self._log_sent(request, entry, began_s, "silent")
+            raise RunFailedError("silent") from error
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        self._log_sent(request, entry, began_s, f"status_{head.status}")
+        kind = head.get(b"content-type") or b""
+        return OpenStream(
+            entry.id,
+            head.status,
+            self._dialect.answer_headers(head),
+            head.status == 200 and kind.startswith(EVENT_STREAM),
+            connection,
+            self._pool,
+            self._clock,
+        )
+
+    def release_unused(self, result: PrefillResult | None, request_id: str) -> None:
+        """Free a prefill result in the background; it lapses by itself too."""
+        if result is None:
+            return
+        task = asyncio.ensure_future(self._release(result, request_id))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _take(
+        self, request: CallerRequest, entry: EngineEntry
+    ) -> EngineConnection:
+        timeout_s = request.left_ms(self._clock.monotonic()) / 1000
+        fresh = not request.route.may_repeat
+        try:
+            return await self._pool.take(
+                entry.address, fresh=fresh, timeout_s=timeout_s
+            )
+        except SendFailedError as error:
+            raise NotRunError(f"not_connected: {error}", unreachable=True) from error
+
+    async def _head(
+        self, request: CallerRequest, connection: EngineConnection, options: SendOptions
+    ) -> AnswerHead:
+        headers = self._dialect.engine_headers(request.facts, options)
+        connection.send(request.method, request.target, headers, request.body)
+        limit_s = FIRST_EVENT_TIMEOUT_S if request.route.may_repeat else None
+        async with asyncio.timeout(limit_s):
+            head = await connection.read_head()
+        if self._dialect.foreign(head, request.id):
+            raise ConnectionBrokenError("answer of another request")
+        return head
+
+    async def _exchange(
+        self, request: CallerRequest, entry: EngineEntry, options: SendOptions
+    ) -> tuple[AnswerHead, bytes]:
+        connection = await self._pool.take(
+            entry.address, fresh=False, timeout_s=options.left_ms / 1000
+        )
+        try:
+            headers = self._dialect.engine_headers(request.facts, options)
+            connection.send(request.method, request.target, headers, request.body)
+            head = await connection.read_head()
+            if self._dialect.foreign(head, request.id):
+                raise ConnectionBrokenError("answer of another request")
+            body = await _read_small(connection)
+        except BaseException:
+            connection.abort()
+            raise
+        self._pool.give_back(connection)
+        return head, body
+
+    async def _release(self, result: PrefillResult, request_id: str) -> None:
+        method, target, headers = self._dialect.release_prefill(result)
+        connection: EngineConnection | None = None
+        outcome = "ok"
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                connection = await self._pool.take(
+                    result.address, fresh=False, timeout_s=RELEASE_TIMEOUT_S
+                )
+                connection.send(method, target, headers, b"")
+                head = await connection.read_head()
+                await _read_small(connection)
+                outcome = str(head.status)
+        except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
+            outcome = type(error).__name__
+            if connection is not None:
+                connection.abort()
+        else:
+            self._pool.give_back(connection)
+        log_event(logger, "prefill_released", request=request_id, outcome=outcome)
+
+    def _log_sent(
+        self, request: CallerRequest, entry: EngineEntry, began_s: float, outcome: str
+    ) -> None:
+        log_event(
+            logger,
+            "run_sent",
+            request=request.id,
+            engine=entry.id,
+            ms=round((self._clock.monotonic() - began_s) * 1000, 1),
+            outcome=outcome,
+        )
+
+
+async def _read_small(connection: EngineConnection) -> bytes:
+    parts: list[bytes] = []
+    async for part in connection.read_body():
+        parts.append(part)
+        if sum(map(len, parts)) > MAX_SMALL_BODY:
+            raise ConnectionBrokenError("answer is too large")
+    return b"".join(parts)
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -0,0 +1,141 @@
+"""What each model engine of a service holds, as its owner accounts for it.
+
+Load pattern: reports of engines are most of a second old, while a burst
+fills all places within a tenth of that. The owner therefore counts what it
+has granted itself, projects how the memory of each engine grows and shrinks
+until its runs end, and learns the speed of each engine from finished work.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .engine_registry import EngineEntry
+from .routes import EngineSpec
+
+__all__ = ["EngineLoad", "PrefillJob", "Run"]
+
+# Start values until an engine's own figures are known: reading speed and the
+# time of one output token as measured on the standard sites at half load.
+FIRST_READ_TOKENS_PER_MS = 45.0
+FIRST_TOKEN_MS = 0.6
+
+# Weight of a new observation; an engine slowed by its neighbours shows after
+# three observations.
+LEARNING_RATE = 0.3
+MAX_OBSERVED_RATIO = 8.0
+
+# Part of the memory that may be planned for; the engine rounds each request
+# up to whole blocks.
+USABLE_MEMORY = 0.97
+
+
+@dataclass
+class Run:
+    """A granted request at a decode engine; times are steady seconds."""
+
+    request_id: str
+    host_id: str
+    prompt_tokens: int
+    expected_tokens: int
+    granted_s: float
+    confirmed_s: float
+    late: bool = False
+
+
+@dataclass
+class PrefillJob:
+    """A prompt that a prefill engine reads for a granted request."""
+
+    request_id: str
+    tokens: int
+    granted_s: float
+
+
+@dataclass
+class EngineLoad:
+    """Work granted to one engine."""
+
+    entry: EngineEntry
+    spec: EngineSpec
+    runs_by_id: dict[str, Run] = field(default_factory=dict)
+    jobs_by_id: dict[str, PrefillJob] = field(default_factory=dict)
+    token_ms: float = FIRST_TOKEN_MS
+    read_tokens_per_ms: float = FIRST_READ_TOKENS_PER_MS
+    blocked_until_s: float = float("-inf")
+    refusals_in_row: int = 0
+
+    @property
+    def places(self) -> int:
+        """Return how many requests run at once."""
+        return self.entry.places or self.spec.places
+
+    def free_places(self) -> int:
+        """Return the places that no run holds."""
+        return self.places - len(self.runs_by_id)
+
+    def remaining_s(self, run: Run, now_s: float) -> float:
+        """Return the expected time until a run ends."""
+        return max(0.05, self.duration_s(run) - (now_s - run.granted_s))
+
+    def duration_s(self, run: Run) -> float:
+        """Return the expected time of a run from its grant to its end."""
+        read_ms = run.prompt_tokens / self.read_tokens_per_ms
+        return (read_ms + run.expected_tokens * self.token_ms) / 1000
+
+    def fits(self, prompt_tokens: int, expected_tokens: int, now_s: float) -> bool:
+        """Tell whether a further run fits until its end."""
+        if self.free_places() <= 0 or now_s < self.blocked_until_s:
+            return False
+        newcomer = Run("", "", prompt_tokens, expected_tokens, now_s, now_s)
+        peak = self._peak_tokens([*self.runs_by_id.values(), newcomer], now_s)
+        return peak <= self.spec.memory_tokens * USABLE_MEMORY
+
+    def _peak_tokens(self, runs: Iterable[Run], now_s: float) -> float:
+        """Return the largest memory use expected while these runs last.
+
+        Use grows linearly between ends, so its peaks lie just before them.
+        """
+        runs = list(runs)
+        ends_s = sorted({now_s + self.remaining_s(run, now_s) for run in runs})
+        return max(
+            sum(self._tokens_at(run, end_s, now_s) for run in runs) for end_s in ends_s
+        )
+
+    def _tokens_at(self, run: Run, at_s: float, now_s: float) -> float:
+        if at_s > now_s + self.remaining_s(run, now_s) + 1e-9:
+            return 0.0
+        read_ms = run.prompt_tokens / self.read_tokens_per_ms
+        made_ms = (at_s - run.granted_s) * 1000 - read_ms
+        made = min(float(run.expected_tokens), max(0.0, made_ms / self.token_ms))
+        return run.prompt_tokens + made
+
+    def read_backlog_ms(self) -> float:
+        """Return the time to read the prompts granted to this engine."""
+        tokens = sum(job.tokens for job in self.jobs_by_id.values())
+        return tokens / self.read_tokens_per_ms
+
+    def observe_read(self, tokens: int, took_ms: float, behind_ms: float) -> None:
+        """Learn the reading speed; other prompts took ``behind_ms``."""
+        own_ms = max(1.0, took_ms - behind_ms)
+        rate = _bounded(tokens / own_ms, self.read_tokens_per_ms)
+        self.read_tokens_per_ms += LEARNING_RATE * (rate - self.read_tokens_per_ms)
+
+    def observe_gap(self, gap_ms: float) -> None:
+        """Learn the pace from the mean time between two events of a run."""
+        token_ms = _bounded(gap_ms / self.spec.tokens_per_event, self.token_ms)
+        self.token_ms += LEARNING_RATE * (token_ms - self.token_ms)
+
+    def refused(self, now_s: float, first_pause_s: float) -> None:
+        """Note that the engine was full although a place was counted."""
+        self.refusals_in_row += 1
+        pause_s = first_pause_s * min(8, 2 ** (self.refusals_in_row - 1))
+        self.blocked_until_s = max(self.blocked_until_s, now_s + pause_s)
+
+    def accepted(self) -> None:
+        """Note that the engine took a run."""
+        self.refusals_in_row = 0
+
+
+def _bounded(value: float, previous: float) -> float:
+    low, high = previous / MAX_OBSERVED_RATIO, previous * MAX_OBSERVED_RATIO
+    return min(high, max(low, value))
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -0,0 +1,71 @@
+"""Which host owns the queue of a service, as this host sees it.
+
+Load pattern: the owner is killed, frozen or cut off in the middle of a
+peak. Hosts take the first host in rendezvous order that is not known to be
+out of reach, so they agree as long as they see the same hosts; where they do
+not, the engines refuse what is too much.
+"""
+
+from collections.abc import Callable, Iterable
+
+from kumquat_core.clock import Clock
+from kumquat_core.rendezvous import owner_of
+
+__all__ = ["OwnerChoice"]
+
+# A host that could not be reached is asked again by a report, not by a
+# request, after this time; it doubles with each failure.
+FIRST_ABSENCE_S = 1.0
+MAX_ABSENCE_S = 8.0
+
+
+class OwnerChoice:
+    """The hosts that were out of reach, with the time to try them again."""
+
+    def __init__(
+        self, host_id: str, clock: Clock, host_ids: Callable[[], Iterable[str]]
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._host_ids = host_ids
+        self._absences_by_host_id: dict[str, tuple[float, float]] = {}
+
+    def owner(self, service: str) -> str:
+        """Return the owner to ask; this host itself if no other is left."""
+        present = [
+            host_id
+            for host_id in {*self._host_ids(), self._host_id}
+            if host_id not in self._absences_by_host_id
+        ]
+        return owner_of(service, present) or self._host_id
+
+    def first(self, service: str) -> str:
+        """Return the owner if all known hosts could be reached."""
+        return owner_of(service, {*self._host_ids(), self._host_id}) or self._host_id
+
+    def unreachable(self, host_id: str) -> bool:
+        """Note a failed call; return whether this is news."""
+        if host_id == self._host_id:
+            return False
+        now_s = self._clock.monotonic()
+        _, absence_s = self._absences_by_host_id.get(host_id, (0.0, 0.0))
+        news = absence_s == 0.0
+        absence_s = min(MAX_ABSENCE_S, max(FIRST_ABSENCE_S, absence_s * 2))
+        self._absences_by_host_id[host_id] = (now_s + absence_s, absence_s)
+        return news
+
+    def reachable(self, host_id: str) -> bool:
+        """Note an answered call; return whether this is news."""
+        return self._absences_by_host_id.pop(host_id, None) is not None
+
+    def to_probe(self, service: str) -> str | None:
+        """Return the first owner if it is away and its time has come."""
+        host_id = self.first(service)
+        absence = self._absences_by_host_id.get(host_id)
+        if absence is None or self._clock.monotonic() < absence[0]:
+            return None
+        return host_id
+
+    def forget(self, host_id: str) -> None:
+        """Drop what is known of a host whose process is another one now."""
+        self._absences_by_host_id.pop(host_id, None)
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -0,0 +1,173 @@
+"""What an adapter provides to the relay.
+
+The relay is written against these interfaces; an adapter translates them
+into the names, formats and calls of one platform and decides nothing.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from kumquat_core.settings import Address
+
+from .caller_request import Header, RequestFacts
+from .engine_connection import AnswerHead
+from .engine_registry import EngineEntry, EngineRole
+from .routes import RouteTable
+
+__all__ = [
+    "Change",
+    "Changes",
+    "EngineDialect",
+    "HistoryLostError",
+    "HostEntry",
+    "PrefillResult",
+    "SendOptions",
+    "StateKind",
+    "StateStore",
+    "StoreError",
+    "WriteConflictError",
+]
+
+
+class StateKind(Enum):
+    """The kinds of state that hosts follow."""
+
+    CONFIGURATION = "configuration"
+    ENGINES = "engines"
+    HOSTS = "hosts"
+
+
+@dataclass(frozen=True)
+class HostEntry:
+    """A running entry host; ``incarnation`` is its start in Unix ms."""
+
+    host_id: str
+    address: Address
+    failure_domain: str
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class Change:
+    """One object as the store holds it.
+
+    ``value`` is None when it was removed or cannot be read; ``problem``
+    then says why it cannot.
+    """
+
+    key: str
+    version: int
+    value: RouteTable | EngineEntry | HostEntry | None
+    removed: bool = False
+    problem: str = ""
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Objects in the order of their versions, up to ``version``."""
+
+    version: int
+    items: tuple[Change, ...]
+
+
+class StoreError(Exception):
+    """A call to the store failed; a write may have taken effect."""
+
+
+class HistoryLostError(Exception):
+    """The store no longer has the changes after the asked version."""
+
+
+class WriteConflictError(Exception):
+    """A conditional write found another version."""
+
+
+class StateStore(Protocol):
+    """The platform's store."""
+
+    async def read(self, kind: StateKind) -> Changes:
+        """Return all objects of a kind; raises ``StoreError``."""
+
+    async def wait_for_changes(
+        self, kind: StateKind, after: int, wait_s: float
+    ) -> Changes:
+        """Return the changes after a version, or none after ``wait_s``.
+
+        Raises ``HistoryLostError`` and ``StoreError``.
+        """
+
+    async def put_host(self, entry: HostEntry) -> None:
+        """Write the entry of a host."""
+
+    async def remove_host(self, host_id: str) -> None:
+        """Remove the entry of a host."""
+
+    async def peer_key(self, proposal: bytes) -> bytes:
+        """Return the key that all hosts share; the first proposal wins."""
+
+    async def take_lease(self, name: str, holder: str, expected: int) -> int:
+        """Write a lease under its version; return the new version.
+
+        Raises ``WriteConflictError`` when another holder wrote it.
+        """
+
+    async def read_lease(self, name: str) -> tuple[str, int]:
+        """Return holder and version of a lease, ("", 0) without one."""
+
+
+@dataclass(frozen=True)
+class SendOptions:
+    """How a request is sent to one engine."""
+
+    engine_id: str
+    left_ms: int
+    prefill_only: bool = False
+    prefill_source: str = ""
+    resume_after: int | None = None
+    hold: str = ""
+
+
+@dataclass(frozen=True)
+class PrefillResult:
+    """A prompt that was read; ``source`` names it to a decode engine."""
+
+    source: str
+    handle: str
+    address: Address
+    tokens: int
+
+
+class EngineDialect(Protocol):
+    """Headers and bodies that are exchanged with callers and engines."""
+
+    def read_request(self, headers: Sequence[Header]) -> RequestFacts:
+        """Return what a caller's headers state."""
+
+    def engine_headers(self, facts: RequestFacts, options: SendOptions) -> list[Header]:
+        """Return the headers of a request to an engine."""
+
+    def not_executed(self, head: AnswerHead) -> bool:
+        """Tell whether an answer proves that the request did not run."""
+
+    def foreign(self, head: AnswerHead, request_id: str) -> bool:
+        """Tell whether an answer belongs to another request."""
+
+    def answer_headers(self, head: AnswerHead) -> list[tuple[str, str]]:
+        """Return the headers of an answer that are passed on to the caller."""
+
+    def prefill_result(self, body: bytes, address: Address) -> PrefillResult:
+        """Return the outcome of a prefill; raises ``ValueError``."""
+
+    def release_prefill(self, result: PrefillResult) -> tuple[str, str, list[Header]]:
+        """Return method, target and headers of the call that frees it."""
+
+    def order(
+        self,
+        engine: EngineEntry,
+        role: EngineRole,
+        holder: str,
+        fence: int,
+    ) -> tuple[str, str, list[Header], bytes]:
+        """Return method, target, headers and body of an order of a role."""
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_answers.py
@@ -0,0 +1,58 @@
+"""Final answers that the relay gives itself.
+
+``429`` and ``503`` state that the request has not run and will not; they are
+built only by ``refusal``. ``failure`` promises nothing about execution.
+"""
+
+from dataclasses import dataclass
+
+from kumquat_core.result_codes import ResultCode
+
+__all__ = ["Answer", "failure", "misuse", "refusal"]
+
+RETRY_AFTER = "Retry-After"
+RESULT_CODE = "X-Result-Code"
+MIN_RETRY_AFTER_S = 0.05
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A complete answer to a caller.
+
+    ``code`` and ``reason`` go into the log; ``reason`` is a fixed word.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    code: ResultCode
+    reason: str
+
+
+def refusal(code: ResultCode, reason: str, retry_after_s: float) -> Answer:
+    """Return an answer to a request that has not run and will not."""
+    retry_after = f"{max(MIN_RETRY_AFTER_S, retry_after_s):.2f}"
+    return _text(503, code, reason, ((RETRY_AFTER, retry_after),))
+
+
+def failure(code: ResultCode, reason: str, *, timed_out: bool = False) -> Answer:
+    """Return an answer to a request that may have run."""
+    return _text(504 if timed_out else 502, code, reason, ())
+
+
+def misuse(status: int, code: ResultCode, reason: str) -> Answer:
+    """Return an answer to a request that no configuration allows."""
+    return _text(status, code, reason, ())
+
+
+def _text(
+    status: int,
+    code: ResultCode,
+    reason: str,
+    headers: tuple[tuple[str, str], ...],
+) -> Answer:
+    own = (
+        (RESULT_CODE, str(code.value)),
+        ("Content-Type", "text/plain; charset=utf-8"),
+    )
+    return Answer(status, own + headers, f"{reason}\n".encode(), code, reason)
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -0,0 +1,336 @@
+"""Builds and runs all parts of a relay host."""
+
+import asyncio
+import logging
+import random
+import secrets
+from dataclasses import dataclass
+
+import aiomisc
+
+from kumquat_core.clock import Clock, SystemClock
+from kumquat_core.frames import PeerIdentity
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import (
+    Message,
+    RunEnded,
+    RunPrefilled,
+    RunRequest,
+    RunsHeld,
+)
+from kumquat_core.settings import Address
+from kumquat_core.timers import TimerService
+from kumquatrouter.peer_links import PeerLinks
+from kumquatrouter.peer_server import PeerServer
+from kumquatrouter.supervisor import Supervisor, TaskService
+
+from .admission import REPORT_S, Admission
+from .beliefs import Beliefs
+from .caller_server import CallerServer
+from .engine_calls import EngineCalls
+from .engine_health import EngineHealth
+from .engine_pool import EnginePool
+from .engine_registry import EngineEntry
+from .owner_choice import OwnerChoice
+from .plain_choice import PlainChoice
+from .plain_relay import PlainRelay
+from .protocols import (
+    EngineDialect,
+    HostEntry,
+    StateKind,
+    StateStore,
+    StoreError,
+)
+from .relay_metrics import RelayMetrics
+from .relay_settings import RelayOptions
+from .request_age import RequestAge
+from .retry_share import RetryShare
+from .shutdown import Shutdown
+from .state_watch import StateWatch
+from .status_server import MetricsServer, ReadinessServer
+from .stream_owner import StreamOwner
+from .stream_relay import StreamRelay
+
+__all__ = ["RelayHost"]
+
+SWEEP_S = 0.5
+REGISTER_RETRY_S = 0.3
+KEY_BYTES = 32
+STOP_STORE_TIMEOUT_S = 0.4
+
+logger = logging.getLogger(__name__)
+
+
+class _TimerTask(TaskService):
+    """Drives the timer service."""
+
+    def __init__(self, timers: TimerService) -> None:
+        super().__init__()
+        self._timers = timers
+
+    async def run(self) -> None:
+        await self._timers.run()
+
+
+@dataclass
+class _Parts:
+    """The parts that are shared between the services of a host."""
+
+    clock: Clock
+    rng: random.Random
+    health: EngineHealth
+    beliefs: Beliefs
+    pool: EnginePool
+    retries: RetryShare
+    shutdown: Shutdown
+    metrics: RelayMetrics
+
+
+class RelayHost:
+    """One relay host from its start to its planned stop."""
+
+    def __init__(
+        self,
+        options: RelayOptions,
+        store: StateStore,
+        dialect: EngineDialect,
+        parts: _Parts,
+    ) -> None:
+        self._options = options
+        self._store = store
+        self._dialect = dialect
+        self._parts = parts
+        self._incarnation = parts.clock.wall_ms()
+        self._choice = PlainChoice(
+            parts.beliefs.registry, parts.health, options.failure_domain, parts.rng
+        )
+        self._owner = StreamOwner(
+            options.host_id, parts.clock, parts.beliefs, parts.health
+        )
+        self._owners = OwnerChoice(
+            options.host_id, parts.clock, lambda: parts.beliefs.hosts_by_id
+        )
+        self._incarnations_by_host_id: dict[str, int] = {}
+        self._links = PeerLinks(
+            PeerIdentity(options.host_id, self._incarnation),
+            secrets.token_bytes(KEY_BYTES),
+            self._peer_address,
+            parts.clock,
+            parts.rng,
+        )
+        self._admission = Admission(
+            options.host_id,
+            parts.clock,
+            parts.beliefs,
+            self._links,
+            self._owners,
+            self._owner,
+        )
+        self._supervisor: Supervisor | None = None
+        self._peers: Supervisor | None = None
+        self._registering: asyncio.Task[None] | None = None
+        parts.beliefs.on_engines = self._owner.engines_changed
+        parts.beliefs.on_engine_gone = self._engine_gone
+        parts.beliefs.on_hosts = self._hosts_changed
+
+    @classmethod
+    def from_config(
+        cls, options: RelayOptions, store: StateStore, dialect: EngineDialect
+    ) -> "RelayHost":
+        """Return a host built from its options."""
+        clock = SystemClock()
+        health = EngineHealth(clock)
+        parts = _Parts(
+            clock,
+            random.Random(options.seed or secrets.randbits(64)),
+            health,
+            Beliefs(clock, health),
+            EnginePool(clock),
+            RetryShare(clock, options.retries),
+            Shutdown(clock, options.stop_grace_s),
+            RelayMetrics(),
+        )
+        return cls(options, store, dialect, parts)
+
+    @property
+    def metrics(self) -> RelayMetrics:
+        """Return the metrics of this host."""
+        return self._parts.metrics
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers should be sent here."""
+        return self._parts.beliefs.ready and not self._parts.shutdown.draining
+
+    async def start(self) -> None:
+        """Start all services."""
+        options, parts = self._options, self._parts
+        log_event(
+            logger,
+            "started",
+            host=options.host_id,
+            failure_domain=options.failure_domain,
+            incarnation=self._incarnation,
+        )
+        timers = TimerService(parts.clock)
+        timers.every(SWEEP_S, self._sweep, "sweep")
+        timers.every(REPORT_S, self._report, "report")
+        services: list[aiomisc.Service] = [
+            ReadinessServer(options.readiness, self.is_ready),
+            MetricsServer(options.metrics, self._metrics_text),
+            *(
+                StateWatch(
+                    kind,
+                    self._store,
+                    parts.beliefs,
+                    parts.rng,
+                    parts.metrics.store_polled,
+                )
+                for kind in StateKind
+            ),
+            self._caller_server(),
+            _TimerTask(timers),
+        ]
+        self._supervisor = Supervisor(services)
+        await self._supervisor.start()
+        self._registering = asyncio.ensure_future(self._register())
+
+    async def drain(self) -> None:
+        """Begin the planned stop and return when the process may end."""
+        shutdown = self._parts.shutdown
+        shutdown.begin()
+        log_event(logger, "stopping", in_progress=shutdown.in_progress)
+        if self._registering is not None:
+            self._registering.cancel()
+        try:
+            async with asyncio.timeout(STOP_STORE_TIMEOUT_S):
+                await self._store.remove_host(self._options.host_id)
+        except (StoreError, TimeoutError) as error:
+            log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
+        await shutdown.wait()
+
+    async def stop(self) -> None:
+        """Stop all services."""
+        in_progress = self._parts.shutdown.in_progress
+        if self._peers is not None:
+            await self._peers.stop()
+        if self._supervisor is not None:
+            await self._supervisor.stop()
+        self._parts.pool.close()
+        log_event(logger, "stopped", in_progress=in_progress)
+
+    def reload(self, options: RelayOptions) -> None:
+        """Take over the options that may change while the process runs."""
+        self._parts.retries.set_terms(options.retries)
+        self._parts.shutdown.grace_s = options.stop_grace_s
+        log_event(logger, "reloaded", host=options.host_id)
+
+    def _caller_server(self) -> CallerServer:
+        options, parts = self._options, self._parts
+        plain = PlainRelay(
+            parts.clock,
+            parts.pool,
+            self._choice,
+            parts.health,
+            parts.retries,
+            self._dialect,
+        )
+        calls = EngineCalls(
+            parts.clock, parts.pool, parts.beliefs.registry, self._dialect
+        )
+        streams = StreamRelay(
+            parts.clock,
+            parts.beliefs,
+            self._admission,
+            calls,
+            parts.retries,
+            RequestAge(),
+        )
+        return CallerServer(
+            options.callers,
+            parts.clock,
+            parts.beliefs,
+            plain,
+            streams,
+            self._dialect,
+            parts.shutdown,
+            parts.metrics,
+        )
+
+    async def _register(self) -> None:
+        """Agree on the peer key, listen for peers, and enter the host list."""
+        options = self._options
+        while True:
+            try:
+                key = await self._store.peer_key(secrets.token_bytes(KEY_BYTES))
+                await self._listen_for_peers(key)
+                entry = HostEntry(
+                    options.host_id,
+                    options.peers,
+                    options.failure_domain,
+                    self._incarnation,
+                )
+                await self._store.put_host(entry)
+                log_event(logger, "host_entered", host=options.host_id)
+                return
+            except StoreError as error:
+                log_event(logger, "host_not_entered", reason=str(error))
+                await asyncio.sleep(REGISTER_RETRY_S)
+
+    async def _listen_for_peers(self, key: bytes) -> None:
+        if self._peers is not None:
+            return
+        identity = PeerIdentity(self._options.host_id, self._incarnation)
+        self._links.use_key(key)
+        server = PeerServer(self._options.peers, identity, key, self._on_message)
+        self._peers = Supervisor([server])
+        await self._peers.start()
+
+    async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
+        match message:
+            case RunRequest():
+                return await self._owner.admit(message, peer.host_id)
+            case RunsHeld():
+                return self._owner.held(message, peer.host_id)
+            case RunPrefilled():
+                self._owner.prefilled(message)
+            case RunEnded():
+                self._owner.ended(message)
+            case _:
+                log_event(logger, "message_ignored", type=type(message).__name__)
+        return None
+
+    def _peer_address(self, host_id: str) -> Address | None:
+        entry = self._parts.beliefs.hosts_by_id.get(host_id)
+        return entry.address if entry is not None else None
+
+    def _hosts_changed(self) -> None:
+        hosts = self._parts.beliefs.hosts_by_id
+        self._parts.retries.host_count = max(1, len(hosts))
+        for host_id, entry in hosts.items():
+            if self._incarnations_by_host_id.get(host_id) != entry.incarnation:
+                self._incarnations_by_host_id[host_id] = entry.incarnation
+                self._owners.forget(host_id)
+
+    def _engine_gone(self, entry: EngineEntry) -> None:
+        self._choice.forget(entry.id)
+        self._parts.pool.drop(entry.address)
+
+    async def _sweep(self) -> None:
+        self._parts.beliefs.expire_engines()
+        self._parts.pool.close_stale()
+        self._owner.sweep()
+
+    async def _report(self) -> None:
+        await self._admission.report()
+
+    def _metrics_text(self) -> bytes:
+        parts = self._parts
+        metrics = parts.metrics
+        metrics.in_progress.set(parts.shutdown.in_progress)
+        metrics.waiting.set(sum(self._owner.waiting_counts().values()))
+        metrics.engines.set(len(parts.beliefs.registry.all_entries()))
+        metrics.opened.set(parts.pool.opened)
+        metrics.held_places.set(self._admission.held_count)
+        if parts.beliefs.routes is not None:
+            metrics.version.set(parts.beliefs.routes.version)
+        return metrics.text()
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
@@ -0,0 +1,113 @@
+"""Settings of a relay host: a JSON file, validated into ``RelayOptions``.
+
+All errors are reported at once, each with its path. Unknown fields are
+ignored, since the platform may add some.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.settings import Address, settings_errors
+
+from .retry_share import RetryTerms
+
+__all__ = ["RelayOptions", "load_relay_options", "parse_address"]
+
+Seconds = Annotated[float, Field(gt=0)]
+AddressText = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Port = Annotated[int, Field(ge=1, le=65535)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+
+class _ListenModel(_Model):
+    callers: AddressText
+    readiness: AddressText
+    metrics: AddressText
+    peer_port: Port
+
+
+class _RetryModel(_Model):
+    ratio: Annotated[float, Field(ge=0)]
+    window_s: Seconds
+    allowance: Annotated[float, Field(ge=0)]
+
+
+class RelaySettingsModel(_Model):
+    """The settings file of a relay host; times in seconds."""
+
+    host_id: Annotated[str, Field(min_length=1)]
+    failure_domain: Annotated[str, Field(min_length=1)]
+    listen: _ListenModel
+    store: AddressText
+    retries: _RetryModel
+    stop_grace_s: Seconds
+    order_lease_s: Seconds
+    log_level: str = "info"
+    seed: int = 0
+
+
+@dataclass(frozen=True)
+class RelayOptions:
+    """All options of a relay host."""
+
+    host_id: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    metrics: Address
+    peers: Address
+    store: Address
+    retries: RetryTerms
+    stop_grace_s: float
+    order_lease_s: float
+    log_level: str
+    seed: int
+
+    @classmethod
+    def from_settings(cls, model: RelaySettingsModel) -> "RelayOptions":
+        """Return the options of validated settings."""
+        callers = parse_address(model.listen.callers)
+        return cls(
+            host_id=model.host_id,
+            failure_domain=model.failure_domain,
+            callers=callers,
+            readiness=parse_address(model.listen.readiness),
+            metrics=parse_address(model.listen.metrics),
+            peers=Address(callers.ip, model.listen.peer_port),
+            store=parse_address(model.store),
+            retries=RetryTerms(
+                model.retries.ratio, model.retries.window_s, model.retries.allowance
+            ),
+            stop_grace_s=model.stop_grace_s,
+            order_lease_s=model.order_lease_s,
+            log_level=model.log_level,
+            seed=model.seed,
+        )
+
+
+def parse_address(text: str) -> Address:
+    """Return the address of ``IP:PORT``; raises ``ValueError``."""
+    ip, _, port = text.rpartition(":")
+    return Address(ip, int(port))
+
+
+def load_relay_options(path: Path) -> RelayOptions:
+    """Read, validate and return the options of a settings file.
+
+    Raises ``RouterError`` with ``SETTINGS_INVALID`` and all errors at once.
+    """
+    try:
+        model = RelaySettingsModel.model_validate_json(path.read_text())
+    except OSError as error:
+        raise RouterError(ResultCode.SETTINGS_INVALID, str(error)) from error
+    except ValidationError as error:
+        detail = "\n".join(settings_errors(error))
+        raise RouterError(ResultCode.SETTINGS_INVALID, detail) from error
+    return RelayOptions.from_settings(model)
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -0,0 +1,128 @@
+"""Follows one kind of state in the store.
+
+A watch reads everything once and then waits for changes in long polls. An
+error or a silent connection ends a poll; the next one follows after a short
+delay that grows while the store is away. Lost history makes it read again.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import ClassVar
+
+from kumquat_core.log_events import log_event
+from kumquatrouter.supervisor import TaskService
+
+from .beliefs import Beliefs
+from .protocols import HistoryLostError, StateKind, StateStore, StoreError
+
+__all__ = ["StateWatch", "WatchTimes"]
+
+FIRST_DELAY_S = 0.1
+MAX_DELAY_S = 0.8
+
+logger = logging.getLogger(__name__)
+
+
+class WatchTimes:
+    """How long one poll of each kind may wait, in seconds.
+
+    Calls are priced and a change ends a poll at once, so polls are long. The
+    configuration is polled in shorter turns: its bound is the tightest, and a
+    connection that fell silent shows only when a poll does not end.
+    """
+
+    BY_KIND: ClassVar[dict[StateKind, float]] = {
+        StateKind.CONFIGURATION: 2.0,
+        StateKind.ENGINES: 2.0,
+        StateKind.HOSTS: 8.0,
+    }
+
+
+class StateWatch(TaskService):
+    """Keeps the beliefs of one kind up to date."""
+
+    def __init__(
+        self,
+        kind: StateKind,
+        store: StateStore,
+        beliefs: Beliefs,
+        rng: random.Random,
+        count_call: Callable[[str, bool], None] = lambda kind, good: None,
+    ) -> None:
+        super().__init__()
+        self._kind = kind
+        self._store = store
+        self._beliefs = beliefs
+        self._rng = rng
+        self._count_call = count_call
+        self._away = False
+        self._version: int | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow the state until cancelled."""
+        while True:
+            try:
+                await self._turn()
+                self._reached()
+            except HistoryLostError:
+                log_event(
+                    logger,
+                    "store_history_lost",
+                    kind=self._kind.value,
+                    after=self._version,
+                )
+                self._version = None
+            except StoreError as error:
+                self._lost(str(error))
+                await asyncio.sleep(self._delay_s())
+
+    async def _turn(self) -> None:
+        if self._version is None:
+            snapshot = await self._store.read(self._kind)
+            if self._away:
+                self._beliefs.store_returned()
+            self._beliefs.take_snapshot(self._kind, snapshot)
+            self._version = snapshot.version
+            return
+        wait_s = WatchTimes.BY_KIND[self._kind]
+        changes = await self._store.wait_for_changes(self._kind, self._version, wait_s)
+        if self._away:
+            self._beliefs.store_returned()
+        self._beliefs.take_changes(self._kind, changes)
+        self._version = max(self._version, changes.version)
+
+    def _delay_s(self) -> float:
+        bound_s = min(MAX_DELAY_S, FIRST_DELAY_S * 2.0 ** min(self._failures - 1, 8))
+        return bound_s * self._rng.uniform(0.6, 1.0)
+
+    def _lost(self, reason: str) -> None:
+        self._failures += 1
+        self._count_call(self._kind.value, False)
+        if not self._away:
+            self._away = True
+            log_event(
+                logger,
+                "dependency_lost",
+                level=logging.WARNING,
+                dependency="store",
+                kind=self._kind.value,
+                version=self._version,
+                reason=reason,
+            )
+
+    def _reached(self) -> None:
+        self._count_call(self._kind.value, True)
+        if self._away:
+            self._away = False
+            log_event(
+                logger,
+                "dependency_regained",
+                dependency="store",
+                kind=self._kind.value,
+                version=self._version,
+                failures=self._failures,
+            )
+        self._failures = 0
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -0,0 +1,236 @@
+"""The owner's side of admission to model engines.
+
+Every host can own a service; it does when requests or reports of other hosts
+reach it. A queue that was not asked for a while first waits until the hosts
+have reported the runs they hold, since the engines may be full of them.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import (
+    RunEnded,
+    RunGrant,
+    RunPrefilled,
+    RunRefusal,
+    RunRequest,
+    RunsHeld,
+    RunsNoted,
+)
+
+from .beliefs import Beliefs
+from .engine_health import EngineHealth, Failure
+from .return_times import ReturnTimes
+from .stream_queue import Decision, Granted, Refused, StreamQueue
+
+__all__ = ["StreamOwner"]
+
+# All hosts report within one period after they turned to this owner.
+SETTLE_S = 0.6
+# Longer than the reports of a host that is alive are apart.
+IDLE_S = 2.0
+MIN_TIMER_S = 0.005
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class _Owned:
+    queue: StreamQueue
+    asked_s: float
+    replies_by_id: dict[str, "asyncio.Future[RunGrant | RunRefusal]"] = field(
+        default_factory=dict
+    )
+    timer: asyncio.TimerHandle | None = None
+
+
+class StreamOwner:
+    """The queues of the services that this host owns."""
+
+    def __init__(
+        self, host_id: str, clock: Clock, beliefs: Beliefs, health: EngineHealth
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._beliefs = beliefs
+        self._health = health
+        self._owned_by_service: dict[str, _Owned] = {}
+
+    async def admit(self, request: RunRequest, host_id: str) -> RunGrant | RunRefusal:
+        """Return the decision on a request, possibly after a wait."""
+        spec = self._beliefs.engine_spec(request.service)
+        if spec is None:
+            return RunRefusal(request.request_id, "no_engine_service", 500, 0)
+        owned = self._owned(request.service)
+        owned.queue.refresh(spec)
+        reply: asyncio.Future[RunGrant | RunRefusal]
+        reply = asyncio.get_running_loop().create_future()
+        owned.replies_by_id[request.request_id] = reply
+        now_s = self._clock.monotonic()
+        self._carry_out(owned, owned.queue.add(request, host_id, now_s))
+        try:
+            return await reply
+        except asyncio.CancelledError:
+            # The asking host is gone or its caller left.
+            owned.queue.ended(request.request_id, 0.0)
+            raise
+        finally:
+            owned.replies_by_id.pop(request.request_id, None)
+
+    def prefilled(self, message: RunPrefilled) -> None:
+        """Note that a prompt was read."""
+        owned = self._owned(message.service)
+        owned.queue.prefilled(
+            message.request_id, message.read_ms, self._clock.monotonic()
+        )
+
+    def ended(self, message: RunEnded) -> None:
+        """Note that a request holds no place any more."""
+        owned = self._owned(message.service)
+        now_s = self._clock.monotonic()
+        if message.failed_engine:
+            self._note_failure(message.failed_engine)
+        elif message.gap_ms > 0:
+            self._note_success(owned, message.request_id)
+        owned.queue.ended(message.request_id, message.gap_ms)
+        if message.full_engine:
+            owned.queue.engine_full(message.full_engine, now_s)
+        self._carry_out(owned, owned.queue.advance(now_s))
+
+    def held(self, message: RunsHeld, host_id: str) -> RunsNoted:
+        """Take over the runs that a host reports."""
+        owned = self._owned(message.service)
+        spec = self._beliefs.engine_spec(message.service)
+        if spec is not None:
+            owned.queue.refresh(spec)
+        now_s = self._clock.monotonic()
+        changed = owned.queue.confirm(host_id, message.runs, now_s)
+        if changed:
+            log_event(
+                logger,
+                "runs_reconciled",
+                service=message.service,
+                host=host_id,
+                held=len(message.runs),
+                changed=changed,
+            )
+        self._carry_out(owned, owned.queue.advance(now_s))
+        return RunsNoted(self._host_id, owned.queue.free_places())
+
+    def sweep(self) -> None:
+        """Drop runs of hosts that report no longer."""
+        now_s = self._clock.monotonic()
+        for service, owned in self._owned_by_service.items():
+            dropped = owned.queue.drop_unconfirmed(now_s)
+            if dropped:
+                log_event(logger, "runs_dropped", service=service, count=dropped)
+                self._carry_out(owned, owned.queue.advance(now_s))
+
+    def engines_changed(self) -> None:
+        """Use new engines at once."""
+        for service, owned in self._owned_by_service.items():
+            spec = self._beliefs.engine_spec(service)
+            if spec is not None:
+                owned.queue.refresh(spec)
+                self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the number of waiting requests by service."""
+        return {
+            service: owned.queue.waiting_count
+            for service, owned in self._owned_by_service.items()
+        }
+
+    def _owned(self, service: str) -> _Owned:
+        now_s = self._clock.monotonic()
+        owned = self._owned_by_service.get(service)
+        if owned is None:
+            queue = StreamQueue(
+                service, self._beliefs.registry, self._health, ReturnTimes()
+            )
+            owned = _Owned(queue, float("-inf"))
+            self._owned_by_service[service] = owned
+        if now_s - owned.asked_s > IDLE_S:
+            owned.queue.pause(now_s + SETTLE_S)
+            log_event(logger, "owner_begins", service=service, settle_s=SETTLE_S)
+        owned.asked_s = now_s
+        return owned
+
+    def _carry_out(self, owned: _Owned, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            self._log(decision, owned.queue)
+            reply = owned.replies_by_id.get(decision.request_id)
+            if reply is not None and not reply.done():
+                reply.set_result(_message(decision))
+        self._set_timer(owned)
+
+    def _set_timer(self, owned: _Owned) -> None:
+        if owned.timer is not None:
+            owned.timer.cancel()
+            owned.timer = None
+        now_s = self._clock.monotonic()
+        due_s = owned.queue.next_due_s(now_s)
+        if due_s is not None:
+            delay_s = max(MIN_TIMER_S, due_s - now_s)
+            loop = asyncio.get_running_loop()
+            owned.timer = loop.call_later(delay_s, self._on_timer, owned)
+
+    def _on_timer(self, owned: _Owned) -> None:
+        owned.timer = None
+        self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
+
+    def _note_failure(self, engine_id: str) -> None:
+        if self._health.failed(engine_id, Failure.BROKEN):
+            log_event(logger, "engine_avoided", engine=engine_id, failure="reported")
+
+    def _note_success(self, owned: _Owned, request_id: str) -> None:
+        engine_id = owned.queue.engine_of(request_id)
+        if engine_id and self._health.succeeded(engine_id):
+            log_event(logger, "engine_trusted_again", engine=engine_id)
+
+    def _log(self, decision: Decision, queue: StreamQueue) -> None:
+        match decision:
+            case Granted():
+                log_event(
+                    logger,
+                    "place_granted",
+                    request=decision.request_id,
+                    service=queue.service,
+                    decode_engine=decision.decode_engine,
+                    prefill_engine=decision.prefill_engine or None,
+                    waited_ms=round(decision.waited_s * 1000),
+                    free_places=decision.free_places,
+                    waiting=queue.waiting_count,
+                )
+            case Refused():
+                log_event(
+                    logger,
+                    "place_refused",
+                    request=decision.request_id,
+                    service=queue.service,
+                    reason=decision.reason,
+                    retry_after_s=round(decision.retry_after_s, 2),
+                    free_places=decision.free_places,
+                    waiting=decision.waiting,
+                )
+
+
+def _message(decision: Decision) -> RunGrant | RunRefusal:
+    match decision:
+        case Granted():
+            return RunGrant(
+                decision.request_id,
+                decision.decode_engine,
+                decision.prefill_engine,
+                round(decision.waited_s * 1000),
+            )
+        case Refused():
+            return RunRefusal(
+                decision.request_id,
+                decision.reason,
+                round(decision.retry_after_s * 1000),
+                decision.waiting,
+            )
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -0,0 +1,410 @@
+"""One queue for all places of a service with model engines.
+
+Load pattern: at a peak two to four times as many streams arrive as there are
+places, for some seconds, and then the load falls below the capacity again.
+An answer that begins after its objective is worth a fraction, and a caller
+leaves when no event arrives for too long.
+
+Requests that can still meet their objective go first, by priority and then
+by the time they have left; requests that are late anyway use what remains. A
+request that cannot begin in time is refused on arrival, with the time at
+which the places that are taken are expected to be free, so that it returns
+when the peak is over. Nothing is refused while a place is free. A request
+whose time runs out in the queue is refused at that moment.
+
+The queue holds no clock of its own and does no I/O: every call returns the
+``Decision`` objects that follow from it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from kumquat_core.peer_messages import HeldRun, RunRequest
+
+from .engine_health import EngineHealth
+from .engine_load import EngineLoad, PrefillJob, Run
+from .engine_registry import EngineEntry, EngineRegistry, EngineRole
+from .return_times import ReturnTimes
+from .routes import EngineSpec
+
+__all__ = ["Decision", "Granted", "QueueTerms", "Refused", "StreamQueue"]
+
+
+@dataclass(frozen=True)
+class QueueTerms:
+    """Figures of the queue; times in seconds.
+
+    ``full_pause_s``: no grant for an engine that refused for lack of room.
+    ``unconfirmed_s``: a grant that no host reports as held is dropped.
+    ``read_limit_s``: a prompt that would wait longer for a prefill engine is
+    read by the decode engine.
+    """
+
+    # A run ends every 0.15 s at an engine with twelve places.
+    full_pause_s: float = 0.15
+    # Three reports of held runs.
+    unconfirmed_s: float = 1.6
+    # Two thirds of an objective of 0.9 s.
+    read_limit_s: float = 0.6
+    # A prompt is read in 0.1 s and its first event follows within 0.1 s.
+    start_s: float = 0.2
+    # Late requests may wait together for this share of the places.
+    late_share: float = 0.5
+
+
+@dataclass(frozen=True)
+class Granted:
+    """A place at a decode engine; ``prefill_engine`` may be empty.
+
+    An empty ``prefill_engine`` means that the decode engine reads the prompt.
+    """
+
+    request_id: str
+    decode_engine: str
+    prefill_engine: str
+    waited_s: float
+    free_places: int
+
+
+@dataclass(frozen=True)
+class Refused:
+    """No place for a request that has not run."""
+
+    request_id: str
+    reason: str
+    retry_after_s: float
+    waiting: int
+    free_places: int
+
+
+Decision = Granted | Refused
+
+
+@dataclass
+class _Waiting:
+    request: RunRequest
+    host_id: str
+    arrived_s: float
+    on_time_until_s: float
+    leaves_s: float
+    excluded: set[str] = field(default_factory=set)
+
+    def is_late(self, now_s: float) -> bool:
+        return now_s > self.on_time_until_s
+
+
+class StreamQueue:
+    """Places, prompts and waiting requests of one service."""
+
+    def __init__(
+        self,
+        service: str,
+        registry: EngineRegistry,
+        health: EngineHealth,
+        return_times: ReturnTimes,
+        terms: QueueTerms | None = None,
+    ) -> None:
+        self.service = service
+        self._registry = registry
+        self._health = health
+        self._return_times = return_times
+        self.terms = terms or QueueTerms()
+        self._loads_by_id: dict[str, EngineLoad] = {}
+        self._waiting_by_id: dict[str, _Waiting] = {}
+        self._paused_until_s = float("-inf")
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting_by_id)
+
+    def pause(self, until_s: float) -> None:
+        """Grant and refuse nothing until the running work is reported."""
+        self._paused_until_s = until_s
+
+    def refresh(self, spec: EngineSpec) -> None:
+        """Take over the engines that are known now."""
+        for entry in self._registry.all_entries():
+            if entry.service != self.service:
+                continue
+            load = self._loads_by_id.get(entry.id)
+            if load is None:
+                self._loads_by_id[entry.id] = EngineLoad(entry, spec)
+            else:
+                load.entry, load.spec = entry, spec
+        for engine_id in list(self._loads_by_id):
+            if self._registry.get(engine_id) is None:
+                del self._loads_by_id[engine_id]
+
+    def add(self, request: RunRequest, host_id: str, now_s: float) -> list[Decision]:
+        """Place a request, let it wait, or refuse it."""
+        start_s = self.terms.start_s
+        waiting = _Waiting(
+            request,
+            host_id,
+            now_s,
+            on_time_until_s=now_s + request.objective_ms / 1000 - start_s,
+            leaves_s=now_s + request.patience_ms / 1000 - start_s,
+            excluded=set(request.excluded),
+        )
+        self._waiting_by_id[request.request_id] = waiting
+        decisions = self.advance(now_s)
+        if now_s < self._paused_until_s:
+            return decisions
+        if request.request_id not in self._waiting_by_id:
+            return decisions
+        reason = self._reason_to_refuse(waiting, now_s)
+        if reason:
+            decisions.append(self._refuse(waiting, reason, now_s))
+        return decisions
+
+    def advance(self, now_s: float) -> list[Decision]:
+        """Grant what fits and refuse what ran out of time."""
+        decisions: list[Decision] = []
+        if now_s < self._paused_until_s:
+            return decisions
+        for waiting in sorted(
+            self._waiting_by_id.values(), key=lambda item: self._rank(item, now_s)
+        ):
+            if now_s >= waiting.leaves_s:
+                decisions.append(self._refuse(waiting, "waited_too_long", now_s))
+                continue
+            granted = self._try_grant(waiting, now_s)
+            if granted is not None:
+                decisions.append(granted)
+        return decisions
+
+    def next_due_s(self, now_s: float) -> float | None:
+        """Return when ``advance`` is needed without any other event."""
+        if not self._waiting_by_id:
+            return None
+        times = [waiting.leaves_s for waiting in self._waiting_by_id.values()]
+        times += [load.blocked_until_s for load in self._decode_loads()]
+        times.append(self._paused_until_s)
+        return min((time for time in times if time > now_s), default=now_s)
+
+    def prefilled(self, request_id: str, read_ms: float, now_s: float) -> None:
+        """Note that the prompt of a granted request was read."""
+        for load in self._loads_by_id.values():
+            job = load.jobs_by_id.pop(request_id, None)
+            if job is None:
+                continue
+            if read_ms > 0:
+                ahead = [
+                    other
+                    for other in load.jobs_by_id.values()
+                    if other.granted_s <= job.granted_s
+                ]
+                behind_ms = sum(o.tokens for o in ahead) / load.read_tokens_per_ms
+                load.observe_read(job.tokens, read_ms, behind_ms)
+
+    def engine_of(self, request_id: str) -> str:
+        """Return the decode engine that a request holds, or nothing."""
+        for load in self._loads_by_id.values():
+            if request_id in load.runs_by_id:
+                return load.entry.id
+        return ""
+
+    def ended(self, request_id: str, gap_ms: float) -> None:
+        """Free what a request holds; learn the engine's pace from it."""
+        self._waiting_by_id.pop(request_id, None)
+        for load in self._loads_by_id.values():
+            load.jobs_by_id.pop(request_id, None)
+            run = load.runs_by_id.pop(request_id, None)
+            if run is not None and gap_ms > 0:
+                load.observe_gap(gap_ms)
+                load.accepted()
+
+    def engine_full(self, engine_id: str, now_s: float) -> None:
+        """Note that an engine refused a granted run for lack of room."""
+        load = self._loads_by_id.get(engine_id)
+        if load is not None:
+            load.refused(now_s, self.terms.full_pause_s)
+
+    def confirm(self, host_id: str, runs: Iterable[HeldRun], now_s: float) -> int:
+        """Take over a host's report of the runs it holds.
+
+        Unknown runs are adopted, missing ones dropped once they are older
+        than a report can be. Returns how many were adopted or dropped.
+        """
+        held_by_id = {run.request_id: run for run in runs}
+        changed = 0
+        for load in self._loads_by_id.values():
+            for run in list(load.runs_by_id.values()):
+                held = held_by_id.get(run.request_id)
+                if held is not None and held.decode_engine == load.entry.id:
+                    run.confirmed_s = now_s
+                    del held_by_id[run.request_id]
+                elif run.host_id == host_id and self._is_stale(run, now_s):
+                    self._drop(load, run.request_id)
+                    changed += 1
+        for held in held_by_id.values():
+            changed += self._adopt(held, host_id, now_s)
+        return changed
+
+    def drop_unconfirmed(self, now_s: float) -> int:
+        """Drop the runs of hosts that report no longer; return the number."""
+        dropped = 0
+        for load in self._loads_by_id.values():
+            for run in list(load.runs_by_id.values()):
+                if self._is_stale(run, now_s):
+                    self._drop(load, run.request_id)
+                    dropped += 1
+        return dropped
+
+    def free_places(self) -> int:
+        """Return the free places of all usable decode engines."""
+        return sum(max(0, load.free_places()) for load in self._decode_loads())
+
+    def _rank(self, item: _Waiting, now_s: float) -> tuple[bool, int, float]:
+        return (item.is_late(now_s), item.request.priority, item.on_time_until_s)
+
+    def _is_stale(self, run: Run, now_s: float) -> bool:
+        return now_s - run.confirmed_s > self.terms.unconfirmed_s
+
+    def _drop(self, load: EngineLoad, request_id: str) -> None:
+        load.runs_by_id.pop(request_id, None)
+        for other in self._loads_by_id.values():
+            other.jobs_by_id.pop(request_id, None)
+
+    def _adopt(self, held: HeldRun, host_id: str, now_s: float) -> int:
+        load = self._loads_by_id.get(held.decode_engine)
+        if load is None:
+            return 0
+        granted_s = now_s - held.age_ms / 1000
+        load.runs_by_id[held.request_id] = Run(
+            held.request_id,
+            host_id,
+            held.prompt_tokens,
+            held.expected_tokens,
+            granted_s,
+            confirmed_s=now_s,
+        )
+        return 1
+
+    def _decode_loads(self) -> list[EngineLoad]:
+        return self._loads(EngineRole.DECODE)
+
+    def _loads(self, role: EngineRole) -> list[EngineLoad]:
+        entries = self._registry.usable(self.service, role)
+        return [
+            self._loads_by_id[entry.id]
+            for entry in self._health.preferred(entries)
+            if entry.id in self._loads_by_id
+        ]
+
+    def _try_grant(self, waiting: _Waiting, now_s: float) -> Granted | None:
+        request = waiting.request
+        decode = self._choose_decode(waiting, now_s)
+        if decode is None:
+            return None
+        prefill = self._choose_prefill(waiting, decode.entry)
+        del self._waiting_by_id[request.request_id]
+        decode.runs_by_id[request.request_id] = Run(
+            request.request_id,
+            waiting.host_id,
+            request.prompt_tokens,
+            request.expected_tokens,
+            now_s,
+            confirmed_s=now_s,
+            late=waiting.is_late(now_s),
+        )
+        if prefill is not None:
+            prefill.jobs_by_id[request.request_id] = PrefillJob(
+                request.request_id, request.prompt_tokens, now_s
+            )
+        return Granted(
+            request.request_id,
+            decode.entry.id,
+            prefill.entry.id if prefill is not None else "",
+            now_s - waiting.arrived_s,
+            self.free_places(),
+        )
+
+    def _choose_decode(self, waiting: _Waiting, now_s: float) -> EngineLoad | None:
+        """Return the fitting engine on which a further run goes fastest."""
+        request = waiting.request
+        fitting = [
+            load
+            for load in self._decode_loads()
+            if load.entry.id not in waiting.excluded
+            and load.fits(request.prompt_tokens, request.expected_tokens, now_s)
+        ]
+        return min(
+            fitting,
+            key=lambda load: load.token_ms * (1 + len(load.runs_by_id) / load.places),
+            default=None,
+        )
+
+    def _choose_prefill(
+        self, waiting: _Waiting, decode: EngineEntry
+    ) -> EngineLoad | None:
+        """Return the engine that has read the prompt first."""
+        tokens = waiting.request.prompt_tokens
+
+        def done_ms(load: EngineLoad) -> float:
+            return load.read_backlog_ms() + tokens / load.read_tokens_per_ms
+
+        loads = [
+            load
+            for load in self._loads(EngineRole.PREFILL)
+            if load.entry.id not in waiting.excluded
+        ]
+        best = min(loads, key=done_ms, default=None)
+        if best is None or done_ms(best) > self.terms.read_limit_s * 1000:
+            return None
+        return best
+
+    def _reason_to_refuse(self, waiting: _Waiting, now_s: float) -> str:
+        """Return why a request that does not fit now should not wait."""
+        if not any(
+            load.entry.id not in waiting.excluded for load in self._decode_loads()
+        ):
+            return "no_engine"
+        begins_s = now_s + self._expected_wait_s(waiting, now_s)
+        if not waiting.is_late(now_s):
+            return "" if begins_s <= waiting.on_time_until_s else "objective_missed"
+        late = sum(item.is_late(now_s) for item in self._waiting_by_id.values())
+        if late > max(1, int(self._all_places() * self.terms.late_share)):
+            return "too_many_late"
+        return "" if begins_s <= waiting.leaves_s else "caller_leaves_first"
+
+    def _all_places(self) -> int:
+        return sum(load.places for load in self._decode_loads())
+
+    def _expected_wait_s(self, waiting: _Waiting, now_s: float) -> float:
+        """Return when a place is expected, after all that go before."""
+        rank = self._rank(waiting, now_s)
+        ahead = sum(
+            self._rank(item, now_s) <= rank
+            for item in self._waiting_by_id.values()
+            if item is not waiting
+        )
+        return self._nth_free_s(ahead, now_s)
+
+    def _nth_free_s(self, ahead: int, now_s: float) -> float:
+        """Return the time until place number ``ahead`` + 1 becomes free."""
+        ends = sorted(
+            max(load.remaining_s(run, now_s), load.blocked_until_s - now_s)
+            for load in self._decode_loads()
+            for run in load.runs_by_id.values()
+        )
+        if not ends:
+            return 0.0
+        rounds, index = divmod(ahead, len(ends))
+        mean_s = 2 * sum(ends) / len(ends)
+        return ends[index] + rounds * mean_s
+
+    def _refuse(self, waiting: _Waiting, reason: str, now_s: float) -> Refused:
+        del self._waiting_by_id[waiting.request.request_id]
+        wait_s = self._nth_free_s(len(self._waiting_by_id), now_s)
+        retry_after_s = self._return_times.next_return_s(
+            wait_s, self._all_places(), now_s
+        )
+        return Refused(
+            waiting.request.request_id,
+            reason,
+            retry_after_s,
+            len(self._waiting_by_id),
+            self.free_places(),
+        )
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -0,0 +1,333 @@
+"""Relays one stream: a place, the prompt, the events, and what follows breaks.
+
+A stream that may not be resumed runs once: it is sent again only after an
+answer that proves that it did not run. One that may be resumed continues at
+another engine after the last whole event that the caller has, within the
+route's limit and the retry budget.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import RunGrant, RunRequest
+from kumquat_core.result_codes import ResultCode
+
+from .admission import Admission, PlaceRefusedError
+from .answer_sink import AnswerSink
+from .beliefs import Beliefs
+from .caller_request import CallerRequest, PromptFacts
+from .engine_calls import EngineCalls, NotRunError, OpenStream, RunFailedError
+from .event_stream import EventSplitter
+from .protocols import PrefillResult
+from .relay_answers import Answer, failure, refusal
+from .request_age import RequestAge
+from .retry_share import RetryShare
+
+__all__ = ["StreamOutcome", "StreamRelay"]
+
+# Callers leave a stream that is silent for the longest of these.
+MIN_PATIENCE_MS = 2000
+PATIENCE_OBJECTIVES = 4
+PATIENCE_GAPS = 8
+
+# A send that proves not to have run is repeated this often at most.
+MAX_NOT_RUN = 4
+NO_PLACE_RETRY_S = 0.4
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class StreamOutcome:
+    """How a stream ended; ``answer`` is set when nothing was passed on."""
+
+    code: ResultCode
+    reason: str
+    answer: Answer | None = None
+
+
+@dataclass
+class _Progress:
+    """What has happened to a stream so far."""
+
+    sink: AnswerSink
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    not_run: int = 0
+    runs: int = 0
+    sends: int = 0
+    excluded: set[str] = field(default_factory=set)
+    prefill: PrefillResult | None = None
+    prefill_until_s: float = float("-inf")
+    prefills: int = 0
+    first_event_s: float | None = None
+    last_event_s: float = 0.0
+
+
+class StreamRelay:
+    """Serves streams of events from model engines."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        beliefs: Beliefs,
+        admission: Admission,
+        calls: EngineCalls,
+        retries: RetryShare,
+        ages: RequestAge,
+    ) -> None:
+        self._clock = clock
+        self._beliefs = beliefs
+        self._admission = admission
+        self._calls = calls
+        self._retries = retries
+        self._ages = ages
+
+    async def run(self, request: CallerRequest, sink: AnswerSink) -> StreamOutcome:
+        """Serve a request to its end; raises ``CallerGoneError``."""
+        progress = _Progress(sink)
+        progress.splitter.last_id = request.facts.resume_after
+        self._retries.count_request(request.service)
+        loop_now_s = asyncio.get_running_loop().time()
+        left_s = max(0.0, request.deadline_s - self._clock.monotonic())
+        try:
+            async with asyncio.timeout_at(loop_now_s + left_s):
+                return await self._attempts(request, progress)
+        except TimeoutError:
+            return self._ended(progress, "deadline", timed_out=True)
+        finally:
+            self._calls.release_unused(progress.prefill, request.id)
+
+    async def _attempts(
+        self, request: CallerRequest, progress: _Progress
+    ) -> StreamOutcome:
+        while True:
+            try:
+                grant = await self._admission.place(self._ask(request, progress))
+            except PlaceRefusedError as error:
+                return self._no_place(progress, error)
+            ended = _EndNotice()
+            try:
+                outcome = await self._attempt(request, grant, progress, ended)
+            finally:
+                self._admission.ended(
+                    request.id, ended.gap_ms, ended.full_engine, ended.failed_engine
+                )
+            if outcome is not None:
+                return outcome
+
+    def _ask(self, request: CallerRequest, progress: _Progress) -> RunRequest:
+        prompt = request.facts.prompt or PromptFacts(1, 1, 1)
+        now_s = self._clock.monotonic()
+        waited_ms = (now_s - request.arrived_s) * 1000
+        route = request.route
+        patience_ms = max(
+            MIN_PATIENCE_MS,
+            PATIENCE_OBJECTIVES * route.objective_ms,
+            PATIENCE_GAPS * route.max_gap_ms,
+        )
+        if progress.first_event_s is not None:
+            # A broken stream is late after one more pause of the usual length.
+            silent_ms = (now_s - progress.last_event_s) * 1000
+            objective_ms = route.max_gap_ms - silent_ms
+            patience_ms -= int(silent_ms)
+        else:
+            objective_ms = self._ages.objective_left_ms(request) - waited_ms
+            patience_ms -= int(waited_ms)
+        return RunRequest(
+            request.id,
+            request.service,
+            prompt.prompt_tokens,
+            max(1, prompt.expected_tokens - self._made_tokens(request, progress)),
+            route.priority,
+            int(objective_ms),
+            max(0, min(patience_ms, request.left_ms(now_s))),
+            tuple(sorted(progress.excluded)),
+        )
+
+    def _made_tokens(self, request: CallerRequest, progress: _Progress) -> int:
+        spec = self._beliefs.engine_spec(request.service)
+        return progress.splitter.events * (spec.tokens_per_event if spec else 1)
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        grant: RunGrant,
+        progress: _Progress,
+        ended: "_EndNotice",
+    ) -> StreamOutcome | None:
+        """Use one place; return the outcome, or None to ask for another."""
+        entry = self._beliefs.registry.get(grant.decode_engine)
+        if entry is None or entry.draining:
+            progress.excluded.add(grant.decode_engine)
+            return self._after_not_run(request, progress, "engine_gone")
+        if progress.prefill is None and progress.first_event_s is None:
+            await self._prefill(request, grant, progress)
+        source, progress.prefill = progress.prefill, None
+        if progress.sends > 0 and not self._retries.try_spend(request.service):
+            self._calls.release_unused(source, request.id)
+            return self._ended(progress, "retry_budget")
+        progress.sends += 1
+        try:
+            stream = await self._calls.open_stream(
+                request, entry, source, progress.splitter.last_id
+            )
+        except NotRunError as error:
+            if error.full:
+                ended.full_engine = entry.id
+            if error.unreachable:
+                ended.failed_engine = entry.id
+                progress.sends -= 1
+            progress.excluded.add(entry.id)
+            return self._after_not_run(request, progress, error.reason)
+        except RunFailedError as error:
+            progress.runs += 1
+            ended.failed_engine = entry.id
+            return self._after_break(request, progress, entry.id, error.reason)
+        progress.runs += 1
+        may_go_on = (
+            request.route.may_repeat and progress.runs < request.route.max_engines
+        )
+        if stream.status >= 500 and may_go_on:
+            stream.abort_if_open()
+            ended.failed_engine = entry.id
+            reason = f"status_{stream.status}"
+            return self._after_break(request, progress, entry.id, reason)
+        return await self._forward(request, stream, progress, ended)
+
+    async def _prefill(
+        self, request: CallerRequest, grant: RunGrant, progress: _Progress
+    ) -> None:
+        """Have the prompt read; without success the decode engine reads it."""
+        entry = self._beliefs.registry.get(grant.prefill_engine)
+        if entry is None or entry.draining:
+            return
+        if progress.prefills > 0 and not self._retries.try_spend(request.service):
+            return
+        progress.prefills += 1
+        began_s = self._clock.monotonic()
+        result = await self._calls.prefill(request, entry)
+        took_ms = (self._clock.monotonic() - began_s) * 1000
+        self._admission.prefilled(request.id, took_ms if result else 0.0)
+        if result is None:
+            self._retries.count_unavoidable(request.service)
+        progress.prefill = result
+
+    async def _forward(
+        self,
+        request: CallerRequest,
+        stream: OpenStream,
+        progress: _Progress,
+        ended: "_EndNotice",
+    ) -> StreamOutcome | None:
+        """Pass events on to the end of the answer or to a break."""
+        splitter = progress.splitter
+        splitter.restart()
+        first_count = splitter.events
+        try:
+            if not stream.is_event_stream:
+                await progress.sink.start(stream.status, stream.headers)
+                async for chunk in stream.chunks():
+                    await progress.sink.write(chunk)
+                stream.finish()
+                return await self._complete(progress, stream.status)
+            async for chunk in stream.chunks(request.route.may_repeat):
+                await self._pass_on(stream, splitter.feed(chunk), progress)
+            stream.finish()
+        except RunFailedError as error:
+            ended.failed_engine = stream.engine_id
+            return self._after_break(request, progress, stream.engine_id, error.reason)
+        finally:
+            stream.abort_if_open()
+            ended.gap_ms = stream.mean_gap_ms(splitter.events - first_count)
+        if splitter.rest:
+            await self._pass_on(stream, splitter.rest, progress)
+        if not progress.sink.started:
+            await progress.sink.start(stream.status, stream.headers)
+        return await self._complete(progress, stream.status)
+
+    async def _pass_on(
+        self, stream: OpenStream, events: bytes, progress: _Progress
+    ) -> None:
+        if not events:
+            return
+        now_s = self._clock.monotonic()
+        if progress.first_event_s is None:
+            progress.first_event_s = now_s
+        progress.last_event_s = now_s
+        if not progress.sink.started:
+            await progress.sink.start(stream.status, stream.headers)
+        await progress.sink.write(events)
+
+    async def _complete(self, progress: _Progress, status: int) -> StreamOutcome:
+        await progress.sink.finish()
+        code = ResultCode.OK if status < 500 else ResultCode.ENGINE_FAILED
+        return StreamOutcome(code, "complete")
+
+    def _after_not_run(
+        self, request: CallerRequest, progress: _Progress, reason: str
+    ) -> StreamOutcome | None:
+        progress.not_run += 1
+        log_event(
+            logger,
+            "run_rejected",
+            request=request.id,
+            reason=reason,
+            times=progress.not_run,
+        )
+        if progress.not_run > MAX_NOT_RUN:
+            return self._ended(progress, reason)
+        return None
+
+    def _after_break(
+        self, request: CallerRequest, progress: _Progress, engine_id: str, reason: str
+    ) -> StreamOutcome | None:
+        """Decide whether a broken run continues elsewhere."""
+        route = request.route
+        may_go_on = route.may_repeat and progress.runs < route.max_engines
+        log_event(
+            logger,
+            "run_broken",
+            request=request.id,
+            engine=engine_id,
+            reason=reason,
+            runs=progress.runs,
+            last_event=progress.splitter.last_id,
+            continues=may_go_on,
+        )
+        progress.excluded.add(engine_id)
+        return None if may_go_on else self._ended(progress, reason)
+
+    def _no_place(self, progress: _Progress, error: PlaceRefusedError) -> StreamOutcome:
+        if progress.runs == 0:
+            answer = refusal(
+                ResultCode.NO_CAPACITY_IN_TIME, error.reason, error.retry_after_s
+            )
+            return StreamOutcome(answer.code, error.reason, answer)
+        return self._ended(progress, error.reason)
+
+    def _ended(
+        self, progress: _Progress, reason: str, *, timed_out: bool = False
+    ) -> StreamOutcome:
+        """Return the outcome of a request that gets no complete answer."""
+        if progress.sink.started:
+            return StreamOutcome(ResultCode.STREAM_INTERRUPTED, reason)
+        if progress.runs == 0 and not timed_out:
+            answer = refusal(ResultCode.NO_CAPACITY_IN_TIME, reason, NO_PLACE_RETRY_S)
+        elif progress.sends == 0:
+            answer = refusal(ResultCode.DEADLINE_BEFORE_START, reason, NO_PLACE_RETRY_S)
+        else:
+            code = ResultCode.ENGINE_FAILED
+            if timed_out:
+                code = ResultCode.DEADLINE_EXCEEDED
+            answer = failure(code, reason, timed_out=timed_out)
+        return StreamOutcome(answer.code, reason, answer)
+
+
+@dataclass
+class _EndNotice:
+    gap_ms: float = 0.0
+    full_engine: str = ""
+    failed_engine: str = ""
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -276,6 +276,13 @@
         """
         self._link(host_id).send(Envelope(0, message))
 
+    def use_key(self, key: bytes) -> None:
+        """Authenticate with ``key``; links with another key are ended."""
+        self._key = key
+        for link in self._links_by_host_id.values():
+            link.drop()
+        self._links_by_host_id.clear()
+
     def drop(self, host_id: str) -> None:
         """End the stream to a host that is dead; its open calls fail.
 
