Plan engine roles by demand and order them under a lease

Ruled out: the seq of the engine list as the expected order count; it counts heartbeats (409 to every order). The report's seq counts orders. Change: stage_plan (least busy division by demand), order_lease (one orderer, no turns within a lease), stage_orders. Next: the late ones; a decode engine that reads a prompt itself stalls all its runs by 0.3 to 0.9 s.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -63,6 +63,13 @@
     read_tokens_per_ms: float = FIRST_READ_TOKENS_PER_MS
     blocked_until_s: float = float("-inf")
     refusals_in_row: int = 0
+    changing: bool = False
+
+    def update(self, entry: EngineEntry, spec: EngineSpec) -> None:
+        """Take over a newer entry; a new role ends the change of roles."""
+        if entry.role is not self.entry.role:
+            self.changing = False
+        self.entry, self.spec = entry, spec
 
     @property
     def places(self) -> int:
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -33,7 +33,6 @@
     """One incarnation of an engine or a backend server.
 
     ``born_ms`` is the start of the process in Unix milliseconds.
-    ``order_count`` counts the orders it has accepted since then.
     """
 
     id: str
@@ -44,7 +43,6 @@
     draining: bool
     role: EngineRole | None = None
     born_ms: int = 0
-    order_count: int = 0
 
 
 @dataclass
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -20,6 +20,7 @@
     "Change",
     "Changes",
     "EngineDialect",
+    "EngineReport",
     "HistoryLostError",
     "HostEntry",
     "PrefillResult",
@@ -129,6 +130,18 @@
     hold: str = ""
 
 
+@dataclass(frozen=True)
+class EngineReport:
+    """State of an engine some hundred milliseconds ago.
+
+    ``order_count`` is the number of orders accepted since its start.
+    """
+
+    role: EngineRole | None
+    busy_with_order: bool
+    order_count: int
+
+
 @dataclass(frozen=True)
 class PrefillResult:
     """A prompt that was read; ``source`` names it to a decode engine."""
@@ -163,11 +176,18 @@
     def release_prefill(self, result: PrefillResult) -> tuple[str, str, list[Header]]:
         """Return method, target and headers of the call that frees it."""
 
+    def report_request(self, engine: EngineEntry) -> tuple[str, str, list[Header]]:
+        """Return method, target and headers of a request for a report."""
+
+    def report(self, body: bytes) -> EngineReport:
+        """Return an engine's report; raises ``ValueError``."""
+
     def order(
         self,
         engine: EngineEntry,
         role: EngineRole,
         holder: str,
         fence: int,
+        order_count: int,
     ) -> tuple[str, str, list[Header], bytes]:
         """Return method, target, headers and body of an order of a role."""
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -31,6 +31,7 @@
 from .engine_health import EngineHealth
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
+from .order_lease import OrderLease
 from .owner_choice import OwnerChoice
 from .plain_choice import PlainChoice
 from .plain_relay import PlainRelay
@@ -46,6 +47,7 @@
 from .request_age import RequestAge
 from .retry_share import RetryShare
 from .shutdown import Shutdown
+from .stage_orders import StageOrders
 from .state_watch import StateWatch
 from .status_server import MetricsServer, ReadinessServer
 from .stream_owner import StreamOwner
@@ -54,6 +56,8 @@
 __all__ = ["RelayHost"]
 
 SWEEP_S = 0.5
+PLAN_S = 0.5
+ORDER_LEASE = "engine_orders"
 REGISTER_RETRY_S = 0.3
 KEY_BYTES = 32
 STOP_STORE_TIMEOUT_S = 0.4
@@ -129,6 +133,17 @@
         self._supervisor: Supervisor | None = None
         self._peers: Supervisor | None = None
         self._registering: asyncio.Task[None] | None = None
+        lease = OrderLease(ORDER_LEASE, options.host_id, store, options.order_lease_s)
+        self._orders = StageOrders(
+            parts.clock,
+            parts.beliefs,
+            parts.health,
+            self._owner,
+            lease,
+            parts.pool,
+            dialect,
+            options.host_id,
+        )
         parts.beliefs.on_engines = self._owner.engines_changed
         parts.beliefs.on_engine_gone = self._engine_gone
         parts.beliefs.on_hosts = self._hosts_changed
@@ -174,6 +189,7 @@
         timers = TimerService(parts.clock)
         timers.every(SWEEP_S, self._sweep, "sweep")
         timers.every(REPORT_S, self._report, "report")
+        timers.every(PLAN_S, self._plan, "plan")
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
@@ -313,6 +329,7 @@
 
     def _engine_gone(self, entry: EngineEntry) -> None:
         self._choice.forget(entry.id)
+        self._orders.forget([entry.id])
         self._parts.pool.drop(entry.address)
 
     async def _sweep(self) -> None:
@@ -320,6 +337,10 @@
         self._parts.pool.close_stale()
         self._owner.sweep()
 
+    async def _plan(self) -> None:
+        if not self._parts.shutdown.draining:
+            await self._orders.step()
+
     async def _report(self) -> None:
         await self._admission.report()
 
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -24,6 +24,7 @@
 from .beliefs import Beliefs
 from .engine_health import EngineHealth, Failure
 from .return_times import ReturnTimes
+from .stage_plan import Demand
 from .stream_queue import Decision, Granted, Refused, StreamQueue
 
 __all__ = ["StreamOwner"]
@@ -137,6 +138,30 @@
                 owned.queue.refresh(spec)
                 self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
 
+    def demands(self) -> dict[str, Demand]:
+        """Return the demand of the services that are asked for here."""
+        oldest_s = self._clock.monotonic() - IDLE_S
+        return {
+            service: owned.queue.demand
+            for service, owned in self._owned_by_service.items()
+            if owned.asked_s >= oldest_s
+        }
+
+    def runs_of(self, service: str) -> dict[str, int]:
+        """Return the number of runs at each engine of a service."""
+        return self._owned_by_service[service].queue.runs_by_engine()
+
+    def set_changing(self, service: str, engine_id: str, until_s: float) -> None:
+        """Grant nothing at an engine while it changes its role.
+
+        That ends when its entry shows the new role, at the latest at
+        ``until_s``.
+        """
+        queue = self._owned_by_service[service].queue
+        queue.set_changing(engine_id)
+        delay_s = max(0.0, until_s - self._clock.monotonic())
+        asyncio.get_running_loop().call_later(delay_s, queue.changed, engine_id)
+
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
         return {
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -26,6 +26,7 @@
 from .engine_registry import EngineEntry, EngineRegistry, EngineRole
 from .return_times import ReturnTimes
 from .routes import EngineSpec
+from .stage_plan import Demand
 
 __all__ = ["Decision", "Granted", "QueueTerms", "Refused", "StreamQueue"]
 
@@ -112,6 +113,7 @@
         self._loads_by_id: dict[str, EngineLoad] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._paused_until_s = float("-inf")
+        self.demand = Demand()
 
     @property
     def waiting_count(self) -> int:
@@ -128,16 +130,17 @@
             if entry.service != self.service:
                 continue
             load = self._loads_by_id.get(entry.id)
-            if load is None:
+            if load is None or load.entry.born_ms != entry.born_ms:
                 self._loads_by_id[entry.id] = EngineLoad(entry, spec)
             else:
-                load.entry, load.spec = entry, spec
+                load.update(entry, spec)
         for engine_id in list(self._loads_by_id):
             if self._registry.get(engine_id) is None:
                 del self._loads_by_id[engine_id]
 
     def add(self, request: RunRequest, host_id: str, now_s: float) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
+        self.demand.add(request.prompt_tokens, request.expected_tokens, now_s)
         start_s = self.terms.start_s
         waiting = _Waiting(
             request,
@@ -198,6 +201,25 @@
                 behind_ms = sum(o.tokens for o in ahead) / load.read_tokens_per_ms
                 load.observe_read(job.tokens, read_ms, behind_ms)
 
+    def runs_by_engine(self) -> dict[str, int]:
+        """Return the number of runs at each engine."""
+        return {
+            engine_id: len(load.runs_by_id) + len(load.jobs_by_id)
+            for engine_id, load in self._loads_by_id.items()
+        }
+
+    def set_changing(self, engine_id: str) -> None:
+        """Grant nothing at an engine until its entry shows its new role."""
+        load = self._loads_by_id.get(engine_id)
+        if load is not None:
+            load.changing = True
+
+    def changed(self, engine_id: str) -> None:
+        """Grant again at an engine whose change of role is over."""
+        load = self._loads_by_id.get(engine_id)
+        if load is not None:
+            load.changing = False
+
     def engine_of(self, request_id: str) -> str:
         """Return the decode engine that a request holds, or nothing."""
         for load in self._loads_by_id.values():
@@ -291,6 +313,7 @@
             self._loads_by_id[entry.id]
             for entry in self._health.preferred(entries)
             if entry.id in self._loads_by_id
+            and not self._loads_by_id[entry.id].changing
         ]
 
     def _try_grant(self, waiting: _Waiting, now_s: float) -> Granted | None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -64,6 +64,7 @@
     prefills: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
+    max_gap_s: float = 0.0
 
 
 class StreamRelay:
@@ -99,6 +100,22 @@
             return self._ended(progress, "deadline", timed_out=True)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
+            self._log_pace(request, progress)
+
+    def _log_pace(self, request: CallerRequest, progress: _Progress) -> None:
+        first_s = progress.first_event_s
+        if first_s is None:
+            return
+        log_event(
+            logger,
+            "stream_pace",
+            request=request.id,
+            first_ms=round((first_s - request.arrived_s) * 1000, 1),
+            objective_ms=request.route.objective_ms,
+            max_gap_ms=round(progress.max_gap_s * 1000, 1),
+            allowed_gap_ms=request.route.max_gap_ms,
+            events=progress.splitter.events,
+        )
 
     async def _attempts(
         self, request: CallerRequest, progress: _Progress
@@ -256,6 +273,8 @@
         now_s = self._clock.monotonic()
         if progress.first_event_s is None:
             progress.first_event_s = now_s
+        else:
+            progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
         progress.last_event_s = now_s
         if not progress.sink.started:
             await progress.sink.start(stream.status, stream.headers)
