Grant places only when the prompt can be read soon; tell late requests apart

Traces of the pace showed all runs of an engine paused by 0.3 to 0.9 s while it read a prompt itself, places reserved for 0.4 s while the reader was behind, and first attempts taken for late ones because they state different waiting times. Change: prompts are read by prefill engines; a place is granted when the prompts ahead are read within 0.12 s; requests on time are refused when they can no longer be, late ones leave a tenth of the places free; an attempt counts as late only below 0.82 of the longest stated time.

--- a/packages/kumquat_relay/src/kumquat_relay/request_age.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_age.py
@@ -4,17 +4,17 @@
 when counted from the caller's first attempt, so an attempt that is already
 late must not take a place from one that can still be on time.
 
-Callers state how long they still wait. The longest time seen on a route is
-taken as that of a first attempt; an attempt with less is older by the
-difference.
+Callers state how long they still wait. First attempts state different times,
+within about a sixth of the longest one seen on their route. An attempt with
+clearly less has been waiting, by the difference to the longest.
 """
 
 from .caller_request import CallerRequest
 
 __all__ = ["RequestAge"]
 
-# Callers state their time when they send; the way here takes some of it.
-TOLERANCE_MS = 25
+# First attempts on the standard sites state 0.83 to 1 of the longest time.
+FIRST_ATTEMPT_SHARE = 0.82
 
 
 class RequestAge:
@@ -31,8 +31,9 @@
         name = request.route.name
         longest_ms = max(self._longest_ms_by_route.get(name, 0), deadline_ms)
         self._longest_ms_by_route[name] = longest_ms
-        age_ms = longest_ms - deadline_ms
-        return age_ms if age_ms > TOLERANCE_MS else 0
+        if deadline_ms >= FIRST_ATTEMPT_SHARE * longest_ms:
+            return 0
+        return longest_ms - deadline_ms
 
     def objective_left_ms(self, request: CallerRequest) -> int:
         """Return the time until the answer is late; negative when it is."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -84,9 +84,9 @@
     def prefilled(self, message: RunPrefilled) -> None:
         """Note that a prompt was read."""
         owned = self._owned(message.service)
-        owned.queue.prefilled(
-            message.request_id, message.read_ms, self._clock.monotonic()
-        )
+        now_s = self._clock.monotonic()
+        owned.queue.prefilled(message.request_id, message.read_ms)
+        self._carry_out(owned, owned.queue.advance(now_s))
 
     def ended(self, message: RunEnded) -> None:
         """Note that a request holds no place any more."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -23,7 +23,7 @@
 
 from .engine_health import EngineHealth
 from .engine_load import EngineLoad, PrefillJob, Run
-from .engine_registry import EngineEntry, EngineRegistry, EngineRole
+from .engine_registry import EngineRegistry, EngineRole
 from .return_times import ReturnTimes
 from .routes import EngineSpec
 from .stage_plan import Demand
@@ -37,20 +37,22 @@
 
     ``full_pause_s``: no grant for an engine that refused for lack of room.
     ``unconfirmed_s``: a grant that no host reports as held is dropped.
-    ``read_limit_s``: a prompt that would wait longer for a prefill engine is
-    read by the decode engine.
+    ``read_ahead_s``: a place is granted only when the prompts ahead at the
+    prefill engine are read within this time, so that places do not wait.
+    ``late_reserve``: part of the places that late requests leave free.
     """
 
     # A run ends every 0.15 s at an engine with twelve places.
     full_pause_s: float = 0.15
     # Three reports of held runs.
     unconfirmed_s: float = 1.6
-    # Two thirds of an objective of 0.9 s.
-    read_limit_s: float = 0.6
+    # One prompt of a usual size.
+    read_ahead_s: float = 0.12
     # A prompt is read in 0.1 s and its first event follows within 0.1 s.
     start_s: float = 0.2
     # Late requests may wait together for this share of the places.
     late_share: float = 0.5
+    late_reserve: float = 0.1
 
 
 @dataclass(frozen=True)
@@ -90,6 +92,17 @@
     leaves_s: float
     excluded: set[str] = field(default_factory=set)
 
+    @property
+    def give_up_s(self) -> float:
+        """Return when waiting is in vain.
+
+        A request that came in time has nothing to gain from waiting longer
+        than that: it can return when the peak is over.
+        """
+        if self.arrived_s <= self.on_time_until_s:
+            return self.on_time_until_s
+        return self.leaves_s
+
     def is_late(self, now_s: float) -> bool:
         return now_s > self.on_time_until_s
 
@@ -169,7 +182,7 @@
         for waiting in sorted(
             self._waiting_by_id.values(), key=lambda item: self._rank(item, now_s)
         ):
-            if now_s >= waiting.leaves_s:
+            if now_s >= waiting.give_up_s:
                 decisions.append(self._refuse(waiting, "waited_too_long", now_s))
                 continue
             granted = self._try_grant(waiting, now_s)
@@ -181,12 +194,12 @@
         """Return when ``advance`` is needed without any other event."""
         if not self._waiting_by_id:
             return None
-        times = [waiting.leaves_s for waiting in self._waiting_by_id.values()]
+        times = [waiting.give_up_s for waiting in self._waiting_by_id.values()]
         times += [load.blocked_until_s for load in self._decode_loads()]
         times.append(self._paused_until_s)
         return min((time for time in times if time > now_s), default=now_s)
 
-    def prefilled(self, request_id: str, read_ms: float, now_s: float) -> None:
+    def prefilled(self, request_id: str, read_ms: float) -> None:
         """Note that the prompt of a granted request was read."""
         for load in self._loads_by_id.values():
             job = load.jobs_by_id.pop(request_id, None)
@@ -318,10 +331,16 @@
 
     def _try_grant(self, waiting: _Waiting, now_s: float) -> Granted | None:
         request = waiting.request
+        late = waiting.is_late(now_s)
+        if late and self.free_places() <= self._all_places() * self.terms.late_reserve:
+            return None
+        readers = self._loads(EngineRole.PREFILL)
+        prefill = min(readers, key=EngineLoad.read_backlog_ms, default=None)
+        if prefill and prefill.read_backlog_ms() > self.terms.read_ahead_s * 1000:
+            return None
         decode = self._choose_decode(waiting, now_s)
         if decode is None:
             return None
-        prefill = self._choose_prefill(waiting, decode.entry)
         del self._waiting_by_id[request.request_id]
         decode.runs_by_id[request.request_id] = Run(
             request.request_id,
@@ -330,7 +349,7 @@
             request.expected_tokens,
             now_s,
             confirmed_s=now_s,
-            late=waiting.is_late(now_s),
+            late=late,
         )
         if prefill is not None:
             prefill.jobs_by_id[request.request_id] = PrefillJob(
@@ -359,25 +378,6 @@
             default=None,
         )
 
-    def _choose_prefill(
-        self, waiting: _Waiting, decode: EngineEntry
-    ) -> EngineLoad | None:
-        """Return the engine that has read the prompt first."""
-        tokens = waiting.request.prompt_tokens
-
-        def done_ms(load: EngineLoad) -> float:
-            return load.read_backlog_ms() + tokens / load.read_tokens_per_ms
-
-        loads = [
-            load
-            for load in self._loads(EngineRole.PREFILL)
-            if load.entry.id not in waiting.excluded
-        ]
-        best = min(loads, key=done_ms, default=None)
-        if best is None or done_ms(best) > self.terms.read_limit_s * 1000:
-            return None
-        return best
-
     def _reason_to_refuse(self, waiting: _Waiting, now_s: float) -> str:
         """Return why a request that does not fit now should not wait."""
         if not any(
