Keep grants in order, name engine addresses, reserve when unsure

A release sent in the background arrived after the next request for the same id and removed it, so the caller waited in vain. Hosts cut off from the store refused grants of engines that they did not know. Results lapsed at once for seconds. Two hosts took the order lease from each other for 9 s. Change: releases are queued ahead of later requests; grants carry addresses; a lapsed result is fetched from the engine that read the prompt; the owner asks for reservations while its account may be wrong; streams are refused 2 s after SIGTERM; only the owner orders, and a lease is not written while its holder waits.

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -36,6 +36,7 @@
     "RunPrefilled",
     "RunRefusal",
     "RunRequest",
+    "RunStalled",
     "RunsHeld",
     "RunsNoted",
     "ShardSummary",
@@ -271,12 +272,20 @@
 
 @dataclass(frozen=True)
 class RunGrant:
-    """A place at a decode engine; no prefill engine if it reads itself."""
+    """A place at a decode engine; no prefill engine if it reads itself.
+
+    Addresses are ``IP:PORT``, for hosts that do not know the engine yet.
+    ``reserve``: the owner's account may be wrong, so the place should be
+    reserved at the engine before the prompt is read.
+    """
 
     request_id: str
     decode_engine: str
+    decode_address: str
     prefill_engine: str
+    prefill_address: str
     waited_ms: int
+    reserve: bool = False
 
 
 @dataclass(frozen=True)
@@ -298,6 +307,16 @@
     read_ms: float
 
 
+@dataclass(frozen=True)
+class RunStalled:
+    """A run has made no event for ``silent_ms``."""
+
+    request_id: str
+    service: str
+    engine: str
+    silent_ms: int
+
+
 @dataclass(frozen=True)
 class RunEnded:
     """A request holds no place any more, or waits no longer.
@@ -361,6 +380,7 @@
     | RunPrefilled
     | RunRefusal
     | RunRequest
+    | RunStalled
     | RunsHeld
     | RunsNoted
     | SlowStep
@@ -399,6 +419,7 @@
     34: RunEnded,
     35: RunsHeld,
     36: RunsNoted,
+    37: RunStalled,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
--- a/packages/kumquat_core/src/kumquat_core/settings.py
+++ b/packages/kumquat_core/src/kumquat_core/settings.py
@@ -98,6 +98,11 @@
     ip: str
     port: int
 
+    @property
+    def text(self) -> str:
+        """Return ``IP:PORT``."""
+        return f"{self.ip}:{self.port}"
+
 
 @dataclass(frozen=True)
 class Limits:
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -20,6 +20,7 @@
     RunRequest,
     RunsHeld,
     RunsNoted,
+    RunStalled,
 )
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquatrouter.peer_links import PeerLinks
@@ -77,7 +78,6 @@
         self._owners = owners
         self._local = local
         self._held_by_id: dict[str, _Held] = {}
-        self._background: set[asyncio.Task[None]] = set()
 
     async def place(self, request: RunRequest) -> RunGrant:
         """Return a granted place; raises ``PlaceRefusedError``."""
@@ -114,6 +114,19 @@
         else:
             self._send(held.owner, message)
 
+    def stalled(self, request_id: str, silent_ms: int) -> None:
+        """Tell the owner that a run makes no progress."""
+        held = self._held_by_id.get(request_id)
+        if held is None:
+            return
+        message = RunStalled(
+            request_id, held.request.service, held.decode_engine, silent_ms
+        )
+        if held.owner == self._host_id:
+            self._local.stalled(message)
+        else:
+            self._send(held.owner, message)
+
     def ended(
         self,
         request_id: str,
@@ -167,14 +180,12 @@
         if current not in (owner, self._host_id):
             self._send(current, message)
 
-    def _send(self, host_id: str, message: RunEnded | RunPrefilled) -> None:
-        task = asyncio.ensure_future(self._send_now(host_id, message))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _send_now(self, host_id: str, message: RunEnded | RunPrefilled) -> None:
+    def _send(
+        self, host_id: str, message: RunEnded | RunPrefilled | RunStalled
+    ) -> None:
+        """Send a message ahead of any later request to the same owner."""
         try:
-            await self._links.send(host_id, message)
+            self._links.post(host_id, message)
         except RouterError as error:
             # The next report tells the owner the same.
             log_event(
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -36,6 +36,8 @@
 # Used until a configuration states them.
 FIRST_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
 NOT_READY_RETRY_S = 1.0
+# Another host takes the caller's next connection at once.
+STOPPING_RETRY_S = 0.05
 # Callers reuse connections that were idle for up to four fifths of the
 # limit; closing later than the limit loses nothing.
 IDLE_MARGIN_S = 2.0
@@ -137,10 +139,20 @@
             if isinstance(result, Answer):
                 self._note_end(None, result.code, result.reason, arrived_s)
                 return self._response(result)
+            if self._would_be_cut(result):
+                answer = refusal(ResultCode.DRAINING, "stopping", STOPPING_RETRY_S)
+                self._note_end(result, answer.code, answer.reason, arrived_s)
+                return self._response(answer)
             if result.route.kind is RouteKind.STREAM:
                 return await self._stream(http_request, result)
             return await self._call(result)
 
+    def _would_be_cut(self, request: CallerRequest) -> bool:
+        """Tell whether this process ends before the answer can be whole."""
+        if request.route.kind is RouteKind.STREAM:
+            return self._shutdown.refuses_streams
+        return self._shutdown.left_s < request.route.objective_ms / 1000
+
     async def _read(self, http_request: web.BaseRequest) -> CallerRequest | Answer:
         """Return the request, or the answer to one that cannot be served."""
         routes = self._beliefs.routes
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
+from kumquat_core.settings import Address
 
-from .caller_request import CallerRequest
+from .caller_request import CallerRequest, Header
 from .engine_connection import (
     AnswerHead,
     ConnectionBrokenError,
@@ -19,15 +20,19 @@
 from .engine_registry import EngineEntry, EngineRegistry
 from .protocols import EngineDialect, PrefillResult, SendOptions
 
-__all__ = ["EngineCalls", "NotRunError", "OpenStream", "RunFailedError"]
+__all__ = ["EngineCalls", "NotRunError", "OpenStream", "RunFailedError", "RunStart"]
 
 # A prompt of 11,000 tokens is read in 0.3 s by an engine slowed by its
 # neighbours; a longer silence costs more than letting the decode engine read.
 PREFILL_TIMEOUT_S = 1.2
-RELEASE_TIMEOUT_S = 1.0
-# A first event comes 0.1 to 0.4 s after the send; events 0.05 s apart.
-FIRST_EVENT_TIMEOUT_S = 1.5
+SMALL_CALL_TIMEOUT_S = 0.5
+# A first event comes 0.1 to 0.4 s after the send, events are 0.05 s apart, and
+# both take a few times longer at an engine that reads prompts itself.
+FIRST_EVENT_TIMEOUT_S = 0.9
 SILENCE_S = 1.2
+STALL_S = 0.35
+# An engine answers so when it is full, and when a prefill result is gone.
+WITHOUT_ROOM = 503
 MAX_SMALL_BODY = 64 * 1024
 EVENT_STREAM = b"text/event-stream"
 
@@ -38,11 +43,11 @@
     """The run did not begin and will not."""
 
     def __init__(
-        self, reason: str, *, full: bool = False, unreachable: bool = False
+        self, reason: str, *, shed: bool = False, unreachable: bool = False
     ) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.full = full
+        self.shed = shed
         self.unreachable = unreachable
 
 
@@ -54,6 +59,16 @@
         self.reason = reason
 
 
+@dataclass(frozen=True)
+class RunStart:
+    """What a run begins with, besides the request itself."""
+
+    source: PrefillResult | None = None
+    fetch_from: Address | None = None
+    resume_after: int | None = None
+    hold: str = ""
+
+
 @dataclass
 class OpenStream:
     """An answer whose head has arrived."""
@@ -69,10 +84,15 @@
     _first_s: float | None = field(default=None)
     _last_s: float = 0.0
 
-    async def chunks(self, give_up_on_silence: bool = False) -> AsyncIterator[bytes]:
+    async def chunks(
+        self,
+        give_up_on_silence: bool = False,
+        on_stall: Callable[[int], None] = lambda silent_ms: None,
+    ) -> AsyncIterator[bytes]:
         """Yield the body; raises ``RunFailedError`` when it breaks.
 
         ``give_up_on_silence`` is for streams that can continue elsewhere.
+        ``on_stall`` is called with the silent time while nothing arrives.
         """
         body = self._connection.read_body()
         while True:
@@ -81,7 +101,7 @@
                 limit_s = FIRST_EVENT_TIMEOUT_S
             try:
                 async with asyncio.timeout(limit_s):
-                    chunk = await anext(body)
+                    chunk = await self._next(body, on_stall)
             except StopAsyncIteration:
                 return
             except ConnectionBrokenError as error:
@@ -93,6 +113,22 @@
                 self._first_s = self._last_s
             yield chunk
 
+    async def _next(
+        self, body: AsyncIterator[bytes], on_stall: Callable[[int], None]
+    ) -> bytes:
+        """Return the next chunk and report each ``STALL_S`` without one."""
+        pending = asyncio.ensure_future(anext(body))
+        silent_s = 0.0
+        try:
+            while True:
+                done, _ = await asyncio.wait({pending}, timeout=STALL_S)
+                if done:
+                    return pending.result()
+                silent_s += STALL_S
+                on_stall(int(silent_s * 1000))
+        finally:
+            pending.cancel()
+
     def finish(self) -> None:
         """Keep the connection after the whole answer was read."""
         self._open = False
@@ -161,8 +197,7 @@
         self,
         request: CallerRequest,
         entry: EngineEntry,
-        source: PrefillResult | None,
-        resume_after: int | None,
+        start: "RunStart",
     ) -> OpenStream:
         """Start a run and return its answer from the head on.
 
@@ -173,8 +208,10 @@
         options = SendOptions(
             entry.id,
             request.left_ms(self._clock.monotonic()),
-            prefill_source=source.source if source else "",
-            resume_after=resume_after,
+            prefill_source=start.source.source if start.source else "",
+            fetch_from=start.fetch_from,
+            resume_after=start.resume_after,
+            hold=start.hold,
         )
         try:
             head = await self._head(request, connection, options)
@@ -182,8 +219,9 @@
                 await _read_small(connection)
                 self._pool.give_back(connection)
                 self._log_sent(request, entry, began_s, f"rejected_{head.status}")
-                full = head.status == 503 and source is None
-                raise NotRunError(f"status_{head.status}", full=full)
+                raise NotRunError(
+                    f"status_{head.status}", shed=head.status == WITHOUT_ROOM
+                )
         except SendFailedError as error:
             connection.abort()
             raise NotRunError("send_failed") from error
@@ -210,11 +248,45 @@
             self._clock,
         )
 
+    async def reserve(self, entry: EngineEntry, tokens: int, ttl_ms: int) -> str:
+        """Reserve a place and memory; return its id, nothing if refused.
+
+        Raises ``NotRunError`` when the engine cannot be asked.
+        """
+        method, target, headers, body = self._dialect.reserve(entry, tokens, ttl_ms)
+        try:
+            status, answer = await self._small_call(
+                entry.address, method, target, headers, body
+            )
+            return self._dialect.reserved(answer) if status == 200 else ""
+        except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
+            raise NotRunError(f"not_reserved: {error}", unreachable=True) from error
+        except ValueError as error:
+            raise NotRunError(f"not_reserved: {error}") from error
+
+    def release_reservation(self, entry: EngineEntry, hold: str, run: str) -> None:
+        """Give a reservation back in the background."""
+        method, target, headers = self._dialect.release_reservation(entry, hold)
+        self._in_background(entry.address, method, target, headers, run)
+
     def release_unused(self, result: PrefillResult | None, request_id: str) -> None:
         """Free a prefill result in the background; it lapses by itself too."""
         if result is None:
             return
-        task = asyncio.ensure_future(self._release(result, request_id))
+        method, target, headers = self._dialect.release_prefill(result)
+        self._in_background(result.address, method, target, headers, request_id)
+
+    def _in_background(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: list[Header],
+        request_id: str,
+    ) -> None:
+        task = asyncio.ensure_future(
+            self._release(address, method, target, headers, request_id)
+        )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
@@ -261,26 +333,43 @@
         self._pool.give_back(connection)
         return head, body
 
-    async def _release(self, result: PrefillResult, request_id: str) -> None:
-        method, target, headers = self._dialect.release_prefill(result)
-        connection: EngineConnection | None = None
-        outcome = "ok"
+    async def _release(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: list[Header],
+        request_id: str,
+    ) -> None:
         try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                connection = await self._pool.take(
-                    result.address, fresh=False, timeout_s=RELEASE_TIMEOUT_S
-                )
-                connection.send(method, target, headers, b"")
-                head = await connection.read_head()
-                await _read_small(connection)
-                outcome = str(head.status)
+            status, _ = await self._small_call(address, method, target, headers, b"")
+            outcome = str(status)
         except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
             outcome = type(error).__name__
-            if connection is not None:
+        log_event(logger, "released", request=request_id, call=method, outcome=outcome)
+
+    async def _small_call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: list[Header],
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        """Return status and body of a call that concerns no request."""
+        async with asyncio.timeout(SMALL_CALL_TIMEOUT_S):
+            connection = await self._pool.take(
+                address, fresh=False, timeout_s=SMALL_CALL_TIMEOUT_S
+            )
+            try:
+                connection.send(method, target, headers, body)
+                head = await connection.read_head()
+                answer = await _read_small(connection)
+            except BaseException:
                 connection.abort()
-        else:
-            self._pool.give_back(connection)
-        log_event(logger, "prefill_released", request=request_id, outcome=outcome)
+                raise
+        self._pool.give_back(connection)
+        return head.status, answer
 
     def _log_sent(
         self, request: CallerRequest, entry: EngineEntry, began_s: float, outcome: str
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -24,6 +24,11 @@
 LEARNING_RATE = 0.3
 MAX_OBSERVED_RATIO = 8.0
 
+# A decode engine reads prompts at half the speed. Its runs keep their pauses
+# short only if it does so for at most this part of the time.
+OWN_READ_SPEED = 0.5
+OWN_READ_SHARE = 0.45
+
 # Part of the memory that may be planned for; the engine rounds each request
 # up to whole blocks.
 USABLE_MEMORY = 0.97
@@ -64,6 +69,9 @@
     blocked_until_s: float = float("-inf")
     refusals_in_row: int = 0
     changing: bool = False
+    changing_until_s: float = float("-inf")
+    stalled_until_s: float = float("-inf")
+    reads_again_s: float = float("-inf")
 
     def update(self, entry: EngineEntry, spec: EngineSpec) -> None:
         """Take over a newer entry; a new role ends the change of roles."""
@@ -121,6 +129,19 @@
         tokens = sum(job.tokens for job in self.jobs_by_id.values())
         return tokens / self.read_tokens_per_ms
 
+    def own_read_s(self, tokens: int) -> float:
+        """Return the time in which a decode engine can read prompts itself."""
+        read_s = tokens / (self.read_tokens_per_ms * OWN_READ_SPEED) / 1000
+        return read_s / OWN_READ_SHARE
+
+    def begin_own_read(self, tokens: int, now_s: float) -> None:
+        """Note that this decode engine reads a prompt itself.
+
+        Its runs make hardly any progress meanwhile, so the next prompt waits
+        until they have caught up.
+        """
+        self.reads_again_s = now_s + self.own_read_s(tokens)
+
     def observe_read(self, tokens: int, took_ms: float, behind_ms: float) -> None:
         """Learn the reading speed; other prompts took ``behind_ms``."""
         own_ms = max(1.0, took_ms - behind_ms)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -107,6 +107,10 @@
         known = self._known_by_id.get(engine_id)
         return known.entry if known else None
 
+    def was_removed(self, engine_id: str) -> bool:
+        """Tell whether an entry was seen to be removed."""
+        return engine_id in self._removed_versions_by_id
+
     def usable(
         self, service: str, role: EngineRole | None = None
     ) -> Iterator[EngineEntry]:
--- a/packages/kumquat_relay/src/kumquat_relay/order_lease.py
+++ b/packages/kumquat_relay/src/kumquat_relay/order_lease.py
@@ -60,6 +60,8 @@
         Raises ``StoreError``. False means that another host's use must end
         first, or that another host was faster.
         """
+        if self._waits():
+            return False
         holder, version = await self._store.read_lease(self._name)
         began_s = self._now_s()
         try:
@@ -68,19 +70,34 @@
             self._usable_until_s = float("-inf")
             log_event(logger, "lease_lost", lease=self._name, version=version)
             return False
-        if holder != self._holder and version > 0:
-            wait_s = USE_S + self._lease_s + MARGIN_S
-            self._usable_from_s = self._now_s() + wait_s
-            log_event(
-                logger,
-                "lease_taken",
-                lease=self._name,
-                previous=holder,
-                fence=fence,
-                wait_s=wait_s,
-            )
-        elif version == 0:
-            self._usable_from_s = began_s
         self.fence = fence
+        if version == 0:
+            self._usable_from_s = began_s
+        elif holder != self._holder or self._usable_from_s == float("inf"):
+            self._wait_for(holder)
+            return False
         self._usable_until_s = began_s + USE_S
         return self.usable()
+
+    def _waits(self) -> bool:
+        now_s = self._now_s()
+        return now_s < self._usable_from_s < float("inf")
+
+    def _wait_for(self, previous: str) -> None:
+        """Wait for the end of another host's use.
+
+        An earlier process of this host counts as another one, since it may
+        have been waiting itself. The lease is written again after the wait,
+        which shows whether it was taken meanwhile.
+        """
+        wait_s = USE_S + self._lease_s + MARGIN_S
+        self._usable_from_s = self._now_s() + wait_s
+        self._usable_until_s = float("-inf")
+        log_event(
+            logger,
+            "lease_taken",
+            lease=self._name,
+            previous=previous,
+            fence=self.fence,
+            wait_s=wait_s,
+        )
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -120,12 +120,18 @@
 
 @dataclass(frozen=True)
 class SendOptions:
-    """How a request is sent to one engine."""
+    """How a request is sent to one engine.
+
+    ``prefill_source`` names a prefill result that can be taken once,
+    ``fetch_from`` an engine that may still keep parts of the prompt, and
+    ``hold`` a reservation at the engine.
+    """
 
     engine_id: str
     left_ms: int
     prefill_only: bool = False
     prefill_source: str = ""
+    fetch_from: Address | None = None
     resume_after: int | None = None
     hold: str = ""
 
@@ -173,6 +179,19 @@
     def prefill_result(self, body: bytes, address: Address) -> PrefillResult:
         """Return the outcome of a prefill; raises ``ValueError``."""
 
+    def reserve(
+        self, engine: EngineEntry, tokens: int, ttl_ms: int
+    ) -> tuple[str, str, list[Header], bytes]:
+        """Return the call that reserves a place and memory at an engine."""
+
+    def reserved(self, body: bytes) -> str:
+        """Return the id of a reservation; raises ``ValueError``."""
+
+    def release_reservation(
+        self, engine: EngineEntry, hold: str
+    ) -> tuple[str, str, list[Header]]:
+        """Return the call that gives a reservation back."""
+
     def release_prefill(self, result: PrefillResult) -> tuple[str, str, list[Header]]:
         """Return method, target and headers of the call that frees it."""
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -17,6 +17,7 @@
     RunPrefilled,
     RunRequest,
     RunsHeld,
+    RunStalled,
 )
 from kumquat_core.settings import Address
 from kumquat_core.timers import TimerService
@@ -108,12 +109,16 @@
         self._choice = PlainChoice(
             parts.beliefs.registry, parts.health, options.failure_domain, parts.rng
         )
-        self._owner = StreamOwner(
-            options.host_id, parts.clock, parts.beliefs, parts.health
-        )
         self._owners = OwnerChoice(
             options.host_id, parts.clock, lambda: parts.beliefs.hosts_by_id
         )
+        self._owner = StreamOwner(
+            options.host_id,
+            parts.clock,
+            parts.beliefs,
+            parts.health,
+            lambda service: self._owners.first(service) == options.host_id,
+        )
         self._incarnations_by_host_id: dict[str, int] = {}
         self._links = PeerLinks(
             PeerIdentity(options.host_id, self._incarnation),
@@ -143,6 +148,7 @@
             parts.pool,
             dialect,
             options.host_id,
+            lambda service: self._owners.owner(service) == options.host_id,
         )
         parts.beliefs.on_engines = self._owner.engines_changed
         parts.beliefs.on_engine_gone = self._engine_gone
@@ -309,6 +315,8 @@
                 return self._owner.held(message, peer.host_id)
             case RunPrefilled():
                 self._owner.prefilled(message)
+            case RunStalled():
+                self._owner.stalled(message)
             case RunEnded():
                 self._owner.ended(message)
             case _:
--- a/packages/kumquat_relay/src/kumquat_relay/shutdown.py
+++ b/packages/kumquat_relay/src/kumquat_relay/shutdown.py
@@ -17,6 +17,8 @@
 
 # The balancer asks once a second and takes a host out after two misses.
 NOTICE_S = 2.5
+# A stream that begins later would be cut by the end of the process.
+LAST_STREAM_S = 2.0
 # A caller that still uses an open connection sends within this time.
 QUIET_S = 0.5
 # Left before the kill for closing connections and the entry in the store.
@@ -44,6 +46,21 @@
         if self._began_s is None:
             self._began_s = self._clock.monotonic()
 
+    @property
+    def refuses_streams(self) -> bool:
+        """Tell whether a stream that begins now would be cut."""
+        if self._began_s is None:
+            return False
+        return self._clock.monotonic() >= self._began_s + LAST_STREAM_S
+
+    @property
+    def left_s(self) -> float:
+        """Return the time until the process ends, infinite when it runs on."""
+        if self._began_s is None:
+            return float("inf")
+        end_s = self._began_s + self.grace_s - END_MARGIN_S
+        return end_s - self._clock.monotonic()
+
     @contextmanager
     def request(self) -> Iterator[None]:
         """Count a request while it is served."""
--- a/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
@@ -51,7 +51,9 @@
         pool: EnginePool,
         dialect: EngineDialect,
         holder: str,
+        owns: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self._owns = owns
         self._clock = clock
         self._beliefs = beliefs
         self._health = health
@@ -67,6 +69,8 @@
         """Propose a change for each owned service and order it."""
         for service, demand in self._owner.demands().items():
             spec = self._beliefs.engine_spec(service)
+            if not self._owns(service):
+                continue
             change = self._propose(service, spec, demand) if spec else None
             if change is None or spec is None:
                 continue
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from kumquat_core.clock import Clock
@@ -19,6 +20,7 @@
     RunRequest,
     RunsHeld,
     RunsNoted,
+    RunStalled,
 )
 
 from .beliefs import Beliefs
@@ -34,6 +36,8 @@
 # Longer than the reports of a host that is alive are apart.
 IDLE_S = 2.0
 MIN_TIMER_S = 0.005
+# A run whose place is not known here ends within about this time.
+UNSURE_S = 4.0
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +46,7 @@
 class _Owned:
     queue: StreamQueue
     asked_s: float
+    unsure_until_s: float = float("-inf")
     replies_by_id: dict[str, "asyncio.Future[RunGrant | RunRefusal]"] = field(
         default_factory=dict
     )
@@ -52,8 +57,14 @@
     """The queues of the services that this host owns."""
 
     def __init__(
-        self, host_id: str, clock: Clock, beliefs: Beliefs, health: EngineHealth
+        self,
+        host_id: str,
+        clock: Clock,
+        beliefs: Beliefs,
+        health: EngineHealth,
+        is_first: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self._is_first = is_first
         self._host_id = host_id
         self._clock = clock
         self._beliefs = beliefs
@@ -85,7 +96,12 @@
         """Note that a prompt was read."""
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
+        reader = owned.queue.reader_of(message.request_id)
         owned.queue.prefilled(message.request_id, message.read_ms)
+        if reader and message.read_ms <= 0:
+            self._note_failure(reader)
+        elif reader and self._health.succeeded(reader):
+            log_event(logger, "engine_trusted_again", engine=reader)
         self._carry_out(owned, owned.queue.advance(now_s))
 
     def ended(self, message: RunEnded) -> None:
@@ -97,10 +113,26 @@
         elif message.gap_ms > 0:
             self._note_success(owned, message.request_id)
         owned.queue.ended(message.request_id, message.gap_ms)
+        reply = owned.replies_by_id.get(message.request_id)
+        if reply is not None and not reply.done():
+            reply.set_result(RunRefusal(message.request_id, "withdrawn", 0, 0))
         if message.full_engine:
+            owned.unsure_until_s = now_s + UNSURE_S
             owned.queue.engine_full(message.full_engine, now_s)
         self._carry_out(owned, owned.queue.advance(now_s))
 
+    def stalled(self, message: RunStalled) -> None:
+        """Note that a run makes no progress."""
+        owned = self._owned(message.service)
+        owned.queue.stalled(message.engine, self._clock.monotonic())
+        log_event(
+            logger,
+            "run_stalled",
+            request=message.request_id,
+            engine=message.engine,
+            silent_ms=message.silent_ms,
+        )
+
     def held(self, message: RunsHeld, host_id: str) -> RunsNoted:
         """Take over the runs that a host reports."""
         owned = self._owned(message.service)
@@ -158,7 +190,7 @@
         ``until_s``.
         """
         queue = self._owned_by_service[service].queue
-        queue.set_changing(engine_id)
+        queue.set_changing(engine_id, until_s)
         delay_s = max(0.0, until_s - self._clock.monotonic())
         asyncio.get_running_loop().call_later(delay_s, queue.changed, engine_id)
 
@@ -169,6 +201,12 @@
             for service, owned in self._owned_by_service.items()
         }
 
+    def _is_unsure(self, owned: _Owned) -> bool:
+        """Tell whether runs may hold places that this owner does not know."""
+        if self._clock.monotonic() < owned.unsure_until_s:
+            return True
+        return not self._is_first(owned.queue.service)
+
     def _owned(self, service: str) -> _Owned:
         now_s = self._clock.monotonic()
         owned = self._owned_by_service.get(service)
@@ -180,6 +218,7 @@
             self._owned_by_service[service] = owned
         if now_s - owned.asked_s > IDLE_S:
             owned.queue.pause(now_s + SETTLE_S)
+            owned.unsure_until_s = now_s + UNSURE_S
             log_event(logger, "owner_begins", service=service, settle_s=SETTLE_S)
         owned.asked_s = now_s
         return owned
@@ -189,7 +228,7 @@
             self._log(decision, owned.queue)
             reply = owned.replies_by_id.get(decision.request_id)
             if reply is not None and not reply.done():
-                reply.set_result(_message(decision))
+                reply.set_result(_message(decision, self._is_unsure(owned)))
         self._set_timer(owned)
 
     def _set_timer(self, owned: _Owned) -> None:
@@ -224,8 +263,8 @@
                     "place_granted",
                     request=decision.request_id,
                     service=queue.service,
-                    decode_engine=decision.decode_engine,
-                    prefill_engine=decision.prefill_engine or None,
+                    decode_engine=decision.decode.id,
+                    prefill_engine=decision.prefill.id if decision.prefill else None,
                     waited_ms=round(decision.waited_s * 1000),
                     free_places=decision.free_places,
                     waiting=queue.waiting_count,
@@ -243,14 +282,18 @@
                 )
 
 
-def _message(decision: Decision) -> RunGrant | RunRefusal:
+def _message(decision: Decision, unsure: bool) -> RunGrant | RunRefusal:
     match decision:
         case Granted():
+            prefill = decision.prefill
             return RunGrant(
                 decision.request_id,
-                decision.decode_engine,
-                decision.prefill_engine,
+                decision.decode.id,
+                decision.decode.address.text,
+                prefill.id if prefill else "",
+                prefill.address.text if prefill else "",
                 round(decision.waited_s * 1000),
+                unsure,
             )
         case Refused():
             return RunRefusal(
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -23,7 +23,7 @@
 
 from .engine_health import EngineHealth
 from .engine_load import EngineLoad, PrefillJob, Run
-from .engine_registry import EngineRegistry, EngineRole
+from .engine_registry import EngineEntry, EngineRegistry, EngineRole
 from .return_times import ReturnTimes
 from .routes import EngineSpec
 from .stage_plan import Demand
@@ -52,6 +52,8 @@
     start_s: float = 0.2
     # Late requests may wait together for this share of the places.
     late_share: float = 0.5
+    # Stalls are reported again while they last.
+    stall_s: float = 0.6
     late_reserve: float = 0.1
 
 
@@ -59,12 +61,12 @@
 class Granted:
     """A place at a decode engine; ``prefill_engine`` may be empty.
 
-    An empty ``prefill_engine`` means that the decode engine reads the prompt.
+    Without a prefill engine the decode engine reads the prompt.
     """
 
     request_id: str
-    decode_engine: str
-    prefill_engine: str
+    decode: EngineEntry
+    prefill: EngineEntry | None
     waited_s: float
     free_places: int
 
@@ -195,12 +197,23 @@
         if not self._waiting_by_id:
             return None
         times = [waiting.give_up_s for waiting in self._waiting_by_id.values()]
-        times += [load.blocked_until_s for load in self._decode_loads()]
+        for load in self._decode_loads():
+            times += [load.blocked_until_s, load.reads_again_s]
         times.append(self._paused_until_s)
         return min((time for time in times if time > now_s), default=now_s)
 
+    def reader_of(self, request_id: str) -> str:
+        """Return the prefill engine that reads for a request, or nothing."""
+        for load in self._loads_by_id.values():
+            if request_id in load.jobs_by_id:
+                return load.entry.id
+        return ""
+
     def prefilled(self, request_id: str, read_ms: float) -> None:
-        """Note that the prompt of a granted request was read."""
+        """Note that the prompt of a granted request was read.
+
+        ``read_ms`` is 0 when that failed.
+        """
         for load in self._loads_by_id.values():
             job = load.jobs_by_id.pop(request_id, None)
             if job is None:
@@ -221,11 +234,18 @@
             for engine_id, load in self._loads_by_id.items()
         }
 
-    def set_changing(self, engine_id: str) -> None:
+    def set_changing(self, engine_id: str, until_s: float) -> None:
         """Grant nothing at an engine until its entry shows its new role."""
         load = self._loads_by_id.get(engine_id)
         if load is not None:
             load.changing = True
+            load.changing_until_s = until_s
+
+    def stalled(self, engine_id: str, now_s: float) -> None:
+        """Prefer other engines to one whose runs make no progress."""
+        load = self._loads_by_id.get(engine_id)
+        if load is not None:
+            load.stalled_until_s = now_s + self.terms.stall_s
 
     def changed(self, engine_id: str) -> None:
         """Grant again at an engine whose change of role is over."""
@@ -334,13 +354,14 @@
         late = waiting.is_late(now_s)
         if late and self.free_places() <= self._all_places() * self.terms.late_reserve:
             return None
-        readers = self._loads(EngineRole.PREFILL)
-        prefill = min(readers, key=EngineLoad.read_backlog_ms, default=None)
+        prefill = self._first_reader(waiting)
         if prefill and prefill.read_backlog_ms() > self.terms.read_ahead_s * 1000:
             return None
-        decode = self._choose_decode(waiting, now_s)
+        decode = self._choose_decode(waiting, now_s, reads=prefill is None)
         if decode is None:
             return None
+        if prefill is None:
+            decode.begin_own_read(request.prompt_tokens, now_s)
         del self._waiting_by_id[request.request_id]
         decode.runs_by_id[request.request_id] = Run(
             request.request_id,
@@ -357,24 +378,42 @@
             )
         return Granted(
             request.request_id,
-            decode.entry.id,
-            prefill.entry.id if prefill is not None else "",
+            decode.entry,
+            prefill.entry if prefill is not None else None,
             now_s - waiting.arrived_s,
             self.free_places(),
         )
 
-    def _choose_decode(self, waiting: _Waiting, now_s: float) -> EngineLoad | None:
-        """Return the fitting engine on which a further run goes fastest."""
+    def _first_reader(self, waiting: _Waiting) -> EngineLoad | None:
+        """Return the prefill engine that can begin first, if there is one."""
+        readers = [
+            load
+            for load in self._loads(EngineRole.PREFILL)
+            if load.entry.id not in waiting.excluded
+        ]
+        return min(readers, key=EngineLoad.read_backlog_ms, default=None)
+
+    def _choose_decode(
+        self, waiting: _Waiting, now_s: float, *, reads: bool
+    ) -> EngineLoad | None:
+        """Return the fitting engine on which a further run goes fastest.
+
+        ``reads`` leaves out engines that have just read a prompt themselves.
+        """
         request = waiting.request
         fitting = [
             load
             for load in self._decode_loads()
             if load.entry.id not in waiting.excluded
+            and not (reads and now_s < load.reads_again_s)
             and load.fits(request.prompt_tokens, request.expected_tokens, now_s)
         ]
         return min(
             fitting,
-            key=lambda load: load.token_ms * (1 + len(load.runs_by_id) / load.places),
+            key=lambda load: (
+                now_s < load.stalled_until_s,
+                load.token_ms * (1 + len(load.runs_by_id) / load.places),
+            ),
             default=None,
         )
 
@@ -398,12 +437,34 @@
     def _expected_wait_s(self, waiting: _Waiting, now_s: float) -> float:
         """Return when a place is expected, after all that go before."""
         rank = self._rank(waiting, now_s)
-        ahead = sum(
-            self._rank(item, now_s) <= rank
+        before = [
+            item
             for item in self._waiting_by_id.values()
-            if item is not waiting
-        )
-        return self._nth_free_s(ahead, now_s)
+            if item is not waiting and self._rank(item, now_s) <= rank
+        ]
+        read_s = self._expected_read_wait_s(waiting, before, now_s)
+        free = self.free_places()
+        if len(before) < free:
+            return read_s
+        return max(read_s, self._nth_free_s(len(before) - free, now_s))
+
+    def _expected_read_wait_s(
+        self, waiting: _Waiting, before: list[_Waiting], now_s: float
+    ) -> float:
+        """Return when the prompts that go before are read."""
+        tokens = sum(item.request.prompt_tokens for item in before)
+        reader = self._first_reader(waiting)
+        if reader is not None:
+            readers = len(self._loads(EngineRole.PREFILL))
+            own_ms = reader.read_backlog_ms() - self.terms.read_ahead_s * 1000
+            read_ms = tokens / reader.read_tokens_per_ms / max(1, readers)
+            return max(0.0, own_ms + read_ms) / 1000
+        loads = self._decode_loads()
+        if not loads:
+            return 0.0
+        first = min(loads, key=lambda load: load.reads_again_s)
+        own_s = max(0.0, first.reads_again_s - now_s)
+        return own_s + first.own_read_s(tokens) / len(loads)
 
     def _nth_free_s(self, ahead: int, now_s: float) -> float:
         """Return the time until place number ``ahead`` + 1 becomes free."""
@@ -418,9 +479,16 @@
         mean_s = 2 * sum(ends) / len(ends)
         return ends[index] + rounds * mean_s
 
+    def _role_change_wait_s(self, now_s: float) -> float:
+        """Return when the first engine that changes its role is back."""
+        ends = [load.changing_until_s for load in self._loads_by_id.values()]
+        return min((end - now_s for end in ends if end > now_s), default=0.0)
+
     def _refuse(self, waiting: _Waiting, reason: str, now_s: float) -> Refused:
         del self._waiting_by_id[waiting.request.request_id]
         wait_s = self._nth_free_s(len(self._waiting_by_id), now_s)
+        if reason == "no_engine":
+            wait_s = max(wait_s, self._role_change_wait_s(now_s))
         retry_after_s = self._return_times.next_return_s(
             wait_s, self._all_places(), now_s
         )
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -19,10 +19,19 @@
 from .answer_sink import AnswerSink
 from .beliefs import Beliefs
 from .caller_request import CallerRequest, PromptFacts
-from .engine_calls import EngineCalls, NotRunError, OpenStream, RunFailedError
+from .engine_calls import (
+    EngineCalls,
+    NotRunError,
+    OpenStream,
+    RunFailedError,
+    RunStart,
+)
+from .engine_registry import EngineEntry
 from .event_stream import EventSplitter
+from .prefill_lapses import PrefillLapses
 from .protocols import PrefillResult
 from .relay_answers import Answer, failure, refusal
+from .relay_settings import parse_address
 from .request_age import RequestAge
 from .retry_share import RetryShare
 
@@ -49,6 +58,10 @@
     answer: Answer | None = None
 
 
+class BudgetSpentError(Exception):
+    """A further send would exceed this host's share of the retry budget."""
+
+
 @dataclass
 class _Progress:
     """What has happened to a stream so far."""
@@ -60,7 +73,8 @@
     sends: int = 0
     excluded: set[str] = field(default_factory=set)
     prefill: PrefillResult | None = None
-    prefill_until_s: float = float("-inf")
+    hold: str = ""
+    hold_entry: EngineEntry | None = None
     prefills: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
@@ -79,6 +93,7 @@
         retries: RetryShare,
         ages: RequestAge,
     ) -> None:
+        self._lapses = PrefillLapses(clock)
         self._clock = clock
         self._beliefs = beliefs
         self._admission = admission
@@ -100,6 +115,10 @@
             return self._ended(progress, "deadline", timed_out=True)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
+            if progress.hold and progress.hold_entry is not None:
+                self._calls.release_reservation(
+                    progress.hold_entry, progress.hold, request.id
+                )
             self._log_pace(request, progress)
 
     def _log_pace(self, request: CallerRequest, progress: _Progress) -> None:
@@ -176,28 +195,27 @@
         ended: "_EndNotice",
     ) -> StreamOutcome | None:
         """Use one place; return the outcome, or None to ask for another."""
-        entry = self._beliefs.registry.get(grant.decode_engine)
-        if entry is None or entry.draining:
+        entry = self._entry(request, grant.decode_engine, grant.decode_address)
+        if entry is None:
             progress.excluded.add(grant.decode_engine)
-            return self._after_not_run(request, progress, "engine_gone")
-        if progress.prefill is None and progress.first_event_s is None:
-            await self._prefill(request, grant, progress)
-        source, progress.prefill = progress.prefill, None
-        if progress.sends > 0 and not self._retries.try_spend(request.service):
-            self._calls.release_unused(source, request.id)
-            return self._ended(progress, "retry_budget")
-        progress.sends += 1
+            return self._after_not_run(request, progress, "engine_leaves")
+        if grant.reserve and not await self._reserve(request, entry, progress):
+            ended.full_engine = entry.id
+            return self._after_not_run(request, progress, "not_reserved")
+        to_read = progress.prefill is None and progress.first_event_s is None
+        if to_read and not await self._prefill(request, grant, progress):
+            progress.excluded.add(grant.prefill_engine)
+            return self._after_not_run(request, progress, "prompt_not_read")
         try:
-            stream = await self._calls.open_stream(
-                request, entry, source, progress.splitter.last_id
-            )
+            stream = await self._open(request, entry, progress)
+        except BudgetSpentError:
+            return self._ended(progress, "retry_budget")
         except NotRunError as error:
-            if error.full:
+            if error.shed:
                 ended.full_engine = entry.id
             if error.unreachable:
                 ended.failed_engine = entry.id
-                progress.sends -= 1
-            progress.excluded.add(entry.id)
+                progress.excluded.add(entry.id)
             return self._after_not_run(request, progress, error.reason)
         except RunFailedError as error:
             progress.runs += 1
@@ -214,15 +232,106 @@
             return self._after_break(request, progress, entry.id, reason)
         return await self._forward(request, stream, progress, ended)
 
+    async def _open(
+        self, request: CallerRequest, entry: EngineEntry, progress: _Progress
+    ) -> OpenStream:
+        """Start a run; a prefill result that is gone is fetched instead.
+
+        An engine refuses alike when it is full and when the result is gone.
+        The prompt's parts often stay at the engine that read them.
+        """
+        source, progress.prefill = progress.prefill, None
+        hold, progress.hold = progress.hold, ""
+        last_id = progress.splitter.last_id
+        lapses = source is not None and self._lapses.expected(source.address)
+        if source is not None and not lapses:
+            try:
+                start = RunStart(source, None, last_id, hold)
+                return await self._send(request, entry, start, progress)
+            except NotRunError as error:
+                if not error.shed:
+                    raise
+                # A reservation is used up by the first request that names it.
+                hold = ""
+        fetch_from = source.address if source is not None else None
+        start = RunStart(None, fetch_from, last_id, hold)
+        stream = await self._send(request, entry, start, progress)
+        if source is not None and not lapses:
+            self._lapses.note(source.address)
+            log_event(logger, "prefill_lapsed", request=request.id, engine=entry.id)
+        return stream
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        start: RunStart,
+        progress: _Progress,
+    ) -> OpenStream:
+        if progress.sends > 0 and not self._retries.try_spend(request.service):
+            raise BudgetSpentError
+        progress.sends += 1
+        try:
+            return await self._calls.open_stream(request, entry, start)
+        except NotRunError as error:
+            if error.unreachable:
+                progress.sends -= 1
+            raise
+
+    async def _reserve(
+        self, request: CallerRequest, entry: EngineEntry, progress: _Progress
+    ) -> bool:
+        """Reserve the granted place where the owner is not sure of it."""
+        spec = self._beliefs.engine_spec(request.service)
+        if spec is None or not spec.hold_ttl_ms:
+            return True
+        prompt = request.facts.prompt or PromptFacts(1, 1, 1)
+        tokens = prompt.prompt_tokens + prompt.expected_tokens
+        try:
+            progress.hold = await self._calls.reserve(entry, tokens, spec.hold_ttl_ms)
+        except NotRunError as error:
+            log_event(
+                logger,
+                "not_reserved",
+                request=request.id,
+                engine=entry.id,
+                reason=error.reason,
+            )
+            progress.excluded.add(entry.id)
+            return False
+        progress.hold_entry = entry
+        return bool(progress.hold)
+
+    def _entry(
+        self, request: CallerRequest, engine_id: str, address: str
+    ) -> EngineEntry | None:
+        """Return the granted engine, None if this host knows it is leaving.
+
+        The owner may know an engine that the store has not shown here yet.
+        """
+        entry = self._beliefs.registry.get(engine_id)
+        if entry is not None:
+            return None if entry.draining else entry
+        if self._beliefs.registry.was_removed(engine_id):
+            return None
+        return EngineEntry(
+            engine_id, request.service, parse_address(address), "", 0, False
+        )
+
     async def _prefill(
         self, request: CallerRequest, grant: RunGrant, progress: _Progress
-    ) -> None:
-        """Have the prompt read; without success the decode engine reads it."""
-        entry = self._beliefs.registry.get(grant.prefill_engine)
-        if entry is None or entry.draining:
-            return
+    ) -> bool:
+        """Have the prompt read; return false when that failed.
+
+        Without a prefill engine the decode engine reads the prompt.
+        """
+        if not grant.prefill_engine:
+            return True
+        entry = self._entry(request, grant.prefill_engine, grant.prefill_address)
+        if entry is None:
+            return False
         if progress.prefills > 0 and not self._retries.try_spend(request.service):
-            return
+            return False
         progress.prefills += 1
         began_s = self._clock.monotonic()
         result = await self._calls.prefill(request, entry)
@@ -231,6 +340,7 @@
         if result is None:
             self._retries.count_unavoidable(request.service)
         progress.prefill = result
+        return result is not None
 
     async def _forward(
         self,
@@ -250,7 +360,10 @@
                     await progress.sink.write(chunk)
                 stream.finish()
                 return await self._complete(progress, stream.status)
-            async for chunk in stream.chunks(request.route.may_repeat):
+            async for chunk in stream.chunks(
+                request.route.may_repeat,
+                lambda silent_ms: self._admission.stalled(request.id, silent_ms),
+            ):
                 await self._pass_on(stream, splitter.feed(chunk), progress)
             stream.finish()
         except RunFailedError as error:
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -274,6 +274,13 @@
         Raises ``RouterError`` with ``PEER_CLOSED`` when the peer is known
         to be out of reach or too much is queued for it.
         """
+        self.post(host_id, message)
+
+    def post(self, host_id: str, message: Message) -> None:
+        """Queue a message that has no reply, before any later call.
+
+        Raises like ``send``.
+        """
         self._link(host_id).send(Envelope(0, message))
 
     def use_key(self, key: bytes) -> None:
