Hand the queue on without the store; pace own reads; test the decisions

Change: hosts whose engine entries are old own nothing while another host is better; a decode engine reads one prompt at a time, and only short ones while it has runs; late requests do not wait while others are refused. Ruled out: a fixed share of time for own reads (pauses of 1.1 s stayed).

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -354,10 +354,15 @@
 
 @dataclass(frozen=True)
 class RunsNoted:
-    """Answers ``RunsHeld``."""
+    """Answers ``RunsHeld``.
+
+    ``outdated``: the owner has not reached the store for a while, so another
+    host should own the service.
+    """
 
     host_id: str
     free_places: int
+    outdated: bool = False
 
 
 # What an entry host tells the owner of a shard about a request.
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -147,6 +147,7 @@
         """Report the runs of each service to its owner."""
         if self._beliefs.routes is None:
             return
+        self._owners.set_outdated(self._host_id, self._beliefs.outdated())
         for name, spec in self._beliefs.routes.services_by_name.items():
             if spec.engine is not None:
                 await self._report_service(name)
@@ -201,7 +202,7 @@
         owner = self._owners.owner(service)
         await self._report_to(owner, service)
         away = self._owners.to_probe(service)
-        if away is not None:
+        if away is not None and away != owner:
             await self._report_to(away, service)
 
     async def _report_to(self, owner: str, service: str) -> None:
@@ -226,7 +227,11 @@
         except RouterError as error:
             self._note_unreachable(owner, error.detail)
             return
-        if isinstance(answer, RunsNoted) and self._owners.reachable(owner):
+        if not isinstance(answer, RunsNoted):
+            return
+        if self._owners.set_outdated(owner, answer.outdated):
+            log_event(logger, "owner_outdated", peer=owner, outdated=answer.outdated)
+        if self._owners.reachable(owner):
             log_event(logger, "dependency_regained", dependency="owner", peer=owner)
 
     def _note_unreachable(self, owner: str, detail: str) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/beliefs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/beliefs.py
@@ -17,6 +17,9 @@
 
 __all__ = ["Beliefs"]
 
+# A poll of the engines lasts two seconds when nothing changes.
+OUTDATED_S = 3.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -33,6 +36,7 @@
         self.on_engine_gone: Callable[[EngineEntry], None] = lambda entry: None
         self.on_hosts: Callable[[], None] = lambda: None
         self._host_versions_by_id: dict[str, int] = {}
+        self._engines_followed_s = clock.monotonic()
         self._complete: set[StateKind] = set()
 
     @property
@@ -47,6 +51,14 @@
         spec = self.routes.services_by_name.get(service)
         return spec.engine if spec is not None else None
 
+    def engines_followed(self) -> None:
+        """Note that the store has just told which engines there are."""
+        self._engines_followed_s = self._clock.monotonic()
+
+    def outdated(self) -> bool:
+        """Tell whether the engines that are known may be old."""
+        return self._clock.monotonic() - self._engines_followed_s > OUTDATED_S
+
     def store_returned(self) -> None:
         """Note that the store is reached again."""
         self.registry.store_returned(self._clock.monotonic())
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -80,6 +80,7 @@
     _connection: EngineConnection
     _pool: EnginePool
     _clock: Clock
+    events_passed: int = 0
     _open: bool = True
     _first_s: float | None = field(default=None)
     _last_s: float = 0.0
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -24,10 +24,13 @@
 LEARNING_RATE = 0.3
 MAX_OBSERVED_RATIO = 8.0
 
-# A decode engine reads prompts at half the speed. Its runs keep their pauses
-# short only if it does so for at most this part of the time.
+# A decode engine reads prompts at half the speed, its runs pause meanwhile.
 OWN_READ_SPEED = 0.5
-OWN_READ_SHARE = 0.45
+# After a read each run makes an event, which takes about 0.06 s.
+CATCH_UP_S = 0.08
+CATCH_UP_SHARE = 0.25
+# A read whose end nobody reports is over after this many times its length.
+OWN_READ_LIMIT = 4.0
 
 # Part of the memory that may be planned for; the engine rounds each request
 # up to whole blocks.
@@ -56,6 +59,14 @@
     granted_s: float
 
 
+@dataclass(frozen=True)
+class OwnRead:
+    """A prompt that a decode engine reads itself."""
+
+    request_id: str
+    began_s: float
+
+
 @dataclass
 class EngineLoad:
     """Work granted to one engine."""
@@ -71,6 +82,7 @@
     changing: bool = False
     changing_until_s: float = float("-inf")
     stalled_until_s: float = float("-inf")
+    own_read: OwnRead | None = None
     reads_again_s: float = float("-inf")
 
     def update(self, entry: EngineEntry, spec: EngineSpec) -> None:
@@ -131,16 +143,24 @@
 
     def own_read_s(self, tokens: int) -> float:
         """Return the time in which a decode engine can read prompts itself."""
-        read_s = tokens / (self.read_tokens_per_ms * OWN_READ_SPEED) / 1000
-        return read_s / OWN_READ_SHARE
+        return tokens / (self.read_tokens_per_ms * OWN_READ_SPEED) / 1000
 
-    def begin_own_read(self, tokens: int, now_s: float) -> None:
+    def begin_own_read(self, request_id: str, tokens: int, now_s: float) -> None:
         """Note that this decode engine reads a prompt itself.
 
         Its runs make hardly any progress meanwhile, so the next prompt waits
-        until they have caught up.
+        until this one is read and they have caught up.
         """
-        self.reads_again_s = now_s + self.own_read_s(tokens)
+        self.own_read = OwnRead(request_id, now_s)
+        self.reads_again_s = now_s + OWN_READ_LIMIT * self.own_read_s(tokens)
+
+    def end_own_read(self, request_id: str, now_s: float) -> None:
+        """Note that the prompt is read; its run has made an event."""
+        if self.own_read is None or self.own_read.request_id != request_id:
+            return
+        took_s = now_s - self.own_read.began_s
+        self.own_read = None
+        self.reads_again_s = now_s + CATCH_UP_S + CATCH_UP_SHARE * took_s
 
     def observe_read(self, tokens: int, took_ms: float, behind_ms: float) -> None:
         """Learn the reading speed; other prompts took ``behind_ms``."""
--- a/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -28,6 +28,7 @@
         self._host_id = host_id
         self._clock = clock
         self._host_ids = host_ids
+        self._outdated: set[str] = set()
         self._absences_by_host_id: dict[str, tuple[float, float]] = {}
 
     def owner(self, service: str) -> str:
@@ -37,7 +38,21 @@
             for host_id in {*self._host_ids(), self._host_id}
             if host_id not in self._absences_by_host_id
         ]
-        return owner_of(service, present) or self._host_id
+        current = [host_id for host_id in present if host_id not in self._outdated]
+        return owner_of(service, current or present) or self._host_id
+
+    def set_outdated(self, host_id: str, outdated: bool) -> bool:
+        """Note whether a host follows the store; return whether it is news.
+
+        An outdated host owns nothing while another one is known to be better.
+        """
+        if outdated == (host_id in self._outdated):
+            return False
+        if outdated:
+            self._outdated.add(host_id)
+        else:
+            self._outdated.discard(host_id)
+        return True
 
     def first(self, service: str) -> str:
         """Return the owner if all known hosts could be reached."""
@@ -61,6 +76,8 @@
     def to_probe(self, service: str) -> str | None:
         """Return the first owner if it is away and its time has come."""
         host_id = self.first(service)
+        if host_id in self._outdated:
+            return host_id if host_id != self._host_id else None
         absence = self._absences_by_host_id.get(host_id)
         if absence is None or self._clock.monotonic() < absence[0]:
             return None
@@ -69,3 +86,4 @@
     def forget(self, host_id: str) -> None:
         """Drop what is known of a host whose process is another one now."""
         self._absences_by_host_id.pop(host_id, None)
+        self._outdated.discard(host_id)
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -115,6 +115,8 @@
 
     def _reached(self) -> None:
         self._count_call(self._kind.value, True)
+        if self._kind is StateKind.ENGINES:
+            self._beliefs.engines_followed()
         if self._away:
             self._away = False
             log_event(
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -87,7 +87,7 @@
             return await reply
         except asyncio.CancelledError:
             # The asking host is gone or its caller left.
-            owned.queue.ended(request.request_id, 0.0)
+            owned.queue.ended(request.request_id, 0.0, self._clock.monotonic())
             raise
         finally:
             owned.replies_by_id.pop(request.request_id, None)
@@ -97,7 +97,7 @@
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
         reader = owned.queue.reader_of(message.request_id)
-        owned.queue.prefilled(message.request_id, message.read_ms)
+        owned.queue.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms <= 0:
             self._note_failure(reader)
         elif reader and self._health.succeeded(reader):
@@ -112,7 +112,7 @@
             self._note_failure(message.failed_engine)
         elif message.gap_ms > 0:
             self._note_success(owned, message.request_id)
-        owned.queue.ended(message.request_id, message.gap_ms)
+        owned.queue.ended(message.request_id, message.gap_ms, now_s)
         reply = owned.replies_by_id.get(message.request_id)
         if reply is not None and not reply.done():
             reply.set_result(RunRefusal(message.request_id, "withdrawn", 0, 0))
@@ -151,7 +151,9 @@
                 changed=changed,
             )
         self._carry_out(owned, owned.queue.advance(now_s))
-        return RunsNoted(self._host_id, owned.queue.free_places())
+        return RunsNoted(
+            self._host_id, owned.queue.free_places(), self._beliefs.outdated()
+        )
 
     def sweep(self) -> None:
         """Drop runs of hosts that report no longer."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -39,6 +39,8 @@
     ``unconfirmed_s``: a grant that no host reports as held is dropped.
     ``read_ahead_s``: a place is granted only when the prompts ahead at the
     prefill engine are read within this time, so that places do not wait.
+    ``own_read_s``: a decode engine with running streams reads no prompt that
+    takes longer.
     ``late_reserve``: part of the places that late requests leave free.
     """
 
@@ -52,6 +54,10 @@
     start_s: float = 0.2
     # Late requests may wait together for this share of the places.
     late_share: float = 0.5
+    # Late requests do not wait while others on time are refused.
+    saturated_s: float = 1.0
+    # Streams are late after a pause of 0.3 s; one event takes 0.06 s.
+    own_read_s: float = 0.19
     # Stalls are reported again while they last.
     stall_s: float = 0.6
     late_reserve: float = 0.1
@@ -128,6 +134,7 @@
         self._loads_by_id: dict[str, EngineLoad] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._paused_until_s = float("-inf")
+        self._saturated_until_s = float("-inf")
         self.demand = Demand()
 
     @property
@@ -209,12 +216,13 @@
                 return load.entry.id
         return ""
 
-    def prefilled(self, request_id: str, read_ms: float) -> None:
+    def prefilled(self, request_id: str, read_ms: float, now_s: float) -> None:
         """Note that the prompt of a granted request was read.
 
         ``read_ms`` is 0 when that failed.
         """
         for load in self._loads_by_id.values():
+            load.end_own_read(request_id, now_s)
             job = load.jobs_by_id.pop(request_id, None)
             if job is None:
                 continue
@@ -260,10 +268,11 @@
                 return load.entry.id
         return ""
 
-    def ended(self, request_id: str, gap_ms: float) -> None:
+    def ended(self, request_id: str, gap_ms: float, now_s: float) -> None:
         """Free what a request holds; learn the engine's pace from it."""
         self._waiting_by_id.pop(request_id, None)
         for load in self._loads_by_id.values():
+            load.end_own_read(request_id, now_s)
             load.jobs_by_id.pop(request_id, None)
             run = load.runs_by_id.pop(request_id, None)
             if run is not None and gap_ms > 0:
@@ -361,7 +370,7 @@
         if decode is None:
             return None
         if prefill is None:
-            decode.begin_own_read(request.prompt_tokens, now_s)
+            decode.begin_own_read(request.request_id, request.prompt_tokens, now_s)
         del self._waiting_by_id[request.request_id]
         decode.runs_by_id[request.request_id] = Run(
             request.request_id,
@@ -405,7 +414,7 @@
             load
             for load in self._decode_loads()
             if load.entry.id not in waiting.excluded
-            and not (reads and now_s < load.reads_again_s)
+            and not (reads and self._disturbs(load, request.prompt_tokens, now_s))
             and load.fits(request.prompt_tokens, request.expected_tokens, now_s)
         ]
         return min(
@@ -417,15 +426,31 @@
             default=None,
         )
 
+    def _disturbs(self, load: EngineLoad, prompt_tokens: int, now_s: float) -> bool:
+        """Tell whether reading a prompt would pause running streams."""
+        if now_s < load.reads_again_s:
+            return True
+        if not load.runs_by_id:
+            return False
+        return load.own_read_s(prompt_tokens) > self.terms.own_read_s
+
     def _reason_to_refuse(self, waiting: _Waiting, now_s: float) -> str:
         """Return why a request that does not fit now should not wait."""
         if not any(
             load.entry.id not in waiting.excluded for load in self._decode_loads()
         ):
             return "no_engine"
+        tokens = waiting.request.prompt_tokens
+        if self._first_reader(waiting) is None and all(
+            load.runs_by_id and load.own_read_s(tokens) > self.terms.own_read_s
+            for load in self._decode_loads()
+        ):
+            return "no_reader_for_long_prompt"
         begins_s = now_s + self._expected_wait_s(waiting, now_s)
         if not waiting.is_late(now_s):
             return "" if begins_s <= waiting.on_time_until_s else "objective_missed"
+        if now_s < self._saturated_until_s:
+            return "saturated"
         late = sum(item.is_late(now_s) for item in self._waiting_by_id.values())
         if late > max(1, int(self._all_places() * self.terms.late_share)):
             return "too_many_late"
@@ -486,6 +511,8 @@
 
     def _refuse(self, waiting: _Waiting, reason: str, now_s: float) -> Refused:
         del self._waiting_by_id[waiting.request.request_id]
+        if waiting.arrived_s <= waiting.on_time_until_s:
+            self._saturated_until_s = now_s + self.terms.saturated_s
         wait_s = self._nth_free_s(len(self._waiting_by_id), now_s)
         if reason == "no_engine":
             wait_s = max(wait_s, self._role_change_wait_s(now_s))
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -364,7 +364,7 @@
                 request.route.may_repeat,
                 lambda silent_ms: self._admission.stalled(request.id, silent_ms),
             ):
-                await self._pass_on(stream, splitter.feed(chunk), progress)
+                await self._pass_on(request, stream, splitter.feed(chunk), progress)
             stream.finish()
         except RunFailedError as error:
             ended.failed_engine = stream.engine_id
@@ -373,20 +373,28 @@
             stream.abort_if_open()
             ended.gap_ms = stream.mean_gap_ms(splitter.events - first_count)
         if splitter.rest:
-            await self._pass_on(stream, splitter.rest, progress)
+            await self._pass_on(request, stream, splitter.rest, progress)
         if not progress.sink.started:
             await progress.sink.start(stream.status, stream.headers)
         return await self._complete(progress, stream.status)
 
     async def _pass_on(
-        self, stream: OpenStream, events: bytes, progress: _Progress
+        self,
+        request: CallerRequest,
+        stream: OpenStream,
+        events: bytes,
+        progress: _Progress,
     ) -> None:
         if not events:
             return
         now_s = self._clock.monotonic()
         if progress.first_event_s is None:
             progress.first_event_s = now_s
-        else:
+        if stream.events_passed == 0:
+            # Tells the owner that a prompt is read if no other engine did.
+            self._admission.prefilled(request.id, 0.0)
+        stream.events_passed += 1
+        if progress.last_event_s:
             progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
         progress.last_event_s = now_s
         if not progress.sink.started:
--- /dev/null
+++ b/tests/relay/builders.py
@@ -0,0 +1,106 @@
+"""Builders of engines, requests and queues for the tests of the relay."""
+
+from kumquat_core.clock import ManualClock
+from kumquat_core.peer_messages import RunRequest
+from kumquat_core.settings import Address
+from kumquat_relay.engine_health import EngineHealth
+from kumquat_relay.engine_registry import EngineEntry, EngineRegistry, EngineRole
+from kumquat_relay.return_times import ReturnTimes
+from kumquat_relay.routes import EngineSpec
+from kumquat_relay.stream_queue import (
+    Decision,
+    Granted,
+    QueueTerms,
+    Refused,
+    StreamQueue,
+)
+
+SERVICE = "advice"
+SPEC = EngineSpec(
+    places=12,
+    memory_tokens=144_611,
+    tokens_per_event=89,
+    handle_ttl_s=0.5,
+    role_change_s=6.0,
+    hold_ttl_ms=2000,
+)
+
+
+def engine(
+    engine_id: str, role: EngineRole | None = EngineRole.DECODE, *, places: int = 12
+) -> EngineEntry:
+    return EngineEntry(
+        engine_id, SERVICE, Address("10.0.0.1", 80), "a", places, False, role
+    )
+
+
+def run_request(
+    request_id: str,
+    *,
+    prompt: int = 5000,
+    output: int = 6000,
+    objective_ms: int = 900,
+    patience_ms: int = 3600,
+    priority: int = 1,
+) -> RunRequest:
+    return RunRequest(
+        request_id, SERVICE, prompt, output, priority, objective_ms, patience_ms
+    )
+
+
+class QueueWorld:
+    """A queue with its registry and a clock that tests set."""
+
+    def __init__(
+        self,
+        decoders: int = 1,
+        readers: int = 1,
+        *,
+        places: int = 12,
+        spec: EngineSpec = SPEC,
+        terms: QueueTerms | None = None,
+    ) -> None:
+        self.clock = ManualClock(100.0)
+        self.registry = EngineRegistry()
+        self.health = EngineHealth(self.clock)
+        for index in range(decoders):
+            self.registry.put(engine(f"d{index}", places=places), index + 1)
+        for index in range(readers):
+            entry = engine(f"p{index}", EngineRole.PREFILL, places=places)
+            self.registry.put(entry, 100 + index)
+        self.spec = spec
+        self.queue = StreamQueue(
+            SERVICE, self.registry, self.health, ReturnTimes(), terms
+        )
+        self.queue.refresh(spec)
+
+    @property
+    def now_s(self) -> float:
+        return self.clock.monotonic()
+
+    def add(self, request: RunRequest, host_id: str = "h") -> list[Decision]:
+        return self.queue.add(request, host_id, self.now_s)
+
+    def read(self, request_id: str) -> list[Decision]:
+        self.queue.prefilled(request_id, 100.0, self.now_s)
+        return self.queue.advance(self.now_s)
+
+    def end(self, request_id: str) -> list[Decision]:
+        self.queue.ended(request_id, 50.0, self.now_s)
+        return self.queue.advance(self.now_s)
+
+    def fill(self, count: int) -> None:
+        for index in range(count):
+            request = run_request(f"full{index}", objective_ms=10_000)
+            assert granted(self.add(request)) == [f"full{index}"]
+            self.read(f"full{index}")
+
+
+def granted(decisions: list[Decision]) -> list[str]:
+    return [item.request_id for item in decisions if isinstance(item, Granted)]
+
+
+def refused(decisions: list[Decision]) -> dict[str, str]:
+    return {
+        item.request_id: item.reason for item in decisions if isinstance(item, Refused)
+    }
--- /dev/null
+++ b/tests/relay/test_stream_queue.py
@@ -0,0 +1,197 @@
+"""Guards against wrong grants and refusals of the queue for model engines."""
+
+from dataclasses import replace
+
+import pytest
+
+from kumquat_core.peer_messages import HeldRun
+from kumquat_relay.engine_health import Failure
+from kumquat_relay.engine_registry import EngineRole
+from kumquat_relay.stream_queue import Granted, Refused
+
+from .builders import SPEC, QueueWorld, engine, granted, refused, run_request
+
+
+def test_grants_a_free_place_with_the_reader() -> None:
+    world = QueueWorld()
+    (decision,) = world.add(run_request("a"))
+    assert isinstance(decision, Granted)
+    assert decision.decode.id == "d0"
+    assert decision.prefill is not None
+    assert decision.prefill.id == "p0"
+
+
+def test_waits_for_the_reader_instead_of_holding_an_idle_place() -> None:
+    world = QueueWorld()
+    world.add(run_request("a", prompt=11_000))
+    assert world.add(run_request("b")) == []
+    assert granted(world.read("a")) == ["b"]
+
+
+def test_refuses_at_once_what_cannot_be_on_time() -> None:
+    world = QueueWorld()
+    world.fill(12)
+    assert refused(world.add(run_request("late"))) == {"late": "objective_missed"}
+
+
+def test_does_not_refuse_while_places_are_free_and_the_reader_is_quick() -> None:
+    """Places were free, but the ends of runs were taken as the wait."""
+    world = QueueWorld(decoders=2)
+    world.fill(12)
+    world.add(run_request("a", prompt=9000))
+    assert world.add(run_request("b")) == []
+    assert granted(world.read("a")) == ["b"]
+
+
+def test_refuses_when_the_objective_passes_in_the_queue() -> None:
+    world = QueueWorld()
+    world.fill(10)
+    world.add(run_request("a", prompt=11_000))
+    world.add(run_request("b"))
+    world.clock.advance(0.8)
+    decisions = world.queue.advance(world.now_s)
+    assert refused(decisions) == {"b": "waited_too_long"}
+
+
+def test_a_late_request_leaves_room_for_those_on_time() -> None:
+    world = QueueWorld()
+    world.fill(11)
+    assert world.add(run_request("late", objective_ms=-100)) == []
+    assert granted(world.add(run_request("on_time"))) == ["on_time"]
+
+
+def test_late_requests_do_not_wait_while_others_are_refused() -> None:
+    world = QueueWorld()
+    world.fill(12)
+    world.add(run_request("a"))
+    late = run_request("late", objective_ms=-100)
+    assert refused(world.add(late)) == {"late": "saturated"}
+
+
+def test_more_urgent_requests_go_first() -> None:
+    world = QueueWorld()
+    world.fill(11)
+    world.add(run_request("a", prompt=11_000, objective_ms=5000))
+    world.add(run_request("later", priority=2, objective_ms=5000))
+    world.add(run_request("urgent", priority=0, objective_ms=5000))
+    world.read("a")
+    assert granted(world.end("full0")) == ["urgent"]
+
+
+def test_memory_bounds_the_runs_before_the_places_do() -> None:
+    world = QueueWorld(spec=replace(SPEC, memory_tokens=30_000))
+    for request_id in ("a", "b"):
+        assert granted(world.add(run_request(request_id))) == [request_id]
+        world.read(request_id)
+    assert granted(world.add(run_request("c"))) == []
+
+
+def test_no_grant_at_an_engine_that_was_full() -> None:
+    world = QueueWorld()
+    world.queue.engine_full("d0", world.now_s)
+    assert world.add(run_request("a")) == []
+    world.clock.advance(0.2)
+    assert granted(world.queue.advance(world.now_s)) == ["a"]
+
+
+def test_engines_that_stall_come_last() -> None:
+    world = QueueWorld(decoders=2)
+    world.queue.stalled("d0", world.now_s)
+    (decision,) = world.add(run_request("a"))
+    assert isinstance(decision, Granted)
+    assert decision.decode.id == "d1"
+
+
+def test_an_engine_that_changes_its_role_gets_nothing() -> None:
+    world = QueueWorld()
+    world.queue.set_changing("d0", world.now_s + 6.0)
+    (decision,) = world.add(run_request("a"))
+    assert isinstance(decision, Refused)
+    assert decision.reason == "no_engine"
+    assert decision.retry_after_s == pytest.approx(4.0)
+
+
+def test_the_new_role_ends_the_change() -> None:
+    world = QueueWorld()
+    world.queue.set_changing("p0", world.now_s + 6.0)
+    world.registry.put(engine("p0", EngineRole.DECODE), 200)
+    world.queue.refresh(SPEC)
+    assert world.queue.free_places() == 24
+
+
+def test_own_reads_follow_one_another() -> None:
+    """Two prompts read at once paused all runs of an engine by a second."""
+    world = QueueWorld(readers=0)
+    assert granted(world.add(run_request("a", prompt=3000))) == ["a"]
+    assert world.add(run_request("b", prompt=3000)) == []
+    world.clock.advance(0.15)
+    assert granted(world.read("a")) == []
+    world.clock.advance(0.2)
+    assert granted(world.queue.advance(world.now_s)) == ["b"]
+
+
+def test_running_streams_are_not_paused_for_a_long_prompt() -> None:
+    world = QueueWorld(readers=0)
+    world.add(run_request("a", prompt=3000))
+    decisions = world.add(run_request("long", prompt=11_000))
+    assert refused(decisions) == {"long": "no_reader_for_long_prompt"}
+
+
+def test_avoided_engines_get_nothing_while_others_can() -> None:
+    world = QueueWorld(decoders=2)
+    world.health.failed("d0", Failure.UNREACHABLE)
+    for request_id in ("a", "b"):
+        (decision,) = world.add(run_request(request_id))
+        assert isinstance(decision, Granted)
+        assert decision.decode.id == "d1"
+        world.read(request_id)
+
+
+def held(request_id: str) -> HeldRun:
+    return HeldRun(request_id, "d0", 5000, 6000, 500)
+
+
+def test_a_new_owner_adopts_the_runs_that_hosts_report() -> None:
+    world = QueueWorld(places=2)
+    assert world.queue.confirm("h", [held("a"), held("b")], world.now_s) == 2
+    assert world.queue.free_places() == 0
+
+
+def test_a_lost_release_is_noticed_by_the_next_reports() -> None:
+    world = QueueWorld()
+    world.add(run_request("a"))
+    world.clock.advance(2.0)
+    world.queue.confirm("h", [], world.now_s)
+    assert world.queue.free_places() == 12
+
+
+def test_a_fresh_grant_is_not_dropped_by_an_older_report() -> None:
+    world = QueueWorld()
+    world.add(run_request("a"))
+    world.clock.advance(0.1)
+    world.queue.confirm("h", [], world.now_s)
+    assert world.queue.free_places() == 11
+
+
+def test_runs_of_a_dead_host_are_dropped() -> None:
+    world = QueueWorld()
+    world.add(run_request("a"))
+    world.clock.advance(2.0)
+    assert world.queue.drop_unconfirmed(world.now_s) == 1
+
+
+def test_a_new_owner_grants_nothing_before_the_reports() -> None:
+    world = QueueWorld()
+    world.queue.pause(world.now_s + 0.6)
+    assert world.add(run_request("a")) == []
+    assert world.queue.next_due_s(world.now_s) == pytest.approx(world.now_s + 0.6)
+    world.clock.advance(0.6)
+    assert granted(world.queue.advance(world.now_s)) == ["a"]
+
+
+def test_an_engine_that_restarted_is_empty() -> None:
+    world = QueueWorld()
+    world.fill(3)
+    world.registry.put(replace(engine("d0"), born_ms=5), 300)
+    world.queue.refresh(SPEC)
+    assert world.queue.free_places() == 12
