--- /dev/null
+++ b/tests/relay/loopback.py
@@ -0,0 +1,62 @@
+"""A scripted HTTP peer on loopback for tests of connections."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from kumquat_core.settings import Address
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of a regular end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class ScriptedPeer:
+    """Accepts connections and plays a script on each."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self.connections = 0
+
+    async def __aenter__(self) -> "ScriptedPeer":
+        self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            await self._script(reader, writer)
+        finally:
+            writer.close()
+
+
+def answering(*answers: bytes, then_reset: bool = False) -> Script:
+    """Return a script that answers each request with the next bytes."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for answer in answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+        if then_reset:
+            await asyncio.sleep(0.01)
+            reset(writer)
+            return
+        await reader.read()
+
+    return script
--- /dev/null
+++ b/tests/relay/relay_world.py
@@ -0,0 +1,166 @@
+"""A whole relay host with the platform's adapter and stand-ins around it."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+from kumquat_platform.dialect import PlatformDialect
+from kumquat_platform.store import PlatformStore
+from yarl import URL
+
+from kumquat_core.settings import Address
+from kumquat_relay.relay_host import RelayHost
+from kumquat_relay.relay_settings import RelayOptions
+from kumquat_relay.retry_share import RetryTerms
+
+from .standins import EngineStandIn, StoreStandIn
+
+HOST = "shop.example"
+LLM = "llm"
+PLAIN = "plain"
+
+
+def configuration(version: int = 3, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with one route of each kind."""
+
+    def route(name: str, service: str, kind: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": 3000,
+            "target_latency_ms": 900,
+            "priority": 1,
+            "max_attempts": 2,
+            **more,
+        }
+
+    engine = {
+        "slots": 12,
+        "kv_tokens": 144_611,
+        "stride": 89,
+        "handle_ttl_s": 0.5,
+        "switch_s": 6.0,
+        "hold_ms": 2000.0,
+    }
+    document = {
+        "version": version,
+        "routes": [
+            route("once", PLAIN, "non_idempotent"),
+            route("again", PLAIN, "idempotent"),
+            route("story", LLM, "stream", gap_aim_ms=300, resumable=True),
+            route("tale", LLM, "stream", gap_aim_ms=300, resumable=False),
+        ],
+        "services": [
+            {"name": LLM, "max_conns": 164, "engine": engine},
+            {"name": PLAIN, "max_conns": 110},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+    return document | changes
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class RelayWorld:
+    """Starts everything, sends requests, and stops everything."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.reader = EngineStandIn("reader", "prefill")
+        self.decoders = [EngineStandIn(f"decode{n}", "decode") for n in range(2)]
+        self.plain = [EngineStandIn(f"plain{n}") for n in range(2)]
+        self._ids = 0
+
+    async def __aenter__(self) -> "RelayWorld":
+        await self.store.start()
+        for engine in self._engines():
+            await engine.start()
+        self.store.put("op", "config", configuration())
+        for engine in self._engines():
+            self.list(engine)
+        self.options = RelayOptions(
+            host_id="h1",
+            failure_domain="a",
+            callers=Address("127.0.0.1", free_port()),
+            readiness=Address("127.0.0.1", free_port()),
+            metrics=Address("127.0.0.1", free_port()),
+            peers=Address("127.0.0.1", free_port()),
+            store=self.store.address,
+            retries=RetryTerms(0.2, 10.0, 60.0),
+            stop_grace_s=4.0,
+            order_lease_s=3.0,
+            log_level="info",
+            seed=1,
+        )
+        self.host = RelayHost.from_config(
+            self.options, PlatformStore(self.options.store), PlatformDialect()
+        )
+        await self.host.start()
+        self.session = aiohttp.ClientSession()
+        await self.until(self.host.is_ready)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.close()
+        await self.host.stop()
+        for engine in self._engines():
+            await engine.stop()
+        await self.store.stop()
+
+    def _engines(self) -> list[EngineStandIn]:
+        return [self.reader, *self.decoders, *self.plain]
+
+    def list(self, engine: EngineStandIn, state: str = "ready") -> None:
+        service = PLAIN if engine.stage is None else LLM
+        self.store.put("servers", engine.id, engine.entry(service, state))
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(5.0):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def next_id(self) -> str:
+        self._ids += 1
+        return f"id{self._ids}"
+
+    def send(
+        self, route: str, method: str = "POST", **headers: str
+    ) -> "aiohttp.client._RequestContextManager":
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": self.next_id(),
+            "X-Deadline-Ms": "2500",
+            "X-Model": "m",
+            "X-Token-Counts": "5000,6000",
+            "X-Prefix-Hash": "ab:5000",
+        }
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"http://{self.options.callers.text}/{route}/p%2Fq?x=1"
+        return self.session.request(
+            method, URL(url, encoded=True), headers=sent | names, data=b"body"
+        )
+
+
+def play(script: Callable[[RelayWorld], Awaitable[None]]) -> None:
+    """Run a script in a world."""
+
+    async def run() -> None:
+        async with RelayWorld() as world:
+            await script(world)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/relay/standins.py
@@ -0,0 +1,257 @@
+"""Small stand-ins of the platform for tests without the bench.
+
+``StoreStandIn`` keeps rows with versions, conditions and long polls;
+``EngineStandIn`` is a model engine or a backend server. Both speak the wire
+form of the adapter's pages over loopback and can be told to misbehave.
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from aiohttp import web
+
+from kumquat_core.settings import Address
+
+Row = dict[str, Any]
+
+
+class _Server:
+    """An HTTP server on a free loopback port."""
+
+    def __init__(self) -> None:
+        self.address = Address("127.0.0.1", 0)
+
+    async def start(self) -> None:
+        self._runner = web.ServerRunner(
+            web.Server(self.handle, handler_cancellation=True), shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", self.address.port)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = Address("127.0.0.1", port)
+
+    async def stop(self) -> None:
+        await self._runner.cleanup()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+
+class StoreStandIn(_Server):
+    """The platform's store: rows, transactions, feeds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str], Row] = {}
+        self.history: list[Row] = []
+        self.version = 0
+        self.oldest = 0
+        self.away = False
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, document: Any) -> None:
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self._write({"table": table, "part": "", "key": key, "value": value})
+
+    def put_raw(self, table: str, key: str, value: bytes) -> None:
+        text = base64.b64encode(value).decode()
+        self._write({"table": table, "part": "", "key": key, "value": text})
+
+    def remove(self, table: str, key: str) -> None:
+        row = self.rows.pop((table, key), None)
+        if row is None:
+            return
+        self.version += 1
+        self._note({**row, "value": "", "ver": self.version, "deleted": True})
+
+    def forget_history(self) -> None:
+        self.history.clear()
+        self.oldest = self.version
+
+    def _write(self, row: Row) -> None:
+        self.version += 1
+        row = {**row, "ver": self.version}
+        self.rows[row["table"], row["key"]] = row
+        self._note(row)
+
+    def _note(self, row: Row) -> None:
+        self.history.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.away:
+            return web.Response(status=503)
+        match request.path:
+            case "/api/rows-get":
+                return self._get(request)
+            case "/api/rows-feed":
+                return await self._feed(request)
+            case "/api/rows-tx":
+                return self._transact(await request.json())
+        return web.Response(status=404)
+
+    def _answer(self, rows: list[Row]) -> web.Response:
+        return web.json_response(
+            {"rows": rows, "more_pages": False, "ver": self.version, "now_ms": 1}
+        )
+
+    def _get(self, request: web.BaseRequest) -> web.Response:
+        query = request.query
+        rows = [
+            row
+            for (table, key), row in sorted(self.rows.items())
+            if table == query["table"]
+            and key >= query.get("from", "")
+            and ("to" not in query or key < query["to"])
+        ]
+        return self._answer(rows)
+
+    async def _feed(self, request: web.BaseRequest) -> web.Response:
+        query = request.query
+        after, deadline_ms = int(query["after"]), int(query["wait_ms"])
+        if after < self.oldest:
+            return web.Response(status=410)
+        end_s = asyncio.get_running_loop().time() + deadline_ms / 1000
+        while True:
+            rows = [
+                row
+                for row in self.history
+                if row["ver"] > after and row["table"] == query["table"]
+            ]
+            left_s = end_s - asyncio.get_running_loop().time()
+            if rows or left_s <= 0 or self.away:
+                return self._answer(rows)
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _transact(self, body: Any) -> web.Response:
+        for expected in body["expected_rev"]:
+            row = self.rows.get((expected["table"], expected["key"]))
+            if (row["ver"] if row else 0) != expected["ver"]:
+                return web.json_response({"rows": []}, status=412)
+        for row in body["writes"]:
+            self._write(row)
+        for row in body["remove"]:
+            self.remove(row["table"], row["key"])
+        return web.json_response({"ver": self.version, "now_ms": 1})
+
+
+class EngineStandIn(_Server):
+    """A model engine with a stage, or a plain backend server without."""
+
+    def __init__(self, engine_id: str, stage: str | None = None) -> None:
+        super().__init__()
+        self.id = engine_id
+        self.stage = stage
+        self.events = 5
+        self.gap_s = 0.002
+        self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.runs: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.handles: set[str] = set()
+        self.full = False
+        self.lapsing = False
+        self.break_after: int | None = None
+        self.silent = asyncio.Event()
+        self.silent.set()
+        self.status = 200
+        self.cancelled = 0
+
+    def entry(self, service: str, state: str = "ready") -> dict[str, Any]:
+        entry: dict[str, Any] = {
+            "service": service,
+            "addr": self.address.text,
+            "zone": "a",
+            "version": "v1",
+            "slots": 12,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 4,
+            "born": 1000,
+        }
+        if self.stage is not None:
+            entry["stage"] = self.stage
+        return entry
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        expected = headers.get("x-expect-instance", self.id)
+        if expected != self.id:
+            return web.Response(status=421, headers={"X-Instance-Id": self.id})
+        if request.path.startswith("/api/"):
+            return self._api(request, body)
+        self.seen.append((request.method, request.raw_path, headers, body))
+        try:
+            await self.silent.wait()
+            return await self._serve(request, headers)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    def _api(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        match request.path:
+            case "/api/report":
+                return web.json_response(
+                    {"stage": self.stage, "busy": False, "seq": len(self.orders)}
+                )
+            case "/api/order":
+                self.orders.append(json.loads(body))
+                return web.Response(status=202)
+            case "/api/hold-take":
+                if self.full:
+                    return web.Response(status=503)
+                return web.json_response({"hold": "hold1"})
+        return web.Response(status=200)
+
+    async def _serve(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        request_id = headers["x-request-id"]
+        if self.full:
+            return self._not_executed(request_id)
+        if headers.get("x-stage") == "prefill":
+            handle = f"k{len(self.seen)}"
+            self.handles.add(handle)
+            return web.json_response(
+                {"kv_handle": handle, "tokens": 10, "version": 1},
+                headers={"X-Request-Id": request_id},
+            )
+        if self.lapsing and "x-kv-source" in headers:
+            return self._not_executed(request_id)
+        self.runs.append(request_id)
+        answer = {"X-Request-Id": request_id, "X-Response-Seal": f"seal-{self.id}"}
+        if self.stage is None:
+            return web.Response(status=self.status, headers=answer, body=b"whole")
+        return await self._stream(request, headers, answer)
+
+    def _not_executed(self, request_id: str) -> web.Response:
+        headers = {"X-Not-Executed": "1", "X-Request-Id": request_id}
+        return web.Response(status=503, headers=headers)
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: dict[str, str], answer: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**answer, "Content-Type": "text/event-stream"}
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            if self.break_after is not None and number > self.break_after:
+                await response.write(b"id: 99\ndata: part")
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: e{number}\n\n".encode())
+            await asyncio.sleep(self.gap_s)
+        await response.write_eof()
+        return response
