Know at once that the store is back; end connections after their answers

The watch of the hosts, whose poll ends late, counted as the return of the store and held the removal back; the engines' own watch learned of the return only when a full poll had passed. Change: only the engines' watch counts, its first call after a failure does not wait; the caller server closes idle connections and waits for answers. A prefill result survives a decode engine that refuses connections, and such an engine is avoided at once.

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -323,7 +323,7 @@
 
     ``gap_ms`` is the mean time between its events, 0 when there were too
     few. ``full_engine`` refused it for lack of room; ``failed_engine``
-    failed it.
+    failed it, and could not even be reached if ``unreachable`` is set.
     """
 
     request_id: str
@@ -331,6 +331,7 @@
     gap_ms: float = 0.0
     full_engine: str = ""
     failed_engine: str = ""
+    unreachable: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -133,13 +133,20 @@
         gap_ms: float = 0.0,
         full_engine: str = "",
         failed_engine: str = "",
+        *,
+        unreachable: bool = False,
     ) -> None:
         """Give a place back."""
         held = self._held_by_id.pop(request_id, None)
         if held is None:
             return
         message = RunEnded(
-            request_id, held.request.service, gap_ms, full_engine, failed_engine
+            request_id,
+            held.request.service,
+            gap_ms,
+            full_engine,
+            failed_engine,
+            unreachable,
         )
         self._tell_ended(held.owner, message)
 
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -42,6 +42,7 @@
 # limit; closing later than the limit loses nothing.
 IDLE_MARGIN_S = 2.0
 BACKLOG = 512
+STOP_POLL_S = 0.02
 
 logger = logging.getLogger(__name__)
 
@@ -109,11 +110,12 @@
         self._shutdown = shutdown
         self._metrics = metrics
         self._detached: set[asyncio.Task[Answer]] = set()
+        self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Start listening."""
-        server = web.Server(
+        self._server = web.Server(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -121,16 +123,26 @@
             max_line_size=FIRST_LIMITS.max_header_bytes,
             max_field_size=FIRST_LIMITS.max_header_bytes,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(
             self._runner, self._listen.ip, self._listen.port, backlog=BACKLOG
         ).start()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Stop listening, let requests end, and close all connections.
+
+        A request may have arrived on an open connection since the host was
+        found idle; connections in use are closed only after their answers.
+        """
+        if self._runner is None or self._server is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        self._server.pre_shutdown()
+        while self._shutdown.in_progress and self._shutdown.left_s > 0:
+            await asyncio.sleep(STOP_POLL_S)
+        await self._runner.cleanup()
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         with self._shutdown.request():
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -18,7 +18,7 @@
 __all__ = ["EngineEntry", "EngineRegistry", "EngineRole"]
 
 # The platform restores entries of live engines within about two seconds.
-RETURN_S = 2.2
+RETURN_S = 2.0
 
 
 class EngineRole(Enum):
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -114,6 +114,9 @@
         Raises ``WriteConflictError`` when another holder wrote it.
         """
 
+    async def close(self) -> None:
+        """Close the connections to the store."""
+
     async def read_lease(self, name: str) -> tuple[str, int]:
         """Return holder and version of a lease, ("", 0) without one."""
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -238,6 +238,7 @@
         if self._supervisor is not None:
             await self._supervisor.stop()
         self._parts.pool.close()
+        await self._store.close()
         log_event(logger, "stopped", in_progress=in_progress)
 
     def reload(self, options: RelayOptions) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -20,7 +20,7 @@
 __all__ = ["StateWatch", "WatchTimes"]
 
 FIRST_DELAY_S = 0.1
-MAX_DELAY_S = 0.8
+MAX_DELAY_S = 0.6
 
 logger = logging.getLogger(__name__)
 
@@ -82,18 +82,26 @@
     async def _turn(self) -> None:
         if self._version is None:
             snapshot = await self._store.read(self._kind)
-            if self._away:
-                self._beliefs.store_returned()
+            self._note_return()
             self._beliefs.take_snapshot(self._kind, snapshot)
             self._version = snapshot.version
             return
-        wait_s = WatchTimes.BY_KIND[self._kind]
+        # The first call after a failure tells at once that the store is back.
+        wait_s = 0.0 if self._away else WatchTimes.BY_KIND[self._kind]
         changes = await self._store.wait_for_changes(self._kind, self._version, wait_s)
-        if self._away:
-            self._beliefs.store_returned()
+        self._note_return()
         self._beliefs.take_changes(self._kind, changes)
         self._version = max(self._version, changes.version)
 
+    def _note_return(self) -> None:
+        """Let entries that lapsed with the store come back.
+
+        Only the engines' own watch tells when these are followed again; the
+        others may end their polls many seconds later.
+        """
+        if self._away and self._kind is StateKind.ENGINES:
+            self._beliefs.store_returned()
+
     def _delay_s(self) -> float:
         bound_s = min(MAX_DELAY_S, FIRST_DELAY_S * 2.0 ** min(self._failures - 1, 8))
         return bound_s * self._rng.uniform(0.6, 1.0)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -99,7 +99,7 @@
         reader = owned.queue.reader_of(message.request_id)
         owned.queue.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms <= 0:
-            self._note_failure(reader)
+            self._note_failure(reader, unreachable=False)
         elif reader and self._health.succeeded(reader):
             log_event(logger, "engine_trusted_again", engine=reader)
         self._carry_out(owned, owned.queue.advance(now_s))
@@ -109,7 +109,7 @@
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
         if message.failed_engine:
-            self._note_failure(message.failed_engine)
+            self._note_failure(message.failed_engine, message.unreachable)
         elif message.gap_ms > 0:
             self._note_success(owned, message.request_id)
         owned.queue.ended(message.request_id, message.gap_ms, now_s)
@@ -248,8 +248,9 @@
         owned.timer = None
         self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
 
-    def _note_failure(self, engine_id: str) -> None:
-        if self._health.failed(engine_id, Failure.BROKEN):
+    def _note_failure(self, engine_id: str, unreachable: bool) -> None:
+        failure = Failure.UNREACHABLE if unreachable else Failure.BROKEN
+        if self._health.failed(engine_id, failure):
             log_event(logger, "engine_avoided", engine=engine_id, failure="reported")
 
     def _note_success(self, owned: _Owned, request_id: str) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -45,6 +45,8 @@
 # A send that proves not to have run is repeated this often at most.
 MAX_NOT_RUN = 4
 NO_PLACE_RETRY_S = 0.4
+# Part of the life of a prefill result in which it is still sent elsewhere.
+PREFILL_USE_SHARE = 0.7
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +75,7 @@
     sends: int = 0
     excluded: set[str] = field(default_factory=set)
     prefill: PrefillResult | None = None
+    prefilled_s: float = float("-inf")
     hold: str = ""
     hold_entry: EngineEntry | None = None
     prefills: int = 0
@@ -149,7 +152,11 @@
                 outcome = await self._attempt(request, grant, progress, ended)
             finally:
                 self._admission.ended(
-                    request.id, ended.gap_ms, ended.full_engine, ended.failed_engine
+                    request.id,
+                    ended.gap_ms,
+                    ended.full_engine,
+                    ended.failed_engine,
+                    unreachable=ended.unreachable,
                 )
             if outcome is not None:
                 return outcome
@@ -202,6 +209,7 @@
         if grant.reserve and not await self._reserve(request, entry, progress):
             ended.full_engine = entry.id
             return self._after_not_run(request, progress, "not_reserved")
+        self._drop_old_prefill(request, progress)
         to_read = progress.prefill is None and progress.first_event_s is None
         if to_read and not await self._prefill(request, grant, progress):
             progress.excluded.add(grant.prefill_engine)
@@ -214,7 +222,7 @@
             if error.shed:
                 ended.full_engine = entry.id
             if error.unreachable:
-                ended.failed_engine = entry.id
+                ended.failed_engine, ended.unreachable = entry.id, True
                 progress.excluded.add(entry.id)
             return self._after_not_run(request, progress, error.reason)
         except RunFailedError as error:
@@ -232,6 +240,13 @@
             return self._after_break(request, progress, entry.id, reason)
         return await self._forward(request, stream, progress, ended)
 
+    def _drop_old_prefill(self, request: CallerRequest, progress: _Progress) -> None:
+        """Forget a prefill result that has lapsed before a place was found."""
+        spec = self._beliefs.engine_spec(request.service)
+        ttl_s = PREFILL_USE_SHARE * (spec.handle_ttl_s if spec else 0.0)
+        if self._clock.monotonic() - progress.prefilled_s > ttl_s:
+            progress.prefill = None
+
     async def _open(
         self, request: CallerRequest, entry: EngineEntry, progress: _Progress
     ) -> OpenStream:
@@ -250,6 +265,8 @@
                 return await self._send(request, entry, start, progress)
             except NotRunError as error:
                 if not error.shed:
+                    # The engine has not seen the result; another can take it.
+                    progress.prefill = source
                     raise
                 # A reservation is used up by the first request that names it.
                 hold = ""
@@ -340,6 +357,7 @@
         if result is None:
             self._retries.count_unavoidable(request.service)
         progress.prefill = result
+        progress.prefilled_s = self._clock.monotonic()
         return result is not None
 
     async def _forward(
@@ -471,3 +489,4 @@
     gap_ms: float = 0.0
     full_engine: str = ""
     failed_engine: str = ""
+    unreachable: bool = False
--- a/tests/relay/test_relay_host.py
+++ b/tests/relay/test_relay_host.py
@@ -292,3 +292,61 @@
         assert "kumquat_relay_configuration_version 3.0" in text
 
     play(script)
+
+
+def test_a_prompt_is_not_read_again_when_the_decode_engine_is_gone() -> None:
+    """Each refused connection wasted a prompt that had been read."""
+
+    async def script(world: RelayWorld) -> None:
+        gone = world.decoders[0]
+        await gone.stop()
+        for _ in range(3):
+            async with world.send("tale") as answer:
+                assert answer.status == 200
+                assert await answer.read() == EVENTS
+        assert len(world.reader.seen) == 3
+        await gone.start()
+
+    play(script)
+
+
+def test_a_request_that_arrives_while_the_host_ends_is_answered() -> None:
+    """A request on an open connection was cut when the host had been idle."""
+
+    async def script(world: RelayWorld) -> None:
+        for engine in world.plain:
+            engine.silent.clear()
+        async with world.send("again", "GET", X_Deadline_Ms="100") as answer:
+            await answer.read()
+        sent = sum(len(engine.seen) for engine in world.plain)
+        world.host._parts.shutdown.begin()
+        task = asyncio.ensure_future(world.send("once").__aenter__())
+        await world.until(lambda: sum(len(e.seen) for e in world.plain) > sent)
+        stopping = asyncio.ensure_future(world.host._supervisor.stop())
+        await asyncio.sleep(0.3)
+        for engine in world.plain:
+            engine.silent.set()
+        answer = await task
+        assert answer.status == 200
+        assert await answer.read() == b"whole"
+        await stopping
+
+    play(script)
+
+
+def test_only_the_watch_of_the_engines_tells_that_they_may_return() -> None:
+    """A watch with longer polls held removals back beyond the bound."""
+
+    async def script(world: RelayWorld) -> None:
+        registry = world.host._parts.beliefs.registry
+        world.store.away = True
+        await asyncio.sleep(2.6)
+        world.store.away = False
+        outdated = world.host._parts.beliefs.outdated
+        await world.until(lambda: not outdated())
+        await asyncio.sleep(2.1)
+        world.host._parts.beliefs.store_returned = lambda: pytest.fail("late")
+        world.store.remove("servers", "plain0")
+        await world.until(lambda: registry.get("plain0") is None)
+
+    play(script)
