Plan memory with room for errors; order into an empty role later

Reservations of the whole answer were refused up to five times a request. Every host entry woke every other host's poll. Change: overdue runs go on for a part of their time and are planned up to 1.2 times their estimate; room for errors grows with the root of the runs; reservations cover the prompt and 500 tokens; the host list is asked for less often; an empty role is filled after 2.5 s.

--- a/packages/kumquat_relay/src/kumquat_relay/beliefs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/beliefs.py
@@ -17,8 +17,8 @@
 
 __all__ = ["Beliefs"]
 
-# A poll of the engines lasts two seconds when nothing changes.
-OUTDATED_S = 3.0
+# A poll of the engines lasts up to three seconds when nothing changes.
+OUTDATED_S = 4.0
 
 logger = logging.getLogger(__name__)
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -6,6 +6,7 @@
 until its runs end, and learns the speed of each engine from finished work.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -32,6 +33,14 @@
 # A read whose end nobody reports is over after this many times its length.
 OWN_READ_LIMIT = 4.0
 
+# Estimates of answers are right at the median and often far too short.
+OVERDUE_SHARE = 0.15
+MEMORY_MARGIN = 1.2
+# Estimates err independently, so the room for their errors grows with the
+# root of the number of runs. Too little room preempts runs, which reads their
+# prompts again.
+ESTIMATE_SPREAD = 0.4
+
 # Part of the memory that may be planned for; the engine rounds each request
 # up to whole blocks.
 USABLE_MEMORY = 0.97
@@ -101,8 +110,13 @@
         return self.places - len(self.runs_by_id)
 
     def remaining_s(self, run: Run, now_s: float) -> float:
-        """Return the expected time until a run ends."""
-        return max(0.05, self.duration_s(run) - (now_s - run.granted_s))
+        """Return the expected time until a run ends.
+
+        A run that lasts longer than expected is expected to go on for a
+        part of what it has lasted.
+        """
+        lasted_s = now_s - run.granted_s
+        return max(OVERDUE_SHARE * lasted_s, self.duration_s(run) - lasted_s)
 
     def duration_s(self, run: Run) -> float:
         """Return the expected time of a run from its grant to its end."""
@@ -114,7 +128,9 @@
         if self.free_places() <= 0 or now_s < self.blocked_until_s:
             return False
         newcomer = Run("", "", prompt_tokens, expected_tokens, now_s, now_s)
-        peak = self._peak_tokens([*self.runs_by_id.values(), newcomer], now_s)
+        runs = [*self.runs_by_id.values(), newcomer]
+        spread = math.sqrt(sum(run.expected_tokens**2 for run in runs))
+        peak = self._peak_tokens(runs, now_s) + ESTIMATE_SPREAD * spread
         return peak <= self.spec.memory_tokens * USABLE_MEMORY
 
     def _peak_tokens(self, runs: Iterable[Run], now_s: float) -> float:
@@ -133,8 +149,8 @@
             return 0.0
         read_ms = run.prompt_tokens / self.read_tokens_per_ms
         made_ms = (at_s - run.granted_s) * 1000 - read_ms
-        made = min(float(run.expected_tokens), max(0.0, made_ms / self.token_ms))
-        return run.prompt_tokens + made
+        limit = MEMORY_MARGIN * run.expected_tokens
+        return run.prompt_tokens + min(limit, max(0.0, made_ms / self.token_ms))
 
     def read_backlog_ms(self) -> float:
         """Return the time to read the prompts granted to this engine."""
--- a/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
@@ -39,7 +39,8 @@
 # The busier role must become less busy by this factor, for this long.
 GAIN = 1.25
 LASTING_S = 4.0
-EMPTY_LASTING_S = 1.5
+# Engines that crash are mostly back within a few seconds, an order takes more.
+EMPTY_LASTING_S = 2.5
 
 
 @dataclass
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -20,6 +20,9 @@
 __all__ = ["StateWatch", "WatchTimes"]
 
 FIRST_DELAY_S = 0.1
+# Large deployments have looser bounds; polls cost the store more there.
+MANY_HOSTS = 30
+MANY_HOSTS_FACTOR = 1.4
 MAX_DELAY_S = 0.6
 
 logger = logging.getLogger(__name__)
@@ -36,7 +39,13 @@
     BY_KIND: ClassVar[dict[StateKind, float]] = {
         StateKind.CONFIGURATION: 2.0,
         StateKind.ENGINES: 2.0,
-        StateKind.HOSTS: 8.0,
+        StateKind.HOSTS: 15.0,
+    }
+    # Many hosts enter the list within a second; one answer tells of them all.
+    PAUSE_BY_KIND: ClassVar[dict[StateKind, float]] = {
+        StateKind.CONFIGURATION: 0.0,
+        StateKind.ENGINES: 0.0,
+        StateKind.HOSTS: 1.5,
     }
 
 
@@ -87,11 +96,20 @@
             self._version = snapshot.version
             return
         # The first call after a failure tells at once that the store is back.
-        wait_s = 0.0 if self._away else WatchTimes.BY_KIND[self._kind]
+        wait_s = 0.0 if self._away else self._wait_s()
         changes = await self._store.wait_for_changes(self._kind, self._version, wait_s)
         self._note_return()
         self._beliefs.take_changes(self._kind, changes)
         self._version = max(self._version, changes.version)
+        if changes.items:
+            await asyncio.sleep(WatchTimes.PAUSE_BY_KIND[self._kind])
+
+    def _wait_s(self) -> float:
+        """Return how long a poll waits; many hosts share the store's rate."""
+        wait_s = WatchTimes.BY_KIND[self._kind]
+        if len(self._beliefs.hosts_by_id) > MANY_HOSTS:
+            wait_s *= MANY_HOSTS_FACTOR
+        return wait_s
 
     def _note_return(self) -> None:
         """Let entries that lapsed with the store come back.
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -117,7 +117,6 @@
         if reply is not None and not reply.done():
             reply.set_result(RunRefusal(message.request_id, "withdrawn", 0, 0))
         if message.full_engine:
-            owned.unsure_until_s = now_s + UNSURE_S
             owned.queue.engine_full(message.full_engine, now_s)
         self._carry_out(owned, owned.queue.advance(now_s))
 
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -45,6 +45,8 @@
 # A send that proves not to have run is repeated this often at most.
 MAX_NOT_RUN = 4
 NO_PLACE_RETRY_S = 0.4
+# Room for the first events; the memory for the others is freed by other runs.
+RESERVED_OUTPUT_TOKENS = 500
 # Part of the life of a prefill result in which it is still sent elsewhere.
 PREFILL_USE_SHARE = 0.7
 
@@ -303,7 +305,7 @@
         if spec is None or not spec.hold_ttl_ms:
             return True
         prompt = request.facts.prompt or PromptFacts(1, 1, 1)
-        tokens = prompt.prompt_tokens + prompt.expected_tokens
+        tokens = prompt.prompt_tokens + RESERVED_OUTPUT_TOKENS
         try:
             progress.hold = await self._calls.reserve(entry, tokens, spec.hold_ttl_ms)
         except NotRunError as error:
