Let strong hosts own the queues; do less work for each report

Each of 164 reports a second went through the whole queue, and each grant planned the memory of every engine. Change: hosts state their strength; those under 0.8 of the strongest own nothing. Reports touch the queue only when they change something; the memory plan is made for the first engine that has a place.

--- a/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -6,7 +6,7 @@
 not, the engines refuse what is too much.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 from kumquat_core.clock import Clock
 from kumquat_core.rendezvous import owner_of
@@ -17,17 +17,24 @@
 # request, after this time; it doubles with each failure.
 FIRST_ABSENCE_S = 1.0
 MAX_ABSENCE_S = 8.0
+# The owner's work grows with the hosts, so weak hosts own nothing.
+STRONG_SHARE = 0.8
 
 
 class OwnerChoice:
     """The hosts that were out of reach, with the time to try them again."""
 
     def __init__(
-        self, host_id: str, clock: Clock, host_ids: Callable[[], Iterable[str]]
+        self,
+        host_id: str,
+        clock: Clock,
+        strengths_by_host_id: Callable[[], Mapping[str, float]],
+        strength: float = 1.0,
     ) -> None:
         self._host_id = host_id
         self._clock = clock
-        self._host_ids = host_ids
+        self._strengths = strengths_by_host_id
+        self._strength = strength
         self._outdated: set[str] = set()
         self._absences_by_host_id: dict[str, tuple[float, float]] = {}
 
@@ -35,7 +42,7 @@
         """Return the owner to ask; this host itself if no other is left."""
         present = [
             host_id
-            for host_id in {*self._host_ids(), self._host_id}
+            for host_id in self._candidates()
             if host_id not in self._absences_by_host_id
         ]
         current = [host_id for host_id in present if host_id not in self._outdated]
@@ -56,7 +63,13 @@
 
     def first(self, service: str) -> str:
         """Return the owner if all known hosts could be reached."""
-        return owner_of(service, {*self._host_ids(), self._host_id}) or self._host_id
+        return owner_of(service, self._candidates()) or self._host_id
+
+    def _candidates(self) -> list[str]:
+        """Return the hosts that are strong enough to own a queue."""
+        strengths = {**self._strengths(), self._host_id: self._strength}
+        limit = STRONG_SHARE * max(strengths.values())
+        return [host_id for host_id, value in strengths.items() if value >= limit]
 
     def unreachable(self, host_id: str) -> bool:
         """Note a failed call; return whether this is news."""
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -42,12 +42,16 @@
 
 @dataclass(frozen=True)
 class HostEntry:
-    """A running entry host; ``incarnation`` is its start in Unix ms."""
+    """A running entry host; ``incarnation`` is its start in Unix ms.
+
+    ``strength`` compares the processors and links of hosts.
+    """
 
     host_id: str
     address: Address
     failure_domain: str
     incarnation: int
+    strength: float = 1.0
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -110,7 +110,7 @@
             parts.beliefs.registry, parts.health, options.failure_domain, parts.rng
         )
         self._owners = OwnerChoice(
-            options.host_id, parts.clock, lambda: parts.beliefs.hosts_by_id
+            options.host_id, parts.clock, self._strengths, options.strength
         )
         self._owner = StreamOwner(
             options.host_id,
@@ -291,6 +291,7 @@
                     options.peers,
                     options.failure_domain,
                     self._incarnation,
+                    options.strength,
                 )
                 await self._store.put_host(entry)
                 log_event(logger, "host_entered", host=options.host_id)
@@ -328,6 +329,10 @@
         entry = self._parts.beliefs.hosts_by_id.get(host_id)
         return entry.address if entry is not None else None
 
+    def _strengths(self) -> dict[str, float]:
+        hosts = self._parts.beliefs.hosts_by_id
+        return {host_id: entry.strength for host_id, entry in hosts.items()}
+
     def _hosts_changed(self) -> None:
         hosts = self._parts.beliefs.hosts_by_id
         self._parts.retries.host_count = max(1, len(hosts))
--- a/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
@@ -17,6 +17,10 @@
 
 __all__ = ["RelayOptions", "load_relay_options", "parse_address"]
 
+# An owner of eighty hosts receives and sends about a megabit each second;
+# below ten times that its answers wait on the link.
+WIDE_LINK_MBPS = 10.0
+
 Seconds = Annotated[float, Field(gt=0)]
 AddressText = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 Port = Annotated[int, Field(ge=1, le=65535)]
@@ -39,6 +43,12 @@
     allowance: Annotated[float, Field(ge=0)]
 
 
+class _ProcessorModel(_Model):
+    share: Annotated[float, Field(gt=0)] = 1.0
+    speed: Annotated[float, Field(gt=0)] = 1.0
+    link_mbps: Annotated[float, Field(gt=0)] = WIDE_LINK_MBPS
+
+
 class RelaySettingsModel(_Model):
     """The settings file of a relay host; times in seconds."""
 
@@ -49,13 +59,17 @@
     retries: _RetryModel
     stop_grace_s: Seconds
     order_lease_s: Seconds
+    processor: _ProcessorModel = Field(default_factory=lambda: _ProcessorModel())
     log_level: str = "info"
     seed: int = 0
 
 
 @dataclass(frozen=True)
 class RelayOptions:
-    """All options of a relay host."""
+    """All options of a relay host.
+
+    ``strength`` compares the processors and links of hosts.
+    """
 
     host_id: str
     failure_domain: str
@@ -69,6 +83,7 @@
     order_lease_s: float
     log_level: str
     seed: int
+    strength: float = 1.0
 
     @classmethod
     def from_settings(cls, model: RelaySettingsModel) -> "RelayOptions":
@@ -89,9 +104,15 @@
             order_lease_s=model.order_lease_s,
             log_level=model.log_level,
             seed=model.seed,
+            strength=_strength(model.processor),
         )
 
 
+def _strength(processor: _ProcessorModel) -> float:
+    link = min(1.0, processor.link_mbps / WIDE_LINK_MBPS)
+    return processor.share * processor.speed * link
+
+
 def parse_address(text: str) -> Address:
     """Return the address of ``IP:PORT``; raises ``ValueError``."""
     ip, _, port = text.rpartition(":")
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -149,7 +149,7 @@
                 held=len(message.runs),
                 changed=changed,
             )
-        self._carry_out(owned, owned.queue.advance(now_s))
+            self._carry_out(owned, owned.queue.advance(now_s))
         return RunsNoted(
             self._host_id, owned.queue.free_places(), self._beliefs.outdated()
         )
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -410,21 +410,24 @@
         ``reads`` leaves out engines that have just read a prompt themselves.
         """
         request = waiting.request
-        fitting = [
+        loads = [
             load
             for load in self._decode_loads()
-            if load.entry.id not in waiting.excluded
-            and not (reads and self._disturbs(load, request.prompt_tokens, now_s))
-            and load.fits(request.prompt_tokens, request.expected_tokens, now_s)
+            if load.entry.id not in waiting.excluded and load.free_places() > 0
         ]
-        return min(
-            fitting,
+        loads.sort(
             key=lambda load: (
                 now_s < load.stalled_until_s,
                 load.token_ms * (1 + len(load.runs_by_id) / load.places),
-            ),
-            default=None,
+            )
         )
+        for load in loads:
+            if reads and self._disturbs(load, request.prompt_tokens, now_s):
+                continue
+            # The memory plan is the costly part; mostly the first engine fits.
+            if load.fits(request.prompt_tokens, request.expected_tokens, now_s):
+                return load
+        return None
 
     def _disturbs(self, load: EngineLoad, prompt_tokens: int, now_s: float) -> bool:
         """Tell whether reading a prompt would pause running streams."""
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -207,7 +207,7 @@
 def test_another_host_becomes_owner_until_the_first_answers() -> None:
     clock = ManualClock()
     hosts = ["a", "b", "c"]
-    choice = OwnerChoice("c", clock, lambda: hosts)
+    choice = OwnerChoice("c", clock, lambda: dict.fromkeys(hosts, 1.0))
     first = choice.first("s")
     others = [host for host in hosts if host != first]
     if first == "c":
@@ -221,8 +221,17 @@
     assert choice.owner("s") == first
 
 
+def test_weak_hosts_own_no_queue() -> None:
+    """A host with half a core fell behind as the owner of eighty hosts."""
+    strengths = {f"weak{index}": 0.5 for index in range(20)} | {"strong": 2.1}
+    choice = OwnerChoice("weak0", ManualClock(), lambda: strengths, 0.5)
+    assert choice.owner("s") == "strong"
+    choice.unreachable("strong")
+    assert choice.owner("s") == "weak0"
+
+
 def test_a_host_without_the_store_hands_its_queue_on() -> None:
-    choice = OwnerChoice("c", ManualClock(), lambda: ["a", "b", "c"])
+    choice = OwnerChoice("c", ManualClock(), lambda: dict.fromkeys("abc", 1.0))
     first = choice.first("s")
     choice.set_outdated(first, True)
     assert choice.owner("s") != first
