--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -31,6 +31,11 @@
 __all__ = ["Decision", "Granted", "QueueTerms", "Refused", "StreamQueue"]
 
 
+# A request that waits longer than a prompt is read, with places free, waits
+# for memory.
+MEMORY_WAIT_S = 0.15
+
+
 @dataclass(frozen=True)
 class QueueTerms:
     """Figures of the queue; times in seconds.
@@ -471,11 +476,16 @@
             if item is not waiting and self._rank(item, now_s) <= rank
         ]
         read_s = self._expected_read_wait_s(waiting, before, now_s)
-        free = self.free_places()
+        free = 0 if self._is_memory_full(now_s) else self.free_places()
         if len(before) < free:
             return read_s
         return max(read_s, self._nth_free_s(len(before) - free, now_s))
 
+    def _is_memory_full(self, now_s: float) -> bool:
+        """Tell whether places are free that no waiting request fits into."""
+        waits_s = [now_s - item.arrived_s for item in self._waiting_by_id.values()]
+        return max(waits_s, default=0.0) > self.terms.read_ahead_s + MEMORY_WAIT_S
+
     def _expected_read_wait_s(
         self, waiting: _Waiting, before: list[_Waiting], now_s: float
     ) -> float:
--- a/tests/relay/test_stream_queue.py
+++ b/tests/relay/test_stream_queue.py
@@ -195,3 +195,15 @@
     world.registry.put(replace(engine("d0"), born_ms=5), 300)
     world.queue.refresh(SPEC)
     assert world.queue.free_places() == 12
+
+
+def test_refuses_at_once_while_memory_is_full_and_places_are_free() -> None:
+    """Requests were held until their objective had passed (grown quiet-1)."""
+    world = QueueWorld(spec=replace(SPEC, memory_tokens=30_000))
+    for request_id in ("a", "b"):
+        world.add(run_request(request_id))
+        world.read(request_id)
+    world.add(run_request("c"))
+    assert refused(world.add(run_request("d"))) == {}
+    world.clock.advance(0.3)
+    assert refused(world.add(run_request("e"))) == {"e": "objective_missed"}
