Let streams that go on go first; log times with milliseconds

The test of a resumed stream could pass without a break. Change: a stream that has begun asks with the time its caller still waits and before all others. The stand-in breaks exactly once. Log lines carry milliseconds, so that the lines of one request can be sorted.

--- a/packages/kumquat_core/src/kumquat_core/log_events.py
+++ b/packages/kumquat_core/src/kumquat_core/log_events.py
@@ -15,7 +15,7 @@
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of a record, without a line break."""
         fields: dict[str, object] = {
-            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "time": self._time(record),
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": record.getMessage(),
@@ -25,6 +25,11 @@
             fields["exception"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
 
+    def _time(self, record: logging.LogRecord) -> str:
+        """Return the time with milliseconds, so that lines can be sorted."""
+        seconds = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        return f"{seconds}.{int(record.msecs):03d}"
+
 
 def _quote(value: object) -> str:
     text = str(value)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -47,6 +47,8 @@
 NO_PLACE_RETRY_S = 0.4
 # Room for the first events; the memory for the others is freed by other runs.
 RESERVED_OUTPUT_TOKENS = 500
+# Streams that go on go before all that have not begun.
+RESUME_PRIORITY = -1
 # Part of the life of a prefill result in which it is still sent elsewhere.
 PREFILL_USE_SHARE = 0.7
 
@@ -173,11 +175,13 @@
             PATIENCE_OBJECTIVES * route.objective_ms,
             PATIENCE_GAPS * route.max_gap_ms,
         )
+        priority = route.priority
         if progress.first_event_s is not None:
-            # A broken stream is late after one more pause of the usual length.
-            silent_ms = (now_s - progress.last_event_s) * 1000
-            objective_ms = route.max_gap_ms - silent_ms
-            patience_ms -= int(silent_ms)
+            # The caller has a part of the answer; the rest is worth more to
+            # it than a new answer to another, as long as it waits.
+            patience_ms -= int((now_s - progress.last_event_s) * 1000)
+            objective_ms = float(patience_ms)
+            priority = RESUME_PRIORITY
         else:
             objective_ms = self._ages.objective_left_ms(request) - waited_ms
             patience_ms -= int(waited_ms)
@@ -186,7 +190,7 @@
             request.service,
             prompt.prompt_tokens,
             max(1, prompt.expected_tokens - self._made_tokens(request, progress)),
-            route.priority,
+            priority,
             int(objective_ms),
             max(0, min(patience_ms, request.left_ms(now_s))),
             tuple(sorted(progress.excluded)),
--- a/tests/relay/relay_world.py
+++ b/tests/relay/relay_world.py
@@ -134,6 +134,12 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    def break_once(self, after: int) -> None:
+        """Let the next stream break after so many events."""
+        breaks = [after]
+        for engine in self.decoders:
+            engine.breaks = breaks
+
     def next_id(self) -> str:
         self._ids += 1
         return f"id{self._ids}"
--- a/tests/relay/standins.py
+++ b/tests/relay/standins.py
@@ -158,7 +158,8 @@
         self.handles: set[str] = set()
         self.full = False
         self.lapsing = False
-        self.break_after: int | None = None
+        # Streams break after these events, once each; engines may share it.
+        self.breaks: list[int] = []
         self.silent = asyncio.Event()
         self.silent.set()
         self.status = 200
@@ -246,7 +247,8 @@
         await response.prepare(request)
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            if self.break_after is not None and number > self.break_after:
+            if self.breaks and number > self.breaks[0]:
+                self.breaks.pop(0)
                 await response.write(b"id: 99\ndata: part")
                 assert request.transport is not None
                 request.transport.abort()
--- a/tests/relay/test_relay_host.py
+++ b/tests/relay/test_relay_host.py
@@ -5,6 +5,8 @@
 import aiohttp
 import pytest
 
+from kumquat_core.peer_messages import RunGrant, RunRequest
+
 from .relay_world import LLM, RelayWorld, configuration, play
 
 EVENTS = b"".join(f"id: {n}\ndata: e{n}\n\n".encode() for n in range(1, 6))
@@ -104,21 +106,17 @@
 
 def test_a_broken_stream_goes_on_at_another_engine() -> None:
     async def script(world: RelayWorld) -> None:
-        world.decoders[0].break_after = 2
-        world.decoders[1].break_after = 2
+        world.break_once(after=2)
         async with world.send("story") as answer:
-            await answer.content.readexactly(len(EVENTS) // 5 * 2)
-            for engine in world.decoders:
-                engine.break_after = None
-            assert await answer.read() == EVENTS[len(EVENTS) // 5 * 2 :]
+            assert await answer.read() == EVENTS
+        assert sorted(len(engine.runs) for engine in world.decoders) == [1, 1]
 
     play(script)
 
 
 def test_a_stream_that_may_not_be_resumed_breaks_off() -> None:
     async def script(world: RelayWorld) -> None:
-        for engine in world.decoders:
-            engine.break_after = 2
+        world.break_once(after=2)
         with pytest.raises(aiohttp.ClientError):
             async with world.send("tale") as answer:
                 await answer.read()
@@ -350,3 +348,25 @@
         await world.until(lambda: registry.get("plain0") is None)
 
     play(script)
+
+
+def test_a_stream_that_goes_on_is_not_late() -> None:
+    """A broken stream was refused like a late one and ended in the middle."""
+
+    async def script(world: RelayWorld) -> None:
+        asked = []
+        place = world.host._admission.place
+
+        async def record(request: RunRequest) -> RunGrant:
+            asked.append(request)
+            return await place(request)
+
+        world.host._admission.place = record
+        world.break_once(after=2)
+        async with world.send("story") as answer:
+            await answer.read()
+        first, second = asked
+        assert second.priority < first.priority
+        assert second.objective_ms >= second.patience_ms > 1000
+
+    play(script)
