--- a/tests/ctl/test_ops_files.py
+++ b/tests/ctl/test_ops_files.py
@@ -33,7 +33,7 @@
 
 def test_every_alert_has_a_section_in_the_operations_page():
     alerts = re.findall(r"- alert: (\w+)", (ROOT / "ops" / "alerts.yml").read_text())
-    page = (ROOT / "docs" / "operations.md").read_text()
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     sections = re.findall(r"^### (Kumquat\w+)$", page, re.MULTILINE)
     assert sections == alerts
 
--- /dev/null
+++ b/tests/relay/test_replay.py
@@ -0,0 +1,66 @@
+"""Replays the loads that the rules of the queue answer, with and without them.
+
+Each test guards against a rule that no longer serves callers better than the
+queue without it.
+"""
+
+from dataclasses import replace
+
+import pytest
+
+from kumquat_relay.stream_queue import QueueTerms
+
+from .replay import Outcome, Replay, burst
+
+SEEDS = (1, 2, 3, 4, 5)
+WITH = QueueTerms()
+FOREVER_S = 1000.0
+
+
+def play(terms: QueueTerms, *, base: float = 4.0, peak: float = 14.0) -> Outcome:
+    """Return the sum of the outcomes over all seeds."""
+    total = Outcome()
+    for seed in SEEDS:
+        outcome = Replay(terms, seed).run(burst(seed, base, peak))
+        total.on_time += outcome.on_time
+        total.late += outcome.late
+        total.refused += outcome.refused
+        total.held_s += outcome.held_s
+        total.place_idle_s += outcome.place_idle_s
+    return total
+
+
+def test_places_do_not_wait_for_the_reader_at_a_peak() -> None:
+    """Places were taken 0.4 s before the reader began the prompt."""
+    with_rule = play(WITH)
+    without = play(replace(WITH, read_ahead_s=FOREVER_S))
+    assert with_rule.place_idle_s < 0.8 * without.place_idle_s
+    assert with_rule.on_time >= without.on_time
+
+
+def test_what_is_refused_is_refused_soon() -> None:
+    outcome = play(WITH)
+    held_s = sorted(outcome.held_s)
+    assert held_s
+    assert held_s[len(held_s) // 2] < 0.05
+    assert max(held_s) <= 0.75
+
+
+def test_nobody_is_refused_below_the_capacity() -> None:
+    outcome = play(WITH, base=2.5, peak=2.5)
+    assert outcome.refused == 0
+    assert outcome.late == 0
+
+
+def test_a_peak_serves_as_many_on_time_as_there_are_places() -> None:
+    """Late requests must not take the places of those that can be on time."""
+    outcome = play(WITH)
+    served = outcome.on_time + outcome.late
+    assert outcome.on_time >= 0.97 * served
+
+
+@pytest.mark.parametrize("peak", [8.0, 14.0, 28.0])
+def test_the_number_on_time_does_not_fall_as_the_load_grows(peak: float) -> None:
+    lower = play(WITH, peak=peak / 2)
+    higher = play(WITH, peak=peak)
+    assert higher.on_time >= 0.95 * lower.on_time
