Divide the stream queue and the stream relay by job

Cause: both modules had grown to about 500 lines and mixed accounts, forecasts and refusals, or starting and forwarding. Change: queue_types, run_ledger and stream_queue; stream_progress, run_starter and stream_relay.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -56,7 +56,6 @@
     expected_tokens: int
     granted_s: float
     confirmed_s: float
-    late: bool = False
 
 
 @dataclass
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -0,0 +1,175 @@
+"""Starts a run at granted engines: reservation, prompt, first byte.
+
+A prompt is read once where that is possible: its result survives an engine
+that cannot be reached, and where it lapsed its parts are fetched.
+"""
+
+import logging
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import RunGrant
+
+from .admission import Admission
+from .beliefs import Beliefs
+from .caller_request import CallerRequest, PromptFacts
+from .engine_calls import EngineCalls, NotRunError, OpenStream, RunStart
+from .engine_registry import EngineEntry
+from .prefill_lapses import PrefillLapses
+from .relay_settings import parse_address
+from .retry_share import RetryShare
+from .stream_progress import StreamProgress
+
+__all__ = ["BudgetSpentError", "RunStarter"]
+
+# Room for the first events; the memory for the others is freed by other runs.
+RESERVED_OUTPUT_TOKENS = 500
+# Part of the life of a prefill result in which it is still sent elsewhere.
+PREFILL_USE_SHARE = 0.7
+
+logger = logging.getLogger(__name__)
+
+
+class BudgetSpentError(Exception):
+    """A further send would exceed this host's share of the retry budget."""
+
+
+class RunStarter:
+    """Uses granted places to start runs."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        beliefs: Beliefs,
+        admission: Admission,
+        calls: EngineCalls,
+        retries: RetryShare,
+    ) -> None:
+        self._clock = clock
+        self._beliefs = beliefs
+        self._admission = admission
+        self._calls = calls
+        self._retries = retries
+        self._lapses = PrefillLapses(clock)
+
+    async def reserve(
+        self, request: CallerRequest, entry: EngineEntry, progress: StreamProgress
+    ) -> bool:
+        """Reserve the granted place where the owner is not sure of it."""
+        spec = self._beliefs.engine_spec(request.service)
+        if spec is None or not spec.hold_ttl_ms:
+            return True
+        prompt = request.facts.prompt or PromptFacts(1, 1, 1)
+        tokens = prompt.prompt_tokens + RESERVED_OUTPUT_TOKENS
+        try:
+            progress.hold = await self._calls.reserve(entry, tokens, spec.hold_ttl_ms)
+        except NotRunError as error:
+            log_event(
+                logger,
+                "not_reserved",
+                request=request.id,
+                engine=entry.id,
+                reason=error.reason,
+            )
+            progress.excluded.add(entry.id)
+            return False
+        progress.hold_entry = entry
+        return bool(progress.hold)
+
+    async def prefill(
+        self, request: CallerRequest, grant: RunGrant, progress: StreamProgress
+    ) -> bool:
+        """Have the prompt read; return false when that failed.
+
+        Without a prefill engine the decode engine reads the prompt.
+        """
+        if not grant.prefill_engine:
+            return True
+        entry = self.entry(request, grant.prefill_engine, grant.prefill_address)
+        if entry is None:
+            return False
+        if progress.prefills > 0 and not self._retries.try_spend(request.service):
+            return False
+        progress.prefills += 1
+        began_s = self._clock.monotonic()
+        result = await self._calls.prefill(request, entry)
+        took_ms = (self._clock.monotonic() - began_s) * 1000
+        self._admission.prefilled(request.id, took_ms if result else 0.0)
+        if result is None:
+            self._retries.count_unavoidable(request.service)
+        progress.prefill = result
+        progress.prefilled_s = self._clock.monotonic()
+        return result is not None
+
+    async def open(
+        self, request: CallerRequest, entry: EngineEntry, progress: StreamProgress
+    ) -> OpenStream:
+        """Start a run; a prefill result that is gone is fetched instead.
+
+        An engine refuses alike when it is full and when the result is gone.
+        The prompt's parts often stay at the engine that read them.
+        """
+        source, progress.prefill = progress.prefill, None
+        hold, progress.hold = progress.hold, ""
+        last_id = progress.splitter.last_id
+        lapses = source is not None and self._lapses.expected(source.address)
+        if source is not None and not lapses:
+            try:
+                start = RunStart(source, None, last_id, hold)
+                return await self._send(request, entry, start, progress)
+            except NotRunError as error:
+                if not error.shed:
+                    # The engine has not seen the result; another can take it.
+                    progress.prefill = source
+                    raise
+                # A reservation is used up by the first request that names it.
+                hold = ""
+        fetch_from = source.address if source is not None else None
+        start = RunStart(None, fetch_from, last_id, hold)
+        stream = await self._send(request, entry, start, progress)
+        if source is not None and not lapses:
+            self._lapses.note(source.address)
+            log_event(logger, "prefill_lapsed", request=request.id, engine=entry.id)
+        return stream
+
+    def entry(
+        self, request: CallerRequest, engine_id: str, address: str
+    ) -> EngineEntry | None:
+        """Return the granted engine, None if this host knows it is leaving.
+
+        The owner may know an engine that the store has not shown here yet.
+        """
+        entry = self._beliefs.registry.get(engine_id)
+        if entry is not None:
+            return None if entry.draining else entry
+        if self._beliefs.registry.was_removed(engine_id):
+            return None
+        return EngineEntry(
+            engine_id, request.service, parse_address(address), "", 0, False
+        )
+
+    def drop_old_prefill(
+        self, request: CallerRequest, progress: StreamProgress
+    ) -> None:
+        """Forget a prefill result that has lapsed before a place was found."""
+        spec = self._beliefs.engine_spec(request.service)
+        ttl_s = PREFILL_USE_SHARE * (spec.handle_ttl_s if spec else 0.0)
+        if self._clock.monotonic() - progress.prefilled_s > ttl_s:
+            progress.prefill = None
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        start: RunStart,
+        progress: StreamProgress,
+    ) -> OpenStream:
+        if progress.sends > 0 and not self._retries.try_spend(request.service):
+            raise BudgetSpentError
+        progress.sends += 1
+        try:
+            return await self._calls.open_stream(request, entry, start)
+        except NotRunError as error:
+            if error.unreachable:
+                progress.sends -= 1
+            raise
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -25,9 +25,10 @@
 
 from .beliefs import Beliefs
 from .engine_health import EngineHealth, Failure
+from .queue_types import Decision, Granted, Refused
 from .return_times import ReturnTimes
 from .stage_plan import Demand
-from .stream_queue import Decision, Granted, Refused, StreamQueue
+from .stream_queue import StreamQueue
 
 __all__ = ["StreamOwner"]
 
@@ -77,7 +78,7 @@
         if spec is None:
             return RunRefusal(request.request_id, "no_engine_service", 500, 0)
         owned = self._owned(request.service)
-        owned.queue.refresh(spec)
+        owned.queue.ledger.refresh(spec)
         reply: asyncio.Future[RunGrant | RunRefusal]
         reply = asyncio.get_running_loop().create_future()
         owned.replies_by_id[request.request_id] = reply
@@ -96,8 +97,8 @@
         """Note that a prompt was read."""
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
-        reader = owned.queue.reader_of(message.request_id)
-        owned.queue.prefilled(message.request_id, message.read_ms, now_s)
+        reader = owned.queue.ledger.reader_of(message.request_id)
+        owned.queue.ledger.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms <= 0:
             self._note_failure(reader, unreachable=False)
         elif reader and self._health.succeeded(reader):
@@ -117,13 +118,13 @@
         if reply is not None and not reply.done():
             reply.set_result(RunRefusal(message.request_id, "withdrawn", 0, 0))
         if message.full_engine:
-            owned.queue.engine_full(message.full_engine, now_s)
+            owned.queue.ledger.engine_full(message.full_engine, now_s)
         self._carry_out(owned, owned.queue.advance(now_s))
 
     def stalled(self, message: RunStalled) -> None:
         """Note that a run makes no progress."""
         owned = self._owned(message.service)
-        owned.queue.stalled(message.engine, self._clock.monotonic())
+        owned.queue.ledger.stalled(message.engine, self._clock.monotonic())
         log_event(
             logger,
             "run_stalled",
@@ -137,9 +138,9 @@
         owned = self._owned(message.service)
         spec = self._beliefs.engine_spec(message.service)
         if spec is not None:
-            owned.queue.refresh(spec)
+            owned.queue.ledger.refresh(spec)
         now_s = self._clock.monotonic()
-        changed = owned.queue.confirm(host_id, message.runs, now_s)
+        changed = owned.queue.ledger.confirm(host_id, message.runs, now_s)
         if changed:
             log_event(
                 logger,
@@ -151,14 +152,14 @@
             )
             self._carry_out(owned, owned.queue.advance(now_s))
         return RunsNoted(
-            self._host_id, owned.queue.free_places(), self._beliefs.outdated()
+            self._host_id, owned.queue.ledger.free_places(), self._beliefs.outdated()
         )
 
     def sweep(self) -> None:
         """Drop runs of hosts that report no longer."""
         now_s = self._clock.monotonic()
         for service, owned in self._owned_by_service.items():
-            dropped = owned.queue.drop_unconfirmed(now_s)
+            dropped = owned.queue.ledger.drop_unconfirmed(now_s)
             if dropped:
                 log_event(logger, "runs_dropped", service=service, count=dropped)
                 self._carry_out(owned, owned.queue.advance(now_s))
@@ -168,7 +169,7 @@
         for service, owned in self._owned_by_service.items():
             spec = self._beliefs.engine_spec(service)
             if spec is not None:
-                owned.queue.refresh(spec)
+                owned.queue.ledger.refresh(spec)
                 self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
 
     def demands(self) -> dict[str, Demand]:
@@ -182,7 +183,7 @@
 
     def runs_of(self, service: str) -> dict[str, int]:
         """Return the number of runs at each engine of a service."""
-        return self._owned_by_service[service].queue.runs_by_engine()
+        return self._owned_by_service[service].queue.ledger.runs_by_engine()
 
     def set_changing(self, service: str, engine_id: str, until_s: float) -> None:
         """Grant nothing at an engine while it changes its role.
@@ -191,9 +192,9 @@
         ``until_s``.
         """
         queue = self._owned_by_service[service].queue
-        queue.set_changing(engine_id, until_s)
+        queue.ledger.set_changing(engine_id, until_s)
         delay_s = max(0.0, until_s - self._clock.monotonic())
-        asyncio.get_running_loop().call_later(delay_s, queue.changed, engine_id)
+        asyncio.get_running_loop().call_later(delay_s, queue.ledger.changed, engine_id)
 
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
@@ -253,7 +254,7 @@
             log_event(logger, "engine_avoided", engine=engine_id, failure="reported")
 
     def _note_success(self, owned: _Owned, request_id: str) -> None:
-        engine_id = owned.queue.engine_of(request_id)
+        engine_id = owned.queue.ledger.engine_of(request_id)
         if engine_id and self._health.succeeded(engine_id):
             log_event(logger, "engine_trusted_again", engine=engine_id)
 
--- a/tests/relay/builders.py
+++ b/tests/relay/builders.py
@@ -5,15 +5,10 @@
 from kumquat_core.settings import Address
 from kumquat_relay.engine_health import EngineHealth
 from kumquat_relay.engine_registry import EngineEntry, EngineRegistry, EngineRole
+from kumquat_relay.queue_types import Decision, Granted, QueueTerms, Refused
 from kumquat_relay.return_times import ReturnTimes
 from kumquat_relay.routes import EngineSpec
-from kumquat_relay.stream_queue import (
-    Decision,
-    Granted,
-    QueueTerms,
-    Refused,
-    StreamQueue,
-)
+from kumquat_relay.stream_queue import StreamQueue
 
 SERVICE = "advice"
 SPEC = EngineSpec(
@@ -72,7 +67,7 @@
         self.queue = StreamQueue(
             SERVICE, self.registry, self.health, ReturnTimes(), terms
         )
-        self.queue.refresh(spec)
+        self.queue.ledger.refresh(spec)
 
     @property
     def now_s(self) -> float:
@@ -82,7 +77,7 @@
         return self.queue.add(request, host_id, self.now_s)
 
     def read(self, request_id: str) -> list[Decision]:
-        self.queue.prefilled(request_id, 100.0, self.now_s)
+        self.queue.ledger.prefilled(request_id, 100.0, self.now_s)
         return self.queue.advance(self.now_s)
 
     def end(self, request_id: str) -> list[Decision]:
--- a/tests/relay/replay.py
+++ b/tests/relay/replay.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from kumquat_core.peer_messages import RunRequest
-from kumquat_relay.stream_queue import Decision, Granted, QueueTerms, Refused
+from kumquat_relay.queue_types import Decision, Granted, QueueTerms, Refused
 
 from .builders import QueueWorld, run_request
 
--- a/tests/relay/test_replay.py
+++ b/tests/relay/test_replay.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from kumquat_relay.stream_queue import QueueTerms
+from kumquat_relay.queue_types import QueueTerms
 
 from .replay import Outcome, Replay, burst
 
--- a/tests/relay/test_stream_queue.py
+++ b/tests/relay/test_stream_queue.py
@@ -7,7 +7,7 @@
 from kumquat_core.peer_messages import HeldRun
 from kumquat_relay.engine_health import Failure
 from kumquat_relay.engine_registry import EngineRole
-from kumquat_relay.stream_queue import Granted, Refused
+from kumquat_relay.queue_types import Granted, Refused
 
 from .builders import SPEC, QueueWorld, engine, granted, refused, run_request
 
@@ -88,7 +88,7 @@
 
 def test_no_grant_at_an_engine_that_was_full() -> None:
     world = QueueWorld()
-    world.queue.engine_full("d0", world.now_s)
+    world.queue.ledger.engine_full("d0", world.now_s)
     assert world.add(run_request("a")) == []
     world.clock.advance(0.2)
     assert granted(world.queue.advance(world.now_s)) == ["a"]
@@ -96,7 +96,7 @@
 
 def test_engines_that_stall_come_last() -> None:
     world = QueueWorld(decoders=2)
-    world.queue.stalled("d0", world.now_s)
+    world.queue.ledger.stalled("d0", world.now_s)
     (decision,) = world.add(run_request("a"))
     assert isinstance(decision, Granted)
     assert decision.decode.id == "d1"
@@ -104,7 +104,7 @@
 
 def test_an_engine_that_changes_its_role_gets_nothing() -> None:
     world = QueueWorld()
-    world.queue.set_changing("d0", world.now_s + 6.0)
+    world.queue.ledger.set_changing("d0", world.now_s + 6.0)
     (decision,) = world.add(run_request("a"))
     assert isinstance(decision, Refused)
     assert decision.reason == "no_engine"
@@ -113,10 +113,10 @@
 
 def test_the_new_role_ends_the_change() -> None:
     world = QueueWorld()
-    world.queue.set_changing("p0", world.now_s + 6.0)
+    world.queue.ledger.set_changing("p0", world.now_s + 6.0)
     world.registry.put(engine("p0", EngineRole.DECODE), 200)
-    world.queue.refresh(SPEC)
-    assert world.queue.free_places() == 24
+    world.queue.ledger.refresh(SPEC)
+    assert world.queue.ledger.free_places() == 24
 
 
 def test_own_reads_follow_one_another() -> None:
@@ -153,31 +153,31 @@
 
 def test_a_new_owner_adopts_the_runs_that_hosts_report() -> None:
     world = QueueWorld(places=2)
-    assert world.queue.confirm("h", [held("a"), held("b")], world.now_s) == 2
-    assert world.queue.free_places() == 0
+    assert world.queue.ledger.confirm("h", [held("a"), held("b")], world.now_s) == 2
+    assert world.queue.ledger.free_places() == 0
 
 
 def test_a_lost_release_is_noticed_by_the_next_reports() -> None:
     world = QueueWorld()
     world.add(run_request("a"))
     world.clock.advance(2.0)
-    world.queue.confirm("h", [], world.now_s)
-    assert world.queue.free_places() == 12
+    world.queue.ledger.confirm("h", [], world.now_s)
+    assert world.queue.ledger.free_places() == 12
 
 
 def test_a_fresh_grant_is_not_dropped_by_an_older_report() -> None:
     world = QueueWorld()
     world.add(run_request("a"))
     world.clock.advance(0.1)
-    world.queue.confirm("h", [], world.now_s)
-    assert world.queue.free_places() == 11
+    world.queue.ledger.confirm("h", [], world.now_s)
+    assert world.queue.ledger.free_places() == 11
 
 
 def test_runs_of_a_dead_host_are_dropped() -> None:
     world = QueueWorld()
     world.add(run_request("a"))
     world.clock.advance(2.0)
-    assert world.queue.drop_unconfirmed(world.now_s) == 1
+    assert world.queue.ledger.drop_unconfirmed(world.now_s) == 1
 
 
 def test_a_new_owner_grants_nothing_before_the_reports() -> None:
@@ -193,8 +193,8 @@
     world = QueueWorld()
     world.fill(3)
     world.registry.put(replace(engine("d0"), born_ms=5), 300)
-    world.queue.refresh(SPEC)
-    assert world.queue.free_places() == 12
+    world.queue.ledger.refresh(SPEC)
+    assert world.queue.ledger.free_places() == 12
 
 
 def test_refuses_at_once_while_memory_is_full_and_places_are_free() -> None:
