State where constants come from; test the deployment files

Cause: some constants of the relay had no unit or source, and nothing tested the settings template, the pins and the size of the adapter.

--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -31,12 +31,15 @@
 
 __all__ = ["Admission", "PlaceRefusedError"]
 
+# Period of the reports; half of the time in which a lost owner is noticed.
 REPORT_S = 0.5
 # A hundred times the way between failure domains; a busy host still answers.
 REPORT_TIMEOUT_S = 0.3
 # The owner refuses by itself when the patience ends.
 REPLY_MARGIN_S = 0.3
+# The next host in order mostly answers; more tries would use up the patience.
 MAX_OWNERS_TRIED = 4
+# One report after the loss, all hosts have turned to the next owner.
 NO_OWNER_RETRY_S = 0.5
 
 logger = logging.getLogger(__name__)
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -35,6 +35,7 @@
 
 # Used until a configuration states them.
 FIRST_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
+# A host that starts knows its configuration within a second.
 NOT_READY_RETRY_S = 1.0
 # Another host takes the caller's next connection at once.
 STOPPING_RETRY_S = 0.05
--- a/packages/kumquat_relay/src/kumquat_relay/engine_health.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_health.py
@@ -25,6 +25,8 @@
 FAILURES = 2
 RECENT_OUTCOMES = 10
 MIN_RECENT_FAILURES = 4
+# Seconds without work; the shortest slow periods of engines last 0.6 s, and
+# an engine that crashed is back or unlisted within about five.
 AVOID_S = 0.7
 MAX_AVOID_S = 5.6
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -20,6 +20,8 @@
 IDLE_MARGIN_S = 1.0
 # A drop without notice loses the request; shorter than any limit seen.
 FRESH_S = 1.5
+# Connections open in 3 ms; a host without power does not answer at all, and
+# a third of the shortest objective is left for another engine.
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_PER_ADDRESS = 8
 
--- a/packages/kumquat_relay/src/kumquat_relay/order_lease.py
+++ b/packages/kumquat_relay/src/kumquat_relay/order_lease.py
@@ -19,7 +19,9 @@
 
 __all__ = ["OrderLease"]
 
+# A lease serves for one order and its retry, in seconds.
 USE_S = 1.0
+# Orders travel and clocks of hosts drift within this time, in seconds.
 MARGIN_S = 0.6
 
 logger = logging.getLogger(__name__)
--- a/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
@@ -15,7 +15,10 @@
 
 __all__ = ["PlainChoice"]
 
+# Weight of a new answer time; a slow server shows after about six answers.
 LEARNING_RATE = 0.15
+# Answer time of a server before its first answer, in milliseconds; between
+# the means of the two standard sites.
 FIRST_ANSWER_MS = 60.0
 # A hop to another failure domain adds about 2 ms to answers of 50 ms, and
 # traffic between them is priced.
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -36,6 +36,7 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Enough for an engine restart to show in the store or for another to answer.
 NO_SERVER_RETRY_S = 0.5
+# Several answers of usual length.
 FULL_RETRY_S = 0.25
 # An answer that comes this long after the deadline was handed on would not
 # reach the caller in time.
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -56,11 +56,15 @@
 
 __all__ = ["RelayHost"]
 
+# Periods in seconds; short against the bounds of two seconds that depend on
+# them, long against their cost.
 SWEEP_S = 0.5
 PLAN_S = 0.5
 ORDER_LEASE = "engine_orders"
+# A host that is not in the list owns nothing; the store answers in 4 ms.
 REGISTER_RETRY_S = 0.3
 KEY_BYTES = 32
+# A planned stop does not wait longer for the store.
 STOP_STORE_TIMEOUT_S = 0.4
 
 logger = logging.getLogger(__name__)
--- a/packages/kumquat_relay/src/kumquat_relay/retry_share.py
+++ b/packages/kumquat_relay/src/kumquat_relay/retry_share.py
@@ -13,8 +13,8 @@
 
 __all__ = ["RetryShare", "RetryTerms"]
 
-# Requests on their way when the window closes are counted by the judge of
-# the budget in another window than here.
+# Part of the share that is used: requests on their way when a window closes
+# reach the engines in the next one.
 SAFETY = 0.85
 
 # The allowance is shared with hosts that are added before they are known.
--- a/packages/kumquat_relay/src/kumquat_relay/return_times.py
+++ b/packages/kumquat_relay/src/kumquat_relay/return_times.py
@@ -12,6 +12,7 @@
 
 __all__ = ["ReturnTimes"]
 
+# A place becomes free every 0.15 s at an engine with twelve places.
 MIN_RETURN_S = 0.3
 # Callers do not wait longer than a third of the time they have left.
 MAX_RETURN_S = 4.0
--- a/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
@@ -27,11 +27,13 @@
 
 __all__ = ["StageOrders"]
 
+# Engines answer orders at once; a longer silence counts as no answer.
 ORDER_TIMEOUT_S = 1.0
 # An order without an answer is carried out up to twelve seconds later.
 OPEN_ORDER_S = 14.0
 # Entries in the store follow an accepted order within a heartbeat.
 LISTING_S = 2.0
+# An order in progress at the engine, the usual reason, takes seconds.
 REFUSED_PAUSE_S = 3.0
 ACCEPTED = (200, 202)
 
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -19,8 +19,11 @@
 
 __all__ = ["StateWatch", "WatchTimes"]
 
+# Delay after a failed call; it doubles up to a bound that leaves several tries
+# within the time in which a host must be up to date again (3 s).
 FIRST_DELAY_S = 0.1
-# Large deployments have looser bounds; polls cost the store more there.
+# Large deployments have looser bounds, and their polls use more of the store's
+# rate, so each one waits longer by the factor.
 MANY_HOSTS = 30
 MANY_HOSTS_FACTOR = 1.4
 MAX_DELAY_S = 0.6
--- /dev/null
+++ b/tests/relay/test_deploy.py
@@ -0,0 +1,88 @@
+"""Guards against a deployment that cannot start on the platform."""
+
+import json
+import re
+import tomllib
+from pathlib import Path
+
+from kumquat_relay.relay_settings import load_relay_options
+
+ROOT = Path(__file__).parents[2]
+PLATFORM_LIMIT_LINES = 1500
+
+# The fields that the platform fills in, by their names there.
+FIELDS = {
+    "node": "front-a-1",
+    "zone": "a",
+    "ip": "10.0.0.1",
+    "listen.front": "10.0.0.1:8144",
+    "listen.ready": "10.0.0.1:8140",
+    "port_range.0": 7660,
+    "platform.addr": "10.200.1.7:8142",
+    "bounds.retry_budget_ratio": 0.2,
+    "bounds.budget_window_s": 10,
+    "bounds.budget_slack": 58,
+    "bounds.grace_s": 8,
+    "bounds.lease_ms": 3000,
+    "limits.cpu_share": 0.5,
+    "limits.cores": 2,
+    "limits.link_mbps": 5.0,
+}
+
+
+def render(template: str) -> str:
+    def value(match: re.Match[str]) -> str:
+        name, _, form = match[1].partition("|")
+        field = FIELDS[name]
+        return json.dumps(field) if form == "json" else str(field)
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+
+
+def test_the_template_gives_valid_settings(tmp_path: Path) -> None:
+    template = (ROOT / "platform" / "settings.template.json").read_text()
+    path = tmp_path / "settings.json"
+    path.write_text(render(template))
+    options = load_relay_options(path)
+    assert options.callers.text == "10.0.0.1:8144"
+    assert options.peers.text == "10.0.0.1:7660"
+    assert options.order_lease_s == 3.0
+    assert options.retries.allowance == 58
+    # Half a core of double speed behind a narrow link.
+    assert options.strength == 0.5
+
+
+def test_the_deploy_file_names_what_exists() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    role = deploy["roles"]["entry"]
+    assert (ROOT / role["run"].split()[1]).is_file()
+    assert (ROOT / role["template"]).is_file()
+    port = role["metrics"].partition("/")[0]
+    assert f":{port}" in (ROOT / role["template"]).read_text()
+
+
+def test_the_pinned_versions_are_those_that_are_tested() -> None:
+    def pins(path: Path) -> set[str]:
+        return set(re.findall(r"^[a-z0-9-]+==[^ ]+", path.read_text(), re.MULTILINE))
+
+    platform = pins(ROOT / "platform" / "requirements.txt")
+    assert platform
+    assert platform <= pins(ROOT / "requirements.txt")
+
+
+def test_the_adapter_stays_small_and_alone_with_the_wire_names() -> None:
+    adapter = sorted((ROOT / "platform").rglob("*.py"))
+    lines = sum(len(path.read_text().splitlines()) for path in adapter)
+    assert lines < PLATFORM_LIMIT_LINES
+    wire = re.compile(
+        r"X-Kv-|X-Token-Counts|X-Prefix-Hash|rows-(tx|feed|get)|kv_handle"
+    )
+    for path in sorted((ROOT / "packages").rglob("*.py")):
+        assert not wire.search(path.read_text()), path
+
+
+def test_own_days_parse() -> None:
+    days = sorted((ROOT / "deploy" / "days").glob("*.toml"))
+    assert len(days) >= 20
+    for path in days:
+        assert tomllib.loads(path.read_text())["faults"] is not None
