State the end of a lease's use, so that an idle one is taken at once

Cause: a host that took the lease of engine orders from another one waited 4.6 s (one use, one lease time and a margin) even if the other had given no order for half a minute.

Ruled out: giving the lease back on a planned stop. It would help only then, and a killed or frozen owner cannot do it.

Change: the lease row holds its holder and the end of its use on the store's steady clock, computed from the time of the answer that preceded the write, so it is never too early. A host that takes it waits for what is left of that use and of the lease time after it, at most as long as before. A row that cannot be read counts as in use, as does one with a time far ahead.

--- a/packages/kumquat_relay/src/kumquat_relay/order_lease.py
+++ b/packages/kumquat_relay/src/kumquat_relay/order_lease.py
@@ -5,8 +5,10 @@
 under the version it has read; the new version is the fence of its orders. It
 uses a lease for ``USE_S`` after the write began and then writes it again. A
 host that takes the lease from another one waits until the other's use has
-ended and a whole lease time has passed. All times are measured with the clock
-that also counts suspension, so a host that was frozen finds its lease over.
+ended and a whole lease time has passed. The lease states the end of its use on
+the store's steady clock, so one that has been idle that long is used at once.
+Local times are measured with the clock that also counts suspension, so a host
+that was frozen finds its lease over.
 """
 
 import logging
@@ -15,7 +17,7 @@
 
 from kumquat_core.log_events import log_event
 
-from .protocols import StateStore, WriteConflictError
+from .protocols import LeaseState, StateStore, WriteConflictError
 
 __all__ = ["OrderLease"]
 
@@ -64,20 +66,29 @@
         """
         if self._waits():
             return False
-        holder, version = await self._store.read_lease(self._name)
+        read_began_s = self._now_s()
+        state = await self._store.read_lease(self._name)
         began_s = self._now_s()
+        # The answer's time is not before the call began, so this is not
+        # earlier on the store's clock than the end of the use here.
+        use_s = began_s - read_began_s + USE_S
+        used_until_ms = state.store_ms + int(use_s * 1000) + 1
+        if state.used_until_ms is not None:
+            used_until_ms = max(used_until_ms, state.used_until_ms)
         try:
-            fence = await self._store.take_lease(self._name, self._holder, version)
+            fence = await self._store.take_lease(
+                self._name, self._holder, used_until_ms, state.version
+            )
         except WriteConflictError:
             self._usable_until_s = float("-inf")
-            log_event(logger, "lease_lost", lease=self._name, version=version)
+            log_event(logger, "lease_lost", lease=self._name, version=state.version)
             return False
         self.fence = fence
-        if version == 0:
-            self._usable_from_s = began_s
-        elif holder != self._holder or self._usable_from_s == float("inf"):
-            self._wait_for(holder)
-            return False
+        if state.holder != self._holder or self._usable_from_s == float("inf"):
+            wait_s = self._remaining_s(state)
+            self._note_taken(state.holder, wait_s)
+            if wait_s > 0:
+                return False
         self._usable_until_s = began_s + USE_S
         return self.usable()
 
@@ -85,21 +96,31 @@
         now_s = self._now_s()
         return now_s < self._usable_from_s < float("inf")
 
-    def _wait_for(self, previous: str) -> None:
-        """Wait for the end of another host's use.
+    def _remaining_s(self, state: LeaseState) -> float:
+        """Return how long another host's use and the time after it may last.
 
         An earlier process of this host counts as another one, since it may
         have been waiting itself. The lease is written again after the wait,
         which shows whether it was taken meanwhile.
         """
-        wait_s = USE_S + self._lease_s + MARGIN_S
+        if state.version == 0:
+            return 0.0
+        longest_s = USE_S + self._lease_s + MARGIN_S
+        if state.used_until_ms is None:
+            return longest_s
+        left_s = (state.used_until_ms - state.store_ms) / 1000
+        left_s += self._lease_s + MARGIN_S
+        # The bound holds for a store whose clock began anew.
+        return min(longest_s, max(0.0, left_s))
+
+    def _note_taken(self, previous: str, wait_s: float) -> None:
         self._usable_from_s = self._now_s() + wait_s
         self._usable_until_s = float("-inf")
         log_event(
             logger,
             "lease_taken",
             lease=self._name,
-            previous=previous,
+            previous=previous or None,
             fence=self.fence,
-            wait_s=wait_s,
+            wait_s=round(wait_s, 2),
         )
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -23,6 +23,7 @@
     "EngineReport",
     "HistoryLostError",
     "HostEntry",
+    "LeaseState",
     "PrefillResult",
     "SendOptions",
     "StateKind",
@@ -77,6 +78,21 @@
     items: tuple[Change, ...]
 
 
+@dataclass(frozen=True)
+class LeaseState:
+    """A lease as the store holds it; version 0 means that there is none.
+
+    ``used_until_ms`` is when its last use ends, None when that cannot be
+    read, and ``store_ms`` the time of the answer, both on the store's steady
+    clock.
+    """
+
+    holder: str
+    version: int
+    used_until_ms: int | None
+    store_ms: int
+
+
 class StoreError(Exception):
     """A call to the store failed; a write may have taken effect."""
 
@@ -112,7 +128,9 @@
     async def peer_key(self, proposal: bytes) -> bytes:
         """Return the key that all hosts share; the first proposal wins."""
 
-    async def take_lease(self, name: str, holder: str, expected: int) -> int:
+    async def take_lease(
+        self, name: str, holder: str, used_until_ms: int, expected: int
+    ) -> int:
         """Write a lease under its version; return the new version.
 
         Raises ``WriteConflictError`` when another holder wrote it.
@@ -121,8 +139,8 @@
     async def close(self) -> None:
         """Close the connections to the store."""
 
-    async def read_lease(self, name: str) -> tuple[str, int]:
-        """Return holder and version of a lease, ("", 0) without one."""
+    async def read_lease(self, name: str) -> LeaseState:
+        """Return the state of a lease; raises ``StoreError``."""
 
 
 @dataclass(frozen=True)
