Fill an empty role sooner and keep the owner while the store is away

The owner had been cut off from the store, got its queue back the moment it followed the store again, held the removals of the other engines back for two seconds and then waited 2.5 s more.

Ruled out: planning on the hosts that follow the store while another one owns the queue. They do not know the demand, and two planners need the lease in turn.

Change: a host whose removals are held back counts as outdated, so the owner that followed the store stays. When this host and two owners are outdated, the store is away for all and the owner stays. Engines that crashed count in the plan as long as they are listed, and engines out of reach get no order.

--- a/packages/kumquat_relay/src/kumquat_relay/beliefs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/beliefs.py
@@ -56,8 +56,13 @@
         self._engines_followed_s = self._clock.monotonic()
 
     def outdated(self) -> bool:
-        """Tell whether the engines that are known may be old."""
-        return self._clock.monotonic() - self._engines_followed_s > OUTDATED_S
+        """Tell whether the engines that are known may be old.
+
+        That lasts until removals that were held back are carried out: hosts
+        that followed the store all the time know better.
+        """
+        silent_s = self._clock.monotonic() - self._engines_followed_s
+        return silent_s > OUTDATED_S or self.registry.settling()
 
     def store_returned(self) -> None:
         """Note that the store is reached again."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_health.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_health.py
@@ -6,7 +6,8 @@
 
 An engine is avoided after ``FAILURES`` failures in a row or when more than
 half of its recent requests failed, for a time that doubles with each
-repetition. After it, one request at a time is sent until one succeeds.
+repetition. After it, one request at a time is sent until one succeeds. An
+engine that could not be reached stays so until a connection is accepted.
 """
 
 from collections import deque
@@ -51,6 +52,7 @@
     avoid_s: float = AVOID_S
     avoided: bool = False
     trial_until_s: float = float("-inf")
+    unreachable: bool = False
 
 
 class EngineHealth:
@@ -64,6 +66,7 @@
         """Note a success; return whether it ends a time of avoidance."""
         record = self._records_by_id.setdefault(engine_id, _Record())
         record.failures_in_row = 0
+        record.unreachable = False
         record.recent.append(True)
         returned = record.avoided
         if returned:
@@ -77,6 +80,7 @@
         """Note a failure; return whether the engine is avoided from now on."""
         record = self._records_by_id.setdefault(engine_id, _Record())
         record.failures_in_row += failure
+        record.unreachable |= failure is Failure.UNREACHABLE
         record.recent.append(False)
         failures = record.recent.count(False)
         mostly_fails = failures >= MIN_RECENT_FAILURES and failures * 2 > len(
@@ -93,6 +97,21 @@
         record.trial_until_s = float("-inf")
         return True
 
+    def reached(self, engine_id: str) -> None:
+        """Note that an engine accepted a connection."""
+        record = self._records_by_id.get(engine_id)
+        if record is None or not record.unreachable:
+            return
+        record.unreachable = False
+        record.avoided = False
+        record.failures_in_row = 0
+        record.recent.clear()
+
+    def is_unreachable(self, engine_id: str) -> bool:
+        """Tell whether the last connection to an engine failed."""
+        record = self._records_by_id.get(engine_id)
+        return record is not None and record.unreachable
+
     def is_avoided(self, engine_id: str) -> bool:
         """Tell whether an engine should get no work now.
 
@@ -116,6 +135,16 @@
         good = [entry for entry in entries if not self.is_avoided(entry.id)]
         return good or entries
 
+    def reachable(self, entries: Iterable[EngineEntry]) -> list[EngineEntry]:
+        """Return the preferred ones of the entries that can be reached.
+
+        Unlike ``preferred`` it returns nothing rather than entries that
+        certainly do not answer.
+        """
+        return self.preferred(
+            entry for entry in entries if not self.is_unreachable(entry.id)
+        )
+
     def forget(self, engine_id: str) -> None:
         """Drop the record of an engine that is gone."""
         self._records_by_id.pop(engine_id, None)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -102,6 +102,12 @@
             del self._known_by_id[engine_id]
         return due
 
+    def settling(self) -> bool:
+        """Tell whether removals are held back."""
+        return any(
+            known.remove_at_s is not None for known in self._known_by_id.values()
+        )
+
     def get(self, engine_id: str) -> EngineEntry | None:
         """Return an entry, also of a draining engine."""
         known = self._known_by_id.get(engine_id)
--- a/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -4,6 +4,10 @@
 peak. Hosts take the first host in rendezvous order that is not known to be
 out of reach, so they agree as long as they see the same hosts; where they do
 not, the engines refuse what is too much.
+
+Hosts that no longer follow the store own nothing while others do. When the
+store is away for all hosts, the owner stays: a new one must first learn which
+runs there are.
 """
 
 from collections.abc import Callable, Mapping
@@ -17,6 +21,9 @@
 # request, after this time; it doubles with each failure.
 FIRST_ABSENCE_S = 1.0
 MAX_ABSENCE_S = 8.0
+# A host without the store and one owner in the same state may be cut off from
+# it together; with a second owner the store itself is most likely away.
+ALONE_OUTDATED = 2
 # The owner's work grows with the hosts, so weak hosts own nothing.
 STRONG_SHARE = 0.8
 
@@ -46,6 +53,8 @@
             if host_id not in self._absences_by_host_id
         ]
         current = [host_id for host_id in present if host_id not in self._outdated]
+        if self._store_is_away_for_all():
+            current = present
         return owner_of(service, current or present) or self._host_id
 
     def set_outdated(self, host_id: str, outdated: bool) -> bool:
@@ -57,10 +66,17 @@
             return False
         if outdated:
             self._outdated.add(host_id)
+        elif host_id == self._host_id:
+            # What is back for this host mostly is for the others; their next
+            # answers tell.
+            self._outdated.clear()
         else:
             self._outdated.discard(host_id)
         return True
 
+    def _store_is_away_for_all(self) -> bool:
+        return self._host_id in self._outdated and len(self._outdated) > ALONE_OUTDATED
+
     def first(self, service: str) -> str:
         """Return the owner if all known hosts could be reached."""
         return owner_of(service, self._candidates()) or self._host_id
--- a/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
@@ -18,7 +18,7 @@
 from .engine_connection import ConnectionBrokenError, SendFailedError
 from .engine_health import EngineHealth
 from .engine_pool import EnginePool
-from .engine_registry import EngineEntry
+from .engine_registry import EngineEntry, EngineRole
 from .order_lease import OrderLease
 from .protocols import EngineDialect, EngineReport, StoreError
 from .routes import EngineSpec
@@ -88,11 +88,23 @@
         self, service: str, spec: EngineSpec, demand: Demand
     ) -> RoleChange | None:
         now_s = self._clock.monotonic()
-        engines = self._health.preferred(self._beliefs.registry.usable(service))
+        engines = list(self._beliefs.registry.usable(service))
         if any(self._is_closed(engine.id, now_s) for engine in engines):
             return None
         plan = self._plans_by_service.setdefault(service, StagePlan())
-        return plan.propose(engines, spec, demand, self._owner.runs_of(service), now_s)
+        runs = self._owner.runs_of(service)
+        avoided = [
+            engine.id
+            for engine in engines
+            if self._health.is_avoided(engine.id)
+            or self._health.is_unreachable(engine.id)
+        ]
+        leaves = any(
+            entry.draining and entry.role is EngineRole.DECODE
+            for entry in self._beliefs.registry.all_entries()
+            if entry.service == service
+        )
+        return plan.propose(engines, spec, demand, runs, now_s, avoided, leaves=leaves)
 
     def _is_closed(self, engine_id: str, now_s: float) -> bool:
         return now_s < self._closed_until_by_engine.get(engine_id, float("-inf"))
