Read no prompts for an engine that does not accept connections

Ruled out: opening the connection to the decode engine before the prompt is read. A new connection takes a place at the engine while it is idle.

Change: an engine that could not be reached gets nothing, also when it is the only one, until a connection is accepted. An engine that fails in another way is still used when it is the only one. A prompt whose reading failed is read again by the same engine when there is no other.

A prompt is still lost for each request whose engine crashes between its reading and its run.

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -300,11 +300,16 @@
 
 @dataclass(frozen=True)
 class RunPrefilled:
-    """The prompt of a granted request was read in ``read_ms``."""
+    """The prompt of a granted request was read in ``read_ms``.
+
+    0 means that the prefill engine failed, and could not even be reached if
+    ``unreachable`` is set.
+    """
 
     request_id: str
     service: str
     read_ms: float
+    unreachable: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -106,12 +106,17 @@
         )
         raise PlaceRefusedError("no_owner", NO_OWNER_RETRY_S)
 
-    def prefilled(self, request_id: str, read_ms: float) -> None:
-        """Tell the owner that the prompt was read."""
+    def prefilled(
+        self, request_id: str, read_ms: float, *, unreachable: bool = False
+    ) -> None:
+        """Tell the owner that the prompt was read in ``read_ms``.
+
+        0 means that the prefill engine failed.
+        """
         held = self._held_by_id.get(request_id)
         if held is None:
             return
-        message = RunPrefilled(request_id, held.request.service, read_ms)
+        message = RunPrefilled(request_id, held.request.service, read_ms, unreachable)
         if held.owner == self._host_id:
             self._local.prefilled(message)
         else:
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -17,7 +17,7 @@
     SendFailedError,
 )
 from .engine_pool import EnginePool
-from .engine_registry import EngineEntry, EngineRegistry
+from .engine_registry import EngineEntry
 from .protocols import EngineDialect, PrefillResult, SendOptions
 
 __all__ = ["EngineCalls", "NotRunError", "OpenStream", "RunFailedError", "RunStart"]
@@ -71,7 +71,10 @@
 
 @dataclass
 class OpenStream:
-    """An answer whose head has arrived."""
+    """An answer whose head has arrived, ``head_ms`` after the send.
+
+    An engine that reads the prompt itself sends the head after it.
+    """
 
     engine_id: str
     status: int
@@ -80,6 +83,7 @@
     _connection: EngineConnection
     _pool: EnginePool
     _clock: Clock
+    head_ms: float = 0.0
     events_passed: int = 0
     _open: bool = True
     _first_s: float | None = field(default=None)
@@ -155,30 +159,31 @@
         self,
         clock: Clock,
         pool: EnginePool,
-        registry: EngineRegistry,
         dialect: EngineDialect,
     ) -> None:
         self._clock = clock
         self._pool = pool
-        self._registry = registry
         self._dialect = dialect
         self._background: set[asyncio.Task[None]] = set()
 
     async def prefill(
         self, request: CallerRequest, entry: EngineEntry
-    ) -> PrefillResult | None:
-        """Have a prompt read; return None when that failed in any way."""
+    ) -> PrefillResult:
+        """Have a prompt read; raises ``NotRunError`` when that failed."""
         began_s = self._clock.monotonic()
         left_ms = request.left_ms(began_s)
         options = SendOptions(entry.id, left_ms, prefill_only=True)
-        result, reason = None, "ok"
+        result, reason, unreachable = None, "ok", False
         try:
             async with asyncio.timeout(min(PREFILL_TIMEOUT_S, left_ms / 1000)):
-                head, body = await self._exchange(request, entry, options)
+                connection = await self._take(entry, options.left_ms / 1000)
+                head, body = await self._exchange(request, connection, options)
             if head.status == 200:
                 result = self._dialect.prefill_result(body, entry.address)
             else:
                 reason = f"status_{head.status}"
+        except NotRunError as error:
+            reason, unreachable = error.reason, True
         except (SendFailedError, ConnectionBrokenError, ValueError) as error:
             reason = f"{type(error).__name__}: {error}"
         except TimeoutError:
@@ -192,6 +197,8 @@
             outcome=reason,
             tokens=result.tokens if result else None,
         )
+        if result is None:
+            raise NotRunError(reason, unreachable=unreachable)
         return result
 
     async def open_stream(
@@ -205,7 +212,9 @@
         Raises ``NotRunError`` and ``RunFailedError``.
         """
         began_s = self._clock.monotonic()
-        connection = await self._take(request, entry)
+        connection = await self._take(
+            entry, request.left_ms(began_s) / 1000, fresh=not request.route.may_repeat
+        )
         options = SendOptions(
             entry.id,
             request.left_ms(self._clock.monotonic()),
@@ -214,6 +223,7 @@
             resume_after=start.resume_after,
             hold=start.hold,
         )
+        sent_s = self._clock.monotonic()
         try:
             head = await self._head(request, connection, options)
             if self._dialect.not_executed(head):
@@ -247,6 +257,7 @@
             connection,
             self._pool,
             self._clock,
+            head_ms=(self._clock.monotonic() - sent_s) * 1000,
         )
 
     async def reserve(self, entry: EngineEntry, tokens: int, ttl_ms: int) -> str:
@@ -292,10 +303,8 @@
         task.add_done_callback(self._background.discard)
 
     async def _take(
-        self, request: CallerRequest, entry: EngineEntry
+        self, entry: EngineEntry, timeout_s: float, *, fresh: bool = False
     ) -> EngineConnection:
-        timeout_s = request.left_ms(self._clock.monotonic()) / 1000
-        fresh = not request.route.may_repeat
         try:
             return await self._pool.take(
                 entry.address, fresh=fresh, timeout_s=timeout_s
@@ -316,11 +325,8 @@
         return head
 
     async def _exchange(
-        self, request: CallerRequest, entry: EngineEntry, options: SendOptions
+        self, request: CallerRequest, connection: EngineConnection, options: SendOptions
     ) -> tuple[AnswerHead, bytes]:
-        connection = await self._pool.take(
-            entry.address, fresh=False, timeout_s=options.left_ms / 1000
-        )
         try:
             headers = self._dialect.engine_headers(request.facts, options)
             connection.send(request.method, request.target, headers, request.body)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -245,6 +245,8 @@
         """End the exchange; return whether the connection may be reused."""
         protocol = self._protocol
         parser = protocol.parser
+        if self.exchanges == 0:
+            return self.usable
         reusable = (
             self._body_done
             and not protocol.closed
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -54,6 +54,12 @@
                 idle.append(connection)
                 break
             return connection
+        return await self.open(address, timeout_s)
+
+    async def open(
+        self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> EngineConnection:
+        """Return a new connection; raises ``SendFailedError``."""
         self.opened += 1
         return await EngineConnection.open(address, min(timeout_s, CONNECT_TIMEOUT_S))
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -31,6 +31,7 @@
 from .engine_calls import EngineCalls
 from .engine_health import EngineHealth
 from .engine_pool import EnginePool
+from .engine_probe import EngineProbe
 from .engine_registry import EngineEntry
 from .order_lease import OrderLease
 from .owner_choice import OwnerChoice
@@ -116,11 +117,13 @@
         self._owners = OwnerChoice(
             options.host_id, parts.clock, self._strengths, options.strength
         )
+        self._probe = EngineProbe(parts.pool, parts.health, parts.beliefs.registry)
         self._owner = StreamOwner(
             options.host_id,
             parts.clock,
             parts.beliefs,
             parts.health,
+            self._probe,
             lambda service: self._owners.first(service) == options.host_id,
         )
         self._incarnations_by_host_id: dict[str, int] = {}
@@ -237,6 +240,7 @@
     async def stop(self) -> None:
         """Stop all services."""
         in_progress = self._parts.shutdown.in_progress
+        self._probe.close()
         if self._peers is not None:
             await self._peers.stop()
         if self._supervisor is not None:
@@ -261,9 +265,7 @@
             parts.retries,
             self._dialect,
         )
-        calls = EngineCalls(
-            parts.clock, parts.pool, parts.beliefs.registry, self._dialect
-        )
+        calls = EngineCalls(parts.clock, parts.pool, self._dialect)
         streams = StreamRelay(
             parts.clock,
             parts.beliefs,
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -216,7 +216,7 @@
         entries = self._registry.usable(self.service, role)
         return [
             self._loads_by_id[entry.id]
-            for entry in self._health.preferred(entries)
+            for entry in self._health.reachable(entries)
             if entry.id in self._loads_by_id
             and not self._loads_by_id[entry.id].changing
         ]
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -92,14 +92,16 @@
             return False
         progress.prefills += 1
         began_s = self._clock.monotonic()
-        result = await self._calls.prefill(request, entry)
-        took_ms = (self._clock.monotonic() - began_s) * 1000
-        self._admission.prefilled(request.id, took_ms if result else 0.0)
-        if result is None:
-            self._retries.count_unavoidable(request.service)
-        progress.prefill = result
+        try:
+            progress.prefill = await self._calls.prefill(request, entry)
+        except NotRunError as error:
+            self._admission.prefilled(request.id, 0.0, unreachable=error.unreachable)
+            if not error.unreachable:
+                self._retries.count_unavoidable(request.service)
+            return False
         progress.prefilled_s = self._clock.monotonic()
-        return result is not None
+        self._admission.prefilled(request.id, (progress.prefilled_s - began_s) * 1000)
+        return True
 
     async def open(
         self, request: CallerRequest, entry: EngineEntry, progress: StreamProgress
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -25,6 +25,7 @@
 
 from .beliefs import Beliefs
 from .engine_health import EngineHealth, Failure
+from .engine_probe import EngineProbe
 from .queue_types import Decision, Granted, Refused
 from .return_times import ReturnTimes
 from .stage_plan import Demand
@@ -63,8 +64,11 @@
         clock: Clock,
         beliefs: Beliefs,
         health: EngineHealth,
+        probe: EngineProbe,
         is_first: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self._probe = probe
+        probe.on_reached = self.engines_changed
         self._is_first = is_first
         self._host_id = host_id
         self._clock = clock
@@ -100,7 +104,7 @@
         reader = owned.queue.ledger.reader_of(message.request_id)
         owned.queue.ledger.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms <= 0:
-            self._note_failure(reader, unreachable=False)
+            self._note_failure(reader, message.unreachable)
         elif reader and self._health.succeeded(reader):
             log_event(logger, "engine_trusted_again", engine=reader)
         self._carry_out(owned, owned.queue.advance(now_s))
@@ -251,7 +255,14 @@
     def _note_failure(self, engine_id: str, unreachable: bool) -> None:
         failure = Failure.UNREACHABLE if unreachable else Failure.BROKEN
         if self._health.failed(engine_id, failure):
-            log_event(logger, "engine_avoided", engine=engine_id, failure="reported")
+            log_event(
+                logger,
+                "engine_avoided",
+                engine=engine_id,
+                failure=failure.name.lower(),
+            )
+        if unreachable:
+            self._probe.begin(engine_id)
 
     def _note_success(self, owned: _Owned, request_id: str) -> None:
         engine_id = owned.queue.ledger.engine_of(request_id)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -142,13 +142,19 @@
         )
 
     def _first_reader(self, waiting: Waiting) -> EngineLoad | None:
-        """Return the prefill engine that can begin first, if there is one."""
-        readers = [
-            load
-            for load in self.ledger.readers()
-            if load.entry.id not in waiting.excluded
-        ]
-        return min(readers, key=EngineLoad.read_backlog_ms, default=None)
+        """Return the prefill engine that can begin first, if there is one.
+
+        A prompt may be read again, so one that failed is used again when it
+        is the only one.
+        """
+        return min(
+            self.ledger.readers(),
+            key=lambda load: (
+                load.entry.id in waiting.excluded,
+                load.read_backlog_ms(),
+            ),
+            default=None,
+        )
 
     def _choose_decode(
         self, waiting: Waiting, now_s: float, *, reads: bool
