Explain a request from log files, with its cause in the last line

Cause: the decisions about a request are spread over the logs of the host that has the caller and of the owner of its queue. On the platform kumquatctl cannot ask the hosts, and after an incident they may be gone; on-call engineers joined the lines by hand.

It needs no settings. The line request_read states the objective now, so that late plain requests are told.

Ruled out: an option of the old command that asks hosts. What the hosts keep in memory is bounded and gone with them.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -217,6 +217,7 @@
             service=service,
             version=routes.version,
             left_ms=request.left_ms(request.arrived_s),
+            objective_ms=route.objective_ms or None,
             bytes=len(body),
             prompt_tokens=facts.prompt.prompt_tokens if facts.prompt else None,
             expected_tokens=facts.prompt.expected_tokens if facts.prompt else None,
--- /dev/null
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -0,0 +1,162 @@
+"""Tells from the log lines of a request how it ended and why.
+
+The cause follows from the last line of the host that answered; for answers
+that were late it follows from where the time went.
+"""
+
+from collections.abc import Sequence
+
+from .log_lines import LogLine
+
+__all__ = ["cause_of"]
+
+# Meaning of the words that hosts log as ``reason``.
+_TEXTS_BY_REASON = {
+    "body_too_large": "its body is larger than the configuration allows",
+    "caller_gone": "the caller closed its connection",
+    "caller_leaves_first": "no place was expected before the caller leaves",
+    "connection_broken": "the connection to the engine broke",
+    "deadline": "the time of the caller or the route was over",
+    "engine_leaves": "the engine that was granted is leaving",
+    "internal_error": "a fault of this program; see the line request_failed",
+    "no_configuration": "the host had just started and knew no configuration",
+    "no_engine": "no engine of the service can run it now",
+    "no_owner": "no host that owns the queue could be reached",
+    "no_reader_for_long_prompt": (
+        "no prefill engine is there and the prompt would pause running streams"
+    ),
+    "no_request_id": "it has no request id",
+    "no_route": "no route of the configuration matches host and path",
+    "no_server": "no backend server of the service is known",
+    "not_connected": "no connection to the engine could be opened",
+    "not_reserved": "no engine had the place that was granted",
+    "objective_missed": "the places were expected free only after its objective",
+    "prompt_not_read": "its prompt could not be read",
+    "retry_budget": "another send would have exceeded the retry budget",
+    "saturated": "it came late while requests on time were refused",
+    "send_failed": "the connection to the engine was closed before the send",
+    "silent": "the engine sent nothing for too long",
+    "stopping": "the host was stopping and would have cut it",
+    "too_many_late": "enough late requests were waiting",
+    "waited_too_long": "no place became free within its objective",
+    "withdrawn": "the host withdrew it from the queue",
+}
+_OK = "0"
+_REFUSED = "12"
+_FAILED = "13"
+_CALLER_GONE = "1211"
+
+
+def cause_of(lines: Sequence[LogLine]) -> str:
+    """Return one sentence on the end of a request."""
+    ends = [line for line in lines if line.event == "request_ended"]
+    if not ends:
+        last = lines[-1]
+        return (
+            f"unknown: the lines end with {last.event} at {last.host}; the host was "
+            "killed or its log is incomplete"
+        )
+    end = ends[-1]
+    code, reason = end.get("code"), end.get("reason")
+    if code == _OK:
+        return _served(lines, end)
+    text = _TEXTS_BY_REASON.get(reason, reason)
+    if code == _CALLER_GONE:
+        progress = f"{_progress(lines)}{_stall(lines)}"
+        return f"left by the caller after {end.get('ms')} ms{progress}"
+    if code.startswith(_REFUSED):
+        return f"refused: {text}{_refusal_details(lines)}"
+    if code.startswith(_FAILED):
+        return f"failed: {text}{_failure_details(lines)}"
+    return f"answered {code}: {text}"
+
+
+def _served(lines: Sequence[LogLine], end: LogLine) -> str:
+    """Return whether a served request was late, and where its time went."""
+    pace = _last(lines, "stream_pace")
+    if pace is not None:
+        first_ms, objective_ms = (
+            _number(pace, "first_ms"),
+            _number(pace, "objective_ms"),
+        )
+        gap_ms, allowed_ms = (
+            _number(pace, "max_gap_ms"),
+            _number(pace, "allowed_gap_ms"),
+        )
+        if first_ms > objective_ms:
+            waited = _last(lines, "place_granted")
+            waited_ms = waited.get("waited_ms") if waited is not None else "0"
+            return (
+                f"late: first event after {first_ms:.0f} ms, objective "
+                f"{objective_ms:.0f} ms, of which {waited_ms} ms in the queue"
+            )
+        if 0 < allowed_ms < gap_ms:
+            return (
+                f"late: a pause of {gap_ms:.0f} ms between events, allowed "
+                f"{allowed_ms:.0f} ms{_stall(lines)}"
+            )
+        return f"served on time: first event after {first_ms:.0f} ms"
+    read, took_ms = _last(lines, "request_read"), _number(end, "ms")
+    objective_ms = _number(read, "objective_ms") if read is not None else 0.0
+    if 0 < objective_ms < took_ms:
+        sends = [line for line in lines if line.event == "sent"]
+        times = ", ".join(
+            f"{line.get('engine')} {line.get('outcome')} after {line.get('ms')} ms"
+            for line in sends
+        )
+        return f"late: {took_ms:.0f} ms, objective {objective_ms:.0f} ms ({times})"
+    return f"served on time: {took_ms:.0f} ms"
+
+
+def _refusal_details(lines: Sequence[LogLine]) -> str:
+    refused = _last(lines, "place_refused")
+    if refused is None:
+        return ""
+    return (
+        f" (free places {refused.get('free_places')}, waiting "
+        f"{refused.get('waiting')}, told to return after "
+        f"{refused.get('retry_after_s')} s)"
+    )
+
+
+def _failure_details(lines: Sequence[LogLine]) -> str:
+    broken = _last(lines, "run_broken")
+    if broken is not None:
+        return f" (engine {broken.get('engine')}: {broken.get('reason')})"
+    sends = [line for line in lines if line.event in ("sent", "run_sent")]
+    if not sends:
+        return ""
+    last = sends[-1]
+    detail = last.get("detail")
+    return (
+        f" (engine {last.get('engine')}: {last.get('outcome')}"
+        f"{' ' + detail if detail else ''} after {last.get('ms')} ms)"
+    )
+
+
+def _progress(lines: Sequence[LogLine]) -> str:
+    if _last(lines, "stream_pace") is not None:
+        return ", after the first event"
+    if _last(lines, "place_granted") is not None:
+        return ", with a place but before the first event"
+    return ", before it had a place"
+
+
+def _stall(lines: Sequence[LogLine]) -> str:
+    stall = _last(lines, "run_stalled")
+    if stall is None:
+        return ""
+    engine, silent_ms = stall.get("engine"), stall.get("silent_ms")
+    return f" (engine {engine} was silent for {silent_ms} ms)"
+
+
+def _last(lines: Sequence[LogLine], event: str) -> LogLine | None:
+    return next((line for line in reversed(lines) if line.event == event), None)
+
+
+def _number(line: LogLine, name: str) -> float:
+    """Return a numeric field, 0 where the line has none."""
+    try:
+        return float(line.get(name))
+    except ValueError:
+        return 0.0
--- a/packages/kumquatctl/src/kumquatctl/main.py
+++ b/packages/kumquatctl/src/kumquatctl/main.py
@@ -18,6 +18,8 @@
 from kumquat_core.ticket_models import TicketModel
 
 from . import apply_command, host_commands, request_commands, ticket_commands
+from .log_lines import LogLine, read_lines
+from .log_timeline import lines_of, show_timeline
 from .output import fail, fail_with_errors, print_json
 from .platform_access import Platform, open_platform
 from .tool_settings import ENVIRONMENT_VARIABLE, ToolSettings, load_tool_settings
@@ -151,9 +153,24 @@
     request_id: Annotated[
         str, typer.Argument(help="From the X-Request-Id header of an answer.")
     ],
+    logs: Annotated[
+        list[str] | None,
+        typer.Option(
+            "--log",
+            "-l",
+            metavar="FILE",
+            help=(
+                "Read log files of hosts instead of asking them; - reads stdin. "
+                "Repeat it for each file."
+            ),
+        ),
+    ] = None,
     as_json: JsonOption = False,
 ) -> None:
     """Show each decision about a request and the inputs it was based on."""
+    if logs:
+        _explain_from_logs(request_id, logs, as_json)
+        return
     _run(context, as_json, lambda p: host_commands.explain(p, request_id, as_json))
 
 
@@ -218,6 +235,23 @@
         typer.echo(digest)
 
 
+def _explain_from_logs(request_id: str, logs: list[str], as_json: bool) -> None:
+    """Print the timeline of a request from log files of all hosts."""
+    lines: list[LogLine] = []
+    for name in logs:
+        try:
+            text = sys.stdin.read() if name == "-" else Path(name).read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            detail = f"cannot read {name}: {error}"
+            fail(RouterError(ResultCode.INVALID_FIELD, detail), as_json=as_json)
+        lines += read_lines(text.splitlines(), Path(name).stem)
+    found = lines_of(request_id, lines)
+    if not found:
+        detail = f"none of {len(lines)} log lines names request {request_id}"
+        fail(RouterError(ResultCode.INVALID_FIELD, detail), as_json=as_json)
+    show_timeline(request_id, found, as_json)
+
+
 def _read_ticket(ticket_file: str, as_json: bool) -> TicketModel:
     """Return the ticket of a file; leave with all its errors otherwise."""
     try:
--- /dev/null
+++ b/tests/ctl/test_log_timeline.py
@@ -0,0 +1,97 @@
+"""Guards against log lines that do not tell why a request failed.
+
+The recorded lines are those of nine requests of a played day with crashes,
+lost answers and bursts.
+"""
+
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from kumquatctl.log_lines import parse_line, read_lines
+from kumquatctl.log_timeline import lines_of
+from kumquatctl.main import app
+
+RECORDED = Path(__file__).parent / "data" / "recorded_day.log"
+
+
+def explain(request_id: str, *arguments: str, stdin: str | None = None) -> list[str]:
+    result = CliRunner().invoke(
+        app, ["explain", request_id, *arguments], input=stdin, env={"COLUMNS": "200"}
+    )
+    assert result.exit_code == 0, result.output
+    return result.output.splitlines()
+
+
+@pytest.mark.parametrize(
+    ("request_id", "cause"),
+    [
+        ("677a05ccc7e56b65", "served on time: 94 ms"),
+        (
+            "0af28e529081af44",
+            "failed: the time of the caller or the route was over "
+            "(engine i-deded00f67: cancelled after 399.4 ms)",
+        ),
+        (
+            "f9eae76c987ee248",
+            "refused: the places were expected free only after its objective "
+            "(free places 3, waiting 7, told to return after 1.2 s)",
+        ),
+        (
+            "aa0f78092d9a82bc",
+            "failed: the connection to the engine broke "
+            "(engine i-4b149c0492: broken ConnectionResetError after 3.7 ms)",
+        ),
+        (
+            "6709862005c82cc9",
+            "left by the caller after 4086.5 ms, after the first event "
+            "(engine i-0a88f2ac0b was silent for 3500 ms)",
+        ),
+        (
+            "582c679045851b35",
+            "late: first event after 2243 ms, objective 900 ms, "
+            "of which 2057 ms in the queue",
+        ),
+    ],
+)
+def test_the_last_line_is_the_cause(request_id: str, cause: str) -> None:
+    assert explain(request_id, "--log", str(RECORDED))[-1] == cause
+
+
+def test_lines_of_several_hosts_make_one_timeline() -> None:
+    lines = read_lines(RECORDED.read_text().splitlines(), "recorded")
+    found = lines_of("6709862005c82cc9", lines)
+    assert {line.host for line in found} == {"front-fjord-a-2", "front-fjord-c-2"}
+    assert [line.time for line in found] == sorted(line.time for line in found)
+    assert "engine_gone" in {line.event for line in found}
+
+
+def test_logs_are_read_from_standard_input() -> None:
+    output = explain("677a05ccc7e56b65", "-l", "-", stdin=RECORDED.read_text())
+    assert output[-1] == "served on time: 94 ms"
+
+
+def test_a_log_that_ends_early_is_said_to() -> None:
+    text = "\n".join(
+        line
+        for line in RECORDED.read_text().splitlines()
+        if "6709862005c82cc9" in line and "request_ended" not in line
+    )
+    output = explain("6709862005c82cc9", "--log", "-", stdin=text)
+    assert output[-1].startswith("unknown: the lines end with stream_pace at")
+
+
+def test_a_request_that_no_line_names_is_an_error() -> None:
+    result = CliRunner().invoke(app, ["explain", "gone", "--log", str(RECORDED)])
+    assert result.exit_code == 11
+    assert "log lines names request gone" in result.output
+
+
+def test_values_in_quotes_are_read_whole() -> None:
+    text = 'time=2026-01-01T00:00:00.000 event=sent detail="a \\"b\\" c=d" ms=1.5'
+    line = parse_line(text, "host-1")
+    assert line is not None
+    assert line.host == "host-1"
+    assert line.fields_by_name == {"detail": 'a "b" c=d', "ms": "1.5"}
+    assert parse_line("a word and a time=", "host-1") is None
