Try short requests first; draw estimates to the mean; return after the peak

Cause: at a peak two to four times as many streams arrive as there are places, and places went to whoever had least time left, however long it would hold them. Callers' estimates of answers are off by a factor of two, which the account of places and memory took as they were.

Change: (1) requests in time go by the time they will hold a place; long ones go first while their served share is below half of that of all; who will be overtaken is refused at once. (2) The estimate of an answer is the geometric mean of the caller's and the usual one: over 1,019 streams of both standard sites the logarithm of the length follows that of the estimate with 0.63 x 0.48 / 0.61 = 0.5; the mean answer is 3,570 tokens for estimates of 2,012 and 8,380 for 11,037. (3) Callers are told to return after 4 s, one after the other, within a third of the time they have. (4) Late requests are not refused as "saturated" because long prompts could not be read or no engine was there.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -13,7 +13,13 @@
 from .engine_registry import EngineEntry
 from .routes import EngineSpec
 
-__all__ = ["EngineLoad", "PrefillJob", "Run"]
+__all__ = [
+    "FIRST_READ_TOKENS_PER_MS",
+    "FIRST_TOKEN_MS",
+    "EngineLoad",
+    "PrefillJob",
+    "Run",
+]
 
 # Start values until an engine's own figures are known: reading speed and the
 # time of one output token as measured on the standard sites at half load.
@@ -26,7 +32,10 @@
 MAX_OBSERVED_RATIO = 8.0
 
 # A decode engine reads prompts at half the speed, its runs pause meanwhile.
-OWN_READ_SPEED = 0.5
+FIRST_OWN_READ_TOKENS_PER_MS = FIRST_READ_TOKENS_PER_MS / 2
+# A pause consists of the read, the time of one event and the way of the
+# messages that start and end the read.
+OWN_READ_MARGIN_S = 0.03
 # After a read each run makes an event, which takes about 0.06 s.
 CATCH_UP_S = 0.08
 CATCH_UP_SHARE = 0.25
@@ -72,6 +81,7 @@
     """A prompt that a decode engine reads itself."""
 
     request_id: str
+    tokens: int
     began_s: float
 
 
@@ -90,6 +100,7 @@
     changing: bool = False
     changing_until_s: float = float("-inf")
     stalled_until_s: float = float("-inf")
+    own_read_tokens_per_ms: float = FIRST_OWN_READ_TOKENS_PER_MS
     own_read: OwnRead | None = None
     reads_again_s: float = float("-inf")
 
@@ -158,7 +169,12 @@
 
     def own_read_s(self, tokens: int) -> float:
         """Return the time in which a decode engine can read prompts itself."""
-        return tokens / (self.read_tokens_per_ms * OWN_READ_SPEED) / 1000
+        return tokens / self.own_read_tokens_per_ms / 1000
+
+    def longest_own_read_s(self, max_gap_s: float) -> float:
+        """Return the longest read that pauses no run for too long."""
+        event_s = self.spec.tokens_per_event * self.token_ms / 1000
+        return max_gap_s - event_s - OWN_READ_MARGIN_S
 
     def begin_own_read(self, request_id: str, tokens: int, now_s: float) -> None:
         """Note that this decode engine reads a prompt itself.
@@ -166,16 +182,25 @@
         Its runs make hardly any progress meanwhile, so the next prompt waits
         until this one is read and they have caught up.
         """
-        self.own_read = OwnRead(request_id, now_s)
+        self.own_read = OwnRead(request_id, tokens, now_s)
         self.reads_again_s = now_s + OWN_READ_LIMIT * self.own_read_s(tokens)
 
-    def end_own_read(self, request_id: str, now_s: float) -> None:
-        """Note that the prompt is read; its run has made an event."""
-        if self.own_read is None or self.own_read.request_id != request_id:
+    def end_own_read(self, request_id: str, read_ms: float, now_s: float) -> None:
+        """Note that the prompt is read, or that its request is gone.
+
+        ``read_ms`` is 0 in the second case. The run of a prompt that was read
+        has made an event.
+        """
+        read = self.own_read
+        if read is None or read.request_id != request_id:
             return
-        took_s = now_s - self.own_read.began_s
+        took_s = now_s - read.began_s
         self.own_read = None
         self.reads_again_s = now_s + CATCH_UP_S + CATCH_UP_SHARE * took_s
+        if read_ms > 0:
+            known = self.own_read_tokens_per_ms
+            rate = _bounded(read.tokens / read_ms, known)
+            self.own_read_tokens_per_ms += LEARNING_RATE * (rate - known)
 
     def observe_read(self, tokens: int, took_ms: float, behind_ms: float) -> None:
         """Learn the reading speed; other prompts took ``behind_ms``."""
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -17,9 +17,13 @@
     ``unconfirmed_s``: a grant that no host reports as held is dropped.
     ``read_ahead_s``: a place is granted only when the prompts ahead at the
     prefill engine are read within this time, so that places do not wait.
-    ``own_read_s``: a decode engine with running streams reads no prompt that
-    takes longer.
+    ``max_gap_s``: a decode engine reads no prompt that pauses its runs longer,
+    where the route of a request does not state it.
     ``late_reserve``: part of the places that late requests leave free.
+    ``short_first``: requests that hold a place for a short time go first.
+    ``long_share``: long requests go first while the served part of them is
+    below this part of that of all requests.
+    ``hint_weight``: weight of a caller's estimate against the usual one.
     """
 
     # A run ends every 0.15 s at an engine with twelve places.
@@ -34,11 +38,16 @@
     late_share: float = 0.5
     # Late requests do not wait while others on time are refused.
     saturated_s: float = 1.0
-    # Streams are late after a pause of 0.3 s; one event takes 0.06 s.
-    own_read_s: float = 0.19
+    # As on the standard sites.
+    max_gap_s: float = 0.3
     # Stalls are reported again while they last.
     stall_s: float = 0.6
     late_reserve: float = 0.1
+    short_first: bool = True
+    # Large requests should be served half as often as all at least.
+    long_share: float = 0.5
+    # Measured on the standard sites, see ``output_estimate``.
+    hint_weight: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -71,13 +80,17 @@
 
 @dataclass
 class Waiting:
-    """A request without a place; times are steady seconds."""
+    """A request without a place; times are steady seconds.
+
+    ``place_s`` is how long it is expected to hold a place.
+    """
 
     request: RunRequest
     host_id: str
     arrived_s: float
     on_time_until_s: float
     leaves_s: float
+    place_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
 
     @property
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -10,8 +10,15 @@
 from kumquat_core.peer_messages import HeldRun, RunRequest
 
 from .engine_health import EngineHealth
-from .engine_load import EngineLoad, PrefillJob, Run
+from .engine_load import (
+    FIRST_READ_TOKENS_PER_MS,
+    FIRST_TOKEN_MS,
+    EngineLoad,
+    PrefillJob,
+    Run,
+)
 from .engine_registry import EngineRegistry, EngineRole
+from .output_estimate import OutputEstimate
 from .queue_types import QueueTerms
 from .routes import EngineSpec
 
@@ -33,6 +40,7 @@
         self._health = health
         self._terms = terms
         self._loads_by_id: dict[str, EngineLoad] = {}
+        self.estimate = OutputEstimate(terms.hint_weight)
 
     def refresh(self, spec: EngineSpec) -> None:
         """Take over the engines that are known now."""
@@ -73,12 +81,12 @@
         )
 
     def prefilled(self, request_id: str, read_ms: float, now_s: float) -> None:
-        """Note that the prompt of a granted request was read.
+        """Note that the prompt of a granted request was read in ``read_ms``.
 
-        ``read_ms`` is 0 when that failed.
+        0 means that a prefill engine failed to read it.
         """
         for load in self._loads_by_id.values():
-            load.end_own_read(request_id, now_s)
+            load.end_own_read(request_id, read_ms, now_s)
             job = load.jobs_by_id.pop(request_id, None)
             if job is None:
                 continue
@@ -94,7 +102,7 @@
     def ended(self, request_id: str, gap_ms: float, now_s: float) -> None:
         """Free what a request holds; learn the engine's pace from it."""
         for load in self._loads_by_id.values():
-            load.end_own_read(request_id, now_s)
+            load.end_own_read(request_id, 0.0, now_s)
             load.jobs_by_id.pop(request_id, None)
             run = load.runs_by_id.pop(request_id, None)
             if run is not None and gap_ms > 0:
@@ -194,6 +202,13 @@
         """Return the prefill engines that may be used."""
         return self._loads(EngineRole.PREFILL)
 
+    def place_s(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Return how long a request would hold a place, in seconds."""
+        loads = self.decode_loads()
+        token_ms = min((load.token_ms for load in loads), default=FIRST_TOKEN_MS)
+        read_ms = prompt_tokens / FIRST_READ_TOKENS_PER_MS
+        return (read_ms + output_tokens * token_ms) / 1000
+
     def nth_free_s(self, ahead: int, now_s: float) -> float:
         """Return the time until place number ``ahead`` + 1 becomes free."""
         ends = sorted(
@@ -238,7 +253,7 @@
             held.request_id,
             host_id,
             held.prompt_tokens,
-            held.expected_tokens,
+            self.estimate.tokens(held.expected_tokens),
             granted_s,
             confirmed_s=now_s,
         )
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -6,8 +6,9 @@
 leaves when no event arrives for too long.
 
 Requests that can still meet their objective go first, by priority and then
-by the time they have left; requests that are late anyway use what remains. A
-request that cannot begin in time is refused on arrival, with the time at
+by the time they will hold a place, since that serves most callers; requests
+that are late anyway use what remains. A request that cannot begin in time is
+refused on arrival, or as soon as others have gone before it, with the time at
 which the places that are taken are expected to be free, so that it returns
 when the peak is over. Nothing is refused while a place is free. A request
 whose time runs out in the queue is refused at that moment.
@@ -16,6 +17,8 @@
 ``Decision`` objects that follow from it.
 """
 
+from dataclasses import replace
+
 from kumquat_core.peer_messages import RunRequest
 
 from .engine_health import EngineHealth
@@ -24,6 +27,7 @@
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
 from .return_times import ReturnTimes
 from .run_ledger import RunLedger
+from .size_share import SizeShare
 from .stage_plan import Demand
 
 __all__ = ["StreamQueue"]
@@ -32,6 +36,11 @@
 # A request that waits longer than a prompt is read, with places free, waits
 # for memory.
 MEMORY_WAIT_S = 0.15
+# Others arrive while a request waits, and more while it waits for these; the
+# sum is close after this many rounds.
+OVERTAKING_ROUNDS = 3
+# Other reasons say nothing about the places left for late requests.
+PLACES_ARE_SHORT = ("objective_missed", "waited_too_long")
 
 
 class StreamQueue:
@@ -52,6 +61,7 @@
         self._waiting_by_id: dict[str, Waiting] = {}
         self._paused_until_s = float("-inf")
         self._saturated_until_s = float("-inf")
+        self._shares = SizeShare(self.terms.long_share)
         self.demand = Demand()
 
     @property
@@ -65,25 +75,54 @@
 
     def add(self, request: RunRequest, host_id: str, now_s: float) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
+        estimate = self.ledger.estimate
+        estimate.observe(request.expected_tokens)
+        request = replace(
+            request, expected_tokens=estimate.tokens(request.expected_tokens)
+        )
         self.demand.add(request.prompt_tokens, request.expected_tokens, now_s)
+        waiting = self._waiting(request, host_id, now_s)
+        self._waiting_by_id[request.request_id] = waiting
+        if not waiting.is_late(now_s):
+            self._shares.asked(waiting.place_s, now_s)
+        decisions = self.advance(now_s)
+        if now_s < self._paused_until_s:
+            return decisions
+        if request.request_id in self._waiting_by_id:
+            decisions += self._refuse_hopeless(waiting, now_s)
+        return decisions
+
+    def _waiting(self, request: RunRequest, host_id: str, now_s: float) -> Waiting:
         start_s = self.terms.start_s
-        waiting = Waiting(
+        return Waiting(
             request,
             host_id,
             now_s,
             on_time_until_s=now_s + request.objective_ms / 1000 - start_s,
             leaves_s=now_s + request.patience_ms / 1000 - start_s,
+            place_s=self.ledger.place_s(request.prompt_tokens, request.expected_tokens),
             excluded=set(request.excluded),
         )
-        self._waiting_by_id[request.request_id] = waiting
-        decisions = self.advance(now_s)
-        if now_s < self._paused_until_s:
-            return decisions
-        if request.request_id not in self._waiting_by_id:
-            return decisions
-        reason = self._reason_to_refuse(waiting, now_s)
-        if reason:
-            decisions.append(self._refuse(waiting, reason, now_s))
+
+    def _refuse_hopeless(self, newcomer: Waiting, now_s: float) -> list[Decision]:
+        """Refuse the newcomer or those it overtakes, if they wait in vain."""
+        rank = self._rank(newcomer, now_s)
+        behind = sorted(
+            (
+                item
+                for item in self._waiting_by_id.values()
+                if self._rank(item, now_s) >= rank
+            ),
+            key=lambda item: self._rank(item, now_s),
+            reverse=True,
+        )
+        decisions: list[Decision] = []
+        for item in behind:
+            if item is not newcomer and item.is_late(now_s):
+                continue
+            reason = self._reason_to_refuse(item, now_s)
+            if reason:
+                decisions.append(self._refuse(item, reason, now_s))
         return decisions
 
     def advance(self, now_s: float) -> list[Decision]:
@@ -117,8 +156,12 @@
         self._waiting_by_id.pop(request_id, None)
         self.ledger.ended(request_id, gap_ms, now_s)
 
-    def _rank(self, item: Waiting, now_s: float) -> tuple[bool, int, float]:
-        return (item.is_late(now_s), item.request.priority, item.on_time_until_s)
+    def _rank(self, item: Waiting, now_s: float) -> tuple[bool, int, float, float]:
+        size = item.place_s if self.terms.short_first else 0.0
+        if self._shares.long_goes_first() and self._shares.is_long(item.place_s):
+            size = 0.0
+        late = item.is_late(now_s)
+        return (late, item.request.priority, size, item.on_time_until_s)
 
     def _try_grant(self, waiting: Waiting, now_s: float) -> Granted | None:
         request, ledger = waiting.request, self.ledger
@@ -132,6 +175,8 @@
         if decode is None:
             return None
         del self._waiting_by_id[request.request_id]
+        if not waiting.is_late(now_s):
+            self._shares.granted(waiting.place_s, now_s)
         ledger.grant(request, waiting.host_id, decode, reader, now_s)
         return Granted(
             request.request_id,
@@ -176,20 +221,20 @@
             )
         )
         for load in loads:
-            if reads and self._disturbs(load, request.prompt_tokens, now_s):
+            if reads and (now_s < load.reads_again_s or self._disturbs(load, request)):
                 continue
             # The memory plan is the costly part; mostly the first engine fits.
             if load.fits(request.prompt_tokens, request.expected_tokens, now_s):
                 return load
         return None
 
-    def _disturbs(self, load: EngineLoad, prompt_tokens: int, now_s: float) -> bool:
-        """Tell whether reading a prompt would pause running streams."""
-        if now_s < load.reads_again_s:
-            return True
+    def _disturbs(self, load: EngineLoad, request: RunRequest) -> bool:
+        """Tell whether reading a prompt pauses running streams too long."""
         if not load.runs_by_id:
             return False
-        return load.own_read_s(prompt_tokens) > self.terms.own_read_s
+        max_gap_s = request.max_gap_ms / 1000 or self.terms.max_gap_s
+        read_s = load.own_read_s(request.prompt_tokens)
+        return read_s > load.longest_own_read_s(max_gap_s)
 
     def _reason_to_refuse(self, waiting: Waiting, now_s: float) -> str:
         """Return why a request that does not fit now should not wait."""
@@ -197,10 +242,8 @@
             load.entry.id not in waiting.excluded for load in self.ledger.decode_loads()
         ):
             return "no_engine"
-        tokens = waiting.request.prompt_tokens
         if self._first_reader(waiting) is None and all(
-            load.runs_by_id and load.own_read_s(tokens) > self.terms.own_read_s
-            for load in self.ledger.decode_loads()
+            self._disturbs(load, waiting.request) for load in self.ledger.decode_loads()
         ):
             return "no_reader_for_long_prompt"
         begins_s = now_s + self._expected_wait_s(waiting, now_s)
@@ -225,7 +268,20 @@
         free = 0 if self._is_memory_full(now_s) else self.ledger.free_places()
         if len(before) < free:
             return read_s
-        return max(read_s, self.ledger.nth_free_s(len(before) - free, now_s))
+        return max(read_s, self._place_wait_s(waiting, len(before) - free, now_s))
+
+    def _place_wait_s(self, waiting: Waiting, ahead: int, now_s: float) -> float:
+        """Return when a place is left, with those that will go before."""
+        wait_s = self.ledger.nth_free_s(ahead, now_s)
+        if not self.terms.short_first or waiting.is_late(now_s):
+            return wait_s
+        if self._shares.long_goes_first() and self._shares.is_long(waiting.place_s):
+            return wait_s
+        overtaking_per_s = self._shares.shorter_per_s(waiting.place_s, now_s)
+        for _ in range(OVERTAKING_ROUNDS):
+            overtaking = int(overtaking_per_s * wait_s)
+            wait_s = self.ledger.nth_free_s(ahead + overtaking, now_s)
+        return wait_s
 
     def _is_memory_full(self, now_s: float) -> bool:
         """Tell whether places are free that no waiting request fits into."""
@@ -252,13 +308,15 @@
 
     def _refuse(self, waiting: Waiting, reason: str, now_s: float) -> Refused:
         del self._waiting_by_id[waiting.request.request_id]
-        if waiting.arrived_s <= waiting.on_time_until_s:
+        came_in_time = waiting.arrived_s <= waiting.on_time_until_s
+        if came_in_time and reason in PLACES_ARE_SHORT:
             self._saturated_until_s = now_s + self.terms.saturated_s
         wait_s = self.ledger.nth_free_s(len(self._waiting_by_id), now_s)
         if reason == "no_engine":
             wait_s = max(wait_s, self.ledger.role_change_wait_s(now_s))
+        left_s = waiting.arrived_s + waiting.request.left_ms / 1000 - now_s
         retry_after_s = self._return_times.next_return_s(
-            wait_s, self.ledger.all_places(), now_s
+            wait_s, self.ledger.all_places(), left_s, now_s
         )
         return Refused(
             waiting.request.request_id,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -146,7 +146,9 @@
             priority,
             int(objective_ms),
             max(0, min(patience_ms, request.left_ms(now_s))),
+            request.left_ms(now_s),
             tuple(sorted(progress.excluded)),
+            route.max_gap_ms,
         )
 
     def _made_tokens(self, request: CallerRequest, progress: StreamProgress) -> int:
@@ -252,7 +254,7 @@
             progress.first_event_s = now_s
         if stream.events_passed == 0:
             # Tells the owner that a prompt is read if no other engine did.
-            self._admission.prefilled(request.id, 0.0)
+            self._admission.prefilled(request.id, stream.head_ms)
         stream.events_passed += 1
         if progress.last_event_s:
             progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
