Revert short requests first; count the prompt's reading into the latest start

The queue granted requests 0.2 s before their objective, whatever their prompt and the prompts ahead of it at the reader, so many began just too late.

Change: the latest start of a request is its objective less the time in which an idle engine reads its prompt and makes a first event, 0.2 s at least; a place is not granted when the prompts ahead make it late. The rank is again lateness, priority and time left.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -13,13 +13,7 @@
 from .engine_registry import EngineEntry
 from .routes import EngineSpec
 
-__all__ = [
-    "FIRST_READ_TOKENS_PER_MS",
-    "FIRST_TOKEN_MS",
-    "EngineLoad",
-    "PrefillJob",
-    "Run",
-]
+__all__ = ["EngineLoad", "PrefillJob", "Run"]
 
 # Start values until an engine's own figures are known: reading speed and the
 # time of one output token as measured on the standard sites at half load.
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -20,9 +20,6 @@
     ``max_gap_s``: a decode engine reads no prompt that pauses its runs longer,
     where the route of a request does not state it.
     ``late_reserve``: part of the places that late requests leave free.
-    ``short_first``: requests that hold a place for a short time go first.
-    ``long_share``: long requests go first while the served part of them is
-    below this part of that of all requests.
     ``hint_weight``: weight of a caller's estimate against the usual one.
     """
 
@@ -32,8 +29,9 @@
     unconfirmed_s: float = 1.6
     # One prompt of a usual size.
     read_ahead_s: float = 0.12
-    # A prompt is read in 0.1 s and its first event follows within 0.1 s.
+    # A usual prompt is read in 0.1 s and its first event follows within 0.1 s.
     start_s: float = 0.2
+    first_event_s: float = 0.1
     # Late requests may wait together for this share of the places.
     late_share: float = 0.5
     # Late requests do not wait while others on time are refused.
@@ -43,9 +41,6 @@
     # Stalls are reported again while they last.
     stall_s: float = 0.6
     late_reserve: float = 0.1
-    short_first: bool = True
-    # Large requests should be served half as often as all at least.
-    long_share: float = 0.5
     # Measured on the standard sites, see ``output_estimate``.
     hint_weight: float = 0.5
 
@@ -80,17 +75,13 @@
 
 @dataclass
 class Waiting:
-    """A request without a place; times are steady seconds.
-
-    ``place_s`` is how long it is expected to hold a place.
-    """
+    """A request without a place; times are steady seconds."""
 
     request: RunRequest
     host_id: str
     arrived_s: float
     on_time_until_s: float
     leaves_s: float
-    place_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
 
     @property
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -10,13 +10,7 @@
 from kumquat_core.peer_messages import HeldRun, RunRequest
 
 from .engine_health import EngineHealth
-from .engine_load import (
-    FIRST_READ_TOKENS_PER_MS,
-    FIRST_TOKEN_MS,
-    EngineLoad,
-    PrefillJob,
-    Run,
-)
+from .engine_load import EngineLoad, PrefillJob, Run
 from .engine_registry import EngineRegistry, EngineRole
 from .output_estimate import OutputEstimate
 from .queue_types import QueueTerms
@@ -202,12 +196,15 @@
         """Return the prefill engines that may be used."""
         return self._loads(EngineRole.PREFILL)
 
-    def place_s(self, prompt_tokens: int, output_tokens: int) -> float:
-        """Return how long a request would hold a place, in seconds."""
+    def read_s(self, prompt_tokens: int) -> float:
+        """Return the time in which an idle engine reads a prompt."""
+        readers = self.readers()
+        if readers:
+            return min(
+                prompt_tokens / load.read_tokens_per_ms / 1000 for load in readers
+            )
         loads = self.decode_loads()
-        token_ms = min((load.token_ms for load in loads), default=FIRST_TOKEN_MS)
-        read_ms = prompt_tokens / FIRST_READ_TOKENS_PER_MS
-        return (read_ms + output_tokens * token_ms) / 1000
+        return min((load.own_read_s(prompt_tokens) for load in loads), default=0.0)
 
     def nth_free_s(self, ahead: int, now_s: float) -> float:
         """Return the time until place number ``ahead`` + 1 becomes free."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -6,12 +6,10 @@
 leaves when no event arrives for too long.
 
 Requests that can still meet their objective go first, by priority and then
-by the time they will hold a place, since that serves most callers; requests
-that are late anyway use what remains. A request that cannot begin in time is
-refused on arrival, or as soon as others have gone before it, with the time at
-which the places that are taken are expected to be free, so that it returns
-when the peak is over. Nothing is refused while a place is free. A request
-whose time runs out in the queue is refused at that moment.
+by the time they have left; requests that are late anyway use what remains. A
+request that cannot begin in time is refused on arrival and told to return when
+the peak is over. Nothing is refused while a place is free. A request whose
+time runs out in the queue is refused at that moment.
 
 The queue holds no clock of its own and does no I/O: every call returns the
 ``Decision`` objects that follow from it.
@@ -27,7 +25,6 @@
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
 from .return_times import ReturnTimes
 from .run_ledger import RunLedger
-from .size_share import SizeShare
 from .stage_plan import Demand
 
 __all__ = ["StreamQueue"]
@@ -36,9 +33,6 @@
 # A request that waits longer than a prompt is read, with places free, waits
 # for memory.
 MEMORY_WAIT_S = 0.15
-# Others arrive while a request waits, and more while it waits for these; the
-# sum is close after this many rounds.
-OVERTAKING_ROUNDS = 3
 # Other reasons say nothing about the places left for late requests.
 PLACES_ARE_SHORT = ("objective_missed", "waited_too_long")
 
@@ -61,7 +55,6 @@
         self._waiting_by_id: dict[str, Waiting] = {}
         self._paused_until_s = float("-inf")
         self._saturated_until_s = float("-inf")
-        self._shares = SizeShare(self.terms.long_share)
         self.demand = Demand()
 
     @property
@@ -83,48 +76,27 @@
         self.demand.add(request.prompt_tokens, request.expected_tokens, now_s)
         waiting = self._waiting(request, host_id, now_s)
         self._waiting_by_id[request.request_id] = waiting
-        if not waiting.is_late(now_s):
-            self._shares.asked(waiting.place_s, now_s)
         decisions = self.advance(now_s)
         if now_s < self._paused_until_s:
             return decisions
         if request.request_id in self._waiting_by_id:
-            decisions += self._refuse_hopeless(waiting, now_s)
+            reason = self._reason_to_refuse(waiting, now_s)
+            if reason:
+                decisions.append(self._refuse(waiting, reason, now_s))
         return decisions
 
     def _waiting(self, request: RunRequest, host_id: str, now_s: float) -> Waiting:
-        start_s = self.terms.start_s
+        read_s = self.ledger.read_s(request.prompt_tokens)
+        start_s = max(self.terms.start_s, self.terms.first_event_s + read_s)
         return Waiting(
             request,
             host_id,
             now_s,
             on_time_until_s=now_s + request.objective_ms / 1000 - start_s,
             leaves_s=now_s + request.patience_ms / 1000 - start_s,
-            place_s=self.ledger.place_s(request.prompt_tokens, request.expected_tokens),
             excluded=set(request.excluded),
         )
 
-    def _refuse_hopeless(self, newcomer: Waiting, now_s: float) -> list[Decision]:
-        """Refuse the newcomer or those it overtakes, if they wait in vain."""
-        rank = self._rank(newcomer, now_s)
-        behind = sorted(
-            (
-                item
-                for item in self._waiting_by_id.values()
-                if self._rank(item, now_s) >= rank
-            ),
-            key=lambda item: self._rank(item, now_s),
-            reverse=True,
-        )
-        decisions: list[Decision] = []
-        for item in behind:
-            if item is not newcomer and item.is_late(now_s):
-                continue
-            reason = self._reason_to_refuse(item, now_s)
-            if reason:
-                decisions.append(self._refuse(item, reason, now_s))
-        return decisions
-
     def advance(self, now_s: float) -> list[Decision]:
         """Grant what fits and refuse what ran out of time."""
         decisions: list[Decision] = []
@@ -156,12 +128,8 @@
         self._waiting_by_id.pop(request_id, None)
         self.ledger.ended(request_id, gap_ms, now_s)
 
-    def _rank(self, item: Waiting, now_s: float) -> tuple[bool, int, float, float]:
-        size = item.place_s if self.terms.short_first else 0.0
-        if self._shares.long_goes_first() and self._shares.is_long(item.place_s):
-            size = 0.0
-        late = item.is_late(now_s)
-        return (late, item.request.priority, size, item.on_time_until_s)
+    def _rank(self, item: Waiting, now_s: float) -> tuple[bool, int, float]:
+        return (item.is_late(now_s), item.request.priority, item.on_time_until_s)
 
     def _try_grant(self, waiting: Waiting, now_s: float) -> Granted | None:
         request, ledger = waiting.request, self.ledger
@@ -169,14 +137,15 @@
         if waiting.is_late(now_s) and ledger.free_places() <= reserve:
             return None
         reader = self._first_reader(waiting)
-        if reader and reader.read_backlog_ms() > self.terms.read_ahead_s * 1000:
+        read_ahead_s = reader.read_backlog_ms() / 1000 if reader else 0.0
+        if read_ahead_s > self.terms.read_ahead_s:
+            return None
+        if waiting.is_late(now_s + read_ahead_s) and not waiting.is_late(now_s):
             return None
         decode = self._choose_decode(waiting, now_s, reads=reader is None)
         if decode is None:
             return None
         del self._waiting_by_id[request.request_id]
-        if not waiting.is_late(now_s):
-            self._shares.granted(waiting.place_s, now_s)
         ledger.grant(request, waiting.host_id, decode, reader, now_s)
         return Granted(
             request.request_id,
@@ -268,20 +237,7 @@
         free = 0 if self._is_memory_full(now_s) else self.ledger.free_places()
         if len(before) < free:
             return read_s
-        return max(read_s, self._place_wait_s(waiting, len(before) - free, now_s))
-
-    def _place_wait_s(self, waiting: Waiting, ahead: int, now_s: float) -> float:
-        """Return when a place is left, with those that will go before."""
-        wait_s = self.ledger.nth_free_s(ahead, now_s)
-        if not self.terms.short_first or waiting.is_late(now_s):
-            return wait_s
-        if self._shares.long_goes_first() and self._shares.is_long(waiting.place_s):
-            return wait_s
-        overtaking_per_s = self._shares.shorter_per_s(waiting.place_s, now_s)
-        for _ in range(OVERTAKING_ROUNDS):
-            overtaking = int(overtaking_per_s * wait_s)
-            wait_s = self.ledger.nth_free_s(ahead + overtaking, now_s)
-        return wait_s
+        return max(read_s, self.ledger.nth_free_s(len(before) - free, now_s))
 
     def _is_memory_full(self, now_s: float) -> bool:
         """Tell whether places are free that no waiting request fits into."""
