Give the answer of an engine a module; count waits, first events and pauses

The metrics had no time in the queue, to the first event or between events, so an operator could not tell which of them made streams late.

Three histograms without labels, with the objective and the allowed pause of the standard sites among their bounds. The stand-in of the store has a clock that runs and can lose answers; that of an engine can lose answers, work for a while, restart, and be listed at another address.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
@@ -18,19 +17,15 @@
 )
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
+from .open_stream import FIRST_EVENT_TIMEOUT_S, OpenStream, RunFailedError
 from .protocols import EngineDialect, PrefillResult, SendOptions
 
-__all__ = ["EngineCalls", "NotRunError", "OpenStream", "RunFailedError", "RunStart"]
+__all__ = ["EngineCalls", "NotRunError", "RunStart"]
 
 # A prompt of 11,000 tokens is read in 0.3 s by an engine slowed by its
 # neighbours; a longer silence costs more than letting the decode engine read.
 PREFILL_TIMEOUT_S = 1.2
 SMALL_CALL_TIMEOUT_S = 0.5
-# A first event comes 0.1 to 0.4 s after the send, events are 0.05 s apart, and
-# both take a few times longer at an engine that reads prompts itself.
-FIRST_EVENT_TIMEOUT_S = 0.9
-SILENCE_S = 1.2
-STALL_S = 0.35
 # An engine answers so when it is full, and when a prefill result is gone.
 WITHOUT_ROOM = 503
 MAX_SMALL_BODY = 64 * 1024
@@ -51,14 +46,6 @@
         self.unreachable = unreachable
 
 
-class RunFailedError(Exception):
-    """The run failed; the engine may have worked on it."""
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
-
-
 @dataclass(frozen=True)
 class RunStart:
     """What a run begins with, besides the request itself."""
@@ -69,89 +56,6 @@
     hold: str = ""
 
 
-@dataclass
-class OpenStream:
-    """An answer whose head has arrived, ``head_ms`` after the send.
-
-    An engine that reads the prompt itself sends the head after it.
-    """
-
-    engine_id: str
-    status: int
-    headers: list[tuple[str, str]]
-    is_event_stream: bool
-    _connection: EngineConnection
-    _pool: EnginePool
-    _clock: Clock
-    head_ms: float = 0.0
-    events_passed: int = 0
-    _open: bool = True
-    _first_s: float | None = field(default=None)
-    _last_s: float = 0.0
-
-    async def chunks(
-        self,
-        give_up_on_silence: bool = False,
-        on_stall: Callable[[int], None] = lambda silent_ms: None,
-    ) -> AsyncIterator[bytes]:
-        """Yield the body; raises ``RunFailedError`` when it breaks.
-
-        ``give_up_on_silence`` is for streams that can continue elsewhere.
-        ``on_stall`` is called with the silent time while nothing arrives.
-        """
-        body = self._connection.read_body()
-        while True:
-            limit_s = SILENCE_S if give_up_on_silence else None
-            if limit_s is not None and self._first_s is None:
-                limit_s = FIRST_EVENT_TIMEOUT_S
-            try:
-                async with asyncio.timeout(limit_s):
-                    chunk = await self._next(body, on_stall)
-            except StopAsyncIteration:
-                return
-            except ConnectionBrokenError as error:
-                raise RunFailedError(str(error)) from error
-            except TimeoutError as error:
-                raise RunFailedError("silent") from error
-            self._last_s = self._clock.monotonic()
-            if self._first_s is None:
-                self._first_s = self._last_s
-            yield chunk
-
-    async def _next(
-        self, body: AsyncIterator[bytes], on_stall: Callable[[int], None]
-    ) -> bytes:
-        """Return the next chunk and report each ``STALL_S`` without one."""
-        pending = asyncio.ensure_future(anext(body))
-        silent_s = 0.0
-        try:
-            while True:
-                done, _ = await asyncio.wait({pending}, timeout=STALL_S)
-                if done:
-                    return pending.result()
-                silent_s += STALL_S
-                on_stall(int(silent_s * 1000))
-        finally:
-            pending.cancel()
-
-    def finish(self) -> None:
-        """Keep the connection after the whole answer was read."""
-        self._open = False
-        self._pool.give_back(self._connection)
-
-    def abort_if_open(self) -> None:
-        """End the run at the engine unless it has ended."""
-        if self._open:
-            self._open = False
-            self._connection.abort()
-
-    def mean_gap_ms(self, events: int) -> float:
-        """Return the mean time between events, 0 when there were too few."""
-        if events < 3 or self._first_s is None:
-            return 0.0
-        return (self._last_s - self._first_s) * 1000 / (events - 1)
-
-
 class EngineCalls:
     """Sends requests of callers to model engines."""
 
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -168,7 +168,6 @@
     ``order_count`` is the number of orders accepted since its start.
     """
 
-    role: EngineRole | None
     busy_with_order: bool
     order_count: int
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -273,6 +273,7 @@
             calls,
             parts.retries,
             RequestAge(),
+            parts.metrics,
         )
         return CallerServer(
             options.callers,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -19,6 +19,9 @@
 # Bounds include the objectives of the standard sites (0.2, 0.4, 0.9 s).
 DURATION_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 2.0, 4.0, 8.0, 14.0)
 
+# Bounds include the allowed pause and the objective of the standard sites.
+STREAM_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9, 1.5, 3.0, 6.0)
+
 
 class RelayMetrics:
     """All metrics of one relay."""
@@ -40,6 +43,15 @@
             buckets=DURATION_BUCKETS_S,
             registry=self.registry,
         )
+        self._queue_waits = self._stream_histogram(
+            "queue_wait_seconds", "Time that a granted request waited for its place"
+        )
+        self._first_events = self._stream_histogram(
+            "first_event_seconds", "Time from the whole request to its first event"
+        )
+        self._pauses = self._stream_histogram(
+            "longest_pause_seconds", "Longest pause between two events of a stream"
+        )
         self._store_polls = Counter(
             "kumquat_relay_store_polls",
             "Polls of the store by kind of state and success",
@@ -67,6 +79,15 @@
         self._requests.labels(kind, str(code.value)).inc()
         self._durations.labels(kind).observe(took_s)
 
+    def place_granted(self, waited_s: float) -> None:
+        """Note how long a request waited for its place."""
+        self._queue_waits.observe(waited_s)
+
+    def stream_ended(self, first_s: float, longest_pause_s: float) -> None:
+        """Note the pace of a stream that had an event."""
+        self._first_events.observe(first_s)
+        self._pauses.observe(longest_pause_s)
+
     def store_polled(self, kind: str, good: bool) -> None:
         """Count a poll of the store."""
         self._store_polls.labels(kind, str(good).lower()).inc()
@@ -75,5 +96,13 @@
         """Return the metrics as text."""
         return generate_latest(self.registry)
 
+    def _stream_histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"kumquat_relay_{name}",
+            text,
+            buckets=STREAM_BUCKETS_S,
+            registry=self.registry,
+        )
+
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"kumquat_relay_{name}", text, registry=self.registry)
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -13,8 +13,9 @@
 from .admission import Admission
 from .beliefs import Beliefs
 from .caller_request import CallerRequest, PromptFacts
-from .engine_calls import EngineCalls, NotRunError, OpenStream, RunStart
+from .engine_calls import EngineCalls, NotRunError, RunStart
 from .engine_registry import EngineEntry
+from .open_stream import OpenStream
 from .prefill_lapses import PrefillLapses
 from .relay_settings import parse_address
 from .retry_share import RetryShare
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -18,8 +18,10 @@
 from .answer_sink import AnswerSink
 from .beliefs import Beliefs
 from .caller_request import CallerRequest, PromptFacts
-from .engine_calls import EngineCalls, NotRunError, OpenStream, RunFailedError
+from .engine_calls import EngineCalls, NotRunError
+from .open_stream import OpenStream, RunFailedError
 from .relay_answers import failure, refusal
+from .relay_metrics import RelayMetrics
 from .request_age import RequestAge
 from .retry_share import RetryShare
 from .run_starter import BudgetSpentError, RunStarter
@@ -52,7 +54,9 @@
         calls: EngineCalls,
         retries: RetryShare,
         ages: RequestAge,
+        metrics: RelayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._starter = RunStarter(clock, beliefs, admission, calls, retries)
         self._clock = clock
         self._beliefs = beliefs
@@ -85,6 +89,7 @@
         first_s = progress.first_event_s
         if first_s is None:
             return
+        self._metrics.stream_ended(first_s - request.arrived_s, progress.max_gap_s)
         log_event(
             logger,
             "stream_pace",
@@ -104,6 +109,7 @@
                 grant = await self._admission.place(self._ask(request, progress))
             except PlaceRefusedError as error:
                 return self._no_place(progress, error)
+            self._metrics.place_granted(grant.waited_ms / 1000)
             ended = EndNotice()
             try:
                 outcome = await self._attempt(request, grant, progress, ended)
--- a/tests/relay/standins.py
+++ b/tests/relay/standins.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import json
+import time
 from typing import Any
 
 from aiohttp import web
@@ -50,6 +51,8 @@
         self.version = 0
         self.oldest = 0
         self.away = False
+        # Writes that are carried out without an answer.
+        self.lose_answers = 0
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, document: Any) -> None:
@@ -91,12 +94,17 @@
             case "/api/rows-feed":
                 return await self._feed(request)
             case "/api/rows-tx":
-                return self._transact(await request.json())
+                return self._transact(request, await request.json())
         return web.Response(status=404)
 
     def _answer(self, rows: list[Row]) -> web.Response:
         return web.json_response(
-            {"rows": rows, "more_pages": False, "ver": self.version, "now_ms": 1}
+            {
+                "rows": rows,
+                "more_pages": False,
+                "ver": self.version,
+                "now_ms": self._now_ms(),
+            }
         )
 
     def _get(self, request: web.BaseRequest) -> web.Response:
@@ -131,7 +139,7 @@
             except TimeoutError:
                 continue
 
-    def _transact(self, body: Any) -> web.Response:
+    def _transact(self, request: web.BaseRequest, body: Any) -> web.Response:
         for expected in body["expected_rev"]:
             row = self.rows.get((expected["table"], expected["key"]))
             if (row["ver"] if row else 0) != expected["ver"]:
@@ -140,7 +148,14 @@
             self._write(row)
         for row in body["remove"]:
             self.remove(row["table"], row["key"])
-        return web.json_response({"ver": self.version, "now_ms": 1})
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response({"ver": self.version, "now_ms": self._now_ms()})
+
+    def _now_ms(self) -> int:
+        return int(time.monotonic() * 1000)
 
 
 class EngineStandIn(_Server):
@@ -164,18 +179,24 @@
         self.silent.set()
         self.status = 200
         self.cancelled = 0
+        self.born_ms = 1000
+        self.work_s = 0.0
+        # Plain answers that are lost after the run.
+        self.lose_answers = 0
+        # Where others reach this engine, if not at its own address.
+        self.listed_address: Address | None = None
 
     def entry(self, service: str, state: str = "ready") -> dict[str, Any]:
         entry: dict[str, Any] = {
             "service": service,
-            "addr": self.address.text,
+            "addr": (self.listed_address or self.address).text,
             "zone": "a",
             "version": "v1",
             "slots": 12,
             "state": state,
             "cold_left_ms": 0,
             "seq": 4,
-            "born": 1000,
+            "born": self.born_ms,
         }
         if self.stage is not None:
             entry["stage"] = self.stage
@@ -196,6 +217,10 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        except ConnectionError:
+            # The host closed the connection between two writes.
+            self.cancelled += 1
+            return web.Response(status=500)
 
     def _api(self, request: web.BaseRequest, body: bytes) -> web.Response:
         match request.path:
@@ -230,6 +255,11 @@
         self.runs.append(request_id)
         answer = {"X-Request-Id": request_id, "X-Response-Seal": f"seal-{self.id}"}
         if self.stage is None:
+            await asyncio.sleep(self.work_s)
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                assert request.transport is not None
+                request.transport.abort()
             return web.Response(status=self.status, headers=answer, body=b"whole")
         return await self._stream(request, headers, answer)
 
--- a/tests/relay/test_relay_host.py
+++ b/tests/relay/test_relay_host.py
@@ -292,6 +292,19 @@
     play(script)
 
 
+def test_metrics_tell_the_pace_of_streams() -> None:
+    async def script(world: RelayWorld) -> None:
+        async with world.send("story") as response:
+            await response.read()
+        url = f"http://{world.options.metrics.text}/metrics"
+        async with world.session.get(url) as response:
+            text = await response.text()
+        for name in ("queue_wait", "first_event", "longest_pause"):
+            assert f"kumquat_relay_{name}_seconds_count 1.0" in text
+
+    play(script)
+
+
 def test_a_prompt_is_not_read_again_when_the_decode_engine_is_gone() -> None:
     """Each refused connection wasted a prompt that had been read."""
 
