Soak real host processes with random faults; name a test for each rule

Cause: torture runs the hosts of the product's own interface. The cause of a request without a route, and of an error answer of a backend server, was not told by explain.

Change: `make soak SEED=N SECONDS_=S` starts hosts as processes, each behind proxies of its own to the store, to its callers and to each engine, and plays 17 kinds of faults that overlap: hosts killed, stopped, paused, reloaded; links delayed, held up in one or both directions, refused, reset; the store away, forgetting its history, losing answers; engines that crash, leave, are full, silent, fail or lose answers; new configurations. Callers keep connections until they are closed. It checks from what callers and engines saw: one run where a repetition is not allowed, refusals that have not run, whole answers and streams with the seal of the engine that ran them, nothing that was not sent, an end in time where callers reached the host, and nine of ten requests served 12 s after the last fault. A failing soak prints its seed and keeps the logs of the hosts. A short one with a fixed seed is in the test suite, as are its checks against made cases.

The checks are not shared with torture yet, and the peer links between hosts have no proxies.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
 
-.PHONY: setup demo test lint format types pytest features check-model slopes bench
+.PHONY: setup demo test lint format types pytest features check-model slopes bench soak
 
 setup: $(VENV)/.installed
 
@@ -51,3 +51,9 @@
 
 slopes: setup
 	$(BIN)/python -m kumquat_lab slopes
+
+# make soak SEED=7 SECONDS_=60 plays random faults against real host processes.
+SEED ?= 1
+SECONDS_ ?= 30
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/platform $(BIN)/python -m tests.soak --seed $(SEED) --seconds $(SECONDS_)
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -12,6 +12,7 @@
 
 # Meaning of the words that hosts log as ``reason``.
 _TEXTS_BY_REASON = {
+    "backend_answer": "the backend server answered with an error",
     "body_too_large": "its body is larger than the configuration allows",
     "caller_gone": "the caller closed its connection",
     "caller_leaves_first": "no place was expected before the caller leaves",
@@ -50,6 +51,12 @@
 def cause_of(lines: Sequence[LogLine]) -> str:
     """Return one sentence on the end of a request."""
     ends = [line for line in lines if line.event == "request_ended"]
+    no_route = _last(lines, "no_route")
+    if no_route is not None:
+        return (
+            f"answered 404: {_TEXTS_BY_REASON['no_route']} (version "
+            f"{no_route.get('version')})"
+        )
     if not ends:
         last = lines[-1]
         return (
--- a/tests/ctl/test_log_timeline.py
+++ b/tests/ctl/test_log_timeline.py
@@ -59,6 +59,16 @@
     assert explain(request_id, "--log", str(RECORDED))[-1] == cause
 
 
+def test_a_request_without_a_route_is_told() -> None:
+    text = (
+        "time=2026-01-01T00:00:00.000 level=info logger=x event=no_route "
+        "request=r1 host=shop.example version=7"
+    )
+    assert explain("r1", "--log", "-", stdin=text)[-1] == (
+        "answered 404: no route of the configuration matches host and path (version 7)"
+    )
+
+
 def test_lines_of_several_hosts_make_one_timeline() -> None:
     lines = read_lines(RECORDED.read_text().splitlines(), "recorded")
     found = lines_of("6709862005c82cc9", lines)
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,7 @@
+"""Runs a soak by ``python -m tests.soak``."""
+
+import typer
+
+from .soak import main
+
+typer.run(main)
--- /dev/null
+++ b/tests/soak/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the platform's adapter importable."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[2] / "platform"))
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,109 @@
+"""Everything that the soak runs: hosts as processes, stand-ins, proxies."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import aiohttp
+from tests.relay.relay_world import LLM, PLAIN, configuration, free_port
+from tests.relay.standins import EngineStandIn, StoreStandIn
+
+from .host_process import HostProcess
+from .loopback_proxy import LoopbackProxy
+
+__all__ = ["SoakWorld"]
+
+READY_TIMEOUT_S = 15.0
+# An engine's work on a plain request and the pause between two events.
+WORK_S = 0.03
+GAP_S = 0.02
+EVENTS = 12
+
+
+class SoakWorld:
+    """Hosts, engines and the store, each behind a proxy of its own."""
+
+    def __init__(self, folder: Path, host_count: int) -> None:
+        self.store = StoreStandIn()
+        self.engines = [
+            EngineStandIn("reader", "prefill"),
+            *(EngineStandIn(f"decode{number}", "decode") for number in range(2)),
+            *(EngineStandIn(f"plain{number}") for number in range(3)),
+        ]
+        self.hosts: list[HostProcess] = []
+        self.store_links: dict[str, LoopbackProxy] = {}
+        self.caller_links: dict[str, LoopbackProxy] = {}
+        self.engine_links: dict[str, LoopbackProxy] = {}
+        self.version = 3
+        self._folder = folder
+        self._host_count = host_count
+
+    async def __aenter__(self) -> "SoakWorld":
+        await self.store.start()
+        self.store.put("op", "config", configuration())
+        for engine in self.engines:
+            engine.work_s, engine.gap_s, engine.events = WORK_S, GAP_S, EVENTS
+            await engine.start()
+            link = self.engine_links[engine.id] = LoopbackProxy(engine.address)
+            await link.start()
+            engine.listed_address = link.address
+            self.list(engine)
+        for number in range(self._host_count):
+            await self._add_host(f"h{number}")
+        await self.until_ready()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for host in self.hosts:
+            await self._end(host)
+        links = (self.store_links, self.caller_links, self.engine_links)
+        for link in (link for group in links for link in group.values()):
+            await link.stop()
+        for engine in self.engines:
+            await engine.stop()
+        await self.store.stop()
+
+    def list(self, engine: EngineStandIn, state: str = "ready") -> None:
+        """Write the entry of an engine."""
+        service = PLAIN if engine.stage is None else LLM
+        self.store.put("servers", engine.id, engine.entry(service, state))
+
+    def change_configuration(self, timeout_ms: int) -> None:
+        """Write the next version with another limit of all routes."""
+        self.version += 1
+        document = configuration(self.version)
+        for route in document["routes"]:
+            route["timeout_ms"] = timeout_ms
+        self.store.put("op", "config", document)
+
+    async def until_ready(self) -> None:
+        """Wait until all hosts are ready."""
+        async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
+            for host in self.hosts:
+                while not await self._is_ready(session, host):
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, host: HostProcess
+    ) -> bool:
+        url = f"http://{host.readiness.text}/api/ready"
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _add_host(self, host_id: str) -> None:
+        store = self.store_links[host_id] = LoopbackProxy(self.store.address)
+        await store.start()
+        ports = [free_port() for _ in range(4)]
+        host = HostProcess(host_id, self._folder, store.address, ports)
+        self.hosts.append(host)
+        link = self.caller_links[host_id] = LoopbackProxy(host.callers)
+        await link.start()
+        await host.start()
+
+    async def _end(self, host: HostProcess) -> None:
+        host.send(signal.SIGCONT)
+        host.send(signal.SIGKILL)
+        await host.ended()
