--- a/tests/ctl/test_ops_files.py
+++ b/tests/ctl/test_ops_files.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from kumquat_core.metrics import RouterMetrics
+from kumquat_relay.relay_metrics import RelayMetrics
 
 ROOT = Path(__file__).parents[2]
 METRIC = re.compile(r"\bkumquat_\w+")
@@ -13,7 +14,11 @@
 
 def known_metrics() -> set[str]:
     known = set()
-    for family in RouterMetrics().registry.collect():
+    families = [
+        *RouterMetrics().registry.collect(),
+        *RelayMetrics().registry.collect(),
+    ]
+    for family in families:
         if family.type == "counter":
             known.add(family.name + "_total")
         elif family.type == "histogram":
--- /dev/null
+++ b/tests/relay/ingress.py
@@ -0,0 +1,114 @@
+"""A stand-in of the platform's balancer in front of the hosts.
+
+It forwards each new connection to a host in rotation and asks every host for
+its readiness once a second; two misses take a host out, one success brings it
+back. With fewer than half of the hosts in rotation it uses all of them.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kumquat_core.settings import Address
+
+__all__ = ["IngressStandIn"]
+
+POLL_S = 1.0
+POLL_TIMEOUT_S = 0.8
+MISSES = 2
+CHUNK_BYTES = 65536
+READY = b"HTTP/1.1 200"
+
+
+@dataclass
+class _Target:
+    callers: Address
+    readiness: Address
+    misses: int = MISSES
+
+    @property
+    def in_rotation(self) -> bool:
+        return self.misses < MISSES
+
+
+class IngressStandIn:
+    """Forwards connections; ``targets`` maps a host to its two addresses."""
+
+    def __init__(self, targets: Mapping[str, tuple[Address, Address]]) -> None:
+        self._targets_by_host = {
+            host_id: _Target(callers, readiness)
+            for host_id, (callers, readiness) in targets.items()
+        }
+        self.address = Address("127.0.0.1", 0)
+        self._connections = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and begin to ask the hosts."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+        for target in self._targets_by_host.values():
+            self._tasks.append(asyncio.ensure_future(self._ask(target)))
+
+    async def stop(self) -> None:
+        """Stop listening and asking."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def in_rotation(self) -> set[str]:
+        """Return the hosts that get new connections."""
+        return {
+            host_id
+            for host_id, target in self._targets_by_host.items()
+            if target.in_rotation
+        }
+
+    async def _ask(self, target: _Target) -> None:
+        while True:
+            ready = await self._is_ready(target.readiness)
+            target.misses = 0 if ready else target.misses + 1
+            await asyncio.sleep(POLL_S)
+
+    async def _is_ready(self, address: Address) -> bool:
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(address.ip, address.port)
+                writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return line.startswith(READY)
+
+    def _choose(self) -> _Target:
+        targets = list(self._targets_by_host.values())
+        ready = [target for target in targets if target.in_rotation]
+        if len(ready) * 2 < len(targets):
+            ready = targets
+        self._connections += 1
+        return ready[self._connections % len(ready)]
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        address = self._choose().callers
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            async with asyncio.TaskGroup() as group:
+                group.create_task(_pump(reader, target_writer))
+                group.create_task(_pump(target_reader, writer))
+        except* OSError:
+            # One end is gone; the other one must learn it.
+            writer.transport.abort()
+
+
+async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(CHUNK_BYTES):
+        writer.write(data)
+        await writer.drain()
+    writer.close()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -54,8 +54,13 @@
     """Sends one request after the other to hosts that are reachable."""
 
     def __init__(
-        self, name: str, rng: random.Random, addresses_by_host: dict[str, Address]
+        self,
+        name: str,
+        rng: random.Random,
+        addresses_by_host: dict[str, Address],
+        leaving_share: float = LEAVING_SHARE,
     ) -> None:
+        self._leaving_share = leaving_share
         self._name = name
         self._rng = rng
         self._addresses_by_host = addresses_by_host
@@ -78,7 +83,7 @@
         route = self._rng.choice(ROUTES)
         request_id = f"{self._name}-{number}"
         began_s = loop.time()
-        leaves = self._rng.random() < LEAVING_SHARE
+        leaves = self._rng.random() < self._leaving_share
         limit_s = self._rng.uniform(0.0, 0.1) if leaves else DEADLINE_S + GIVE_UP_S
         status, seal, body = 0, "", bytearray()
         try:
