--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -130,6 +130,7 @@
         host = self._free_host()
         if host is None:
             return
+        self.log.append(f"{host.host_id} is told to reload")
         host.send(signal.SIGHUP)
         self._busy.discard(host.host_id)
 
--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -52,6 +52,11 @@
         process = self._process
         return process is not None and process.returncode is None and not self.paused
 
+    @property
+    def exit_status(self) -> int | None:
+        """Return the exit status, None while the process is there."""
+        return self._process.returncode if self._process is not None else None
+
     async def start(self) -> None:
         """Start the process; its log is appended to one file."""
         environment = {**os.environ, "KUMQUATROUTER_BOOT": str(self._settings)}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -68,8 +68,13 @@
         for caller in callers:
             caller.stopping = True
         await calling
+        ended = [
+            f"{host.host_id} ended by itself with status {host.exit_status}"
+            for host in world.hosts
+            if host.exit_status is not None
+        ]
     sent = [item for caller in callers for item in caller.sent]
-    result = SoakResult(seed, sent, dict(faults.counts))
+    result = SoakResult(seed, sent, dict(faults.counts), ended)
     result.broken += broken_promises(sent, world.engines, EVENTS, faults.disturbances)
     share = served_share(sent, calm_s)
     if share < CALM_SHARE:
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -15,6 +15,7 @@
 # Hosts leave the rotation within two polls and end within their grace time.
 ROTATION_TIMEOUT_S = 4.0
 CALM_S = 1.5
+LOADING_S = 0.25
 
 
 async def _rotation(ingress: IngressStandIn, count: int) -> None:
@@ -57,3 +58,22 @@
     assert [item for item in sent if item.ending is not Ending.ANSWERED] == []
     served = sum(item.served for item in sent)
     assert served >= 0.95 * len(sent), f"{served} of {len(sent)}"
+
+
+async def _reload_while_starting(folder: Path) -> int | None:
+    async with SoakWorld(folder, host_count=1) as world:
+        host = world.hosts[0]
+        host.send(signal.SIGTERM)
+        await host.ended()
+        await host.start()
+        # The interpreter has started and loads the program.
+        await asyncio.sleep(LOADING_S)
+        host.send(signal.SIGHUP)
+        await world.until_ready()
+        return host.exit_status
+
+
+def test_a_reload_while_a_host_starts_does_not_end_it(tmp_path: Path) -> None:
+    """A host that was told to reload before its handlers were installed ended
+    without a line and stayed away (soak seed 1)."""
+    assert asyncio.run(_reload_while_starting(tmp_path)) is None
