Disturb the links between hosts in the soak; end its hosts when it is ended

Cause: the soak had proxies to the store, the callers and the engines only, so owners of queues were never cut off alone. A soak that was ended by a signal left its hosts behind, and proxies left tasks that the loop complained about.

Change: each host is listed in the stand-in of the store at the address of a proxy, whose links are delayed, held up, refused or reset like the others. SIGTERM cancels a soak, which ends its hosts; a world that fails to start does so too. Proxies wait for their tasks.

--- a/tests/relay/standins.py
+++ b/tests/relay/standins.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -53,6 +54,8 @@
         self.away = False
         # Writes that are carried out without an answer.
         self.lose_answers = 0
+        # Changes what hosts write, such as their addresses.
+        self.rewrite: Callable[[Row], Row] = lambda row: row
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, document: Any) -> None:
@@ -145,7 +148,7 @@
             if (row["ver"] if row else 0) != expected["ver"]:
                 return web.json_response({"rows": []}, status=412)
         for row in body["writes"]:
-            self._write(row)
+            self._write(self.rewrite(row))
         for row in body["remove"]:
             self.remove(row["table"], row["key"])
         if self.lose_answers > 0:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -49,6 +49,7 @@
             "host_reloaded": self._host_reloaded,
             "host_without_store": self._host_without_store,
             "caller_link": self._caller_link,
+            "peer_link": self._peer_link,
             "store_away": self._store_away,
             "store_history_lost": self._store_history_lost,
             "store_answers_lost": self._store_answers_lost,
@@ -151,6 +152,13 @@
         self._disturbed(host_id, began_s)
         self._busy.discard(name)
 
+    async def _peer_link(self) -> None:
+        name = self._free([f"peers of {key}" for key in self._world.peer_links])
+        if name is not None:
+            link = self._world.peer_links[name.removeprefix("peers of ")]
+            await self._broken_link(link)
+            self._busy.discard(name)
+
     async def _engine_link(self) -> None:
         name = self._free([f"link of {key}" for key in self._world.engine_links])
         if name is not None:
--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -41,6 +41,7 @@
         self._delay_s = delay_s
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -53,6 +54,9 @@
         if self._server is not None:
             self._server.close()
         self.reset()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def reset(self) -> None:
         """Reset all open links."""
@@ -63,6 +67,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         try:
             if self.state is LinkState.REFUSING:
                 return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,8 +8,10 @@
 import asyncio
 import random
 import shutil
+import signal
 import tempfile
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -30,6 +32,7 @@
 RECOVERY_S = 12.0
 CALM_S = 4.0
 CALM_SHARE = 0.9
+EXIT_SIGNALLED = 143
 
 
 @dataclass
@@ -97,6 +100,15 @@
     return ", ".join(f"{key} x {value}" for key, value in sorted(counts.items()))
 
 
+async def _until_signal(
+    soak: Coroutine[None, None, SoakResult],
+) -> SoakResult:
+    """Run a soak; SIGTERM cancels it, so that its hosts are ended too."""
+    task = asyncio.ensure_future(soak)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def main(
     seed: Annotated[int, typer.Option(help="Seed of callers and faults.")] = 1,
     seconds: Annotated[float, typer.Option(help="Time with faults, s.", min=1)] = 30.0,
@@ -104,7 +116,11 @@
 ) -> None:
     """Play one soak of real host processes with faults from outside."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    result = asyncio.run(run_soak(seed, seconds, folder, hosts))
+    try:
+        result = asyncio.run(_until_signal(run_soak(seed, seconds, folder, hosts)))
+    except asyncio.CancelledError as error:
+        typer.echo(f"seed {seed} was ended by a signal; logs are kept in {folder}")
+        raise typer.Exit(EXIT_SIGNALLED) from error
     served = sum(item.served for item in result.sent)
     counts = " ".join(f"{key}={value}" for key, value in sorted(result.faults.items()))
     typer.echo(f"seed {seed}: {len(result.sent)} requests, {served} served; {counts}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,12 +1,17 @@
 """Everything that the soak runs: hosts as processes, stand-ins, proxies."""
 
 import asyncio
+import base64
+import json
 import signal
 from pathlib import Path
 
 import aiohttp
+from kumquat_platform.store import HOST_TABLE
 from tests.relay.relay_world import LLM, PLAIN, configuration, free_port
-from tests.relay.standins import EngineStandIn, StoreStandIn
+from tests.relay.standins import EngineStandIn, Row, StoreStandIn
+
+from kumquat_core.settings import Address
 
 from .host_process import HostProcess
 from .loopback_proxy import LoopbackProxy
@@ -34,12 +39,22 @@
         self.store_links: dict[str, LoopbackProxy] = {}
         self.caller_links: dict[str, LoopbackProxy] = {}
         self.engine_links: dict[str, LoopbackProxy] = {}
+        self.peer_links: dict[str, LoopbackProxy] = {}
         self.version = 3
         self._folder = folder
         self._host_count = host_count
 
     async def __aenter__(self) -> "SoakWorld":
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.store.start()
+        self.store.rewrite = self._behind_peer_link
         self.store.put("op", "config", configuration())
         for engine in self.engines:
             engine.work_s, engine.gap_s, engine.events = WORK_S, GAP_S, EVENTS
@@ -51,12 +66,16 @@
         for number in range(self._host_count):
             await self._add_host(f"h{number}")
         await self.until_ready()
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         for host in self.hosts:
             await self._end(host)
-        links = (self.store_links, self.caller_links, self.engine_links)
+        links = (
+            self.store_links,
+            self.caller_links,
+            self.engine_links,
+            self.peer_links,
+        )
         for link in (link for group in links for link in group.values()):
             await link.stop()
         for engine in self.engines:
@@ -97,12 +116,24 @@
         store = self.store_links[host_id] = LoopbackProxy(self.store.address)
         await store.start()
         ports = [free_port() for _ in range(4)]
+        peers = LoopbackProxy(Address("127.0.0.1", ports[3]))
+        self.peer_links[host_id] = peers
+        await peers.start()
         host = HostProcess(host_id, self._folder, store.address, ports)
         self.hosts.append(host)
         link = self.caller_links[host_id] = LoopbackProxy(host.callers)
         await link.start()
         await host.start()
 
+    def _behind_peer_link(self, row: Row) -> Row:
+        """Let other hosts reach a host that enters the list by its proxy."""
+        if row["table"] != HOST_TABLE:
+            return row
+        document = json.loads(base64.b64decode(row["value"]))
+        document["peer_port"] = self.peer_links[row["key"]].address.port
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        return {**row, "value": value}
+
     async def _end(self, host: HostProcess) -> None:
         host.send(signal.SIGCONT)
         host.send(signal.SIGKILL)
