Look at relay hosts and their settings with kumquatctl

Cause: on the platform kumquatctl could neither tell whether rendered settings are valid nor which configuration and engines each host knows, and no page said which of its tasks the platform does instead.

Change: `kumquatctl relay check-settings FILE` reports all errors with their paths; `kumquatctl relay status HOST:PORT...` reads the metrics of hosts and ends with status 3 when one does not answer.

--- a/packages/kumquatctl/src/kumquatctl/main.py
+++ b/packages/kumquatctl/src/kumquatctl/main.py
@@ -17,7 +17,13 @@
 from kumquat_core.ticket_checks import check_ticket_text
 from kumquat_core.ticket_models import TicketModel
 
-from . import apply_command, host_commands, request_commands, ticket_commands
+from . import (
+    apply_command,
+    host_commands,
+    relay_commands,
+    request_commands,
+    ticket_commands,
+)
 from .log_lines import LogLine, read_lines
 from .log_timeline import lines_of, show_timeline
 from .output import fail, fail_with_errors, print_json
@@ -42,6 +48,8 @@
     ),
 )
 
+app.add_typer(relay_commands.app)
+
 Connect = Callable[[ToolSettings], AbstractAsyncContextManager[Platform]]
 
 
--- /dev/null
+++ b/packages/kumquatctl/src/kumquatctl/relay_commands.py
@@ -0,0 +1,157 @@
+"""Commands for relay hosts on the users' platform.
+
+The hosts have no interface for operators there: the configuration is written
+into the platform's store, and hosts are stopped by the platform. These
+commands read what hosts tell by themselves, their settings and their metrics.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import typer
+from prometheus_client.parser import text_string_to_metric_families
+
+from kumquat_core.http_client import TRANSPORT_ERRORS
+from kumquat_core.result_codes import RouterError
+from kumquat_relay.relay_settings import load_relay_options
+
+from .output import EXIT_INCOMPLETE, fail, print_json, print_table
+
+__all__ = ["app"]
+
+# Hosts answer within milliseconds; one that is paused does not answer at all.
+TIMEOUT_S = 2.0
+PREFIX = "kumquat_relay_"
+
+app = typer.Typer(
+    name="relay",
+    no_args_is_help=True,
+    help=(
+        "Look at relay hosts on the users' platform.\n\n"
+        "The platform itself changes the configuration, drains and stops hosts; "
+        "`kumquatctl explain ID --log FILE` explains a request."
+    ),
+)
+
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Print one JSON document instead of a table.")
+]
+
+
+@dataclass(frozen=True)
+class RelayStatus:
+    """What one host tells in its metrics; None where it did not answer."""
+
+    address: str
+    version: int | None = None
+    engines: int | None = None
+    in_progress: int | None = None
+    waiting: int | None = None
+    held_places: int | None = None
+    failed_polls: int | None = None
+    problem: str = ""
+
+
+@app.command("check-settings")
+def check_settings(
+    settings_file: Annotated[
+        Path,
+        typer.Argument(metavar="FILE", help="Settings as the platform fills them."),
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Check the settings of a relay host; report every error at once."""
+    try:
+        options = load_relay_options(settings_file)
+    except RouterError as error:
+        fail(error, as_json=as_json)
+    document = asdict(options)
+    if as_json:
+        print_json(document)
+        return
+    rows = [(name, _text(value)) for name, value in document.items()]
+    print_table(f"{settings_file}: valid", ("option", "value"), rows)
+
+
+@app.command()
+def status(
+    addresses: Annotated[
+        list[str], typer.Argument(metavar="HOST:PORT...", help="Metrics addresses.")
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Show configuration version, engines and load as each host sees them."""
+    statuses = asyncio.run(_statuses(addresses))
+    if as_json:
+        print_json([asdict(item) for item in statuses])
+    else:
+        columns = (
+            "host",
+            "version",
+            "engines",
+            "in progress",
+            "waiting",
+            "held places",
+            "failed polls",
+            "problem",
+        )
+        rows = [
+            ["-" if value is None else value for value in asdict(item).values()]
+            for item in statuses
+        ]
+        print_table("Relay hosts", columns, rows)
+    if any(item.problem for item in statuses):
+        raise typer.Exit(EXIT_INCOMPLETE)
+
+
+async def _statuses(addresses: Sequence[str]) -> list[RelayStatus]:
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        return list(
+            await asyncio.gather(*(_status(session, item) for item in addresses))
+        )
+
+
+async def _status(session: aiohttp.ClientSession, address: str) -> RelayStatus:
+    try:
+        async with session.get(f"http://{address}/metrics") as response:
+            text = await response.text()
+    except (*TRANSPORT_ERRORS, ValueError) as error:
+        return RelayStatus(address, problem=type(error).__name__)
+    if response.status != 200:
+        return RelayStatus(address, problem=f"status {response.status}")
+    return _read_metrics(address, text)
+
+
+def _read_metrics(address: str, text: str) -> RelayStatus:
+    values: dict[str, int] = {}
+    failed_polls = 0
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            name = sample.name.removeprefix(PREFIX)
+            if name == "store_polls_total" and sample.labels.get("good") == "false":
+                failed_polls += int(sample.value)
+            elif not sample.labels:
+                values[name] = int(sample.value)
+    if "engines" not in values:
+        return RelayStatus(address, problem="no metrics of a relay")
+    return RelayStatus(
+        address,
+        version=values.get("configuration_version"),
+        engines=values.get("engines"),
+        in_progress=values.get("requests_in_progress"),
+        waiting=values.get("waiting"),
+        held_places=values.get("held_places"),
+        failed_polls=failed_polls,
+    )
+
+
+def _text(value: object) -> str:
+    """Return an option for a table; addresses as ``IP:PORT``."""
+    if isinstance(value, dict) and set(value) == {"ip", "port"}:
+        return f"{value['ip']}:{value['port']}"
+    return str(value)
