Replay the only engine that is left

Cause: the rule on prompts that a decode engine reads itself had no replay.

Change: a replay of one engine that reads prompts one after the other and makes no tokens meanwhile; an answer is on time only if no pause is too long. Tests compare the rule with a queue that reads every prompt, and a slow engine with a fast one.

--- a/tests/relay/test_replay.py
+++ b/tests/relay/test_replay.py
@@ -11,6 +11,7 @@
 from kumquat_relay.queue_types import QueueTerms
 
 from .replay import Outcome, Replay, burst
+from .replay_single import SingleEngineReplay
 
 SEEDS = (1, 2, 3, 4, 5)
 WITH = QueueTerms()
@@ -76,3 +77,29 @@
     assert play(WITH, peak=8.0, callers_return=True).refused_again < 10
     alone = play(WITH)
     assert outcome.on_time >= 0.95 * alone.on_time
+
+
+def play_single(terms: QueueTerms, read_tokens_per_s: float) -> Outcome:
+    """Return the sum over all seeds with one engine that reads by itself."""
+    total = Outcome()
+    for seed in SEEDS:
+        replay = SingleEngineReplay(terms, read_tokens_per_s, seed)
+        total.add(replay.run(burst(seed, 3.4, 5.0)))
+    return total
+
+
+@pytest.mark.parametrize("read_tokens_per_s", [19_700.0, 25_300.0])
+def test_the_only_engine_reads_what_its_streams_can_bear(
+    read_tokens_per_s: float,
+) -> None:
+    """Long prompts paused all streams of the engine that was left."""
+    with_rule = play_single(WITH, read_tokens_per_s)
+    without = play_single(replace(WITH, max_gap_s=FOREVER_S), read_tokens_per_s)
+    assert with_rule.on_time > without.on_time
+    assert with_rule.on_time > 0.9 * (with_rule.on_time + with_rule.late)
+
+
+def test_a_faster_engine_serves_more() -> None:
+    """All prompts over 4,300 tokens were refused, whatever the engine."""
+    slow, fast = (play_single(WITH, rate) for rate in (19_700.0, 25_300.0))
+    assert fast.on_time > slow.on_time
