Let proxies of the soak end without reports of cancelled tasks

Cause: the stream server of the standard library logs a handler that stop() cancelled as an error, which hid the result lines of a soak.

Change: the handler takes the cancellation as its end.

--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -78,6 +78,9 @@
         except OSError:
             # The target or the client is gone; both ends are closed below.
             pass
+        except asyncio.CancelledError:
+            # Only stop() cancels; the server would report it as an error.
+            pass
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
