Replay engines that memory bounds, with several readers

Change: the numbers of engines and their memory are parameters; each reader has its own queue of prompts. A test of nine engines with half of the memory.

--- a/tests/relay/replay.py
+++ b/tests/relay/replay.py
@@ -16,7 +16,7 @@
 from kumquat_core.peer_messages import RunRequest
 from kumquat_relay.queue_types import Decision, Granted, QueueTerms, Refused
 
-from .builders import QueueWorld, run_request
+from .builders import SPEC, QueueWorld, run_request
 
 READ_TOKENS_PER_S = 50_000.0
 TOKEN_S = 0.0006
@@ -71,17 +71,25 @@
     """One play of a load with the given terms of the queue."""
 
     def __init__(
-        self, terms: QueueTerms, seed: int = 7, *, callers_return: bool = False
+        self,
+        terms: QueueTerms,
+        seed: int = 7,
+        *,
+        callers_return: bool = False,
+        decoders: int = 2,
+        readers: int = 1,
+        memory_tokens: int = SPEC.memory_tokens,
     ) -> None:
         self._callers_return = callers_return
         self._first_by_id: dict[str, float] = {}
-        self._world = QueueWorld(decoders=2, readers=1, terms=terms)
+        spec = replace(SPEC, memory_tokens=memory_tokens)
+        self._world = QueueWorld(decoders, readers, spec=spec, terms=terms)
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._arrived_by_id: dict[str, tuple[float, RunRequest]] = {}
         self._outputs_by_id: dict[str, float] = {}
-        self._reader_free_s = 0.0
+        self._free_s_by_reader: dict[str, float] = {}
         self.outcome = Outcome()
 
     def run(self, arrivals: Iterator[float]) -> Outcome:
@@ -126,8 +134,8 @@
             match decision:
                 case Refused():
                     self._refused(decision, request)
-                case Granted():
-                    self._grant(arrived_s, request)
+                case Granted(prefill=reader) if reader is not None:
+                    self._grant(arrived_s, request, reader.id)
 
     def _refused(self, decision: Refused, request: RunRequest) -> None:
         now_s = self._world.now_s
@@ -152,11 +160,11 @@
         self._outputs_by_id[again.request_id] = output
         self._at(now_s + wait_s, lambda: self._arrive(again))
 
-    def _grant(self, arrived_s: float, request: RunRequest) -> None:
+    def _grant(self, arrived_s: float, request: RunRequest, reader: str) -> None:
         now_s = self._world.now_s
-        begins_s = max(now_s, self._reader_free_s)
+        begins_s = max(now_s, self._free_s_by_reader.get(reader, 0.0))
         read_s = begins_s + request.prompt_tokens / READ_TOKENS_PER_S
-        self._reader_free_s = read_s
+        self._free_s_by_reader[reader] = read_s
         self.outcome.place_idle_s += read_s - now_s
         request_id = request.request_id
         first_s = read_s + FIRST_EVENT_S
--- a/tests/relay/test_replay.py
+++ b/tests/relay/test_replay.py
@@ -79,6 +79,29 @@
     assert outcome.on_time >= 0.95 * alone.on_time
 
 
+def play_grown(readers: int, peak: float) -> Outcome:
+    """Return the sum over all seeds with nine engines of half the memory."""
+    total = Outcome()
+    for seed in SEEDS:
+        replay = Replay(
+            WITH,
+            seed,
+            callers_return=True,
+            decoders=9 - readers,
+            readers=readers,
+            memory_tokens=72_567,
+        )
+        total.add(replay.run(burst(seed, 7.4, peak)))
+    return total
+
+
+def test_engines_bound_by_memory_serve_all_below_their_capacity() -> None:
+    """Reservations of the longest answer left half of the memory idle."""
+    outcome = play_grown(readers=3, peak=12.0)
+    assert outcome.refused == 0
+    assert outcome.on_time >= 0.95 * (outcome.on_time + outcome.late)
+
+
 def play_single(terms: QueueTerms, read_tokens_per_s: float) -> Outcome:
     """Return the sum over all seeds with one engine that reads by itself."""
     total = Outcome()
