Keep engines that leave or ask for a pause free of new work; bound every answer

Cause: a host learned only from the store that an engine leaves, although the engine says so in each answer, and it ignored the time that an engine asks for when it turns work away. What a server sends was bounded in part only: interim answers, an event without an end and error bodies on stream routes were kept whole, two hundred endless plain answers could take 8 MB each, and any byte restarted the silence timer of a stream, so a stalled stream that sent a byte now and then never ended, while sound streams on routes with long pauses were cut after 1.2 s. A stream that ended within an event was passed on as complete.

Change: engine_notices takes the announcement and the pause from every answer and tells the owner with a new message; the registry keeps the announcement for the incarnation. All servers paused: what can still be in time waits, the rest is refused at once with the earliest end. answer_memory bounds answers together, stream_limits states the silence by route, and only whole events end a silence.

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -13,6 +13,7 @@
 
 from .result_codes import ResultCode, RouterError
 from .run_messages import (
+    EngineNoticed,
     HeldRun,
     RunEnded,
     RunGrant,
@@ -28,6 +29,7 @@
     "Ack",
     "AdmissionRequest",
     "CancelAdmission",
+    "EngineNoticed",
     "Envelope",
     "Grant",
     "GrantsHeld",
@@ -269,6 +271,7 @@
     Ack
     | AdmissionRequest
     | CancelAdmission
+    | EngineNoticed
     | Grant
     | GrantsHeld
     | GrantsQuery
@@ -322,6 +325,7 @@
     35: RunsHeld,
     36: RunsNoted,
     37: RunStalled,
+    38: EngineNoticed,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "EngineNoticed",
     "HeldRun",
     "RunEnded",
     "RunGrant",
@@ -27,7 +28,9 @@
     first event is late and is negative when it is; ``patience_ms`` the time
     until the caller leaves, ``left_ms`` the time until it wants no answer any
     more. ``max_gap_ms`` is the longest pause between events
-    with which an answer is on time, 0 if there is no such bound.
+    with which an answer is on time, 0 if there is no such bound. Engines in
+    ``excluded`` failed this request and are used when no other is left; the
+    asking host sends nothing to those in ``barred``.
     """
 
     request_id: str
@@ -40,6 +43,7 @@
     left_ms: int
     excluded: tuple[str, ...] = ()
     max_gap_ms: int = 0
+    barred: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -94,6 +98,22 @@
     silent_ms: int
 
 
+@dataclass(frozen=True)
+class EngineNoticed:
+    """What an engine said of itself to the sending host.
+
+    ``leaving``: it takes no new work from anybody; ``born_ms`` is the start of
+    that incarnation in Unix milliseconds, 0 if the host does not know it.
+    ``pause_ms``: it wants nothing from the sending host for so long.
+    """
+
+    service: str
+    engine: str
+    born_ms: int
+    leaving: bool
+    pause_ms: int = 0
+
+
 @dataclass(frozen=True)
 class RunEnded:
     """A request holds no place any more, or waits no longer.
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -12,6 +12,7 @@
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
+    EngineNoticed,
     HeldRun,
     RunEnded,
     RunGrant,
@@ -26,7 +27,9 @@
 from kumquatrouter.peer_links import PeerLinks
 
 from .beliefs import Beliefs
+from .engine_registry import EngineEntry
 from .owner_choice import OwnerChoice
+from .protocols import EngineNotice
 from .stream_owner import StreamOwner
 
 __all__ = ["Admission", "PlaceRefusedError"]
@@ -135,6 +138,23 @@
         else:
             self._send(held.owner, message)
 
+    def noticed(self, entry: EngineEntry, notice: EngineNotice) -> None:
+        """Tell the owner of a service what an engine said of itself."""
+        if self._beliefs.engine_spec(entry.service) is None:
+            return
+        message = EngineNoticed(
+            entry.service,
+            entry.id,
+            entry.born_ms,
+            notice.leaving,
+            int(notice.pause_s * 1000),
+        )
+        owner = self._owners.owner(entry.service)
+        if owner == self._host_id:
+            self._local.noticed(message, self._host_id)
+        else:
+            self._send(owner, message)
+
     def ended(
         self,
         request_id: str,
@@ -197,7 +217,9 @@
             self._send(current, message)
 
     def _send(
-        self, host_id: str, message: RunEnded | RunPrefilled | RunStalled
+        self,
+        host_id: str,
+        message: EngineNoticed | RunEnded | RunPrefilled | RunStalled,
     ) -> None:
         """Send a message ahead of any later request to the same owner."""
         try:
@@ -209,7 +231,7 @@
                 "message_not_sent",
                 level=logging.DEBUG,
                 peer=host_id,
-                request=message.request_id,
+                type=type(message).__name__,
                 detail=error.detail,
             )
 
--- a/packages/kumquat_relay/src/kumquat_relay/beliefs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/beliefs.py
@@ -34,6 +34,7 @@
         self.hosts_by_id: dict[str, HostEntry] = {}
         self.on_engines: Callable[[], None] = lambda: None
         self.on_engine_gone: Callable[[EngineEntry], None] = lambda entry: None
+        self.on_engine_reborn: Callable[[EngineEntry], None] = lambda entry: None
         self.on_hosts: Callable[[], None] = lambda: None
         self._host_versions_by_id: dict[str, int] = {}
         self._engines_followed_s = clock.monotonic()
@@ -106,6 +107,23 @@
         if kind is StateKind.ENGINES and changes.items:
             self.on_engines()
 
+    def engine_leaves(self, engine_id: str, born_ms: int, *, source: str) -> bool:
+        """Note that an engine announced its leaving; return if it is news.
+
+        ``source`` tells who heard it: an answer to this host or a peer.
+        """
+        if not self.registry.announce_leaving(engine_id, born_ms):
+            return False
+        log_event(
+            logger,
+            "engine_leaving",
+            engine=engine_id,
+            born_ms=born_ms or None,
+            source=source,
+        )
+        self.on_engines()
+        return True
+
     def expire_engines(self) -> None:
         """Carry out removals that were held back while the store settled."""
         entries = {entry.id: entry for entry in self.registry.all_entries()}
@@ -142,9 +160,11 @@
         entry = item.value
         if not self.registry.put(entry, item.version):
             return
+        entry = self.registry.get(entry.id) or entry
         reborn = previous is not None and previous.born_ms != entry.born_ms
         if reborn:
             self._health.forget(entry.id)
+            self.on_engine_reborn(entry)
         if previous is None or reborn or previous != entry:
             log_event(
                 logger,
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -15,10 +15,12 @@
     EngineConnection,
     SendFailedError,
 )
+from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
-from .open_stream import FIRST_EVENT_TIMEOUT_S, OpenStream, RunFailedError
+from .open_stream import OpenStream, RunFailedError
 from .protocols import EngineDialect, PrefillResult, SendOptions
+from .stream_limits import silence_limits
 
 __all__ = ["EngineCalls", "NotRunError", "RunStart"]
 
@@ -64,10 +66,12 @@
         clock: Clock,
         pool: EnginePool,
         dialect: EngineDialect,
+        notices: EngineNotices,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._dialect = dialect
+        self._notices = notices
         self._background: set[asyncio.Task[None]] = set()
 
     async def prefill(
@@ -81,9 +85,9 @@
         try:
             async with asyncio.timeout(min(PREFILL_TIMEOUT_S, left_ms / 1000)):
                 connection = await self._take(entry, options.left_ms / 1000)
-                head, body = await self._exchange(request, connection, options)
+                head, body = await self._exchange(request, entry, connection, options)
             if head.status == 200:
-                result = self._dialect.prefill_result(body, entry.address)
+                result = self._dialect.prefill_result(body, entry)
             else:
                 reason = f"status_{head.status}"
         except NotRunError as error:
@@ -129,7 +133,7 @@
         )
         sent_s = self._clock.monotonic()
         try:
-            head = await self._head(request, connection, options)
+            head = await self._head(request, entry, connection, options)
             if self._dialect.not_executed(head):
                 await _read_small(connection)
                 self._pool.give_back(connection)
@@ -172,7 +176,7 @@
         method, target, headers, body = self._dialect.reserve(entry, tokens, ttl_ms)
         try:
             status, answer = await self._small_call(
-                entry.address, method, target, headers, body
+                entry, method, target, headers, body
             )
             return self._dialect.reserved(answer) if status == 200 else ""
         except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
@@ -183,25 +187,29 @@
     def release_reservation(self, entry: EngineEntry, hold: str, run: str) -> None:
         """Give a reservation back in the background."""
         method, target, headers = self._dialect.release_reservation(entry, hold)
-        self._in_background(entry.address, method, target, headers, run)
+        self._in_background(entry, method, target, headers, run)
 
     def release_unused(self, result: PrefillResult | None, request_id: str) -> None:
         """Free a prefill result in the background; it lapses by itself too."""
         if result is None:
             return
         method, target, headers = self._dialect.release_prefill(result)
-        self._in_background(result.address, method, target, headers, request_id)
+        self._in_background(result.engine, method, target, headers, request_id)
 
     def _in_background(
         self,
-        address: Address,
+        entry: EngineEntry,
         method: str,
         target: str,
         headers: list[Header],
         request_id: str,
     ) -> None:
+        if self._notices.pause_left_s(entry.id) > 0:
+            # What is held there lapses by itself within seconds.
+            log_event(logger, "release_left_out", request=request_id, engine=entry.id)
+            return
         task = asyncio.ensure_future(
-            self._release(address, method, target, headers, request_id)
+            self._release(entry, method, target, headers, request_id)
         )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
@@ -217,26 +225,36 @@
             raise NotRunError(f"not_connected: {error}", unreachable=True) from error
 
     async def _head(
-        self, request: CallerRequest, connection: EngineConnection, options: SendOptions
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        connection: EngineConnection,
+        options: SendOptions,
     ) -> AnswerHead:
         headers = self._dialect.engine_headers(request.facts, options)
         connection.send(request.method, request.target, headers, request.body)
-        limit_s = FIRST_EVENT_TIMEOUT_S if request.route.may_repeat else None
-        async with asyncio.timeout(limit_s):
+        async with asyncio.timeout(silence_limits(request.route).first_event_s):
             head = await connection.read_head()
-        if self._dialect.foreign(head, request.id):
+        if self._dialect.foreign(head, request.id, reused=connection.exchanges > 1):
             raise ConnectionBrokenError("answer of another request")
+        self._notices.take(entry, self._dialect.notice(head))
         return head
 
     async def _exchange(
-        self, request: CallerRequest, connection: EngineConnection, options: SendOptions
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        connection: EngineConnection,
+        options: SendOptions,
     ) -> tuple[AnswerHead, bytes]:
         try:
             headers = self._dialect.engine_headers(request.facts, options)
             connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
-            if self._dialect.foreign(head, request.id):
+            reused = connection.exchanges > 1
+            if self._dialect.foreign(head, request.id, reused=reused):
                 raise ConnectionBrokenError("answer of another request")
+            self._notices.take(entry, self._dialect.notice(head))
             body = await _read_small(connection)
         except BaseException:
             connection.abort()
@@ -246,14 +264,14 @@
 
     async def _release(
         self,
-        address: Address,
+        entry: EngineEntry,
         method: str,
         target: str,
         headers: list[Header],
         request_id: str,
     ) -> None:
         try:
-            status, _ = await self._small_call(address, method, target, headers, b"")
+            status, _ = await self._small_call(entry, method, target, headers, b"")
             outcome = str(status)
         except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
             outcome = type(error).__name__
@@ -261,7 +279,7 @@
 
     async def _small_call(
         self,
-        address: Address,
+        entry: EngineEntry,
         method: str,
         target: str,
         headers: list[Header],
@@ -270,11 +288,12 @@
         """Return status and body of a call that concerns no request."""
         async with asyncio.timeout(SMALL_CALL_TIMEOUT_S):
             connection = await self._pool.take(
-                address, fresh=False, timeout_s=SMALL_CALL_TIMEOUT_S
+                entry.address, fresh=False, timeout_s=SMALL_CALL_TIMEOUT_S
             )
             try:
                 connection.send(method, target, headers, body)
                 head = await connection.read_head()
+                self._notices.take(entry, self._dialect.notice(head))
                 answer = await _read_small(connection)
             except BaseException:
                 connection.abort()
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -26,8 +26,9 @@
     "SendFailedError",
 ]
 
-# A caller that reads slowly must not make this host hold a whole answer.
-PAUSE_READING_BYTES = 256 * 1024
+# A caller that reads slowly must not make this host hold a whole answer, and
+# the weakest hosts have 128 MB for some hundred streams.
+PAUSE_READING_BYTES = 64 * 1024
 
 # An engine host without power neither answers nor resets. Keep-alive probes
 # find that on idle connections, the user timeout on unacknowledged data.
@@ -36,7 +37,10 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
 
+# Bytes of one head, or of a chunk's framing, that are kept while incomplete.
 MAX_HEAD_BYTES = 64 * 1024
+# Interim answers are rare; servers send one or two of them before an answer.
+MAX_INTERIM_ANSWERS = 16
 
 
 class SendFailedError(Exception):
@@ -67,12 +71,15 @@
     """Feeds the parser and queues its events."""
 
     def __init__(self) -> None:
-        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
+        self.parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
         self.transport: asyncio.Transport | None = None
         self.events: deque[h11.Event] = deque()
         self.failure: str = ""
         self.busy = False
         self.closed = False
+        self._interim_answers = 0
         self._queued_bytes = 0
         self._paused = False
         self._waiter: asyncio.Future[None] | None = None
@@ -81,6 +88,10 @@
         # The transports of uvloop do not derive from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
 
+    def begin(self) -> None:
+        self.busy = True
+        self._interim_answers = 0
+
     def data_received(self, data: bytes) -> None:
         if not self.busy:
             self.fail("bytes without a request")
@@ -118,6 +129,12 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 assert isinstance(event, h11.Event)
+                if isinstance(event, h11.InformationalResponse):
+                    self._interim_answers += 1
+                    if self._interim_answers > MAX_INTERIM_ANSWERS:
+                        self.fail("too many interim answers")
+                        return
+                    continue
                 self.events.append(event)
                 if isinstance(event, h11.Data):
                     self._count(len(event.data))
@@ -208,22 +225,19 @@
             data += protocol.parser.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise SendFailedError(f"invalid request: {error}") from error
-        protocol.busy = True
+        protocol.begin()
         self._body_done = False
         self.exchanges += 1
         protocol.transport.write(data)
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer; interim answers are skipped."""
-        while True:
-            event = await self._protocol.next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
-                raise ConnectionBrokenError(f"unexpected {type(event).__name__}")
-            headers = tuple(event.headers.raw_items())
-            self._note_idle_limit(headers)
-            return AnswerHead(event.status_code, event.reason, headers)
+        event = await self._protocol.next_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionBrokenError(f"unexpected {type(event).__name__}")
+        headers = tuple(event.headers.raw_items())
+        self._note_idle_limit(headers)
+        return AnswerHead(event.status_code, event.reason, headers)
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, to its end.
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -7,18 +7,26 @@
 store is away entries may lapse although their engines live; removals that
 arrive within ``RETURN_S`` after the store is reached again are held back for
 that time, so that engines whose entries return were never given up.
+
+An engine that has announced its leaving itself stays leaving, whatever the
+store says of that incarnation later; only a new incarnation ends it.
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from kumquat_core.settings import Address
 
-__all__ = ["EngineEntry", "EngineRegistry", "EngineRole"]
+__all__ = ["UNKNOWN_BORN_MS", "EngineEntry", "EngineRegistry", "EngineRole"]
 
 # The platform restores entries of live engines within about two seconds.
 RETURN_S = 2.0
+# Entries state their start; a host may learn of an engine before its entry.
+UNKNOWN_BORN_MS = 0
+# Announcements kept, the oldest dropped first; engines that left mostly get a
+# new id, and a release replaces some tens at a time.
+MAX_ANNOUNCED = 4096
 
 
 class EngineRole(Enum):
@@ -58,6 +66,7 @@
     def __init__(self) -> None:
         self._known_by_id: dict[str, _Known] = {}
         self._removed_versions_by_id: dict[str, int] = {}
+        self._leaving_born_ms_by_id: dict[str, int] = {}
         self._returned_s = float("-inf")
 
     def store_returned(self, now_s: float) -> None:
@@ -71,9 +80,40 @@
             return False
         if self._removed_versions_by_id.get(entry.id, -1) >= version:
             return False
-        self._known_by_id[entry.id] = _Known(entry, version)
+        self._known_by_id[entry.id] = _Known(self._as_announced(entry), version)
+        return True
+
+    def announce_leaving(self, engine_id: str, born_ms: int) -> bool:
+        """Note that an incarnation said itself that it leaves.
+
+        ``born_ms`` 0 means the incarnation that is known, or the first one to
+        be listed. Returns whether this is news.
+        """
+        known = self._known_by_id.get(engine_id)
+        if born_ms == UNKNOWN_BORN_MS and known is not None:
+            born_ms = known.entry.born_ms
+        if known is not None and born_ms < known.entry.born_ms:
+            return False
+        if self._leaving_born_ms_by_id.get(engine_id) == born_ms:
+            return False
+        while len(self._leaving_born_ms_by_id) >= MAX_ANNOUNCED:
+            del self._leaving_born_ms_by_id[next(iter(self._leaving_born_ms_by_id))]
+        self._leaving_born_ms_by_id[engine_id] = born_ms
+        if known is not None:
+            known.entry = self._as_announced(known.entry)
         return True
 
+    def _as_announced(self, entry: EngineEntry) -> EngineEntry:
+        """Return an entry with what its engine has announced."""
+        born_ms = self._leaving_born_ms_by_id.get(entry.id)
+        if born_ms is None:
+            return entry
+        if born_ms == UNKNOWN_BORN_MS:
+            born_ms = self._leaving_born_ms_by_id[entry.id] = entry.born_ms
+        if born_ms < entry.born_ms:
+            del self._leaving_born_ms_by_id[entry.id]
+        return replace(entry, draining=entry.draining or born_ms == entry.born_ms)
+
     def remove(self, engine_id: str, version: int, now_s: float) -> bool:
         """Forget an entry, now or when the store has settled."""
         known = self._known_by_id.get(engine_id)
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -15,6 +15,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.result_codes import ResultCode
 
+from .answer_memory import AnswerMemory
 from .caller_request import CallerRequest
 from .engine_connection import (
     AnswerHead,
@@ -23,6 +24,7 @@
     SendFailedError,
 )
 from .engine_health import EngineHealth, Failure
+from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
 from .plain_choice import PlainChoice
@@ -32,8 +34,6 @@
 
 __all__ = ["PlainRelay"]
 
-# Answers of backend servers are some kilobytes; a larger one is cut off.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Enough for an engine restart to show in the store or for another to answer.
 NO_SERVER_RETRY_S = 0.5
 # Several answers of usual length.
@@ -73,7 +73,11 @@
         health: EngineHealth,
         retries: RetryShare,
         dialect: EngineDialect,
+        notices: EngineNotices,
+        memory: AnswerMemory,
     ) -> None:
+        self._notices = notices
+        self._memory = memory
         self._clock = clock
         self._pool = pool
         self._choice = choice
@@ -94,7 +98,13 @@
     async def _attempts(self, request: CallerRequest, progress: _Progress) -> Answer:
         while True:
             entry = self._choice.choose(request.service, progress.tried)
-            if entry is None or not self._may_send(request, progress):
+            if entry is None:
+                pause_s = self._choice.pause_left_s(request.service, progress.tried)
+                if pause_s is not None and await self._outwait(request, pause_s):
+                    continue
+                pause_s = self._choice.pause_left_s(request.service, set())
+                return _give_up(progress, pause_s)
+            if not self._may_send(request, progress):
                 return _give_up(progress)
             progress.tried.add(entry.id)
             try:
@@ -114,6 +124,17 @@
                 continue
             return answer
 
+    async def _outwait(self, request: CallerRequest, pause_s: float) -> bool:
+        """Wait for the end of a pause that leaves the time for an answer.
+
+        Returns false at once when the caller would rather come back later.
+        """
+        left_s = request.left_ms(self._clock.monotonic()) / 1000
+        if pause_s + self._choice.answer_s(request.service) > left_s:
+            return False
+        await asyncio.sleep(pause_s)
+        return True
+
     def _may_send(self, request: CallerRequest, progress: _Progress) -> bool:
         if request.left_ms(self._clock.monotonic()) < MIN_SEND_MS:
             return False
@@ -147,7 +168,7 @@
         progress.sends += 1
         answer_ms: float | None = None
         try:
-            answer = await self._exchange(request, connection, options)
+            answer = await self._exchange(request, entry, connection, options)
             answer_ms = (self._clock.monotonic() - began_s) * 1000
         except SendFailedError as error:
             connection.abort()
@@ -177,14 +198,22 @@
         return answer
 
     async def _exchange(
-        self, request: CallerRequest, connection: EngineConnection, options: SendOptions
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        connection: EngineConnection,
+        options: SendOptions,
     ) -> Answer:
         headers = self._dialect.engine_headers(request.facts, options)
         connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
-        if self._dialect.foreign(head, request.id):
+        if self._dialect.foreign(head, request.id, reused=connection.exchanges > 1):
             raise ConnectionBrokenError("answer of another request")
-        body = await _read_whole(connection)
+        self._notices.take(entry, self._dialect.notice(head))
+        with self._memory.answer() as answer:
+            async for part in connection.read_body():
+                answer.add(part)
+            body = answer.whole()
         self._pool.give_back(connection)
         if self._dialect.not_executed(head):
             raise _NotRunError(f"status_{head.status}")
@@ -215,17 +244,6 @@
         )
 
 
-async def _read_whole(connection: EngineConnection) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for part in connection.read_body():
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise ConnectionBrokenError("answer is too large")
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _passed_on(head: AnswerHead, body: bytes, dialect: EngineDialect) -> Answer:
     headers = tuple(dialect.answer_headers(head))
     code = ResultCode.OK if head.status < 500 else ResultCode.BACKEND_FAILED
@@ -237,12 +255,17 @@
     return asyncio.get_running_loop().time() + max(0.0, left_s)
 
 
-def _give_up(progress: _Progress) -> Answer:
-    """Return the final answer when no further send is allowed."""
+def _give_up(progress: _Progress, pause_s: float | None = None) -> Answer:
+    """Return the final answer when no further send is allowed.
+
+    ``pause_s`` is the time after which the first server takes work again.
+    """
     if progress.failed_answer is not None:
         return progress.failed_answer
     if progress.may_have_run:
         return failure(ResultCode.BACKEND_FAILED, progress.last_reason)
+    if pause_s is not None:
+        return refusal(ResultCode.BACKEND_UNREACHABLE, "servers_paused", pause_s)
     if not progress.tried:
         return refusal(ResultCode.NO_ENGINE, "no_server", NO_SERVER_RETRY_S)
     return refusal(ResultCode.BACKEND_UNREACHABLE, progress.last_reason, FULL_RETRY_S)
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -20,6 +20,7 @@
     "Change",
     "Changes",
     "EngineDialect",
+    "EngineNotice",
     "EngineReport",
     "HistoryLostError",
     "HostEntry",
@@ -178,10 +179,24 @@
 
     source: str
     handle: str
-    address: Address
+    engine: EngineEntry
     tokens: int
 
 
+@dataclass(frozen=True)
+class EngineNotice:
+    """What an answer says of the engine that gave it.
+
+    ``pause_s`` is the time in seconds for which it wants nothing from this
+    host, 0 if it did not ask for a pause. ``problem`` tells what of it could
+    not be read.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+    problem: str = ""
+
+
 class EngineDialect(Protocol):
     """Headers and bodies that are exchanged with callers and engines."""
 
@@ -194,13 +209,19 @@
     def not_executed(self, head: AnswerHead) -> bool:
         """Tell whether an answer proves that the request did not run."""
 
-    def foreign(self, head: AnswerHead, request_id: str) -> bool:
-        """Tell whether an answer belongs to another request."""
+    def foreign(self, head: AnswerHead, request_id: str, *, reused: bool) -> bool:
+        """Tell whether an answer belongs to another request.
+
+        ``reused`` tells whether the connection has carried another exchange.
+        """
+
+    def notice(self, head: AnswerHead) -> EngineNotice:
+        """Return what an answer says of the engine that gave it."""
 
     def answer_headers(self, head: AnswerHead) -> list[tuple[str, str]]:
         """Return the headers of an answer that are passed on to the caller."""
 
-    def prefill_result(self, body: bytes, address: Address) -> PrefillResult:
+    def prefill_result(self, body: bytes, engine: EngineEntry) -> PrefillResult:
         """Return the outcome of a prefill; raises ``ValueError``."""
 
     def reserve(
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -83,6 +83,7 @@
     on_time_until_s: float
     leaves_s: float
     excluded: set[str] = field(default_factory=set)
+    barred: set[str] = field(default_factory=set)
 
     @property
     def give_up_s(self) -> float:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -12,6 +12,7 @@
 from kumquat_core.frames import PeerIdentity
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
+    EngineNoticed,
     Message,
     RunEnded,
     RunPrefilled,
@@ -26,10 +27,12 @@
 from kumquatrouter.supervisor import Supervisor, TaskService
 
 from .admission import REPORT_S, Admission
+from .answer_memory import AnswerMemory
 from .beliefs import Beliefs
 from .caller_server import CallerServer
 from .engine_calls import EngineCalls
 from .engine_health import EngineHealth
+from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_probe import EngineProbe
 from .engine_registry import EngineEntry
@@ -111,8 +114,14 @@
         self._dialect = dialect
         self._parts = parts
         self._incarnation = parts.clock.wall_ms()
+        self._notices = EngineNotices(parts.clock, parts.beliefs)
         self._choice = PlainChoice(
-            parts.beliefs.registry, parts.health, options.failure_domain, parts.rng
+            parts.beliefs.registry,
+            parts.health,
+            options.failure_domain,
+            parts.rng,
+            self._notices,
+            parts.clock,
         )
         self._owners = OwnerChoice(
             options.host_id, parts.clock, self._strengths, options.strength
@@ -155,10 +164,13 @@
             parts.pool,
             dialect,
             options.host_id,
+            self._notices,
             lambda service: self._owners.owner(service) == options.host_id,
         )
         parts.beliefs.on_engines = self._owner.engines_changed
         parts.beliefs.on_engine_gone = self._engine_gone
+        parts.beliefs.on_engine_reborn = lambda entry: self._notices.forget(entry.id)
+        self._notices.on_notice = self._admission.noticed
         parts.beliefs.on_hosts = self._hosts_changed
 
     @classmethod
@@ -257,6 +269,7 @@
 
     def _caller_server(self) -> CallerServer:
         options, parts = self._options, self._parts
+        memory = AnswerMemory()
         plain = PlainRelay(
             parts.clock,
             parts.pool,
@@ -264,8 +277,10 @@
             parts.health,
             parts.retries,
             self._dialect,
+            self._notices,
+            memory,
         )
-        calls = EngineCalls(parts.clock, parts.pool, self._dialect)
+        calls = EngineCalls(parts.clock, parts.pool, self._dialect, self._notices)
         streams = StreamRelay(
             parts.clock,
             parts.beliefs,
@@ -274,6 +289,8 @@
             parts.retries,
             RequestAge(),
             parts.metrics,
+            self._notices,
+            memory,
         )
         return CallerServer(
             options.callers,
@@ -326,6 +343,8 @@
                 self._owner.prefilled(message)
             case RunStalled():
                 self._owner.stalled(message)
+            case EngineNoticed():
+                self._owner.noticed(message, peer.host_id)
             case RunEnded():
                 self._owner.ended(message)
             case _:
@@ -350,6 +369,7 @@
 
     def _engine_gone(self, entry: EngineEntry) -> None:
         self._choice.forget(entry.id)
+        self._notices.forget(entry.id)
         self._orders.forget([entry.id])
         self._parts.pool.drop(entry.address)
 
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -14,9 +14,11 @@
 from .beliefs import Beliefs
 from .caller_request import CallerRequest, PromptFacts
 from .engine_calls import EngineCalls, NotRunError, RunStart
+from .engine_notices import EngineNotices
 from .engine_registry import EngineEntry
 from .open_stream import OpenStream
 from .prefill_lapses import PrefillLapses
+from .protocols import EngineNotice
 from .relay_settings import parse_address
 from .retry_share import RetryShare
 from .stream_progress import StreamProgress
@@ -45,7 +47,9 @@
         admission: Admission,
         calls: EngineCalls,
         retries: RetryShare,
+        notices: EngineNotices,
     ) -> None:
+        self._notices = notices
         self._clock = clock
         self._beliefs = beliefs
         self._admission = admission
@@ -88,7 +92,10 @@
             return True
         entry = self.entry(request, grant.prefill_engine, grant.prefill_address)
         if entry is None:
+            # The next place comes without it; a prompt can be read elsewhere.
+            progress.barred.add(grant.prefill_engine)
             return False
+        progress.excluded.add(entry.id)
         if progress.prefills > 0 and not self._retries.try_spend(request.service):
             return False
         progress.prefills += 1
@@ -100,6 +107,7 @@
             if not error.unreachable:
                 self._retries.count_unavoidable(request.service)
             return False
+        progress.excluded.discard(entry.id)
         progress.prefilled_s = self._clock.monotonic()
         self._admission.prefilled(request.id, (progress.prefilled_s - began_s) * 1000)
         return True
@@ -115,7 +123,7 @@
         source, progress.prefill = progress.prefill, None
         hold, progress.hold = progress.hold, ""
         last_id = progress.splitter.last_id
-        lapses = source is not None and self._lapses.expected(source.address)
+        lapses = source is not None and self._lapses.expected(source.engine.address)
         if source is not None and not lapses:
             try:
                 start = RunStart(source, None, last_id, hold)
@@ -127,30 +135,40 @@
                     raise
                 # A reservation is used up by the first request that names it.
                 hold = ""
-        fetch_from = source.address if source is not None else None
+        fetch_from = source.engine.address if source is not None else None
         start = RunStart(None, fetch_from, last_id, hold)
         stream = await self._send(request, entry, start, progress)
         if source is not None and not lapses:
-            self._lapses.note(source.address)
+            self._lapses.note(source.engine.address)
             log_event(logger, "prefill_lapsed", request=request.id, engine=entry.id)
         return stream
 
     def entry(
         self, request: CallerRequest, engine_id: str, address: str
     ) -> EngineEntry | None:
-        """Return the granted engine, None if this host knows it is leaving.
+        """Return the granted engine, None if nothing may be sent to it.
 
-        The owner may know an engine that the store has not shown here yet.
+        The owner may know an engine that the store has not shown here yet. An
+        owner without the store learns here that an engine leaves.
         """
+        if self._notices.pause_left_s(engine_id) > 0:
+            return None
         entry = self._beliefs.registry.get(engine_id)
+        if entry is not None and entry.draining:
+            self._admission.noticed(entry, EngineNotice(leaving=True))
+            return None
         if entry is not None:
-            return None if entry.draining else entry
+            return entry
         if self._beliefs.registry.was_removed(engine_id):
             return None
         return EngineEntry(
             engine_id, request.service, parse_address(address), "", 0, False
         )
 
+    def barred(self, request: CallerRequest) -> set[str]:
+        """Return the engines to which this host sends nothing new."""
+        return self._notices.barred(request.service)
+
     def drop_old_prefill(
         self, request: CallerRequest, progress: StreamProgress
     ) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
@@ -17,6 +17,7 @@
 from .caller_request import Header
 from .engine_connection import ConnectionBrokenError, SendFailedError
 from .engine_health import EngineHealth
+from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry, EngineRole
 from .order_lease import OrderLease
@@ -53,9 +54,11 @@
         pool: EnginePool,
         dialect: EngineDialect,
         holder: str,
+        notices: EngineNotices,
         owns: Callable[[str], bool] = lambda service: True,
     ) -> None:
         self._owns = owns
+        self._notices = notices
         self._clock = clock
         self._beliefs = beliefs
         self._health = health
@@ -98,6 +101,7 @@
             for engine in engines
             if self._health.is_avoided(engine.id)
             or self._health.is_unreachable(engine.id)
+            or self._notices.pause_left_s(engine.id) > 0
         ]
         leaves = any(
             entry.draining and entry.role is EngineRole.DECODE
@@ -182,6 +186,7 @@
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 connection.send(method, target, headers, body)
                 head = await connection.read_head()
+                self._notices.take(engine, self._dialect.notice(head))
                 async for part in connection.read_body():
                     answer += part
         except (ConnectionBrokenError, SendFailedError, TimeoutError) as error:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -13,6 +13,7 @@
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
+    EngineNoticed,
     RunEnded,
     RunGrant,
     RunPrefilled,
@@ -137,6 +138,17 @@
             silent_ms=message.silent_ms,
         )
 
+    def noticed(self, message: EngineNoticed, host_id: str) -> None:
+        """Grant nothing at an engine that leaves, or pauses for one host."""
+        if message.leaving:
+            self._beliefs.engine_leaves(message.engine, message.born_ms, source=host_id)
+        if message.pause_ms > 0:
+            owned = self._owned(message.service)
+            now_s = self._clock.monotonic()
+            until_s = now_s + message.pause_ms / 1000
+            owned.queue.bar(host_id, message.engine, until_s)
+            self._carry_out(owned, owned.queue.advance(now_s))
+
     def held(self, message: RunsHeld, host_id: str) -> RunsNoted:
         """Take over the runs that a host reports."""
         owned = self._owned(message.service)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -28,6 +28,8 @@
 
     ``runs`` counts the engines that may have worked on it, ``not_run`` the
     attempts that provably did not run. ``hold`` is an unused reservation.
+    Engines in ``excluded`` failed the request and are used when no other is
+    left, those in ``barred`` get nothing from this host.
     """
 
     sink: AnswerSink
@@ -36,6 +38,7 @@
     runs: int = 0
     sends: int = 0
     excluded: set[str] = field(default_factory=set)
+    barred: set[str] = field(default_factory=set)
     prefill: PrefillResult | None = None
     prefilled_s: float = float("-inf")
     hold: str = ""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -54,6 +54,7 @@
         self.ledger = RunLedger(service, registry, health, self.terms)
         self._waiting_by_id: dict[str, Waiting] = {}
         self._paused_until_s = float("-inf")
+        self._bars_by_host_id: dict[str, dict[str, float]] = {}
         self._saturated_until_s = float("-inf")
         self.demand = Demand()
 
@@ -66,6 +67,11 @@
         """Grant and refuse nothing until the running work is reported."""
         self._paused_until_s = until_s
 
+    def bar(self, host_id: str, engine_id: str, until_s: float) -> None:
+        """Grant nothing at an engine to a host that it asked to stay away."""
+        bars = self._bars_by_host_id.setdefault(host_id, {})
+        bars[engine_id] = max(until_s, bars.get(engine_id, until_s))
+
     def add(self, request: RunRequest, host_id: str, now_s: float) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
         estimate = self.ledger.estimate
@@ -95,8 +101,21 @@
             on_time_until_s=now_s + request.objective_ms / 1000 - start_s,
             leaves_s=now_s + request.patience_ms / 1000 - start_s,
             excluded=set(request.excluded),
+            barred=set(request.barred),
         )
 
+    def _usable(
+        self, loads: list[EngineLoad], waiting: Waiting, now_s: float
+    ) -> list[EngineLoad]:
+        """Return the engines to which the host of a request may send."""
+        bars = self._bars_by_host_id.get(waiting.host_id, {})
+        return [
+            load
+            for load in loads
+            if load.entry.id not in waiting.barred
+            and now_s >= bars.get(load.entry.id, now_s)
+        ]
+
     def advance(self, now_s: float) -> list[Decision]:
         """Grant what fits and refuse what ran out of time."""
         decisions: list[Decision] = []
@@ -136,7 +155,7 @@
         reserve = ledger.all_places() * self.terms.late_reserve
         if waiting.is_late(now_s) and ledger.free_places() <= reserve:
             return None
-        reader = self._first_reader(waiting)
+        reader = self._first_reader(waiting, now_s)
         read_ahead_s = reader.read_backlog_ms() / 1000 if reader else 0.0
         if read_ahead_s > self.terms.read_ahead_s:
             return None
@@ -155,14 +174,14 @@
             ledger.free_places(),
         )
 
-    def _first_reader(self, waiting: Waiting) -> EngineLoad | None:
+    def _first_reader(self, waiting: Waiting, now_s: float) -> EngineLoad | None:
         """Return the prefill engine that can begin first, if there is one.
 
         A prompt may be read again, so one that failed is used again when it
         is the only one.
         """
         return min(
-            self.ledger.readers(),
+            self._usable(self.ledger.readers(), waiting, now_s),
             key=lambda load: (
                 load.entry.id in waiting.excluded,
                 load.read_backlog_ms(),
@@ -180,7 +199,7 @@
         request = waiting.request
         loads = [
             load
-            for load in self.ledger.decode_loads()
+            for load in self._usable(self.ledger.decode_loads(), waiting, now_s)
             if load.entry.id not in waiting.excluded and load.free_places() > 0
         ]
         loads.sort(
@@ -207,12 +226,11 @@
 
     def _reason_to_refuse(self, waiting: Waiting, now_s: float) -> str:
         """Return why a request that does not fit now should not wait."""
-        if not any(
-            load.entry.id not in waiting.excluded for load in self.ledger.decode_loads()
-        ):
+        loads = self._usable(self.ledger.decode_loads(), waiting, now_s)
+        if all(load.entry.id in waiting.excluded for load in loads):
             return "no_engine"
-        if self._first_reader(waiting) is None and all(
-            self._disturbs(load, waiting.request) for load in self.ledger.decode_loads()
+        if self._first_reader(waiting, now_s) is None and all(
+            self._disturbs(load, waiting.request) for load in loads
         ):
             return "no_reader_for_long_prompt"
         begins_s = now_s + self._expected_wait_s(waiting, now_s)
@@ -249,7 +267,7 @@
     ) -> float:
         """Return when the prompts that go before are read."""
         tokens = sum(item.request.prompt_tokens for item in before)
-        reader = self._first_reader(waiting)
+        reader = self._first_reader(waiting, now_s)
         if reader is not None:
             readers = len(self.ledger.readers())
             own_ms = reader.read_backlog_ms() - self.terms.read_ahead_s * 1000
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -15,25 +15,24 @@
 from kumquat_core.result_codes import ResultCode
 
 from .admission import Admission, PlaceRefusedError
+from .answer_memory import AnswerMemory
 from .answer_sink import AnswerSink
 from .beliefs import Beliefs
 from .caller_request import CallerRequest, PromptFacts
 from .engine_calls import EngineCalls, NotRunError
+from .engine_connection import ConnectionBrokenError
+from .engine_notices import EngineNotices
 from .open_stream import OpenStream, RunFailedError
 from .relay_answers import failure, refusal
 from .relay_metrics import RelayMetrics
 from .request_age import RequestAge
 from .retry_share import RetryShare
 from .run_starter import BudgetSpentError, RunStarter
+from .stream_limits import caller_patience_ms, silence_limits
 from .stream_progress import EndNotice, StreamOutcome, StreamProgress
 
 __all__ = ["StreamRelay"]
 
-# Callers leave a stream that is silent for the longest of these.
-MIN_PATIENCE_MS = 2000
-PATIENCE_OBJECTIVES = 4
-PATIENCE_GAPS = 8
-
 # A send that proves not to have run is repeated this often at most.
 MAX_NOT_RUN = 4
 NO_PLACE_RETRY_S = 0.4
@@ -55,9 +54,12 @@
         retries: RetryShare,
         ages: RequestAge,
         metrics: RelayMetrics,
+        notices: EngineNotices,
+        memory: AnswerMemory,
     ) -> None:
+        self._memory = memory
         self._metrics = metrics
-        self._starter = RunStarter(clock, beliefs, admission, calls, retries)
+        self._starter = RunStarter(clock, beliefs, admission, calls, retries, notices)
         self._clock = clock
         self._beliefs = beliefs
         self._admission = admission
@@ -129,11 +131,7 @@
         now_s = self._clock.monotonic()
         waited_ms = (now_s - request.arrived_s) * 1000
         route = request.route
-        patience_ms = max(
-            MIN_PATIENCE_MS,
-            PATIENCE_OBJECTIVES * route.objective_ms,
-            PATIENCE_GAPS * route.max_gap_ms,
-        )
+        patience_ms = caller_patience_ms(route)
         priority = route.priority
         if progress.first_event_s is not None:
             # The caller has a part of the answer; the rest is worth more to
@@ -155,6 +153,7 @@
             request.left_ms(now_s),
             tuple(sorted(progress.excluded)),
             route.max_gap_ms,
+            tuple(sorted(progress.barred | self._starter.barred(request))),
         )
 
     def _made_tokens(self, request: CallerRequest, progress: StreamProgress) -> int:
@@ -171,7 +170,7 @@
         """Use one place; return the outcome, or None to ask for another."""
         entry = self._starter.entry(request, grant.decode_engine, grant.decode_address)
         if entry is None:
-            progress.excluded.add(grant.decode_engine)
+            progress.barred.add(grant.decode_engine)
             return self._after_not_run(request, progress, "engine_leaves")
         if grant.reserve and not await self._starter.reserve(request, entry, progress):
             ended.full_engine = entry.id
@@ -179,7 +178,6 @@
         self._starter.drop_old_prefill(request, progress)
         to_read = progress.prefill is None and progress.first_event_s is None
         if to_read and not await self._starter.prefill(request, grant, progress):
-            progress.excluded.add(grant.prefill_engine)
             return self._after_not_run(request, progress, "prompt_not_read")
         try:
             stream = await self._starter.open(request, entry, progress)
@@ -218,20 +216,19 @@
         try:
             if not stream.is_event_stream:
                 return await self._pass_on_whole(stream, progress)
-            async for chunk in stream.chunks(
-                request.route.may_repeat,
+            async for events in stream.events(
+                splitter,
+                silence_limits(request.route),
                 lambda silent_ms: self._admission.stalled(request.id, silent_ms),
             ):
-                await self._pass_on(request, stream, splitter.feed(chunk), progress)
+                await self._pass_on(request, stream, events, progress)
             stream.finish()
-        except RunFailedError as error:
+        except (ConnectionBrokenError, RunFailedError) as error:
             ended.failed_engine = stream.engine_id
-            return self._after_break(request, progress, stream.engine_id, error.reason)
+            return self._after_break(request, progress, stream.engine_id, str(error))
         finally:
             stream.abort_if_open()
             ended.gap_ms = stream.mean_gap_ms(splitter.events - first_count)
-        if splitter.rest:
-            await self._pass_on(request, stream, splitter.rest, progress)
         if not progress.sink.started:
             await progress.sink.start(stream.status, stream.headers)
         return await self._complete(progress, stream.status)
@@ -240,7 +237,10 @@
         self, stream: OpenStream, progress: StreamProgress
     ) -> StreamOutcome:
         """Pass on an answer that is no event stream, such as an error."""
-        body = b"".join([chunk async for chunk in stream.chunks()])
+        with self._memory.answer() as answer:
+            async for part in stream.body():
+                answer.add(part)
+            body = answer.whole()
         stream.finish()
         await progress.sink.start(stream.status, stream.headers)
         await progress.sink.write(body)
@@ -253,8 +253,6 @@
         events: bytes,
         progress: StreamProgress,
     ) -> None:
-        if not events:
-            return
         now_s = self._clock.monotonic()
         if progress.first_event_s is None:
             progress.first_event_s = now_s
--- a/tests/relay/relay_world.py
+++ b/tests/relay/relay_world.py
@@ -134,6 +134,13 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def once(self, route: str = "once", **headers: str) -> int:
+        """Return the status of a request whose answer is read whole."""
+        method = "GET" if route == "again" else "POST"
+        async with self.send(route, method, **headers) as answer:
+            await answer.read()
+            return answer.status
+
     def break_once(self, after: int) -> None:
         """Let the next stream break after so many events."""
         breaks = [after]
--- a/tests/relay/standins.py
+++ b/tests/relay/standins.py
@@ -173,6 +173,8 @@
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.runs: list[str] = []
         self.orders: list[dict[str, Any]] = []
+        # Paths of the calls that concern no request.
+        self.calls: list[str] = []
         self.handles: set[str] = set()
         self.full = False
         self.lapsing = False
@@ -186,6 +188,8 @@
         self.work_s = 0.0
         # Plain answers that are lost after the run.
         self.lose_answers = 0
+        # Added to every answer, such as that the engine leaves.
+        self.more_headers: dict[str, str] = {}
         # Where others reach this engine, if not at its own address.
         self.listed_address: Address | None = None
 
@@ -206,6 +210,12 @@
         return entry
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._handle(request)
+        if not response.prepared:
+            response.headers.update(self.more_headers)
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         headers = {name.lower(): value for name, value in request.headers.items()}
         expected = headers.get("x-expect-instance", self.id)
@@ -226,6 +236,7 @@
             return web.Response(status=500)
 
     def _api(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        self.calls.append(request.path)
         match request.path:
             case "/api/report":
                 return web.json_response(
@@ -274,7 +285,11 @@
         self, request: web.BaseRequest, headers: dict[str, str], answer: dict[str, str]
     ) -> web.StreamResponse:
         response = web.StreamResponse(
-            headers={**answer, "Content-Type": "text/event-stream"}
+            headers={
+                **answer,
+                **self.more_headers,
+                "Content-Type": "text/event-stream",
+            }
         )
         response.enable_chunked_encoding()
         await response.prepare(request)
