Plan roles and memory by what the engines show, not by figures of two sites

Cause: the plan of roles believed in 0.6 ms a token, 45 prompt tokens a ms and runs of 5,500 + 5,500 tokens, whatever the deployment.

Change: service_pace and learned_mean learn reading speed, pace and time of a place; the first observation replaces the start value, and an engine that has shown nothing is taken to be like the others. Reports of held runs carry their progress, so a new owner knows it after one report and memory is planned from tokens that were made. output_estimate learns the line from callers' estimates to complete answers with its error. The plan takes pace, sizes and the share of prompts that decode engines cannot read from the requests, the room for random arrivals from the root of the load, and changes one engine in eight at a time. A change of role lasts until the runs have ended. After a rejected send a reservation tells whether the engine is full or the result is gone; if it is full the result goes to another engine. return_times learns how long peaks last.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -121,6 +121,7 @@
     ``gap_ms`` is the mean time between its events, 0 when there were too
     few. ``full_engine`` refused it for lack of room; ``failed_engine``
     failed it, and could not even be reached if ``unreachable`` is set.
+    ``made_tokens`` is the length of an answer that was complete, else 0.
     """
 
     request_id: str
@@ -129,17 +130,24 @@
     full_engine: str = ""
     failed_engine: str = ""
     unreachable: bool = False
+    made_tokens: int = 0
 
 
 @dataclass(frozen=True)
 class HeldRun:
-    """A run that a host still holds."""
+    """A run that a host still holds.
+
+    ``made_tokens`` of its answer have arrived, with a mean time of ``gap_ms``
+    between events; 0 when there were too few.
+    """
 
     request_id: str
     decode_engine: str
     prompt_tokens: int
     expected_tokens: int
     age_ms: int
+    made_tokens: int = 0
+    gap_ms: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -63,6 +63,8 @@
     decode_engine: str
     owner: str
     since_s: float
+    made_tokens: int = 0
+    gap_ms: float = 0.0
 
 
 class Admission:
@@ -125,6 +127,12 @@
         else:
             self._send(held.owner, message)
 
+    def progressed(self, request_id: str, made_tokens: int, gap_ms: float) -> None:
+        """Note the progress of a run for the next report."""
+        held = self._held_by_id.get(request_id)
+        if held is not None:
+            held.made_tokens, held.gap_ms = made_tokens, gap_ms
+
     def stalled(self, request_id: str, silent_ms: int) -> None:
         """Tell the owner that a run makes no progress."""
         held = self._held_by_id.get(request_id)
@@ -163,8 +171,9 @@
         failed_engine: str = "",
         *,
         unreachable: bool = False,
+        made_tokens: int = 0,
     ) -> None:
-        """Give a place back."""
+        """Give a place back; ``made_tokens`` of a complete answer, else 0."""
         held = self._held_by_id.pop(request_id, None)
         if held is None:
             return
@@ -175,6 +184,7 @@
             full_engine,
             failed_engine,
             unreachable,
+            made_tokens,
         )
         self._tell_ended(held.owner, message)
 
@@ -251,6 +261,8 @@
                 held.request.prompt_tokens,
                 held.request.expected_tokens,
                 int((now_s - held.since_s) * 1000),
+                held.made_tokens,
+                held.gap_ms,
             )
             for request_id, held in self._held_by_id.items()
             if held.request.service == service
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -11,25 +11,22 @@
 from dataclasses import dataclass, field
 
 from .engine_registry import EngineEntry
+from .learned_mean import LearnedMean
 from .routes import EngineSpec
+from .service_pace import ServicePace
 
-__all__ = ["EngineLoad", "PrefillJob", "Run"]
-
-# Start values until an engine's own figures are known: reading speed and the
-# time of one output token as measured on the standard sites at half load.
-FIRST_READ_TOKENS_PER_MS = 45.0
-FIRST_TOKEN_MS = 0.6
+__all__ = ["MAX_GAP_S", "EngineLoad", "PrefillJob", "Run", "longest_own_read_s"]
 
 # Weight of a new observation; an engine slowed by its neighbours shows after
 # three observations.
 LEARNING_RATE = 0.3
-MAX_OBSERVED_RATIO = 8.0
 
-# A decode engine reads prompts at half the speed, its runs pause meanwhile.
-FIRST_OWN_READ_TOKENS_PER_MS = FIRST_READ_TOKENS_PER_MS / 2
 # A pause consists of the read, the time of one event and the way of the
 # messages that start and end the read.
 OWN_READ_MARGIN_S = 0.03
+# The pause that counts as allowed where no route states one, in seconds; a
+# longer one is noticed in running text.
+MAX_GAP_S = 0.3
 # After a read each run makes an event, which takes about 0.06 s.
 CATCH_UP_S = 0.08
 CATCH_UP_SHARE = 0.25
@@ -39,19 +36,27 @@
 # Estimates of answers are right at the median and often far too short.
 OVERDUE_SHARE = 0.15
 MEMORY_MARGIN = 1.2
-# Estimates err independently, so the room for their errors grows with the
-# root of the number of runs. Too little room preempts runs, which reads their
-# prompts again.
-ESTIMATE_SPREAD = 0.4
-
 # Part of the memory that may be planned for; the engine rounds each request
 # up to whole blocks.
 USABLE_MEMORY = 0.97
 
 
+def _unknown() -> LearnedMean:
+    return LearnedMean(0.0, LEARNING_RATE)
+
+
+def _known(own: LearnedMean, of_service: LearnedMean) -> float:
+    return own.value if own.known else of_service.value
+
+
 @dataclass
 class Run:
-    """A granted request at a decode engine; times are steady seconds."""
+    """A granted request at a decode engine; times are steady seconds.
+
+    ``expected_tokens`` is the planned length of its answer and
+    ``stated_tokens`` the caller's own estimate. ``made_tokens`` had been made
+    at ``made_s``, as its host reported.
+    """
 
     request_id: str
     host_id: str
@@ -59,6 +64,9 @@
     expected_tokens: int
     granted_s: float
     confirmed_s: float
+    stated_tokens: int = 0
+    made_tokens: int = 0
+    made_s: float = float("-inf")
 
 
 @dataclass
@@ -79,24 +87,34 @@
     began_s: float
 
 
+def longest_own_read_s(max_gap_s: float, spec: EngineSpec, token_ms: float) -> float:
+    """Return the longest read that pauses the runs of an engine for so long.
+
+    0 for ``max_gap_s`` means that no route states a pause.
+    """
+    event_s = spec.tokens_per_event * token_ms / 1000
+    return (max_gap_s or MAX_GAP_S) - event_s - OWN_READ_MARGIN_S
+
+
 @dataclass
 class EngineLoad:
     """Work granted to one engine."""
 
     entry: EngineEntry
     spec: EngineSpec
+    pace: ServicePace = field(default_factory=ServicePace)
     runs_by_id: dict[str, Run] = field(default_factory=dict)
     jobs_by_id: dict[str, PrefillJob] = field(default_factory=dict)
-    token_ms: float = FIRST_TOKEN_MS
-    read_tokens_per_ms: float = FIRST_READ_TOKENS_PER_MS
     blocked_until_s: float = float("-inf")
     refusals_in_row: int = 0
     changing: bool = False
     changing_until_s: float = float("-inf")
     stalled_until_s: float = float("-inf")
-    own_read_tokens_per_ms: float = FIRST_OWN_READ_TOKENS_PER_MS
     own_read: OwnRead | None = None
     reads_again_s: float = float("-inf")
+    _token_ms: LearnedMean = field(default_factory=_unknown)
+    _read_tokens_per_ms: LearnedMean = field(default_factory=_unknown)
+    _own_read_tokens_per_ms: LearnedMean = field(default_factory=_unknown)
 
     def update(self, entry: EngineEntry, spec: EngineSpec) -> None:
         """Take over a newer entry; a new role ends the change of roles."""
@@ -104,6 +122,21 @@
             self.changing = False
         self.entry, self.spec = entry, spec
 
+    @property
+    def token_ms(self) -> float:
+        """Return the time between two tokens of a run, in milliseconds."""
+        return _known(self._token_ms, self.pace.token_ms)
+
+    @property
+    def read_tokens_per_ms(self) -> float:
+        """Return the speed at which this engine reads prompts."""
+        return _known(self._read_tokens_per_ms, self.pace.read_tokens_per_ms)
+
+    @property
+    def own_read_tokens_per_ms(self) -> float:
+        """Return the speed at which it reads them beside its runs."""
+        return _known(self._own_read_tokens_per_ms, self.pace.own_read_tokens_per_ms)
+
     @property
     def places(self) -> int:
         """Return how many requests run at once."""
@@ -120,21 +153,37 @@
         part of what it has lasted.
         """
         lasted_s = now_s - run.granted_s
-        return max(OVERDUE_SHARE * lasted_s, self.duration_s(run) - lasted_s)
+        left_s = self.duration_s(run) - lasted_s
+        if run.made_tokens > 0:
+            to_make = run.expected_tokens - run.made_tokens
+            left_s = to_make * self.token_ms / 1000 - (now_s - run.made_s)
+        return max(OVERDUE_SHARE * lasted_s, left_s)
 
     def duration_s(self, run: Run) -> float:
         """Return the expected time of a run from its grant to its end."""
         read_ms = run.prompt_tokens / self.read_tokens_per_ms
         return (read_ms + run.expected_tokens * self.token_ms) / 1000
 
-    def fits(self, prompt_tokens: int, expected_tokens: int, now_s: float) -> bool:
-        """Tell whether a further run fits until its end."""
+    def fits(
+        self,
+        prompt_tokens: int,
+        expected_tokens: int,
+        now_s: float,
+        estimate_error: float,
+    ) -> bool:
+        """Tell whether a further run fits until its end.
+
+        ``estimate_error`` is the standard error of the expected tokens, as a
+        part of them. Estimates err independently, so the room for their errors
+        grows with the root of the number of runs. Too little room preempts
+        runs, which reads their prompts again.
+        """
         if self.free_places() <= 0 or now_s < self.blocked_until_s:
             return False
         newcomer = Run("", "", prompt_tokens, expected_tokens, now_s, now_s)
         runs = [*self.runs_by_id.values(), newcomer]
         spread = math.sqrt(sum(run.expected_tokens**2 for run in runs))
-        peak = self._peak_tokens(runs, now_s) + ESTIMATE_SPREAD * spread
+        peak = self._peak_tokens(runs, now_s) + estimate_error * spread
         return peak <= self.spec.memory_tokens * USABLE_MEMORY
 
     def _peak_tokens(self, runs: Iterable[Run], now_s: float) -> float:
@@ -151,10 +200,13 @@
     def _tokens_at(self, run: Run, at_s: float, now_s: float) -> float:
         if at_s > now_s + self.remaining_s(run, now_s) + 1e-9:
             return 0.0
-        read_ms = run.prompt_tokens / self.read_tokens_per_ms
-        made_ms = (at_s - run.granted_s) * 1000 - read_ms
-        limit = MEMORY_MARGIN * run.expected_tokens
-        return run.prompt_tokens + min(limit, max(0.0, made_ms / self.token_ms))
+        if run.made_tokens > 0:
+            made = run.made_tokens + (at_s - run.made_s) * 1000 / self.token_ms
+        else:
+            read_ms = run.prompt_tokens / self.read_tokens_per_ms
+            made = ((at_s - run.granted_s) * 1000 - read_ms) / self.token_ms
+        limit = max(MEMORY_MARGIN * run.expected_tokens, float(run.made_tokens))
+        return run.prompt_tokens + min(limit, max(0.0, made))
 
     def read_backlog_ms(self) -> float:
         """Return the time to read the prompts granted to this engine."""
@@ -167,8 +219,7 @@
 
     def longest_own_read_s(self, max_gap_s: float) -> float:
         """Return the longest read that pauses no run for too long."""
-        event_s = self.spec.tokens_per_event * self.token_ms / 1000
-        return max_gap_s - event_s - OWN_READ_MARGIN_S
+        return longest_own_read_s(max_gap_s, self.spec, self.token_ms)
 
     def begin_own_read(self, request_id: str, tokens: int, now_s: float) -> None:
         """Note that this decode engine reads a prompt itself.
@@ -192,20 +243,28 @@
         self.own_read = None
         self.reads_again_s = now_s + CATCH_UP_S + CATCH_UP_SHARE * took_s
         if read_ms > 0:
-            known = self.own_read_tokens_per_ms
-            rate = _bounded(read.tokens / read_ms, known)
-            self.own_read_tokens_per_ms += LEARNING_RATE * (rate - known)
+            rate = read.tokens / read_ms
+            self._own_read_tokens_per_ms.observe(rate)
+            self.pace.own_read_tokens_per_ms.observe(rate)
 
     def observe_read(self, tokens: int, took_ms: float, behind_ms: float) -> None:
         """Learn the reading speed; other prompts took ``behind_ms``."""
         own_ms = max(1.0, took_ms - behind_ms)
-        rate = _bounded(tokens / own_ms, self.read_tokens_per_ms)
-        self.read_tokens_per_ms += LEARNING_RATE * (rate - self.read_tokens_per_ms)
+        self._read_tokens_per_ms.observe(tokens / own_ms)
+        self.pace.read_tokens_per_ms.observe(tokens / own_ms)
 
     def observe_gap(self, gap_ms: float) -> None:
         """Learn the pace from the mean time between two events of a run."""
-        token_ms = _bounded(gap_ms / self.spec.tokens_per_event, self.token_ms)
-        self.token_ms += LEARNING_RATE * (token_ms - self.token_ms)
+        token_ms = gap_ms / self.spec.tokens_per_event
+        self._token_ms.observe(token_ms)
+        self.pace.token_ms.observe(token_ms)
+
+    def note_progress(self, run: Run, made_tokens: int, gap_ms: float) -> None:
+        """Take over the progress of a run that is not over, at its report."""
+        if made_tokens > run.made_tokens:
+            run.made_tokens, run.made_s = made_tokens, run.confirmed_s
+        if gap_ms > 0 and not self._token_ms.known:
+            self.observe_gap(gap_ms)
 
     def refused(self, now_s: float, first_pause_s: float) -> None:
         """Note that the engine was full although a place was counted."""
@@ -216,8 +275,3 @@
     def accepted(self) -> None:
         """Note that the engine took a run."""
         self.refusals_in_row = 0
-
-
-def _bounded(value: float, previous: float) -> float:
-    low, high = previous / MAX_OBSERVED_RATIO, previous * MAX_OBSERVED_RATIO
-    return min(high, max(low, value))
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -4,6 +4,7 @@
 
 from kumquat_core.peer_messages import RunRequest
 
+from .engine_load import MAX_GAP_S
 from .engine_registry import EngineEntry
 
 __all__ = ["Decision", "Granted", "QueueTerms", "Refused", "Waiting"]
@@ -20,7 +21,6 @@
     ``max_gap_s``: a decode engine reads no prompt that pauses its runs longer,
     where the route of a request does not state it.
     ``late_reserve``: part of the places that late requests leave free.
-    ``hint_weight``: weight of a caller's estimate against the usual one.
     """
 
     # A run ends every 0.15 s at an engine with twelve places.
@@ -36,13 +36,10 @@
     late_share: float = 0.5
     # Late requests do not wait while others on time are refused.
     saturated_s: float = 1.0
-    # As on the standard sites.
-    max_gap_s: float = 0.3
+    max_gap_s: float = MAX_GAP_S
     # Stalls are reported again while they last.
     stall_s: float = 0.6
     late_reserve: float = 0.1
-    # Measured on the standard sites, see ``output_estimate``.
-    hint_weight: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -84,6 +81,7 @@
     leaves_s: float
     excluded: set[str] = field(default_factory=set)
     barred: set[str] = field(default_factory=set)
+    stated_tokens: int = 0
 
     @property
     def give_up_s(self) -> float:
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -15,6 +15,7 @@
 from .output_estimate import OutputEstimate
 from .queue_types import QueueTerms
 from .routes import EngineSpec
+from .service_pace import ServicePace
 
 __all__ = ["RunLedger"]
 
@@ -34,7 +35,8 @@
         self._health = health
         self._terms = terms
         self._loads_by_id: dict[str, EngineLoad] = {}
-        self.estimate = OutputEstimate(terms.hint_weight)
+        self.estimate = OutputEstimate()
+        self.pace = ServicePace()
 
     def refresh(self, spec: EngineSpec) -> None:
         """Take over the engines that are known now."""
@@ -43,7 +45,7 @@
                 continue
             load = self._loads_by_id.get(entry.id)
             if load is None or load.entry.born_ms != entry.born_ms:
-                self._loads_by_id[entry.id] = EngineLoad(entry, spec)
+                self._loads_by_id[entry.id] = EngineLoad(entry, spec, self.pace)
             else:
                 load.update(entry, spec)
         for engine_id in list(self._loads_by_id):
@@ -57,8 +59,12 @@
         decode: EngineLoad,
         reader: EngineLoad | None,
         now_s: float,
+        stated_tokens: int,
     ) -> None:
-        """Note that a request holds a place, and who reads its prompt."""
+        """Note that a request holds a place, and who reads its prompt.
+
+        ``stated_tokens`` is the caller's own estimate of the answer.
+        """
         decode.runs_by_id[request.request_id] = Run(
             request.request_id,
             host_id,
@@ -66,6 +72,7 @@
             request.expected_tokens,
             now_s,
             confirmed_s=now_s,
+            stated_tokens=stated_tokens,
         )
         if reader is None:
             decode.begin_own_read(request.request_id, request.prompt_tokens, now_s)
@@ -93,8 +100,13 @@
                 behind_ms = sum(o.tokens for o in ahead) / load.read_tokens_per_ms
                 load.observe_read(job.tokens, read_ms, behind_ms)
 
-    def ended(self, request_id: str, gap_ms: float, now_s: float) -> None:
-        """Free what a request holds; learn the engine's pace from it."""
+    def ended(
+        self, request_id: str, gap_ms: float, now_s: float, made_tokens: int = 0
+    ) -> None:
+        """Free what a request holds; learn from it.
+
+        ``made_tokens`` is the length of a complete answer, else 0.
+        """
         for load in self._loads_by_id.values():
             load.end_own_read(request_id, 0.0, now_s)
             load.jobs_by_id.pop(request_id, None)
@@ -102,6 +114,9 @@
             if run is not None and gap_ms > 0:
                 load.observe_gap(gap_ms)
                 load.accepted()
+                self.pace.place_s.observe(now_s - run.granted_s)
+            if run is not None and run.stated_tokens > 0 and made_tokens > 0:
+                self.estimate.observe_answer(run.stated_tokens, made_tokens)
 
     def engine_full(self, engine_id: str, now_s: float) -> None:
         """Note that an engine refused a granted run for lack of room."""
@@ -115,18 +130,36 @@
         if load is not None:
             load.stalled_until_s = now_s + self._terms.stall_s
 
-    def set_changing(self, engine_id: str, until_s: float) -> None:
-        """Grant nothing at an engine until its entry shows its new role."""
-        load = self._loads_by_id.get(engine_id)
-        if load is not None:
-            load.changing = True
-            load.changing_until_s = until_s
+    def set_changing(self, engine_id: str, away_s: float, now_s: float) -> float:
+        """Grant nothing at an engine until its entry shows its new role.
 
-    def changed(self, engine_id: str) -> None:
-        """Grant again at an engine whose change of role is over."""
+        The change takes ``away_s`` after the engine's runs have ended. Returns
+        when it is expected to be over.
+        """
         load = self._loads_by_id.get(engine_id)
-        if load is not None:
+        if load is None:
+            return now_s + away_s
+        ends_s = [load.remaining_s(run, now_s) for run in load.runs_by_id.values()]
+        load.changing = True
+        load.changing_until_s = now_s + max(ends_s, default=0.0) + away_s
+        return load.changing_until_s
+
+    def end_changes(self, now_s: float) -> list[str]:
+        """Grant again at engines that should have changed their role.
+
+        An entry with the new role ends a change earlier. One that still has
+        runs is busy with them, so its change is expected later.
+        """
+        ended = []
+        for engine_id, load in self._loads_by_id.items():
+            if not load.changing or now_s < load.changing_until_s:
+                continue
+            if load.runs_by_id:
+                load.changing_until_s = now_s + self._terms.unconfirmed_s
+                continue
             load.changing = False
+            ended.append(engine_id)
+        return ended
 
     def confirm(self, host_id: str, runs: Iterable[HeldRun], now_s: float) -> int:
         """Take over a host's report of the runs it holds.
@@ -141,6 +174,7 @@
                 held = held_by_id.get(run.request_id)
                 if held is not None and held.decode_engine == load.entry.id:
                     run.confirmed_s = now_s
+                    load.note_progress(run, held.made_tokens, held.gap_ms)
                     del held_by_id[run.request_id]
                 elif run.host_id == host_id and self._is_stale(run, now_s):
                     self._drop(load, run.request_id)
@@ -246,12 +280,15 @@
         if load is None:
             return 0
         granted_s = now_s - held.age_ms / 1000
-        load.runs_by_id[held.request_id] = Run(
+        run = Run(
             held.request_id,
             host_id,
             held.prompt_tokens,
             self.estimate.tokens(held.expected_tokens),
             granted_s,
             confirmed_s=now_s,
+            stated_tokens=held.expected_tokens,
         )
+        load.runs_by_id[held.request_id] = run
+        load.note_progress(run, held.made_tokens, held.gap_ms)
         return 1
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -117,8 +117,9 @@
     ) -> OpenStream:
         """Start a run; a prefill result that is gone is fetched instead.
 
-        An engine refuses alike when it is full and when the result is gone.
-        The prompt's parts often stay at the engine that read them.
+        An engine refuses alike when it is full and when the result is gone; a
+        reservation that it accepts tells that it has room. The prompt's parts
+        often stay at the engine that read them.
         """
         source, progress.prefill = progress.prefill, None
         hold, progress.hold = progress.hold, ""
@@ -129,12 +130,15 @@
                 start = RunStart(source, None, last_id, hold)
                 return await self._send(request, entry, start, progress)
             except NotRunError as error:
-                if not error.shed:
-                    # The engine has not seen the result; another can take it.
+                # A reservation is used up by the first request that names it.
+                had_room, hold = bool(hold), ""
+                if not error.shed or not (
+                    had_room or await self.reserve(request, entry, progress)
+                ):
+                    # The engine has not taken the result; another one can.
                     progress.prefill = source
                     raise
-                # A reservation is used up by the first request that names it.
-                hold = ""
+                hold, progress.hold = progress.hold, ""
         fetch_from = source.engine.address if source is not None else None
         start = RunStart(None, fetch_from, last_id, hold)
         stream = await self._send(request, entry, start, progress)
--- a/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_orders.py
@@ -1,9 +1,9 @@
 """Carries out the stage plan of the services that this host owns.
 
-One order is open at a time. An order without an answer may still be carried
-out many seconds later, so its engine gets no other one until then; every
-order names the number of orders the engine has accepted, which voids an older
-one that arrives late.
+A few orders are open at a time. An order without an answer may still be
+carried out many seconds later, so its engine gets no other one until then;
+every order names the number of orders the engine has accepted, which voids an
+older one that arrives late.
 """
 
 import asyncio
@@ -69,6 +69,7 @@
         self._holder = holder
         self._plans_by_service: dict[str, StagePlan] = {}
         self._closed_until_by_engine: dict[str, float] = {}
+        self._ordered_roles_by_engine: dict[str, EngineRole] = {}
 
     async def step(self) -> None:
         """Propose a change for each owned service and order it."""
@@ -76,24 +77,28 @@
             spec = self._beliefs.engine_spec(service)
             if not self._owns(service):
                 continue
-            change = self._propose(service, spec, demand) if spec else None
-            if change is None or spec is None:
-                continue
-            try:
-                if not self._lease.usable() and not await self._lease.acquire():
+            while spec is not None:
+                change = self._propose(service, spec, demand)
+                if change is None:
+                    break
+                try:
+                    if not self._lease.usable() and not await self._lease.acquire():
+                        return
+                except StoreError as error:
+                    log_event(logger, "lease_not_taken", reason=str(error))
                     return
-            except StoreError as error:
-                log_event(logger, "lease_not_taken", reason=str(error))
-                return
-            await self._order(service, spec, change)
+                await self._order(service, spec, change)
 
     def _propose(
         self, service: str, spec: EngineSpec, demand: Demand
     ) -> RoleChange | None:
         now_s = self._clock.monotonic()
         engines = list(self._beliefs.registry.usable(service))
-        if any(self._is_closed(engine.id, now_s) for engine in engines):
-            return None
+        changing = {
+            engine.id: self._ordered_roles_by_engine[engine.id]
+            for engine in engines
+            if self._is_closed(engine.id, now_s)
+        }
         plan = self._plans_by_service.setdefault(service, StagePlan())
         runs = self._owner.runs_of(service)
         avoided = [
@@ -108,12 +113,23 @@
             for entry in self._beliefs.registry.all_entries()
             if entry.service == service
         )
-        return plan.propose(engines, spec, demand, runs, now_s, avoided, leaves=leaves)
+        return plan.propose(
+            engines,
+            spec,
+            demand,
+            self._owner.pace_of(service),
+            runs,
+            now_s,
+            avoided,
+            changing,
+            leaves=leaves,
+        )
 
     def _is_closed(self, engine_id: str, now_s: float) -> bool:
         return now_s < self._closed_until_by_engine.get(engine_id, float("-inf"))
 
     async def _order(self, service: str, spec: EngineSpec, change: RoleChange) -> None:
+        self._ordered_roles_by_engine[change.engine.id] = change.role
         report = await self._report(change.engine)
         if report is None or report.busy_with_order or not self._lease.usable():
             self._close(change.engine.id, REFUSED_PAUSE_S)
@@ -127,10 +143,10 @@
         )
         status, _ = await self._call(change.engine, method, target, headers, body)
         if status in ACCEPTED:
-            away_s = spec.role_change_s + LISTING_S
-            until_s = self._clock.monotonic() + away_s
-            self._owner.set_changing(service, change.engine.id, until_s)
-            self._close(change.engine.id, away_s)
+            until_s = self._owner.set_changing(
+                service, change.engine.id, spec.role_change_s + LISTING_S
+            )
+            self._close(change.engine.id, until_s - self._clock.monotonic())
         else:
             no_answer = status is None
             self._close(
@@ -200,3 +216,4 @@
         """Drop what is known of engines that are gone."""
         for engine_id in engine_ids:
             self._closed_until_by_engine.pop(engine_id, None)
+            self._ordered_roles_by_engine.pop(engine_id, None)
--- a/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
@@ -5,43 +5,42 @@
 leave and are added.
 
 The plan is the division under which the busier role is least busy, worked
-out from the tokens that were asked for lately, refused requests included.
-It changes only when the gain is clear and has lasted, since an engine is away
-for seconds while it changes its role, after its runs have ended. Without a
-decode engine nothing is served, so the first one is wanted soon, and at once
-when the last one has announced that it leaves. Before traffic begins no engine
-is missed while it changes. Engines that crashed count as long as they are
-listed, since they are mostly back by then.
+out from the tokens that were asked for lately, refused requests included, and
+from the learned pace of the engines. It changes only when the gain is clear
+and has lasted, since an engine is away for seconds while it changes its role,
+after its runs have ended. Without a decode engine nothing is served, so the
+first one is wanted soon, and at once when the last one has announced that it
+leaves. Before traffic begins no engine is missed while it changes. Engines
+that crashed count as long as they are listed, since they are mostly back by
+then. A large service changes several engines at a time.
 """
 
-from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+import math
+from collections import deque
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field
 
+from .engine_load import longest_own_read_s
 from .engine_registry import EngineEntry, EngineRole
 from .routes import EngineSpec
+from .service_pace import ServicePace
 
-__all__ = ["Demand", "RoleChange", "StagePlan"]
+__all__ = ["Demand", "RoleChange", "StagePlan", "most_changes"]
 
 # Tokens in and out count as equal until traffic shows its own mix.
 PRIOR_TOKENS_PER_S = 2000.0
 DEMAND_WINDOW_S = 12.0
-
-# An engine reads prompts alone; a decode engine reads at half the speed and
-# holds up its running streams meanwhile.
-READ_TOKENS_PER_MS = 45.0
-TOKEN_MS = 0.6
-
-# Prompt or answer of a usual size, in tokens; decides only whether places or
-# memory bound the runs of an engine.
-PLANNED_RUN_TOKENS = 5500.0
-
-# Waiting for a reader delays the first event of many, waiting for a place
-# that of one, so readers are planned with more room.
-READ_ROOM = 1.6
-
-# Part of the prompts that are too long to be read beside running streams, on
-# the standard sites.
-UNREADABLE_SHARE = 0.45
+# Prompt and answer, in tokens, until the first request shows its own.
+FIRST_RUN_TOKENS = 5500.0
+# Requests whose sizes are kept: about ten seconds of a small service.
+RECENT_REQUESTS = 64
+
+# Random arrivals need room beyond the mean load, by this many times its root:
+# a single server bears 0.61 of its capacity, ten bear 0.85 of theirs. Prompts
+# then wait about as long as one is read.
+ROOM = 0.5
+# A decode engine reads prompts at half the speed of a prefill engine.
+OWN_READ_FACTOR = 2.0
 
 # The busier role must become less busy by this factor, for this long.
 GAIN = 1.25
@@ -51,6 +50,15 @@
 EMPTY_LASTING_S = 1.0
 # Hosts that start see all engines within this time.
 IDLE_LASTING_S = 0.5
+# One engine in this many may be away for a change of its role.
+AWAY_PART = 8
+
+
+@dataclass(frozen=True)
+class _Size:
+    prompt_tokens: int
+    output_tokens: int
+    max_gap_s: float
 
 
 @dataclass
@@ -60,14 +68,21 @@
     prompt_tokens_per_s: float = PRIOR_TOKENS_PER_S
     output_tokens_per_s: float = PRIOR_TOKENS_PER_S
     _updated_s: float = float("-inf")
+    _recent: deque[_Size] = field(default_factory=lambda: deque(maxlen=RECENT_REQUESTS))
 
     @property
     def seen(self) -> bool:
         """Tell whether there were any requests."""
         return self._updated_s > float("-inf")
 
-    def add(self, prompt_tokens: int, output_tokens: int, now_s: float) -> None:
-        """Count a request."""
+    def add(
+        self,
+        prompt_tokens: int,
+        output_tokens: int,
+        now_s: float,
+        max_gap_s: float = 0.0,
+    ) -> None:
+        """Count a request; ``max_gap_s`` is the pause that it allows."""
         if self.seen:
             keep = 0.5 ** ((now_s - self._updated_s) / DEMAND_WINDOW_S)
             self.prompt_tokens_per_s *= keep
@@ -77,6 +92,33 @@
         weight = 0.693 / DEMAND_WINDOW_S
         self.prompt_tokens_per_s += prompt_tokens * weight
         self.output_tokens_per_s += output_tokens * weight
+        self._recent.append(_Size(prompt_tokens, output_tokens, max_gap_s))
+
+    def held_tokens(self) -> float:
+        """Return the memory that a run of usual size holds on average."""
+        if not self._recent:
+            return 1.5 * FIRST_RUN_TOKENS
+        # Half of the answer is in memory on average.
+        held = sum(
+            size.prompt_tokens + 0.5 * size.output_tokens for size in self._recent
+        )
+        return held / len(self._recent)
+
+    def unreadable_share(self, spec: EngineSpec, pace: ServicePace) -> float:
+        """Return the part of the prompts that are too long to read elsewhere.
+
+        A decode engine reads no prompt that pauses its streams too long.
+        """
+        if not self._recent:
+            return 0.0
+        token_ms = pace.token_ms.value
+        rate = pace.own_read_tokens_per_ms.value
+        longer = sum(
+            size.prompt_tokens / rate / 1000
+            > longest_own_read_s(size.max_gap_s, spec, token_ms)
+            for size in self._recent
+        )
+        return longer / len(self._recent)
 
 
 @dataclass(frozen=True)
@@ -103,31 +145,40 @@
         engines: Sequence[EngineEntry],
         spec: EngineSpec,
         demand: Demand,
-        runs_by_engine: dict[str, int],
+        pace: ServicePace,
+        runs_by_engine: Mapping[str, int],
         now_s: float,
         avoided: Collection[str] = (),
+        changing: Mapping[str, EngineRole] | None = None,
         *,
         leaves: bool = False,
     ) -> RoleChange | None:
         """Return a change that pays and has done so for a while.
 
-        ``avoided`` engines count but are not changed. ``leaves`` tells that
-        the last decode engine is draining, so that waiting is in vain.
+        ``avoided`` engines count but are not changed, those in ``changing``
+        count with the role that they were ordered to take. ``leaves`` tells
+        that the last decode engine is draining, so that waiting is in vain.
         """
-        engines = [engine for engine in engines if engine.role is not None]
-        if not engines:
+        changing = changing or {}
+        roles_by_id = {
+            engine.id: changing.get(engine.id, engine.role)
+            for engine in engines
+            if engine.role is not None
+        }
+        if not roles_by_id or len(changing) >= most_changes(len(roles_by_id)):
             return None
-        count = len(engines)
-        readers = sum(engine.role is EngineRole.PREFILL for engine in engines)
-        planned = best_readers(count, spec, demand)
-        busy = _busiest(readers, count, spec, demand)
-        planned_busy = _busiest(planned, count, spec, demand)
+        count = len(roles_by_id)
+        readers = list(roles_by_id.values()).count(EngineRole.PREFILL)
+        planned = best_readers(count, spec, demand, pace)
+        busy = _busiest(readers, count, spec, demand, pace)
+        planned_busy = _busiest(planned, count, spec, demand, pace)
         empty = readers == count
         if planned == readers or (not empty and busy < GAIN * planned_busy):
             self._wanted = None
             return None
-        if self._wanted != planned:
-            self._wanted, self._wanted_since_s = planned, now_s
+        if self._wanted is None or (planned > readers) != (self._wanted > readers):
+            self._wanted_since_s = now_s
+        self._wanted = planned
         lasting_s = 0.0 if empty and leaves else _lasting_s(empty, demand, count)
         if now_s - self._wanted_since_s < lasting_s:
             return None
@@ -136,7 +187,9 @@
             (
                 engine
                 for engine in engines
-                if engine.role is not role and engine.id not in avoided
+                if roles_by_id.get(engine.id) not in (role, None)
+                and engine.id not in avoided
+                and engine.id not in changing
             ),
             key=lambda engine: (runs_by_engine.get(engine.id, 0), engine.id),
             default=None,
@@ -146,6 +199,11 @@
         return RoleChange(engine, role, readers, planned, busy, planned_busy)
 
 
+def most_changes(count: int) -> int:
+    """Return how many of ``count`` engines may change their role at once."""
+    return max(1, count // AWAY_PART)
+
+
 def _lasting_s(empty: bool, demand: Demand, count: int) -> float:
     """Return how long a better plan must have been better."""
     if not demand.seen:
@@ -154,26 +212,35 @@
     return EMPTY_LASTING_S if empty else LASTING_S
 
 
-def best_readers(count: int, spec: EngineSpec, demand: Demand) -> int:
+def best_readers(
+    count: int, spec: EngineSpec, demand: Demand, pace: ServicePace
+) -> int:
     """Return how many of ``count`` engines should read prompts."""
     if count == 1:
         return 0
-    return min(range(1, count), key=lambda n: _busiest(n, count, spec, demand))
+    return min(range(1, count), key=lambda n: _busiest(n, count, spec, demand, pace))
 
 
-def _busiest(readers: int, count: int, spec: EngineSpec, demand: Demand) -> float:
+def _busiest(
+    readers: int, count: int, spec: EngineSpec, demand: Demand, pace: ServicePace
+) -> float:
     """Return the load of the busier role; 1 is all of its capacity."""
     if readers == count:
         return float("inf")
     runners = count - readers
-    read_load = demand.prompt_tokens_per_s / READ_TOKENS_PER_MS / 1000
-    run_load = demand.output_tokens_per_s * TOKEN_MS / 1000
-    mean_run = max(1.0, demand.output_tokens_per_s + demand.prompt_tokens_per_s)
-    # Half of the answer is in memory on average.
-    half_share = 1 - 0.5 * demand.output_tokens_per_s / mean_run
-    held = 2 * PLANNED_RUN_TOKENS * half_share
-    places = min(float(spec.places), spec.memory_tokens / held)
+    read_rate = pace.read_tokens_per_ms.value * 1000
+    read_load = demand.prompt_tokens_per_s / read_rate
+    run_load = demand.output_tokens_per_s * pace.token_ms.value / 1000
+    places = min(float(spec.places), spec.memory_tokens / demand.held_tokens())
+    run_busy = run_load / _usable(max(1.0, places) * runners)
     if readers == 0:
-        busy = run_load / places / runners + 2 * read_load / runners
-        return busy / (1 - UNREADABLE_SHARE)
-    return max(READ_ROOM * read_load / readers, run_load / places / runners)
+        readable = 1 - demand.unreadable_share(spec, pace)
+        own_busy = OWN_READ_FACTOR * read_load / runners
+        return (run_busy + own_busy) / max(readable, 1 / RECENT_REQUESTS)
+    return max(read_load / _usable(readers), run_busy)
+
+
+def _usable(servers: float) -> float:
+    """Return the mean load that so many servers bear, with its room."""
+    root = (math.sqrt(ROOM**2 + 4 * servers) - ROOM) / 2
+    return root**2
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -29,6 +29,7 @@
 from .engine_probe import EngineProbe
 from .queue_types import Decision, Granted, Refused
 from .return_times import ReturnTimes
+from .service_pace import ServicePace
 from .stage_plan import Demand
 from .stream_queue import StreamQueue
 
@@ -118,7 +119,9 @@
             self._note_failure(message.failed_engine, message.unreachable)
         elif message.gap_ms > 0:
             self._note_success(owned, message.request_id)
-        owned.queue.ended(message.request_id, message.gap_ms, now_s)
+        owned.queue.ended(
+            message.request_id, message.gap_ms, now_s, message.made_tokens
+        )
         reply = owned.replies_by_id.get(message.request_id)
         if reply is not None and not reply.done():
             reply.set_result(RunRefusal(message.request_id, "withdrawn", 0, 0))
@@ -172,12 +175,16 @@
         )
 
     def sweep(self) -> None:
-        """Drop runs of hosts that report no longer."""
+        """Drop runs of hosts that report no longer; end overdue changes."""
         now_s = self._clock.monotonic()
         for service, owned in self._owned_by_service.items():
             dropped = owned.queue.ledger.drop_unconfirmed(now_s)
             if dropped:
                 log_event(logger, "runs_dropped", service=service, count=dropped)
+            ended = owned.queue.ledger.end_changes(now_s)
+            for engine_id in ended:
+                log_event(logger, "role_change_overdue", engine=engine_id)
+            if dropped or ended:
                 self._carry_out(owned, owned.queue.advance(now_s))
 
     def engines_changed(self) -> None:
@@ -197,20 +204,22 @@
             if owned.asked_s >= oldest_s
         }
 
+    def pace_of(self, service: str) -> ServicePace:
+        """Return the learned pace of the engines of a service."""
+        return self._owned_by_service[service].queue.ledger.pace
+
     def runs_of(self, service: str) -> dict[str, int]:
         """Return the number of runs at each engine of a service."""
         return self._owned_by_service[service].queue.ledger.runs_by_engine()
 
-    def set_changing(self, service: str, engine_id: str, until_s: float) -> None:
+    def set_changing(self, service: str, engine_id: str, away_s: float) -> float:
         """Grant nothing at an engine while it changes its role.
 
-        That ends when its entry shows the new role, at the latest at
-        ``until_s``.
+        That takes ``away_s`` after its runs and ends when its entry shows the
+        new role. Returns when it should be over at the latest.
         """
-        queue = self._owned_by_service[service].queue
-        queue.ledger.set_changing(engine_id, until_s)
-        delay_s = max(0.0, until_s - self._clock.monotonic())
-        asyncio.get_running_loop().call_later(delay_s, queue.ledger.changed, engine_id)
+        ledger = self._owned_by_service[service].queue.ledger
+        return ledger.set_changing(engine_id, away_s, self._clock.monotonic())
 
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -27,7 +27,8 @@
     """What has happened to a stream so far.
 
     ``runs`` counts the engines that may have worked on it, ``not_run`` the
-    attempts that provably did not run. ``hold`` is an unused reservation.
+    attempts that provably did not run. ``hold`` is an unused reservation,
+    ``events_before`` the number of events that earlier runs made.
     Engines in ``excluded`` failed the request and are used when no other is
     left, those in ``barred`` get nothing from this host.
     """
@@ -44,6 +45,7 @@
     hold: str = ""
     hold_entry: EngineEntry | None = None
     prefills: int = 0
+    events_before: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
     max_gap_s: float = 0.0
@@ -57,3 +59,4 @@
     full_engine: str = ""
     failed_engine: str = ""
     unreachable: bool = False
+    made_tokens: int = 0
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -75,12 +75,16 @@
     def add(self, request: RunRequest, host_id: str, now_s: float) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
         estimate = self.ledger.estimate
-        estimate.observe(request.expected_tokens)
-        request = replace(
-            request, expected_tokens=estimate.tokens(request.expected_tokens)
+        stated_tokens = request.expected_tokens
+        estimate.observe_request(stated_tokens)
+        request = replace(request, expected_tokens=estimate.tokens(stated_tokens))
+        self.demand.add(
+            request.prompt_tokens,
+            request.expected_tokens,
+            now_s,
+            request.max_gap_ms / 1000,
         )
-        self.demand.add(request.prompt_tokens, request.expected_tokens, now_s)
-        waiting = self._waiting(request, host_id, now_s)
+        waiting = self._waiting(request, host_id, now_s, stated_tokens)
         self._waiting_by_id[request.request_id] = waiting
         decisions = self.advance(now_s)
         if now_s < self._paused_until_s:
@@ -91,7 +95,9 @@
                 decisions.append(self._refuse(waiting, reason, now_s))
         return decisions
 
-    def _waiting(self, request: RunRequest, host_id: str, now_s: float) -> Waiting:
+    def _waiting(
+        self, request: RunRequest, host_id: str, now_s: float, stated_tokens: int
+    ) -> Waiting:
         read_s = self.ledger.read_s(request.prompt_tokens)
         start_s = max(self.terms.start_s, self.terms.first_event_s + read_s)
         return Waiting(
@@ -102,6 +108,7 @@
             leaves_s=now_s + request.patience_ms / 1000 - start_s,
             excluded=set(request.excluded),
             barred=set(request.barred),
+            stated_tokens=stated_tokens,
         )
 
     def _usable(
@@ -142,10 +149,12 @@
         times.append(self._paused_until_s)
         return min((time for time in times if time > now_s), default=now_s)
 
-    def ended(self, request_id: str, gap_ms: float, now_s: float) -> None:
+    def ended(
+        self, request_id: str, gap_ms: float, now_s: float, made_tokens: int = 0
+    ) -> None:
         """Free what a request holds or withdraw it from the queue."""
         self._waiting_by_id.pop(request_id, None)
-        self.ledger.ended(request_id, gap_ms, now_s)
+        self.ledger.ended(request_id, gap_ms, now_s, made_tokens)
 
     def _rank(self, item: Waiting, now_s: float) -> tuple[bool, int, float]:
         return (item.is_late(now_s), item.request.priority, item.on_time_until_s)
@@ -165,7 +174,9 @@
         if decode is None:
             return None
         del self._waiting_by_id[request.request_id]
-        ledger.grant(request, waiting.host_id, decode, reader, now_s)
+        ledger.grant(
+            request, waiting.host_id, decode, reader, now_s, waiting.stated_tokens
+        )
         return Granted(
             request.request_id,
             decode.entry,
@@ -212,7 +223,12 @@
             if reads and (now_s < load.reads_again_s or self._disturbs(load, request)):
                 continue
             # The memory plan is the costly part; mostly the first engine fits.
-            if load.fits(request.prompt_tokens, request.expected_tokens, now_s):
+            if load.fits(
+                request.prompt_tokens,
+                request.expected_tokens,
+                now_s,
+                self.ledger.estimate.error,
+            ):
                 return load
         return None
 
@@ -290,7 +306,11 @@
             wait_s = max(wait_s, self.ledger.role_change_wait_s(now_s))
         left_s = waiting.arrived_s + waiting.request.left_ms / 1000 - now_s
         retry_after_s = self._return_times.next_return_s(
-            wait_s, self.ledger.all_places(), left_s, now_s
+            wait_s,
+            self.ledger.all_places(),
+            self.ledger.pace.place_s.value,
+            left_s,
+            now_s,
         )
         return Refused(
             waiting.request.request_id,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -122,6 +122,7 @@
                     ended.full_engine,
                     ended.failed_engine,
                     unreachable=ended.unreachable,
+                    made_tokens=ended.made_tokens,
                 )
             if outcome is not None:
                 return outcome
@@ -142,11 +143,12 @@
         else:
             objective_ms = self._ages.objective_left_ms(request) - waited_ms
             patience_ms -= int(waited_ms)
+        made_tokens = self._tokens(request, progress.splitter.events)
         return RunRequest(
             request.id,
             request.service,
             prompt.prompt_tokens,
-            max(1, prompt.expected_tokens - self._made_tokens(request, progress)),
+            max(1, prompt.expected_tokens - made_tokens),
             priority,
             int(objective_ms),
             max(0, min(patience_ms, request.left_ms(now_s))),
@@ -156,9 +158,9 @@
             tuple(sorted(progress.barred | self._starter.barred(request))),
         )
 
-    def _made_tokens(self, request: CallerRequest, progress: StreamProgress) -> int:
+    def _tokens(self, request: CallerRequest, events: int) -> int:
         spec = self._beliefs.engine_spec(request.service)
-        return progress.splitter.events * (spec.tokens_per_event if spec else 1)
+        return events * (spec.tokens_per_event if spec else 1)
 
     async def _attempt(
         self,
@@ -212,7 +214,7 @@
         """Pass events on to the end of the answer or to a break."""
         splitter = progress.splitter
         splitter.restart()
-        first_count = splitter.events
+        progress.events_before = splitter.events
         try:
             if not stream.is_event_stream:
                 return await self._pass_on_whole(stream, progress)
@@ -228,7 +230,10 @@
             return self._after_break(request, progress, stream.engine_id, str(error))
         finally:
             stream.abort_if_open()
-            ended.gap_ms = stream.mean_gap_ms(splitter.events - first_count)
+            run_events = splitter.events - progress.events_before
+            ended.gap_ms = stream.mean_gap_ms(run_events)
+        if progress.events_before == 0:
+            ended.made_tokens = self._tokens(request, run_events)
         if not progress.sink.started:
             await progress.sink.start(stream.status, stream.headers)
         return await self._complete(progress, stream.status)
@@ -263,6 +268,12 @@
         if progress.last_event_s:
             progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
         progress.last_event_s = now_s
+        run_events = progress.splitter.events - progress.events_before
+        self._admission.progressed(
+            request.id,
+            self._tokens(request, run_events),
+            stream.mean_gap_ms(run_events),
+        )
         if not progress.sink.started:
             await progress.sink.start(stream.status, stream.headers)
         await progress.sink.write(events)
--- a/tests/relay/test_retries_and_returns.py
+++ b/tests/relay/test_retries_and_returns.py
@@ -30,7 +30,7 @@
 
 def test_refused_callers_return_one_after_the_other() -> None:
     times = ReturnTimes()
-    returns = [times.next_return_s(0.5, 24, 30.0, 100.0) for _ in range(8)]
+    returns = [times.next_return_s(0.5, 24, 3.5, 30.0, 100.0) for _ in range(8)]
     gaps = [later - earlier for earlier, later in pairwise(returns)]
     assert returns[0] == pytest.approx(4.0)
     assert min(gaps) > 0.2
@@ -38,6 +38,6 @@
 
 def test_refused_callers_return_while_they_have_time_left() -> None:
     times = ReturnTimes()
-    returns = [times.next_return_s(9.0, 24, 6.0, 100.0) for _ in range(8)]
+    returns = [times.next_return_s(9.0, 24, 3.5, 6.0, 100.0) for _ in range(8)]
     assert max(returns) <= 2.0
-    assert times.next_return_s(9.0, 24, -1.0, 100.0) == 0.0
+    assert times.next_return_s(9.0, 24, 3.5, -1.0, 100.0) == 0.0
--- a/tests/relay/test_stage_plan.py
+++ b/tests/relay/test_stage_plan.py
@@ -1,10 +1,12 @@
 """Guards against roles that stay empty and against changes for nothing."""
 
 from kumquat_relay.engine_registry import EngineEntry, EngineRole
+from kumquat_relay.service_pace import ServicePace
 from kumquat_relay.stage_plan import Demand, RoleChange, StagePlan, best_readers
 
 from .builders import SPEC, engine
 
+PACE = ServicePace()
 READER = engine("p", EngineRole.PREFILL)
 
 
@@ -32,7 +34,14 @@
     ) -> RoleChange | None:
         while self.now_s < until_s:
             change = self.plan.propose(
-                engines, SPEC, self.demand, {}, self.now_s, avoided, leaves=leaves
+                engines,
+                SPEC,
+                self.demand,
+                PACE,
+                {},
+                self.now_s,
+                avoided,
+                leaves=leaves,
             )
             if change is not None:
                 return change
@@ -107,16 +116,16 @@
 
 def test_most_engines_run_streams_when_answers_are_as_long_as_prompts() -> None:
     demand = Demand(17_000.0, 20_000.0)
-    assert best_readers(3, SPEC, demand) == 1
-    assert best_readers(9, SPEC, demand) < 9 / 2
-    assert best_readers(1, SPEC, demand) == 0
+    assert best_readers(3, SPEC, demand, PACE) == 1
+    assert best_readers(9, SPEC, demand, PACE) < 9 / 2
+    assert best_readers(1, SPEC, demand, PACE) == 0
 
 
 def test_a_role_without_an_engine_is_filled() -> None:
     plan = StagePlan()
     engines = [engine("a", EngineRole.PREFILL), engine("b", EngineRole.PREFILL)]
-    assert plan.propose(engines, SPEC, Demand(), {}, 100.0) is None
-    change = plan.propose(engines, SPEC, Demand(), {"a": 2}, 102.6)
+    assert plan.propose(engines, SPEC, Demand(), PACE, {}, 100.0) is None
+    change = plan.propose(engines, SPEC, Demand(), PACE, {"a": 2}, 102.6)
     assert change is not None
     assert change.engine.id == "b"
     assert change.role is EngineRole.DECODE
@@ -130,4 +139,4 @@
         engine("c"),
     ]
     for now_s in (0.0, 10.0):
-        assert plan.propose(engines, SPEC, Demand(), {}, now_s) is None
+        assert plan.propose(engines, SPEC, Demand(), PACE, {}, now_s) is None
--- a/tests/relay/test_stream_queue.py
+++ b/tests/relay/test_stream_queue.py
@@ -118,7 +118,7 @@
 
 def test_an_engine_that_changes_its_role_gets_nothing() -> None:
     world = QueueWorld()
-    world.queue.ledger.set_changing("d0", world.now_s + 6.0)
+    world.queue.ledger.set_changing("d0", 6.0, world.now_s)
     (decision,) = world.add(run_request("a", left_ms=30_000))
     assert isinstance(decision, Refused)
     assert decision.reason == "no_engine"
@@ -127,7 +127,7 @@
 
 def test_the_new_role_ends_the_change() -> None:
     world = QueueWorld()
-    world.queue.ledger.set_changing("p0", world.now_s + 6.0)
+    world.queue.ledger.set_changing("p0", 6.0, world.now_s)
     world.registry.put(engine("p0", EngineRole.DECODE), 200)
     world.queue.ledger.refresh(SPEC)
     assert world.queue.ledger.free_places() == 24
