--- a/packages/kumquat_core/src/kumquat_core/engine_client.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -5,6 +5,7 @@
 ``TRANSFER_FAILED`` and ``STALE_FENCE`` as the engine reports them.
 """
 
+import asyncio
 import json
 import re
 from collections.abc import AsyncIterator
@@ -32,6 +33,8 @@
 CONTROL_TIMEOUT_S = 1.0
 EVENT_SEPARATOR = b"\n\n"
 END_EVENT = "data: [DONE]\n\n"
+# A thousand times the usual token event.
+MAX_EVENT_BYTES = 64 * 1024
 
 # A token event with its index and its text as a valid JSON string.
 TOKEN_EVENT = re.compile(
@@ -169,6 +172,9 @@
             "priority": 0,
         }
         document = await self._call("POST", f"{url}/v1/prefill", body, timeout_s)
+        # A late copy of another answer may arrive on a reused connection.
+        if document.get("request_id", request_id) != request_id:
+            raise RouterError(ResultCode.ENGINE_FAILED, "answer of another request")
         return PrefillResult(
             prefill_id=document["prefill_id"],
             tokens=document["tokens"],
@@ -208,7 +214,7 @@
         """Yield batches of tokens as they arrive, to the end of the answer.
 
         Raises ``STREAM_INTERRUPTED`` when the stream ends without its end
-        marker or no data arrives within the idle timeout.
+        marker or no whole event arrives within the idle timeout.
         """
         body = {
             "request_id": request_id,
@@ -226,7 +232,14 @@
             ) as response:
                 if response.status != 200:
                     raise _error_of_status(response.status)
-                async for batch in _token_batches(response.content):
+                answering = response.headers.get("X-Request-Id", request_id)
+                if answering != request_id:
+                    response.close()
+                    detail = "answer of another request"
+                    raise RouterError(ResultCode.ENGINE_FAILED, detail)
+                async for batch in _token_batches(
+                    response.content, self._idle_timeout_s
+                ):
                     yield batch
         except TRANSPORT_ERRORS as error:
             detail = type(error).__name__
@@ -302,23 +315,40 @@
     return RouterError(code, f"engine answered status {status}")
 
 
-async def _token_batches(content: aiohttp.StreamReader) -> AsyncIterator[list[Token]]:
-    """Parse server-sent events; one batch for each read from the socket."""
+async def _token_batches(
+    content: aiohttp.StreamReader, idle_timeout_s: float | None = None
+) -> AsyncIterator[list[Token]]:
+    """Parse server-sent events; one batch for each read that ends one.
+
+    Raises ``TimeoutError`` when no whole event arrives in time, however many
+    bytes do. The time in which the caller takes a batch does not count.
+    """
     pending = b""
     while True:
-        data = await content.readany()
-        if not data:
-            raise RouterError(ResultCode.STREAM_INTERRUPTED, "no end marker")
-        events, separator, pending = (pending + data).rpartition(EVENT_SEPARATOR)
-        if not separator:
-            continue
-        batch, ended = _parse_events(events + separator)
+        async with asyncio.timeout(idle_timeout_s):
+            events, pending = await _whole_events(content, pending)
+        batch, ended = _parse_events(events)
         if batch:
             yield batch
         if ended:
             return
 
 
+async def _whole_events(
+    content: aiohttp.StreamReader, pending: bytes
+) -> tuple[bytes, bytes]:
+    """Return the next whole events and the bytes after them."""
+    while True:
+        data = await content.readany()
+        if not data:
+            raise RouterError(ResultCode.STREAM_INTERRUPTED, "no end marker")
+        events, separator, pending = (pending + data).rpartition(EVENT_SEPARATOR)
+        if len(pending) > MAX_EVENT_BYTES:
+            raise RouterError(ResultCode.ENGINE_FAILED, "event does not end")
+        if separator:
+            return events + separator, pending
+
+
 def _parse_events(events: bytes) -> tuple[list[Token], bool]:
     """Return the tokens of whole events, and whether the answer ended.
 
--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -1,13 +1,33 @@
-"""Shared parts of the HTTP clients of external systems."""
+"""Shared parts of the HTTP clients of external systems.
+
+A server in trouble may send an answer a second time, on a connection that is
+idle by then, or an answer without end. The first closes the connection, the
+second ends the call.
+"""
 
 import asyncio
+import json
 from typing import Any
 
 import aiohttp
+from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 
 from .result_codes import ResultCode, RouterError
 
-__all__ = ["TRANSPORT_ERRORS", "create_session", "request_json"]
+__all__ = [
+    "TRANSPORT_ERRORS",
+    "AnswerTooLargeError",
+    "create_session",
+    "read_answer",
+    "request_json",
+]
+
+
+class AnswerTooLargeError(ConnectionError):
+    """An answer is longer than any that is expected."""
+
 
 TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, ConnectionError, OSError)
 
@@ -15,6 +35,23 @@
 # leaves room for peaks without an unbounded number of sockets.
 MAX_CONNECTIONS = 8192
 KEEPALIVE_S = 30.0
+# The largest answer is a snapshot of the configuration, below 2 MB for 12,000
+# engines.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class _CheckedConnector(aiohttp.TCPConnector):
+    """Reuses only connections on which nothing arrived while they were idle.
+
+    aiohttp takes such bytes for the answer to the next request and has no
+    public option against it.
+    """
+
+    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        for protocol, _ in self._conns.get(key, ()):
+            if protocol.should_close:
+                protocol.close()
+        return await super()._get(key, traces)
 
 
 def create_session(
@@ -25,7 +62,7 @@
     A session that does not reuse connections sends each request once.
     """
     if reuse_connections:
-        connector = aiohttp.TCPConnector(
+        connector: aiohttp.TCPConnector = _CheckedConnector(
             limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
         )
     else:
@@ -39,6 +76,20 @@
     return session
 
 
+async def read_answer(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Return the whole body; raises ``AnswerTooLargeError`` beyond ``limit``.
+
+    ``limit`` is in bytes.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > limit:
+            response.close()
+            raise AnswerTooLargeError(f"answer is longer than {limit} bytes")
+    return bytes(body)
+
+
 async def request_json(
     session: aiohttp.ClientSession,
     method: str,
@@ -56,7 +107,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             async with session.request(method, url, json=body) as response:
-                return response.status, await response.json(content_type=None)
+                body = await read_answer(response, MAX_ANSWER_BYTES)
+                return response.status, json.loads(body)
     except TRANSPORT_ERRORS as error:
         raise RouterError(
             error_code, f"{method} failed: {type(error).__name__}"
--- a/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
@@ -169,6 +169,7 @@
         )
         self.results.store(prefill_id, result)
         return {
+            "request_id": item.request_id,
             "prefill_id": prefill_id,
             "tokens": tokens,
             "cached_tokens": cached,
@@ -317,7 +318,9 @@
         stream.wake = asyncio.Event()
         stream.attached = True
         self._streams_attached.set()
-        response = web.StreamResponse(headers=STREAM_HEADERS)
+        response = web.StreamResponse(
+            headers={**STREAM_HEADERS, "X-Request-Id": body["request_id"]}
+        )
         await response.prepare(request)
         try:
             finished = await self._write_tokens(response, stream, generation, start)
--- /dev/null
+++ b/tests/core/test_engines_in_trouble.py
@@ -0,0 +1,226 @@
+"""Guards against answers that come twice, never end, or make no progress."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import aiohttp
+import pytest
+
+from kumquat_core import http_client
+from kumquat_core.backend_client import BackendRequest, HttpBackendClient
+from kumquat_core.engine_client import (
+    MAX_EVENT_BYTES,
+    HttpEngineClient,
+    Token,
+    _token_batches,
+)
+from kumquat_core.http_client import create_session, request_json
+from kumquat_core.result_codes import ResultCode, RouterError
+
+T = TypeVar("T")
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+PREFILL = {"tokens": 5, "cached_tokens": 0, "pieces": 1, "expires_ms": 900}
+EVENT = b'data: {"i": 0, "t": "a"}\n\n'
+IDLE_TIMEOUT_S = 0.3
+
+
+def answer(body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def play(script: Script, call: Callable[[str], Awaitable[T]]) -> T:
+    """Return what a call gets from a server that plays a script."""
+
+    async def run() -> T:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                await script(reader, writer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            async with asyncio.timeout(10.0):
+                return await call(f"http://127.0.0.1:{port}")
+        finally:
+            server.close()
+
+    return asyncio.run(run())
+
+
+def test_a_late_second_copy_is_not_the_answer_to_the_next_request() -> None:
+    """aiohttp took bytes that had arrived on an idle connection for the
+    answer to the next request on it."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            number = head.split(b" ")[1].lstrip(b"/")
+            writer.write(answer(b'{"n": %s}' % number))
+            await asyncio.sleep(0.03)
+            writer.write(answer(b'{"n": %s}' % number))
+
+    async def call(url: str) -> list[int]:
+        seen = []
+        async with create_session(1.0) as session:
+            for number in range(3):
+                _, document = await request_json(
+                    session,
+                    "GET",
+                    f"{url}/{number}",
+                    timeout_s=1.0,
+                    error_code=ResultCode.ENGINE_FAILED,
+                )
+                seen.append(document["n"])
+                await asyncio.sleep(0.1)
+        return seen
+
+    assert play(script, call) == [0, 1, 2]
+
+
+def test_a_prefill_result_of_another_request_is_refused() -> None:
+    """Its KV cache would have become the start of another caller's answer."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        other = {**PREFILL, "prefill_id": "p", "request_id": "other"}
+        writer.write(answer(json.dumps(other).encode()))
+        await reader.read()
+
+    async def call(url: str) -> ResultCode:
+        async with create_session(1.0) as session:
+            client = HttpEngineClient(session, IDLE_TIMEOUT_S)
+            with pytest.raises(RouterError) as caught:
+                await client.prefill(url, "mine", "m", "a b", 1.0)
+        return caught.value.code
+
+    assert play(script, call) is ResultCode.ENGINE_FAILED
+
+
+def stream_that_sends(part: bytes, pause_s: float, head: str = "") -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        while not writer.is_closing():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+
+    return script
+
+
+async def decode(url: str) -> list[Token]:
+    async with create_session(1.0) as session:
+        client = HttpEngineClient(session, IDLE_TIMEOUT_S)
+        batches = client.decode(url, "mine", 5, 0)
+        return [token async for batch in batches for token in batch]
+
+
+def test_a_stalled_stream_ends_although_bytes_come() -> None:
+    """Each byte began the idle timeout anew."""
+    with pytest.raises(RouterError) as caught:
+        play(stream_that_sends(b"d", 0.02), decode)
+    assert caught.value.code is ResultCode.STREAM_INTERRUPTED
+
+
+def test_an_endless_event_ends_the_stream() -> None:
+    with pytest.raises(RouterError) as caught:
+        play(stream_that_sends(b"d" * 8192, 0.0), decode)
+    assert caught.value.code is ResultCode.ENGINE_FAILED
+
+
+def test_a_stream_of_another_request_is_refused() -> None:
+    head = "X-Request-Id: other\r\n"
+    with pytest.raises(RouterError) as caught:
+        play(stream_that_sends(EVENT, 0.05, head), decode)
+    assert caught.value.code is ResultCode.ENGINE_FAILED
+
+
+def test_a_slow_stream_is_not_stalled() -> None:
+    """Pauses within the idle timeout are allowed, however many there are."""
+
+    class SlowContent:
+        def __init__(self) -> None:
+            self.left = 5
+
+        async def readany(self) -> bytes:
+            await asyncio.sleep(0.2)
+            self.left -= 1
+            return EVENT if self.left else b"data: [DONE]\n\n"
+
+    async def run() -> int:
+        content = SlowContent()
+        batches = _token_batches(content, IDLE_TIMEOUT_S)
+        return sum([len(batch) async for batch in batches])
+
+    assert asyncio.run(run()) == 4
+
+
+def test_pending_bytes_of_an_event_are_bounded() -> None:
+    class Endless:
+        async def readany(self) -> bytes:
+            return b"d" * 4096
+
+    async def run() -> None:
+        async for _ in _token_batches(Endless(), 5.0):
+            pass
+
+    with pytest.raises(RouterError, match="does not end"):
+        asyncio.run(run())
+    assert MAX_EVENT_BYTES >= 64 * 1024
+
+
+def test_an_endless_backend_answer_is_unknown_not_success() -> None:
+    async def call(url: str) -> ResultCode:
+        async with create_session(1.0, reuse_connections=False) as session:
+            request = BackendRequest("POST", "/book", b"", {}, "t/s/key/k", 1)
+            with pytest.raises(RouterError) as caught:
+                await HttpBackendClient(session).send(url, request, 8.0)
+        return caught.value.code
+
+    script = stream_that_sends(b"b" * 65536, 0.0)
+    assert play(script, call) is ResultCode.OUTCOME_UNKNOWN
+
+
+def test_an_endless_control_answer_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_client, "MAX_ANSWER_BYTES", 100_000)
+
+    async def call(url: str) -> ResultCode:
+        async with create_session(1.0) as session:
+            with pytest.raises(RouterError) as caught:
+                await HttpEngineClient(session, 1.0).cache_events(url, 0)
+        return caught.value.code
+
+    script = stream_that_sends(b"b" * 65536, 0.0)
+    assert play(script, call) is ResultCode.ENGINE_FAILED
+
+
+def test_an_answer_that_breaks_off_is_no_success() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        await writer.drain()
+        writer.close()
+
+    async def call(url: str) -> ResultCode:
+        async with aiohttp.ClientSession() as session:
+            request = BackendRequest("POST", "/book", b"", {}, "t/s/key/k", 1)
+            with pytest.raises(RouterError) as caught:
+                await HttpBackendClient(session).send(url, request, 2.0)
+        return caught.value.code
+
+    assert play(script, call) is ResultCode.OUTCOME_UNKNOWN
