Count suspension in every deadline, pause and lease

Cause: the steady clock of a host stood still while its machine was suspended, so after it went on, requests were sent with time that their callers no longer had, and pauses and reports seemed recent. Only the order lease used the clock that counts suspension, with a function of its own.

Ruled out: paused processes (SIGSTOP), for which the clock goes on.

Change: SystemClock reads the clock that counts suspension; the order lease takes a Clock like all other parts.

--- a/packages/kumquat_core/src/kumquat_core/clock.py
+++ b/packages/kumquat_core/src/kumquat_core/clock.py
@@ -2,6 +2,9 @@
 
 All code that decides by time takes a ``Clock``, so that tests advance time
 by hand and give the same result on every run.
+
+The steady clock counts the time in which the machine was suspended: a host
+that was frozen finds its leases, deadlines and pauses over.
 """
 
 import time
@@ -20,12 +23,16 @@
         """Return milliseconds since the Unix epoch."""
 
 
+# Only Linux has a clock that goes on while the machine is suspended.
+STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """The clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Return seconds of ``time.monotonic``."""
-        return time.monotonic()
+        """Return seconds since the start of the machine."""
+        return time.clock_gettime(STEADY_CLOCK)
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/packages/kumquat_relay/src/kumquat_relay/order_lease.py
+++ b/packages/kumquat_relay/src/kumquat_relay/order_lease.py
@@ -7,14 +7,13 @@
 host that takes the lease from another one waits until the other's use has
 ended and a whole lease time has passed. The lease states the end of its use on
 the store's steady clock, so one that has been idle that long is used at once.
-Local times are measured with the clock that also counts suspension, so a host
-that was frozen finds its lease over.
+The local clock counts suspension, so a host that was frozen finds its lease
+over.
 """
 
 import logging
-import time
-from collections.abc import Callable
 
+from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 
 from .protocols import LeaseState, StateStore, WriteConflictError
@@ -29,11 +28,6 @@
 logger = logging.getLogger(__name__)
 
 
-def boot_time_s() -> float:
-    """Return seconds of the clock that counts suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class OrderLease:
     """One named lease in the store."""
 
@@ -43,20 +37,20 @@
         holder: str,
         store: StateStore,
         lease_s: float,
-        now_s: Callable[[], float] = boot_time_s,
+        clock: Clock,
     ) -> None:
         self._name = name
         self._holder = holder
         self._store = store
         self._lease_s = lease_s
-        self._now_s = now_s
+        self._clock = clock
         self._usable_from_s = float("inf")
         self._usable_until_s = float("-inf")
         self.fence = 0
 
     def usable(self) -> bool:
         """Tell whether an order may be given now."""
-        return self._usable_from_s <= self._now_s() < self._usable_until_s
+        return self._usable_from_s <= self._clock.monotonic() < self._usable_until_s
 
     async def acquire(self) -> bool:
         """Write the lease; return whether an order may be given now.
@@ -66,9 +60,9 @@
         """
         if self._waits():
             return False
-        read_began_s = self._now_s()
+        read_began_s = self._clock.monotonic()
         state = await self._store.read_lease(self._name)
-        began_s = self._now_s()
+        began_s = self._clock.monotonic()
         # The answer's time is not before the call began, so this is not
         # earlier on the store's clock than the end of the use here.
         use_s = began_s - read_began_s + USE_S
@@ -93,7 +87,7 @@
         return self.usable()
 
     def _waits(self) -> bool:
-        now_s = self._now_s()
+        now_s = self._clock.monotonic()
         return now_s < self._usable_from_s < float("inf")
 
     def _remaining_s(self, state: LeaseState) -> float:
@@ -114,7 +108,7 @@
         return min(longest_s, max(0.0, left_s))
 
     def _note_taken(self, previous: str, wait_s: float) -> None:
-        self._usable_from_s = self._now_s() + wait_s
+        self._usable_from_s = self._clock.monotonic() + wait_s
         self._usable_until_s = float("-inf")
         log_event(
             logger,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -154,7 +154,9 @@
         self._supervisor: Supervisor | None = None
         self._peers: Supervisor | None = None
         self._registering: asyncio.Task[None] | None = None
-        lease = OrderLease(ORDER_LEASE, options.host_id, store, options.order_lease_s)
+        lease = OrderLease(
+            ORDER_LEASE, options.host_id, store, options.order_lease_s, parts.clock
+        )
         self._orders = StageOrders(
             parts.clock,
             parts.beliefs,
--- a/tests/relay/test_order_lease.py
+++ b/tests/relay/test_order_lease.py
@@ -42,7 +42,15 @@
         self.store.now_s = self._began_s + value
 
     def lease(self, holder: str) -> OrderLease:
-        return OrderLease("l", holder, self.store, 3.0, lambda: self.now_s)  # type: ignore[arg-type]
+        return OrderLease("l", holder, self.store, 3.0, self)  # type: ignore[arg-type]
+
+    def monotonic(self) -> float:
+        """Return the local time, as a clock."""
+        return self.now_s
+
+    def wall_ms(self) -> int:
+        """Return the local time in milliseconds, as a clock."""
+        return int(self.now_s * 1000)
 
 
 def test_holders_take_no_turns_within_a_lease() -> None:
