Poll the store as long as the deployment allows; owners tell their version

Each of 195 hosts polled the configuration and the engines every 2.8 s, a figure that was set for fleets of sixty.

Ruled out: long polls everywhere (a connection that fell silent must be noticed before the host counts as in touch again), one reader for all hosts (its loss would leave the others behind).

Change: poll_times takes the time in which a silence must be noticed from the settings. Owners state the version of their configuration in each answer to a report; hosts that own nothing and hear it let polls of the configuration wait 10 s and poll anew on a new connection half a second after they learn that they are behind.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -165,9 +165,11 @@
     """Answers ``RunsHeld``.
 
     ``outdated``: the owner has not reached the store for a while, so another
-    host should own the service.
+    host should own the service. ``configuration`` is the version in force at
+    the owner.
     """
 
     host_id: str
     free_places: int
     outdated: bool = False
+    configuration: int = -1
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -352,6 +352,7 @@
         answer = await self._links.call(owner, message, REPORT_TIMEOUT_S)
         if not isinstance(answer, RunsNoted):
             return
+        self._beliefs.peer_version(answer.configuration)
         if self._owners.set_outdated(owner, answer.outdated):
             log_event(logger, "owner_outdated", peer=owner, outdated=answer.outdated)
         if self._owners.reachable(owner):
--- a/packages/kumquat_relay/src/kumquat_relay/beliefs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/beliefs.py
@@ -15,10 +15,15 @@
 from .protocols import Change, Changes, HostEntry, StateKind
 from .routes import EngineSpec, RouteTable
 
-__all__ = ["Beliefs"]
+__all__ = ["FIRST_NOTICE_S", "Beliefs"]
 
-# A poll of the engines lasts up to three seconds when nothing changes.
-OUTDATED_S = 4.0
+# Polls of the engines end within the time in which a host must notice that a
+# connection fell silent; this is how much later their answer may come.
+OUTDATED_MARGIN_S = 1.0
+# Used where the settings do not state it.
+FIRST_NOTICE_S = 3.0
+# Hosts without work report to an owner each two seconds at least.
+HINT_S = 3.0
 
 logger = logging.getLogger(__name__)
 
@@ -26,8 +31,11 @@
 class Beliefs:
     """State taken over from the store; ``on_engines`` is called on changes."""
 
-    def __init__(self, clock: Clock, health: EngineHealth) -> None:
+    def __init__(
+        self, clock: Clock, health: EngineHealth, notice_s: float = FIRST_NOTICE_S
+    ) -> None:
         self._clock = clock
+        self._outdated_s = notice_s + OUTDATED_MARGIN_S
         self._health = health
         self.routes: RouteTable | None = None
         self.registry = EngineRegistry()
@@ -36,6 +44,9 @@
         self.on_engine_gone: Callable[[EngineEntry], None] = lambda entry: None
         self.on_engine_reborn: Callable[[EngineEntry], None] = lambda entry: None
         self.on_hosts: Callable[[], None] = lambda: None
+        self.on_behind: Callable[[], None] = lambda: None
+        self._peer_version = -1
+        self._hinted_s = float("-inf")
         self._host_versions_by_id: dict[str, int] = {}
         self._engines_followed_s = clock.monotonic()
         self._complete: set[StateKind] = set()
@@ -52,6 +63,27 @@
         spec = self.routes.services_by_name.get(service)
         return spec.engine if spec is not None else None
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration, -1 without one."""
+        return self.routes.version if self.routes is not None else -1
+
+    def peer_version(self, version: int) -> None:
+        """Note the version of the configuration that an owner has."""
+        self._hinted_s = self._clock.monotonic()
+        if version > self._peer_version:
+            self._peer_version = version
+            if self.is_behind():
+                self.on_behind()
+
+    def is_behind(self) -> bool:
+        """Tell whether an owner has a newer configuration than this host."""
+        return self.version < self._peer_version
+
+    def hinted(self) -> bool:
+        """Tell whether an owner has lately told its version."""
+        return self._clock.monotonic() - self._hinted_s <= HINT_S
+
     def engines_followed(self) -> None:
         """Note that the store has just told which engines there are."""
         self._engines_followed_s = self._clock.monotonic()
@@ -63,7 +95,7 @@
         that followed the store all the time know better.
         """
         silent_s = self._clock.monotonic() - self._engines_followed_s
-        return silent_s > OUTDATED_S or self.registry.settling()
+        return silent_s > self._outdated_s or self.registry.settling()
 
     def store_returned(self) -> None:
         """Note that the store is reached again."""
@@ -135,7 +167,7 @@
         table = item.value
         if not isinstance(table, RouteTable):
             return
-        current = self.routes.version if self.routes is not None else -1
+        current = self.version
         if table.version <= current:
             return
         self.routes = table
--- a/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -81,6 +81,10 @@
         """Return the owner if all known hosts could be reached."""
         return owner_of(service, self._candidates()) or self._host_id
 
+    def may_own(self) -> bool:
+        """Tell whether this host is strong enough to own queues."""
+        return self._host_id in self._candidates()
+
     def _candidates(self) -> list[str]:
         """Return the hosts that are strong enough to own a queue."""
         strengths = {**self._strengths(), self._host_id: self._strength}
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -40,6 +40,7 @@
 from .owner_choice import OwnerChoice
 from .plain_choice import PlainChoice
 from .plain_relay import PlainRelay
+from .poll_times import PollTimes
 from .protocols import (
     EngineDialect,
     HostEntry,
@@ -186,7 +187,7 @@
             clock,
             random.Random(options.seed or secrets.randbits(64)),
             health,
-            Beliefs(clock, health),
+            Beliefs(clock, health, options.notice_s),
             EnginePool(clock),
             RetryShare(clock, options.retries),
             Shutdown(clock, options.stop_grace_s),
@@ -220,16 +221,7 @@
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
-            *(
-                StateWatch(
-                    kind,
-                    self._store,
-                    parts.beliefs,
-                    parts.rng,
-                    parts.metrics.store_polled,
-                )
-                for kind in StateKind
-            ),
+            *self._watches(),
             self._caller_server(),
             _TimerTask(timers),
         ]
@@ -269,6 +261,24 @@
         self._parts.shutdown.grace_s = options.stop_grace_s
         log_event(logger, "reloaded", host=options.host_id)
 
+    def _watches(self) -> list[StateWatch]:
+        beliefs = self._parts.beliefs
+        times = PollTimes(self._options.notice_s, self._owners.may_own, beliefs.hinted)
+        watches_by_kind = {
+            kind: StateWatch(
+                kind,
+                self._store,
+                beliefs,
+                self._parts.rng,
+                times,
+                self._parts.metrics.store_polled,
+            )
+            for kind in StateKind
+        }
+        configuration = watches_by_kind[StateKind.CONFIGURATION]
+        beliefs.on_behind = lambda: configuration.note_behind(beliefs.is_behind)
+        return list(watches_by_kind.values())
+
     def _caller_server(self) -> CallerServer:
         options, parts = self._options, self._parts
         memory = AnswerMemory()
--- a/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
@@ -13,6 +13,7 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address, settings_errors
 
+from .beliefs import FIRST_NOTICE_S
 from .retry_share import RetryTerms
 
 __all__ = ["RelayOptions", "load_relay_options", "parse_address"]
@@ -59,6 +60,7 @@
     retries: _RetryModel
     stop_grace_s: Seconds
     order_lease_s: Seconds
+    notice_s: Seconds = FIRST_NOTICE_S
     processor: _ProcessorModel = Field(default_factory=lambda: _ProcessorModel())
     log_level: str = "info"
     seed: int = 0
@@ -68,7 +70,8 @@
 class RelayOptions:
     """All options of a relay host.
 
-    ``strength`` compares the processors and links of hosts.
+    ``strength`` compares the processors and links of hosts. ``notice_s`` is
+    the time in which a host must notice a connection that fell silent.
     """
 
     host_id: str
@@ -84,6 +87,7 @@
     log_level: str
     seed: int
     strength: float = 1.0
+    notice_s: float = FIRST_NOTICE_S
 
     @classmethod
     def from_settings(cls, model: RelaySettingsModel) -> "RelayOptions":
@@ -105,6 +109,7 @@
             log_level=model.log_level,
             seed=model.seed,
             strength=_strength(model.processor),
+            notice_s=model.notice_s,
         )
 
 
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -9,51 +9,33 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import ClassVar
 
 from kumquat_core.log_events import log_event
 from kumquatrouter.supervisor import TaskService
 
 from .beliefs import Beliefs
-from .protocols import HistoryLostError, StateKind, StateStore, StoreError
+from .poll_times import PollTimes
+from .protocols import (
+    Changes,
+    HistoryLostError,
+    StateKind,
+    StateStore,
+    StoreError,
+)
 
-__all__ = ["StateWatch", "WatchTimes"]
+__all__ = ["StateWatch"]
 
 # Delay after a failed call; it doubles up to a bound that leaves several tries
 # within the time in which a host must be up to date again (3 s).
 FIRST_DELAY_S = 0.1
-# Large deployments have looser bounds, and their polls use more of the store's
-# rate, so each one waits longer by the factor.
-MANY_HOSTS = 30
-MANY_HOSTS_FACTOR = 1.4
 MAX_DELAY_S = 0.6
+# A change that others have reaches this host within this time, unless the
+# connection of its poll has fallen silent.
+BEHIND_S = 0.5
 
 logger = logging.getLogger(__name__)
 
 
-class WatchTimes:
-    """How long one poll of each kind may wait, in seconds.
-
-    Calls are priced and a change ends a poll at once, so polls are long. The
-    configuration is polled in shorter turns: its bound is the tightest, and a
-    connection that fell silent shows only when a poll does not end.
-    """
-
-    BY_KIND: ClassVar[dict[StateKind, float]] = {
-        StateKind.CONFIGURATION: 2.0,
-        StateKind.ENGINES: 2.0,
-        StateKind.HOSTS: 15.0,
-    }
-    # Many hosts or engines enter the lists within a second; one answer tells
-    # of them all. Work must leave a leaving engine within two seconds, of
-    # which the pause takes a tenth.
-    PAUSE_BY_KIND: ClassVar[dict[StateKind, float]] = {
-        StateKind.CONFIGURATION: 0.0,
-        StateKind.ENGINES: 0.2,
-        StateKind.HOSTS: 1.5,
-    }
-
-
 class StateWatch(TaskService):
     """Keeps the beliefs of one kind up to date."""
 
@@ -63,6 +45,7 @@
         store: StateStore,
         beliefs: Beliefs,
         rng: random.Random,
+        times: PollTimes,
         count_call: Callable[[str, bool], None] = lambda kind, good: None,
     ) -> None:
         super().__init__()
@@ -70,6 +53,8 @@
         self._store = store
         self._beliefs = beliefs
         self._rng = rng
+        self._times = times
+        self._behind = asyncio.Event()
         self._count_call = count_call
         self._away = False
         self._version: int | None = None
@@ -101,20 +86,42 @@
             self._version = snapshot.version
             return
         # The first call after a failure tells at once that the store is back.
-        wait_s = 0.0 if self._away else self._wait_s()
-        changes = await self._store.wait_for_changes(self._kind, self._version, wait_s)
+        wait_s = 0.0 if self._away else self._times.wait_s(self._kind)
+        changes = await self._poll(self._version, wait_s)
         self._note_return()
         self._beliefs.take_changes(self._kind, changes)
         self._version = max(self._version, changes.version)
         if changes.items:
-            await asyncio.sleep(WatchTimes.PAUSE_BY_KIND[self._kind])
-
-    def _wait_s(self) -> float:
-        """Return how long a poll waits; many hosts share the store's rate."""
-        wait_s = WatchTimes.BY_KIND[self._kind]
-        if len(self._beliefs.hosts_by_id) > MANY_HOSTS:
-            wait_s *= MANY_HOSTS_FACTOR
-        return wait_s
+            await asyncio.sleep(self._times.pause_s(self._kind))
+
+    def note_behind(self, is_behind: Callable[[], bool]) -> None:
+        """Poll anew if ``is_behind`` still holds after a moment.
+
+        Others have a change that this host has not seen.
+        """
+
+        def renew() -> None:
+            if is_behind():
+                self._behind.set()
+
+        asyncio.get_running_loop().call_later(BEHIND_S, renew)
+
+    async def _poll(self, version: int, wait_s: float) -> Changes:
+        """Wait for changes, on a new connection when others have some."""
+        self._behind.clear()
+        poll = asyncio.ensure_future(
+            self._store.wait_for_changes(self._kind, version, wait_s)
+        )
+        behind = asyncio.ensure_future(self._behind.wait())
+        try:
+            await asyncio.wait({poll, behind}, return_when=asyncio.FIRST_COMPLETED)
+            if poll.done():
+                return poll.result()
+        finally:
+            behind.cancel()
+            poll.cancel()
+        log_event(logger, "poll_renewed", kind=self._kind.value, version=version)
+        return await self._store.wait_for_changes(self._kind, version, 0.0)
 
     def _note_return(self) -> None:
         """Let entries that lapsed with the store come back.
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -174,7 +174,10 @@
             )
             self._carry_out(owned, owned.queue.advance(now_s))
         return RunsNoted(
-            self._host_id, owned.queue.ledger.free_places(), self._beliefs.outdated()
+            self._host_id,
+            owned.queue.ledger.free_places(),
+            self._beliefs.outdated(),
+            self._beliefs.version,
         )
 
     def sweep(self) -> None:
--- a/tests/relay/test_deploy.py
+++ b/tests/relay/test_deploy.py
@@ -23,6 +23,7 @@
     "bounds.budget_window_s": 10,
     "bounds.budget_slack": 58,
     "bounds.grace_s": 8,
+    "bounds.contact_ms": "3000",
     "bounds.lease_ms": 3000,
     "limits.cpu_share": 0.5,
     "limits.cores": 2,
