Let decode engines read prompts when the prefill engines cannot in time

Cause: with one slow reader requests were refused or late while decode engines had places.

Change: a request that no prefill engine can begin in time goes to a decode engine that reads it in time, pauses no stream too long and has a quarter of all places free. The replay models own reads, slow readers and slow tokens.

--- a/packages/kumquat_relay/src/kumquat_relay/own_read_pauses.py
+++ b/packages/kumquat_relay/src/kumquat_relay/own_read_pauses.py
@@ -17,7 +17,7 @@
 
 # Reads that are kept; older ones may have been beside fewer streams.
 RECENT_READS = 16
-MIN_READS = 4
+MIN_READS = 3
 # Pauses below this part of long reads do not grow with them.
 BOUNDED_PART = 0.75
 # Room for a longer pause than any seen, since more streams make steps longer.
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -20,6 +20,9 @@
     prefill engine are read within this time, so that places do not wait.
     ``max_gap_s``: a decode engine reads no prompt that pauses its runs longer,
     where the route of a request does not state it.
+    ``relief_s``: a decode engine reads the prompt of a request that would be
+    late after this time, if no prefill engine can begin.
+    ``relief_reserve``: part of the places that must be free for that.
     ``late_reserve``: part of the places that late requests leave free.
     """
 
@@ -40,6 +43,10 @@
     # Stalls are reported again while they last.
     stall_s: float = 0.6
     late_reserve: float = 0.1
+    # Twice the time between two events of the queue at a peak.
+    relief_s: float = 0.1
+    # Where places are short, reading beside runs serves fewer in all.
+    relief_reserve: float = 0.25
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -9,7 +9,9 @@
 by the time they have left; requests that are late anyway use what remains. A
 request that cannot begin in time is refused on arrival and told to return when
 the peak is over. Nothing is refused while a place is free. A request whose
-time runs out in the queue is refused at that moment.
+time runs out in the queue is refused at that moment. Before that, a decode
+engine reads the prompt if the prefill engines cannot in time and no running
+stream pauses too long for it.
 
 The queue holds no clock of its own and does no I/O: every call returns the
 ``Decision`` objects that follow from it.
@@ -20,6 +22,7 @@
 from kumquat_core.peer_messages import RunRequest
 
 from .engine_health import EngineHealth
+from .engine_load import EngineLoad
 from .engine_registry import EngineRegistry
 from .placement import Placement
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
@@ -94,7 +97,12 @@
             return decisions
         if request.request_id in self._waiting_by_id:
             reason = self._reason_to_refuse(waiting, now_s)
-            if reason:
+            relief = None
+            if reason == "objective_missed":
+                relief = self._relieve(waiting, self._placement(now_s), now_s)
+            if relief is not None:
+                decisions.append(relief)
+            elif reason:
                 decisions.append(self._refuse(waiting, reason, now_s))
         return decisions
 
@@ -157,19 +165,47 @@
     def _try_grant(
         self, waiting: Waiting, placement: Placement, now_s: float
     ) -> Granted | None:
-        request, ledger = waiting.request, self.ledger
         reserve = placement.all_places * self.terms.late_reserve
         if waiting.is_late(now_s) and placement.free_places() <= reserve:
             return None
         reader = placement.first_reader(waiting)
         read_ahead_s = reader.read_backlog_ms() / 1000 if reader else 0.0
         if read_ahead_s > self.terms.read_ahead_s:
+            if waiting.is_late(now_s + self.terms.relief_s):
+                return self._relieve(waiting, placement, now_s)
             return None
         if waiting.is_late(now_s + read_ahead_s) and not waiting.is_late(now_s):
-            return None
+            return self._relieve(waiting, placement, now_s)
         decode = placement.decoder(waiting, reads=reader is None)
         if decode is None:
             return None
+        return self._grant(waiting, placement, decode, reader, now_s)
+
+    def _relieve(
+        self, waiting: Waiting, placement: Placement, now_s: float
+    ) -> Granted | None:
+        """Let a decode engine read a prompt that no reader reads in time."""
+        spare = placement.all_places * self.terms.relief_reserve
+        if waiting.is_late(now_s) or placement.free_places() <= spare:
+            return None
+        decode = placement.decoder(waiting, reads=True)
+        if decode is None:
+            return None
+        prompt_tokens = waiting.request.prompt_tokens
+        longer_s = decode.own_read_s(prompt_tokens) - self.ledger.read_s(prompt_tokens)
+        if waiting.is_late(now_s + longer_s):
+            return None
+        return self._grant(waiting, placement, decode, None, now_s)
+
+    def _grant(
+        self,
+        waiting: Waiting,
+        placement: Placement,
+        decode: EngineLoad,
+        reader: EngineLoad | None,
+        now_s: float,
+    ) -> Granted:
+        request, ledger = waiting.request, self.ledger
         del self._waiting_by_id[request.request_id]
         ledger.grant(
             request, waiting.host_id, decode, reader, now_s, waiting.stated_tokens
--- a/tests/relay/test_replay.py
+++ b/tests/relay/test_replay.py
@@ -126,3 +126,39 @@
     """All prompts over 4,300 tokens were refused, whatever the engine."""
     slow, fast = (play_single(WITH, rate) for rate in (19_700.0, 25_300.0))
     assert fast.on_time > slow.on_time
+
+
+def play_slow_reader(terms: QueueTerms, reader_speed: float) -> Outcome:
+    """Return the sum over all seeds with six engines bound by memory."""
+    total = Outcome()
+    for seed in SEEDS:
+        replay = Replay(
+            terms,
+            seed,
+            callers_return=True,
+            decoders=5,
+            readers=1,
+            memory_tokens=60_729,
+            places=64,
+            token_s=0.0035,
+            mean_output_log=6.88,
+            reader_speed=reader_speed,
+        )
+        total.add(replay.run(burst(seed, 6.5, 12.0)))
+    return total
+
+
+@pytest.mark.parametrize("reader_speed", [0.25, 1.0])
+def test_decode_engines_relieve_a_reader_that_is_too_slow(
+    reader_speed: float,
+) -> None:
+    """A slow reader bounded a service whose decode engines had places."""
+    with_rule = play_slow_reader(WITH, reader_speed)
+    without = play_slow_reader(replace(WITH, relief_reserve=2.0), reader_speed)
+    assert with_rule.on_time > without.on_time
+    assert with_rule.refused < without.refused
+
+
+def test_relief_costs_nothing_where_places_are_short() -> None:
+    without = play(replace(WITH, relief_reserve=2.0))
+    assert play(WITH).on_time >= 0.98 * without.on_time
--- a/tests/relay/test_stream_queue.py
+++ b/tests/relay/test_stream_queue.py
@@ -289,3 +289,42 @@
     world.queue.ledger.refresh(SPEC)
     paces = {load.entry.id: load.token_ms for load in world.queue.ledger.decode_loads()}
     assert paces["d9"] == pytest.approx(paces["d0"])
+
+
+def busy_reader() -> QueueWorld:
+    """Return a world whose reader is busy for longer than requests wait."""
+    world = QueueWorld()
+    for index in range(4):
+        world.add(run_request(f"r{index}", prompt=11_000, objective_ms=5000))
+    world.queue.ledger.readers()[0].jobs_by_id["r0"].tokens = 60_000
+    return world
+
+
+def test_a_decode_engine_reads_when_the_readers_cannot_in_time() -> None:
+    """Requests were refused for a slow reader while decode engines had places
+    and could read (vrecar-juta trouble-3)."""
+    world = busy_reader()
+    (decision,) = world.add(run_request("short", prompt=3000, objective_ms=600))
+    assert isinstance(decision, Granted)
+    assert decision.prefill is None
+
+
+@pytest.mark.parametrize(
+    ("prompt", "objective_ms"),
+    [(6000, 400), (11_000, 900)],
+    ids=["it would be late", "it would pause streams"],
+)
+def test_no_decode_engine_reads_in_vain(prompt: int, objective_ms: int) -> None:
+    world = busy_reader()
+    request = run_request("a", prompt=prompt, objective_ms=objective_ms)
+    assert refused(world.add(request)) == {"a": "objective_missed"}
+
+
+def test_no_decode_engine_reads_beside_the_readers_when_places_are_short() -> None:
+    """Reading beside runs made all of them slower at a peak."""
+    world = busy_reader()
+    ledger = world.queue.ledger
+    held_runs = [held(f"h{index}") for index in range(9)]
+    ledger.confirm("h", [*held_runs, held("r0")], world.now_s)
+    request = run_request("a", prompt=3000, objective_ms=600)
+    assert refused(world.add(request)) == {"a": "objective_missed"}
