--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -84,7 +84,7 @@
             try:
                 whole = splitter.feed(chunk)
             except EventTooLargeError as error:
-                raise RunFailedError(str(error)) from error
+                raise RunFailedError("endless_event") from error
             if whole:
                 made = splitter.events > count
                 if made:
@@ -94,7 +94,7 @@
                     # A caller that reads slowly is no silence of the engine.
                     since_s, stalls = self._clock.monotonic(), 0
         if splitter.rest:
-            raise RunFailedError("ended within an event")
+            raise RunFailedError("partial_event")
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the parts of an answer that is no event stream."""
--- a/tests/relay/test_endless_answers.py
+++ b/tests/relay/test_endless_answers.py
@@ -251,7 +251,7 @@
     """The rest was passed on and the answer ended as a success."""
     body = EVENT + b"id: 2\ndata: par"
     answer = OK + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
-    with pytest.raises(RunFailedError, match="within an event"):
+    with pytest.raises(RunFailedError, match="partial_event"):
         events_of(answering(answer), SHORT)
 
 
