--- a/packages/kumquat_relay/src/kumquat_relay/engine_health.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_health.py
@@ -97,6 +97,14 @@
         record.trial_until_s = float("-inf")
         return True
 
+    @property
+    def any_trouble(self) -> bool:
+        """Tell whether any engine is avoided or out of reach."""
+        return any(
+            record.avoided or record.unreachable
+            for record in self._records_by_id.values()
+        )
+
     def reached(self, engine_id: str) -> None:
         """Note that an engine accepted a connection."""
         record = self._records_by_id.get(engine_id)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -69,6 +69,8 @@
         self._known_by_id: dict[str, _Known] = {}
         self._removed_versions_by_id: dict[str, int] = {}
         self._leaving_born_ms_by_id: dict[str, int] = {}
+        # Raised with each change of an entry.
+        self.revision = 0
         self._ids_by_address: dict[Address, str] = {}
         self._returned_s = float("-inf")
 
@@ -83,6 +85,7 @@
             return False
         if self._removed_versions_by_id.get(entry.id, -1) >= version:
             return False
+        self.revision += 1
         self._known_by_id[entry.id] = _Known(self._as_announced(entry), version)
         self._supersede(entry)
         return True
@@ -115,6 +118,7 @@
             del self._leaving_born_ms_by_id[next(iter(self._leaving_born_ms_by_id))]
         self._leaving_born_ms_by_id[engine_id] = born_ms
         if known is not None:
+            self.revision += 1
             known.entry = self._as_announced(known.entry)
         return True
 
@@ -158,6 +162,7 @@
         return due
 
     def _forget(self, engine_id: str) -> None:
+        self.revision += 1
         address = self._known_by_id.pop(engine_id).entry.address
         if self._ids_by_address.get(address) == engine_id:
             del self._ids_by_address[address]
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -47,12 +47,29 @@
         self.readers = ledger.readers()
         self.decoders = ledger.decode_loads()
         self.all_places = sum(load.places for load in self.decoders)
+        self._free_places = sum(max(0, load.free_places()) for load in self.decoders)
+        self._backlogs_ms = {
+            load.entry.id: load.read_backlog_ms() for load in self.readers
+        }
+        self._order_readers()
         # Sizes of requests that may use all engines and fitted into none.
         self._unfit: list[tuple[int, int]] = []
 
     def free_places(self) -> int:
         """Return the places that no run holds."""
-        return sum(max(0, load.free_places()) for load in self.decoders)
+        return self._free_places
+
+    def granted(self, reader: EngineLoad | None) -> None:
+        """Note that a place was granted in this pass."""
+        self._free_places -= 1
+        if reader is not None:
+            self._backlogs_ms[reader.entry.id] = reader.read_backlog_ms()
+            self._order_readers()
+
+    def _order_readers(self) -> None:
+        self.readers = sorted(
+            self.readers, key=lambda load: self._backlogs_ms[load.entry.id]
+        )
 
     def usable_decoders(self, waiting: Waiting) -> list[EngineLoad]:
         """Return the decode engines to which the host may send."""
@@ -64,14 +81,15 @@
         A prompt may be read again, so one that failed is used again when it
         is the only one.
         """
-        return min(
-            self._usable(self.readers, waiting),
-            key=lambda load: (
-                load.entry.id in waiting.excluded,
-                load.read_backlog_ms(),
-            ),
-            default=None,
-        )
+        readers = self._usable(self.readers, waiting)
+        for load in readers:
+            if load.entry.id not in waiting.excluded:
+                return load
+        return readers[0] if readers else None
+
+    def read_ahead_s(self, reader: EngineLoad | None) -> float:
+        """Return the time until the prompts granted to a reader are read."""
+        return self._backlogs_ms[reader.entry.id] / 1000 if reader else 0.0
 
     def decoder(self, waiting: Waiting, *, reads: bool) -> EngineLoad | None:
         """Return the fitting engine on which a further run goes fastest.
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -128,7 +128,7 @@
     def advance(self, now_s: float) -> list[Decision]:
         """Grant what fits and refuse what ran out of time."""
         decisions: list[Decision] = []
-        if now_s < self._paused_until_s:
+        if now_s < self._paused_until_s or not self._waiting_by_id:
             return decisions
         placement = self._placement(now_s)
         for waiting in sorted(
@@ -169,7 +169,7 @@
         if waiting.is_late(now_s) and placement.free_places() <= reserve:
             return None
         reader = placement.first_reader(waiting)
-        read_ahead_s = reader.read_backlog_ms() / 1000 if reader else 0.0
+        read_ahead_s = placement.read_ahead_s(reader)
         if read_ahead_s > self.terms.read_ahead_s:
             if waiting.is_late(now_s + self.terms.relief_s):
                 return self._relieve(waiting, placement, now_s)
@@ -210,6 +210,7 @@
         ledger.grant(
             request, waiting.host_id, decode, reader, now_s, waiting.stated_tokens
         )
+        placement.granted(reader)
         return Granted(
             request.request_id,
             decode.entry,
