--- a/packages/kumquat_lab/src/kumquat_lab/measure_commands.py
+++ b/packages/kumquat_lab/src/kumquat_lab/measure_commands.py
@@ -17,6 +17,7 @@
 )
 from .decision_cost import run_decision_cost
 from .load import load_running_stack
+from .relay_decision_cost import run_relay_decisions
 from .router_cost import COST_PARTS, measure_cost
 from .scenarios import ScenarioName, ScenarioOptions
 from .slopes import run_slopes
@@ -142,3 +143,9 @@
 ) -> None:
     """Measure how costs grow with the number of hosts, engines and so on."""
     run_slopes(seed, json_file)
+
+
+@app.command("relay-decisions")
+def relay_decisions() -> None:
+    """Print the time of an event at the owner of a relay service."""
+    run_relay_decisions()
