Let only answers tell that an engine's address has another one

Cause: an entry that began later at the same address ended the earlier engine for good. Entries may come from other writers; a wrong one would have taken a sound engine out of use, without a line in the log.

Ruled out: keeping both signs (the answer alone costs one rejected send).

--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -9,9 +9,7 @@
 that time, so that engines whose entries return were never given up.
 
 An engine that has announced its leaving itself stays leaving, whatever the
-store says of that incarnation later; only a new incarnation ends it. An
-engine that starts at the address of another one shows that the other is gone,
-mostly some seconds before its entry lapses.
+store says of that incarnation later; only a new incarnation ends it.
 """
 
 from collections.abc import Iterator
@@ -71,7 +69,6 @@
         self._leaving_born_ms_by_id: dict[str, int] = {}
         # Raised with each change of an entry.
         self.revision = 0
-        self._ids_by_address: dict[Address, str] = {}
         self._returned_s = float("-inf")
 
     def store_returned(self, now_s: float) -> None:
@@ -87,20 +84,8 @@
             return False
         self.revision += 1
         self._known_by_id[entry.id] = _Known(self._as_announced(entry), version)
-        self._supersede(entry)
         return True
 
-    def _supersede(self, entry: EngineEntry) -> None:
-        """Let engines leave at whose address a later one has started."""
-        other = self.get(self._ids_by_address.get(entry.address, ""))
-        if other is None or other.id == entry.id or other.address != entry.address:
-            self._ids_by_address[entry.address] = entry.id
-            return
-        older, later = sorted((other, entry), key=lambda item: item.born_ms)
-        self._ids_by_address[entry.address] = later.id
-        if older.born_ms > UNKNOWN_BORN_MS:
-            self.announce_leaving(older.id, older.born_ms)
-
     def announce_leaving(self, engine_id: str, born_ms: int) -> bool:
         """Note that an incarnation said itself that it leaves.
 
@@ -163,9 +148,7 @@
 
     def _forget(self, engine_id: str) -> None:
         self.revision += 1
-        address = self._known_by_id.pop(engine_id).entry.address
-        if self._ids_by_address.get(address) == engine_id:
-            del self._ids_by_address[address]
+        del self._known_by_id[engine_id]
 
     def settling(self) -> bool:
         """Tell whether removals are held back."""
