Learn no reading speed from a prompt that was not read

Cause: a request that takes its prefill result to another engine leaves the prompt of its second place unread. The owner learned a speed from the time to the answer's head for it, thousands of tokens a millisecond in the test, and counted the reader as busy until then.

Ruled out: saying that the prefill engine failed (it would be avoided).

Change: the host tells the owner that the prefill engine was not asked.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -79,7 +79,8 @@
     """The prompt of a granted request was read in ``read_ms``.
 
     0 means that the prefill engine failed, and could not even be reached if
-    ``unreachable`` is set.
+    ``unreachable`` is set. A negative time means that it was not asked, since
+    an earlier result still served.
     """
 
     request_id: str
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -38,7 +38,10 @@
 from .protocols import EngineNotice
 from .stream_owner import StreamOwner
 
-__all__ = ["Admission", "PlaceRefusedError"]
+__all__ = ["NOT_READ", "Admission", "PlaceRefusedError"]
+
+# Stands for the time of a prefill that was not needed.
+NOT_READ = -1.0
 
 # Period of the reports; half of the time in which a lost owner is noticed.
 REPORT_S = 0.5
@@ -135,7 +138,8 @@
     ) -> None:
         """Tell the owner that the prompt was read in ``read_ms``.
 
-        0 means that the prefill engine failed.
+        0 means that the prefill engine failed, ``NOT_READ`` that it was not
+        asked.
         """
         held = self._held_by_id.get(request_id)
         if held is None:
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -125,7 +125,8 @@
     def prefilled(self, request_id: str, read_ms: float, now_s: float) -> None:
         """Note that the prompt of a granted request was read in ``read_ms``.
 
-        0 means that a prefill engine failed to read it.
+        0 means that a prefill engine failed to read it, a negative time that
+        it was not asked.
         """
         decoder = self._decoders_by_request.get(request_id)
         if decoder is not None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -108,9 +108,9 @@
         now_s = self._clock.monotonic()
         reader = owned.queue.ledger.reader_of(message.request_id)
         owned.queue.ledger.prefilled(message.request_id, message.read_ms, now_s)
-        if reader and message.read_ms <= 0:
+        if reader and message.read_ms == 0:
             self._note_failure(reader, message.unreachable)
-        elif reader and self._health.succeeded(reader):
+        elif reader and message.read_ms > 0 and self._health.succeeded(reader):
             log_event(logger, "engine_trusted_again", engine=reader)
         self._carry_out(owned, owned.queue.advance(now_s))
 
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -14,7 +14,7 @@
 from kumquat_core.peer_messages import RunGrant, RunRequest
 from kumquat_core.result_codes import ResultCode
 
-from .admission import Admission, PlaceRefusedError
+from .admission import NOT_READ, Admission, PlaceRefusedError
 from .answer_memory import AnswerMemory
 from .answer_sink import AnswerSink
 from .beliefs import Beliefs
@@ -179,6 +179,8 @@
             return self._after_not_run(request, progress, "not_reserved")
         self._starter.drop_old_prefill(request, progress)
         to_read = progress.prefill is None and progress.first_event_s is None
+        if grant.prefill_engine and not to_read:
+            self._admission.prefilled(request.id, NOT_READ)
         if to_read and not await self._starter.prefill(request, grant, progress):
             return self._after_not_run(request, progress, "prompt_not_read")
         try:
--- a/tests/relay/test_relay_host.py
+++ b/tests/relay/test_relay_host.py
@@ -399,5 +399,10 @@
         assert len(full.seen) == 1
         assert len(world.reader.seen) == 1
         assert free.seen[0][2]["x-kv-source"].endswith("/k1")
+        # The reader of the second place was not asked and is idle again.
+        ledger = world.host._owner._owned(LLM).queue.ledger
+        (reader,) = ledger.readers()
+        assert reader.jobs_by_id == {}
+        assert reader._read_tokens_per_ms.count == 1
 
     play(script)
