Keep to servers in use, and take new engines with fewer polls when idle

Ruled out: the former start value of 60 ms (a server that was never used stayed so while another answered in 20 ms).

Change: an unknown server counts 1.4 times as slow as the quickest, just above the random factor, so it is tried when the others are busy. Idle hosts that own nothing poll the engines 1 s after a poll that brought changes.

--- a/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
@@ -6,8 +6,10 @@
 this host has open there times the time its answers took lately. Servers in
 the same failure domain win when the others are not clearly faster.
 
-A server that has not answered here for a while counts as quick as the quickest
-one, so that one that was slow, or is new, is tried again.
+A server that has not answered here for a while counts as nearly as quick as
+the quickest one, so that one that was slow, or is new, is tried again when the
+others are busy. A host with little work keeps to servers that it has used,
+since a new connection costs the server a place for a moment.
 """
 
 import random
@@ -26,6 +28,8 @@
 # Answer time before any server has answered, in milliseconds; only ratios
 # between servers decide.
 FIRST_ANSWER_MS = 60.0
+# Just above the ratio of the two ends of the random factor.
+UNKNOWN_FACTOR = 1.4
 # Slow periods of servers last one to six seconds.
 STALE_S = 6.0
 # A hop to another failure domain adds about 2 ms to answers of 50 ms, and
@@ -131,7 +135,7 @@
 
     def _cost(self, entry: EngineEntry, quickest_ms: float) -> float:
         pace = self._pace(entry.id)
-        answer_ms = self._fresh_ms(pace) or quickest_ms
+        answer_ms = self._fresh_ms(pace) or quickest_ms * UNKNOWN_FACTOR
         near = entry.failure_domain == self._failure_domain
         distance = 1.0 if near else DISTANCE_FACTOR
         jitter = self._rng.uniform(1 - JITTER, 1 + JITTER)
--- a/packages/kumquat_relay/src/kumquat_relay/poll_times.py
+++ b/packages/kumquat_relay/src/kumquat_relay/poll_times.py
@@ -28,8 +28,9 @@
 HOSTS_WAIT_S = 15.0
 # Many hosts or engines enter the lists within a second; one answer tells of
 # them all. Work must leave a leaving engine within two seconds, of which the
-# pause takes a tenth.
+# pause takes a tenth at hosts with work.
 ENGINES_PAUSE_S = 0.2
+IDLE_PAUSE_S = 1.0
 HOSTS_PAUSE_S = 1.5
 
 
@@ -37,7 +38,8 @@
     """Times in seconds; ``notice_s`` bounds how late a loss is noticed.
 
     ``may_own`` tells whether this host may own queues, ``hinted`` whether an
-    owner has lately told which configuration is in force.
+    owner has lately told which configuration is in force, ``idle`` whether the
+    host has had no request for a while.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         notice_s: float,
         may_own: Callable[[], bool],
         hinted: Callable[[], bool],
+        idle: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._idle = idle
         self._wait_s = max(MIN_WAIT_S, notice_s - MARGIN_S)
         self._may_own = may_own
         self._hinted = hinted
@@ -62,13 +66,13 @@
             case _:
                 return self._wait_s
 
-    @staticmethod
-    def pause_s(kind: StateKind) -> float:
+    def pause_s(self, kind: StateKind) -> float:
         """Return the pause after a poll that brought changes."""
         match kind:
             case StateKind.CONFIGURATION:
                 return 0.0
             case StateKind.ENGINES:
-                return ENGINES_PAUSE_S
+                rests = self._idle() and not self._may_own()
+                return IDLE_PAUSE_S if rests else ENGINES_PAUSE_S
             case StateKind.HOSTS:
                 return HOSTS_PAUSE_S
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -263,7 +263,12 @@
 
     def _watches(self) -> list[StateWatch]:
         beliefs = self._parts.beliefs
-        times = PollTimes(self._options.notice_s, self._owners.may_own, beliefs.hinted)
+        times = PollTimes(
+            self._options.notice_s,
+            self._owners.may_own,
+            beliefs.hinted,
+            lambda: self._parts.shutdown.idle,
+        )
         watches_by_kind = {
             kind: StateWatch(
                 kind,
--- a/packages/kumquat_relay/src/kumquat_relay/shutdown.py
+++ b/packages/kumquat_relay/src/kumquat_relay/shutdown.py
@@ -21,6 +21,8 @@
 LAST_STREAM_S = 2.0
 # A caller that still uses an open connection sends within this time.
 QUIET_S = 0.5
+# Hosts of busy services get a request more often than this, in seconds.
+IDLE_S = 2.0
 # Left before the kill for closing connections and the entry in the store.
 END_MARGIN_S = 0.7
 POLL_S = 0.05
@@ -72,6 +74,12 @@
             self.in_progress -= 1
             self._last_request_s = self._clock.monotonic()
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether there has been no request for a while."""
+        idle_s = self._clock.monotonic() - self._last_request_s
+        return self.in_progress == 0 and idle_s > IDLE_S
+
     def may_end(self) -> bool:
         """Tell whether the process may end now."""
         if self._began_s is None:
--- a/tests/relay/test_poll_times.py
+++ b/tests/relay/test_poll_times.py
@@ -72,3 +72,14 @@
         assert renewed == [True]
 
     play(script)
+
+
+def test_idle_hosts_take_many_new_engines_with_one_poll() -> None:
+    """Each engine that registered ended a poll of every host."""
+    rests = PollTimes(5.0, lambda: False, lambda: True, lambda: True)
+    works = PollTimes(5.0, lambda: False, lambda: True, lambda: False)
+    owns = PollTimes(5.0, lambda: True, lambda: True, lambda: True)
+    assert works.pause_s(ENGINES) == owns.pause_s(ENGINES) <= 0.2
+    # Work must leave a leaving engine within two seconds.
+    assert works.pause_s(ENGINES) < rests.pause_s(ENGINES) < 2.0
+    assert rests.pause_s(CONFIGURATION) == 0.0
