Let a new owner see the traffic before it plans roles

Ruled out: the plan itself (with the demand known it proposes no change).

Change: runs that an owner adopts from reports count as demand.

--- a/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
@@ -10,9 +10,10 @@
 and has lasted, since an engine is away for seconds while it changes its role,
 after its runs have ended. Without a decode engine nothing is served, so the
 first one is wanted soon, and at once when the last one has announced that it
-leaves. Before traffic begins no engine is missed while it changes. Engines
-that crashed count as long as they are listed, since they are mostly back by
-then. A large service changes several engines at a time.
+leaves. Before traffic begins no engine is missed while it changes; a new owner
+knows from the runs that hosts report that it has begun. Engines that crashed
+count as long as they are listed, since they are mostly back by then. A large
+service changes several engines at a time.
 """
 
 import math
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -162,7 +162,7 @@
         if spec is not None:
             owned.queue.ledger.refresh(spec)
         now_s = self._clock.monotonic()
-        changed = owned.queue.ledger.confirm(host_id, message.runs, now_s)
+        changed = owned.queue.confirm(host_id, message.runs, now_s)
         if changed:
             log_event(
                 logger,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -17,9 +17,10 @@
 ``Decision`` objects that follow from it.
 """
 
+from collections.abc import Sequence
 from dataclasses import replace
 
-from kumquat_core.peer_messages import RunRequest
+from kumquat_core.peer_messages import HeldRun, RunRequest
 
 from .engine_health import EngineHealth
 from .engine_load import EngineLoad
@@ -142,6 +143,18 @@
                 decisions.append(granted)
         return decisions
 
+    def confirm(self, host_id: str, runs: Sequence[HeldRun], now_s: float) -> int:
+        """Take over a host's report; return how many runs changed.
+
+        Runs that a new owner adopts show it the mix of the traffic.
+        """
+        unknown = [run for run in runs if not self.ledger.engine_of(run.request_id)]
+        changed = self.ledger.confirm(host_id, runs, now_s)
+        for run in unknown:
+            if self.ledger.engine_of(run.request_id):
+                self.demand.add(run.prompt_tokens, run.expected_tokens, now_s)
+        return changed
+
     def next_due_s(self, now_s: float) -> float | None:
         """Return when ``advance`` is needed without any other event."""
         if not self._waiting_by_id:
--- a/tests/relay/test_stage_plan.py
+++ b/tests/relay/test_stage_plan.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from kumquat_core.peer_messages import HeldRun
 from kumquat_relay.engine_registry import EngineEntry, EngineRole
 from kumquat_relay.service_pace import ServicePace
 from kumquat_relay.stage_plan import Demand, RoleChange, StagePlan, best_readers
 
-from .builders import SPEC, engine, slow_pace
+from .builders import SERVICE, SPEC, QueueWorld, engine, slow_pace
 
 # Six engines on which a token takes six times as long as on others and memory
 # bounds the runs; 6.5 requests a second of 5,200 + 980 tokens.
@@ -208,3 +209,20 @@
     """Thirty engines got three orders in a day (vrecar-juta-grown)."""
     assert changes_at_once(6) == 1
     assert 3 <= changes_at_once(32) <= 4
+
+
+def test_a_new_owner_orders_nothing_by_figures_from_before_the_traffic() -> None:
+    """A new owner ordered one of two readers to run streams within half a
+    second, in the middle of a peak (vrecar-juta inc-276e)."""
+    world = QueueWorld(decoders=4, readers=2, places=64, spec=SLOW_SPEC)
+    runs = [HeldRun(f"h{n}", f"d{n % 4}", 5200, 980, 1000) for n in range(24)]
+    assert world.queue.confirm("h", runs, world.now_s) == 24
+    assert world.queue.confirm("h", runs, world.now_s) == 0
+    demand = world.queue.demand
+    assert demand.seen
+    assert demand.prompt_tokens_per_s > 2 * demand.output_tokens_per_s
+    plan = StagePlan()
+    engines = list(world.registry.usable(SERVICE))
+    for step in range(7):
+        now_s = world.now_s + step / 2
+        assert plan.propose(engines, SLOW_SPEC, demand, slow_pace(), {}, now_s) is None
