Take test ports from outside the range of outgoing connections

The test asked the system for a free port, closed it and let the host listen on it; ports given so lie in the range of outgoing connections, and one took it in between. Any test with a whole host could fail so.

Ruled out: the code under test (the host had not started).

Change: ports are drawn below that range.

Figures: none; the chance of the old way was not measured.

--- a/tests/relay/relay_world.py
+++ b/tests/relay/relay_world.py
@@ -1,6 +1,7 @@
 """A whole relay host with the platform's adapter and stand-ins around it."""
 
 import asyncio
+import random
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -18,6 +19,8 @@
 from .standins import EngineStandIn, StoreStandIn
 
 HOST = "shop.example"
+# Below the range from which Linux takes ports of outgoing connections.
+LISTENING_PORTS = (20_000, 32_000)
 LLM = "llm"
 PLAIN = "plain"
 
@@ -70,9 +73,18 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection takes.
+
+    A port of the range for outgoing connections was taken by one of them
+    before the host listened on it.
+    """
+    while True:
+        port = random.randrange(*LISTENING_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         return port
 
 
