--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -277,7 +277,8 @@
         try:
             self._links.post(host_id, message)
         except RouterError as error:
-            # The next report tells the owner the same.
+            # Runs are in the next report, and engines that must not be used in
+            # the next request.
             log_event(
                 logger,
                 "message_not_sent",
