Account for every request of relay hosts with `kumquatctl relay losses`

Not built: whether a refused caller came back (each attempt has an id of its own), and a picture over time.

--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -8,7 +8,7 @@
 
 from .log_lines import LogLine
 
-__all__ = ["cause_of"]
+__all__ = ["CALLER_GONE", "FAILED", "OK", "REFUSED", "cause_of", "number_of"]
 
 # Meaning of the words that hosts log as ``reason``.
 _TEXTS_BY_REASON = {
@@ -45,10 +45,11 @@
     "waited_too_long": "no place became free within its objective",
     "withdrawn": "the host withdrew it from the queue",
 }
-_OK = "0"
-_REFUSED = "12"
-_FAILED = "13"
-_CALLER_GONE = "1211"
+# Result codes as hosts log them: whole ones, and the hundreds of classes.
+OK = "0"
+REFUSED = "12"
+FAILED = "13"
+CALLER_GONE = "1211"
 
 
 def cause_of(lines: Sequence[LogLine]) -> str:
@@ -68,15 +69,15 @@
         )
     end = ends[-1]
     code, reason = end.get("code"), end.get("reason")
-    if code == _OK:
+    if code == OK:
         return _served(lines, end)
     text = _TEXTS_BY_REASON.get(reason, reason)
-    if code == _CALLER_GONE:
+    if code == CALLER_GONE:
         progress = f"{_progress(lines)}{_stall(lines)}"
         return f"left by the caller after {end.get('ms')} ms{progress}"
-    if code.startswith(_REFUSED):
+    if code.startswith(REFUSED):
         return f"refused: {text}{_refusal_details(lines)}"
-    if code.startswith(_FAILED):
+    if code.startswith(FAILED):
         return f"failed: {text}{_failure_details(lines)}"
     return f"answered {code}: {text}"
 
@@ -86,8 +87,8 @@
     pace = _last(lines, "stream_pace")
     if pace is None:
         return _served_plain(lines, end)
-    first_ms = _number(pace, "first_ms")
-    objective_ms = _number(pace, "objective_ms")
+    first_ms = number_of(pace, "first_ms")
+    objective_ms = number_of(pace, "objective_ms")
     if first_ms > objective_ms:
         granted = _last(lines, "place_granted")
         waited_ms = granted.get("waited_ms") if granted is not None else "0"
@@ -95,8 +96,8 @@
             f"late: first event after {first_ms:.0f} ms, objective "
             f"{objective_ms:.0f} ms, of which {waited_ms} ms in the queue"
         )
-    gap_ms = _number(pace, "max_gap_ms")
-    allowed_ms = _number(pace, "allowed_gap_ms")
+    gap_ms = number_of(pace, "max_gap_ms")
+    allowed_ms = number_of(pace, "allowed_gap_ms")
     if 0 < allowed_ms < gap_ms:
         return (
             f"late: a pause of {gap_ms:.0f} ms between events, allowed "
@@ -106,8 +107,8 @@
 
 
 def _served_plain(lines: Sequence[LogLine], end: LogLine) -> str:
-    read, took_ms = _last(lines, "request_read"), _number(end, "ms")
-    objective_ms = _number(read, "objective_ms") if read is not None else 0.0
+    read, took_ms = _last(lines, "request_read"), number_of(end, "ms")
+    objective_ms = number_of(read, "objective_ms") if read is not None else 0.0
     if not 0 < objective_ms < took_ms:
         return f"served on time: {took_ms:.0f} ms"
     sends = ", ".join(
@@ -164,7 +165,7 @@
     return next((line for line in reversed(lines) if line.event == event), None)
 
 
-def _number(line: LogLine, name: str) -> float:
+def number_of(line: LogLine, name: str) -> float:
     """Return a numeric field, 0 where the line has none."""
     try:
         return float(line.get(name))
--- a/packages/kumquatctl/src/kumquatctl/relay_commands.py
+++ b/packages/kumquatctl/src/kumquatctl/relay_commands.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+import sys
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack
 from dataclasses import asdict, dataclass
+from heapq import merge
 from pathlib import Path
 from typing import Annotated
 
@@ -16,16 +19,25 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from kumquat_core.http_client import TRANSPORT_ERRORS
-from kumquat_core.result_codes import RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_relay.relay_settings import load_relay_options
 
-from .output import EXIT_INCOMPLETE, fail, print_json, print_table
+from .log_lines import LogLine, read_lines
+from .output import EXIT_INCOMPLETE, console, fail, print_json, print_table
+from .relay_losses import LossAccount, account_for
 
 __all__ = ["app"]
 
 # Hosts answer within milliseconds; one that is paused does not answer at all.
 TIMEOUT_S = 2.0
 PREFIX = "kumquat_relay_"
+# What the tables of `losses` are divided by.
+_LOSS_TABLES = (
+    ("outcome", "reason", "route"),
+    ("outcome", "engine"),
+    ("host", "failure_domain"),
+    ("second",),
+)
 
 app = typer.Typer(
     name="relay",
@@ -77,6 +89,52 @@
     print_table(f"{settings_file}: valid", ("option", "value"), rows)
 
 
+@app.command()
+def losses(
+    logs: Annotated[
+        list[str],
+        typer.Argument(metavar="LOG...", help="Log files of all hosts; - is stdin."),
+    ],
+    most: Annotated[int, typer.Option(help="Rows of each table.", min=1)] = 12,
+    as_json: JsonOption = False,
+) -> None:
+    """Say of all requests how many were not served on time, and why."""
+    with ExitStack() as stack:
+        try:
+            sources = [_open_log(stack, name) for name in logs]
+            account = account_for(merge(*sources, key=lambda line: line.time))
+        except (OSError, UnicodeDecodeError) as error:
+            detail = f"cannot read logs: {error}"
+            fail(RouterError(ResultCode.INVALID_FIELD, detail), as_json=as_json)
+    if as_json:
+        print_json(_account_document(account))
+        return
+    lost = account.requests - account.served
+    console().print(f"{account.requests} requests, {account.served} served on time")
+    for names in _LOSS_TABLES:
+        rows = [(*key, count) for key, count in account.by(*names)]
+        title = f"{lost} losses by {', '.join(names)}"
+        print_table(title, (*names, "count"), rows[:most])
+
+
+def _open_log(stack: ExitStack, name: str) -> Iterator[LogLine]:
+    """Return the lines of a log file, which is read as a stream."""
+    if name == "-":
+        return read_lines(sys.stdin, "stdin")
+    return read_lines(stack.enter_context(Path(name).open()), Path(name).stem)
+
+
+def _account_document(account: LossAccount) -> dict[str, object]:
+    return {
+        "requests": account.requests,
+        "served": account.served,
+        "losses": [
+            {**asdict(loss), "count": count}
+            for loss, count in account.losses.most_common()
+        ],
+    }
+
+
 @app.command()
 def status(
     addresses: Annotated[
