Let each mechanism of the relay be switched off by name

Cause: docs/policy.md lists mechanisms of the relay whose worth was never measured, and none of them could be switched off to measure it. Change: `disabled_rules` of the relay's settings names mechanisms; unknown names are refused, and `started` logs what is off. `SwitchedRules` of the core holds what `RuleSet` and `RelayRules` have in common. Rules that guard a promise have no switch.

--- a/packages/kumquat_core/src/kumquat_core/rule_set.py
+++ b/packages/kumquat_core/src/kumquat_core/rule_set.py
@@ -6,12 +6,34 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, fields
+from typing import Self
 
-__all__ = ["RuleSet"]
+__all__ = ["RuleSet", "SwitchedRules"]
 
 
 @dataclass(frozen=True)
-class RuleSet:
+class SwitchedRules:
+    """Rules by name, each on or off; subclasses list them as fields."""
+
+    @classmethod
+    def without(cls, names: Iterable[str]) -> Self:
+        """Return all rules but the named ones.
+
+        Raises ``ValueError`` for an unknown name.
+        """
+        known = {item.name for item in fields(cls)}
+        unknown = sorted(set(names) - known)
+        if unknown:
+            raise ValueError(f"unknown rules: {', '.join(unknown)}")
+        return cls(**dict.fromkeys(names, False))
+
+    def disabled(self) -> list[str]:
+        """Return the names of the rules that are off."""
+        return [item.name for item in fields(self) if not getattr(self, item.name)]
+
+
+@dataclass(frozen=True)
+class RuleSet(SwitchedRules):
     """Which rules of the scheduler are in force."""
 
     slack_order: bool = True
@@ -26,15 +48,3 @@
     link_limit: bool = True
     hold_for_faster: bool = True
     hedging: bool = True
-
-    @classmethod
-    def without(cls, names: Iterable[str]) -> "RuleSet":
-        """Return all rules but the named ones.
-
-        Raises ``ValueError`` for an unknown name.
-        """
-        known = {item.name for item in fields(cls)}
-        unknown = sorted(set(names) - known)
-        if unknown:
-            raise ValueError(f"unknown rules: {', '.join(unknown)}")
-        return cls(**dict.fromkeys(names, False))
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -36,6 +36,7 @@
 from .engine_registry import EngineEntry
 from .owner_choice import OwnerChoice
 from .protocols import EngineNotice
+from .relay_rules import ALL_RULES, RelayRules
 from .stream_owner import StreamOwner
 
 __all__ = ["NOT_READ", "Admission", "PlaceRefusedError"]
@@ -94,7 +95,9 @@
         links: PeerLinks,
         owners: OwnerChoice,
         local: StreamOwner,
+        rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._rules = rules
         self._host_id = host_id
         self._clock = clock
         self._beliefs = beliefs
@@ -332,6 +335,9 @@
         """Ask a silent owner once more on a new link, for all who wait."""
         if owner == self._host_id:
             return
+        if not self._rules.owner_check:
+            self._note_unreachable(owner, detail)
+            return
         check = self._checks_by_owner.get(owner)
         if check is None:
             check = asyncio.ensure_future(self._ask_again(owner, service, detail))
--- a/packages/kumquat_relay/src/kumquat_relay/engine_health.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_health.py
@@ -18,6 +18,7 @@
 from kumquat_core.clock import Clock
 
 from .engine_registry import EngineEntry
+from .relay_rules import ALL_RULES, RelayRules
 
 __all__ = ["EngineHealth", "Failure"]
 
@@ -58,8 +59,9 @@
 class EngineHealth:
     """Outcome records by engine id."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, rules: RelayRules = ALL_RULES) -> None:
         self._clock = clock
+        self._rules = rules
         self._records_by_id: dict[str, _Record] = {}
 
     def succeeded(self, engine_id: str) -> bool:
@@ -78,9 +80,11 @@
 
     def failed(self, engine_id: str, failure: Failure) -> bool:
         """Note a failure; return whether the engine is avoided from now on."""
+        if not self._rules.avoidance:
+            return False
         record = self._records_by_id.setdefault(engine_id, _Record())
         record.failures_in_row += failure
-        record.unreachable |= failure is Failure.UNREACHABLE
+        record.unreachable |= failure is Failure.UNREACHABLE and self._rules.probes
         record.recent.append(False)
         failures = record.recent.count(False)
         mostly_fails = failures >= MIN_RECENT_FAILURES and failures * 2 > len(
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -12,6 +12,7 @@
 from .engine_registry import EngineEntry
 from .learned_mean import LearnedMean
 from .memory_plan import MemoryPlan, PlannedRun
+from .relay_rules import ALL_RULES, RelayRules
 from .routes import EngineSpec
 from .service_pace import ServicePace
 
@@ -111,6 +112,7 @@
     entry: EngineEntry
     spec: EngineSpec
     pace: ServicePace = field(default_factory=ServicePace)
+    rules: RelayRules = ALL_RULES
     runs_by_id: dict[str, Run] = field(default_factory=dict)
     jobs_by_id: dict[str, PrefillJob] = field(default_factory=dict)
     blocked_until_s: float = float("-inf")
@@ -193,9 +195,13 @@
         expected = [run.expected_tokens for run in self.runs_by_id.values()]
         spread = math.sqrt(sum(tokens**2 for tokens in (*expected, expected_tokens)))
         begins_s = now_s + prompt_tokens / self.read_tokens_per_ms / 1000
+        limit = self.spec.memory_tokens * USABLE_MEMORY
+        if not self.rules.memory_plan:
+            runs = self.runs_by_id.values()
+            used = sum(run.prompt_tokens + run.made_tokens for run in runs)
+            return used + prompt_tokens <= limit
         plan = self._memory_plan(now_s)
         peak = plan.peak_with(prompt_tokens, expected_tokens, begins_s)
-        limit = self.spec.memory_tokens * USABLE_MEMORY
         return peak + estimate_error * spread <= limit
 
     def add_run(self, run: Run) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -13,6 +13,7 @@
 from .poll_times import PollTimes
 from .protocols import StateKind, StateStore
 from .relay_metrics import RelayMetrics
+from .relay_rules import RelayRules
 from .relay_settings import RelayOptions
 from .retry_share import RetryShare
 from .shutdown import Shutdown
@@ -33,12 +34,13 @@
     retries: RetryShare
     shutdown: Shutdown
     metrics: RelayMetrics
+    rules: RelayRules
 
     @classmethod
     def from_options(cls, options: RelayOptions) -> "HostParts":
         """Return the parts of a host that has just started."""
         clock = SystemClock()
-        health = EngineHealth(clock)
+        health = EngineHealth(clock, options.rules)
         return cls(
             clock,
             random.Random(options.seed or secrets.randbits(64)),
@@ -48,6 +50,7 @@
             RetryShare(clock, options.retries),
             Shutdown(clock, options.stop_grace_s),
             RelayMetrics(),
+            options.rules,
         )
 
 
--- a/packages/kumquat_relay/src/kumquat_relay/output_estimate.py
+++ b/packages/kumquat_relay/src/kumquat_relay/output_estimate.py
@@ -28,9 +28,13 @@
 
 
 class OutputEstimate:
-    """Learns the line from estimates to answers of one service."""
+    """Learns the line from estimates to answers of one service.
 
-    def __init__(self) -> None:
+    Without ``learns`` the callers' estimates are taken as they are.
+    """
+
+    def __init__(self, *, learns: bool = True) -> None:
+        self._learns = learns
         self._requests = 0.0
         self._request_log = 0.0
         self._answers = 0.0
@@ -66,6 +70,8 @@
 
     def tokens(self, expected_tokens: int) -> int:
         """Return the tokens to plan for."""
+        if not self._learns:
+            return max(1, expected_tokens)
         return max(1, round(math.exp(self._predict(_log(expected_tokens)))))
 
     @property
--- a/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/owner_choice.py
@@ -15,6 +15,8 @@
 from kumquat_core.clock import Clock
 from kumquat_core.rendezvous import owner_of
 
+from .relay_rules import ALL_RULES, RelayRules
+
 __all__ = ["OwnerChoice"]
 
 # A host that could not be reached is asked again by a report, not by a
@@ -37,7 +39,9 @@
         clock: Clock,
         strengths_by_host_id: Callable[[], Mapping[str, float]],
         strength: float = 1.0,
+        rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._rules = rules
         self._host_id = host_id
         self._clock = clock
         self._strengths = strengths_by_host_id
@@ -62,7 +66,7 @@
 
         An outdated host owns nothing while another one is known to be better.
         """
-        if outdated == (host_id in self._outdated):
+        if not self._rules.hand_on or outdated == (host_id in self._outdated):
             return False
         if outdated:
             self._outdated.add(host_id)
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -107,9 +107,7 @@
         ]
         loads.sort(key=self._cost)
         for load in loads:
-            if reads and (
-                self._now_s < load.reads_again_s or self.disturbs(load, request)
-            ):
+            if reads and (self._catches_up(load) or self.disturbs(load, request)):
                 continue
             if load.fits(*size, self._now_s, self._ledger.estimate.error):
                 return load
@@ -117,6 +115,10 @@
             self._unfit.append(size)
         return None
 
+    def _catches_up(self, load: EngineLoad) -> bool:
+        """Tell whether streams still make up for a prompt read beside them."""
+        return self._terms.rules.own_read_pacing and self._now_s < load.reads_again_s
+
     def disturbs(self, load: EngineLoad, request: RunRequest) -> bool:
         """Tell whether reading a prompt pauses running streams too long."""
         if not load.runs_by_id:
--- a/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_choice.py
@@ -20,6 +20,7 @@
 from .engine_health import EngineHealth
 from .engine_notices import EngineNotices
 from .engine_registry import EngineEntry, EngineRegistry
+from .relay_rules import ALL_RULES, RelayRules
 
 __all__ = ["PlainChoice"]
 
@@ -57,7 +58,9 @@
         rng: random.Random,
         notices: EngineNotices,
         clock: Clock,
+        rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._rules = rules
         self._notices = notices
         self._clock = clock
         self._registry = registry
@@ -77,6 +80,8 @@
             if entry.id not in excluded and self._notices.pause_left_s(entry.id) <= 0
         ]
         entries = self._health.preferred(entries)
+        if not self._rules.plain_choice:
+            return self._rng.choice(entries) if entries else None
         quickest_ms = self._quickest_ms(service)
         return min(
             entries, key=lambda entry: self._cost(entry, quickest_ms), default=None
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -6,6 +6,7 @@
 
 from .engine_load import MAX_GAP_S
 from .engine_registry import EngineEntry
+from .relay_rules import ALL_RULES, RelayRules
 
 __all__ = ["Decision", "Granted", "QueueTerms", "Refused", "Waiting"]
 
@@ -24,6 +25,7 @@
     late after this time, if no prefill engine can begin.
     ``relief_reserve``: part of the places that must be free for that.
     ``late_reserve``: part of the places that late requests leave free.
+    ``rules``: the mechanisms that are in force.
     """
 
     # A run ends every 0.15 s at an engine with twelve places.
@@ -47,6 +49,7 @@
     relief_s: float = 0.1
     # Where places are short, reading beside runs serves fewer in all.
     relief_reserve: float = 0.25
+    rules: RelayRules = ALL_RULES
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -99,9 +99,14 @@
             parts.rng,
             self._notices,
             parts.clock,
+            parts.rules,
         )
         self._owners = OwnerChoice(
-            options.host_id, parts.clock, self._strengths, options.strength
+            options.host_id,
+            parts.clock,
+            self._strengths,
+            options.strength,
+            parts.rules,
         )
         self._probe = EngineProbe(parts.pool, parts.health, parts.beliefs.registry)
         self._owner = StreamOwner(
@@ -111,6 +116,7 @@
             parts.health,
             self._probe,
             lambda service: self._owners.first(service) == options.host_id,
+            parts.rules,
         )
         self._incarnations_by_host_id: dict[str, int] = {}
         self._links = PeerLinks(
@@ -127,6 +133,7 @@
             self._links,
             self._owners,
             self._owner,
+            parts.rules,
         )
         self._supervisor: Supervisor | None = None
         self._peers: Supervisor | None = None
@@ -178,6 +185,7 @@
             host=options.host_id,
             failure_domain=options.failure_domain,
             incarnation=self._incarnation,
+            disabled_rules=",".join(parts.rules.disabled()) or None,
         )
         timers = TimerService(parts.clock)
         timers.every(SWEEP_S, self._sweep, "sweep")
@@ -250,6 +258,7 @@
             parts.metrics,
             self._notices,
             memory,
+            parts.rules,
         )
         return CallerServer(
             options.callers,
@@ -338,7 +347,7 @@
         self._owner.sweep()
 
     async def _plan(self) -> None:
-        if not self._parts.shutdown.draining:
+        if self._parts.rules.role_changes and not self._parts.shutdown.draining:
             await self._orders.step()
 
     async def _report(self) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_settings.py
@@ -8,12 +8,13 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address, settings_errors
 
 from .beliefs import FIRST_NOTICE_S
+from .relay_rules import ALL_RULES, RelayRules
 from .retry_share import RetryTerms
 
 __all__ = ["RelayOptions", "load_relay_options", "parse_address"]
@@ -64,6 +65,13 @@
     processor: _ProcessorModel = Field(default_factory=lambda: _ProcessorModel())
     log_level: str = "info"
     seed: int = 0
+    disabled_rules: tuple[str, ...] = ()
+
+    @field_validator("disabled_rules")
+    @classmethod
+    def _known_rules(cls, names: tuple[str, ...]) -> tuple[str, ...]:
+        RelayRules.without(names)
+        return names
 
 
 @dataclass(frozen=True)
@@ -88,6 +96,7 @@
     seed: int
     strength: float = 1.0
     notice_s: float = FIRST_NOTICE_S
+    rules: RelayRules = ALL_RULES
 
     @classmethod
     def from_settings(cls, model: RelaySettingsModel) -> "RelayOptions":
@@ -110,6 +119,7 @@
             seed=model.seed,
             strength=_strength(model.processor),
             notice_s=model.notice_s,
+            rules=RelayRules.without(model.disabled_rules),
         )
 
 
--- a/packages/kumquat_relay/src/kumquat_relay/return_times.py
+++ b/packages/kumquat_relay/src/kumquat_relay/return_times.py
@@ -34,9 +34,13 @@
 
 
 class ReturnTimes:
-    """Booked returns of one service, steady seconds, in order."""
+    """Booked returns of one service, steady seconds, in order.
 
-    def __init__(self) -> None:
+    Without ``spreads`` each caller returns when a place is expected.
+    """
+
+    def __init__(self, *, spreads: bool = True) -> None:
+        self._spreads = spreads
         self._booked: deque[float] = deque()
         self._peak_s = LearnedMean(FIRST_PEAK_S, PEAK_RATE)
         self._began_s = float("-inf")
@@ -51,6 +55,8 @@
         ``place_s`` is how long a stream holds one of the places, ``left_s``
         the time that the caller has left.
         """
+        if not self._spreads:
+            return min(wait_s, max(0.0, left_s) * RETURN_PART)
         self._note_refusal(now_s)
         while self._booked and self._booked[0] <= now_s:
             self._booked.popleft()
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -54,7 +54,7 @@
         self._ends_at_s = float("-inf")
         self._ends_changes = 0
         self._changes = 0
-        self.estimate = OutputEstimate()
+        self.estimate = OutputEstimate(learns=terms.rules.output_estimate)
         self.pace = ServicePace()
 
     def refresh(self, spec: EngineSpec) -> None:
@@ -71,7 +71,7 @@
             load = self._loads_by_id.get(entry.id)
             if load is None or load.entry.born_ms != entry.born_ms:
                 self._forget_runs(load)
-                load = EngineLoad(entry, spec, self.pace)
+                load = EngineLoad(entry, spec, self.pace, self._terms.rules)
                 self._loads_by_id[entry.id] = load
             else:
                 load.update(entry, spec)
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -19,6 +19,7 @@
 from .open_stream import OpenStream
 from .prefill_lapses import PrefillLapses
 from .protocols import EngineNotice
+from .relay_rules import RelayRules
 from .relay_settings import parse_address
 from .retry_share import RetryShare
 from .stream_progress import StreamProgress
@@ -48,7 +49,9 @@
         calls: EngineCalls,
         retries: RetryShare,
         notices: EngineNotices,
+        rules: RelayRules,
     ) -> None:
+        self._rules = rules
         self._notices = notices
         self._clock = clock
         self._beliefs = beliefs
@@ -62,7 +65,7 @@
     ) -> bool:
         """Reserve the granted place where the owner is not sure of it."""
         spec = self._beliefs.engine_spec(request.service)
-        if spec is None or not spec.hold_ttl_ms:
+        if spec is None or not spec.hold_ttl_ms or not self._rules.reservation:
             return True
         prompt = request.facts.prompt or PromptFacts(1, 1, 1)
         tokens = prompt.prompt_tokens + RESERVED_OUTPUT_TOKENS
@@ -132,6 +135,8 @@
             except NotRunError as error:
                 # A reservation is used up by the first request that names it.
                 had_room, hold = bool(hold), ""
+                if not self._rules.fetching:
+                    raise
                 if not error.shed or not (
                     had_room or await self.reserve(request, entry, progress)
                 ):
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -27,7 +27,8 @@
 from .beliefs import Beliefs
 from .engine_health import EngineHealth, Failure
 from .engine_probe import EngineProbe
-from .queue_types import Decision, Granted, Refused
+from .queue_types import Decision, Granted, QueueTerms, Refused
+from .relay_rules import ALL_RULES, RelayRules
 from .return_times import ReturnTimes
 from .service_pace import ServicePace
 from .stage_plan import Demand
@@ -68,7 +69,9 @@
         health: EngineHealth,
         probe: EngineProbe,
         is_first: Callable[[str], bool] = lambda service: True,
+        rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._rules = rules
         self._probe = probe
         probe.on_reached = self.engines_changed
         self._is_first = is_first
@@ -245,7 +248,11 @@
         owned = self._owned_by_service.get(service)
         if owned is None:
             queue = StreamQueue(
-                service, self._beliefs.registry, self._health, ReturnTimes()
+                service,
+                self._beliefs.registry,
+                self._health,
+                ReturnTimes(spreads=self._rules.return_times),
+                QueueTerms(rules=self._rules),
             )
             owned = _Owned(queue, float("-inf"))
             self._owned_by_service[service] = owned
@@ -288,7 +295,7 @@
                 engine=engine_id,
                 failure=failure.name.lower(),
             )
-        if unreachable:
+        if unreachable and self._rules.probes:
             self._probe.begin(engine_id)
 
     def _note_success(self, owned: _Owned, request_id: str) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -178,11 +178,13 @@
     def _try_grant(
         self, waiting: Waiting, placement: Placement, now_s: float
     ) -> Granted | None:
-        reserve = placement.all_places * self.terms.late_reserve
+        rules = self.terms.rules
+        late_reserve = self.terms.late_reserve if rules.late_reserve else 0.0
+        reserve = placement.all_places * late_reserve
         if waiting.is_late(now_s) and placement.free_places() <= reserve:
             return None
         reader = placement.first_reader(waiting)
-        read_ahead_s = placement.read_ahead_s(reader)
+        read_ahead_s = placement.read_ahead_s(reader) if rules.read_ahead else 0.0
         if read_ahead_s > self.terms.read_ahead_s:
             if waiting.is_late(now_s + self.terms.relief_s):
                 return self._relieve(waiting, placement, now_s)
@@ -198,6 +200,8 @@
         self, waiting: Waiting, placement: Placement, now_s: float
     ) -> Granted | None:
         """Let a decode engine read a prompt that no reader reads in time."""
+        if not self.terms.rules.relief:
+            return None
         spare = placement.all_places * self.terms.relief_reserve
         if waiting.is_late(now_s) or placement.free_places() <= spare:
             return None
@@ -242,6 +246,8 @@
             placement.disturbs(load, waiting.request) for load in loads
         ):
             return "no_reader_for_long_prompt"
+        if not self.terms.rules.early_refusal:
+            return ""
         begins_s = now_s + self._expected_wait_s(waiting, placement, now_s)
         if not waiting.is_late(now_s):
             return "" if begins_s <= waiting.on_time_until_s else "objective_missed"
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -25,6 +25,7 @@
 from .open_stream import OpenStream, RunFailedError
 from .relay_answers import failure, refusal
 from .relay_metrics import RelayMetrics
+from .relay_rules import ALL_RULES, RelayRules
 from .request_age import RequestAge
 from .retry_share import RetryShare
 from .run_starter import BudgetSpentError, RunStarter
@@ -56,10 +57,14 @@
         metrics: RelayMetrics,
         notices: EngineNotices,
         memory: AnswerMemory,
+        rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._rules = rules
         self._memory = memory
         self._metrics = metrics
-        self._starter = RunStarter(clock, beliefs, admission, calls, retries, notices)
+        self._starter = RunStarter(
+            clock, beliefs, admission, calls, retries, notices, rules
+        )
         self._clock = clock
         self._beliefs = beliefs
         self._admission = admission
@@ -305,6 +310,8 @@
         route, splitter = request.route, progress.splitter
         if not route.may_repeat or progress.runs >= route.max_engines:
             return False
+        if not self._rules.resumption and splitter.events > 0:
+            return False
         return splitter.events == 0 or splitter.last_id is not None
 
     def _after_break(
