Judge model engines by the runs of all hosts, at the queue's owner

The owner did not hear of an error answer to a stream that may not be repeated, which most streams are, and a success between two failures ends a row of them. Ruled out: fewer failures until an engine is avoided; a sound engine that fails one request in seven would be left out as well. Change: `RunEnded` tells the owner of error answers. `failure_share` compares the recent failures of an engine with those of the others of its role; one that stands out (chance under 1 in 100) is chosen only when no other has room, for readers and decode engines alike. Outcomes are forgotten after 6 s, so that the engine is tried again.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -121,8 +121,9 @@
 
     ``gap_ms`` is the mean time between its events, 0 when there were too
     few. ``full_engine`` refused it for lack of room; ``failed_engine``
-    failed it, and could not even be reached if ``unreachable`` is set.
-    ``made_tokens`` is the length of an answer that was complete, else 0.
+    failed it: it could not even be reached if ``unreachable`` is set, and
+    answered with an error if ``error_answer`` is. ``made_tokens`` is the
+    length of an answer that was complete, else 0.
     """
 
     request_id: str
@@ -132,6 +133,7 @@
     failed_engine: str = ""
     unreachable: bool = False
     made_tokens: int = 0
+    error_answer: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -204,6 +204,7 @@
         *,
         unreachable: bool = False,
         made_tokens: int = 0,
+        error_answer: bool = False,
     ) -> None:
         """Give a place back; ``made_tokens`` of a complete answer, else 0."""
         held = self._held_by_id.pop(request_id, None)
@@ -217,6 +218,7 @@
             failed_engine,
             unreachable,
             made_tokens,
+            error_answer,
         )
         self._tell_ended(held.owner, message)
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from .engine_registry import EngineEntry
+from .failure_share import FailureShare
 from .learned_mean import LearnedMean
 from .memory_plan import MemoryPlan, PlannedRun
 from .relay_rules import ALL_RULES, RelayRules
@@ -120,6 +121,7 @@
     changing: bool = False
     changing_until_s: float = float("-inf")
     stalled_until_s: float = float("-inf")
+    failures: FailureShare = field(default_factory=FailureShare)
     own_read: OwnRead | None = None
     last_own_read: OwnRead | None = None
     reads_again_s: float = float("-inf")
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -5,7 +5,8 @@
 and a request that is as large as one that did not fit is not tried again.
 
 The prompt goes to the reader that can begin first; the run goes to the
-engine on which a further run is fastest and fits until its end.
+engine on which a further run is fastest and fits until its end. Engines that
+fail more often than the others come last.
 """
 
 from collections.abc import Mapping
@@ -51,6 +52,9 @@
         self._backlogs_ms = {
             load.entry.id: load.read_backlog_ms() for load in self.readers
         }
+        self._failing_ids = ledger.failing_ids(
+            self.readers, now_s
+        ) | ledger.failing_ids(self.decoders, now_s)
         self._order_readers()
         # Sizes of requests that may use all engines and fitted into none.
         self._unfit: list[tuple[int, int]] = []
@@ -68,7 +72,11 @@
 
     def _order_readers(self) -> None:
         self.readers = sorted(
-            self.readers, key=lambda load: self._backlogs_ms[load.entry.id]
+            self.readers,
+            key=lambda load: (
+                load.entry.id in self._failing_ids,
+                self._backlogs_ms[load.entry.id],
+            ),
         )
 
     def usable_decoders(self, waiting: Waiting) -> list[EngineLoad]:
@@ -127,9 +135,10 @@
         pause_s = load.pause_s(request.prompt_tokens)
         return pause_s > load.longest_own_read_s(max_gap_s)
 
-    def _cost(self, load: EngineLoad) -> tuple[bool, float]:
+    def _cost(self, load: EngineLoad) -> tuple[bool, bool, float]:
         stalls = self._now_s < load.stalled_until_s
-        return stalls, load.token_ms * (1 + len(load.runs_by_id) / load.places)
+        fails = load.entry.id in self._failing_ids
+        return fails, stalls, load.token_ms * (1 + len(load.runs_by_id) / load.places)
 
     def _barred(self, waiting: Waiting) -> set[str]:
         return waiting.barred | self._bars.get(waiting.host_id, set())
--- a/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
@@ -27,6 +27,7 @@
     ``reservation``: a place is reserved where the owner may be wrong.
     ``role_changes``: engines are ordered to change their role.
     ``avoidance``: engines that fail get nothing for a while.
+    ``failure_shares``: engines that fail more often than others come last.
     ``probes``: engines out of reach are tried by connections.
     ``owner_check``: a silent owner is asked again on a new link.
     ``hand_on``: a host without the store hands its queues on.
@@ -46,6 +47,7 @@
     reservation: bool = True
     role_changes: bool = True
     avoidance: bool = True
+    failure_shares: bool = True
     probes: bool = True
     owner_check: bool = True
     hand_on: bool = True
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -112,9 +112,10 @@
         reader = owned.queue.ledger.reader_of(message.request_id)
         owned.queue.ledger.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms == 0:
-            self._note_failure(reader, message.unreachable)
-        elif reader and message.read_ms > 0 and self._health.succeeded(reader):
-            log_event(logger, "engine_trusted_again", engine=reader)
+            failure = Failure.UNREACHABLE if message.unreachable else Failure.BROKEN
+            self._note_failure(owned, reader, failure)
+        elif reader and message.read_ms > 0:
+            self._note_success(owned, reader)
         self._carry_out(owned, owned.queue.advance(now_s))
 
     def ended(self, message: RunEnded) -> None:
@@ -122,9 +123,10 @@
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
         if message.failed_engine:
-            self._note_failure(message.failed_engine, message.unreachable)
+            self._note_failure(owned, message.failed_engine, _failure_of(message))
         elif message.gap_ms > 0:
-            self._note_success(owned, message.request_id)
+            engine_id = owned.queue.ledger.engine_of(message.request_id)
+            self._note_success(owned, engine_id)
         owned.queue.ended(
             message.request_id, message.gap_ms, now_s, message.made_tokens
         )
@@ -286,8 +288,10 @@
         owned.timer = None
         self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
 
-    def _note_failure(self, engine_id: str, unreachable: bool) -> None:
-        failure = Failure.UNREACHABLE if unreachable else Failure.BROKEN
+    def _note_failure(self, owned: _Owned, engine_id: str, failure: Failure) -> None:
+        if failure is not Failure.UNREACHABLE:
+            now_s = self._clock.monotonic()
+            owned.queue.ledger.note_outcome(engine_id, failed=True, now_s=now_s)
         if self._health.failed(engine_id, failure):
             log_event(
                 logger,
@@ -295,12 +299,15 @@
                 engine=engine_id,
                 failure=failure.name.lower(),
             )
-        if unreachable and self._rules.probes:
+        if failure is Failure.UNREACHABLE and self._rules.probes:
             self._probe.begin(engine_id)
 
-    def _note_success(self, owned: _Owned, request_id: str) -> None:
-        engine_id = owned.queue.ledger.engine_of(request_id)
-        if engine_id and self._health.succeeded(engine_id):
+    def _note_success(self, owned: _Owned, engine_id: str) -> None:
+        if not engine_id:
+            return
+        now_s = self._clock.monotonic()
+        owned.queue.ledger.note_outcome(engine_id, failed=False, now_s=now_s)
+        if self._health.succeeded(engine_id):
             log_event(logger, "engine_trusted_again", engine=engine_id)
 
     def _log(self, decision: Decision, queue: StreamQueue) -> None:
@@ -330,6 +337,12 @@
                 )
 
 
+def _failure_of(message: RunEnded) -> Failure:
+    if message.unreachable:
+        return Failure.UNREACHABLE
+    return Failure.ERROR_ANSWER if message.error_answer else Failure.BROKEN
+
+
 def _message(decision: Decision, unsure: bool) -> RunGrant | RunRefusal:
     match decision:
         case Granted():
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -59,4 +59,5 @@
     full_engine: str = ""
     failed_engine: str = ""
     unreachable: bool = False
+    error_answer: bool = False
     made_tokens: int = 0
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -128,6 +128,7 @@
                     ended.failed_engine,
                     unreachable=ended.unreachable,
                     made_tokens=ended.made_tokens,
+                    error_answer=ended.error_answer,
                 )
             if outcome is not None:
                 return outcome
@@ -204,9 +205,10 @@
             ended.failed_engine = entry.id
             return self._after_break(request, progress, entry.id, error.reason)
         progress.runs += 1
+        if stream.status >= 500:
+            ended.failed_engine, ended.error_answer = entry.id, True
         if stream.status >= 500 and self._may_go_on(request, progress):
             stream.abort_if_open()
-            ended.failed_engine = entry.id
             reason = f"status_{stream.status}"
             return self._after_break(request, progress, entry.id, reason)
         return await self._forward(request, stream, progress, ended)
@@ -233,7 +235,7 @@
                 await self._pass_on(request, stream, events, progress)
             stream.finish()
         except (ConnectionBrokenError, RunFailedError) as error:
-            ended.failed_engine = stream.engine_id
+            ended.failed_engine, ended.error_answer = stream.engine_id, False
             return self._after_break(request, progress, stream.engine_id, str(error))
         finally:
             stream.abort_if_open()
