Let one watch of a host try a store that is away

Cause: a host that the store refuses tried it with all three of its polls, so the calls tripled at the worst moment (open finding of docs/platform.md). Ruled out: longer delays alone; a host must be up to date soon after the return. Change: the first watch that fails tries on with the same delays; the others wait until any watch has reached the store.

--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -18,6 +18,7 @@
 from .retry_share import RetryShare
 from .shutdown import Shutdown
 from .state_watch import StateWatch
+from .store_reach import StoreReach
 
 __all__ = ["HostParts", "build_watches"]
 
@@ -62,9 +63,10 @@
     times = PollTimes(
         options.notice_s, owners.may_own, beliefs.hinted, lambda: shutdown.idle
     )
+    reach = StoreReach()
     watches_by_kind = {
         kind: StateWatch(
-            kind, store, beliefs, parts.rng, times, parts.metrics.store_polled
+            kind, store, beliefs, parts.rng, times, reach, parts.metrics.store_polled
         )
         for kind in StateKind
     }
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -2,7 +2,8 @@
 
 A watch reads everything once and then waits for changes in long polls. An
 error or a silent connection ends a poll; the next one follows after a short
-delay that grows while the store is away. Lost history makes it read again.
+delay that grows while the store is away, or when another watch of this host
+has reached it. Lost history makes it read again.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
     StateStore,
     StoreError,
 )
+from .store_reach import StoreReach
 
 __all__ = ["StateWatch"]
 
@@ -46,6 +48,7 @@
         beliefs: Beliefs,
         rng: random.Random,
         times: PollTimes,
+        reach: StoreReach,
         count_call: Callable[[str, bool], None] = lambda kind, good: None,
     ) -> None:
         super().__init__()
@@ -54,6 +57,7 @@
         self._beliefs = beliefs
         self._rng = rng
         self._times = times
+        self._reach = reach
         self._behind = asyncio.Event()
         self._count_call = count_call
         self._away = False
@@ -76,7 +80,7 @@
                 self._version = None
             except StoreError as error:
                 self._lost(str(error))
-                await asyncio.sleep(self._delay_s())
+                await self._reach.wait(self._kind, self._delay_s())
 
     async def _turn(self) -> None:
         if self._version is None:
@@ -153,6 +157,7 @@
 
     def _reached(self) -> None:
         self._count_call(self._kind.value, True)
+        self._reach.reached()
         if self._kind is StateKind.ENGINES:
             self._beliefs.engines_followed()
         if self._away:
