Revert the trial of a smaller reserve for reading beside runs

Cause: it belongs to the count of places by memory, and test_no_decode_engine_reads_beside_the_readers_when_places_are_short fails.

--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -48,7 +48,7 @@
     # Twice the time between two events of the queue at a peak.
     relief_s: float = 0.1
     # Where places are short, reading beside runs serves fewer in all.
-    relief_reserve: float = 0.1
+    relief_reserve: float = 0.25
     rules: RelayRules = ALL_RULES
 
 
