Revert the trial of places counted as far as memory bears them

The callers that were refused come late instead and take room from those on time. Conclusion: not kept. The returns of refused callers are still booked too densely where memory binds.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -15,7 +15,7 @@
 from .memory_plan import MemoryPlan, PlannedRun
 from .relay_rules import ALL_RULES, RelayRules
 from .routes import EngineSpec
-from .service_pace import ServicePace, held_tokens
+from .service_pace import ServicePace
 
 __all__ = ["MAX_GAP_S", "EngineLoad", "PrefillJob", "Run", "longest_own_read_s"]
 
@@ -73,11 +73,6 @@
     made_tokens: int = 0
     made_s: float = float("-inf")
 
-    @property
-    def held_tokens(self) -> float:
-        """Return the memory that the run holds on average."""
-        return held_tokens(self.prompt_tokens, self.expected_tokens)
-
 
 @dataclass
 class PrefillJob:
@@ -165,27 +160,6 @@
         """Return the places that no run holds."""
         return self.places - len(self.runs_by_id)
 
-    @property
-    def usable_places(self) -> float:
-        """Return how many requests of usual size run at once.
-
-        Memory bears fewer of them than there are places where prompts and
-        answers are long.
-        """
-        if not self.rules.memory_places:
-            return float(self.places)
-        usable = self.spec.memory_tokens * USABLE_MEMORY
-        return min(float(self.places), usable / self.pace.held_tokens.value)
-
-    def free_usable_places(self) -> float:
-        """Return how many more requests of usual size run here."""
-        if not self.rules.memory_places:
-            return float(max(0, self.free_places()))
-        usable = self.spec.memory_tokens * USABLE_MEMORY
-        held = sum(run.held_tokens for run in self.runs_by_id.values())
-        by_memory = (usable - held) / self.pace.held_tokens.value
-        return max(0.0, min(float(self.free_places()), by_memory))
-
     def remaining_s(self, run: Run, now_s: float) -> float:
         """Return the expected time until a run ends.
 
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -47,8 +47,8 @@
         }
         self.readers = ledger.readers()
         self.decoders = ledger.decode_loads()
-        self.all_places = sum(load.usable_places for load in self.decoders)
-        self._free_places = sum(load.free_usable_places() for load in self.decoders)
+        self.all_places = sum(load.places for load in self.decoders)
+        self._free_places = sum(max(0, load.free_places()) for load in self.decoders)
         self._backlogs_ms = {
             load.entry.id: load.read_backlog_ms() for load in self.readers
         }
@@ -60,8 +60,8 @@
         self._unfit: list[tuple[int, int]] = []
 
     def free_places(self) -> int:
-        """Return how many more requests of usual size can run."""
-        return max(0, int(self._free_places))
+        """Return the places that no run holds."""
+        return self._free_places
 
     def granted(self, reader: EngineLoad | None) -> None:
         """Note that a place was granted in this pass."""
--- a/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
@@ -24,7 +24,6 @@
     ``return_times``: refused callers return one after the other.
     ``output_estimate``: the length of answers is learned from past ones.
     ``memory_plan``: memory is planned until the ends of runs.
-    ``memory_places``: places are counted as far as memory bears them.
     ``reservation``: a place is reserved where the owner may be wrong.
     ``role_changes``: engines are ordered to change their role.
     ``avoidance``: engines that fail get nothing for a while.
@@ -45,7 +44,6 @@
     return_times: bool = True
     output_estimate: bool = True
     memory_plan: bool = True
-    memory_places: bool = True
     reservation: bool = True
     role_changes: bool = True
     avoidance: bool = True
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -282,12 +282,12 @@
         }
 
     def free_places(self) -> int:
-        """Return how many more requests of usual size can run."""
-        return int(sum(load.free_usable_places() for load in self.decode_loads()))
+        """Return the free places of all usable decode engines."""
+        return sum(max(0, load.free_places()) for load in self.decode_loads())
 
     def all_places(self) -> int:
-        """Return how many requests of usual size can run at once."""
-        return int(sum(load.usable_places for load in self.decode_loads()))
+        """Return the places of all usable decode engines."""
+        return sum(load.places for load in self.decode_loads())
 
     def decode_loads(self) -> list[EngineLoad]:
         """Return the decode engines that may be used."""
--- a/packages/kumquat_relay/src/kumquat_relay/service_pace.py
+++ b/packages/kumquat_relay/src/kumquat_relay/service_pace.py
@@ -11,7 +11,7 @@
 from .learned_mean import LearnedMean
 from .own_read_pauses import OwnReadPauses
 
-__all__ = ["ServicePace", "held_tokens"]
+__all__ = ["ServicePace"]
 
 # Start values, each replaced by the first observation of the service.
 FIRST_READ_TOKENS_PER_MS = 45.0
@@ -19,10 +19,6 @@
 FIRST_PLACE_S = 3.5
 # A decode engine reads prompts at half the speed of a prefill engine.
 OWN_READ_SHARE = 0.5
-FIRST_HELD_TOKENS = 8000.0
-# Weight of a request's size: sizes differ by a factor of ten from request to
-# request, so some fifty make up the mean.
-SIZE_RATE = 0.02
 # Weight of an observation: the figures of a service change with its load,
 # within the seconds of a peak, in which some tens of runs end.
 RATE = 0.1
@@ -34,9 +30,8 @@
 
     ``read_tokens_per_ms`` is the reading speed of prefill engines,
     ``token_ms`` the time between two tokens of a run, and ``place_s`` the time
-    from the grant of a place to its release. ``held_tokens`` is the memory
-    that a request holds on average. ``own_read_pauses`` tells how long streams
-    pause while their engine reads a prompt.
+    from the grant of a place to its release. ``own_read_pauses`` tells how
+    long streams pause while their engine reads a prompt.
     """
 
     own_read_pauses: OwnReadPauses = field(default_factory=OwnReadPauses)
@@ -55,11 +50,3 @@
     place_s: LearnedMean = field(
         default_factory=lambda: LearnedMean(FIRST_PLACE_S, RATE)
     )
-    held_tokens: LearnedMean = field(
-        default_factory=lambda: LearnedMean(FIRST_HELD_TOKENS, SIZE_RATE)
-    )
-
-
-def held_tokens(prompt_tokens: int, output_tokens: int) -> float:
-    """Return the memory that a run holds on average while it lasts."""
-    return prompt_tokens + output_tokens / 2
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -29,7 +29,6 @@
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
 from .return_times import ReturnTimes
 from .run_ledger import RunLedger
-from .service_pace import held_tokens
 from .stage_plan import Demand
 
 __all__ = ["StreamQueue"]
@@ -86,8 +85,6 @@
         stated_tokens = request.expected_tokens
         estimate.observe_request(stated_tokens)
         request = replace(request, expected_tokens=estimate.tokens(stated_tokens))
-        held = held_tokens(request.prompt_tokens, request.expected_tokens)
-        self.ledger.pace.held_tokens.observe(held)
         self.demand.add(
             request.prompt_tokens,
             request.expected_tokens,
