Keep room for urgent requests while they are refused

Urgent ones wait for 0.5 s at most, so a place that becomes free goes to a patient one that has waited for 1.3 s. Ruled out: the order of the queue, which puts urgent requests first already; memory, since small requests were granted meanwhile.

--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -127,6 +127,15 @@
         """Tell whether streams still make up for a prompt read beside them."""
         return self._terms.rules.own_read_pacing and self._now_s < load.reads_again_s
 
+    def has_room_for(self, requests: float, prompt: int, output: int) -> bool:
+        """Tell whether so many engines could each take a further request."""
+        error, found = self._ledger.estimate.error, 0
+        for load in self.decoders:
+            if found >= requests:
+                break
+            found += load.fits(prompt, output, self._now_s, error)
+        return found >= requests
+
     def disturbs(self, load: EngineLoad, request: RunRequest) -> bool:
         """Tell whether reading a prompt pauses running streams too long."""
         if not load.runs_by_id:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
@@ -24,6 +24,7 @@
     ``return_times``: refused callers return one after the other.
     ``output_estimate``: the length of answers is learned from past ones.
     ``memory_plan``: memory is planned until the ends of runs.
+    ``priority_reserve``: room is kept for urgent requests that were refused.
     ``reservation``: a place is reserved where the owner may be wrong.
     ``role_changes``: engines are ordered to change their role.
     ``avoidance``: engines that fail get nothing for a while.
@@ -44,6 +45,7 @@
     return_times: bool = True
     output_estimate: bool = True
     memory_plan: bool = True
+    priority_reserve: bool = True
     reservation: bool = True
     role_changes: bool = True
     avoidance: bool = True
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -26,6 +26,7 @@
 from .engine_load import EngineLoad
 from .engine_registry import EngineRegistry
 from .placement import Placement
+from .priority_reserve import PriorityReserve
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
 from .return_times import ReturnTimes
 from .run_ledger import RunLedger
@@ -37,6 +38,8 @@
 # A request that waits longer than a prompt is read, with places free, waits
 # for memory.
 MEMORY_WAIT_S = 0.15
+# Less than half of a request is no room for one.
+MIN_KEPT = 0.5
 # Other reasons say nothing about the places left for late requests.
 PLACES_ARE_SHORT = ("objective_missed", "waited_too_long")
 
@@ -60,6 +63,7 @@
         self._paused_until_s = float("-inf")
         self._bars_by_host_id: dict[str, dict[str, float]] = {}
         self._saturated_until_s = float("-inf")
+        self._reserve = PriorityReserve(enabled=self.terms.rules.priority_reserve)
         self.demand = Demand()
 
     @property
@@ -91,6 +95,9 @@
             now_s,
             request.max_gap_ms / 1000,
         )
+        self._reserve.observe(
+            request.priority, request.prompt_tokens, request.expected_tokens
+        )
         waiting = self._waiting(request, host_id, now_s, stated_tokens)
         self._waiting_by_id[request.request_id] = waiting
         decisions = self.advance(now_s)
@@ -183,6 +190,8 @@
         reserve = placement.all_places * late_reserve
         if waiting.is_late(now_s) and placement.free_places() <= reserve:
             return None
+        if not self._leaves_room(waiting, placement, now_s):
+            return None
         reader = placement.first_reader(waiting)
         read_ahead_s = placement.read_ahead_s(reader) if rules.read_ahead else 0.0
         if read_ahead_s > self.terms.read_ahead_s:
@@ -196,6 +205,17 @@
             return None
         return self._grant(waiting, placement, decode, reader, now_s)
 
+    def _leaves_room(
+        self, waiting: Waiting, placement: Placement, now_s: float
+    ) -> bool:
+        """Tell whether room is left for requests that are more urgent."""
+        late = waiting.is_late(now_s)
+        priority = waiting.request.priority
+        kept, prompt, output = self._reserve.kept_for(priority, now_s, late=late)
+        if kept < MIN_KEPT:
+            return True
+        return placement.has_room_for(1 + round(kept), prompt, output)
+
     def _relieve(
         self, waiting: Waiting, placement: Placement, now_s: float
     ) -> Granted | None:
@@ -228,6 +248,8 @@
             request, waiting.host_id, decode, reader, now_s, waiting.stated_tokens
         )
         placement.granted(reader)
+        if not waiting.is_late(now_s):
+            self._reserve.granted(request.priority)
         return Granted(
             request.request_id,
             decode.entry,
@@ -305,6 +327,8 @@
         del self._waiting_by_id[waiting.request.request_id]
         came_in_time = waiting.arrived_s <= waiting.on_time_until_s
         if came_in_time and reason in PLACES_ARE_SHORT:
+            engines = len(self.ledger.decode_loads())
+            self._reserve.refused(waiting.request.priority, engines, now_s)
             self._saturated_until_s = now_s + self.terms.saturated_s
         wait_s = self.ledger.nth_free_s(len(self._waiting_by_id), now_s)
         if reason == "no_engine":
