Replay an overload with kinds of different urgency

Cause: the replay knew one kind of request, so it could not show who is served and who gives way at a peak.

--- a/tests/relay/replay.py
+++ b/tests/relay/replay.py
@@ -11,7 +11,8 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, fields, replace
 
 from kumquat_core.peer_messages import RunRequest
@@ -36,6 +37,18 @@
 RETURNED = "+"
 
 
+@dataclass(frozen=True)
+class Kind:
+    """Requests of one priority; ``share`` weighs how many there are."""
+
+    priority: int
+    objective_s: float
+    share: float
+
+
+ONE_KIND = (Kind(1, OBJECTIVE_S, 1.0),)
+
+
 @dataclass
 class Outcome:
     """What callers got; ``held_s`` is how long each refused one waited.
@@ -50,6 +63,8 @@
     refused_again: int = 0
     held_s: list[float] = field(default_factory=list)
     place_idle_s: float = 0.0
+    asked_by_priority: Counter[int] = field(default_factory=Counter)
+    on_time_by_priority: Counter[int] = field(default_factory=Counter)
 
     def add(self, other: "Outcome") -> None:
         """Add the outcome of another play."""
@@ -84,7 +99,11 @@
         token_s: float = TOKEN_S,
         reader_speed: float = 1.0,
         mean_output_log: float = MEAN_OUTPUT_LOG,
+        kinds: Sequence[Kind] = ONE_KIND,
     ) -> None:
+        self._kinds = kinds
+        self._kinds_rng = random.Random(seed)
+        self._objectives_s_by_id: dict[str, float] = {}
         self._callers_return = callers_return
         self._first_by_id: dict[str, float] = {}
         self._token_s = token_s
@@ -110,8 +129,15 @@
         for number, arrival_s in enumerate(arrivals):
             output = self._rng.lognormvariate(self._mean_output_log, OUTPUT_DEVIATION)
             hint = output * self._rng.lognormvariate(0.0, HINT_ERROR)
+            (kind,) = self._kinds_rng.choices(
+                self._kinds, [item.share for item in self._kinds]
+            )
+            self._objectives_s_by_id[f"r{number}"] = kind.objective_s
+            self.outcome.asked_by_priority[kind.priority] += 1
             request = run_request(
                 f"r{number}",
+                priority=kind.priority,
+                objective_ms=int(kind.objective_s * 1000),
                 prompt=int(min(11_000, 5000 * self._rng.lognormvariate(-0.1, 0.5))),
                 output=int(min(MAX_TOKENS, hint)),
             )
@@ -166,7 +192,9 @@
         again = replace(
             request,
             request_id=request.request_id + RETURNED,
-            objective_ms=int((first_s + OBJECTIVE_S - now_s - wait_s) * 1000),
+            objective_ms=int(
+                (first_s + self._objective_s(request) - now_s - wait_s) * 1000
+            ),
         )
         self._first_by_id[again.request_id] = first_s
         output = self._outputs_by_id[request.request_id]
@@ -182,14 +210,18 @@
         self._delays_by_id[request_id] = 0.0
         first_s = read_s + FIRST_EVENT_S
         came_s = self._first_by_id.get(request_id, arrived_s)
-        if first_s - came_s <= OBJECTIVE_S:
+        if first_s - came_s <= self._objective_s(request):
             self.outcome.on_time += 1
+            self.outcome.on_time_by_priority[request.priority] += 1
         elif first_s - arrived_s <= PATIENCE_S:
             self.outcome.late += 1
         self._at(read_s, lambda: self._carry_out(self._world.read(request_id)))
         end_s = read_s + self._outputs_by_id[request_id] * self._token_s
         self._at(end_s, lambda: self._end(request_id))
 
+    def _objective_s(self, request: RunRequest) -> float:
+        return self._objectives_s_by_id[request.request_id.removesuffix(RETURNED)]
+
     def _read(self, request: RunRequest, grant: Granted) -> float:
         """Return the time until a prompt is read, by whom it is granted."""
         now_s = self._world.now_s
