Play mechanisms of the queue off on drawn deployments

Cause: the effect of most mechanisms was never measured away from the known deployments. The replay takes prompts of other sizes. Ruled out: a bound that no order could exceed, and engines that preempt runs; the replay has neither yet, so it cannot tell what the plan of the memory is worth.

--- a/tests/relay/builders.py
+++ b/tests/relay/builders.py
@@ -83,7 +83,11 @@
             self.registry.put(entry, 100 + index)
         self.spec = spec
         self.queue = StreamQueue(
-            SERVICE, self.registry, self.health, ReturnTimes(), terms
+            SERVICE,
+            self.registry,
+            self.health,
+            ReturnTimes(spreads=terms is None or terms.rules.return_times),
+            terms,
         )
         self.queue.ledger.refresh(spec)
 
--- a/tests/relay/replay.py
+++ b/tests/relay/replay.py
@@ -100,7 +100,9 @@
         reader_speed: float = 1.0,
         mean_output_log: float = MEAN_OUTPUT_LOG,
         kinds: Sequence[Kind] = ONE_KIND,
+        prompt_scale: float = 1.0,
     ) -> None:
+        self._prompt_scale = prompt_scale
         self._kinds = kinds
         self._kinds_rng = random.Random(seed)
         self._objectives_s_by_id: dict[str, float] = {}
@@ -138,7 +140,7 @@
                 f"r{number}",
                 priority=kind.priority,
                 objective_ms=int(kind.objective_s * 1000),
-                prompt=int(min(11_000, 5000 * self._rng.lognormvariate(-0.1, 0.5))),
+                prompt=self._prompt_tokens(),
                 output=int(min(MAX_TOKENS, hint)),
             )
             self._outputs_by_id[request.request_id] = min(MAX_TOKENS, output)
@@ -150,6 +152,10 @@
             self._plan_advance()
         return self.outcome
 
+    def _prompt_tokens(self) -> int:
+        tokens = min(11_000, 5000 * self._rng.lognormvariate(-0.1, 0.5))
+        return max(1, int(tokens * self._prompt_scale))
+
     def _at(self, at_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), action))
 
