Name the room that is kept, and look again when it is given up

Cause: room that is given up with time has no event of its own, so a request that waits alone might stay in the queue although it fits; and a tuple of three figures hid what they hold. Change: `KeptRoom`; while room is kept the queue looks again every 0.25 s.

--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -10,10 +10,12 @@
 """
 
 from collections.abc import Mapping
+from itertools import islice
 
 from kumquat_core.peer_messages import RunRequest
 
 from .engine_load import EngineLoad
+from .priority_reserve import KeptRoom
 from .queue_types import QueueTerms, Waiting
 from .run_ledger import RunLedger
 
@@ -127,14 +129,19 @@
         """Tell whether streams still make up for a prompt read beside them."""
         return self._terms.rules.own_read_pacing and self._now_s < load.reads_again_s
 
-    def has_room_for(self, requests: float, prompt: int, output: int) -> bool:
-        """Tell whether so many engines could each take a further request."""
-        error, found = self._ledger.estimate.error, 0
-        for load in self.decoders:
-            if found >= requests:
-                break
-            found += load.fits(prompt, output, self._now_s, error)
-        return found >= requests
+    def has_room_for(self, kept: KeptRoom) -> bool:
+        """Tell whether the room stays when one more request is granted.
+
+        Each engine counts for one request that fits there.
+        """
+        error = self._ledger.estimate.error
+        fitting = (
+            load
+            for load in self.decoders
+            if load.fits(kept.prompt_tokens, kept.output_tokens, self._now_s, error)
+        )
+        needed = kept.requests + 1
+        return len(list(islice(fitting, needed))) == needed
 
     def disturbs(self, load: EngineLoad, request: RunRequest) -> bool:
         """Tell whether reading a prompt pauses running streams too long."""
--- a/packages/kumquat_relay/src/kumquat_relay/priority_reserve.py
+++ b/packages/kumquat_relay/src/kumquat_relay/priority_reserve.py
@@ -16,7 +16,7 @@
 
 from .learned_mean import LearnedMean
 
-__all__ = ["PriorityReserve"]
+__all__ = ["NO_ROOM", "RECHECK_S", "KeptRoom", "PriorityReserve"]
 
 # Room is halved in this time, in seconds: about the time between two refusals
 # at which keeping one place pays.
@@ -26,10 +26,26 @@
 # A kind that is served less often than this part of a more urgent one's share
 # is not restrained.
 STARVED_PART = 0.4
+# Less than half of a request is no room for one.
+MIN_REQUESTS = 0.5
+# An eighth of the half-life; room that is given up has no event of its own.
+RECHECK_S = 0.25
 # Weight of a request in the share that is served: some twenty make it up.
 RATE = 0.05
 
 
+@dataclass(frozen=True)
+class KeptRoom:
+    """Room for a number of requests, each of a usual size in tokens."""
+
+    requests: int
+    prompt_tokens: int
+    output_tokens: int
+
+
+NO_ROOM = KeptRoom(0, 0, 0)
+
+
 def _size() -> LearnedMean:
     return LearnedMean(0.0, RATE)
 
@@ -80,25 +96,32 @@
         kind.kept = min(engines * MAX_PART, kind.kept_at(now_s) + 1.0)
         kind.kept_s = now_s
 
-    def kept_for(
-        self, priority: int, now_s: float, *, late: bool
-    ) -> tuple[float, int, int]:
-        """Return the room that a request of this priority must leave.
+    def keeps_room(self, now_s: float) -> bool:
+        """Tell whether room is kept from any request."""
+        kinds = self._kinds_by_priority.values()
+        return self._enabled and any(
+            kind.kept_at(now_s) >= MIN_REQUESTS for kind in kinds
+        )
 
-        A late one leaves it to all that can be on time.
+    def kept_from(self, priority: int, now_s: float, *, late: bool) -> KeptRoom:
+        """Return the room that a request of this priority must leave.
 
-        That is a number of requests and the usual prompt and output of each.
+        A late one leaves it to all kinds, its own included.
         """
         if not self._enabled:
-            return (0.0, 0, 0)
+            return NO_ROOM
         own = self._kinds_by_priority.get(priority, _Kind())
-        kept, prompt_tokens, output_tokens = 0.0, 0, 0
-        for other_priority, kind in self._kinds_by_priority.items():
-            if not late and (
-                other_priority >= priority or own.served < STARVED_PART * kind.served
-            ):
-                continue
-            kept += kind.kept_at(now_s)
-            prompt_tokens = max(prompt_tokens, int(kind.prompt_tokens.value))
-            output_tokens = max(output_tokens, int(kind.output_tokens.value))
-        return (kept, prompt_tokens, output_tokens)
+        kinds = [
+            kind
+            for other_priority, kind in self._kinds_by_priority.items()
+            if late
+            or (other_priority < priority and own.served >= STARVED_PART * kind.served)
+        ]
+        requests = sum(kind.kept_at(now_s) for kind in kinds)
+        if requests < MIN_REQUESTS:
+            return NO_ROOM
+        return KeptRoom(
+            round(requests),
+            max(int(kind.prompt_tokens.value) for kind in kinds),
+            max(int(kind.output_tokens.value) for kind in kinds),
+        )
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -26,7 +26,7 @@
 from .engine_load import EngineLoad
 from .engine_registry import EngineRegistry
 from .placement import Placement
-from .priority_reserve import PriorityReserve
+from .priority_reserve import NO_ROOM, RECHECK_S, PriorityReserve
 from .queue_types import Decision, Granted, QueueTerms, Refused, Waiting
 from .return_times import ReturnTimes
 from .run_ledger import RunLedger
@@ -38,8 +38,6 @@
 # A request that waits longer than a prompt is read, with places free, waits
 # for memory.
 MEMORY_WAIT_S = 0.15
-# Less than half of a request is no room for one.
-MIN_KEPT = 0.5
 # Other reasons say nothing about the places left for late requests.
 PLACES_ARE_SHORT = ("objective_missed", "waited_too_long")
 
@@ -170,6 +168,8 @@
         for load in self.ledger.decode_loads():
             times += [load.blocked_until_s, load.reads_again_s]
         times.append(self._paused_until_s)
+        if self._reserve.keeps_room(now_s):
+            times.append(now_s + RECHECK_S)
         return min((time for time in times if time > now_s), default=now_s)
 
     def ended(
@@ -209,12 +209,10 @@
         self, waiting: Waiting, placement: Placement, now_s: float
     ) -> bool:
         """Tell whether room is left for requests that are more urgent."""
-        late = waiting.is_late(now_s)
-        priority = waiting.request.priority
-        kept, prompt, output = self._reserve.kept_for(priority, now_s, late=late)
-        if kept < MIN_KEPT:
-            return True
-        return placement.has_room_for(1 + round(kept), prompt, output)
+        kept = self._reserve.kept_from(
+            waiting.request.priority, now_s, late=waiting.is_late(now_s)
+        )
+        return kept is NO_ROOM or placement.has_room_for(kept)
 
     def _relieve(
         self, waiting: Waiting, placement: Placement, now_s: float
--- a/tests/relay/test_priority_reserve.py
+++ b/tests/relay/test_priority_reserve.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from kumquat_relay.priority_reserve import MAX_PART, PriorityReserve
+from kumquat_relay.priority_reserve import (
+    MAX_PART,
+    NO_ROOM,
+    KeptRoom,
+    PriorityReserve,
+)
 from kumquat_relay.queue_types import QueueTerms
 from kumquat_relay.relay_rules import RelayRules
 
@@ -65,25 +70,25 @@
 
 
 def test_nothing_is_kept_while_nobody_is_refused() -> None:
-    kept, _, _ = reserve_after(0).kept_for(PATIENT, 100.0, late=False)
-    assert kept == 0.0
+    assert reserve_after(0).kept_from(PATIENT, 100.0, late=True) is NO_ROOM
 
 
 def test_room_is_kept_from_the_less_urgent_only_and_for_a_while() -> None:
     reserve = reserve_after(1)
-    assert reserve.kept_for(PATIENT, 100.0, late=False) == (1.0, 5000, 1000)
-    assert reserve.kept_for(URGENT, 100.0, late=False)[0] == 0.0
-    assert reserve.kept_for(URGENT, 100.0, late=True)[0] == 1.0
-    assert reserve.kept_for(PATIENT, 110.0, late=False)[0] < 0.1
+    kept = KeptRoom(1, 5000, 1000)
+    assert reserve.kept_from(PATIENT, 100.0, late=False) == kept
+    assert reserve.kept_from(URGENT, 100.0, late=False) is NO_ROOM
+    assert reserve.kept_from(URGENT, 100.0, late=True) == kept
+    assert reserve.kept_from(PATIENT, 110.0, late=False) is NO_ROOM
 
 
 def test_the_room_is_bounded_by_the_engines() -> None:
-    kept, _, _ = reserve_after(50).kept_for(PATIENT, 100.0, late=False)
-    assert kept == 8 * MAX_PART
+    kept = reserve_after(50).kept_from(PATIENT, 100.0, late=False)
+    assert kept.requests == 8 * MAX_PART
 
 
 def test_a_kind_that_is_hardly_served_is_not_restrained() -> None:
     reserve = reserve_after(1)
     for _ in range(40):
         reserve.refused(PATIENT, 8, 100.0)
-    assert reserve.kept_for(PATIENT, 100.0, late=False)[0] == 0.0
+    assert reserve.kept_from(PATIENT, 100.0, late=False) is NO_ROOM
