Expect one chunk a token as the pause beside a prompt, until pauses are known

Within two seconds 23 prompts, some of 4,200 tokens, were refused as too long to be read beside streams, with 230 places free, while 19 shorter ones were read there and no stream paused for more than its 300 ms. An owner that has seen fewer than three reads expected the whole read as the pause, and each new owner learns anew. Ruled out: accepting the harm (no order of the plan is ready within two seconds); the median instead of the longest of the reported pauses, since one pause as long as its read must count. Change: until pauses are reported, an event is taken to be delayed by one chunk of usual size (256 tokens) for each of its tokens. With 14 tokens an event that is 0.16 s; with 89 it is 1 s, so there the whole read counts as before. What hosts report replaces it.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -13,6 +13,7 @@
 from .failure_share import FailureShare
 from .learned_mean import LearnedMean
 from .memory_plan import MemoryPlan, PlannedRun
+from .own_read_pauses import first_pause_s
 from .relay_rules import ALL_RULES, RelayRules
 from .routes import EngineSpec
 from .service_pace import ServicePace
@@ -291,7 +292,8 @@
 
     def pause_s(self, tokens: int) -> float:
         """Return how long the streams pause while a prompt is read here."""
-        return self.pace.own_read_pauses.expected_s(self.own_read_s(tokens))
+        first_s = first_pause_s(self.spec.tokens_per_event, self.own_read_tokens_per_ms)
+        return self.pace.own_read_pauses.expected_s(self.own_read_s(tokens), first_s)
 
     def note_pause(self, run: Run, longest_gap_s: float, now_s: float) -> None:
         """Take over the longest gap of a run since its last report."""
--- a/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stage_plan.py
@@ -23,6 +23,7 @@
 
 from .engine_load import longest_own_read_s
 from .engine_registry import EngineEntry, EngineRole
+from .own_read_pauses import first_pause_s
 from .routes import EngineSpec
 from .service_pace import ServicePace
 
@@ -114,8 +115,9 @@
             return 0.0
         token_ms = pace.token_ms.value
         rate = pace.own_read_tokens_per_ms.value
+        first_s = first_pause_s(spec.tokens_per_event, rate)
         longer = sum(
-            pace.own_read_pauses.expected_s(size.prompt_tokens / rate / 1000)
+            pace.own_read_pauses.expected_s(size.prompt_tokens / rate / 1000, first_s)
             > longest_own_read_s(size.max_gap_s, spec, token_ms)
             for size in self._recent
         )
--- a/tests/relay/test_learned_figures.py
+++ b/tests/relay/test_learned_figures.py
@@ -9,7 +9,7 @@
 from kumquat_core.peer_messages import HeldRun
 from kumquat_relay.learned_mean import MAX_RATIO, LearnedMean
 from kumquat_relay.output_estimate import OutputEstimate
-from kumquat_relay.own_read_pauses import OwnReadPauses
+from kumquat_relay.own_read_pauses import OwnReadPauses, first_pause_s
 from kumquat_relay.return_times import FIRST_PEAK_S, ReturnTimes
 
 from .builders import SPEC, QueueWorld, granted, run_request
@@ -113,6 +113,21 @@
     assert pauses.expected_s(0.5) == 0.5
 
 
+def test_a_new_owner_reads_long_prompts_beside_short_events() -> None:
+    """In two seconds without a reader 23 prompts were refused as too long,
+    while no stream paused for one that was read (vrecar-juta scale-1)."""
+    pauses = OwnReadPauses()
+    short, long = first_pause_s(14, 22.5), first_pause_s(89, 22.5)
+    assert pauses.expected_s(0.4, short) == pytest.approx(0.159, abs=0.001)
+    assert pauses.expected_s(0.4, long) == 0.4
+    world = QueueWorld(readers=0, spec=replace(SPEC, tokens_per_event=14))
+    world.add(run_request("running", prompt=3000))
+    world.clock.advance(0.2)
+    world.read("running")
+    world.clock.advance(0.2)
+    assert granted(world.add(run_request("long", prompt=11_000))) == ["long"]
+
+
 def test_pauses_that_grow_with_the_prompt_count_whole() -> None:
     pauses = OwnReadPauses()
     for read_s in (0.05, 0.1, 0.15, 0.2):
