Ask for failures of two hosts before an engine is chosen last

Cause: three failures that one host reports were enough, so a host that is cut off from an engine had it chosen last by all for six seconds. Change: where several hosts have runs at an engine, each counts with two failures at most; the outcomes name the host of the run. `failing_ids` stands beside the comparison that it repeats.

--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -15,6 +15,7 @@
 from kumquat_core.peer_messages import RunRequest
 
 from .engine_load import EngineLoad
+from .failure_share import failing_ids
 from .priority_reserve import KeptRoom
 from .queue_types import QueueTerms, Waiting
 from .run_ledger import RunLedger
@@ -54,9 +55,7 @@
         self._backlogs_ms = {
             load.entry.id: load.read_backlog_ms() for load in self.readers
         }
-        self._failing_ids = ledger.failing_ids(
-            self.readers, now_s
-        ) | ledger.failing_ids(self.decoders, now_s)
+        self._failing_ids = self._failing(self.readers) | self._failing(self.decoders)
         self._order_readers()
         # Sizes of requests that may use all engines and fitted into none.
         self._unfit: list[tuple[int, int]] = []
@@ -72,6 +71,14 @@
             self._backlogs_ms[reader.entry.id] = reader.read_backlog_ms()
             self._order_readers()
 
+    def _failing(self, loads: list[EngineLoad]) -> set[str]:
+        """Return the engines that stand out among those of their role."""
+        if not self._terms.rules.failure_shares:
+            return set()
+        return failing_ids(
+            {load.entry.id: load.failures for load in loads}, self._now_s
+        )
+
     def _order_readers(self) -> None:
         self.readers = sorted(
             self.readers,
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -15,7 +15,6 @@
 from .engine_health import EngineHealth
 from .engine_load import EngineLoad, PrefillJob, Run
 from .engine_registry import EngineRegistry, EngineRole
-from .failure_share import fails_often
 from .output_estimate import OutputEstimate
 from .queue_types import QueueTerms
 from .routes import EngineSpec
@@ -176,26 +175,15 @@
         if load is not None:
             load.stalled_until_s = now_s + self._terms.stall_s
 
-    def note_outcome(self, engine_id: str, failed: bool, now_s: float) -> None:
-        """Note how the work of an engine for a request ended."""
+    def note_outcome(
+        self, engine_id: str, request_id: str, failed: bool, now_s: float
+    ) -> None:
+        """Note how the work of an engine for a granted request ended."""
         load = self._loads_by_id.get(engine_id)
-        if load is not None:
-            load.failures.observe(failed, now_s)
-
-    def failing_ids(self, loads: Iterable[EngineLoad], now_s: float) -> set[str]:
-        """Return the engines that fail clearly more often than the others."""
-        if not self._terms.rules.failure_shares:
-            return set()
-        loads = list(loads)
-        return {
-            load.entry.id
-            for load in loads
-            if fails_often(
-                load.failures,
-                (other.failures for other in loads if other is not load),
-                now_s,
-            )
-        }
+        decoder = self._decoders_by_request.get(request_id)
+        run = decoder.runs_by_id.get(request_id) if decoder is not None else None
+        if load is not None and run is not None:
+            load.failures.observe(failed, run.host_id, now_s)
 
     def set_changing(self, engine_id: str, away_s: float, now_s: float) -> float:
         """Grant nothing at an engine until its entry shows its new role.
--- a/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_owner.py
@@ -113,9 +113,9 @@
         owned.queue.ledger.prefilled(message.request_id, message.read_ms, now_s)
         if reader and message.read_ms == 0:
             failure = Failure.UNREACHABLE if message.unreachable else Failure.BROKEN
-            self._note_failure(owned, reader, failure)
+            self._note_failure(owned, reader, message.request_id, failure)
         elif reader and message.read_ms > 0:
-            self._note_success(owned, reader)
+            self._note_success(owned, reader, message.request_id)
         self._carry_out(owned, owned.queue.advance(now_s))
 
     def ended(self, message: RunEnded) -> None:
@@ -123,10 +123,15 @@
         owned = self._owned(message.service)
         now_s = self._clock.monotonic()
         if message.failed_engine:
-            self._note_failure(owned, message.failed_engine, _failure_of(message))
+            self._note_failure(
+                owned,
+                message.failed_engine,
+                message.request_id,
+                _failure_of(message),
+            )
         elif message.gap_ms > 0:
             engine_id = owned.queue.ledger.engine_of(message.request_id)
-            self._note_success(owned, engine_id)
+            self._note_success(owned, engine_id, message.request_id)
         owned.queue.ended(
             message.request_id, message.gap_ms, now_s, message.made_tokens
         )
@@ -288,10 +293,13 @@
         owned.timer = None
         self._carry_out(owned, owned.queue.advance(self._clock.monotonic()))
 
-    def _note_failure(self, owned: _Owned, engine_id: str, failure: Failure) -> None:
+    def _note_failure(
+        self, owned: _Owned, engine_id: str, request_id: str, failure: Failure
+    ) -> None:
         if failure is not Failure.UNREACHABLE:
             now_s = self._clock.monotonic()
-            owned.queue.ledger.note_outcome(engine_id, failed=True, now_s=now_s)
+            ledger = owned.queue.ledger
+            ledger.note_outcome(engine_id, request_id, failed=True, now_s=now_s)
         if self._health.failed(engine_id, failure):
             log_event(
                 logger,
@@ -302,11 +310,12 @@
         if failure is Failure.UNREACHABLE and self._rules.probes:
             self._probe.begin(engine_id)
 
-    def _note_success(self, owned: _Owned, engine_id: str) -> None:
+    def _note_success(self, owned: _Owned, engine_id: str, request_id: str) -> None:
         if not engine_id:
             return
         now_s = self._clock.monotonic()
-        owned.queue.ledger.note_outcome(engine_id, failed=False, now_s=now_s)
+        ledger = owned.queue.ledger
+        ledger.note_outcome(engine_id, request_id, failed=False, now_s=now_s)
         if self._health.succeeded(engine_id):
             log_event(logger, "engine_trusted_again", engine=engine_id)
 
--- a/tests/relay/test_failure_share.py
+++ b/tests/relay/test_failure_share.py
@@ -33,7 +33,7 @@
 def share(failures: int, runs: int) -> FailureShare:
     result = FailureShare()
     for index in range(runs):
-        result.observe(index < failures, 100.0)
+        result.observe(index < failures, f"h{index % 4}", 100.0)
     return result
 
 
@@ -55,14 +55,27 @@
     assert fails_often(share(*own), shares, 100.0) is stands_out
 
 
+def test_one_host_alone_does_not_have_an_engine_left_out() -> None:
+    """A host that is cut off from an engine reports each run as failed."""
+    cut_off, only_host = FailureShare(), FailureShare()
+    for _ in range(8):
+        cut_off.observe(True, "cut", 100.0)
+        only_host.observe(True, "h", 100.0)
+    cut_off.observe(False, "sound", 100.0)
+    assert not fails_often(cut_off, [share(0, 10)], 100.0)
+    assert fails_often(only_host, [share(0, 10)], 100.0)
+
+
 def test_old_failures_do_not_count() -> None:
     assert not fails_often(share(5, 5), [], 100.0 + RECENT_S + 0.1)
 
 
 def test_a_failing_engine_gets_runs_only_when_the_others_are_full() -> None:
     world = QueueWorld(decoders=2, places=2)
+    world.add(run_request("failed"))
     for _ in range(4):
-        world.queue.ledger.note_outcome("d0", True, world.now_s)
+        world.queue.ledger.note_outcome("d0", "failed", True, world.now_s)
+    world.end("failed")
     engines = []
     for index in range(3):
         request_id = f"r{index}"
