--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -178,6 +178,11 @@
         parts = HostParts.from_options(options)
         return cls(options, store, dialect, parts)
 
+    @property
+    def options(self) -> RelayOptions:
+        """Return the options with which this host was created."""
+        return self._options
+
     @property
     def metrics(self) -> RelayMetrics:
         """Return the metrics of this host."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -173,6 +173,8 @@
         self.gap_s = 0.002
         # Method, path, headers and body of each request.
         self.received: list[tuple[str, str, dict[str, str], bytes]] = []
+        # Loop time of the arrival of each request, control calls included.
+        self.arrivals_s: list[float] = []
         self.runs: list[str] = []
         self.role_commands: list[dict[str, Any]] = []
         # Paths of the control calls, such as reservations.
@@ -226,6 +228,7 @@
         expected = headers.get("x-expect-instance", self.id)
         if expected != self.id:
             return web.Response(status=421, headers={"X-Instance-Id": self.id})
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         if request.path.startswith("/api/"):
             return self._api(request, body)
         self.received.append((request.method, request.raw_path, headers, body))
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -91,7 +91,8 @@
 class RelayHarness:
     """Runs a host with a store and engines and sends requests to it."""
 
-    def __init__(self) -> None:
+    def __init__(self, host_count: int = 1) -> None:
+        self._host_count = host_count
         self.store = FakeStore()
         self.prefill_engine = FakeEngine("reader", "prefill")
         self.decode_engines = [FakeEngine(f"decode{n}", "decode") for n in range(2)]
@@ -105,8 +106,19 @@
         self.store.put("op", "config", configuration())
         for engine in self._engines():
             self.list_engine(engine)
-        self.options = RelayOptions(
-            host_id="h1",
+        self.hosts = [self.new_host(f"h{n + 1}") for n in range(self._host_count)]
+        self.host = self.hosts[0]
+        self.options = self.host.options
+        for host in self.hosts:
+            await host.start()
+        self.session = aiohttp.ClientSession()
+        await self.wait_until(lambda: all(host.is_ready() for host in self.hosts))
+        return self
+
+    def new_host(self, host_id: str) -> RelayHost:
+        """Return a host that has not been started."""
+        options = RelayOptions(
+            host_id=host_id,
             failure_domain="a",
             callers=Address("127.0.0.1", free_port()),
             readiness=Address("127.0.0.1", free_port()),
@@ -119,17 +131,14 @@
             log_level="info",
             seed=1,
         )
-        self.host = RelayHost.from_config(
-            self.options, PlatformStore(self.options.store), PlatformDialect()
+        return RelayHost.from_config(
+            options, PlatformStore(options.store), PlatformDialect()
         )
-        await self.host.start()
-        self.session = aiohttp.ClientSession()
-        await self.wait_until(self.host.is_ready)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         await self.session.close()
-        await self.host.stop()
+        for host in self.hosts:
+            await host.stop()
         for engine in self._engines():
             await engine.stop()
         await self.store.stop()
@@ -164,7 +173,12 @@
         return f"id{self._ids}"
 
     def send(
-        self, route: str, method: str = "POST", **headers: str
+        self,
+        route: str,
+        method: str = "POST",
+        *,
+        host: RelayHost | None = None,
+        **headers: str,
     ) -> "aiohttp.client._RequestContextManager":
         sent = {
             "Host": HOST,
@@ -175,17 +189,20 @@
             "X-Prefix-Hash": "ab:5000",
         }
         names = {name.replace("_", "-"): value for name, value in headers.items()}
-        url = f"http://{self.options.callers.text}/{route}/p%2Fq?x=1"
+        callers = (host or self.host).options.callers
+        url = f"http://{callers.text}/{route}/p%2Fq?x=1"
         return self.session.request(
             method, URL(url, encoded=True), headers=sent | names, data=b"body"
         )
 
 
-def run_scenario(scenario: Callable[[RelayHarness], Awaitable[None]]) -> None:
+def run_scenario(
+    scenario: Callable[[RelayHarness], Awaitable[None]], host_count: int = 1
+) -> None:
     """Run a scenario with a new harness."""
 
     async def run() -> None:
-        async with RelayHarness() as harness:
+        async with RelayHarness(host_count) as harness:
             await scenario(harness)
 
     asyncio.run(run())
