--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -11,8 +11,15 @@
 import msgpack
 from pydantic import TypeAdapter, ValidationError
 
+from .limit_messages import (
+    PermitGrant,
+    PermitRequest,
+    ServerLimit,
+    ServerLimitNotice,
+)
 from .result_codes import ResultCode, RouterError
 from .run_messages import (
+    LATER_FIELD,
     EngineNoticed,
     HeldRun,
     RunEnded,
@@ -38,6 +45,8 @@
     "HeldRun",
     "MemberUpdate",
     "Message",
+    "PermitGrant",
+    "PermitRequest",
     "Ping",
     "PingRequest",
     "PrefillDone",
@@ -52,6 +61,8 @@
     "RunStalled",
     "RunsHeld",
     "RunsNoted",
+    "ServerLimit",
+    "ServerLimitNotice",
     "ShardSummary",
     "SlowStep",
     "TicketBatch",
@@ -278,6 +289,8 @@
     | Grant
     | GrantsHeld
     | GrantsQuery
+    | PermitGrant
+    | PermitRequest
     | Ping
     | PingRequest
     | PrefillDone
@@ -291,6 +304,7 @@
     | RunStalled
     | RunsHeld
     | RunsNoted
+    | ServerLimitNotice
     | SlowStep
     | TicketBatch
     | TicketFetch
@@ -329,6 +343,9 @@
     36: RunsNoted,
     37: RunStalled,
     38: EngineNoticed,
+    39: ServerLimitNotice,
+    40: PermitRequest,
+    41: PermitGrant,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
@@ -344,21 +361,40 @@
     "summary": ShardSummary,
     "grants": HeldGrant,
     "runs": HeldRun,
+    "limit": ServerLimit,
+    "limits": ServerLimit,
 }
+# Nested types whose fields hold tuples of them.
+_TUPLE_FIELDS = frozenset({"updates", "grants", "runs", "limits"})
 _FIELD_NAMES_BY_TYPE: dict[type[Any], tuple[str, ...]] = {
     message_type: tuple(item.name for item in fields(message_type))
     for message_type in (*_TYPES_BY_NUMBER.values(), *_NESTED_TYPES.values())
 }
+_LATER_DEFAULTS_BY_TYPE: dict[type[Any], tuple[Any, ...]] = {
+    message_type: tuple(
+        item.default for item in fields(message_type) if item.metadata == LATER_FIELD
+    )
+    for message_type in _TYPES_BY_NUMBER.values()
+}
 
 
 def encode(envelope: Envelope) -> bytes:
     """Return a message encoded in msgpack."""
     number = _NUMBERS_BY_TYPE[type(envelope.message)]
     values = _encode_fields(envelope.message)
+    for default in reversed(_LATER_DEFAULTS_BY_TYPE[type(envelope.message)]):
+        if values[-1] != _encode_default(default):
+            break
+        values.pop()
     encoded: bytes = msgpack.packb([number, envelope.correlation_id, *values])
     return encoded
 
 
+def _encode_default(default: Any) -> Any:
+    """Return the default of a later field as ``_encode_fields`` writes it."""
+    return list(default) if isinstance(default, tuple) else default
+
+
 def _encode_fields(message: Any) -> list[Any]:
     """Return the fields of a message, with nested data classes as lists.
 
@@ -388,11 +424,14 @@
     try:
         number, correlation_id, *values = msgpack.unpackb(data, use_list=False)
         names = _FIELD_NAMES_BY_NUMBER[number]
-        if len(values) != len(names) or not isinstance(correlation_id, int):
+        later = len(_LATER_DEFAULTS_BY_TYPE[_TYPES_BY_NUMBER[number]])
+        if not len(names) - later <= len(values) <= len(names):
             raise ValueError("wrong number of fields")
+        if not isinstance(correlation_id, int):
+            raise ValueError("wrong correlation id")
         document = {
             name: _decode_field(name, value)
-            for name, value in zip(names, values, strict=True)
+            for name, value in zip(names, values, strict=False)
         }
         message = _ADAPTERS_BY_NUMBER[number].validate_python(document)
     except (
@@ -413,6 +452,6 @@
     if nested_type is None or value is None:
         return value
     names = [item.name for item in fields(nested_type)]
-    if name in ("updates", "grants", "runs"):
+    if name in _TUPLE_FIELDS:
         return tuple(dict(zip(names, item, strict=True)) for item in value)
     return dict(zip(names, value, strict=True))
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -4,9 +4,12 @@
 progress of the run, and reports all runs it holds twice a second.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from .limit_messages import ServerLimit
 
 __all__ = [
+    "LATER_FIELD",
     "EngineNoticed",
     "HeldRun",
     "RunEnded",
@@ -19,6 +22,11 @@
     "RunStalled",
 ]
 
+# Metadata of fields that hosts of earlier builds do not know. They are the
+# last ones of their message and are left out while they have their defaults,
+# so that those hosts can decode every message that does not need them.
+LATER_FIELD = {"later": True}
+
 
 @dataclass(frozen=True)
 class RunRequest:
@@ -165,11 +173,15 @@
 class RunsHeld:
     """A host's report of all runs of a service that it holds.
 
-    It is also the host's heartbeat to the queue owner.
+    It is also the host's heartbeat to the queue owner. ``counted`` is false if
+    the host has another owner now, and ``limits`` are the request rates that
+    servers have named, as far as the host knows.
     """
 
     service: str
     runs: tuple[HeldRun, ...] = ()
+    counted: bool = field(default=True, metadata=LATER_FIELD)
+    limits: tuple[ServerLimit, ...] = field(default=(), metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
@@ -178,10 +190,11 @@
 
     ``outdated``: the owner has not reached the store for a while, so another
     host should own the service. ``configuration`` is the configuration version
-    that the owner uses.
+    that the owner uses, ``limits`` the request rates that servers have named.
     """
 
     host_id: str
     free_slots: int
     outdated: bool = False
     configuration: int = -1
+    limits: tuple[ServerLimit, ...] = field(default=(), metadata=LATER_FIELD)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -7,9 +7,9 @@
 new owner must first learn which runs are in progress, so a single lost reply
 does not change the owner.
 
-The owner processes the reports of all hosts. The more hosts there are, the
-less often idle hosts report. The first request of an idle host restores the
-usual period.
+Idle hosts of large fleets report less often. The first request of an idle host
+restores the usual period. Reports also carry the limits that servers have
+named, and their replies those that the owner knows.
 """
 
 import asyncio
@@ -35,24 +35,18 @@
 
 from .cluster_state import ClusterState
 from .engine_registry import EngineEntry
+from .known_limits import KnownLimits
 from .owner_selection import OwnerSelection
 from .protocols import EngineNotice
 from .queue_owner import QueueOwner
 from .relay_rules import ALL_RULES, RelayRules
+from .report_period import idle_report_periods
 
 __all__ = ["PREFILL_SKIPPED", "Admission", "AdmissionRefusedError"]
 
 # Prefill time that marks a prefill as skipped because it was not needed.
 PREFILL_SKIPPED = -1.0
 
-# Period of the reports; the loss of an owner is detected within two periods.
-REPORT_S = 0.5
-# Idle hosts report once in as many periods as there are groups of this size,
-# so that the reports an owner processes grow more slowly than the fleet.
-HOSTS_PER_REPORT_PERIOD = 32
-# Four periods take 2 s; an owner that receives nothing for longer than that
-# restarts its queue.
-MAX_IDLE_REPORT_PERIODS = 4
 # A hundred times the latency between failure domains, so that a busy host
 # still replies in time.
 REPORT_TIMEOUT_S = 0.3
@@ -107,9 +101,11 @@
         links: PeerLinks,
         owners: OwnerSelection,
         queue_owner: QueueOwner,
+        limits: KnownLimits,
         rules: RelayRules = ALL_RULES,
     ) -> None:
         self._rules = rules
+        self._limits = limits
         self._host_id = host_id
         self._clock = clock
         self._cluster_state = cluster_state
@@ -117,6 +113,7 @@
         self._owners = owners
         self._queue_owner = queue_owner
         self._held_runs_by_id: dict[str, _HeldRun] = {}
+        self._reported_owner_by_service: dict[str, str] = {}
         self._pending_requests = 0
         self._periods_since_report = 0
         self._checks_by_owner: dict[str, asyncio.Task[None]] = {}
@@ -250,15 +247,15 @@
         self._owners.set_outdated(self._host_id, self._cluster_state.outdated())
         if not self._is_report_due():
             return
-        for name, spec in self._cluster_state.routes.services_by_name.items():
-            if spec.engine is not None:
-                await self._report_service(name)
+        services = self._cluster_state.routes.services_by_name
+        model_services = {name for name, spec in services.items() if spec.engine}
+        for name in sorted(model_services | self._limits.groups()):
+            await self._report_service(name)
 
     def _is_report_due(self) -> bool:
         """Return whether to report now; called once in each period."""
         self._periods_since_report += 1
-        hosts = len(self._cluster_state.hosts_by_id)
-        period = min(MAX_IDLE_REPORT_PERIODS, max(1, hosts // HOSTS_PER_REPORT_PERIOD))
+        period = idle_report_periods(len(self._cluster_state.hosts_by_id))
         active = self._pending_requests > 0 or bool(self._held_runs_by_id)
         if not active and self._periods_since_report < period:
             return False
@@ -325,7 +322,7 @@
         if preferred is not None and preferred != owner:
             await self._report_to(preferred, service)
 
-    def _build_report(self, service: str) -> RunsHeld:
+    def _build_report(self, owner: str, service: str) -> RunsHeld:
         now_s = self._clock.monotonic()
         runs = tuple(
             HeldRun(
@@ -341,7 +338,23 @@
             for request_id, held in self._held_runs_by_id.items()
             if held.request.service == service
         )
-        return RunsHeld(service, runs)
+        limits = self._limits.limits_of(service)
+        # Hosts of earlier builds know no such field, so it is only used while
+        # there are limits that the host may be counted for.
+        counted = not limits or self._is_counted_by(owner, service)
+        return RunsHeld(service, runs, counted, limits)
+
+    def _is_counted_by(self, owner: str, service: str) -> bool:
+        """Return whether an owner may go on to count this host.
+
+        Not with the first report after a change, since this host has been
+        counted elsewhere, and not for reports that only probe an owner.
+        """
+        if owner != self._owners.owner(service):
+            return False
+        previous = self._reported_owner_by_service.get(service)
+        self._reported_owner_by_service[service] = owner
+        return owner == previous
 
     def _reset_gaps(self, service: str) -> None:
         """Start a new report period for the longest gap of each run."""
@@ -351,7 +364,9 @@
 
     async def _report_to(self, owner: str, service: str) -> None:
         if owner == self._host_id:
-            self._queue_owner.apply_report(self._build_report(service), self._host_id)
+            report = self._build_report(owner, service)
+            reply = self._queue_owner.apply_report(report, self._host_id)
+            self._limits.merge(service, reply.limits)
             self._reset_gaps(service)
             return
         try:
@@ -390,11 +405,13 @@
 
         Raises ``RouterError``.
         """
-        message = self._build_report(service)
+        message = self._build_report(owner, service)
         self._reset_gaps(service)
         reply = await self._links.call(owner, message, REPORT_TIMEOUT_S)
         if not isinstance(reply, RunsNoted):
             return
+        if owner == self._owners.owner(service):
+            self._limits.merge(service, reply.limits)
         self._cluster_state.record_owner_version(reply.configuration)
         if self._owners.set_outdated(owner, reply.outdated):
             log_event(logger, "owner_outdated", peer=owner, outdated=reply.outdated)
--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -70,6 +70,18 @@
         spec = self.routes.services_by_name.get(service)
         return spec.engine if spec is not None else None
 
+    def limit_group(self, service: str) -> str:
+        """Return the service whose owner accounts for the limits of a service.
+
+        All hosts report to the owners of model services only, so a plain
+        service belongs to the first of these, if there is one.
+        """
+        if self.routes is None or self.engine_spec(service) is not None:
+            return service
+        services = self.routes.services_by_name
+        names = (name for name, spec in services.items() if spec.engine is not None)
+        return min(names, default=service)
+
     @property
     def version(self) -> int:
         """Return the version of the configuration, or -1 without one."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -18,6 +18,7 @@
 from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
+from .known_limits import KnownLimits
 from .open_stream import OpenStream, RunFailedError
 from .protocols import EngineDialect, PrefillResult, SendOptions
 from .stream_limits import event_timeouts
@@ -78,7 +79,9 @@
         pool: EnginePool,
         dialect: EngineDialect,
         notices: EngineNotices,
+        limits: KnownLimits,
     ) -> None:
+        self._limits = limits
         self._clock = clock
         self._pool = pool
         self._dialect = dialect
@@ -150,7 +153,9 @@
         )
         sent_s = self._clock.monotonic()
         try:
-            head = await self._send_and_read_head(request, entry, connection, options)
+            head = await self._send_and_read_head(
+                request, entry, connection, options, sent_s
+            )
             if self._dialect.not_executed(head):
                 await _read_bounded(connection)
                 self._pool.release(connection)
@@ -230,8 +235,9 @@
         headers: list[Header],
         request_id: str,
     ) -> None:
-        if self._notices.remaining_pause_s(entry.id) > 0:
-            # The engine asked for a pause. Results and reservations expire
+        is_paused = self._notices.remaining_pause_s(entry.id) > 0
+        if is_paused or self._limits.is_limited(entry.id):
+            # The engine wants fewer requests. Results and reservations expire
             # there within seconds without a release.
             log_event(logger, "release_left_out", request=request_id, engine=entry.id)
             return
@@ -260,6 +266,7 @@
         entry: EngineEntry,
         connection: EngineConnection,
         options: SendOptions,
+        sent_s: float,
     ) -> ResponseHead:
         """Send a request and return the head of its response.
 
@@ -273,7 +280,8 @@
             head, request.id, reused=connection.exchanges > 1
         ):
             raise ConnectionBrokenError("answer of another request")
-        self._notices.apply(entry, self._dialect.notice(head, entry.id))
+        notice = self._dialect.notice(head, entry.id)
+        self._notices.apply(entry, notice, head.status, sent_s)
         return head
 
     async def _exchange(
@@ -284,6 +292,7 @@
         options: SendOptions,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return its complete response."""
+        sent_s = self._clock.monotonic()
         try:
             headers = self._dialect.engine_headers(request.metadata, options)
             connection.send(request.method, request.target, headers, request.body)
@@ -291,7 +300,8 @@
             reused = connection.exchanges > 1
             if self._dialect.belongs_to_other_request(head, request.id, reused=reused):
                 raise ConnectionBrokenError("answer of another request")
-            self._notices.apply(entry, self._dialect.notice(head, entry.id))
+            notice = self._dialect.notice(head, entry.id)
+            self._notices.apply(entry, notice, head.status, sent_s)
             body = await _read_bounded(connection)
         except BaseException:
             connection.abort()
@@ -330,7 +340,8 @@
             try:
                 connection.send(method, target, headers, body)
                 head = await connection.read_head()
-                self._notices.apply(entry, self._dialect.notice(head, entry.id))
+                notice = self._dialect.notice(head, entry.id)
+                self._notices.apply(entry, notice, head.status)
                 response = await _read_bounded(connection)
             except BaseException:
                 connection.abort()
--- a/packages/kumquat_relay/src/kumquat_relay/engine_notices.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_notices.py
@@ -8,7 +8,8 @@
 host sends it no new work from that response on. When an engine asks for a
 pause, this host sends it nothing until the pause is over; the pause does not
 apply to other hosts. The owner of the service is notified of both, so that it
-grants no slot that cannot be used.
+grants no slot that cannot be used. A limit that an engine names applies to all
+hosts together; ``known_limits`` keeps it.
 """
 
 import logging
@@ -20,6 +21,7 @@
 
 from .cluster_state import ClusterState
 from .engine_registry import EngineEntry
+from .known_limits import KnownLimits
 from .protocols import EngineNotice
 
 __all__ = ["EngineNotices"]
@@ -43,15 +45,28 @@
     ``on_notice`` is called with each notice that has changed something.
     """
 
-    def __init__(self, clock: Clock, cluster_state: ClusterState) -> None:
+    def __init__(
+        self, clock: Clock, cluster_state: ClusterState, limits: KnownLimits
+    ) -> None:
+        self._limits = limits
         self._clock = clock
         self._cluster_state = cluster_state
         self._pauses_by_id: dict[str, _Pause] = {}
         self.on_notice: Callable[[EngineEntry, EngineNotice], None]
         self.on_notice = lambda entry, notice: None
 
-    def apply(self, entry: EngineEntry, notice: EngineNotice) -> None:
-        """Apply a notice that an engine has just given."""
+    def apply(
+        self,
+        entry: EngineEntry,
+        notice: EngineNotice,
+        status: int,
+        sent_s: float | None = None,
+    ) -> None:
+        """Apply a notice that an engine has just given.
+
+        ``sent_s`` is when the request was sent, None for a control call.
+        """
+        self._limits.apply(entry, notice, sent_s, status)
         if notice.problem:
             log_event(
                 logger,
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -19,6 +19,7 @@
 from .priority_reserve import ReservedCapacity
 from .queue_types import QueuedRequest, QueueParameters
 from .run_ledger import RunLedger
+from .server_limits import ServerLimits
 
 __all__ = ["Placement"]
 
@@ -35,8 +36,10 @@
         ledger: RunLedger,
         parameters: QueueParameters,
         blocks: Mapping[str, Mapping[str, float]],
+        limits: ServerLimits,
         now_s: float,
     ) -> None:
+        self._limits = limits
         self._ledger = ledger
         self._parameters = parameters
         self._now_s = now_s
@@ -68,6 +71,18 @@
         """Return the number of slots that no run holds."""
         return self._free_slots
 
+    def permitted_slots(self) -> int:
+        """Return the number of free slots that requests may use now."""
+        return sum(
+            int(
+                min(
+                    max(0, load.free_slots()),
+                    self._limits.permits_left(load.entry.id, self._now_s),
+                )
+            )
+            for load in self.decode_engines
+        )
+
     def record_grant(self, prefill_engine: EngineLoad | None) -> None:
         """Update the view after a grant in this pass."""
         self._free_slots -= 1
@@ -98,13 +113,21 @@
         """Return the decode engines to which the host may send requests."""
         return self._not_blocked(self.decode_engines, queued)
 
+    def usable_prefill_engines(self, queued: QueuedRequest) -> list[EngineLoad]:
+        """Return the prefill engines to which the host may send requests."""
+        return self._not_blocked(self.prefill_engines, queued)
+
     def first_prefill_engine(self, queued: QueuedRequest) -> EngineLoad | None:
         """Return the prefill engine that can begin first, if there is one.
 
         An engine that failed the request is returned only if there is no
         other, since repeating a prefill is safe.
         """
-        prefill_engines = self._not_blocked(self.prefill_engines, queued)
+        prefill_engines = [
+            load
+            for load in self.usable_prefill_engines(queued)
+            if self._limits.may_send(load.entry.id, self._now_s)
+        ]
         for load in prefill_engines:
             if load.entry.id not in queued.excluded:
                 return load
@@ -137,7 +160,9 @@
         loads = [
             load
             for load in self._not_blocked(self.decode_engines, queued)
-            if load.entry.id not in queued.excluded and load.free_slots() > 0
+            if load.entry.id not in queued.excluded
+            and load.free_slots() > 0
+            and self._limits.may_send(load.entry.id, self._now_s)
         ]
         loads.sort(key=self._preference)
         for load in loads:
@@ -186,6 +211,13 @@
         pause_s = load.expected_pause_s(request.prompt_tokens)
         return pause_s > load.max_local_prefill_s(max_gap_s)
 
+    def needs_prefill_engine(self, queued: QueuedRequest) -> bool:
+        """Return whether no decode engine may prefill the prompt itself."""
+        return all(
+            self.exceeds_pause_limit(load, queued.request)
+            for load in self.usable_decode_engines(queued)
+        )
+
     def _preference(self, load: EngineLoad) -> tuple[bool, bool, float]:
         """Return the sort key of a decode engine; the lowest is preferred."""
         is_stalled = self._now_s < load.stalled_until_s
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -31,6 +31,7 @@
 from .plain_balancer import PlainBalancer
 from .protocols import EngineDialect, SendOptions
 from .response_memory import ResponseMemory
+from .send_permits import SendPermits
 
 __all__ = ["PlainRelay"]
 
@@ -57,9 +58,13 @@
 
 @dataclass
 class _Progress:
-    """State of one request over its attempts."""
+    """State of one request over its attempts.
+
+    ``without_permit`` are the servers whose named limit is used up.
+    """
 
     tried: set[str] = field(default_factory=set)
+    without_permit: set[str] = field(default_factory=set)
     sends: int = 0
     may_have_executed: bool = False
     last_reason: str = "no_server"
@@ -79,7 +84,9 @@
         dialect: EngineDialect,
         notices: EngineNotices,
         memory: ResponseMemory,
+        permits: SendPermits,
     ) -> None:
+        self._permits = permits
         self._notices = notices
         self._memory = memory
         self._clock = clock
@@ -103,7 +110,11 @@
         self, request: CallerRequest, progress: _Progress
     ) -> CallerResponse:
         while True:
-            entry = self._balancer.choose(request.service, progress.tried)
+            excluded = progress.tried | progress.without_permit
+            entry = self._balancer.choose(request.service, excluded)
+            if entry is None and progress.without_permit:
+                retry_s = self._permits.retry_after_s(progress.without_permit)
+                return _final_failure(progress, limit_s=retry_s)
             if entry is None:
                 pause_s = self._balancer.remaining_pause_s(
                     request.service, progress.tried
@@ -112,7 +123,11 @@
                     continue
                 pause_s = self._balancer.remaining_pause_s(request.service, set())
                 return _final_failure(progress, pause_s)
+            if not await self._permits.acquire(request.id, entry):
+                progress.without_permit.add(entry.id)
+                continue
             if not self._may_send(request, progress):
+                self._permits.give_back(entry)
                 return _final_failure(progress)
             progress.tried.add(entry.id)
             try:
@@ -220,13 +235,15 @@
         options: SendOptions,
     ) -> CallerResponse:
         headers = self._dialect.engine_headers(request.metadata, options)
+        sent_s = self._clock.monotonic()
         connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
         if self._dialect.belongs_to_other_request(
             head, request.id, reused=connection.exchanges > 1
         ):
             raise ConnectionBrokenError("answer of another request")
-        self._notices.apply(entry, self._dialect.notice(head, entry.id))
+        notice = self._dialect.notice(head, entry.id)
+        self._notices.apply(entry, notice, head.status, sent_s)
         with self._memory.buffer() as response:
             async for part in connection.read_body():
                 response.add(part)
@@ -275,15 +292,20 @@
     return asyncio.get_running_loop().time() + max(0.0, left_s)
 
 
-def _final_failure(progress: _Progress, pause_s: float | None = None) -> CallerResponse:
+def _final_failure(
+    progress: _Progress, pause_s: float | None = None, limit_s: float | None = None
+) -> CallerResponse:
     """Return the response to a request that must not be sent again.
 
-    ``pause_s`` is the time until the first pause of a server ends.
+    ``pause_s`` is the time until the first pause of a server ends, ``limit_s``
+    the time until a server whose limit is used up may get the request.
     """
     if progress.failed_response is not None:
         return progress.failed_response
     if progress.may_have_executed:
         return failure(ResultCode.BACKEND_FAILED, progress.last_reason)
+    if limit_s is not None:
+        return refusal(ResultCode.NO_CAPACITY_IN_TIME, "server_limited", limit_s)
     if pause_s is not None:
         return refusal(ResultCode.BACKEND_UNREACHABLE, "servers_paused", pause_s)
     if not progress.tried:
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -200,12 +200,17 @@
     ``leaving``: the engine is shutting down. ``replaced``: another process has
     its address. ``pause_s`` is the time in seconds for which it asks this host
     to send nothing, 0 if it does not. ``problem`` describes an invalid header.
+    ``limit_per_s`` is the number of requests per second that it takes from all
+    hosts together, None if it names no limit; ``limit_problem`` describes an
+    invalid one.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     problem: str = ""
     replaced: bool = False
+    limit_per_s: float | None = None
+    limit_problem: str = ""
 
 
 class EngineDialect(Protocol):
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -28,6 +28,7 @@
 from .cluster_state import ClusterState
 from .engine_health import EngineHealth, Failure
 from .engine_probe import EngineProbe
+from .limit_owner import LimitOwner
 from .queue_types import Decision, Granted, QueueParameters, Refused
 from .relay_rules import ALL_RULES, RelayRules
 from .retry_schedule import RetrySchedule
@@ -75,12 +76,15 @@
         cluster_state: ClusterState,
         health: EngineHealth,
         probe: EngineProbe,
+        limits: LimitOwner,
         is_preferred_owner: Callable[[str], bool] = lambda service: True,
         rules: RelayRules = ALL_RULES,
     ) -> None:
         self._rules = rules
         self._probe = probe
         probe.on_connected = self.engines_changed
+        self._limits = limits
+        limits.on_change = self._limits_changed
         self._is_preferred_owner = is_preferred_owner
         self._host_id = host_id
         self._clock = clock
@@ -200,6 +204,7 @@
             owned.queue.ledger.free_slots(),
             self._cluster_state.outdated(),
             self._cluster_state.version,
+            self._limits.apply_report(message, host_id),
         )
 
     def drop_expired(self) -> None:
@@ -225,6 +230,12 @@
                     owned, owned.queue.advance(self._clock.monotonic())
                 )
 
+    def _limits_changed(self, service: str) -> None:
+        """Decide again, since more or fewer grants are possible."""
+        owned = self._owned_queues_by_service.get(service)
+        if owned is not None:
+            self._apply_decisions(owned, owned.queue.advance(self._clock.monotonic()))
+
     def demands(self) -> dict[str, Demand]:
         """Return the demand of the services that this host owns now."""
         oldest_s = self._clock.monotonic() - OWNERSHIP_IDLE_S
@@ -279,6 +290,7 @@
                 self._health,
                 RetrySchedule(spread_retries=self._rules.return_times),
                 QueueParameters(rules=self._rules),
+                self._limits.limits_of(service),
             )
             owned = _OwnedQueue(queue, float("-inf"))
             self._owned_queues_by_service[service] = owned
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -11,11 +11,13 @@
 from kumquat_core.peer_messages import (
     EngineNoticed,
     Message,
+    PermitRequest,
     RunEnded,
     RunPrefilled,
     RunRequest,
     RunsHeld,
     RunStalled,
+    ServerLimitNotice,
 )
 from kumquat_core.settings import Address
 from kumquat_core.timers import TimerService
@@ -23,7 +25,7 @@
 from kumquatrouter.peer_server import PeerServer
 from kumquatrouter.supervisor import Supervisor, TaskService
 
-from .admission import REPORT_S, Admission
+from .admission import Admission
 from .caller_server import CallerServer
 from .command_lease import CommandLease
 from .engine_calls import EngineCalls
@@ -31,6 +33,8 @@
 from .engine_probe import EngineProbe
 from .engine_registry import EngineEntry
 from .host_parts import HostParts, build_watches
+from .known_limits import KnownLimits
+from .limit_owner import LimitOwner
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
 from .plain_relay import PlainRelay
@@ -43,9 +47,11 @@
 from .queue_owner import QueueOwner
 from .relay_metrics import RelayMetrics
 from .relay_settings import RelayOptions
+from .report_period import REPORT_S
 from .request_age import RequestAge
 from .response_memory import ResponseMemory
 from .role_controller import RoleController
+from .send_permits import SendPermits
 from .status_server import MetricsServer, ReadinessServer
 from .stream_relay import StreamRelay
 
@@ -92,7 +98,11 @@
         self._dialect = dialect
         self._parts = parts
         self._incarnation = parts.clock.wall_ms()
-        self._notices = EngineNotices(parts.clock, parts.cluster_state)
+        self._limits = KnownLimits(
+            parts.clock, parts.cluster_state, enabled=parts.rules.server_limits
+        )
+        self._limit_owner = LimitOwner(parts.clock, parts.cluster_state)
+        self._notices = EngineNotices(parts.clock, parts.cluster_state, self._limits)
         self._balancer = PlainBalancer(
             parts.cluster_state.registry,
             parts.health,
@@ -118,6 +128,7 @@
             parts.cluster_state,
             parts.health,
             self._probe,
+            self._limit_owner,
             lambda service: (
                 self._owner_selection.preferred_owner(service) == options.host_id
             ),
@@ -138,8 +149,19 @@
             self._peer_links,
             self._owner_selection,
             self._queue_owner,
+            self._limits,
             parts.rules,
         )
+        self._permits = SendPermits(
+            options.host_id,
+            parts.clock,
+            self._limits,
+            self._peer_links,
+            self._owner_selection,
+            self._limit_owner,
+        )
+        self._limits.notify_owner = self._permits.notify_owner
+        self._permits.on_outcome = parts.metrics.record_permit
         self._supervisor: Supervisor | None = None
         self._peer_services: Supervisor | None = None
         self._registration_task: asyncio.Task[None] | None = None
@@ -164,8 +186,8 @@
         )
         parts.cluster_state.on_engines_changed = self._queue_owner.engines_changed
         parts.cluster_state.on_engine_removed = self._engine_removed
-        parts.cluster_state.on_engine_restarted = lambda entry: (
-            self._notices.clear_pause(entry.id)
+        parts.cluster_state.on_engine_restarted = lambda entry: self._clear_notices(
+            entry.id
         )
         self._notices.on_notice = self._admission.forward_notice
         parts.cluster_state.on_hosts_changed = self._hosts_changed
@@ -266,8 +288,11 @@
             self._dialect,
             self._notices,
             memory,
+            self._permits,
+        )
+        calls = EngineCalls(
+            parts.clock, parts.pool, self._dialect, self._notices, self._limits
         )
-        calls = EngineCalls(parts.clock, parts.pool, self._dialect, self._notices)
         streams = StreamRelay(
             parts.clock,
             parts.cluster_state,
@@ -278,6 +303,7 @@
             parts.metrics,
             self._notices,
             memory,
+            self._limits,
             parts.rules,
         )
         return CallerServer(
@@ -338,6 +364,10 @@
                 self._queue_owner.on_stalled(message)
             case EngineNoticed():
                 self._queue_owner.apply_notice(message, peer.host_id)
+            case ServerLimitNotice():
+                self._limit_owner.apply_notice(message, peer.host_id)
+            case PermitRequest():
+                return self._limit_owner.grant_permits(message)
             case RunEnded():
                 self._queue_owner.on_run_ended(message)
             case _:
@@ -356,6 +386,7 @@
         """Apply the current number of hosts and reset restarted ones."""
         hosts = self._parts.cluster_state.hosts_by_id
         self._parts.retries.host_count = max(1, len(hosts))
+        self._permits.host_count = max(1, len(hosts))
         for host_id, entry in hosts.items():
             if self._incarnations_by_host_id.get(host_id) != entry.incarnation:
                 self._incarnations_by_host_id[host_id] = entry.incarnation
@@ -364,15 +395,23 @@
     def _engine_removed(self, entry: EngineEntry) -> None:
         """Discard what this host keeps about a removed engine."""
         self._balancer.remove(entry.id)
-        self._notices.clear_pause(entry.id)
+        self._clear_notices(entry.id)
         self._role_controller.remove_engines([entry.id])
         self._parts.pool.close_idle(entry.address)
 
+    def _clear_notices(self, engine_id: str) -> None:
+        """Discard what an engine said before it was removed or restarted."""
+        self._notices.clear_pause(engine_id)
+        self._limits.remove(engine_id)
+        self._permits.remove(engine_id)
+        self._limit_owner.remove_engine(engine_id)
+
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
         self._parts.cluster_state.apply_deferred_removals()
         self._parts.pool.close_stale()
         self._queue_owner.drop_expired()
+        self._limit_owner.refresh_shares()
 
     async def _plan_roles(self) -> None:
         if self._parts.rules.role_changes and not self._parts.shutdown.draining:
@@ -389,6 +428,7 @@
         metrics.engines.set(len(parts.cluster_state.registry.all_entries()))
         metrics.opened.set(parts.pool.opened)
         metrics.held_slots.set(self._admission.held_run_count)
+        metrics.limited_servers.set(self._limits.count())
         if parts.cluster_state.routes is not None:
             metrics.version.set(parts.cluster_state.routes.version)
         return metrics.text()
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -77,6 +77,15 @@
             "configuration_version", "Version of the configuration in use"
         )
         self.engines = self._gauge("engines", "Known engines and backend servers")
+        self.limited_servers = self._gauge(
+            "limited_servers", "Servers that have named a limit of their request rate"
+        )
+        self._permits = Counter(
+            "kumquat_relay_send_permits",
+            "Requests for which a permit of a limited server was wanted, by outcome",
+            ["granted"],
+            registry=self.registry,
+        )
         self.opened = self._gauge(
             "engine_connections_opened", "Connections opened to engines since the start"
         )
@@ -99,6 +108,10 @@
         """Count a poll of the store by its success."""
         self._store_polls.labels(kind, str(succeeded).lower()).inc()
 
+    def record_permit(self, granted: bool) -> None:
+        """Count a plain request that needed a permit of a limited server."""
+        self._permits.labels(str(granted).lower()).inc()
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
@@ -35,6 +35,7 @@
     ``plain_choice``: plain requests go to the server of lowest latency.
     ``resumption``: an interrupted stream is resumed at another engine.
     ``fetching``: the parts of a prompt are fetched if its result expired.
+    ``server_limits``: all hosts together keep the rates that servers name.
     """
 
     read_ahead: bool = True
@@ -56,6 +57,7 @@
     plain_choice: bool = True
     resumption: bool = True
     fetching: bool = True
+    server_limits: bool = True
 
 
 ALL_RULES = RelayRules()
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/report_period.py
@@ -0,0 +1,29 @@
+"""How often hosts report to the owner of a service.
+
+The owner processes the reports of all hosts. The more hosts there are, the
+less often idle hosts report, so that the owner's work grows more slowly than
+the fleet.
+"""
+
+__all__ = ["REPORT_S", "idle_report_periods", "member_ttl_s"]
+
+# Period of the reports; the loss of an owner is detected within two periods.
+REPORT_S = 0.5
+# Idle hosts report once in as many periods as there are groups of this size.
+HOSTS_PER_REPORT_PERIOD = 32
+# Four periods take 2 s; an owner that receives nothing for longer than that
+# restarts its queue.
+MAX_IDLE_REPORT_PERIODS = 4
+
+
+def idle_report_periods(hosts: int) -> int:
+    """Return how many periods pass between two reports of an idle host."""
+    return min(MAX_IDLE_REPORT_PERIODS, max(1, hosts // HOSTS_PER_REPORT_PERIOD))
+
+
+def member_ttl_s(hosts: int) -> float:
+    """Return how long an owner counts a host after its last report, in s.
+
+    One lost report does not end it.
+    """
+    return (2 * idle_report_periods(hosts) + 1) * REPORT_S
--- a/packages/kumquat_relay/src/kumquat_relay/role_controller.py
+++ b/packages/kumquat_relay/src/kumquat_relay/role_controller.py
@@ -215,7 +215,8 @@
             async with asyncio.timeout(COMMAND_TIMEOUT_S):
                 connection.send(method, target, headers, body)
                 head = await connection.read_head()
-                self._notices.apply(engine, self._dialect.notice(head, engine.id))
+                notice = self._dialect.notice(head, engine.id)
+                self._notices.apply(engine, notice, head.status)
                 async for part in connection.read_body():
                     response_body += part
         except (ConnectionBrokenError, SendFailedError, TimeoutError) as error:
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -18,6 +18,7 @@
 from .engine_notices import EngineNotices
 from .engine_registry import EngineEntry
 from .host_retry_budget import HostRetryBudget
+from .known_limits import KnownLimits
 from .open_stream import OpenStream
 from .prefill_expiry import PrefillExpiry
 from .protocols import EngineNotice
@@ -52,8 +53,10 @@
         calls: EngineCalls,
         retries: HostRetryBudget,
         notices: EngineNotices,
+        limits: KnownLimits,
         rules: RelayRules,
     ) -> None:
+        self._limits = limits
         self._rules = rules
         self._notices = notices
         self._clock = clock
@@ -74,6 +77,9 @@
         spec = self._cluster_state.engine_spec(request.service)
         if spec is None or not spec.reservation_ttl_ms or not self._rules.reservation:
             return True
+        if self._limits.is_limited(entry.id):
+            # A reservation would count as a request towards the limit.
+            return True
         prompt = request.metadata.prompt or PromptMetadata(1, 1, 1)
         tokens = prompt.prompt_tokens + RESERVED_OUTPUT_TOKENS
         try:
@@ -155,10 +161,16 @@
                 had_capacity, reservation_id = bool(reservation_id), ""
                 if not self._rules.fetching:
                     raise
-                if not error.overloaded or not (
-                    had_capacity or await self.reserve(request, entry, progress)
+                is_limited = self._limits.is_limited(entry.id)
+                if (
+                    is_limited
+                    or not error.overloaded
+                    or not (
+                        had_capacity or await self.reserve(request, entry, progress)
+                    )
                 ):
-                    # The engine has not used the result; another one can.
+                    # The engine has not used the result; another one can. A
+                    # second send to a limited engine needs another grant.
                     progress.prefill = source
                     raise
                 reservation_id, progress.reservation_id = progress.reservation_id, ""
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -0,0 +1,212 @@
+"""Permits of this host for plain requests to servers that named a limit.
+
+Load pattern: all hosts want to send to a server that takes a few requests a
+second from all of them. Each request needs a permit of the limit's owner. A
+host that sends often asks for the permits of a short time at once, so that the
+number of messages does not grow with a high limit. A host that got fewer than
+it wanted asks again only after the time that the owner states.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import PermitGrant, PermitRequest, ServerLimitNotice
+from kumquat_core.result_codes import RouterError
+from kumquatrouter.peer_links import PeerLinks
+
+from .engine_registry import EngineEntry
+from .known_limits import KnownLimits
+from .limit_owner import LimitOwner
+from .owner_selection import OwnerSelection
+
+__all__ = ["SendPermits"]
+
+# A permit that is used later would count in another window of the server.
+PERMIT_TTL_S = 0.5
+# A host asks at once for the permits that it used in this time before.
+BATCH_S = 0.25
+# An owner replies in milliseconds; most of the shortest latency objective is
+# left for another server.
+ASK_TIMEOUT_S = 0.05
+# After a failed request for permits: an owner is replaced within a second.
+FAILED_ASK_RETRY_S = 0.25
+# Callers return earlier than a later time, or not at all.
+MAX_RETRY_AFTER_S = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class _Stock:
+    """The permits of one server that this host holds."""
+
+    expiries_s: deque[float] = field(default_factory=deque)
+    used_s: deque[float] = field(default_factory=deque)
+    refused_until_s: float = float("-inf")
+    next_retry_s: float = float("-inf")
+    ask: "asyncio.Task[None] | None" = None
+    waiting: int = 0
+
+
+class SendPermits:
+    """Acquires a permit before each plain request to a limited server.
+
+    ``on_outcome`` is called with whether a wanted permit was granted.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: Clock,
+        known: KnownLimits,
+        links: PeerLinks,
+        owners: OwnerSelection,
+        limit_owner: LimitOwner,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._known = known
+        self._links = links
+        self._owners = owners
+        self._limit_owner = limit_owner
+        self._stocks_by_id: dict[str, _Stock] = {}
+        self.host_count = 1
+        self.on_outcome: Callable[[bool], None] = lambda granted: None
+
+    async def acquire(self, request_id: str, entry: EngineEntry) -> bool:
+        """Return whether a request may be sent to a server now."""
+        if not self._known.is_limited(entry.id):
+            return True
+        stock = self._stocks_by_id.setdefault(entry.id, _Stock())
+        stock.waiting += 1
+        try:
+            while not self._take(stock):
+                if self._clock.monotonic() < stock.refused_until_s:
+                    self._record_refusal(request_id, entry)
+                    return False
+                if not self._known.is_limited(entry.id):
+                    return True
+                await self._ask_once(entry, stock)
+        finally:
+            stock.waiting -= 1
+        self.on_outcome(True)
+        return True
+
+    def _record_refusal(self, request_id: str, entry: EngineEntry) -> None:
+        self.on_outcome(False)
+        rate_per_s = None
+        if self._known.is_limited(entry.id):
+            rate_per_s = self._known.rate_per_s(entry.id)
+        log_event(
+            logger,
+            "permit_refused",
+            request=request_id,
+            engine=entry.id,
+            rate_per_s=rate_per_s,
+        )
+
+    def give_back(self, entry: EngineEntry) -> None:
+        """Keep a permit that was not used for the next request."""
+        stock = self._stocks_by_id.get(entry.id)
+        if stock is not None and stock.used_s:
+            stock.expiries_s.appendleft(stock.used_s.pop() + PERMIT_TTL_S)
+
+    def retry_after_s(self, engine_ids: set[str]) -> float:
+        """Return when a caller that got no permit should return, in seconds.
+
+        Callers that this host refuses are told times as far apart as its equal
+        share of the limits allows.
+        """
+        now_s = self._clock.monotonic()
+        stocks = [self._stocks_by_id[engine_id] for engine_id in engine_ids]
+        first_s = min(stock.refused_until_s for stock in stocks)
+        rate_per_s = sum(
+            self._known.rate_per_s(engine_id)
+            for engine_id in engine_ids
+            if self._known.is_limited(engine_id)
+        )
+        spacing_s = self.host_count / rate_per_s if rate_per_s > 0 else 0.0
+        last_s = max(stock.next_retry_s for stock in stocks)
+        retry_s = max(first_s, min(last_s + spacing_s, now_s + MAX_RETRY_AFTER_S))
+        for stock in stocks:
+            stock.next_retry_s = retry_s
+        return retry_s - now_s
+
+    def notify_owner(self, message: ServerLimitNotice) -> None:
+        """Notify the owner of a limit that a server has named or ended."""
+        owner = self._owners.owner(message.service)
+        if owner == self._host_id:
+            self._limit_owner.apply_notice(message, self._host_id)
+            return
+        try:
+            self._links.post(owner, message)
+        except RouterError as error:
+            # The next report to the owner lists the limits.
+            log_event(
+                logger,
+                "message_not_sent",
+                level=logging.DEBUG,
+                peer=owner,
+                type=type(message).__name__,
+                detail=error.detail,
+            )
+
+    def remove(self, engine_id: str) -> None:
+        """Discard the permits of a server that was removed or restarted."""
+        self._stocks_by_id.pop(engine_id, None)
+
+    def _take(self, stock: _Stock) -> bool:
+        """Use a permit that is still valid; return whether there was one."""
+        now_s = self._clock.monotonic()
+        while stock.expiries_s and stock.expiries_s[0] < now_s:
+            stock.expiries_s.popleft()
+        if not stock.expiries_s:
+            return False
+        stock.expiries_s.popleft()
+        stock.used_s.append(now_s)
+        return True
+
+    async def _ask_once(self, entry: EngineEntry, stock: _Stock) -> None:
+        """Ask the owner for permits; concurrent requests share the reply."""
+        if stock.ask is None or stock.ask.done():
+            stock.ask = asyncio.ensure_future(self._ask(entry, stock))
+        await asyncio.shield(stock.ask)
+
+    async def _ask(self, entry: EngineEntry, stock: _Stock) -> None:
+        now_s = self._clock.monotonic()
+        while stock.used_s and stock.used_s[0] < now_s - BATCH_S:
+            stock.used_s.popleft()
+        wanted = max(stock.waiting, len(stock.used_s))
+        group = self._known.group_of(entry.id) or entry.service
+        message = PermitRequest(group, entry.id, wanted)
+        reply = await self._call_owner(message)
+        replied_s = self._clock.monotonic()
+        if reply is None:
+            stock.refused_until_s = replied_s + FAILED_ASK_RETRY_S
+            return
+        stock.expiries_s.extend([replied_s + PERMIT_TTL_S] * reply.granted)
+        if reply.granted < wanted:
+            stock.refused_until_s = replied_s + reply.wait_ms / 1000
+
+    async def _call_owner(self, message: PermitRequest) -> PermitGrant | None:
+        """Return the owner's reply, None if there is none."""
+        owner = self._owners.owner(message.service)
+        if owner == self._host_id:
+            return self._limit_owner.grant_permits(message)
+        try:
+            reply = await self._links.call(owner, message, ASK_TIMEOUT_S)
+        except RouterError as error:
+            log_event(
+                logger,
+                "permits_not_granted",
+                engine=message.engine,
+                peer=owner,
+                reason=error.detail,
+            )
+            return None
+        return reply if isinstance(reply, PermitGrant) else None
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -18,6 +18,7 @@
 returns the resulting ``Decision`` objects.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -32,6 +33,7 @@
 from .retry_schedule import RetrySchedule
 from .role_planner import Demand
 from .run_ledger import RunLedger
+from .server_limits import ServerLimits
 
 __all__ = ["StreamQueue"]
 
@@ -54,8 +56,10 @@
         health: EngineHealth,
         retry_schedule: RetrySchedule,
         parameters: QueueParameters | None = None,
+        limits: ServerLimits | None = None,
     ) -> None:
         self.service = service
+        self._limits = limits if limits is not None else ServerLimits()
         self._retry_schedule = retry_schedule
         self.parameters = parameters or QueueParameters()
         self.ledger = RunLedger(service, registry, health, self.parameters)
@@ -146,7 +150,9 @@
         )
 
     def _placement(self, now_s: float) -> Placement:
-        return Placement(self.ledger, self.parameters, self._blocks_by_host_id, now_s)
+        return Placement(
+            self.ledger, self.parameters, self._blocks_by_host_id, self._limits, now_s
+        )
 
     def advance(self, now_s: float) -> list[Decision]:
         """Grant requests that fit and refuse those whose time has run out."""
@@ -190,10 +196,14 @@
         times = [queued.queue_deadline_s for queued in self._queued_by_id.values()]
         for load in self.ledger.decode_loads():
             times += [load.backoff_until_s, load.next_local_prefill_s]
+        for load in (*self.ledger.decode_loads(), *self.ledger.prefill_loads()):
+            if not self._limits.may_send(load.entry.id, now_s):
+                times.append(self._limits.next_permit_s(load.entry.id, now_s))
         times.append(self._paused_until_s)
         if self._reserve.has_reservations(now_s):
             times.append(now_s + RECHECK_INTERVAL_S)
-        return min((time for time in times if time > now_s), default=now_s)
+        # A permit may be expected at no time, which is infinitely late.
+        return min((time for time in times if now_s < time < math.inf), default=now_s)
 
     def ended(
         self, request_id: str, gap_ms: float, now_s: float, generated_tokens: int = 0
@@ -285,6 +295,9 @@
             queued.declared_tokens,
         )
         placement.record_grant(prefill_engine)
+        self._limits.take(decode.entry.id, 1, now_s)
+        if prefill_engine is not None:
+            self._limits.take(prefill_engine.entry.id, 1, now_s)
         if not queued.is_late(now_s):
             self._reserve.record_grant(request.priority)
         return Granted(
@@ -304,13 +317,16 @@
         loads = placement.usable_decode_engines(queued)
         if all(load.entry.id in queued.excluded for load in loads):
             return "no_engine"
-        if placement.first_prefill_engine(queued) is None and all(
-            placement.exceeds_pause_limit(load, queued.request) for load in loads
-        ):
+        if not placement.usable_prefill_engines(
+            queued
+        ) and placement.needs_prefill_engine(queued):
             return "no_reader_for_long_prompt"
         if not self.parameters.rules.early_refusal:
             return ""
         expected_start_s = now_s + self._expected_wait_s(queued, placement, now_s)
+        limit_wait_s = self._limit_wait_s(queued, placement, now_s)
+        if limit_wait_s > queued.queue_deadline_s - now_s:
+            return "server_limited"
         if not queued.is_late(now_s):
             return (
                 "" if expected_start_s <= queued.latest_start_s else "objective_missed"
@@ -337,13 +353,35 @@
             if item is not queued and self._sort_key(item, now_s) <= sort_key
         ]
         prefill_s = self._expected_prefill_wait_s(queued, placement, ahead, now_s)
-        free_count = 0 if self._is_memory_full(now_s) else placement.free_slots()
+        free_count = 0 if self._is_memory_full(now_s) else placement.permitted_slots()
         if len(ahead) < free_count:
             return prefill_s
         return max(
             prefill_s, self.ledger.nth_free_slot_s(len(ahead) - free_count, now_s)
         )
 
+    def _limit_wait_s(
+        self,
+        queued: QueuedRequest,
+        placement: Placement,
+        now_s: float,
+    ) -> float:
+        """Return the wait for permits of engines that have named limits."""
+        if not self._limits.limits():
+            return 0.0
+        sort_key = self._sort_key(queued, now_s)
+        position = sum(
+            self._sort_key(item, now_s) <= sort_key
+            for item in self._queued_by_id.values()
+        )
+        decode_ids = [load.entry.id for load in placement.usable_decode_engines(queued)]
+        wait_s = self._limits.wait_s(decode_ids, position, now_s)
+        if placement.needs_prefill_engine(queued):
+            loads = placement.usable_prefill_engines(queued)
+            prefill_ids = [load.entry.id for load in loads]
+            wait_s = max(wait_s, self._limits.wait_s(prefill_ids, position, now_s))
+        return wait_s
+
     def _is_memory_full(self, now_s: float) -> bool:
         """Return whether queued requests wait for memory, not for a slot."""
         waits_s = [now_s - item.arrived_s for item in self._queued_by_id.values()]
@@ -391,12 +429,16 @@
         if reason == "no_engine":
             wait_s = max(wait_s, self.ledger.role_change_wait_s(now_s))
         deadline_left_s = queued.arrived_s + queued.request.left_ms / 1000 - now_s
+        slots, slot_s = self.ledger.all_slots(), self.ledger.performance.slot_s.value
+        engine_ids = [load.entry.id for load in self.ledger.decode_loads()]
+        rate_per_s = self._limits.rate_per_s(engine_ids)
+        if 0 < rate_per_s < slots / slot_s:
+            # Retries use up the limits of the engines, not their slots.
+            position = len(self._queued_by_id) + 1
+            wait_s = max(wait_s, self._limits.wait_s(engine_ids, position, now_s))
+            slots, slot_s = 1, 1 / rate_per_s
         retry_after_s = self._retry_schedule.next_retry_s(
-            wait_s,
-            self.ledger.all_slots(),
-            self.ledger.performance.slot_s.value,
-            deadline_left_s,
-            now_s,
+            wait_s, slots, slot_s, deadline_left_s, now_s
         )
         return Refused(
             queued.request.request_id,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -24,6 +24,7 @@
 from .engine_connection import ConnectionBrokenError
 from .engine_notices import EngineNotices
 from .host_retry_budget import HostRetryBudget
+from .known_limits import KnownLimits
 from .open_stream import OpenStream, RunFailedError
 from .relay_metrics import RelayMetrics
 from .relay_rules import ALL_RULES, RelayRules
@@ -60,13 +61,14 @@
         metrics: RelayMetrics,
         notices: EngineNotices,
         memory: ResponseMemory,
+        limits: KnownLimits,
         rules: RelayRules = ALL_RULES,
     ) -> None:
         self._rules = rules
         self._memory = memory
         self._metrics = metrics
         self._starter = RunStarter(
-            clock, cluster_state, admission, calls, retries, notices, rules
+            clock, cluster_state, admission, calls, retries, notices, limits, rules
         )
         self._clock = clock
         self._cluster_state = cluster_state
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -38,6 +38,9 @@
     "retry_budget": "another send would have exceeded the retry budget",
     "saturated": "it was late while requests on time were refused",
     "send_failed": "the connection to the engine was closed before the send",
+    "server_limited": (
+        "the request rate that the servers had named for all hosts was used up"
+    ),
     "servers_paused": "all backend servers had asked this host to send nothing",
     "silent": "the engine produced no event for too long",
     "stopping": "the host was shutting down and would have cut it off",
@@ -118,14 +121,17 @@
         for line in lines
         if line.event == "sent"
     )
-    return f"late: {duration_ms:.0f} ms, objective {objective_ms:.0f} ms ({sends})"
+    return (
+        f"late: {duration_ms:.0f} ms, objective {objective_ms:.0f} ms ({sends})"
+        f"{_describe_limits(lines)}"
+    )
 
 
 def _refusal_details(lines: Sequence[LogLine]) -> str:
-    """Return the state of the queue that refused a request."""
+    """Return the state of the queue that refused a request, or the limits."""
     refused = _last(lines, "place_refused")
     if refused is None:
-        return ""
+        return _describe_limits(lines)
     return (
         f" (free slots {refused.get('free_places')}, waiting "
         f"{refused.get('waiting')}, told to retry after "
@@ -133,6 +139,17 @@
     )
 
 
+def _describe_limits(lines: Sequence[LogLine]) -> str:
+    """Return the servers whose limits kept a plain request from them."""
+    limits = [line for line in lines if line.event == "permit_refused"]
+    if not limits:
+        return ""
+    servers = ", ".join(
+        f"{line.get('engine')} {line.get('rate_per_s')}/s" for line in limits
+    )
+    return f" (limits: {servers})"
+
+
 def _failure_details(lines: Sequence[LogLine]) -> str:
     """Return the engine that failed last and how."""
     broken = _last(lines, "run_broken")
--- a/tests/ctl/test_log_timeline.py
+++ b/tests/ctl/test_log_timeline.py
@@ -105,3 +105,18 @@
     assert line.host == "host-1"
     assert line.fields_by_name == {"detail": 'a "b" c=d', "ms": "1.5"}
     assert parse_line("a word and a time=", "host-1") is None
+
+
+def test_a_refusal_names_the_servers_whose_limits_were_used_up() -> None:
+    """Otherwise nothing shows which server took no more requests."""
+    prefix = "time=2026-08-19T02:17:07.854 level=info logger=l"
+    lines = [
+        f"{prefix} event=request_read request=ab route=r",
+        f"{prefix} event=permit_refused request=ab engine=i-1 rate_per_s=3.4",
+        f"{prefix} event=permit_refused request=ab engine=i-2 rate_per_s=0.5",
+        f"{prefix} event=request_ended request=ab code=1205 reason=server_limited",
+    ]
+    assert explain("ab", "--log", "-", stdin="\n".join(lines))[-1] == (
+        "refused: the request rate that the servers had named for all hosts was "
+        "used up (limits: i-1 3.4/s, i-2 0.5/s)"
+    )
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -15,6 +15,7 @@
 from kumquat_relay.admission import Admission
 from kumquat_relay.cluster_state import ClusterState
 from kumquat_relay.engine_health import EngineHealth
+from kumquat_relay.known_limits import KnownLimits
 from kumquat_relay.owner_selection import OwnerSelection
 from kumquat_relay.protocols import HostEntry
 
@@ -63,7 +64,13 @@
         self.owners = OwnerSelection("z", clock, lambda: HOSTS, 0.1)
         cluster_state = ClusterState(clock, EngineHealth(clock))
         self.admission = Admission(
-            "z", clock, cluster_state, self.links, self.owners, queue_owner=None
+            "z",
+            clock,
+            cluster_state,
+            self.links,
+            self.owners,
+            queue_owner=None,
+            limits=KnownLimits(clock, cluster_state),
         )
         self.preferred_owner = self.owners.owner(SERVICE)
 
--- a/tests/relay/test_engine_notices.py
+++ b/tests/relay/test_engine_notices.py
@@ -12,6 +12,7 @@
 from kumquat_relay.engine_health import EngineHealth
 from kumquat_relay.engine_notices import MAX_PAUSE_S, EngineNotices
 from kumquat_relay.engine_registry import EngineRegistry
+from kumquat_relay.known_limits import KnownLimits
 from kumquat_relay.protocols import EngineNotice
 from kumquat_relay.queue_types import Granted
 
@@ -136,13 +137,13 @@
     clock = ManualClock(10.0)
     cluster_state = ClusterState(clock, EngineHealth(clock))
     cluster_state.registry.put(ENTRY, 1)
-    notices = EngineNotices(clock, cluster_state)
+    notices = EngineNotices(clock, cluster_state, KnownLimits(clock, cluster_state))
     forwarded: list[tuple[str, bool]] = []
     notices.on_notice = lambda entry, notice: forwarded.append(
         (entry.id, notice.leaving)
     )
     for _ in range(3):
-        notices.apply(ENTRY, EngineNotice(leaving=True))
+        notices.apply(ENTRY, EngineNotice(leaving=True), 200)
     assert forwarded == [("e", True)]
     assert notices.blocked_engines("advice") == {"e"}
 
@@ -223,10 +224,11 @@
 
 def test_retry_after_is_bounded_and_never_shortened() -> None:
     clock = ManualClock(10.0)
-    notices = EngineNotices(clock, ClusterState(clock, EngineHealth(clock)))
-    notices.apply(ENTRY, EngineNotice(pause_s=1e9))
+    cluster_state = ClusterState(clock, EngineHealth(clock))
+    notices = EngineNotices(clock, cluster_state, KnownLimits(clock, cluster_state))
+    notices.apply(ENTRY, EngineNotice(pause_s=1e9), 503)
     assert notices.remaining_pause_s("e") == MAX_PAUSE_S
-    notices.apply(ENTRY, EngineNotice(pause_s=1.0))
+    notices.apply(ENTRY, EngineNotice(pause_s=1.0), 503)
     assert notices.remaining_pause_s("e") == MAX_PAUSE_S
     notices.clear_pause("e")
     assert notices.remaining_pause_s("e") == 0.0
--- a/tests/relay/test_outlier_detection.py
+++ b/tests/relay/test_outlier_detection.py
@@ -16,6 +16,7 @@
 from kumquat_relay.engine_health import EngineHealth
 from kumquat_relay.engine_probe import EngineProbe
 from kumquat_relay.engine_registry import EngineRegistry, EngineRole
+from kumquat_relay.limit_owner import LimitOwner
 from kumquat_relay.outlier_detection import (
     MIN_FAILURES,
     WINDOW_S,
@@ -106,7 +107,8 @@
         registry.put(engine(f"d{index}"), index + 1)
     registry.put(engine("p0", EngineRole.PREFILL), 100)
     probe = EngineProbe(None, health, registry)
-    owner = QueueOwner("h0", clock, cluster_state, health, probe, rules=rules)
+    limits = LimitOwner(clock, cluster_state)
+    owner = QueueOwner("h0", clock, cluster_state, health, probe, limits, rules=rules)
     first = asyncio.ensure_future(
         owner.admit(run_request("first", objective_ms=60_000), "h0")
     )
