Let engines of the soak name limits of their request rate

The soak lets engines name 0.5, 1 or 2 requests a second for 7 to 12 s, beside all other faults, and counts what arrives from all hosts, restarted and frozen ones included, from 3 s after the naming on.

--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,8 +8,10 @@
 import asyncio
 import base64
 import json
+import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -162,6 +164,15 @@
         return int(time.monotonic() * 1000)
 
 
+@dataclass
+class LimitPeriod:
+    """A period in which an engine names one limit; loop times in seconds."""
+
+    rate_per_s: float
+    began_s: float
+    ended_s: float = math.inf
+
+
 class FakeEngine(_Server):
     """A fake model engine, or a plain backend server if ``stage`` is None."""
 
@@ -197,9 +208,23 @@
         self.drop_responses = 0
         # Added to every response, for example to announce a shutdown.
         self.extra_headers: dict[str, str] = {}
+        # The limits that it has named, in order.
+        self.limit_periods: list[LimitPeriod] = []
         # Listed in the store instead of its own address, if set.
         self.advertised_address: Address | None = None
 
+    def begin_limit(self, rate_per_s: float) -> None:
+        """Name a limit in all responses from now on."""
+        self.end_limit()
+        self.extra_headers["Server-Limit"] = str(rate_per_s)
+        now_s = asyncio.get_running_loop().time()
+        self.limit_periods.append(LimitPeriod(rate_per_s, now_s))
+
+    def end_limit(self) -> None:
+        """Name no limit from now on."""
+        if self.extra_headers.pop("Server-Limit", None) is not None:
+            self.limit_periods[-1].ended_s = asyncio.get_running_loop().time()
+
     def entry(self, service: str, state: str = "ready") -> dict[str, Any]:
         entry: dict[str, Any] = {
             "service": service,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -16,6 +16,12 @@
 TARGET_SUFFIX = "p%2Fq?x=1"
 # After a pause a host first handles what arrived meanwhile.
 OUTAGE_MARGIN_S = 1.0
+# From this time after an engine has named a limit, the requests of all hosts
+# in any window may exceed it by this factor and a few requests more.
+LIMIT_APPLY_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 
 
 @dataclass(frozen=True)
@@ -40,6 +46,7 @@
         *_find_wrong_responses(sent, engines, events),
         *_find_altered_requests(sent, engines),
         *_find_missing_responses(sent, host_outages),
+        *_find_exceeded_limits(engines),
     ]
 
 
@@ -137,6 +144,32 @@
     return violations
 
 
+def _find_exceeded_limits(engines: Sequence[FakeEngine]) -> list[str]:
+    """Return limits that an engine named and that all hosts exceeded."""
+    violations = []
+    for engine in engines:
+        for period in engine.limit_periods:
+            allowed = LIMIT_FACTOR * period.rate_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+            from_s = period.began_s + LIMIT_APPLY_S
+            times = [
+                time for time in engine.arrivals_s if from_s <= time < period.ended_s
+            ]
+            most = max(
+                (
+                    sum(begin <= time < begin + LIMIT_WINDOW_S for time in times)
+                    for begin in times
+                ),
+                default=0,
+            )
+            if most > allowed:
+                violations.append(
+                    f"{engine.id} named {period.rate_per_s} requests per second from "
+                    f"{period.began_s:.2f} on and received {most} in "
+                    f"{LIMIT_WINDOW_S:.0f} s, allowed {allowed:.0f}"
+                )
+    return violations
+
+
 def _find_missing_responses(
     sent: Sequence[SentRequest], host_outages: Sequence[HostOutage]
 ) -> list[str]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,9 @@
 # An engine's entry is removed after three missed heartbeats.
 ENTRY_EXPIRY_S = 3.6
 DRAINING_S = 2.0
+# Limits below the load of each engine; hosts can apply them in these times.
+LIMITS_PER_S = (0.5, 1.0, 2.0)
+LIMIT_DURATION_S = (7.0, 12.0)
 
 _FAULTY_LINK_STATES = (
     LinkState.DELAYED,
@@ -63,6 +66,7 @@
             "engine_errors": self._return_engine_errors,
             "engine_answers_lost": self._drop_engine_responses,
             "engine_silent": self._silence_engine,
+            "engine_limited": self._limit_engine,
             "configuration": self._change_configuration,
         }
 
@@ -258,6 +262,17 @@
             engine.responsive.set()
             self._targets_in_use.discard(engine.id)
 
+    async def _limit_engine(self) -> None:
+        """Let an engine name a limit, which may change once."""
+        engine = self._acquire_engine()
+        if engine is None:
+            return
+        for _ in range(self._rng.choice((1, 1, 2))):
+            engine.begin_limit(self._rng.choice(LIMITS_PER_S))
+            await asyncio.sleep(self._rng.uniform(*LIMIT_DURATION_S))
+        engine.end_limit()
+        self._targets_in_use.discard(engine.id)
+
     async def _change_configuration(self) -> None:
         self._harness.change_configuration(self._rng.choice((2500, 3000)))
 
