Share the connections that an engine accepts between all hosts

The number was read from the configuration and used nowhere.

Each host now keeps at most its equal share of half of them idle, and one for a part of the usual time if its share is less than one.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -82,6 +82,15 @@
         names = (name for name, spec in services.items() if spec.engine is not None)
         return min(names, default=service)
 
+    def max_connections(self) -> int:
+        """Return the fewest connections that a service's engines accept.
+
+        0 if none states a limit.
+        """
+        services = self.routes.services_by_name.values() if self.routes else ()
+        limits = (spec.max_connections for spec in services)
+        return min((limit for limit in limits if limit > 0), default=0)
+
     @property
     def version(self) -> int:
         """Return the version of the configuration, or -1 without one."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -5,8 +5,15 @@
 connection after its idle timeout and may do so without notice. A request that
 must not be retried is therefore sent only on a new or recently used
 connection.
+
+Load pattern: hundreds of hosts use the same engine, which accepts a number of
+connections from all of them together and resets those beyond it. Each host
+keeps at most its share of them idle; if that is less than one, it keeps one
+for a part of the usual time.
 """
 
+import math
+
 from kumquat_core.clock import Clock
 from kumquat_core.settings import Address
 
@@ -26,6 +33,8 @@
 # engine.
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_PER_ADDRESS = 8
+# Part of an engine's connections that may be idle. The others carry requests.
+IDLE_CONNECTION_SHARE = 0.5
 
 
 class EnginePool:
@@ -37,8 +46,20 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle_by_address: dict[Address, list[EngineConnection]] = {}
+        self._idle_share = math.inf
         self.opened = 0
 
+    def set_connection_limit(self, max_connections: int, hosts: int) -> None:
+        """Share the connections that an engine accepts between the hosts.
+
+        ``max_connections`` is 0 if engines state no limit.
+        """
+        self._idle_share = (
+            IDLE_CONNECTION_SHARE * max_connections / max(1, hosts)
+            if max_connections > 0
+            else math.inf
+        )
+
     async def acquire(
         self, address: Address, *, recently_used: bool, timeout_s: float
     ) -> EngineConnection:
@@ -53,7 +74,7 @@
         while idle:
             connection = idle.pop()
             idle_s = now_s - connection.idle_since_s
-            if not connection.usable or idle_s > _idle_limit_s(connection):
+            if not connection.usable or idle_s > self._idle_limit_s(connection):
                 connection.abort()
                 continue
             if recently_used and idle_s > RECENT_USE_S:
@@ -74,7 +95,7 @@
         if not connection.finish():
             return
         idle = self._idle_by_address.setdefault(connection.address, [])
-        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if len(idle) >= self._max_idle():
             connection.abort()
             return
         connection.idle_since_s = self._clock.monotonic()
@@ -91,7 +112,7 @@
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
-                limit_s = _idle_limit_s(connection)
+                limit_s = self._idle_limit_s(connection)
                 if connection.usable and now_s - connection.idle_since_s < limit_s:
                     kept.append(connection)
                 else:
@@ -106,9 +127,13 @@
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
+    def _max_idle(self) -> int:
+        """Return how many connections to an engine this host keeps idle."""
+        return int(min(MAX_IDLE_PER_ADDRESS, max(1.0, self._idle_share)))
 
-def _idle_limit_s(connection: EngineConnection) -> float:
-    """Return how long a connection may be idle before it is closed here."""
-    if connection.idle_limit_s is None:
-        return DEFAULT_IDLE_LIMIT_S
-    return max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
+    def _idle_limit_s(self, connection: EngineConnection) -> float:
+        """Return how long a connection may be idle before it is closed."""
+        limit_s = DEFAULT_IDLE_LIMIT_S
+        if connection.idle_limit_s is not None:
+            limit_s = max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
+        return limit_s * min(1.0, self._idle_share)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -387,11 +387,19 @@
         hosts = self._parts.cluster_state.hosts_by_id
         self._parts.retries.host_count = max(1, len(hosts))
         self._permits.host_count = max(1, len(hosts))
+        self._share_connections()
         for host_id, entry in hosts.items():
             if self._incarnations_by_host_id.get(host_id) != entry.incarnation:
                 self._incarnations_by_host_id[host_id] = entry.incarnation
                 self._owner_selection.reset_host(host_id)
 
+    def _share_connections(self) -> None:
+        """Apply this host's part of the connections that engines accept."""
+        cluster_state = self._parts.cluster_state
+        self._parts.pool.set_connection_limit(
+            cluster_state.max_connections(), len(cluster_state.hosts_by_id)
+        )
+
     def _engine_removed(self, entry: EngineEntry) -> None:
         """Discard what this host keeps about a removed engine."""
         self._balancer.remove(entry.id)
@@ -412,6 +420,7 @@
         self._parts.pool.close_stale()
         self._queue_owner.drop_expired()
         self._limit_owner.refresh_shares()
+        self._share_connections()
 
     async def _plan_roles(self) -> None:
         if self._parts.rules.role_changes and not self._parts.shutdown.draining:
