Send limits in reports only while host and owner know different ones

With the limits in each report and reply, the owner of 380 hosts would receive and send 190 times 44 bytes a second for each limited server, beside a budget of 10 KB/s for all control traffic. Reports now carry a digest of 5 bytes, and replies repeat the limits only if they differ.

An owner that restarts so fast that no host notices learns the limits again from the hosts, which send them until the owner confirms their digest. Limits that an owner does not list end at a host only after 1 s, so such an owner does not end them. An owner that begins again keeps the limits that it knew, without permits; the next responses show which have ended.

Each rule has a test that fails without it: the learning of a new owner, and the delay until a host that has changed its owner is counted.

--- a/packages/kumquat_core/src/kumquat_core/limit_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/limit_messages.py
@@ -3,12 +3,24 @@
 ``peer_messages`` encodes them together with the other messages.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Annotated
 
+import xxhash
 from pydantic import Field
 
-__all__ = ["PermitGrant", "PermitRequest", "ServerLimit", "ServerLimitNotice"]
+__all__ = [
+    "NO_LIMITS_DIGEST",
+    "PermitGrant",
+    "PermitRequest",
+    "ServerLimit",
+    "ServerLimitNotice",
+    "limits_digest",
+]
+
+NO_LIMITS_DIGEST = 0
 
 
 @dataclass(frozen=True)
@@ -24,6 +36,22 @@
     rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
+def limits_digest(limits: Iterable[ServerLimit]) -> int:
+    """Return a 32-bit digest by which two hosts compare the limits they know.
+
+    The order of the limits does not matter.
+    """
+    return _digest(frozenset(limits))
+
+
+@lru_cache(maxsize=64)
+def _digest(limits: frozenset[ServerLimit]) -> int:
+    if not limits:
+        return NO_LIMITS_DIGEST
+    lines = sorted(repr(limit) for limit in limits)
+    return xxhash.xxh32_intdigest("\n".join(lines).encode())
+
+
 @dataclass(frozen=True)
 class ServerLimitNotice:
     """A response of a server to the sender names a limit or no longer does.
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from .limit_messages import ServerLimit
+from .limit_messages import NO_LIMITS_DIGEST, ServerLimit
 
 __all__ = [
     "LATER_FIELD",
@@ -174,13 +174,15 @@
     """A host's report of all runs of a service that it holds.
 
     It is also the host's heartbeat to the queue owner. ``counted`` is false if
-    the host has another owner now, and ``limits`` are the request rates that
-    servers have named, as far as the host knows.
+    the host has another owner now or has just changed to this one. ``digest``
+    is that of the request rates that servers have named, as far as the host
+    knows, and ``limits`` are these rates if the owner may have to learn them.
     """
 
     service: str
     runs: tuple[HeldRun, ...] = ()
     counted: bool = field(default=True, metadata=LATER_FIELD)
+    digest: int = field(default=NO_LIMITS_DIGEST, metadata=LATER_FIELD)
     limits: tuple[ServerLimit, ...] = field(default=(), metadata=LATER_FIELD)
 
 
@@ -190,11 +192,12 @@
 
     ``outdated``: the owner has not reached the store for a while, so another
     host should own the service. ``configuration`` is the configuration version
-    that the owner uses, ``limits`` the request rates that servers have named.
+    that the owner uses. ``limits`` are the request rates that servers have
+    named, None if the digest of the report is that of these rates.
     """
 
     host_id: str
     free_slots: int
     outdated: bool = False
     configuration: int = -1
-    limits: tuple[ServerLimit, ...] = field(default=(), metadata=LATER_FIELD)
+    limits: tuple[ServerLimit, ...] | None = field(default=(), metadata=LATER_FIELD)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -8,8 +8,8 @@
 does not change the owner.
 
 Idle hosts of large fleets report less often. The first request of an idle host
-restores the usual period. Reports also carry the limits that servers have
-named, and their replies those that the owner knows.
+restores the usual period. Reports also show which limits of servers the host
+knows, and replies carry those that differ.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 
 from kumquat_core.clock import Clock
+from kumquat_core.limit_messages import limits_digest
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
     EngineNoticed,
@@ -339,10 +340,13 @@
             if held.request.service == service
         )
         limits = self._limits.limits_of(service)
-        # Hosts of earlier builds know no such field, so it is only used while
-        # there are limits that the host may be counted for.
-        counted = not limits or self._is_counted_by(owner, service)
-        return RunsHeld(service, runs, counted, limits)
+        # Hosts of earlier builds do not know the fields after ``runs``, so
+        # these have their defaults unless there are limits.
+        counted = self._is_counted_by(owner, service) or not limits
+        digest = limits_digest(limits)
+        if counted and self._limits.is_confirmed(service):
+            limits = ()
+        return RunsHeld(service, runs, counted, digest, limits)
 
     def _is_counted_by(self, owner: str, service: str) -> bool:
         """Return whether an owner may go on to count this host.
--- a/packages/kumquat_relay/src/kumquat_relay/known_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/known_limits.py
@@ -20,9 +20,9 @@
 
 __all__ = ["KnownLimits"]
 
-# A report that an owner sent before it received a notice arrives within this
-# time, so a list without a newer limit does not end it.
-CONFIRMATION_S = 1.0
+# Limits end after the owner has not listed them for this time. Meanwhile an
+# owner that has just begun learns them, or receives the notice of a new one.
+UNLISTED_TTL_S = 1.0
 # Responses that tell nothing about the limit of the server: failures may be
 # sent by a part of it that knows none.
 FAILURE_STATUS = 500
@@ -32,11 +32,15 @@
 
 @dataclass
 class _KnownLimit:
-    """A limit; ``since_s`` is when this host last learned of a change."""
+    """A limit; ``since_s`` is when this host last learned of a change.
+
+    ``unlisted_since_s`` is when the owner first listed others without it.
+    """
 
     group: str
     limit: ServerLimit
     since_s: float
+    unlisted_since_s: float | None = None
 
 
 class KnownLimits:
@@ -53,6 +57,7 @@
         self._cluster_state = cluster_state
         self._known_by_id: dict[str, _KnownLimit] = {}
         self._invalid_engine_ids: set[str] = set()
+        self._unconfirmed_groups: set[str] = set()
         self.notify_owner: Callable[[ServerLimitNotice], None]
         self.notify_owner = lambda message: None
 
@@ -85,10 +90,18 @@
             del self._known_by_id[entry.id]
             self._notify(known.group, known.limit, named=False)
 
-    def merge(self, group: str, limits: tuple[ServerLimit, ...]) -> None:
-        """Apply the limits that the owner of a group lists."""
+    def merge(self, group: str, limits: tuple[ServerLimit, ...] | None) -> None:
+        """Apply the limits that the owner of a group lists.
+
+        None means that they are those that this host has reported.
+        """
         if not self._enabled:
             return
+        if limits is None:
+            self._unconfirmed_groups.discard(group)
+            limits = self.limits_of(group)
+        else:
+            self._unconfirmed_groups.add(group)
         now_s = self._clock.monotonic()
         listed_ids = set()
         for limit in limits:
@@ -96,13 +109,20 @@
             known = self._known_by_id.get(limit.engine)
             if known is None or known.limit != limit:
                 self._known_by_id[limit.engine] = _KnownLimit(group, limit, now_s)
+            else:
+                known.unlisted_since_s = None
         for engine_id, known in list(self._known_by_id.items()):
-            is_unconfirmed = now_s - known.since_s <= CONFIRMATION_S
-            if known.group == group and engine_id not in listed_ids | (
-                {engine_id} if is_unconfirmed else set()
-            ):
+            if known.group != group or engine_id in listed_ids:
+                continue
+            if known.unlisted_since_s is None:
+                known.unlisted_since_s = now_s
+            elif now_s - known.unlisted_since_s > UNLISTED_TTL_S:
                 del self._known_by_id[engine_id]
 
+    def is_confirmed(self, group: str) -> bool:
+        """Return whether the owner knew the same limits at the last report."""
+        return group not in self._unconfirmed_groups
+
     def group_of(self, engine_id: str) -> str | None:
         """Return the group of a limited server, None without a limit."""
         known = self._known_by_id.get(engine_id)
--- a/packages/kumquat_relay/src/kumquat_relay/limit_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/limit_owner.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from kumquat_core.clock import Clock
+from kumquat_core.limit_messages import limits_digest
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
     PermitGrant,
@@ -62,8 +63,13 @@
         """Return the limits of a group; the object never changes."""
         return self._group(group).limits
 
-    def apply_report(self, message: RunsHeld, host_id: str) -> tuple[ServerLimit, ...]:
-        """Count a host that reports; return the limits in force."""
+    def apply_report(
+        self, message: RunsHeld, host_id: str
+    ) -> tuple[ServerLimit, ...] | None:
+        """Count a host that reports; return the limits in force.
+
+        None if the host knows the same limits.
+        """
         group, now_s = self._used_group(message.service), self._now_s()
         if message.counted:
             group.pool.record(host_id, self._member_ttl_s(), now_s)
@@ -72,7 +78,10 @@
         if now_s < group.learning_until_s:
             for limit in message.limits:
                 self._set_limit(message.service, limit, host_id)
-        return group.limits.limits()
+        limits = group.limits.limits()
+        if limits and limits_digest(limits) == message.digest:
+            return None
+        return limits
 
     def apply_notice(self, message: ServerLimitNotice, host_id: str) -> None:
         """Apply what a server has just named to a host."""
@@ -86,12 +95,15 @@
     def grant_permits(self, message: PermitRequest) -> PermitGrant:
         """Grant permits for requests to one server.
 
-        None are granted for a limit that only the host knows: this owner has
-        just begun, or the limit has ended and the host is about to hear of it.
+        A limit that only the host knows has ended, unless this owner has just
+        begun and may still learn it.
         """
-        limits, now_s = self._used_group(message.service).limits, self._now_s()
+        group, now_s = self._used_group(message.service), self._now_s()
+        limits = group.limits
         if not limits.is_limited(message.engine):
-            return PermitGrant(message.engine, 0, UNKNOWN_LIMIT_RETRY_MS)
+            if now_s < group.learning_until_s:
+                return PermitGrant(message.engine, 0, UNKNOWN_LIMIT_RETRY_MS)
+            return PermitGrant(message.engine, message.wanted, 0)
         granted = limits.take(message.engine, message.wanted, now_s)
         wait_s = 0.0
         if granted < message.wanted:
@@ -119,7 +131,7 @@
         """Return a group that a message concerns; restart it after a gap."""
         group, now_s = self._group(name), self._now_s()
         if now_s - group.last_used_s > OWNERSHIP_IDLE_S:
-            group.limits.clear()
+            group.limits.discard_permits()
             group.learning_until_s = now_s + self._member_ttl_s()
         group.last_used_s = now_s
         return group
--- a/packages/kumquat_relay/src/kumquat_relay/server_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/server_limits.py
@@ -110,9 +110,13 @@
         """Remove the limit of a server; return whether it had one."""
         return self._buckets_by_id.pop(engine_id, None) is not None
 
-    def clear(self) -> None:
-        """Remove all limits."""
-        self._buckets_by_id.clear()
+    def discard_permits(self) -> None:
+        """Begin without permits, since another owner may have granted some.
+
+        The limits stay; the next responses show which of them have ended.
+        """
+        for bucket in self._buckets_by_id.values():
+            bucket.permits = 0.0
 
     def limits(self) -> tuple[ServerLimit, ...]:
         """Return all limits in force."""
--- a/tests/relay/test_limit_fleet.py
+++ b/tests/relay/test_limit_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from .limit_simulation import LimitSimulation, largest_count
+from .limit_simulation import GROUP, LimitSimulation, largest_count
 
 WINDOW_S = 4.0
 # Unused permits of this time may be sent together, at least one.
@@ -63,6 +63,8 @@
     fleet.aware = aware
     for host_id in sorted(fleet.hosts)[1:]:
         fleet.hosts[host_id].owner = "h7"
+    # A response names the limit to a host that the new owner does not count.
+    fleet.name_limit("h1")
     fleet.run(6.0, 200.0)
     assert largest_count(fleet.sends_s, WINDOW_S) <= allowed(20.0)
 
@@ -104,3 +106,15 @@
     fleet.run(20.0, 4000.0)
     reports = 20.0 * 380 / 2.0
     assert fleet.messages - reports <= 20.0 * 150
+
+
+def test_an_owner_that_restarts_unnoticed_learns_the_limits_again() -> None:
+    """Its hosts send only a digest of the limits while it knows the same."""
+    fleet = LimitSimulation(4, 5.0)
+    fleet.run(5.0, 0.0)
+    fleet.name_limit()
+    fleet.run(3.0, 50.0)
+    fleet.restart("h0")
+    fleet.run(3.0, 50.0)
+    assert fleet.owners["h0"].limits_of(GROUP).limits() == (fleet.limit,)
+    assert largest_count(fleet.sends_s, WINDOW_S) <= allowed(5.0)
