--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -14,14 +14,12 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 
 from kumquat_core.clock import Clock
 from kumquat_core.limit_messages import limits_digest
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
     EngineNoticed,
-    HeldRun,
     RunEnded,
     RunGrant,
     RunPrefilled,
@@ -37,6 +35,7 @@
 from .cluster_state import ClusterState
 from .engine_registry import EngineEntry
 from .known_limits import KnownLimits
+from .local_run import LocalRun
 from .owner_selection import OwnerSelection
 from .protocols import EngineNotice
 from .queue_owner import QueueOwner
@@ -74,23 +73,6 @@
         self.retry_after_s = retry_after_s
 
 
-@dataclass
-class _HeldRun:
-    """A run that this host holds, with its progress for the next report.
-
-    ``longest_gap_ms`` is the longest gap between events since the last report.
-    """
-
-    request: RunRequest
-    decode_engine: str
-    owner: str
-    since_s: float
-    generated_tokens: int = 0
-    gap_ms: float = 0.0
-    longest_gap_ms: float = 0.0
-    last_event_s: float | None = None
-
-
 class Admission:
     """Acquires and releases slots for this host and reports its runs."""
 
@@ -113,7 +95,7 @@
         self._links = links
         self._owners = owners
         self._queue_owner = queue_owner
-        self._held_runs_by_id: dict[str, _HeldRun] = {}
+        self._held_runs_by_id: dict[str, LocalRun] = {}
         self._reported_owner_by_service: dict[str, str] = {}
         self._pending_requests = 0
         self._periods_since_report = 0
@@ -134,7 +116,7 @@
                 self._pending_requests -= 1
             if isinstance(reply, RunRefusal):
                 raise AdmissionRefusedError(reply.reason, reply.retry_after_ms / 1000)
-            held = _HeldRun(
+            held = LocalRun(
                 request, reply.decode_engine, owner, self._clock.monotonic()
             )
             self._held_runs_by_id[request.request_id] = held
@@ -174,12 +156,7 @@
         held = self._held_runs_by_id.get(request_id)
         if held is None:
             return
-        now_s = self._clock.monotonic()
-        if held.last_event_s is not None:
-            current_gap_ms = (now_s - held.last_event_s) * 1000
-            held.longest_gap_ms = max(held.longest_gap_ms, current_gap_ms)
-        held.last_event_s = now_s
-        held.generated_tokens, held.gap_ms = generated_tokens, gap_ms
+        held.record_progress(generated_tokens, gap_ms, self._clock.monotonic())
 
     def report_stall(self, request_id: str, silent_ms: int) -> None:
         """Notify the owner that a run makes no progress."""
@@ -323,20 +300,11 @@
         if preferred is not None and preferred != owner:
             await self._report_to(preferred, service)
 
-    def _build_report(self, owner: str, service: str) -> RunsHeld:
+    def _take_report(self, owner: str, service: str) -> RunsHeld:
         now_s = self._clock.monotonic()
         runs = tuple(
-            HeldRun(
-                request_id,
-                held.decode_engine,
-                held.request.prompt_tokens,
-                held.request.expected_tokens,
-                int((now_s - held.since_s) * 1000),
-                held.generated_tokens,
-                held.gap_ms,
-                held.longest_gap_ms,
-            )
-            for request_id, held in self._held_runs_by_id.items()
+            held.take_report(now_s)
+            for held in self._held_runs_by_id.values()
             if held.request.service == service
         )
         limits = self._limits.limits_of(service)
@@ -360,18 +328,11 @@
         self._reported_owner_by_service[service] = owner
         return owner == previous
 
-    def _reset_gaps(self, service: str) -> None:
-        """Start a new report period for the longest gap of each run."""
-        for held in self._held_runs_by_id.values():
-            if held.request.service == service:
-                held.longest_gap_ms = 0.0
-
     async def _report_to(self, owner: str, service: str) -> None:
         if owner == self._host_id:
-            report = self._build_report(owner, service)
+            report = self._take_report(owner, service)
             reply = self._queue_owner.apply_report(report, self._host_id)
             self._limits.merge(service, reply.limits)
-            self._reset_gaps(service)
             return
         try:
             await self._send_report(owner, service)
@@ -409,8 +370,7 @@
 
         Raises ``RouterError``.
         """
-        message = self._build_report(owner, service)
-        self._reset_gaps(service)
+        message = self._take_report(owner, service)
         reply = await self._links.call(owner, message, REPORT_TIMEOUT_S)
         if not isinstance(reply, RunsNoted):
             return
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/message_dispatch.py
@@ -0,0 +1,49 @@
+"""Passes the messages of other hosts to the parts that they concern."""
+
+import logging
+
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import (
+    EngineNoticed,
+    Message,
+    PermitRequest,
+    RunEnded,
+    RunPrefilled,
+    RunRequest,
+    RunsHeld,
+    RunStalled,
+    ServerLimitNotice,
+)
+
+from .limit_owner import LimitOwner
+from .queue_owner import QueueOwner
+
+__all__ = ["dispatch_message"]
+
+logger = logging.getLogger(__name__)
+
+
+async def dispatch_message(
+    message: Message, host_id: str, queue_owner: QueueOwner, limit_owner: LimitOwner
+) -> Message | None:
+    """Process a message from a host and return the reply, if any."""
+    match message:
+        case RunRequest():
+            return await queue_owner.admit(message, host_id)
+        case RunsHeld():
+            return queue_owner.apply_report(message, host_id)
+        case PermitRequest():
+            return limit_owner.grant_permits(message)
+        case RunPrefilled():
+            queue_owner.on_prefilled(message)
+        case RunStalled():
+            queue_owner.on_stalled(message)
+        case EngineNoticed():
+            queue_owner.apply_notice(message, host_id)
+        case ServerLimitNotice():
+            limit_owner.apply_notice(message, host_id)
+        case RunEnded():
+            queue_owner.on_run_ended(message)
+        case _:
+            log_event(logger, "message_ignored", type=type(message).__name__)
+    return None
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -26,10 +26,11 @@
 )
 
 from .cluster_state import ClusterState
+from .decision_messages import log_decision, to_message
 from .engine_health import EngineHealth, Failure
 from .engine_probe import EngineProbe
 from .limit_owner import LimitOwner
-from .queue_types import Decision, Granted, QueueParameters, Refused
+from .queue_types import Decision, QueueParameters
 from .relay_rules import ALL_RULES, RelayRules
 from .retry_schedule import RetrySchedule
 from .role_planner import Demand
@@ -304,10 +305,10 @@
     def _apply_decisions(self, owned: _OwnedQueue, decisions: list[Decision]) -> None:
         """Reply with the decisions and set the timer for the next ones."""
         for decision in decisions:
-            self._log(decision, owned.queue)
+            log_decision(decision, owned.queue.service, owned.queue.waiting_count)
             reply = owned.replies_by_id.get(decision.request_id)
             if reply is not None and not reply.done():
-                reply.set_result(_to_message(decision, self._is_uncertain(owned)))
+                reply.set_result(to_message(decision, self._is_uncertain(owned)))
         self._set_timer(owned)
 
     def _set_timer(self, owned: _OwnedQueue) -> None:
@@ -356,56 +357,8 @@
         if self._health.record_success(engine_id):
             log_event(logger, "engine_trusted_again", engine=engine_id)
 
-    def _log(self, decision: Decision, queue: StreamQueue) -> None:
-        match decision:
-            case Granted():
-                log_event(
-                    logger,
-                    "place_granted",
-                    request=decision.request_id,
-                    service=queue.service,
-                    decode_engine=decision.decode.id,
-                    prefill_engine=decision.prefill.id if decision.prefill else None,
-                    waited_ms=round(decision.waited_s * 1000),
-                    free_places=decision.free_slots,
-                    waiting=queue.waiting_count,
-                )
-            case Refused():
-                log_event(
-                    logger,
-                    "place_refused",
-                    request=decision.request_id,
-                    service=queue.service,
-                    reason=decision.reason,
-                    retry_after_s=round(decision.retry_after_s, 2),
-                    free_places=decision.free_slots,
-                    waiting=decision.waiting,
-                )
-
 
 def _failure_of(message: RunEnded) -> Failure:
     if message.unreachable:
         return Failure.UNREACHABLE
     return Failure.ERROR_ANSWER if message.error_response else Failure.BROKEN
-
-
-def _to_message(decision: Decision, uncertain: bool) -> RunGrant | RunRefusal:
-    match decision:
-        case Granted():
-            prefill = decision.prefill
-            return RunGrant(
-                decision.request_id,
-                decision.decode.id,
-                decision.decode.address.text,
-                prefill.id if prefill else "",
-                prefill.address.text if prefill else "",
-                round(decision.waited_s * 1000),
-                uncertain,
-            )
-        case Refused():
-            return RunRefusal(
-                decision.request_id,
-                decision.reason,
-                round(decision.retry_after_s * 1000),
-                decision.waiting,
-            )
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -122,6 +122,10 @@
             return self.latest_start_s
         return self.patience_deadline_s
 
+    def sort_key(self, now_s: float) -> tuple[bool, int, float]:
+        """Order by on time before late, then priority, then latest start."""
+        return (self.is_late(now_s), self.request.priority, self.latest_start_s)
+
     def is_late(self, now_s: float) -> bool:
         """Return whether the response can no longer be on time."""
         return now_s > self.latest_start_s
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -8,17 +8,7 @@
 
 from kumquat_core.frames import PeerIdentity
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import (
-    EngineNoticed,
-    Message,
-    PermitRequest,
-    RunEnded,
-    RunPrefilled,
-    RunRequest,
-    RunsHeld,
-    RunStalled,
-    ServerLimitNotice,
-)
+from kumquat_core.peer_messages import Message
 from kumquat_core.settings import Address
 from kumquat_core.timers import TimerService
 from kumquatrouter.peer_links import PeerLinks
@@ -32,9 +22,9 @@
 from .engine_notices import EngineNotices
 from .engine_probe import EngineProbe
 from .engine_registry import EngineEntry
+from .host_limits import HostLimits
 from .host_parts import HostParts, build_watches
-from .known_limits import KnownLimits
-from .limit_owner import LimitOwner
+from .message_dispatch import dispatch_message
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
 from .plain_relay import PlainRelay
@@ -51,7 +41,6 @@
 from .request_age import RequestAge
 from .response_memory import ResponseMemory
 from .role_controller import RoleController
-from .send_permits import SendPermits
 from .status_server import MetricsServer, ReadinessServer
 from .stream_relay import StreamRelay
 
@@ -98,11 +87,26 @@
         self._dialect = dialect
         self._parts = parts
         self._incarnation = parts.clock.wall_ms()
-        self._limits = KnownLimits(
-            parts.clock, parts.cluster_state, enabled=parts.rules.server_limits
+        self._owner_selection = OwnerSelection(
+            options.host_id,
+            parts.clock,
+            self._strengths_by_host_id,
+            options.strength,
+            parts.rules,
+        )
+        self._peer_links = PeerLinks(
+            PeerIdentity(options.host_id, self._incarnation),
+            secrets.token_bytes(PEER_KEY_BYTES),
+            self._peer_address,
+            parts.clock,
+            parts.rng,
+        )
+        self._limits = HostLimits.from_parts(
+            options.host_id, parts, self._peer_links, self._owner_selection
+        )
+        self._notices = EngineNotices(
+            parts.clock, parts.cluster_state, self._limits.known
         )
-        self._limit_owner = LimitOwner(parts.clock, parts.cluster_state)
-        self._notices = EngineNotices(parts.clock, parts.cluster_state, self._limits)
         self._balancer = PlainBalancer(
             parts.cluster_state.registry,
             parts.health,
@@ -112,13 +116,6 @@
             parts.clock,
             parts.rules,
         )
-        self._owner_selection = OwnerSelection(
-            options.host_id,
-            parts.clock,
-            self._strengths_by_host_id,
-            options.strength,
-            parts.rules,
-        )
         self._probe = EngineProbe(
             parts.pool, parts.health, parts.cluster_state.registry
         )
@@ -128,20 +125,13 @@
             parts.cluster_state,
             parts.health,
             self._probe,
-            self._limit_owner,
+            self._limits.owner,
             lambda service: (
                 self._owner_selection.preferred_owner(service) == options.host_id
             ),
             parts.rules,
         )
         self._incarnations_by_host_id: dict[str, int] = {}
-        self._peer_links = PeerLinks(
-            PeerIdentity(options.host_id, self._incarnation),
-            secrets.token_bytes(PEER_KEY_BYTES),
-            self._peer_address,
-            parts.clock,
-            parts.rng,
-        )
         self._admission = Admission(
             options.host_id,
             parts.clock,
@@ -149,19 +139,9 @@
             self._peer_links,
             self._owner_selection,
             self._queue_owner,
-            self._limits,
+            self._limits.known,
             parts.rules,
         )
-        self._permits = SendPermits(
-            options.host_id,
-            parts.clock,
-            self._limits,
-            self._peer_links,
-            self._owner_selection,
-            self._limit_owner,
-        )
-        self._limits.notify_owner = self._permits.notify_owner
-        self._permits.on_outcome = parts.metrics.record_permit
         self._supervisor: Supervisor | None = None
         self._peer_services: Supervisor | None = None
         self._registration_task: asyncio.Task[None] | None = None
@@ -200,11 +180,6 @@
         parts = HostParts.from_options(options)
         return cls(options, store, dialect, parts)
 
-    @property
-    def options(self) -> RelayOptions:
-        """Return the options with which this host was created."""
-        return self._options
-
     @property
     def metrics(self) -> RelayMetrics:
         """Return the metrics of this host."""
@@ -288,10 +263,10 @@
             self._dialect,
             self._notices,
             memory,
-            self._permits,
+            self._limits.permits,
         )
         calls = EngineCalls(
-            parts.clock, parts.pool, self._dialect, self._notices, self._limits
+            parts.clock, parts.pool, self._dialect, self._notices, self._limits.known
         )
         streams = StreamRelay(
             parts.clock,
@@ -303,7 +278,7 @@
             parts.metrics,
             self._notices,
             memory,
-            self._limits,
+            self._limits.known,
             parts.rules,
         )
         return CallerServer(
@@ -352,27 +327,9 @@
         await self._peer_services.start()
 
     async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
-        """Process a message from a peer and return the reply, if any."""
-        match message:
-            case RunRequest():
-                return await self._queue_owner.admit(message, peer.host_id)
-            case RunsHeld():
-                return self._queue_owner.apply_report(message, peer.host_id)
-            case RunPrefilled():
-                self._queue_owner.on_prefilled(message)
-            case RunStalled():
-                self._queue_owner.on_stalled(message)
-            case EngineNoticed():
-                self._queue_owner.apply_notice(message, peer.host_id)
-            case ServerLimitNotice():
-                self._limit_owner.apply_notice(message, peer.host_id)
-            case PermitRequest():
-                return self._limit_owner.grant_permits(message)
-            case RunEnded():
-                self._queue_owner.on_run_ended(message)
-            case _:
-                log_event(logger, "message_ignored", type=type(message).__name__)
-        return None
+        return await dispatch_message(
+            message, peer.host_id, self._queue_owner, self._limits.owner
+        )
 
     def _peer_address(self, host_id: str) -> Address | None:
         entry = self._parts.cluster_state.hosts_by_id.get(host_id)
@@ -386,7 +343,7 @@
         """Apply the current number of hosts and reset restarted ones."""
         hosts = self._parts.cluster_state.hosts_by_id
         self._parts.retries.host_count = max(1, len(hosts))
-        self._permits.host_count = max(1, len(hosts))
+        self._limits.permits.host_count = max(1, len(hosts))
         self._share_connections()
         for host_id, entry in hosts.items():
             if self._incarnations_by_host_id.get(host_id) != entry.incarnation:
@@ -410,16 +367,14 @@
     def _clear_notices(self, engine_id: str) -> None:
         """Discard what an engine said before it was removed or restarted."""
         self._notices.clear_pause(engine_id)
-        self._limits.remove(engine_id)
-        self._permits.remove(engine_id)
-        self._limit_owner.remove_engine(engine_id)
+        self._limits.remove_engine(engine_id)
 
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
         self._parts.cluster_state.apply_deferred_removals()
         self._parts.pool.close_stale()
         self._queue_owner.drop_expired()
-        self._limit_owner.refresh_shares()
+        self._limits.owner.refresh_shares()
         self._share_connections()
 
     async def _plan_roles(self) -> None:
@@ -437,7 +392,7 @@
         metrics.engines.set(len(parts.cluster_state.registry.all_entries()))
         metrics.opened.set(parts.pool.opened)
         metrics.held_slots.set(self._admission.held_run_count)
-        metrics.limited_servers.set(self._limits.count())
+        metrics.limited_servers.set(self._limits.known.count())
         if parts.cluster_state.routes is not None:
             metrics.version.set(parts.cluster_state.routes.version)
         return metrics.text()
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -30,6 +30,7 @@
 from .placement import Placement
 from .priority_reserve import NOTHING_RESERVED, RECHECK_INTERVAL_S, PriorityReserve
 from .queue_types import Decision, Granted, QueuedRequest, QueueParameters, Refused
+from .queue_wait import QueueWait
 from .retry_schedule import RetrySchedule
 from .role_planner import Demand
 from .run_ledger import RunLedger
@@ -37,10 +38,6 @@
 
 __all__ = ["StreamQueue"]
 
-
-# A request that has waited for longer than a prefill takes while slots are
-# free is waiting for memory.
-MAX_SLOT_WAIT_S = 0.15
 # Refusals that show a shortage of slots. The other reasons say nothing about
 # the slots left for late requests.
 SHORTAGE_REASONS = ("objective_missed", "waited_too_long")
@@ -63,6 +60,7 @@
         self._retry_schedule = retry_schedule
         self.parameters = parameters or QueueParameters()
         self.ledger = RunLedger(service, registry, health, self.parameters)
+        self._wait = QueueWait(self.ledger, self.parameters, self._limits)
         self._queued_by_id: dict[str, QueuedRequest] = {}
         self._paused_until_s = float("-inf")
         self._blocks_by_host_id: dict[str, dict[str, float]] = {}
@@ -161,7 +159,7 @@
             return decisions
         placement = self._placement(now_s)
         for queued in sorted(
-            self._queued_by_id.values(), key=lambda item: self._sort_key(item, now_s)
+            self._queued_by_id.values(), key=lambda item: item.sort_key(now_s)
         ):
             if now_s >= queued.queue_deadline_s:
                 decisions.append(self._refuse(queued, "waited_too_long", now_s))
@@ -212,10 +210,6 @@
         self._queued_by_id.pop(request_id, None)
         self.ledger.release(request_id, gap_ms, now_s, generated_tokens)
 
-    def _sort_key(self, item: QueuedRequest, now_s: float) -> tuple[bool, int, float]:
-        """Order by on time before late, then priority, then latest start."""
-        return (item.is_late(now_s), item.request.priority, item.latest_start_s)
-
     def _try_grant(
         self, queued: QueuedRequest, placement: Placement, now_s: float
     ) -> Granted | None:
@@ -323,8 +317,10 @@
             return "no_reader_for_long_prompt"
         if not self.parameters.rules.early_refusal:
             return ""
-        expected_start_s = now_s + self._expected_wait_s(queued, placement, now_s)
-        limit_wait_s = self._limit_wait_s(queued, placement, now_s)
+        queue = self._queued_by_id.values()
+        expected_wait_s = self._wait.expected_wait_s(queued, queue, placement, now_s)
+        expected_start_s = now_s + expected_wait_s
+        limit_wait_s = self._wait.limit_wait_s(queued, queue, placement, now_s)
         if limit_wait_s > queued.queue_deadline_s - now_s:
             return "server_limited"
         if not queued.is_late(now_s):
@@ -342,81 +338,6 @@
             else "caller_leaves_first"
         )
 
-    def _expected_wait_s(
-        self, queued: QueuedRequest, placement: Placement, now_s: float
-    ) -> float:
-        """Return the expected wait, after all requests served before it."""
-        sort_key = self._sort_key(queued, now_s)
-        ahead = [
-            item
-            for item in self._queued_by_id.values()
-            if item is not queued and self._sort_key(item, now_s) <= sort_key
-        ]
-        prefill_s = self._expected_prefill_wait_s(queued, placement, ahead, now_s)
-        free_count = 0 if self._is_memory_full(now_s) else placement.permitted_slots()
-        if len(ahead) < free_count:
-            return prefill_s
-        return max(
-            prefill_s, self.ledger.nth_free_slot_s(len(ahead) - free_count, now_s)
-        )
-
-    def _limit_wait_s(
-        self,
-        queued: QueuedRequest,
-        placement: Placement,
-        now_s: float,
-    ) -> float:
-        """Return the wait for permits of engines that have named limits."""
-        if not self._limits.limits():
-            return 0.0
-        sort_key = self._sort_key(queued, now_s)
-        position = sum(
-            self._sort_key(item, now_s) <= sort_key
-            for item in self._queued_by_id.values()
-        )
-        decode_ids = [load.entry.id for load in placement.usable_decode_engines(queued)]
-        wait_s = self._limits.wait_s(decode_ids, position, now_s)
-        if placement.needs_prefill_engine(queued):
-            loads = placement.usable_prefill_engines(queued)
-            prefill_ids = [load.entry.id for load in loads]
-            wait_s = max(wait_s, self._limits.wait_s(prefill_ids, position, now_s))
-        return wait_s
-
-    def _is_memory_full(self, now_s: float) -> bool:
-        """Return whether queued requests wait for memory, not for a slot."""
-        waits_s = [now_s - item.arrived_s for item in self._queued_by_id.values()]
-        return (
-            max(waits_s, default=0.0)
-            > self.parameters.max_prefill_backlog_s + MAX_SLOT_WAIT_S
-        )
-
-    def _expected_prefill_wait_s(
-        self,
-        queued: QueuedRequest,
-        placement: Placement,
-        ahead: list[QueuedRequest],
-        now_s: float,
-    ) -> float:
-        """Return the expected wait until the prompts ahead are prefilled."""
-        tokens = sum(item.request.prompt_tokens for item in ahead)
-        prefill_engine = placement.first_prefill_engine(queued)
-        if prefill_engine is not None:
-            prefill_engines = len(placement.prefill_engines)
-            excess_backlog_ms = (
-                prefill_engine.prefill_backlog_ms()
-                - self.parameters.max_prefill_backlog_s * 1000
-            )
-            prefill_ms = (
-                tokens / prefill_engine.prefill_tokens_per_ms / max(1, prefill_engines)
-            )
-            return max(0.0, excess_backlog_ms + prefill_ms) / 1000
-        loads = placement.decode_engines
-        if not loads:
-            return 0.0
-        first = min(loads, key=lambda load: load.next_local_prefill_s)
-        local_prefill_delay_s = max(0.0, first.next_local_prefill_s - now_s)
-        return local_prefill_delay_s + first.local_prefill_s(tokens) / len(loads)
-
     def _refuse(self, queued: QueuedRequest, reason: str, now_s: float) -> Refused:
         """Remove a request from the queue and schedule its retry."""
         del self._queued_by_id[queued.request.request_id]
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -108,7 +108,7 @@
             self.list_engine(engine)
         self.hosts = [self.new_host(f"h{n + 1}") for n in range(self._host_count)]
         self.host = self.hosts[0]
-        self.options = self.host.options
+        self.options = self.host._options
         for host in self.hosts:
             await host.start()
         self.session = aiohttp.ClientSession()
@@ -189,7 +189,7 @@
             "X-Prefix-Hash": "ab:5000",
         }
         names = {name.replace("_", "-"): value for name, value in headers.items()}
-        callers = (host or self.host).options.callers
+        callers = (host or self.host)._options.callers
         url = f"http://{callers.text}/{route}/p%2Fq?x=1"
         return self.session.request(
             method, URL(url, encoded=True), headers=sent | names, data=b"body"
--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -122,7 +122,7 @@
 
 def test_disabled_rule_ignores_limits() -> None:
     async def scenario(harness: RelayHarness) -> None:
-        harness.host._limits._enabled = False
+        harness.host._limits.known._enabled = False
         for server in harness.backend_servers:
             server.extra_headers = {"Server-Limit": "0.5"}
         for _ in range(10):
