Order no role changes while the limits of a service bind

With limits on both decode engines of a service and more demand than they allow, the planner ordered one of them to prefill prompts: its plan rests on slots and speeds. The engine was out for the change, and its limit was lost.

While an engine of a service has named a limit and both roles are present, no change is ordered. The new test fails without the condition.

--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -250,6 +250,11 @@
         """Return the learned performance of the engines of a service."""
         return self._owned_queues_by_service[service].queue.ledger.performance
 
+    def has_limits(self, service: str) -> bool:
+        """Return whether an engine of a service has named a limit."""
+        limits = self._limits.limits_of(service).limits()
+        return any(limit.service == service for limit in limits)
+
     def runs_of(self, service: str) -> dict[str, int]:
         """Return the number of runs at each engine of a service."""
         return self._owned_queues_by_service[service].queue.ledger.runs_by_engine()
--- a/packages/kumquat_relay/src/kumquat_relay/role_controller.py
+++ b/packages/kumquat_relay/src/kumquat_relay/role_controller.py
@@ -101,6 +101,13 @@
         """Return the next role change of a service, if any."""
         now_s = self._clock.monotonic()
         engines = list(self._cluster_state.registry.usable(service))
+        if self._owner.has_limits(service) and {item.role for item in engines} >= {
+            EngineRole.PREFILL,
+            EngineRole.DECODE,
+        }:
+            # The plan rests on slots and speeds, but now the limits bind, and
+            # a change would leave fewer engines to share them.
+            return None
         changing = {
             engine.id: self._commanded_roles_by_engine[engine.id]
             for engine in engines
--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -40,6 +40,8 @@
 APPLY_S = 3.0
 CALLERS_PER_HOST = 4
 THINK_S = 0.02
+# Without limits the first role change came within this time.
+ROLE_PLAN_S = 8.0
 ENTRY = replace(engine_entry("e"), born_ms=1000)
 
 
@@ -298,3 +300,16 @@
         data = encode(Envelope(1, message))
         assert len(msgpack.unpackb(data)) == 2 + length
         assert decode(data).message == message
+
+
+def test_no_role_changes_while_limits_bind() -> None:
+    """One of two limited decode engines was ordered to prefill prompts."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        for engine in harness.decode_engines:
+            engine.extra_headers = {"Server-Limit": str(LIMIT_PER_S)}
+        await send_load(harness, "tale", ROLE_PLAN_S)
+        assert harness.decode_engines[0].role_commands == []
+        assert harness.decode_engines[1].role_commands == []
+
+    run_scenario(scenario, HOSTS)
