Reword the comparisons, targets and commands of kumquat_lab

Figurative or private names become the usual terms: targets are evaluated, not judged; "figures" are metrics; least failures are a minimum. Names in files, options and metrics are unchanged.

--- a/packages/kumquat_lab/src/kumquat_lab/command_runners.py
+++ b/packages/kumquat_lab/src/kumquat_lab/command_runners.py
@@ -1,4 +1,4 @@
-"""Running tools and servers from the command line, and shared options."""
+"""Runs coroutines as commands or servers, and declares shared options."""
 
 import asyncio
 import contextlib
@@ -10,7 +10,7 @@
 import typer
 import uvloop
 
-__all__ = ["ConfigFile", "JsonFile", "LockFile", "run_tool", "run_until_stopped"]
+__all__ = ["ConfigFile", "JsonFile", "LockFile", "run_command", "run_server"]
 
 ConfigFile = Annotated[Path, typer.Option("--config", help="JSON configuration file")]
 
@@ -25,8 +25,8 @@
 EXIT_INTERRUPTED = 130
 
 
-def run_tool(main: Coroutine[Any, Any, Result]) -> Result:
-    """Run a tool; SIGTERM cancels it, so that it ends its processes."""
+def run_command(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run a command; SIGTERM cancels it, so that it ends its processes."""
 
     async def supervise() -> Result:
         task = asyncio.ensure_future(main)
@@ -39,7 +39,7 @@
         raise typer.Exit(EXIT_INTERRUPTED) from error
 
 
-def run_until_stopped(main: Coroutine[Any, Any, None]) -> None:
+def run_server(main: Coroutine[Any, Any, None]) -> None:
     """Run a server; SIGINT and SIGTERM end it with exit status 0."""
 
     async def supervise() -> None:
--- a/packages/kumquat_lab/src/kumquat_lab/compare.py
+++ b/packages/kumquat_lab/src/kumquat_lab/compare.py
@@ -1,9 +1,9 @@
 """Compares routing policies under the same arrivals and faults.
 
-Each policy gets a stack of its own: engines, platform and entry hosts start
-anew, so no cache or account carries over. The policies run one after
-another, or side by side with a load client process for each; then the load
-of the machine is the same for all of them, but higher.
+Each policy runs on a new stack of engines, platform and entry hosts, so no
+cached prefix and no scheduler state is shared. The policies run one after
+another, or concurrently with a load client process for each. Concurrent runs
+share the load of the machine equally, but it is higher.
 """
 
 import asyncio
@@ -33,7 +33,7 @@
     "POLICIES",
     "compare_policies",
     "compare_side_by_side",
-    "measuring_lock",
+    "measurement_lock",
     "write_json",
 ]
 
@@ -46,7 +46,7 @@
     policies: Sequence[str],
     config: StackConfig,
 ) -> dict[str, Any]:
-    """Run a scenario with each policy in turn and return the figures."""
+    """Run a scenario with each policy in turn and return the results."""
     plan = StackPlan.from_config(config)
     scenario = build_scenario(name, options, plan)
     bounds = goodput_limit(scenario, plan)
@@ -64,11 +64,11 @@
         },
         "policies": {},
     }
-    runner = _Runner(config, limit_per_s)
+    runner = _ScenarioRunner(config, limit_per_s)
     for policy in policies:
         document["policies"][policy] = await runner.run(scenario, policy)
     if name is ScenarioName.STRAGGLER:
-        await _run_without_stragglers(document, scenario, runner)
+        await _compare_without_stragglers(document, scenario, runner)
     return document
 
 
@@ -78,7 +78,7 @@
     policies: Sequence[str],
     config: StackConfig,
 ) -> dict[str, Any]:
-    """Run a scenario with all policies at once, a process for each."""
+    """Run a scenario with all policies concurrently, a process for each."""
     with tempfile.TemporaryDirectory(prefix="kumquat-compare-") as folder:
         directory = Path(folder)
         processes = ProcessGroup(directory)
@@ -87,7 +87,7 @@
                 await processes.start(
                     policy,
                     "kumquat_lab",
-                    *_arguments(name, options, config, policy, directory),
+                    *_command_arguments(name, options, config, policy, directory),
                 )
                 for policy in policies
             ]
@@ -99,10 +99,10 @@
             json.loads((directory / f"{policy}.json").read_text())
             for policy in policies
         ]
-    return _merged(documents)
+    return _merge_documents(documents)
 
 
-def _arguments(
+def _command_arguments(
     name: ScenarioName,
     options: ScenarioOptions,
     config: StackConfig,
@@ -130,22 +130,25 @@
         raise RuntimeError(f"the run of {child.name} ended with status {status}")
 
 
-def _merged(documents: Sequence[dict[str, Any]]) -> dict[str, Any]:
-    """Join the documents of single policies into one."""
+def _merge_documents(documents: Sequence[dict[str, Any]]) -> dict[str, Any]:
+    """Merge the result documents of single policies into one."""
     merged = dict(documents[0])
     for key in ("policies", "without_stragglers"):
         if key in merged:
             merged[key] = {
-                policy: figures
+                policy: metrics
                 for document in documents
-                for policy, figures in document[key].items()
+                for policy, metrics in document[key].items()
             }
     return merged
 
 
 @contextlib.asynccontextmanager
-async def measuring_lock(path: Path | None) -> AsyncIterator[None]:
-    """Hold a lock file, so that measurements on one machine take turns."""
+async def measurement_lock(path: Path | None) -> AsyncIterator[None]:
+    """Hold a lock file that allows one measurement at a time.
+
+    Does nothing without a path.
+    """
     if path is None:
         yield
         return
@@ -155,8 +158,8 @@
 
 
 @dataclass(frozen=True)
-class _Runner:
-    """Runs scenarios on stacks of one size."""
+class _ScenarioRunner:
+    """Runs scenarios on new stacks of one configuration."""
 
     config: StackConfig
     limit_per_s: float
@@ -166,39 +169,39 @@
         config = with_policy(self.config, policy)
         async with running_stack(config) as stack:
             result = await run_load(stack, scenario)
-        figures = summarize(result, scenario.options.seconds, self.limit_per_s)
+        metrics = summarize(result, scenario.options.seconds, self.limit_per_s)
         typer.echo(
             f"{scenario.name:9} {policy:20} "
-            f"goodput {figures['goodput_per_s']:7.2f}/s "
-            f"= {figures['goodput_of_limit']:.3f} of the limit, "
-            f"prefill wasted {figures['prefill_wasted']:.3f}",
+            f"goodput {metrics['goodput_per_s']:7.2f}/s "
+            f"= {metrics['goodput_of_limit']:.3f} of the limit, "
+            f"prefill wasted {metrics['prefill_wasted']:.3f}",
             err=True,
         )
-        return figures
+        return metrics
 
 
-async def _run_without_stragglers(
+async def _compare_without_stragglers(
     document: dict[str, Any],
     scenario: Scenario,
-    runner: _Runner,
+    runner: _ScenarioRunner,
 ) -> None:
-    """Repeat the same arrivals without faults, and compare p99 TTFT."""
-    calm = Scenario(scenario.name, scenario.options, scenario.arrivals, ())
+    """Run the same arrivals without faults and compare the p99 TTFT."""
+    without_faults = Scenario(scenario.name, scenario.options, scenario.arrivals, ())
     document["without_stragglers"] = {}
-    for policy, figures in document["policies"].items():
-        reference = await runner.run(calm, policy)
-        document["without_stragglers"][policy] = reference
-        figures["p99_ttft_ratio"] = {
+    for policy, metrics in document["policies"].items():
+        reference_metrics = await runner.run(without_faults, policy)
+        document["without_stragglers"][policy] = reference_metrics
+        metrics["p99_ttft_ratio"] = {
             class_name: round(
-                values["p99"] / reference["ttft_ms"][class_name]["p99"], 3
+                values["p99"] / reference_metrics["ttft_ms"][class_name]["p99"], 3
             )
-            for class_name, values in figures["ttft_ms"].items()
-            if class_name in reference["ttft_ms"]
+            for class_name, values in metrics["ttft_ms"].items()
+            if class_name in reference_metrics["ttft_ms"]
         }
 
 
 def write_json(document: dict[str, Any], path: Path | None) -> None:
-    """Write a document to a file, or to standard output."""
+    """Write a document to a file, or to standard output without a path."""
     text = json.dumps(document, indent=2)
     if path is None:
         typer.echo(text)
--- a/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/decision_cost.py
@@ -1,10 +1,10 @@
-"""Time of one scheduling decision by the number of engines.
+"""Measures the time of one scheduling decision.
 
-A decision is what one request costs in all: the entry host chooses a shard,
-the owner of the shard admits the request, hears of its prefill and of its
-release. All engines are in the configuration of the host; it owns one shard.
-With a full queue each request waits behind ``QUEUED`` others, so that a
-decision also takes a request out of a long queue.
+A decision comprises all steps for one request: the entry host chooses a shard,
+and the owner of the shard admits the request and processes the messages about
+its prefill and its release. The configuration contains all engines, and the
+host owns one shard. With a full queue, ``QUEUED`` other requests wait ahead of
+each request, so that a decision also removes a request from a long queue.
 """
 
 import asyncio
@@ -42,13 +42,13 @@
 POOL = "pool"
 ENGINE_COUNTS = (10, 100, 1000)
 DECISIONS = 4000
-WARM_UP = 500
+WARM_UP_DECISIONS = 500
 QUEUED = 2000
 TENANTS = 20
-# Slow enough that the transfer links never limit.
+# Long enough that the transfer links are never the bottleneck.
 ARRIVAL_PERIOD_S = 0.005
-# Every third engine is a prefill engine, as in the current pools.
-PREFILL_SHARE = 3
+# One engine in this many is a prefill engine.
+PREFILL_ENGINE_INTERVAL = 3
 
 CONFIGURATION = Configuration(
     classes_by_name={  # type: ignore[arg-type]
@@ -62,19 +62,19 @@
 
 @dataclass(frozen=True)
 class DecisionCost:
-    """Mean and 99th percentile of the decisions, in microseconds."""
+    """Mean and 99th percentile of the time of a decision, in microseconds."""
 
     mean_us: float
     p99_us: float
 
 
 async def measure_decisions(engine_count: int, queued: int, seed: int) -> DecisionCost:
-    """Return the cost of a decision for one size and queue length."""
-    return await _Measurement(engine_count, queued, seed).run()
+    """Return the cost of a decision with ``queued`` waiting requests."""
+    return await _DecisionBenchmark(engine_count, queued, seed).run()
 
 
 async def run_decision_cost(seed: int) -> None:
-    """Measure all sizes and print one line for each."""
+    """Measure all numbers of engines and print one line for each."""
     console = Console(soft_wrap=True, highlight=False)
     console.print(f"seed {seed}, {DECISIONS} decisions each, microseconds")
     for engine_count in ENGINE_COUNTS:
@@ -86,8 +86,8 @@
             )
 
 
-class _Measurement:
-    """One owner with its shard and a stream of requests."""
+class _DecisionBenchmark:
+    """Measures the owner of one shard that receives a stream of requests."""
 
     def __init__(self, engine_count: int, queued: int, seed: int) -> None:
         self._engine_count = engine_count
@@ -97,7 +97,7 @@
         engines = [_engine(index) for index in range(engine_count)]
         shard = shards_of(POOL, engines)[0]
         self._shard_id = shard.id
-        # Early refusal would empty the queue that is to be measured.
+        # Early refusal would empty the queue.
         rules = RuleSet(early_refusal=not queued)
         self._scheduler = ShardScheduler(
             shard.id, self._clock, random.Random(seed), rules
@@ -116,26 +116,26 @@
     async def run(self) -> DecisionCost:
         """Fill the queue, then time the decisions."""
         for _ in range(self._queued):
-            await self._arrive()
+            await self._submit_request()
         times_us = []
-        for _ in range(WARM_UP + DECISIONS):
+        for _ in range(WARM_UP_DECISIONS + DECISIONS):
             self._clock.advance(ARRIVAL_PERIOD_S)
             began_ns = time.perf_counter_ns()
             choose_shard(
                 POOL, self._engine_count, self._summaries_by_shard_id, self._rng
             )
-            await self._arrive()
-            self._end_oldest()
+            await self._submit_request()
+            self._release_oldest()
             times_us.append((time.perf_counter_ns() - began_ns) / 1000)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        measured = sorted(times_us[WARM_UP:])
+        measured = sorted(times_us[WARM_UP_DECISIONS:])
         return DecisionCost(
             sum(measured) / len(measured), measured[int(0.99 * len(measured))]
         )
 
-    async def _arrive(self) -> None:
+    async def _submit_request(self) -> None:
         self._number += 1
         request = AdmissionRequest(
             request_id=f"h.1.{self._number}",
@@ -155,15 +155,15 @@
         await asyncio.sleep(0)
 
     async def _admit(self, request: AdmissionRequest) -> None:
-        answer = await self._scheduler.admit(request)
-        answer.map(self._keep)
+        decision = await self._scheduler.admit(request)
+        decision.map(self._record_grant)
 
-    def _keep(self, grant: Grant) -> None:
+    def _record_grant(self, grant: Grant) -> None:
         done = PrefillDone(grant.request_id, self._shard_id, 50.0, 0)
         self._scheduler.prefill_done(done)
         self._granted.append(grant.request_id)
 
-    def _end_oldest(self) -> None:
+    def _release_oldest(self) -> None:
         if self._granted:
             code = ResultCode.OK.value
             request_id = self._granted.popleft()
@@ -171,7 +171,7 @@
 
 
 def _engine(index: int) -> Engine:
-    kind = "engine" if index % PREFILL_SHARE else "prefill"
+    kind = "engine" if index % PREFILL_ENGINE_INTERVAL else "prefill"
     return make_engine(
         f"{kind}-{index}",
         pool=POOL,
--- a/packages/kumquat_lab/src/kumquat_lab/demo.py
+++ b/packages/kumquat_lab/src/kumquat_lab/demo.py
@@ -1,4 +1,4 @@
-"""Runs one request of every kind of both firms and checks each answer."""
+"""Sends a request of every kind for each account; checks the responses."""
 
 import random
 
@@ -15,7 +15,7 @@
 
 
 async def run_demo(config: StackConfig) -> bool:
-    """Run the demonstration; return whether every answer was right."""
+    """Run the demonstration; return whether all responses were correct."""
     console = Console(soft_wrap=True, highlight=False)
     console.print("Starting platform, engines, backend servers and entry hosts.")
     async with running_stack(config) as stack:
@@ -23,15 +23,15 @@
         console.print(f"Ready: {names}")
         outcomes = []
         for account in CLIENT_ACCOUNTS:
-            for outcome in await _requests_of(stack, account, config.seed):
-                console.print(_line(account, outcome))
+            for outcome in await _send_requests(stack, account, config.seed):
+                console.print(_format_outcome(account, outcome))
                 outcomes.append(outcome)
     good = sum(outcome.kind == "ok" for outcome in outcomes)
     console.print(f"{good} of {len(outcomes)} answers whole and right")
     return good == len(outcomes)
 
 
-async def _requests_of(
+async def _send_requests(
     stack: Stack, account: ClientAccount, seed: int
 ) -> list[CallOutcome]:
     rng = random.Random(f"{seed}/{account.name}")
@@ -49,7 +49,7 @@
     return outcomes
 
 
-def _line(account: ClientAccount, outcome: CallOutcome) -> str:
+def _format_outcome(account: ClientAccount, outcome: CallOutcome) -> str:
     parts = [
         f"{account.name:9}{outcome.class_name:13}",
         f"code {outcome.code:<5}",
--- a/packages/kumquat_lab/src/kumquat_lab/limit.py
+++ b/packages/kumquat_lab/src/kumquat_lab/limit.py
@@ -1,23 +1,23 @@
-"""Upper bound of the goodput that a pool can give for a list of arrivals.
+"""Computes an upper bound of the goodput of a pool for given arrivals.
 
-The bound follows from the cost model alone and holds for every scheduler;
-``docs/lab.md`` derives it. Each good request needs a least amount of work
-inside a window of time that its arrival and its targets fix:
+The bound depends only on the cost model and holds for every scheduler;
+``docs/lab.md`` derives it. Each good request needs a minimum amount of work
+within a window of time that its arrival and its targets determine:
 
-- prefill: ``prefill_s`` of the tokens that no other request of the list can
-  have put into a cache, between the arrival and the latest time at which a
-  transfer and one step still meet the TTFT target;
-- decode: a least share of the steps of one engine, between the earliest end
+- prefill: ``prefill_s`` of the tokens that no other request can have cached,
+  between the arrival and the latest time at which a transfer and one step
+  still meet the TTFT target;
+- decode: a minimum share of the steps of one engine, between the earliest end
   of prefill and transfer and the time at which the last token still meets
   the TBT target;
-- start: the same share, up to the latest first token, except for those
-  requests that are still decoding then, no more than there are places.
+- start: the same share, up to the latest first token, except for the requests
+  that are still decoding then, at most one for each slot.
 
 A set of engines can do at most ``engines * length`` seconds of work in a
-window. Of the requests whose windows lie inside it, enough must fail that
-the work of the others fits; leaving out the largest ones first gives the
-least number. The failures in disjoint windows add up, because each request
-lies inside at most one of them.
+window. Of the requests whose windows lie within it, enough must fail for the
+work of the others to fit; dropping the largest requests first gives the
+minimum number. Failures in disjoint windows add up, because each request lies
+within at most one of them.
 """
 
 from collections import Counter
@@ -37,25 +37,26 @@
     "Demand",
     "PoolResources",
     "WindowedWork",
-    "bound_goodput",
+    "max_good_requests",
     "capacity_per_s",
-    "demands_of",
-    "least_failures",
+    "compute_demands",
+    "min_failures",
 ]
 
+# Windows begin and end on this grid; a finer one gives a tighter bound.
 GRID_S = 0.25
 
 
 @dataclass(frozen=True)
 class PoolResources:
-    """The engines of a pool, all of one size."""
+    """The engines of a pool, which all have the same configuration."""
 
     engine: EngineConfig
     prefill_engines: int
     decode_engines: int
 
     @classmethod
-    def of(cls, engines: Sequence[EngineConfig]) -> "PoolResources":
+    def from_engines(cls, engines: Sequence[EngineConfig]) -> "PoolResources":
         """Return the resources of a pool's engines."""
         roles = Counter(engine.role for engine in engines)
         return cls(engines[0], roles["prefill"], roles["decode"])
@@ -63,7 +64,7 @@
 
 @dataclass(frozen=True)
 class WindowedWork:
-    """Least work in seconds that must be done between two times."""
+    """Minimum work, in seconds, that must be done between two times."""
 
     begin_s: float
     end_s: float
@@ -72,11 +73,11 @@
 
 @dataclass(frozen=True)
 class Demand:
-    """Least work of one request to be good.
+    """Minimum work of one request that meets its targets.
 
-    Two bounds of the decode work hold at once: ``decode_by_count`` from the
-    number of requests in a batch, ``decode_by_memory`` from their pieces.
-    ``latest_first_token_s`` is the end of the TTFT target.
+    Two lower bounds of the decode work apply: ``decode_by_count`` results from
+    the number of requests in a batch, ``decode_by_memory`` from their pieces.
+    ``latest_first_token_s`` is when the TTFT target expires.
     """
 
     prefill: WindowedWork
@@ -89,7 +90,7 @@
         return replace(work, end_s=self.latest_first_token_s)
 
 
-def demands_of(
+def compute_demands(
     account: ClientAccount,
     calls: Sequence[tuple[float, ModelCall]],
     resources: PoolResources,
@@ -133,30 +134,30 @@
     )
 
 
-def bound_goodput(demands: Sequence[Demand], resources: PoolResources) -> int:
+def max_good_requests(demands: Sequence[Demand], resources: PoolResources) -> int:
     """Return the largest number of requests that can be good."""
     engines = resources.decode_engines
-    places = engines * resources.engine.max_requests
+    slots = engines * resources.engine.max_requests
     by_count = [d.decode_by_count for d in demands]
     by_memory = [d.decode_by_memory for d in demands]
     start_by_count = [d.start_by(d.decode_by_count) for d in demands]
     start_by_memory = [d.start_by(d.decode_by_memory) for d in demands]
     failures = max(
-        least_failures([d.prefill for d in demands], resources.prefill_engines),
-        least_failures(by_count, engines),
-        least_failures(by_memory, engines),
-        least_failures(start_by_count, engines, places),
-        least_failures(start_by_memory, engines, places),
+        min_failures([d.prefill for d in demands], resources.prefill_engines),
+        min_failures(by_count, engines),
+        min_failures(by_memory, engines),
+        min_failures(start_by_count, engines, slots),
+        min_failures(start_by_memory, engines, slots),
     )
     return len(demands) - failures
 
 
-def least_failures(
+def min_failures(
     work: Sequence[WindowedWork], engines: int, unfinished: int = 0
 ) -> int:
-    """Return the least number of items that cannot be done in time.
+    """Return the minimum number of items that cannot be done in time.
 
-    In each window, ``unfinished`` items need not be done by its end.
+    ``unfinished`` items of each window need not be done by its end.
     """
     if not work:
         return 0
@@ -184,7 +185,7 @@
 
 
 def capacity_per_s(demands: Sequence[Demand], resources: PoolResources) -> float:
-    """Return the arrival rate at which the busiest resource is full."""
+    """Return the arrival rate that saturates the bottleneck resource."""
     prefill_s = float(np.mean([d.prefill.work_s for d in demands]))
     by_count_s = float(np.mean([d.decode_by_count.work_s for d in demands]))
     by_memory_s = float(np.mean([d.decode_by_memory.work_s for d in demands]))
--- a/packages/kumquat_lab/src/kumquat_lab/measure_commands.py
+++ b/packages/kumquat_lab/src/kumquat_lab/measure_commands.py
@@ -1,4 +1,4 @@
-"""Commands that load, compare and measure."""
+"""Commands that generate load, compare policies and measure costs."""
 
 from pathlib import Path
 from typing import Annotated, Any
@@ -7,12 +7,12 @@
 import uvloop
 
 from .bench import BENCH_RUNS, run_bench, write_results
-from .command_runners import ConfigFile, JsonFile, LockFile, run_tool
+from .command_runners import ConfigFile, JsonFile, LockFile, run_command
 from .compare import (
     POLICIES,
     compare_policies,
     compare_side_by_side,
-    measuring_lock,
+    measurement_lock,
     write_json,
 )
 from .decision_cost import run_decision_cost
@@ -39,10 +39,10 @@
     ] = 0.0,
     json_file: JsonFile = None,
 ) -> None:
-    """Send a scenario to the stack that ``up`` runs with the same config."""
+    """Send the load of a scenario to a stack started by ``up``."""
     model = StackConfig.model_validate_json(config.read_text())
     options = ScenarioOptions(seed=seed, seconds=seconds, load=multiple)
-    write_json(run_tool(load_running_stack(model, scenario, options)), json_file)
+    write_json(run_command(load_running_stack(model, scenario, options)), json_file)
 
 
 @app.command()
@@ -90,10 +90,10 @@
     run = compare_side_by_side if side_by_side else compare_policies
 
     async def run_locked() -> dict[str, Any]:
-        async with measuring_lock(lock):
+        async with measurement_lock(lock):
             return await run(scenario, options, names, config)
 
-    document = run_tool(run_locked())
+    document = run_command(run_locked())
     write_json(document, json_file)
 
 
@@ -114,7 +114,7 @@
     if only_write:
         write_results(directory)
         return
-    run_tool(run_bench(directory, seed, seconds, runs.split(","), lock))
+    run_command(run_bench(directory, seed, seconds, runs.split(","), lock))
 
 
 @app.command()
@@ -124,8 +124,8 @@
     json_file: JsonFile = None,
     lock: LockFile = None,
 ) -> None:
-    """Measure what an entry host costs in time, processor and memory."""
-    write_json(run_tool(measure_cost(seed, parts.split(","), lock)), json_file)
+    """Measure the latency, processor time and memory of an entry host."""
+    write_json(run_command(measure_cost(seed, parts.split(","), lock)), json_file)
 
 
 @app.command("decision-cost")
@@ -141,7 +141,7 @@
     seed: int = 1,
     json_file: JsonFile = None,
 ) -> None:
-    """Measure how costs grow with the number of hosts, engines and so on."""
+    """Measure how costs grow with the numbers of hosts, engines and others."""
     run_slopes(seed, json_file)
 
 
--- a/packages/kumquat_lab/src/kumquat_lab/router_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/router_cost.py
@@ -25,7 +25,7 @@
 from .arrivals import make_prompt
 from .caller import ModelCall, call_model
 from .client_accounts import MADAFU
-from .compare import measuring_lock
+from .compare import measurement_lock
 from .stack import EntryHostPlan, Stack, StackConfig, running_stack
 
 __all__ = ["COST_PARTS", "measure_cost"]
@@ -61,7 +61,7 @@
         "stalled_readers": _measure_stalled_readers,
     }
     document: dict[str, Any] = {"seed": seed}
-    async with measuring_lock(lock_path):
+    async with measurement_lock(lock_path):
         for part in parts:
             document[part] = await measures[part](seed)
     return document
--- a/packages/kumquat_lab/src/kumquat_lab/scenarios.py
+++ b/packages/kumquat_lab/src/kumquat_lab/scenarios.py
@@ -1,4 +1,4 @@
-"""Scenarios: arrivals and faults, both fixed by a seed before a run."""
+"""Builds scenarios: arrivals and faults, determined by a seed."""
 
 import dataclasses
 import random
@@ -11,7 +11,7 @@
 from .caller import ModelCall
 from .client_accounts import CLIENT_ACCOUNTS, ClientAccount
 from .cost_model import EngineConfig
-from .limit import PoolResources, bound_goodput, capacity_per_s, demands_of
+from .limit import PoolResources, capacity_per_s, compute_demands, max_good_requests
 from .stack import StackPlan
 
 __all__ = [
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True)
 class FaultEvent:
-    """A fault switched at a time: ``body`` is sent to ``/faults``."""
+    """A fault that begins at ``at_s``; ``body`` is sent to ``/faults``."""
 
     at_s: float
     target: str
@@ -86,7 +86,7 @@
 
 @dataclass(frozen=True)
 class Scenario:
-    """Arrivals in order of time, and fault events."""
+    """Arrivals in the order of their times, and fault events."""
 
     name: ScenarioName
     options: ScenarioOptions
@@ -97,11 +97,11 @@
 def build_scenario(
     name: ScenarioName, options: ScenarioOptions, plan: StackPlan
 ) -> Scenario:
-    """Return the scenario of a seed for the engines of a plan."""
+    """Return the scenario for a seed and the engines of a plan."""
     arrivals: list[Arrival] = []
     for account in CLIENT_ACCOUNTS:
         rng = random.Random(f"{options.seed}/{name}/{account.name}")
-        resources = PoolResources.of(plan.engines_by_firm[account.name])
+        resources = PoolResources.from_engines(plan.engines_by_firm[account.name])
         arrivals += _model_arrivals(name, options, account, resources, rng)
         arrivals += _plain_arrivals(options, account, rng)
     arrivals.sort(key=lambda item: item.at_s)
@@ -134,7 +134,7 @@
 def _capacity(account: ClientAccount, resources: PoolResources) -> float:
     rng = random.Random(f"capacity/{account.name}")
     calls = [(0.0, _choose_call(rng, account)) for _ in range(CAPACITY_SAMPLE)]
-    return capacity_per_s(demands_of(account, calls, resources), resources)
+    return capacity_per_s(compute_demands(account, calls, resources), resources)
 
 
 def _choose_call(rng: random.Random, account: ClientAccount) -> ModelCall:
@@ -144,12 +144,12 @@
 
 
 def _with_cancel(rng: random.Random, call: ModelCall) -> ModelCall:
-    """Disconnect before the first token or at a random token."""
+    """Return a call whose caller disconnects before or at a random token."""
     if rng.random() < 0.5:
         after_s = rng.uniform(0.0, CANCEL_BEFORE_S)
         return dataclasses.replace(call, cancel_after_s=after_s)
-    after = rng.randrange(1, call.max_tokens)
-    return dataclasses.replace(call, cancel_after_tokens=after)
+    after_tokens = rng.randrange(1, call.max_tokens)
+    return dataclasses.replace(call, cancel_after_tokens=after_tokens)
 
 
 def _plain_arrivals(
@@ -182,7 +182,7 @@
 def straggler_events(
     options: ScenarioOptions, engines: Sequence[EngineConfig]
 ) -> list[FaultEvent]:
-    """Return slow windows: some engines of a pool are slow at any time."""
+    """Return events that slow down random engines, window after window."""
     ids = sorted(engine.engine_id for engine in engines)
     rng = random.Random(f"{options.seed}/stragglers/{ids[0]}")
     events = []
@@ -199,14 +199,13 @@
 
 
 def goodput_limit(scenario: Scenario, plan: StackPlan) -> dict[str, int]:
-    """Return the bound of good requests for each firm.
+    """Return the bound of good requests for each client account.
 
-    Requests that the caller cancels are not counted, and neither is the
-    work they cause.
+    Requests that the caller cancels and the work that they cause do not count.
     """
     bounds = {}
     for account in CLIENT_ACCOUNTS:
-        resources = PoolResources.of(plan.engines_by_firm[account.name])
+        resources = PoolResources.from_engines(plan.engines_by_firm[account.name])
         calls = [
             (arrival.at_s, arrival.call)
             for arrival in scenario.arrivals
@@ -214,6 +213,6 @@
             and isinstance(arrival.call, ModelCall)
             and not arrival.call.cancels
         ]
-        demands = demands_of(account, calls, resources)
-        bounds[account.name] = bound_goodput(demands, resources)
+        demands = compute_demands(account, calls, resources)
+        bounds[account.name] = max_good_requests(demands, resources)
     return bounds
--- a/packages/kumquat_lab/src/kumquat_lab/server_commands.py
+++ b/packages/kumquat_lab/src/kumquat_lab/server_commands.py
@@ -1,4 +1,4 @@
-"""Commands that run stand-ins and whole stacks."""
+"""Commands that run emulated components and complete stacks."""
 
 from typing import Annotated
 
@@ -7,7 +7,7 @@
 from kumquat_core.log_events import configure_logging
 
 from .backend_server import BackendHostConfig, run_backends
-from .command_runners import ConfigFile, run_tool, run_until_stopped
+from .command_runners import ConfigFile, run_command, run_server
 from .cost_model import EngineHostConfig
 from .demo import run_demo
 from .engine import run_engines
@@ -25,7 +25,7 @@
     """Run emulated engines, several in one process."""
     configure_logging("info")
     model = EngineHostConfig.model_validate_json(config.read_text())
-    run_until_stopped(run_engines(model))
+    run_server(run_engines(model))
 
 
 @app.command()
@@ -33,7 +33,7 @@
     """Run emulated backend servers, several in one process."""
     configure_logging("info")
     model = BackendHostConfig.model_validate_json(config.read_text())
-    run_until_stopped(run_backends(model))
+    run_server(run_backends(model))
 
 
 @app.command()
@@ -41,7 +41,7 @@
     """Run the emulated platform."""
     configure_logging("info")
     model = PlatformConfig.model_validate_json(config.read_text())
-    run_until_stopped(run_platform(model))
+    run_server(run_platform(model))
 
 
 @app.command()
@@ -49,14 +49,14 @@
     hosts: Annotated[int, typer.Option(help="entry hosts for each client account")] = 3,
     seed: Annotated[int, typer.Option(help="seed of the requests")] = 1,
 ) -> None:
-    """Run one request of every kind of both firms and check each answer."""
+    """Send a request of every kind and check each response."""
     config = StackConfig(hosts_per_firm=hosts, seed=seed)
-    if not run_tool(run_demo(config)):
+    if not run_command(run_demo(config)):
         raise typer.Exit(1)
 
 
 @app.command()
 def up(config: ConfigFile) -> None:
-    """Run the whole set until interrupted and print commands to try it."""
+    """Run a complete stack until interrupted and print example commands."""
     model = StackConfig.model_validate_json(config.read_text())
-    run_until_stopped(run_up(model))
+    run_server(run_up(model))
--- a/packages/kumquat_lab/src/kumquat_lab/up.py
+++ b/packages/kumquat_lab/src/kumquat_lab/up.py
@@ -1,4 +1,4 @@
-"""Runs a stack until interrupted and prints commands to try it."""
+"""Runs a stack until interrupted and prints example commands."""
 
 import asyncio
 
@@ -13,24 +13,24 @@
 async def run_up(config: StackConfig) -> None:
     """Run the stack until this task is cancelled."""
     async with running_stack(config) as stack:
-        for line in _usage(stack):
+        for line in _usage_lines(stack):
             typer.echo(line)
         await asyncio.Event().wait()
 
 
-def _usage(stack: Stack) -> list[str]:
+def _usage_lines(stack: Stack) -> list[str]:
     lines = [f"platform  {stack.plan.platform_url}"]
     for host in stack.plan.hosts:
         lines.append(f"{host.host_id}  {host.caller_url}  admin {host.admin_url}")
     lines += [f"{e.engine_id}  http://127.0.0.1:{e.port}" for e in stack.plan.engines]
     lines += [f"{s.server_id}  http://127.0.0.1:{s.port}" for s in stack.plan.servers]
     for account in CLIENT_ACCOUNTS:
-        lines += _commands(account, stack.plan.hosts_of(account)[0].caller_url)
+        lines += _curl_commands(account, stack.plan.hosts_of(account)[0].caller_url)
     lines.append("Ctrl-C stops all processes.")
     return lines
 
 
-def _commands(account: ClientAccount, url: str) -> list[str]:
+def _curl_commands(account: ClientAccount, url: str) -> list[str]:
     key = f"-H 'Authorization: Bearer {account.api_key}'"
     lines = []
     for work in account.work:
--- a/tests/lab/test_bench.py
+++ b/tests/lab/test_bench.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from kumquat_lab.arrivals import Arrival, make_model_call
-from kumquat_lab.bench import judge
+from kumquat_lab.bench import evaluate_targets
 from kumquat_lab.caller import CallOutcome
 from kumquat_lab.client_accounts import HAGESTAD
 from kumquat_lab.emulated_responses import response_text, token_text
@@ -13,7 +13,7 @@
 
 
 def make_document(**changes: Any) -> dict[str, Any]:
-    figures = {
+    metrics = {
         "goodput_per_s": 10.0,
         "goodput_of_limit": 0.95,
         "prefill_wasted": 0.0,
@@ -25,13 +25,13 @@
         "damaged": 0,
         "lost": 0,
     }
-    baseline = figures | {"goodput_per_s": 6.0}
-    return {"policies": {"kumquat": figures | changes, "round_robin": baseline}}
+    baseline = metrics | {"goodput_per_s": 6.0}
+    return {"policies": {"kumquat": metrics | changes, "round_robin": baseline}}
 
 
 def missed(label: str, **changes: Any) -> set[str]:
-    verdicts = judge({label: make_document(**changes)})
-    return {item.target for item in verdicts if not item.met}
+    results = evaluate_targets({label: make_document(**changes)})
+    return {item.target for item in results if not item.met}
 
 
 def test_all_targets_of_the_crest_can_be_met():
@@ -54,7 +54,7 @@
         "overload-2": make_document(),
         "overload-5": make_document(goodput_per_s=8.0),
     }
-    targets = {item.target for item in judge(documents) if not item.met}
+    targets = {item.target for item in evaluate_targets(documents) if not item.met}
     assert targets == {"overload: goodput at 5 times / at 2 times >= 0.95"}
 
 
--- a/tests/lab/test_limit.py
+++ b/tests/lab/test_limit.py
@@ -6,7 +6,7 @@
 
 from kumquat_lab.caller import ModelCall
 from kumquat_lab.client_accounts import CLIENT_ACCOUNTS, EngineCounts, engine_configs
-from kumquat_lab.limit import PoolResources, WindowedWork, least_failures
+from kumquat_lab.limit import PoolResources, WindowedWork, min_failures
 from kumquat_lab.scenarios import (
     ScenarioName,
     ScenarioOptions,
@@ -46,25 +46,25 @@
 @given(items=ITEMS, engines=st.integers(1, 3))
 def test_no_schedule_has_fewer_failures_than_the_bound(items, engines):
     work = [make_work(*item) for item in items]
-    bound = least_failures(work, engines)
+    bound = min_failures(work, engines)
     assert bound <= failures_of_earliest_deadline_first(work, engines)
 
 
 def test_burst_beyond_the_engine_time_must_fail():
     work = [WindowedWork(0.0, 3.0, 1.0)] * 10
-    assert least_failures(work, 1) == 7
-    assert least_failures(work, 2) == 4
+    assert min_failures(work, 1) == 7
+    assert min_failures(work, 2) == 4
 
 
 def test_failures_of_separate_bursts_add_up():
     burst = [WindowedWork(0.0, 2.0, 1.0)] * 5
     later = [WindowedWork(10.0, 12.0, 1.0)] * 4
-    assert least_failures(burst + later, 1) == 3 + 2
+    assert min_failures(burst + later, 1) == 3 + 2
 
 
 def test_largest_items_are_left_out_first():
     work = [WindowedWork(0.0, 2.0, 2.0)] + [WindowedWork(0.0, 2.0, 0.5)] * 4
-    assert least_failures(work, 1) == 1
+    assert min_failures(work, 1) == 1
 
 
 def make_plan() -> StackPlan:
@@ -108,10 +108,10 @@
 
 def test_requests_in_progress_at_the_end_of_a_window_need_not_be_done():
     work = [WindowedWork(0.0, 3.0, 1.0)] * 10
-    assert least_failures(work, 1, unfinished=4) == 3
+    assert min_failures(work, 1, unfinished=4) == 3
 
 
 def test_resources_count_engines_of_each_role():
     engines = engine_configs(CLIENT_ACCOUNTS[0], EngineCounts(2, 4), list(range(9)), "")
-    resources = PoolResources.of(engines)
+    resources = PoolResources.from_engines(engines)
     assert (resources.prefill_engines, resources.decode_engines) == (2, 4)
