Reword the measurements of costs and slopes in kumquat_lab

Wording only: router_cost, slopes, slope_series, slope_control, slope_traffic and tests/core/test_slopes.py. Names of series, keys and options are unchanged.

--- a/packages/kumquat_lab/src/kumquat_lab/router_cost.py
+++ b/packages/kumquat_lab/src/kumquat_lab/router_cost.py
@@ -1,10 +1,10 @@
-"""Measures what an entry host costs: time, processor and memory.
+"""Measures the latency, processor time and memory that an entry host adds.
 
-- added time to first token: the same requests to the emulated engines
-  directly and through an entry host, in turn, on an idle stack;
-- tokens forwarded for each processor second of one entry-host process;
-- memory for each open stream, with one caller that reads nothing;
-- memory that callers who read nothing cause when their answers come fast.
+- time to first token: requests of equal size are sent alternately to the
+  emulated engines and through an entry host of an idle stack;
+- tokens forwarded per second of processor time of one entry host;
+- memory per open stream, with one caller that does not read;
+- memory per caller that does not read while its response arrives quickly.
 """
 
 import asyncio
@@ -32,10 +32,10 @@
 
 COST_PARTS = ("added_ttft_ms", "forwarding", "open_streams", "stalled_readers")
 
-Measure = Callable[[int], Awaitable[dict[str, Any]]]
+Measurement = Callable[[int], Awaitable[dict[str, Any]]]
 
-PAIRS = 150
-SHORT_ANSWER_TOKENS = 4
+REQUEST_PAIRS = 150
+SHORT_RESPONSE_TOKENS = 4
 FORWARD_STREAMS = 150
 FORWARD_TOKENS = 250
 OPEN_STREAMS = 1000
@@ -53,8 +53,8 @@
 async def measure_cost(
     seed: int, parts: Sequence[str], lock_path: Path | None
 ) -> dict[str, Any]:
-    """Run the named measurements, some 100 s together, under one lock."""
-    measures: dict[str, Measure] = {
+    """Run the named measurements under one lock; all take about 100 s."""
+    measurements: dict[str, Measurement] = {
         "added_ttft_ms": _measure_ttft,
         "forwarding": _measure_forwarding,
         "open_streams": _measure_memory,
@@ -63,11 +63,11 @@
     document: dict[str, Any] = {"seed": seed}
     async with measurement_lock(lock_path):
         for part in parts:
-            document[part] = await measures[part](seed)
+            document[part] = await measurements[part](seed)
     return document
 
 
-def _call(rng: random.Random, tokens: int) -> ModelCall:
+def _make_call(rng: random.Random, tokens: int) -> ModelCall:
     work = MADAFU.work[0]
     return ModelCall(
         api_key=MADAFU.api_key,
@@ -87,11 +87,13 @@
     direct, routed = [], []
     async with running_stack(config) as stack, create_session(2.0) as session:
         hosts = stack.plan.hosts_of(MADAFU)
-        for index in range(PAIRS):
-            # The same size for both, but another prompt, so that the prefix
-            # cache does not favour the second one.
-            first = _call(rng, SHORT_ANSWER_TOKENS)
-            second = _same_length(first, _call(rng, SHORT_ANSWER_TOKENS))
+        for index in range(REQUEST_PAIRS):
+            # Prompts of equal length but different text, since a cached prefix
+            # would make the second request faster.
+            first = _make_call(rng, SHORT_RESPONSE_TOKENS)
+            second = _with_prompt_length_of(
+                first, _make_call(rng, SHORT_RESPONSE_TOKENS)
+            )
             direct.append(await _direct_ttft_ms(stack, session, first, index))
             host = hosts[index % len(hosts)]
             outcome = await call_model(session, host.caller_url, second)
@@ -100,7 +102,7 @@
             routed.append(outcome.ttft_ms)
     added = np.array(routed) - np.array(direct)
     return {
-        "pairs": PAIRS,
+        "pairs": REQUEST_PAIRS,
         "direct_p50": _percentile(direct, 50),
         "direct_p99": _percentile(direct, 99),
         "routed_p50": _percentile(routed, 50),
@@ -110,8 +112,8 @@
     }
 
 
-def _same_length(first: ModelCall, second: ModelCall) -> ModelCall:
-    """Return ``second`` with its prompt cut or padded to the other length."""
+def _with_prompt_length_of(first: ModelCall, second: ModelCall) -> ModelCall:
+    """Return ``second`` with its prompt cut or padded to that of ``first``."""
     length = len(first.prompt)
     prompt = (second.prompt + second.prompt)[:length]
     return ModelCall(**{**vars(second), "prompt": prompt})
@@ -146,7 +148,7 @@
         hosts_per_firm=1, prefill_engines=2, decode_engines=8, log_level="error"
     )
     rng = random.Random(f"{seed}/forward")
-    calls = [_call(rng, FORWARD_TOKENS) for _ in range(FORWARD_STREAMS)]
+    calls = [_make_call(rng, FORWARD_TOKENS) for _ in range(FORWARD_STREAMS)]
     async with running_stack(config) as stack, create_session(2.0) as session:
         host = stack.plan.hosts_of(MADAFU)[0]
         child = stack.processes.children_by_name[host.host_id]
@@ -172,8 +174,8 @@
     }
 
 
-def _quick_engines(step_ms: float) -> dict[str, float]:
-    """Return engines with room for all streams and short prefills."""
+def _fast_engine_settings(step_ms: float) -> dict[str, float]:
+    """Return settings of engines that hold all streams and prefill fast."""
     return {
         "max_requests": OPEN_STREAMS,
         "total_pieces": OPEN_STREAMS * 10,
@@ -191,16 +193,15 @@
         prefill_engines=4,
         decode_engines=2,
         log_level="error",
-        engine_changes=_quick_engines(step_ms),
-        # Slow steps must not count as a missed target, or the router refuses
-        # to fill the engines.
+        engine_changes=_fast_engine_settings(step_ms),
+        # The router does not fill engines whose steps miss the target.
         tbt_target_ms=OPEN_TBT_TARGET_MS,
     )
 
 
 async def _measure_memory(seed: int) -> dict[str, Any]:
     rng = random.Random(f"{seed}/memory")
-    calls = [_call(rng, OPEN_TOKENS) for _ in range(OPEN_STREAMS)]
+    calls = [_make_call(rng, OPEN_TOKENS) for _ in range(OPEN_STREAMS)]
     async with (
         running_stack(_memory_stack(OPEN_STEP_MS)) as stack,
         create_session(5.0) as session,
@@ -208,7 +209,7 @@
         host = stack.plan.hosts_of(MADAFU)[0]
         child = stack.processes.children_by_name[host.host_id]
         before = child.resident_bytes()
-        stalled = await _open_without_reading(host, _call(rng, STALLED_TOKENS))
+        stalled = await _open_without_reading(host, _make_call(rng, STALLED_TOKENS))
         tasks = [
             asyncio.create_task(call_model(session, host.caller_url, call))
             for call in calls
@@ -231,7 +232,7 @@
 
 async def _measure_stalled_readers(seed: int) -> dict[str, Any]:
     rng = random.Random(f"{seed}/stalled")
-    calls = [_call(rng, STALLED_TOKENS) for _ in range(STALLED_READERS)]
+    calls = [_make_call(rng, STALLED_TOKENS) for _ in range(STALLED_READERS)]
     async with running_stack(_memory_stack(1.0)) as stack:
         host = stack.plan.hosts_of(MADAFU)[0]
         child = stack.processes.children_by_name[host.host_id]
@@ -251,7 +252,7 @@
 
 
 async def _open_without_reading(host: EntryHostPlan, call: ModelCall) -> socket.socket:
-    """Send a streamed request and never read its answer."""
+    """Send a streaming request and return its socket without reading."""
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
     connection.setblocking(False)
--- a/packages/kumquat_lab/src/kumquat_lab/slope_control.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_control.py
@@ -36,22 +36,22 @@
 
 from .decision_cost import measure_decisions
 from .membership_costs import SimulatedNetwork, to_listed_host
-from .slope_series import Series, held_bytes, least_us
+from .slope_series import Series, min_time_us, retained_bytes
 
 __all__ = ["control_series"]
 
 LENGTH_BYTES = 4
 REGIONS = 7
-POOLS_OF_REGION = 9
-HOSTS_OF_REGION = 55
+POOLS_PER_REGION = 9
+HOSTS_PER_REGION = 55
 ENGINE_SIZES = (1000, 4000, 12_000)
 SHARD_SIZES = (8, 16, 32)
 MEMBER_SIZES = (28, 95, 380)
 ACCOUNT_SIZES = (100, 400, 1100)
 PREFIX_BLOCKS = 4096
 
-# More than the decode places of the largest shard, so that requests wait.
-WAITING = 1000
+# More than the decode slots of the largest shard, so that requests wait.
+WAITING_REQUESTS = 1000
 MEMBERSHIP_SECONDS = 8.0
 SETTLE_SECONDS = 12.0
 SUMMARY = ShardSummary("care-pool/17", 300, 4, 120)
@@ -59,7 +59,7 @@
 
 
 def control_series(seed: int) -> list[Series]:
-    """Measure all control state."""
+    """Measure the costs of all control state."""
     return [
         *_message_series(),
         *_membership_series(seed),
@@ -72,12 +72,12 @@
 
 def _message_series() -> list[Series]:
     cases: list[tuple[str, str, tuple[int, ...], Callable[[int], Message]]] = [
-        ("Ping", "member updates", (0, 4, 8), _ping),
-        ("AdmissionRequest", "prefix blocks", (0, 16, 64), _admission),
-        ("Grant", "messages", (1, 2, 3), lambda _: _grant()),
-        ("PrefillDone", "messages", (1, 2, 3), lambda _: _prefill_done()),
-        ("Release", "messages", (1, 2, 3), lambda _: _release()),
-        ("TicketBatch", "tickets of one engine", (1, 10, 100), _ticket_batch),
+        ("Ping", "member updates", (0, 4, 8), _make_ping),
+        ("AdmissionRequest", "prefix blocks", (0, 16, 64), _make_admission),
+        ("Grant", "messages", (1, 2, 3), lambda _: _make_grant()),
+        ("PrefillDone", "messages", (1, 2, 3), lambda _: _make_prefill_done()),
+        ("Release", "messages", (1, 2, 3), lambda _: _make_release()),
+        ("TicketBatch", "tickets of one engine", (1, 10, 100), _make_ticket_batch),
     ]
     series = []
     for name, size_name, sizes, create in cases:
@@ -94,19 +94,19 @@
                 f"{name} encode",
                 size_name,
                 "us",
-                tuple((s, least_us(partial(encode, e), 300)) for s, e in envelopes),
+                tuple((s, min_time_us(partial(encode, e), 300)) for s, e in envelopes),
             ),
             Series(
                 f"{name} decode",
                 size_name,
                 "us",
-                tuple((s, least_us(partial(decode, d), 300)) for s, d in frames),
+                tuple((s, min_time_us(partial(decode, d), 300)) for s, d in frames),
             ),
         ]
     return series
 
 
-def _ping(updates: int) -> Ping:
+def _make_ping(updates: int) -> Ping:
     return Ping(
         "vestland-041",
         1796355462550,
@@ -127,7 +127,7 @@
     )
 
 
-def _admission(blocks: int) -> AdmissionRequest:
+def _make_admission(blocks: int) -> AdmissionRequest:
     rng = random.Random(blocks)
     return AdmissionRequest(
         REQUEST_ID,
@@ -143,21 +143,21 @@
     )
 
 
-def _grant() -> Grant:
+def _make_grant() -> Grant:
     engines = ("care-prefill-0031", "care-decode-0112")
     return Grant(REQUEST_ID, SUMMARY.shard_id, *engines, 9, SUMMARY)
 
 
-def _prefill_done() -> PrefillDone:
+def _make_prefill_done() -> PrefillDone:
     return PrefillDone(REQUEST_ID, SUMMARY.shard_id, 123.4, 512)
 
 
-def _release() -> Release:
+def _make_release() -> Release:
     code = ResultCode.OK.value
     return Release(REQUEST_ID, SUMMARY.shard_id, code, 123.4, 234.5, 31.2, 475)
 
 
-def _ticket_batch(count: int) -> TicketBatch:
+def _make_ticket_batch(count: int) -> TicketBatch:
     documents = tuple(
         Ticket(number, _engine_ticket(number, number)).to_document()
         for number in range(1, count + 1)
@@ -172,7 +172,7 @@
 
 
 def _engine_object(engine: int) -> ObjectModel:
-    region, pool = engine % REGIONS, engine // REGIONS % POOLS_OF_REGION
+    region, pool = engine % REGIONS, engine // REGIONS % POOLS_PER_REGION
     state = {
         "url": f"http://192.0.2.{engine % 250}:8000",
         "pool": f"pool-{region}-{pool}",
@@ -191,7 +191,7 @@
             state={"region": f"region-{region}", "models": [f"model-{pool}"]},
         )
         for region in range(REGIONS)
-        for pool in range(POOLS_OF_REGION)
+        for pool in range(POOLS_PER_REGION)
     ]
 
 
@@ -200,8 +200,8 @@
     return ObjectModel(kind="tenant", name=f"tenant-{index:04}", state=state)
 
 
-def _store_of(objects: list[ObjectModel]) -> TicketStore:
-    """Return a store as a started host has it: filled by a snapshot."""
+def _make_store(objects: list[ObjectModel]) -> TicketStore:
+    """Return a store filled from a snapshot, as after the start of a host."""
     items = [
         {"kind": o.kind, "name": o.name, "number": 1, "state": o.state} for o in objects
     ]
@@ -210,22 +210,22 @@
     return store
 
 
-def _store_of_engines(count: int) -> TicketStore:
+def _make_engine_store(count: int) -> TicketStore:
     engines = [_engine_object(index) for index in range(count)]
-    return _store_of(_pool_objects() + engines)
+    return _make_store(_pool_objects() + engines)
 
 
-def _store_of_accounts(count: int) -> TicketStore:
-    return _store_of([_tenant_object(index) for index in range(count)])
+def _make_account_store(count: int) -> TicketStore:
+    return _make_store([_tenant_object(index) for index in range(count)])
 
 
-def _apply_next(store: TicketStore, engines: int) -> None:
-    """Merge a further ticket about one of the engines."""
+def _apply_ticket(store: TicketStore, engines: int) -> None:
+    """Apply one more ticket for one of the engines."""
     position = store.position + 1
     store.apply([Ticket(position, _engine_ticket(position, position % engines))])
 
 
-def _load(document: dict[str, Any]) -> None:
+def _load_snapshot(document: dict[str, Any]) -> None:
     TicketStore().load_snapshot(document)
 
 
@@ -266,21 +266,24 @@
             network.members_by_id["host-000"].apply_host_list(hosts)
         return network
 
-    return held_bytes(partial(create, True)) - held_bytes(partial(create, False))
+    return retained_bytes(partial(create, True)) - retained_bytes(
+        partial(create, False)
+    )
 
 
 def _ticket_series() -> list[Series]:
     applied, memory, snapshots, loads = [], [], [], []
     for size in ENGINE_SIZES:
-        store = _store_of_engines(size)
-        applied.append((size, least_us(partial(_apply_next, store, size), 20)))
-        memory.append((size, held_bytes(partial(_store_of_engines, size))))
+        store = _make_engine_store(size)
+        applied.append((size, min_time_us(partial(_apply_ticket, store, size), 20)))
+        memory.append((size, retained_bytes(partial(_make_engine_store, size))))
         document = store.snapshot()
         packed = encode(Envelope(1, TicketBatch(1, (), document)))
         snapshots.append((size, len(packed)))
-        loads.append((size, least_us(partial(_load, document), 1)))
+        loads.append((size, min_time_us(partial(_load_snapshot, document), 1)))
     accounts = [
-        (size, held_bytes(partial(_store_of_accounts, size))) for size in ACCOUNT_SIZES
+        (size, retained_bytes(partial(_make_account_store, size)))
+        for size in ACCOUNT_SIZES
     ]
     return [
         Series("merge a ticket of one engine", "engines", "us", tuple(applied)),
@@ -293,20 +296,24 @@
 
 def _owner_series(seed: int) -> list[Series]:
     updates, lookups = [], []
-    hosts = [f"host-{index:03}" for index in range(HOSTS_OF_REGION)]
+    hosts = [f"host-{index:03}" for index in range(HOSTS_PER_REGION)]
     rng = random.Random(seed)
     for size in ENGINE_SIZES:
-        configuration = _store_of_engines(size).configuration
-        updates.append((size, least_us(partial(_own, configuration, hosts), 5)))
-        lookups.append((size, least_us(partial(_choose, configuration, rng), 20)))
+        configuration = _make_engine_store(size).configuration
+        updates.append(
+            (size, min_time_us(partial(_find_owners, configuration, hosts), 5))
+        )
+        lookups.append(
+            (size, min_time_us(partial(_choose_shard, configuration, rng), 20))
+        )
     return [
         Series("owners of a region's shards", "engines", "us", tuple(updates)),
         Series("choose a shard for a request", "engines", "us", tuple(lookups)),
     ]
 
 
-def _own(configuration: Configuration, hosts: list[str]) -> None:
-    """Find the owners of all shards of one region."""
+def _find_owners(configuration: Configuration, hosts: list[str]) -> None:
+    """Find the owners of all shards of a region."""
     for pool in configuration.pools_by_name.values():
         if pool.region != "region-0":
             continue
@@ -314,7 +321,7 @@
             owner_of(shard.id, hosts)
 
 
-def _choose(configuration: Configuration, rng: random.Random) -> None:
+def _choose_shard(configuration: Configuration, rng: random.Random) -> None:
     """Choose a shard of a pool as an entry host does for each request."""
     count = len(configuration.engines_of("pool-0-0"))
     choose_shard("pool-0-0", count, {}, rng)
@@ -324,22 +331,25 @@
     times, queued, memory = [], [], []
     for size in SHARD_SIZES:
         idle = asyncio.run(measure_decisions(size, 0, seed))
-        full = asyncio.run(measure_decisions(size, WAITING, seed))
+        full = asyncio.run(measure_decisions(size, WAITING_REQUESTS, seed))
         times.append((size, idle.mean_us))
         queued.append((size, full.mean_us))
-        memory.append((size, held_bytes(partial(_scheduler, size))))
+        memory.append((size, retained_bytes(partial(_make_scheduler, size))))
     return [
         Series("decide about a request", "engines of the shard", "us", tuple(times)),
         Series(
-            f"decide, {WAITING} waiting", "engines of the shard", "us", tuple(queued)
+            f"decide, {WAITING_REQUESTS} waiting",
+            "engines of the shard",
+            "us",
+            tuple(queued),
         ),
         Series("scheduler memory", "engines of the shard", "bytes", tuple(memory)),
     ]
 
 
-def _scheduler(size: int) -> ShardScheduler:
+def _make_scheduler(size: int) -> ShardScheduler:
     """Return a scheduler with a full prefix index of its prefill engines."""
-    configuration = _store_of([_engine_object(index) for index in range(size)])
+    configuration = _make_store([_engine_object(index) for index in range(size)])
     engines = configuration.configuration.engines_by_id.values()
     scheduler = ShardScheduler("pool/0", ManualClock())
     scheduler.update_engines(engines)
@@ -360,12 +370,12 @@
             _record_request(observer, index)
         turn = itertools.count()
         record = partial(_record_next, observer, turn, count)
-        times.append((count, least_us(record, 200)))
-        renders.append((count, least_us(observer.metrics.render, 3)))
+        times.append((count, min_time_us(record, 200)))
+        renders.append((count, min_time_us(observer.metrics.render, 3)))
         sizes.append((count, len(observer.metrics.render())))
-        memory.append((count, held_bytes(partial(_metrics_of, count))))
+        memory.append((count, retained_bytes(partial(_make_metrics, count))))
     for decisions in (500, 1000, 2000):
-        log.append((decisions, held_bytes(partial(_log_of, decisions))))
+        log.append((decisions, retained_bytes(partial(_make_decision_log, decisions))))
     return [
         Series("record one request", "accounts", "us", tuple(times)),
         Series("render the metrics", "accounts", "us", tuple(renders)),
@@ -376,8 +386,8 @@
 
 
 def _record_request(observer: RequestObserver, index: int) -> None:
-    """Make all calls that one answered model request makes."""
-    admission, grant = _admission(16), _grant()
+    """Record all events of one completed model request."""
+    admission, grant = _make_admission(16), _make_grant()
     observer.metrics.request_started()
     observer.record_grant(REQUEST_ID, admission, grant, 0.01)
     observer.record_owner_decision(admission, grant)
@@ -394,16 +404,16 @@
     _record_request(observer, next(turn) % accounts)
 
 
-def _metrics_of(accounts: int) -> RouterMetrics:
+def _make_metrics(accounts: int) -> RouterMetrics:
     observer = RequestObserver.from_clock(ManualClock())
     for index in range(accounts):
         _record_request(observer, index)
     return observer.metrics
 
 
-def _log_of(decisions: int) -> DecisionLog:
+def _make_decision_log(decisions: int) -> DecisionLog:
     observer = RequestObserver(RouterMetrics(), DecisionLog(ManualClock()))
-    admission, grant = _admission(16), _grant()
+    admission, grant = _make_admission(16), _make_grant()
     for _ in range(decisions):
         observer.record_owner_decision(admission, grant)
     return observer.decisions
--- a/packages/kumquat_lab/src/kumquat_lab/slope_series.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_series.py
@@ -1,9 +1,9 @@
 """Series of measurements over a size, and their slopes.
 
-Times are processor time of this process, the least of several repetitions,
-so that other load on the machine disturbs them little. Memory is what
-``tracemalloc`` counts, without the interpreter's own overhead for free
-lists and without buffers of the kernel.
+A time is the minimum processor time of this process over several repetitions,
+which reduces the influence of other load on the machine. Memory is as counted
+by ``tracemalloc``, without the free lists of the interpreter and without
+buffers of the kernel.
 """
 
 import gc
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["Series", "held_bytes", "least_us"]
+__all__ = ["Series", "retained_bytes", "min_time_us"]
 
 REPETITIONS = 5
 
@@ -65,8 +65,8 @@
         return mean_x, mean_y
 
 
-def least_us(action: Callable[[], object], loops: int) -> float:
-    """Return the processor time of one action in microseconds."""
+def min_time_us(action: Callable[[], object], loops: int) -> float:
+    """Return the minimum processor time of an action in microseconds."""
     best_ns: float | None = None
     for _ in range(REPETITIONS):
         began_ns = time.process_time_ns()
@@ -78,8 +78,8 @@
     return best_ns / 1000
 
 
-def held_bytes(create: Callable[[], object]) -> int:
-    """Return the memory that the result of ``create`` holds."""
+def retained_bytes(create: Callable[[], object]) -> int:
+    """Return the memory, in bytes, that the result of ``create`` holds."""
     gc.collect()
     tracemalloc.start()
     try:
--- a/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
@@ -1,8 +1,7 @@
 """Slopes of the traffic over loopback sockets: tokens, streams, reports.
 
-A stub on the same event loop plays the engine with prepared bytes. Its
-processor time is contained in the figures, which are therefore too high
-rather than too low.
+A stub on the same event loop replaces the engine and sends prepared bytes. Its
+processor time is included, so the results are upper bounds.
 """
 
 import asyncio
@@ -105,12 +104,12 @@
 
 
 def traffic_series() -> list[Series]:
-    """Measure all traffic."""
+    """Measure the costs of all traffic."""
     return asyncio.run(_measure())
 
 
 class _Stub:
-    """An HTTP server that answers every request by one function."""
+    """An HTTP server that responds to every request with one function."""
 
     def __init__(self, reply: Reply) -> None:
         self._reply = reply
@@ -179,14 +178,14 @@
 
 
 async def _stream_once(count: int, batch: int) -> float:
-    """Return the processor time to pass on one answer, in microseconds."""
+    """Return the processor time to forward one response, in microseconds."""
 
     async def reply(head: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(STREAM_HEAD)
         for start in range(0, count, batch):
             indexes = range(start, min(start + batch, count))
             writer.write(_chunk(b"".join(_token(index) for index in indexes)))
-            # Without a pause, one read would take many events at once.
+            # Without a pause, one read would return many events.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
         writer.write(_chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
@@ -224,8 +223,8 @@
     """Measure the memory of streams that wait for their next token."""
     engine_side, caller_side = [], []
     for count in STREAM_COUNTS:
-        engine_side.append((count, await _held_streams(count)))
-        caller_side.append((count, await _held_callers(count)))
+        engine_side.append((count, await _engine_stream_bytes(count)))
+        caller_side.append((count, await _caller_stream_bytes(count)))
     return [
         Series("engine side of open streams", "streams", "bytes", tuple(engine_side)),
         Series("caller side of open streams", "streams", "bytes", tuple(caller_side)),
@@ -233,7 +232,7 @@
 
 
 class _StalledPath:
-    """Stands for the model path: sends one token and then waits."""
+    """Replaces the model path: sends one token and then waits."""
 
     async def run(
         self, configuration: Configuration, request: ModelRequest, sink: ResponseSink
@@ -244,8 +243,8 @@
         return RequestStats()
 
 
-async def _call(address: tuple[str, int]) -> socket.socket:
-    """Return a bare socket on which a completion was requested."""
+async def _open_caller(address: tuple[str, int]) -> socket.socket:
+    """Return a socket on which a completion has been requested."""
     loop = asyncio.get_running_loop()
     caller = socket.socket()
     caller.setblocking(False)
@@ -254,7 +253,7 @@
     return caller
 
 
-async def _held_callers(count: int) -> int:
+async def _caller_stream_bytes(count: int) -> int:
     """Return the memory of streams at the caller API, in bytes."""
     clock = SystemClock()
     drain = Drain(max(STREAM_COUNTS), clock)
@@ -275,7 +274,7 @@
     address = runner.addresses[0]
     gc.collect()
     tracemalloc.start()
-    callers = [await _call(address) for _ in range(count)]
+    callers = [await _open_caller(address) for _ in range(count)]
     await asyncio.sleep(1.0)
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
@@ -289,14 +288,14 @@
     return size
 
 
-async def _held_streams(count: int) -> int:
+async def _engine_stream_bytes(count: int) -> int:
     stalled = asyncio.Event()
 
     async def reply(head: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(STREAM_HEAD + _chunk(_token(0)))
         await stalled.wait()
 
-    async def follow(client: HttpEngineClient, url: str, number: int) -> None:
+    async def consume(client: HttpEngineClient, url: str, number: int) -> None:
         async for _ in client.decode(url, f"h.1.{number}", 10, 0):
             pass
 
@@ -305,7 +304,7 @@
         gc.collect()
         tracemalloc.start()
         tasks = [
-            asyncio.create_task(follow(client, stub.url, number))
+            asyncio.create_task(consume(client, stub.url, number))
             for number in range(count)
         ]
         await asyncio.sleep(1.0)
@@ -346,7 +345,7 @@
             for number in range(count)
         ]
         body = json.dumps({"hosts": hosts, "backend_servers": []}).encode()
-        async with _Stub(_answer(body)) as stub, create_session(1.0) as session:
+        async with _Stub(_reply_with(body)) as stub, create_session(1.0) as session:
             client = HttpHostListClient(session, stub.url, 5.0)
             times.append((count, await _poll_us(client.fetch)))
         sizes.append((count, len(body)))
@@ -361,11 +360,11 @@
     return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
-def _answer(body: bytes) -> Reply:
-    answer = _response(body)
+def _reply_with(body: bytes) -> Reply:
+    response = _response(body)
 
     async def reply(_: bytes, writer: asyncio.StreamWriter) -> None:
-        writer.write(answer)
+        writer.write(response)
 
     return reply
 
@@ -396,7 +395,7 @@
         "step_ms": 30.1,
     }
     body = json.dumps(document).encode()
-    async with _Stub(_answer(body)) as stub, create_session(1.0) as session:
+    async with _Stub(_reply_with(body)) as stub, create_session(1.0) as session:
         client = HttpEngineClient(session, 5.0)
         spent_us = await _poll_us(lambda: client.report(stub.url, fresh=True))
         sent = stub.received_bytes / (POLLS + 1)
--- a/packages/kumquat_lab/src/kumquat_lab/slopes.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slopes.py
@@ -1,9 +1,9 @@
 """Measures how costs grow with the sizes that ``docs/CAPACITY.md`` uses.
 
-Small loops over the real code, at three sizes each, give bytes, processor
-time and memory by message, host, engine, account, ticket, token and stream.
-The memory of the interpreter with its libraries is measured separately, in
-processes of their own, because it does not depend on any size.
+Short loops over the real code, at three sizes each, measure bytes, processor
+time and memory per message, host, engine, account, ticket, token and stream.
+The memory of the interpreter and its libraries does not depend on any size and
+is measured in separate processes.
 """
 
 import json
@@ -40,7 +40,7 @@
 
 
 def run_slopes(seed: int, json_file: Path | None) -> None:
-    """Measure everything, print tables, and write JSON if asked."""
+    """Run all measurements, print tables, and write JSON to a file if set."""
     series = [*control_series(seed), *traffic_series()]
     imports = {name: _resident_bytes(modules) for name, modules in _IMPORTS.items()}
     _print_series(series)
--- a/tests/core/test_slopes.py
+++ b/tests/core/test_slopes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquat_lab.slope_series import Series, held_bytes
+from kumquat_lab.slope_series import Series, retained_bytes
 
 
 def test_slope_and_base_of_linear_series():
@@ -23,4 +23,4 @@
         temporary = bytearray(10_000_000)
         return bytes(temporary[:100_000])
 
-    assert 100_000 <= held_bytes(create) < 200_000
+    assert 100_000 <= retained_bytes(create) < 200_000
