Learn no prefill speed from an empty prompt

A caller that stated a prompt of 0 tokens as the first one of an engine set the learned speed to 0 tokens per ms, and every later decision of the queue's owner raised ZeroDivisionError until another host owned the queue.

The new test raises the error without the change, with a prefill engine and with a decode engine that prefills the prompt itself.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_load.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_load.py
@@ -307,7 +307,7 @@
         prefill.ended_s = now_s
         self.local_prefill, self.last_local_prefill = None, prefill
         self.next_local_prefill_s = now_s + RECOVERY_S + RECOVERY_SHARE * took_s
-        if prefill_ms > 0:
+        if prefill_ms > 0 and prefill.tokens > 0:
             rate = prefill.tokens / prefill_ms
             self._local_prefill_tokens_per_ms.observe(rate)
             self.performance.local_prefill_tokens_per_ms.observe(rate)
@@ -316,8 +316,10 @@
         """Update the prefill speed from a finished prompt.
 
         ``total_ms`` includes ``queued_ms``, in which the engine processed the
-        prompts ahead.
+        prompts ahead. An empty prompt shows no speed.
         """
+        if tokens <= 0:
+            return
         net_ms = max(1.0, total_ms - queued_ms)
         self._prefill_tokens_per_ms.observe(tokens / net_ms)
         self.performance.prefill_tokens_per_ms.observe(tokens / net_ms)
--- a/tests/relay/test_learned_estimates.py
+++ b/tests/relay/test_learned_estimates.py
@@ -169,3 +169,17 @@
     (load,) = world.queue.ledger.decode_loads()
     assert load.local_prefill_s(11_000) > 0.5
     assert load.expected_pause_s(11_000) < 0.25
+
+
+@pytest.mark.parametrize("prefill_engines", [0, 1])
+def test_an_empty_prompt_does_not_break_the_owner(prefill_engines: int) -> None:
+    """A speed of 0 tokens per ms made every later decision raise an error.
+
+    A caller states the length of its prompt, so it can be 0.
+    """
+    harness = QueueHarness(prefill_engines=prefill_engines)
+    assert granted(harness.add(run_request("empty", prompt=0))) == ["empty"]
+    harness.finish_prefill("empty")
+    harness.end("empty")
+    harness.clock.advance(5.0)
+    assert granted(harness.add(run_request("next"))) == ["next"]
