Log a plain request that could not be sent

The connection to the server was closed before the first byte was sent, and the request went to another server without a log line. No behaviour changes besides the line; it has no test.

--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -202,6 +202,7 @@
             latency_ms = (self._clock.monotonic() - began_s) * 1000
         except SendFailedError as error:
             connection.abort()
+            self._log(request, entry, began_s, "not_sent", str(error))
             raise _NotExecutedError("send_failed") from error
         except ConnectionBrokenError as error:
             connection.abort()
