Correct what a reading of the limits as a newcomer found

- A refusal raised KeyError if all limited servers were removed while the host waited for a permit; the caller got 502 instead of a refusal.
The new test raises it without the change (it calls the method with a removed server).
- The pool of an owner kept hosts that never report again.
- Two modules had their own copy of the time after which an owner begins anew.
- The fields of a host's permits have units and meanings.

--- a/packages/kumquat_relay/src/kumquat_relay/limit_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/limit_owner.py
@@ -24,13 +24,11 @@
 )
 
 from .cluster_state import ClusterState
-from .report_period import member_ttl_s
+from .report_period import OWNERSHIP_IDLE_S, member_ttl_s
 from .server_limits import HostPool, ServerLimits
 
 __all__ = ["LimitOwner"]
 
-# At least the longest interval between two reports of a live host.
-OWNERSHIP_IDLE_S = 2.0
 # The next report of the host is answered within about this time.
 UNKNOWN_LIMIT_RETRY_MS = 250
 
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -32,6 +32,7 @@
 from .limit_owner import LimitOwner
 from .queue_types import Decision, QueueParameters
 from .relay_rules import ALL_RULES, RelayRules
+from .report_period import OWNERSHIP_IDLE_S
 from .retry_schedule import RetrySchedule
 from .role_planner import Demand
 from .service_performance import ServicePerformance
@@ -41,8 +42,6 @@
 
 # All hosts report within one period after they have selected this owner.
 STARTUP_PAUSE_S = 0.6
-# At least the longest interval between two reports of a live host.
-OWNERSHIP_IDLE_S = 2.0
 MIN_TIMER_S = 0.005
 # Runs that this owner does not know of end within about this time.
 UNCERTAIN_S = 4.0
--- a/packages/kumquat_relay/src/kumquat_relay/report_period.py
+++ b/packages/kumquat_relay/src/kumquat_relay/report_period.py
@@ -5,7 +5,7 @@
 the fleet.
 """
 
-__all__ = ["REPORT_S", "idle_report_periods", "member_ttl_s"]
+__all__ = ["OWNERSHIP_IDLE_S", "REPORT_S", "idle_report_periods", "member_ttl_s"]
 
 # Period of the reports; the loss of an owner is detected within two periods.
 REPORT_S = 0.5
@@ -14,6 +14,9 @@
 # Four periods take 2 s; an owner that receives nothing for longer than that
 # restarts its queue.
 MAX_IDLE_REPORT_PERIODS = 4
+# An owner that has heard of no host for this time begins anew. At least the
+# longest interval between two reports of a live host.
+OWNERSHIP_IDLE_S = MAX_IDLE_REPORT_PERIODS * REPORT_S
 
 
 def idle_report_periods(hosts: int) -> int:
--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -35,7 +35,7 @@
 ASK_TIMEOUT_S = 0.05
 # After a failed request for permits: an owner is replaced within a second.
 FAILED_ASK_RETRY_S = 0.25
-# Callers return earlier than a later time, or not at all.
+# Longest time that callers are told; most deadlines end before a later one.
 MAX_RETRY_AFTER_S = 5.0
 
 logger = logging.getLogger(__name__)
@@ -43,7 +43,12 @@
 
 @dataclass
 class _Stock:
-    """The permits of one server that this host holds."""
+    """The permits of one server that this host holds; monotonic seconds.
+
+    ``used_s`` are the times of the last uses. Until ``refused_until_s`` the
+    host does not ask for more. ``next_retry_s`` is the last time that a
+    refused caller was told.
+    """
 
     expiries_s: deque[float] = field(default_factory=deque)
     used_s: deque[float] = field(default_factory=deque)
@@ -123,7 +128,14 @@
         share of the limits allows.
         """
         now_s = self._clock.monotonic()
-        stocks = [self._stocks_by_id[engine_id] for engine_id in engine_ids]
+        stocks = [
+            self._stocks_by_id[engine_id]
+            for engine_id in engine_ids
+            if engine_id in self._stocks_by_id
+        ]
+        if not stocks:
+            # All servers were removed after they had refused the request.
+            return FAILED_ASK_RETRY_S
         first_s = min(stock.refused_until_s for stock in stocks)
         rate_per_s = sum(
             self._known.rate_per_s(engine_id)
--- a/packages/kumquat_relay/src/kumquat_relay/server_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/server_limits.py
@@ -64,11 +64,16 @@
         self._reports_by_host_id.pop(host_id, None)
 
     def members(self, ttl_s: float, now_s: float) -> set[str]:
-        """Return the ids of the hosts that count."""
+        """Return the ids of the hosts that count; forget silent hosts."""
+        self._reports_by_host_id = {
+            host_id: times
+            for host_id, times in self._reports_by_host_id.items()
+            if now_s - times[1] <= ttl_s
+        }
         return {
             host_id
-            for host_id, (first_s, last_s) in self._reports_by_host_id.items()
-            if now_s - last_s <= ttl_s <= now_s - first_s
+            for host_id, (first_s, _) in self._reports_by_host_id.items()
+            if ttl_s <= now_s - first_s
         }
 
 
--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -112,6 +112,16 @@
     run_scenario(scenario)
 
 
+def test_a_server_removed_after_its_refusal_leaves_a_retry_time() -> None:
+    """The wait for its permits is discarded with the server."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        permits = harness.host._limits.permits
+        assert permits.retry_after_s({"removed"}) > 0
+
+    run_scenario(scenario)
+
+
 def test_an_unlimited_server_gets_the_rest() -> None:
     async def scenario(harness: RelayHarness) -> None:
         harness.backend_servers[0].extra_headers = {"Server-Limit": "0.5"}
