Ask for as many permits as a host wanted, and less often with a high limit

A host asked for as many permits as it had used lately, so one that was refused asked for one each time, and refused hosts were spread over the permits of a limit without a bound. A simulated fleet of 380 hosts with 4,000 requests a second for a server that takes 200 sent 998 requests for permits a second to one owner, beside 190 reports.

Hosts now ask for what they wanted in the last 0.5 s, and an owner spaces the hosts that it refused by 10 ms at least. The test of the number of messages now has limits of 3, 50 and 200, with the bound as it was.

--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -28,8 +28,8 @@
 
 # A permit that is used later would count in another window of the server.
 PERMIT_TTL_S = 0.5
-# A host asks at once for the permits that it used in this time before.
-BATCH_S = 0.25
+# A host asks at once for as many permits as it wanted in this time before.
+BATCH_S = 0.5
 # An owner replies in milliseconds; most of the shortest latency objective is
 # left for another server.
 ASK_TIMEOUT_S = 0.05
@@ -45,13 +45,13 @@
 class _Stock:
     """The permits of one server that this host holds; monotonic seconds.
 
-    ``used_s`` are the times of the last uses. Until ``refused_until_s`` the
-    host does not ask for more. ``next_retry_s`` is the last time that a
-    refused caller was told.
+    ``wanted_s`` are the times at which requests wanted one. Until
+    ``refused_until_s`` the host does not ask for more. ``next_retry_s`` is the
+    last time that a refused caller was told.
     """
 
     expiries_s: deque[float] = field(default_factory=deque)
-    used_s: deque[float] = field(default_factory=deque)
+    wanted_s: deque[float] = field(default_factory=deque)
     refused_until_s: float = float("-inf")
     next_retry_s: float = float("-inf")
     ask: "asyncio.Task[None] | None" = None
@@ -88,6 +88,7 @@
         if not self._known.is_limited(entry.id):
             return True
         stock = self._stocks_by_id.setdefault(entry.id, _Stock())
+        self._record_demand(stock)
         stock.waiting += 1
         try:
             while not self._take(stock):
@@ -118,8 +119,9 @@
     def give_back(self, entry: EngineEntry) -> None:
         """Keep a permit that was not used for the next request."""
         stock = self._stocks_by_id.get(entry.id)
-        if stock is not None and stock.used_s:
-            stock.expiries_s.appendleft(stock.used_s.pop() + PERMIT_TTL_S)
+        if stock is not None:
+            # Its time has begun before; a short extension does no harm.
+            stock.expiries_s.append(self._clock.monotonic() + PERMIT_TTL_S)
 
     def retry_after_s(self, engine_ids: set[str]) -> float:
         """Return when a caller that got no permit should return, in seconds.
@@ -180,9 +182,14 @@
         if not stock.expiries_s:
             return False
         stock.expiries_s.popleft()
-        stock.used_s.append(now_s)
         return True
 
+    def _record_demand(self, stock: _Stock) -> None:
+        now_s = self._clock.monotonic()
+        while stock.wanted_s and stock.wanted_s[0] < now_s - BATCH_S:
+            stock.wanted_s.popleft()
+        stock.wanted_s.append(now_s)
+
     async def _ask_once(self, entry: EngineEntry, stock: _Stock) -> None:
         """Ask the owner for permits; concurrent requests share the reply."""
         if stock.ask is None or stock.ask.done():
@@ -190,10 +197,7 @@
         await asyncio.shield(stock.ask)
 
     async def _ask(self, entry: EngineEntry, stock: _Stock) -> None:
-        now_s = self._clock.monotonic()
-        while stock.used_s and stock.used_s[0] < now_s - BATCH_S:
-            stock.used_s.popleft()
-        wanted = max(stock.waiting, len(stock.used_s))
+        wanted = max(stock.waiting, len(stock.wanted_s))
         group = self._known.group_of(entry.id) or entry.service
         message = PermitRequest(group, entry.id, wanted)
         reply = await self._call_owner(message)
--- a/packages/kumquat_relay/src/kumquat_relay/server_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/server_limits.py
@@ -28,6 +28,9 @@
 # Hosts that were refused a permit ask again, spread over time so that for each
 # permit there are this many requests for it. More would only add messages.
 ASKS_PER_PERMIT = 4
+# Hosts that were refused by one owner ask for a server's permits at most once
+# in this time. With a high limit they get several permits for each request.
+MIN_ASK_SPACING_S = 0.01
 # The longest time until a host asks again; a limit may end at any time.
 MAX_DEFERRAL_S = 4.0
 
@@ -187,7 +190,9 @@
         """Return the seconds after which a refused host should ask again."""
         bucket = self._buckets_by_id[engine_id]
         rate_per_s = self._rate_per_s(bucket)
-        spacing_s = 1 / (ASKS_PER_PERMIT * rate_per_s) if rate_per_s > 0 else math.inf
+        spacing_s = MAX_DEFERRAL_S
+        if rate_per_s > 0:
+            spacing_s = max(MIN_ASK_SPACING_S, 1 / (ASKS_PER_PERMIT * rate_per_s))
         earliest_s = self.next_permit_s(engine_id, now_s)
         deferred_s = max(earliest_s, bucket.deferred_until_s + spacing_s)
         bucket.deferred_until_s = min(deferred_s, now_s + MAX_DEFERRAL_S)
--- a/tests/relay/limit_simulation.py
+++ b/tests/relay/limit_simulation.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from kumquat_core.clock import ManualClock
 from kumquat_core.limit_messages import limits_digest
@@ -22,6 +22,7 @@
 from kumquat_relay.limit_owner import LimitOwner
 from kumquat_relay.protocols import HostEntry
 from kumquat_relay.report_period import REPORT_S, idle_report_periods
+from kumquat_relay.send_permits import BATCH_S, PERMIT_TTL_S
 
 GROUP = "advice"
 ENGINE = "e"
@@ -43,6 +44,8 @@
     dead: bool = False
     reported_owner: str = ""
     confirmed: bool = False
+    wanted_s: list[float] = field(default_factory=list)
+    permits_s: list[float] = field(default_factory=list)
 
 
 class LimitSimulation:
@@ -121,15 +124,20 @@
 
     def _send(self, host_id: str, running: set[str]) -> None:
         host, now_s = self.hosts[host_id], self.clock.monotonic()
-        if now_s < host.next_ask_s or host.owner not in running:
-            return
-        self.messages += 1
-        message = PermitRequest(GROUP, ENGINE, 1)
-        reply = self.owners[host.owner].grant_permits(message)
-        if reply.granted:
-            self.sends_s.append(now_s)
-        else:
+        host.wanted_s = [time for time in host.wanted_s if time >= now_s - BATCH_S]
+        host.wanted_s.append(now_s)
+        host.permits_s = [time for time in host.permits_s if time >= now_s]
+        if not host.permits_s:
+            if now_s < host.next_ask_s or host.owner not in running:
+                return
+            self.messages += 1
+            message = PermitRequest(GROUP, ENGINE, len(host.wanted_s))
+            reply = self.owners[host.owner].grant_permits(message)
+            host.permits_s = [now_s + PERMIT_TTL_S] * reply.granted
             host.next_ask_s = now_s + reply.wait_ms / 1000
+        if host.permits_s:
+            host.permits_s.pop()
+            self.sends_s.append(now_s)
 
     def restart(self, host_id: str) -> None:
         """Replace the process of a host; it knows no limit and no report."""
--- a/tests/relay/test_limit_fleet.py
+++ b/tests/relay/test_limit_fleet.py
@@ -97,9 +97,10 @@
     assert len(fleet.sends_s) >= 0.85 * 20.0 * 5.0 * 7 / 8
 
 
-def test_messages_do_not_grow_with_the_demand() -> None:
+@pytest.mark.parametrize("rate_per_s", [3.0, 50.0, 200.0])
+def test_messages_do_not_grow_with_the_demand(rate_per_s: float) -> None:
     """Each refused request of 380 hosts would otherwise ask the owner."""
-    fleet = LimitSimulation(380, 3.0)
+    fleet = LimitSimulation(380, rate_per_s)
     fleet.run(10.0, 0.0)
     fleet.name_limit()
     fleet.messages = 0
