--- a/packages/kumquat_relay/src/kumquat_relay/server_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/server_limits.py
@@ -30,7 +30,7 @@
 ASKS_PER_PERMIT = 4
 # Hosts that were refused by one owner ask for a server's permits at most once
 # in this time. With a high limit they get several permits for each request.
-MIN_ASK_SPACING_S = 0.01
+MIN_ASK_SPACING_S = 0.015
 # The longest time until a host asks again; a limit may end at any time.
 MAX_DEFERRAL_S = 4.0
 
