--- a/packages/kumquat_core/src/kumquat_core/limit_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/limit_messages.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True)
 class PermitRequest:
-    """Asks the owner of a limit group for permits to send to a server."""
+    """Requests permits to send to a server from the owner of its limit."""
 
     service: str
     engine: str
@@ -77,7 +77,7 @@
 class PermitGrant:
     """Replies to a ``PermitRequest``.
 
-    If ``granted`` is less than wanted, the host asks again after ``wait_ms``.
+    If ``granted`` is less than wanted, the host tries again after ``wait_ms``.
     """
 
     engine: str
--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -1,10 +1,10 @@
 """Permits of this host for plain requests to servers that named a limit.
 
 Load pattern: all hosts want to send to a server that takes a few requests a
-second from all of them. Each request needs a permit of the limit's owner. A
-host that sends often asks for the permits of a short time at once, so that the
-number of messages does not grow with a high limit. A host that got fewer than
-it wanted asks again only after the time that the owner states.
+second from all of them. Each request needs a permit from the limit's owner. A
+host that sends often fetches the permits for a short time at once, so that the
+number of messages does not grow with the limit. A host that got fewer than it
+wanted fetches again only after the time that the owner states.
 """
 
 import asyncio
@@ -28,13 +28,14 @@
 
 # A permit that is used later would count in another window of the server.
 PERMIT_TTL_S = 0.5
-# A host asks at once for as many permits as it wanted in this time before.
+# A host requests as many permits as it wanted in this time before.
 BATCH_S = 0.5
 # An owner replies in milliseconds; most of the shortest latency objective is
 # left for another server.
-ASK_TIMEOUT_S = 0.05
-# After a failed request for permits: an owner is replaced within a second.
-FAILED_ASK_RETRY_S = 0.25
+OWNER_TIMEOUT_S = 0.05
+# Time until the next attempt if the owner does not reply. An unresponsive
+# owner is replaced within a second.
+OWNER_RETRY_S = 0.25
 # Longest time that callers are told; most deadlines end before a later one.
 MAX_RETRY_AFTER_S = 5.0
 
@@ -42,11 +43,11 @@
 
 
 @dataclass
-class _Stock:
+class _PermitCache:
     """The permits of one server that this host holds; monotonic seconds.
 
     ``wanted_s`` are the times at which requests wanted one. Until
-    ``refused_until_s`` the host does not ask for more. ``next_retry_s`` is the
+    ``refused_until_s`` the host does not fetch more. ``next_retry_s`` is the
     last time that a refused caller was told.
     """
 
@@ -54,7 +55,7 @@
     wanted_s: deque[float] = field(default_factory=deque)
     refused_until_s: float = float("-inf")
     next_retry_s: float = float("-inf")
-    ask: "asyncio.Task[None] | None" = None
+    fetch: "asyncio.Task[None] | None" = None
     waiting: int = 0
 
 
@@ -79,7 +80,7 @@
         self._links = links
         self._owners = owners
         self._limit_owner = limit_owner
-        self._stocks_by_id: dict[str, _Stock] = {}
+        self._caches_by_id: dict[str, _PermitCache] = {}
         self.host_count = 1
         self.on_outcome: Callable[[bool], None] = lambda granted: None
 
@@ -87,19 +88,19 @@
         """Return whether a request may be sent to a server now."""
         if not self._known.is_limited(entry.id):
             return True
-        stock = self._stocks_by_id.setdefault(entry.id, _Stock())
-        self._record_demand(stock)
-        stock.waiting += 1
+        cache = self._caches_by_id.setdefault(entry.id, _PermitCache())
+        self._record_demand(cache)
+        cache.waiting += 1
         try:
-            while not self._take(stock):
-                if self._clock.monotonic() < stock.refused_until_s:
+            while not self._take(cache):
+                if self._clock.monotonic() < cache.refused_until_s:
                     self._record_refusal(request_id, entry)
                     return False
                 if not self._known.is_limited(entry.id):
                     return True
-                await self._ask_once(entry, stock)
+                await self._fetch_once(entry, cache)
         finally:
-            stock.waiting -= 1
+            cache.waiting -= 1
         self.on_outcome(True)
         return True
 
@@ -118,10 +119,10 @@
 
     def give_back(self, entry: EngineEntry) -> None:
         """Keep a permit that was not used for the next request."""
-        stock = self._stocks_by_id.get(entry.id)
-        if stock is not None:
-            # Its time has begun before; a short extension does no harm.
-            stock.expiries_s.append(self._clock.monotonic() + PERMIT_TTL_S)
+        cache = self._caches_by_id.get(entry.id)
+        if cache is not None:
+            # Its lifetime restarts, which extends it by milliseconds.
+            cache.expiries_s.append(self._clock.monotonic() + PERMIT_TTL_S)
 
     def retry_after_s(self, engine_ids: set[str]) -> float:
         """Return when a caller that got no permit should return, in seconds.
@@ -130,25 +131,25 @@
         share of the limits allows.
         """
         now_s = self._clock.monotonic()
-        stocks = [
-            self._stocks_by_id[engine_id]
+        caches = [
+            self._caches_by_id[engine_id]
             for engine_id in engine_ids
-            if engine_id in self._stocks_by_id
+            if engine_id in self._caches_by_id
         ]
-        if not stocks:
+        if not caches:
             # All servers were removed after they had refused the request.
-            return FAILED_ASK_RETRY_S
-        first_s = min(stock.refused_until_s for stock in stocks)
+            return OWNER_RETRY_S
+        first_s = min(cache.refused_until_s for cache in caches)
         rate_per_s = sum(
             self._known.rate_per_s(engine_id)
             for engine_id in engine_ids
             if self._known.is_limited(engine_id)
         )
         spacing_s = self.host_count / rate_per_s if rate_per_s > 0 else 0.0
-        last_s = max(stock.next_retry_s for stock in stocks)
+        last_s = max(cache.next_retry_s for cache in caches)
         retry_s = max(first_s, min(last_s + spacing_s, now_s + MAX_RETRY_AFTER_S))
-        for stock in stocks:
-            stock.next_retry_s = retry_s
+        for cache in caches:
+            cache.next_retry_s = retry_s
         return retry_s - now_s
 
     def notify_owner(self, message: ServerLimitNotice) -> None:
@@ -172,42 +173,42 @@
 
     def remove(self, engine_id: str) -> None:
         """Discard the permits of a server that was removed or restarted."""
-        self._stocks_by_id.pop(engine_id, None)
+        self._caches_by_id.pop(engine_id, None)
 
-    def _take(self, stock: _Stock) -> bool:
+    def _take(self, cache: _PermitCache) -> bool:
         """Use a permit that is still valid; return whether there was one."""
         now_s = self._clock.monotonic()
-        while stock.expiries_s and stock.expiries_s[0] < now_s:
-            stock.expiries_s.popleft()
-        if not stock.expiries_s:
+        while cache.expiries_s and cache.expiries_s[0] < now_s:
+            cache.expiries_s.popleft()
+        if not cache.expiries_s:
             return False
-        stock.expiries_s.popleft()
+        cache.expiries_s.popleft()
         return True
 
-    def _record_demand(self, stock: _Stock) -> None:
+    def _record_demand(self, cache: _PermitCache) -> None:
         now_s = self._clock.monotonic()
-        while stock.wanted_s and stock.wanted_s[0] < now_s - BATCH_S:
-            stock.wanted_s.popleft()
-        stock.wanted_s.append(now_s)
-
-    async def _ask_once(self, entry: EngineEntry, stock: _Stock) -> None:
-        """Ask the owner for permits; concurrent requests share the reply."""
-        if stock.ask is None or stock.ask.done():
-            stock.ask = asyncio.ensure_future(self._ask(entry, stock))
-        await asyncio.shield(stock.ask)
-
-    async def _ask(self, entry: EngineEntry, stock: _Stock) -> None:
-        wanted = max(stock.waiting, len(stock.wanted_s))
+        while cache.wanted_s and cache.wanted_s[0] < now_s - BATCH_S:
+            cache.wanted_s.popleft()
+        cache.wanted_s.append(now_s)
+
+    async def _fetch_once(self, entry: EngineEntry, cache: _PermitCache) -> None:
+        """Fetch permits of the owner once for all concurrent requests."""
+        if cache.fetch is None or cache.fetch.done():
+            cache.fetch = asyncio.ensure_future(self._fetch(entry, cache))
+        await asyncio.shield(cache.fetch)
+
+    async def _fetch(self, entry: EngineEntry, cache: _PermitCache) -> None:
+        wanted = max(cache.waiting, len(cache.wanted_s))
         group = self._known.group_of(entry.id) or entry.service
         message = PermitRequest(group, entry.id, wanted)
         reply = await self._call_owner(message)
         replied_s = self._clock.monotonic()
         if reply is None:
-            stock.refused_until_s = replied_s + FAILED_ASK_RETRY_S
+            cache.refused_until_s = replied_s + OWNER_RETRY_S
             return
-        stock.expiries_s.extend([replied_s + PERMIT_TTL_S] * reply.granted)
+        cache.expiries_s.extend([replied_s + PERMIT_TTL_S] * reply.granted)
         if reply.granted < wanted:
-            stock.refused_until_s = replied_s + reply.wait_ms / 1000
+            cache.refused_until_s = replied_s + reply.wait_ms / 1000
 
     async def _call_owner(self, message: PermitRequest) -> PermitGrant | None:
         """Return the owner's reply, None if there is none."""
@@ -215,7 +216,7 @@
         if owner == self._host_id:
             return self._limit_owner.grant_permits(message)
         try:
-            reply = await self._links.call(owner, message, ASK_TIMEOUT_S)
+            reply = await self._links.call(owner, message, OWNER_TIMEOUT_S)
         except RouterError as error:
             log_event(
                 logger,
--- a/packages/kumquat_relay/src/kumquat_relay/server_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/server_limits.py
@@ -25,13 +25,13 @@
 # A server that names a lower rate still gets a request in this time. Without
 # any response, the end of its limit would not be noticed.
 MAX_PERMIT_PERIOD_S = 10.0
-# Hosts that were refused a permit ask again, spread over time so that for each
-# permit there are this many requests for it. More would only add messages.
-ASKS_PER_PERMIT = 4
-# Hosts that were refused by one owner ask for a server's permits at most once
-# in this time. With a high limit they get several permits for each request.
-MIN_ASK_SPACING_S = 0.015
-# The longest time until a host asks again; a limit may end at any time.
+# Hosts that were refused a permit try again, spread over time so that this
+# many compete for each permit. More would only add messages.
+FETCHES_PER_PERMIT = 4
+# Shortest time between two such hosts. With a high limit each of them gets
+# several permits at once.
+MIN_FETCH_SPACING_S = 0.015
+# Longest time until a host tries again; a limit may end at any time.
 MAX_DEFERRAL_S = 4.0
 
 
@@ -187,12 +187,12 @@
         return now_s + self.wait_s([engine_id], 1, now_s)
 
     def defer(self, engine_id: str, now_s: float) -> float:
-        """Return the seconds after which a refused host should ask again."""
+        """Return the seconds after which a refused host should try again."""
         bucket = self._buckets_by_id[engine_id]
         rate_per_s = self._rate_per_s(bucket)
         spacing_s = MAX_DEFERRAL_S
         if rate_per_s > 0:
-            spacing_s = max(MIN_ASK_SPACING_S, 1 / (ASKS_PER_PERMIT * rate_per_s))
+            spacing_s = max(MIN_FETCH_SPACING_S, 1 / (FETCHES_PER_PERMIT * rate_per_s))
         earliest_s = self.next_permit_s(engine_id, now_s)
         deferred_s = max(earliest_s, bucket.deferred_until_s + spacing_s)
         bucket.deferred_until_s = min(deferred_s, now_s + MAX_DEFERRAL_S)
