Log the parts of prompts and which side closed a connection

ConnectionBrokenError and RunFailedError carry the flag. No decision changes.

With it the hypotheses can be told apart: runs without an event that share a part speak for the first, runs with nothing in common for the second.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_request.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_request.py
@@ -32,7 +32,8 @@
 
     ``headers`` are those that are forwarded to the engine. ``deadline_ms`` is
     the time that the caller waits for the response. ``resume_after`` is the
-    number of the last event that the caller has received.
+    number of the last event that the caller has received. ``shared_parts`` are
+    the ids of the parts of its prompt that other prompts may contain too.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     deadline_ms: int | None
     prompt: PromptMetadata | None
     resume_after: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -43,6 +43,7 @@
 # Closing them later than the limit loses no request.
 IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
+MAX_LOGGED_PARTS = 8
 STOP_POLL_S = 0.02
 
 logger = logging.getLogger(__name__)
@@ -240,6 +241,7 @@
             expected_tokens=metadata.prompt.expected_tokens
             if metadata.prompt
             else None,
+            parts=",".join(metadata.shared_parts[:MAX_LOGGED_PARTS]) or None,
             max_tokens=metadata.prompt.max_output_tokens if metadata.prompt else None,
         )
         return request
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -169,7 +169,7 @@
         except ConnectionBrokenError as error:
             connection.abort()
             self._log_sent(request, entry, began_s, f"broken: {error}")
-            raise RunFailedError(f"no answer: {error}") from error
+            raise RunFailedError.from_broken(error, "no answer: ") from error
         except TimeoutError as error:
             connection.abort()
             self._log_sent(request, entry, began_s, "silent")
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -51,7 +51,14 @@
 
 
 class ConnectionBrokenError(Exception):
-    """The exchange failed after the request may have been sent."""
+    """The exchange failed after the request may have been sent.
+
+    ``closed_by_peer`` is set if the peer closed or reset the connection.
+    """
+
+    def __init__(self, reason: str, *, closed_by_peer: bool = False) -> None:
+        super().__init__(reason)
+        self.closed_by_peer = closed_by_peer
 
 
 @dataclass(frozen=True)
@@ -85,6 +92,7 @@
         self.failure: str = ""
         self.busy = False
         self.closed = False
+        self.closed_by_peer = False
         self._informational_count = 0
         self._queued_bytes = 0
         self._paused = False
@@ -105,6 +113,7 @@
         self._feed(data)
 
     def eof_received(self) -> bool:
+        self.closed_by_peer = True
         if self.busy:
             self._feed(b"")
         self.closed = True
@@ -112,6 +121,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
+        self.closed_by_peer |= isinstance(error, ConnectionError)
         if self.busy and (error is not None or not self._response_ended()):
             cause = type(error).__name__ if error is not None else "closed"
             self.failure = self.failure or cause
@@ -152,6 +162,10 @@
             self.fail(f"malformed answer: {error}")
         self._wake()
 
+    def broken(self, reason: str) -> ConnectionBrokenError:
+        """Return the error of an exchange that cannot be completed."""
+        return ConnectionBrokenError(reason, closed_by_peer=self.closed_by_peer)
+
     def _add_queued(self, size: int) -> None:
         """Count queued body bytes; pause reading above the limit."""
         self._queued_bytes += size
@@ -179,7 +193,7 @@
         """
         while not self.events:
             if self.failure or self.closed:
-                raise ConnectionBrokenError(self.failure or "closed")
+                raise self.broken(self.failure or "closed")
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
@@ -225,6 +239,11 @@
         protocol = self._protocol
         return not (protocol.closed or protocol.failure or protocol.busy)
 
+    @property
+    def closed_by_peer(self) -> bool:
+        """Tell whether the peer has closed or reset the connection."""
+        return self._protocol.closed_by_peer
+
     def send(
         self, method: str, target: str, headers: list[Header], body: bytes
     ) -> None:
@@ -256,7 +275,7 @@
         """Return the response head; informational responses are skipped."""
         event = await self._protocol.next_event()
         if not isinstance(event, h11.Response):
-            raise ConnectionBrokenError(f"unexpected {type(event).__name__}")
+            raise self._protocol.broken(f"unexpected {type(event).__name__}")
         headers = tuple(event.headers.raw_items())
         self._read_idle_limit(headers)
         return ResponseHead(event.status_code, event.reason, headers)
@@ -275,7 +294,7 @@
                 self._body_complete = True
                 return
             else:
-                raise ConnectionBrokenError(f"unexpected {type(event).__name__}")
+                raise self._protocol.broken(f"unexpected {type(event).__name__}")
 
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused.
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -25,11 +25,22 @@
 
 
 class RunFailedError(Exception):
-    """The run failed after the engine may have started it."""
+    """The run failed after the engine may have started it.
 
-    def __init__(self, reason: str) -> None:
+    ``closed_by_engine`` is set if the engine closed or reset the connection.
+    """
+
+    def __init__(self, reason: str, *, closed_by_engine: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.closed_by_engine = closed_by_engine
+
+    @classmethod
+    def from_broken(
+        cls, error: ConnectionBrokenError, prefix: str = ""
+    ) -> "RunFailedError":
+        """Return the failure of a run whose connection broke."""
+        return cls(f"{prefix}{error}", closed_by_engine=error.closed_by_peer)
 
 
 @dataclass
@@ -101,8 +112,9 @@
                     # Time spent waiting for a slow caller is not idle time
                     # of the engine.
                     last_progress_s, stalls = self._clock.monotonic(), 0
+        closed = self._connection.closed_by_peer
         if splitter.remainder:
-            raise RunFailedError("partial_event")
+            raise RunFailedError("partial_event", closed_by_engine=closed)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body of a response that is not an event stream."""
@@ -110,7 +122,7 @@
             async for part in self._connection.read_body():
                 yield part
         except ConnectionBrokenError as error:
-            raise RunFailedError(str(error)) from error
+            raise RunFailedError.from_broken(error) from error
 
     async def _next_chunk(
         self, body: AsyncIterator[bytes], deadline_s: float
@@ -129,7 +141,7 @@
         try:
             return pending.result()
         except ConnectionBrokenError as error:
-            raise RunFailedError(str(error)) from error
+            raise RunFailedError.from_broken(error) from error
 
     def _record_event_time(self) -> None:
         self._last_event_s = self._clock.monotonic()
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -226,7 +226,13 @@
         except RunFailedError as error:
             progress.runs += 1
             report.failed_engine = entry.id
-            return self._after_broken_run(request, progress, entry.id, error.reason)
+            return self._after_broken_run(
+                request,
+                progress,
+                entry.id,
+                error.reason,
+                closed_by_engine=error.closed_by_engine,
+            )
         progress.runs += 1
         if stream.status >= 500:
             report.failed_engine, report.error_response = entry.id, True
@@ -258,9 +264,15 @@
                 await self._forward_events(request, stream, events, progress)
             stream.finish()
         except (ConnectionBrokenError, RunFailedError) as error:
+            if isinstance(error, ConnectionBrokenError):
+                error = RunFailedError.from_broken(error)
             report.failed_engine, report.error_response = stream.engine_id, False
             return self._after_broken_run(
-                request, progress, stream.engine_id, str(error)
+                request,
+                progress,
+                stream.engine_id,
+                error.reason,
+                closed_by_engine=error.closed_by_engine,
             )
         finally:
             stream.abort_if_open()
@@ -350,6 +362,8 @@
         progress: StreamProgress,
         engine_id: str,
         reason: str,
+        *,
+        closed_by_engine: bool = False,
     ) -> StreamOutcome | None:
         """Return the outcome of a broken run, None if it may resume."""
         may_resume = self._may_resume(request, progress)
@@ -361,6 +375,9 @@
             reason=reason,
             runs=progress.runs,
             last_event=progress.splitter.last_id,
+            run_events=progress.splitter.events - progress.events_before,
+            closed_by_engine=closed_by_engine,
+            parts=",".join(request.metadata.shared_parts) or None,
             continues=may_resume,
         )
         progress.excluded.add(engine_id)
