Treat a stream that ends with its connection before any event as broken

An engine may send a response without a length or chunks that ends with its connection. Such a stream that ended in the middle of an event was already broken off; one that ended before its first event, as when the engine crashes right after the head, reached the caller as a complete, empty success.

test_stream_that_ends_within_an_event_is_broken with an empty body failed before (the empty stream was complete). The other tests of the file cover resets, clean ends and that the connection is not used again; these held before, apart from the flag that tells which side closed the connection.

--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -115,6 +115,10 @@
         closed = self._connection.closed_by_peer
         if splitter.remainder:
             raise RunFailedError("partial_event", closed_by_engine=closed)
+        if closed and self._first_event_s is None:
+            # A response without a length may also end like this when its
+            # engine stops before the first event.
+            raise RunFailedError("no_event", closed_by_engine=True)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body of a response that is not an event stream."""
