--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -28,9 +28,8 @@
         self.address = Address("127.0.0.1", 0)
 
     async def start(self) -> None:
-        self._runner = web.ServerRunner(
-            web.Server(self.handle, handler_cancellation=True), shutdown_timeout=0.1
-        )
+        self._server = web.Server(self.handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", self.address.port)
         await site.start()
@@ -40,6 +39,12 @@
     async def stop(self) -> None:
         await self._runner.cleanup()
 
+    def abort_connections(self) -> None:
+        """Close all connections at once, as a process that is killed does."""
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         raise NotImplementedError
 
@@ -210,9 +215,39 @@
         self.extra_headers: dict[str, str] = {}
         # The limits that it has named, in order.
         self.limit_periods: list[LimitPeriod] = []
+        # Ids of prompt parts under which the engine crashes when it begins to
+        # answer. It starts again after ``restart_s`` as a new incarnation.
+        self.crashing_parts: set[str] = set()
+        self.crashes = 0
+        self.restart_s = 0.4
+        self.on_restart: Callable[[str], None] = lambda previous_id: None
+        self._restart: asyncio.Task[None] | None = None
         # Listed in the store instead of its own address, if set.
         self.advertised_address: Address | None = None
 
+    async def stop(self) -> None:
+        if self._restart is not None:
+            await self._restart
+        await super().stop()
+
+    async def crash(self) -> None:
+        """End all connections and accept none until the restart."""
+        self.crashes += 1
+        for site in list(self._runner.sites):
+            await site.stop()
+        self.abort_connections()
+        self._restart = asyncio.ensure_future(self._start_again())
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.restart_s)
+        previous_id = self.id
+        self.id = f"{previous_id.partition('.')[0]}.{self.crashes}"
+        self.born_ms += 1000
+        await web.TCPSite(
+            self._runner, "127.0.0.1", self.address.port, reuse_address=True
+        ).start()
+        self.on_restart(previous_id)
+
     def begin_limit(self, rate_per_s: float) -> None:
         """Name a limit in all responses from now on."""
         self.end_limit()
@@ -334,6 +369,11 @@
         )
         response.enable_chunked_encoding()
         await response.prepare(request)
+        parts = headers.get("x-prefix-hash", "").split(",")[:-1]
+        if self.crashing_parts.intersection(part.partition(":")[0] for part in parts):
+            await asyncio.sleep(self.gap_s)
+            await self.crash()
+            return response
         first_event = int(headers.get("last-event-id", "0")) + 1
         for number in range(first_event, self.events + 1):
             if self.break_after and number > self.break_after[0]:
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -1,6 +1,7 @@
 """A complete relay host with the platform's adapter and fake services."""
 
 import asyncio
+import functools
 import itertools
 import os
 import socket
@@ -116,6 +117,7 @@
         await self.store.start()
         for engine in self._engines():
             await engine.start()
+            engine.on_restart = functools.partial(self._list_again, engine)
         self.store.put("op", "config", configuration())
         for engine in self._engines():
             self.list_engine(engine)
@@ -163,6 +165,11 @@
         service = PLAIN if engine.stage is None else LLM
         self.store.put("servers", engine.id, engine.entry(service, state))
 
+    def _list_again(self, engine: FakeEngine, previous_id: str) -> None:
+        """Replace the entry of an engine that has started again."""
+        self.store.remove("servers", previous_id)
+        self.list_engine(engine)
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(5.0):
             while not condition():
