--- /dev/null
+++ b/packages/kumquat_core/src/kumquat_core/crash_messages.py
@@ -0,0 +1,77 @@
+"""Messages about engine crashes and the prompt parts that may cause them.
+
+``peer_messages`` encodes them together with the other messages.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Annotated
+
+import xxhash
+from pydantic import Field
+
+__all__ = [
+    "NO_EVIDENCE_DIGEST",
+    "CrashEvidence",
+    "CrashRecord",
+    "EngineCrashReport",
+    "evidence_digest",
+]
+
+NO_EVIDENCE_DIGEST = 0
+
+
+@dataclass(frozen=True)
+class CrashRecord:
+    """An observation about one prompt part.
+
+    The engine incarnation ``engine`` at ``address`` crashed ``age_ms`` ago
+    while it began to answer a request with the part. ``trial``: the request
+    was the only one with the part that was running. An empty ``engine`` means
+    that requests with the part were answered without a crash.
+    """
+
+    part: str
+    engine: str
+    address: str
+    age_ms: Annotated[int, Field(ge=0)]
+    trial: bool
+
+
+@dataclass(frozen=True)
+class CrashEvidence:
+    """What the sender knows about the prompt parts of a service.
+
+    The reply, if one is wanted, is what the receiver knows.
+    """
+
+    service: str
+    records: tuple[CrashRecord, ...] = ()
+
+
+@dataclass(frozen=True)
+class EngineCrashReport:
+    """A run ended with its engine before the answer had begun.
+
+    ``parts`` are the parts of its prompt that are not known to be harmless.
+    ``born_ms`` is the start of the engine in Unix milliseconds.
+    """
+
+    service: str
+    request_id: str
+    engine: str
+    born_ms: int
+    address: str
+    parts: tuple[str, ...]
+    trial: bool
+
+
+def evidence_digest(records: Iterable[CrashRecord]) -> int:
+    """Return a 32-bit digest by which two hosts compare what they know.
+
+    Neither the order nor the age of the records matters.
+    """
+    lines = sorted({f"{item.part} {item.engine} {item.trial}" for item in records})
+    if not lines:
+        return NO_EVIDENCE_DIGEST
+    return xxhash.xxh32_intdigest("\n".join(lines).encode())
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -11,6 +11,7 @@
 import msgpack
 from pydantic import TypeAdapter, ValidationError
 
+from .crash_messages import CrashEvidence, CrashRecord, EngineCrashReport
 from .limit_messages import (
     PermitGrant,
     PermitRequest,
@@ -36,6 +37,9 @@
     "Ack",
     "AdmissionRequest",
     "CancelAdmission",
+    "CrashEvidence",
+    "CrashRecord",
+    "EngineCrashReport",
     "EngineNoticed",
     "Envelope",
     "Grant",
@@ -285,6 +289,8 @@
     Ack
     | AdmissionRequest
     | CancelAdmission
+    | CrashEvidence
+    | EngineCrashReport
     | EngineNoticed
     | Grant
     | GrantsHeld
@@ -346,6 +352,8 @@
     39: ServerLimitNotice,
     40: PermitRequest,
     41: PermitGrant,
+    42: CrashEvidence,
+    43: EngineCrashReport,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
@@ -363,9 +371,10 @@
     "runs": HeldRun,
     "limit": ServerLimit,
     "limits": ServerLimit,
+    "records": CrashRecord,
 }
 # Nested types whose fields hold tuples of them.
-_TUPLE_FIELDS = frozenset({"updates", "grants", "runs", "limits"})
+_TUPLE_FIELDS = frozenset({"updates", "grants", "runs", "limits", "records"})
 _FIELD_NAMES_BY_TYPE: dict[type[Any], tuple[str, ...]] = {
     message_type: tuple(item.name for item in fields(message_type))
     for message_type in (*_TYPES_BY_NUMBER.values(), *_NESTED_TYPES.values())
--- a/packages/kumquat_core/src/kumquat_core/result_codes.py
+++ b/packages/kumquat_core/src/kumquat_core/result_codes.py
@@ -46,6 +46,7 @@
     CALLER_GONE = 1211
     CONFLICTING_ATTEMPT = 1212
     ATTEMPT_REPLACED = 1213
+    PROMPT_QUARANTINED = 1214
     ENGINE_FAILED = 1301
     TRANSFER_FAILED = 1302
     PREFILL_EVICTED = 1303
@@ -164,6 +165,12 @@
         503,
         "Another attempt of the same request was faster; never sent to a caller.",
     ),
+    CodeSpec(
+        ResultCode.PROMPT_QUARANTINED,
+        _NOT_RUN,
+        503,
+        "Engines crash under a part of the prompt.",
+    ),
     CodeSpec(ResultCode.ENGINE_FAILED, _UNKNOWN, 502, "The engine failed."),
     CodeSpec(
         ResultCode.TRANSFER_FAILED, _UNKNOWN, 502, "The KV cache transfer failed."
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from .crash_messages import NO_EVIDENCE_DIGEST
 from .limit_messages import NO_LIMITS_DIGEST, ServerLimit
 
 __all__ = [
@@ -39,7 +40,8 @@
     ``max_gap_ms`` is the longest pause between events of a response that is on
     time, 0 without a limit. Engines in ``excluded`` failed this request; their
     prefill is used again only if no other prefill engine is left. The sending
-    host sends nothing to those in ``blocked_engines``.
+    host sends nothing to those in ``blocked_engines``. ``suspect_parts`` are
+    the parts of the prompt that may have crashed engines.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     excluded: tuple[str, ...] = ()
     max_gap_ms: int = 0
     blocked_engines: tuple[str, ...] = ()
+    suspect_parts: tuple[str, ...] = field(default=(), metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
@@ -62,7 +65,8 @@
     ``prefill_engine`` is empty if the decode engine prefills the prompt
     itself. Addresses are ``IP:PORT``, for hosts that do not know the engine
     yet. ``reserve``: the owner's records may be wrong, so the slot should be
-    reserved at the engine before the prefill.
+    reserved at the engine before the prefill. ``evidence_digest`` is that of
+    what the owner knows about prompt parts that crash engines.
     """
 
     request_id: str
@@ -72,6 +76,7 @@
     prefill_address: str
     waited_ms: int
     reserve: bool = False
+    evidence_digest: int = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
@@ -194,6 +199,7 @@
     host should own the service. ``configuration`` is the configuration version
     that the owner uses. ``limits`` are the request rates that servers have
     named, None if the digest of the report is that of these rates.
+    ``evidence_digest`` is as in ``RunGrant``.
     """
 
     host_id: str
@@ -201,3 +207,4 @@
     outdated: bool = False
     configuration: int = -1
     limits: tuple[ServerLimit, ...] | None = field(default=(), metadata=LATER_FIELD)
+    evidence_digest: int = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -32,17 +32,19 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquatrouter.peer_links import PeerLinks
 
+from .admission_refusal import AdmissionRefusedError
 from .cluster_state import ClusterState
 from .engine_registry import EngineEntry
 from .known_limits import KnownLimits
 from .local_run import LocalRun
 from .owner_selection import OwnerSelection
+from .prompt_quarantine import PromptQuarantine
 from .protocols import EngineNotice
 from .queue_owner import QueueOwner
 from .relay_rules import ALL_RULES, RelayRules
 from .report_period import idle_report_periods
 
-__all__ = ["PREFILL_SKIPPED", "Admission", "AdmissionRefusedError"]
+__all__ = ["PREFILL_SKIPPED", "Admission"]
 
 # Prefill time that marks a prefill as skipped because it was not needed.
 PREFILL_SKIPPED = -1.0
@@ -61,18 +63,6 @@
 logger = logging.getLogger(__name__)
 
 
-class AdmissionRefusedError(Exception):
-    """The owner did not grant a slot.
-
-    ``retry_after_s`` states when the caller should retry.
-    """
-
-    def __init__(self, reason: str, retry_after_s: float) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 class Admission:
     """Acquires and releases slots for this host and reports its runs."""
 
@@ -85,10 +75,12 @@
         owners: OwnerSelection,
         queue_owner: QueueOwner,
         limits: KnownLimits,
+        quarantine: PromptQuarantine,
         rules: RelayRules = ALL_RULES,
     ) -> None:
         self._rules = rules
         self._limits = limits
+        self._quarantine = quarantine
         self._host_id = host_id
         self._clock = clock
         self._cluster_state = cluster_state
@@ -120,6 +112,9 @@
                 request, reply.decode_engine, owner, self._clock.monotonic()
             )
             self._held_runs_by_id[request.request_id] = held
+            await self._quarantine.synchronize(
+                request.service, owner, reply.evidence_digest
+            )
             return reply
         log_event(
             logger,
@@ -376,6 +371,7 @@
             return
         if owner == self._owners.owner(service):
             self._limits.merge(service, reply.limits)
+        await self._quarantine.synchronize(service, owner, reply.evidence_digest)
         self._cluster_state.record_owner_version(reply.configuration)
         if self._owners.set_outdated(owner, reply.outdated):
             log_event(logger, "owner_outdated", peer=owner, outdated=reply.outdated)
--- a/packages/kumquat_relay/src/kumquat_relay/caller_response.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_response.py
@@ -31,8 +31,15 @@
     reason: str
 
 
-def refusal(code: ResultCode, reason: str, retry_after_s: float) -> CallerResponse:
-    """Return a response that guarantees the request is never executed."""
+def refusal(
+    code: ResultCode, reason: str, retry_after_s: float | None
+) -> CallerResponse:
+    """Return a response that guarantees the request is never executed.
+
+    Without ``retry_after_s`` the caller is not told to try again.
+    """
+    if retry_after_s is None:
+        return _text(503, code, reason, ())
     retry_after = f"{max(MIN_RETRY_AFTER_S, retry_after_s):.2f}"
     return _text(503, code, reason, ((RETRY_AFTER, retry_after),))
 
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
@@ -0,0 +1,181 @@
+"""Reports engines that crash at the beginning of an answer to their owner.
+
+A run whose engine closed its connection is a crash only if the engine then
+refuses connections, and if most of its other runs end too. The host that had
+the run checks the first condition, the owner of the service the second.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.peer_messages import EngineCrashReport
+from kumquat_core.result_codes import RouterError
+from kumquatrouter.peer_links import PeerLinks
+
+from .caller_request import CallerRequest
+from .crash_reports import CrashReports
+from .engine_connection import SendFailedError
+from .engine_pool import EnginePool
+from .engine_registry import EngineEntry, EngineRegistry
+from .owner_selection import OwnerSelection
+from .prompt_quarantine import PromptQuarantine
+
+__all__ = ["CrashObserver"]
+
+# A process that ends closes its connections and its listener within this time.
+PROBE_DELAY_S = 0.02
+# The owner decides again while the reports of other hosts are on their way.
+DECISION_DELAYS_S = (0.0, 0.05, 0.2)
+REPORT_ATTEMPTS = 3
+REPORT_RETRY_S = 0.5
+CONNECT_TIMEOUT_S = 0.35
+PROXY_CLOSE_S = 0.03
+# Outcomes of a probe that show that no process listens. A timeout may be due
+# to the network.
+REFUSALS = (ConnectionRefusedError.__name__, "closed")
+
+logger = logging.getLogger(__name__)
+
+
+class CrashObserver:
+    """Reports crashes of engines and, as the owner, evaluates the reports.
+
+    ``runs_at`` returns how many runs an owned queue has at an engine.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: Clock,
+        pool: EnginePool,
+        registry: EngineRegistry,
+        links: PeerLinks,
+        owners: OwnerSelection,
+        quarantine: PromptQuarantine,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._pool = pool
+        self._registry = registry
+        self._links = links
+        self._owners = owners
+        self._quarantine = quarantine
+        self._reports = CrashReports()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.runs_at: Callable[[str, str], int] = lambda service, engine_id: 0
+
+    def run_broken(
+        self, request: CallerRequest, entry: EngineEntry, trial_parts: tuple[str, ...]
+    ) -> None:
+        """Report the engine of a run that ended before its answer began."""
+        parts = self._quarantine.unknown_parts(request)
+        if not parts:
+            return
+        report = EngineCrashReport(
+            request.service,
+            request.id,
+            entry.id,
+            entry.born_ms,
+            entry.address.text,
+            parts,
+            bool(trial_parts),
+        )
+        self._start(self._check_and_report(report, entry))
+
+    def record_broken_run(self, engine_id: str) -> None:
+        """Record at the owner that the connection of a run broke."""
+        self._reports.record_broken_run(engine_id, self._clock.monotonic())
+
+    def apply(self, report: EngineCrashReport) -> None:
+        """Evaluate the report of a host."""
+        self._start(self._decide(report))
+
+    def remove_engine(self, engine_id: str) -> None:
+        """Discard what is known about an engine that was removed."""
+        self._reports.remove_engine(engine_id)
+
+    def close(self) -> None:
+        """Cancel all pending reports."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _check_and_report(
+        self, report: EngineCrashReport, entry: EngineEntry
+    ) -> None:
+        await asyncio.sleep(PROBE_DELAY_S)
+        listed = self._registry.get(entry.id)
+        if listed is not None and listed.draining:
+            return
+        outcome = await self._probe(entry)
+        log_event(
+            logger,
+            "engine_crash_checked",
+            engine=entry.id,
+            request=report.request_id,
+            outcome=outcome,
+        )
+        if outcome in REFUSALS:
+            await self._send(report)
+
+    async def _probe(self, entry: EngineEntry) -> str:
+        """Return how an engine treats a new connection."""
+        try:
+            connection = await self._pool.open(entry.address, CONNECT_TIMEOUT_S)
+        except SendFailedError as error:
+            return str(error)
+        # A proxy of an engine that has ended accepts and closes.
+        await asyncio.sleep(PROXY_CLOSE_S)
+        if not connection.usable:
+            connection.abort()
+            return "closed"
+        self._pool.release(connection)
+        return "connected"
+
+    async def _send(self, report: EngineCrashReport) -> None:
+        """Send a report to the owner, or to the next one if that is lost."""
+        for _ in range(REPORT_ATTEMPTS):
+            owner = self._owners.owner(report.service)
+            if owner == self._host_id:
+                await self._decide(report)
+                return
+            try:
+                self._links.post(owner, report)
+            except RouterError as error:
+                log_event(
+                    logger, "engine_crash_not_reported", peer=owner, detail=error.detail
+                )
+                await asyncio.sleep(REPORT_RETRY_S)
+                continue
+            return
+
+    async def _decide(self, report: EngineCrashReport) -> None:
+        """Record the crash once most runs of the engine have ended."""
+        for delay_s in DECISION_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            remaining = self.runs_at(report.service, report.engine)
+            if self._reports.is_crash(
+                report.engine, remaining, self._clock.monotonic()
+            ):
+                self._quarantine.record_crash(
+                    report.service,
+                    report.parts,
+                    f"{report.engine}/{report.born_ms}",
+                    report.address,
+                    trial=report.trial,
+                )
+                return
+        log_event(
+            logger,
+            "engine_crash_not_confirmed",
+            engine=report.engine,
+            request=report.request_id,
+            remaining_runs=remaining,
+        )
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/packages/kumquat_relay/src/kumquat_relay/decision_messages.py
+++ b/packages/kumquat_relay/src/kumquat_relay/decision_messages.py
@@ -40,10 +40,13 @@
             )
 
 
-def to_message(decision: Decision, uncertain: bool) -> RunGrant | RunRefusal:
+def to_message(
+    decision: Decision, uncertain: bool, evidence_digest: int
+) -> RunGrant | RunRefusal:
     """Return the reply to the request that a decision concerns.
 
     ``uncertain``: the host should have the engine confirm the slot.
+    ``evidence_digest`` is that of what the owner knows about prompt parts.
     """
     match decision:
         case Granted():
@@ -56,6 +59,7 @@
                 prefill.address.text if prefill else "",
                 round(decision.waited_s * 1000),
                 uncertain,
+                evidence_digest,
             )
         case Refused():
             return RunRefusal(
--- a/packages/kumquat_relay/src/kumquat_relay/message_dispatch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/message_dispatch.py
@@ -4,6 +4,8 @@
 
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import (
+    CrashEvidence,
+    EngineCrashReport,
     EngineNoticed,
     Message,
     PermitRequest,
@@ -15,6 +17,7 @@
     ServerLimitNotice,
 )
 
+from .host_quarantine import HostQuarantine
 from .limit_owner import LimitOwner
 from .queue_owner import QueueOwner
 
@@ -24,7 +27,11 @@
 
 
 async def dispatch_message(
-    message: Message, host_id: str, queue_owner: QueueOwner, limit_owner: LimitOwner
+    message: Message,
+    host_id: str,
+    queue_owner: QueueOwner,
+    limit_owner: LimitOwner,
+    quarantine: HostQuarantine,
 ) -> Message | None:
     """Process a message from a host and return the reply, if any."""
     match message:
@@ -34,6 +41,10 @@
             return queue_owner.apply_report(message, host_id)
         case PermitRequest():
             return limit_owner.grant_permits(message)
+        case CrashEvidence():
+            return quarantine.prompts.apply(message, host_id)
+        case EngineCrashReport():
+            quarantine.observer.apply(message)
         case RunPrefilled():
             queue_owner.on_prefilled(message)
         case RunStalled():
--- a/packages/kumquat_relay/src/kumquat_relay/placement.py
+++ b/packages/kumquat_relay/src/kumquat_relay/placement.py
@@ -20,6 +20,7 @@
 from .queue_types import QueuedRequest, QueueParameters
 from .run_ledger import RunLedger
 from .server_limits import ServerLimits
+from .suspect_trials import SuspectTrials
 
 __all__ = ["Placement"]
 
@@ -28,7 +29,8 @@
     """A view of the engines for one pass, updated as slots are granted.
 
     ``blocks`` holds, by host id and engine id, until when the engine asked
-    the host to send it nothing.
+    the host to send it nothing. ``trials`` are the requests with suspect
+    prompt parts that are running.
     """
 
     def __init__(
@@ -37,9 +39,12 @@
         parameters: QueueParameters,
         blocks: Mapping[str, Mapping[str, float]],
         limits: ServerLimits,
+        trials: SuspectTrials,
         now_s: float,
     ) -> None:
         self._limits = limits
+        self._trials = trials
+        self._trial_engine_ids = trials.engine_ids()
         self._ledger = ledger
         self._parameters = parameters
         self._now_s = now_s
@@ -164,7 +169,10 @@
             and load.free_slots() > 0
             and self._limits.may_send(load.entry.id, self._now_s)
         ]
-        loads.sort(key=self._preference)
+        if request.suspect_parts:
+            loads = self._trial_loads(loads, request.suspect_parts)
+        else:
+            loads.sort(key=self._preference)
         for load in loads:
             if local_prefill and (
                 self._is_recovering(load) or self.exceeds_pause_limit(load, request)
@@ -175,11 +183,35 @@
         if (
             not local_prefill
             and not queued.excluded
+            and not request.suspect_parts
             and not self._blocked_engines(queued)
         ):
             self._unplaced_sizes.append(size)
         return None
 
+    def _trial_loads(
+        self, loads: list[EngineLoad], parts: tuple[str, ...]
+    ) -> list[EngineLoad]:
+        """Return the engines for a trial, those with the fewest runs first.
+
+        A crash would end the other runs of the engine. One at an address where
+        none crashed before tells more.
+        """
+        crashed = self._trials.history_of(parts).addresses
+        elsewhere = any(
+            load.entry.address.text not in crashed for load in self.decode_engines
+        )
+        share = self._trials.max_load_share(parts, self._now_s)
+        loads = [
+            load
+            for load in loads
+            if load.entry.id not in self._trial_engine_ids
+            and len(load.runs_by_id) <= share * load.slots
+            and not (elsewhere and load.entry.address.text in crashed)
+        ]
+        loads.sort(key=lambda load: (len(load.runs_by_id), self._preference(load)))
+        return loads
+
     def _is_recovering(self, load: EngineLoad) -> bool:
         """Return whether streams still recover from a local prefill."""
         return (
@@ -218,11 +250,12 @@
             for load in self.usable_decode_engines(queued)
         )
 
-    def _preference(self, load: EngineLoad) -> tuple[bool, bool, float]:
+    def _preference(self, load: EngineLoad) -> tuple[bool, bool, bool, float]:
         """Return the sort key of a decode engine; the lowest is preferred."""
         is_stalled = self._now_s < load.stalled_until_s
         is_outlier = load.entry.id in self._outlier_ids
         return (
+            load.entry.id in self._trial_engine_ids,
             is_outlier,
             is_stalled,
             load.token_ms * (1 + len(load.runs_by_id) / load.slots),
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
@@ -26,10 +25,14 @@
 )
 
 from .cluster_state import ClusterState
+from .crash_evidence import Verdict
+from .crash_observer import CrashObserver
 from .decision_messages import log_decision, to_message
 from .engine_health import EngineHealth, Failure
 from .engine_probe import EngineProbe
 from .limit_owner import LimitOwner
+from .owned_queue import OwnedQueue
+from .prompt_quarantine import PromptQuarantine
 from .queue_types import Decision, QueueParameters
 from .relay_rules import ALL_RULES, RelayRules
 from .report_period import OWNERSHIP_IDLE_S
@@ -49,23 +52,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass
-class _OwnedQueue:
-    """A queue, its pending replies, and the timer of its next decisions.
-
-    ``last_used_s`` is the time of the last message for the queue. Until
-    ``uncertain_until_s`` the owner may not know of all runs.
-    """
-
-    queue: StreamQueue
-    last_used_s: float
-    uncertain_until_s: float = float("-inf")
-    replies_by_id: dict[str, "asyncio.Future[RunGrant | RunRefusal]"] = field(
-        default_factory=dict
-    )
-    timer: asyncio.TimerHandle | None = None
-
-
 class QueueOwner:
     """Owns the queues of services and decides on the requests of all hosts."""
 
@@ -77,6 +63,8 @@
         health: EngineHealth,
         probe: EngineProbe,
         limits: LimitOwner,
+        quarantine: PromptQuarantine,
+        observer: CrashObserver,
         is_preferred_owner: Callable[[str], bool] = lambda service: True,
         rules: RelayRules = ALL_RULES,
     ) -> None:
@@ -85,12 +73,17 @@
         probe.on_connected = self.engines_changed
         self._limits = limits
         limits.on_change = self._limits_changed
+        self._quarantine = quarantine
+        quarantine.on_change = self._evidence_changed
+        quarantine.hosts_of = self._hosts_of
+        self._observer = observer
+        observer.runs_at = self._runs_at
         self._is_preferred_owner = is_preferred_owner
         self._host_id = host_id
         self._clock = clock
         self._cluster_state = cluster_state
         self._health = health
-        self._owned_queues_by_service: dict[str, _OwnedQueue] = {}
+        self._owned_queues_by_service: dict[str, OwnedQueue] = {}
 
     async def admit(self, request: RunRequest, host_id: str) -> RunGrant | RunRefusal:
         """Queue a request and return the decision on it."""
@@ -127,6 +120,8 @@
             self._record_failure(owned, prefill_engine_id, message.request_id, failure)
         elif prefill_engine_id and message.prefill_ms > 0:
             self._record_success(owned, prefill_engine_id, message.request_id)
+        elif message.prefill_ms > 0 and owned.queue.trials.end(message.request_id):
+            log_event(logger, "trial_answered", request=message.request_id)
         self._apply_decisions(owned, owned.queue.advance(now_s))
 
     def on_run_ended(self, message: RunEnded) -> None:
@@ -134,6 +129,8 @@
         owned = self._owned_queue(message.service)
         now_s = self._clock.monotonic()
         if message.failed_engine:
+            if _failure_of(message) is Failure.BROKEN:
+                self._observer.record_broken_run(message.failed_engine)
             self._record_failure(
                 owned,
                 message.failed_engine,
@@ -205,6 +202,7 @@
             self._cluster_state.outdated(),
             self._cluster_state.version,
             self._limits.apply_report(message, host_id),
+            self._quarantine.digest(message.service),
         )
 
     def drop_expired(self) -> None:
@@ -230,6 +228,28 @@
                     owned, owned.queue.advance(self._clock.monotonic())
                 )
 
+    def _evidence_changed(self, service: str) -> None:
+        """Refuse requests that would crash engines, and decide again."""
+        owned = self._owned_queues_by_service.get(service)
+        if owned is None:
+            return
+        now_s = self._clock.monotonic()
+        refused = owned.queue.refuse_quarantined(
+            lambda parts: (
+                self._quarantine.verdict_on_parts(service, parts) is Verdict.REFUSED
+            ),
+            now_s,
+        )
+        self._apply_decisions(owned, refused + owned.queue.advance(now_s))
+
+    def _hosts_of(self, service: str) -> set[str]:
+        owned = self._owned_queues_by_service.get(service)
+        return owned.queue.host_ids() if owned is not None else set()
+
+    def _runs_at(self, service: str, engine_id: str) -> int:
+        owned = self._owned_queues_by_service.get(service)
+        return owned.runs_at(engine_id) if owned is not None else 0
+
     def _limits_changed(self, service: str) -> None:
         """Decide again, since more or fewer grants are possible."""
         owned = self._owned_queues_by_service.get(service)
@@ -278,13 +298,13 @@
             for service, owned in self._owned_queues_by_service.items()
         }
 
-    def _is_uncertain(self, owned: _OwnedQueue) -> bool:
+    def _is_uncertain(self, owned: OwnedQueue) -> bool:
         """Return whether runs unknown to this owner may hold slots."""
         if self._clock.monotonic() < owned.uncertain_until_s:
             return True
         return not self._is_preferred_owner(owned.queue.service)
 
-    def _owned_queue(self, service: str) -> _OwnedQueue:
+    def _owned_queue(self, service: str) -> OwnedQueue:
         """Return the queue of a service; create or restart it if needed."""
         now_s = self._clock.monotonic()
         owned = self._owned_queues_by_service.get(service)
@@ -297,7 +317,10 @@
                 QueueParameters(rules=self._rules),
                 self._limits.limits_of(service),
             )
-            owned = _OwnedQueue(queue, float("-inf"))
+            queue.trials.history_of = lambda parts: self._quarantine.history(
+                service, parts
+            )
+            owned = OwnedQueue(queue, float("-inf"))
             self._owned_queues_by_service[service] = owned
         if now_s - owned.last_used_s > OWNERSHIP_IDLE_S:
             owned.queue.pause(now_s + STARTUP_PAUSE_S)
@@ -306,16 +329,19 @@
         owned.last_used_s = now_s
         return owned
 
-    def _apply_decisions(self, owned: _OwnedQueue, decisions: list[Decision]) -> None:
+    def _apply_decisions(self, owned: OwnedQueue, decisions: list[Decision]) -> None:
         """Reply with the decisions and set the timer for the next ones."""
         for decision in decisions:
             log_decision(decision, owned.queue.service, owned.queue.waiting_count)
             reply = owned.replies_by_id.get(decision.request_id)
             if reply is not None and not reply.done():
-                reply.set_result(to_message(decision, self._is_uncertain(owned)))
+                digest = self._quarantine.digest(owned.queue.service)
+                reply.set_result(
+                    to_message(decision, self._is_uncertain(owned), digest)
+                )
         self._set_timer(owned)
 
-    def _set_timer(self, owned: _OwnedQueue) -> None:
+    def _set_timer(self, owned: OwnedQueue) -> None:
         """Restart the timer for the time at which the queue must decide."""
         if owned.timer is not None:
             owned.timer.cancel()
@@ -327,12 +353,12 @@
             loop = asyncio.get_running_loop()
             owned.timer = loop.call_later(delay_s, self._on_timer, owned)
 
-    def _on_timer(self, owned: _OwnedQueue) -> None:
+    def _on_timer(self, owned: OwnedQueue) -> None:
         owned.timer = None
         self._apply_decisions(owned, owned.queue.advance(self._clock.monotonic()))
 
     def _record_failure(
-        self, owned: _OwnedQueue, engine_id: str, request_id: str, failure: Failure
+        self, owned: OwnedQueue, engine_id: str, request_id: str, failure: Failure
     ) -> None:
         """Record a failure of an engine; log whether it is now avoided."""
         if failure is not Failure.UNREACHABLE:
@@ -350,7 +376,7 @@
             self._probe.start(engine_id)
 
     def _record_success(
-        self, owned: _OwnedQueue, engine_id: str, request_id: str
+        self, owned: OwnedQueue, engine_id: str, request_id: str
     ) -> None:
         """Record a success of an engine and log if it was avoided."""
         if not engine_id:
--- a/packages/kumquat_relay/src/kumquat_relay/queue_wait.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_wait.py
@@ -5,19 +5,32 @@
 """
 
 from collections.abc import Collection
+from dataclasses import dataclass
 
 from .placement import Placement
 from .queue_types import QueuedRequest, QueueParameters
 from .run_ledger import RunLedger
 from .server_limits import ServerLimits
 
-__all__ = ["QueueWait"]
+__all__ = ["QueueWait", "RetryBasis"]
 
 # A request that has waited for longer than a prefill takes while slots are
 # free is waiting for memory.
 MAX_SLOT_WAIT_S = 0.15
 
 
+@dataclass(frozen=True)
+class RetryBasis:
+    """What the schedule of retries rests on; times in seconds.
+
+    From ``wait_s`` on, ``slots`` slots become free every ``slot_s``.
+    """
+
+    wait_s: float
+    slots: int
+    slot_s: float
+
+
 class QueueWait:
     """Computes waits, in seconds, from the state of engines and queue."""
 
@@ -28,6 +41,24 @@
         self._parameters = parameters
         self._limits = limits
 
+    def retry_basis(self, reason: str, waiting: int, now_s: float) -> RetryBasis:
+        """Return from when on how many refused requests may return.
+
+        ``waiting`` requests are queued.
+        """
+        wait_s = self._ledger.nth_free_slot_s(waiting, now_s)
+        if reason == "no_engine":
+            wait_s = max(wait_s, self._ledger.role_change_wait_s(now_s))
+        slots = self._ledger.all_slots()
+        slot_s = self._ledger.performance.slot_s.value
+        engine_ids = [load.entry.id for load in self._ledger.decode_loads()]
+        rate_per_s = self._limits.rate_per_s(engine_ids)
+        if 0 < rate_per_s < slots / slot_s:
+            # Retries use up the limits of the engines, not their slots.
+            limit_wait_s = self._limits.wait_s(engine_ids, waiting + 1, now_s)
+            return RetryBasis(max(wait_s, limit_wait_s), 1, 1 / rate_per_s)
+        return RetryBasis(wait_s, slots, slot_s)
+
     def expected_wait_s(
         self,
         queued: QueuedRequest,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -13,7 +13,7 @@
 from kumquat_core.timers import TimerService
 from kumquatrouter.peer_links import PeerLinks
 from kumquatrouter.peer_server import PeerServer
-from kumquatrouter.supervisor import Supervisor, TaskService
+from kumquatrouter.supervisor import Supervisor
 
 from .admission import Admission
 from .caller_server import CallerServer
@@ -24,6 +24,7 @@
 from .engine_registry import EngineEntry
 from .host_limits import HostLimits
 from .host_parts import HostParts, build_watches
+from .host_quarantine import HostQuarantine
 from .message_dispatch import dispatch_message
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
@@ -43,6 +44,7 @@
 from .role_controller import RoleController
 from .status_server import MetricsServer, ReadinessServer
 from .stream_relay import StreamRelay
+from .timer_task import TimerTask
 
 __all__ = ["RelayHost"]
 
@@ -61,17 +63,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _TimerTask(TaskService):
-    """Runs the timer service as a supervised task."""
-
-    def __init__(self, timers: TimerService) -> None:
-        super().__init__()
-        self._timers = timers
-
-    async def run(self) -> None:
-        await self._timers.run()
-
-
 class RelayHost:
     """A relay host from its start to its graceful shutdown."""
 
@@ -104,6 +95,9 @@
         self._limits = HostLimits.from_parts(
             options.host_id, parts, self._peer_links, self._owner_selection
         )
+        self._quarantine = HostQuarantine.from_parts(
+            options.host_id, parts, self._peer_links, self._owner_selection
+        )
         self._notices = EngineNotices(
             parts.clock, parts.cluster_state, self._limits.known
         )
@@ -126,6 +120,8 @@
             parts.health,
             self._probe,
             self._limits.owner,
+            self._quarantine.prompts,
+            self._quarantine.observer,
             lambda service: (
                 self._owner_selection.preferred_owner(service) == options.host_id
             ),
@@ -140,6 +136,7 @@
             self._owner_selection,
             self._queue_owner,
             self._limits.known,
+            self._quarantine.prompts,
             parts.rules,
         )
         self._supervisor: Supervisor | None = None
@@ -209,7 +206,7 @@
             MetricsServer(options.metrics, self._metrics_text),
             *build_watches(self._store, options, parts, self._owner_selection),
             self._build_caller_server(),
-            _TimerTask(timers),
+            TimerTask(timers),
         ]
         self._supervisor = Supervisor(services)
         await self._supervisor.start()
@@ -237,6 +234,7 @@
         """Stop all services and close all connections."""
         in_progress = self._parts.shutdown.in_progress
         self._probe.close()
+        self._quarantine.observer.close()
         if self._peer_services is not None:
             await self._peer_services.stop()
         if self._supervisor is not None:
@@ -279,6 +277,7 @@
             self._notices,
             memory,
             self._limits.known,
+            self._quarantine,
             parts.rules,
         )
         return CallerServer(
@@ -328,7 +327,11 @@
 
     async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
         return await dispatch_message(
-            message, peer.host_id, self._queue_owner, self._limits.owner
+            message,
+            peer.host_id,
+            self._queue_owner,
+            self._limits.owner,
+            self._quarantine,
         )
 
     def _peer_address(self, host_id: str) -> Address | None:
@@ -368,6 +371,7 @@
         """Discard what an engine said before it was removed or restarted."""
         self._notices.clear_pause(engine_id)
         self._limits.remove_engine(engine_id)
+        self._quarantine.observer.remove_engine(engine_id)
 
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
@@ -393,6 +397,7 @@
         metrics.opened.set(parts.pool.opened)
         metrics.held_slots.set(self._admission.held_run_count)
         metrics.limited_servers.set(self._limits.known.count())
+        self._quarantine.update_metrics(metrics)
         if parts.cluster_state.routes is not None:
             metrics.version.set(parts.cluster_state.routes.version)
         return metrics.text()
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -86,6 +86,18 @@
             ["granted"],
             registry=self.registry,
         )
+        self.quarantined_parts = self._gauge(
+            "quarantined_parts",
+            "Sets of prompt parts that are refused as engines crash",
+        )
+        self.suspect_parts = self._gauge(
+            "suspect_parts", "Prompt parts under which an engine crashed, not cleared"
+        )
+        self.quarantined_requests = Counter(
+            "kumquat_relay_quarantined_requests",
+            "Requests ended because engines crash under a part of their prompt",
+            registry=self.registry,
+        )
         self.opened = self._gauge(
             "engine_connections_opened", "Connections opened to engines since the start"
         )
--- a/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_rules.py
@@ -36,6 +36,8 @@
     ``resumption``: an interrupted stream is resumed at another engine.
     ``fetching``: the parts of a prompt are fetched if its result expired.
     ``server_limits``: all hosts together keep the rates that servers name.
+    ``crash_quarantine``: requests with prompt parts under which engines crash
+    are tried alone, then refused.
     """
 
     read_ahead: bool = True
@@ -58,6 +60,7 @@
     resumption: bool = True
     fetching: bool = True
     server_limits: bool = True
+    crash_quarantine: bool = True
 
 
 ALL_RULES = RelayRules()
--- a/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_ledger.py
@@ -292,6 +292,10 @@
             for engine_id, load in self._loads_by_id.items()
         }
 
+    def host_ids(self) -> set[str]:
+        """Return the hosts that hold runs."""
+        return set(self._requests_by_host)
+
     def free_slots(self) -> int:
         """Return the number of free slots of all usable decode engines."""
         return sum(max(0, load.free_slots()) for load in self.decode_loads())
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -21,6 +21,7 @@
 from .known_limits import KnownLimits
 from .open_stream import OpenStream
 from .prefill_expiry import PrefillExpiry
+from .prompt_quarantine import PromptQuarantine
 from .protocols import EngineNotice
 from .relay_rules import RelayRules
 from .relay_settings import parse_address
@@ -54,8 +55,10 @@
         retries: HostRetryBudget,
         notices: EngineNotices,
         limits: KnownLimits,
+        quarantine: PromptQuarantine,
         rules: RelayRules,
     ) -> None:
+        self._quarantine = quarantine
         self._limits = limits
         self._rules = rules
         self._notices = notices
@@ -105,10 +108,11 @@
         """Prefill the prompt at the granted engine; return false on failure.
 
         Returns true if no prefill engine was granted, since the decode engine
-        then prefills the prompt itself.
+        then prefills the prompt itself. Raises ``QuarantineError``.
         """
         if not grant.prefill_engine:
             return True
+        self._quarantine.check(request, progress.trial_parts)
         entry = self.granted_engine(
             request, grant.prefill_engine, grant.prefill_address
         )
@@ -227,9 +231,10 @@
     ) -> OpenStream:
         """Send a run within the retry budget.
 
-        Raises ``RetryBudgetExhaustedError``, ``NotExecutedError`` and
-        ``RunFailedError``.
+        Raises ``RetryBudgetExhaustedError``, ``NotExecutedError``,
+        ``QuarantineError`` and ``RunFailedError``.
         """
+        self._quarantine.check(request, progress.trial_parts)
         if progress.sends > 0 and not self._retries.try_spend(request.service):
             raise RetryBudgetExhaustedError
         progress.sends += 1
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -33,6 +33,9 @@
     the attempts that were provably not executed. ``reservation_id`` names an
     unused reservation at ``reservation_engine``; ``events_before`` is the
     number of events that earlier runs produced.
+    The grant allows the prompt parts in ``trial_parts`` to be tried;
+    ``own_suspects`` are those under which a run of this stream ended.
+    ``answer_began_s`` is the time of the first event of the current run.
     Engines in ``excluded`` failed the request and are used only if no other
     is left; this host sends nothing to those in ``blocked_engines``.
     """
@@ -44,6 +47,10 @@
     sends: int = 0
     excluded: set[str] = field(default_factory=set)
     blocked_engines: set[str] = field(default_factory=set)
+    trial_parts: tuple[str, ...] = ()
+    own_suspects: set[str] = field(default_factory=set)
+    answer_recorded: bool = False
+    answer_began_s: float | None = None
     prefill: PrefillResult | None = None
     prefilled_s: float = float("-inf")
     reservation_id: str = ""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -19,7 +19,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from kumquat_core.peer_messages import HeldRun, RunRequest
@@ -35,8 +35,14 @@
 from .role_planner import Demand
 from .run_ledger import RunLedger
 from .server_limits import ServerLimits
+from .suspect_trials import SuspectTrials
 
-__all__ = ["StreamQueue"]
+__all__ = ["QUARANTINED", "StreamQueue"]
+
+# Reason of the refusal of a request whose prompt parts crash engines.
+QUARANTINED = "prompt_quarantined"
+# Reason of the refusal of a suspect request while all engines have many runs.
+TRIAL_DEFERRED = "trial_deferred"
 
 # Refusals that show a shortage of slots. The other reasons say nothing about
 # the slots left for late requests.
@@ -66,6 +72,9 @@
         self._blocks_by_host_id: dict[str, dict[str, float]] = {}
         self._saturated_until_s = float("-inf")
         self._reserve = PriorityReserve(enabled=self.parameters.rules.priority_reserve)
+        self.trials = SuspectTrials(
+            lambda request_id: bool(self.ledger.decode_engine_of(request_id))
+        )
         self.demand = Demand()
 
     @property
@@ -149,7 +158,12 @@
 
     def _placement(self, now_s: float) -> Placement:
         return Placement(
-            self.ledger, self.parameters, self._blocks_by_host_id, self._limits, now_s
+            self.ledger,
+            self.parameters,
+            self._blocks_by_host_id,
+            self._limits,
+            self.trials,
+            now_s,
         )
 
     def advance(self, now_s: float) -> list[Decision]:
@@ -208,12 +222,15 @@
     ) -> None:
         """Release what a request holds and remove it from the queue."""
         self._queued_by_id.pop(request_id, None)
+        self.trials.end(request_id)
         self.ledger.release(request_id, gap_ms, now_s, generated_tokens)
 
     def _try_grant(
         self, queued: QueuedRequest, placement: Placement, now_s: float
     ) -> Granted | None:
         """Grant a slot if the request may have one now."""
+        if not self.trials.may_start(queued.request.suspect_parts):
+            return None
         rules = self.parameters.rules
         late_reserve = self.parameters.late_reserve if rules.late_reserve else 0.0
         late_reserved_slots = placement.all_slots * late_reserve
@@ -256,6 +273,8 @@
         """
         if not self.parameters.rules.relief:
             return None
+        if not self.trials.may_start(queued.request.suspect_parts):
+            return None
         reserved_slots = placement.all_slots * self.parameters.local_prefill_reserve
         if queued.is_late(now_s) or placement.free_slots() <= reserved_slots:
             return None
@@ -288,6 +307,10 @@
             now_s,
             queued.declared_tokens,
         )
+        if request.suspect_parts:
+            self.trials.start(
+                request.request_id, request.suspect_parts, decode.entry.id
+            )
         placement.record_grant(prefill_engine)
         self._limits.take(decode.entry.id, 1, now_s)
         if prefill_engine is not None:
@@ -307,6 +330,8 @@
 
         The empty string means that it may wait.
         """
+        if self._lacks_trial_engine(queued, now_s):
+            return TRIAL_DEFERRED
         placement = self._placement(now_s)
         loads = placement.usable_decode_engines(queued)
         if all(load.entry.id in queued.excluded for load in loads):
@@ -338,6 +363,30 @@
             else "caller_leaves_first"
         )
 
+    def refuse_quarantined(
+        self, is_quarantined: Callable[[tuple[str, ...]], bool], now_s: float
+    ) -> list[Decision]:
+        """Refuse the queued requests whose prompt parts crash engines."""
+        return [
+            self._refuse(queued, QUARANTINED, now_s)
+            for queued in list(self._queued_by_id.values())
+            if is_quarantined(queued.request.suspect_parts)
+        ]
+
+    def host_ids(self) -> set[str]:
+        """Return the hosts that have queued requests or runs."""
+        queued = {queued.host_id for queued in self._queued_by_id.values()}
+        return queued | self.ledger.host_ids()
+
+    def _lacks_trial_engine(self, queued: QueuedRequest, now_s: float) -> bool:
+        """Return whether a trial waits for an engine with few runs."""
+        parts = queued.request.suspect_parts
+        return (
+            bool(parts)
+            and self.trials.may_start(parts)
+            and self.trials.retry_after_s(parts, now_s) > 0
+        )
+
     def _refuse(self, queued: QueuedRequest, reason: str, now_s: float) -> Refused:
         """Remove a request from the queue and schedule its retry."""
         del self._queued_by_id[queued.request.request_id]
@@ -346,20 +395,14 @@
             engines = len(self.ledger.decode_loads())
             self._reserve.record_refusal(queued.request.priority, engines, now_s)
             self._saturated_until_s = now_s + self.parameters.saturation_window_s
-        wait_s = self.ledger.nth_free_slot_s(len(self._queued_by_id), now_s)
-        if reason == "no_engine":
-            wait_s = max(wait_s, self.ledger.role_change_wait_s(now_s))
+        basis = self._wait.retry_basis(reason, len(self._queued_by_id), now_s)
+        wait_s = basis.wait_s
+        if reason == TRIAL_DEFERRED:
+            parts = queued.request.suspect_parts
+            wait_s = max(wait_s, self.trials.retry_after_s(parts, now_s))
         deadline_left_s = queued.arrived_s + queued.request.left_ms / 1000 - now_s
-        slots, slot_s = self.ledger.all_slots(), self.ledger.performance.slot_s.value
-        engine_ids = [load.entry.id for load in self.ledger.decode_loads()]
-        rate_per_s = self._limits.rate_per_s(engine_ids)
-        if 0 < rate_per_s < slots / slot_s:
-            # Retries use up the limits of the engines, not their slots.
-            position = len(self._queued_by_id) + 1
-            wait_s = max(wait_s, self._limits.wait_s(engine_ids, position, now_s))
-            slots, slot_s = 1, 1 / rate_per_s
         retry_after_s = self._retry_schedule.next_retry_s(
-            wait_s, slots, slot_s, deadline_left_s, now_s
+            wait_s, basis.slots, basis.slot_s, deadline_left_s, now_s
         )
         return Refused(
             queued.request.request_id,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -13,26 +13,36 @@
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import RunGrant, RunRequest
+from kumquat_core.peer_messages import RunGrant
 from kumquat_core.result_codes import ResultCode
 
-from .admission import PREFILL_SKIPPED, Admission, AdmissionRefusedError
-from .caller_request import CallerRequest, PromptMetadata
-from .caller_response import failure, refusal
+from .admission import PREFILL_SKIPPED, Admission
+from .admission_refusal import AdmissionRefusedError
+from .caller_request import CallerRequest
 from .cluster_state import ClusterState
+from .crash_evidence import Verdict
 from .engine_calls import EngineCalls, NotExecutedError
 from .engine_connection import ConnectionBrokenError
 from .engine_notices import EngineNotices
+from .engine_registry import EngineEntry
+from .host_quarantine import HostQuarantine
 from .host_retry_budget import HostRetryBudget
 from .known_limits import KnownLimits
 from .open_stream import OpenStream, RunFailedError
+from .prompt_quarantine import QuarantineError
 from .relay_metrics import RelayMetrics
 from .relay_rules import ALL_RULES, RelayRules
 from .request_age import RequestAge
 from .response_memory import ResponseMemory
 from .response_sink import ResponseSink
 from .run_starter import RetryBudgetExhaustedError, RunStarter
-from .stream_limits import caller_patience_ms, event_timeouts
+from .slot_request import slot_request
+from .stream_limits import event_timeouts
+from .stream_outcomes import (
+    incomplete_outcome,
+    quarantined_outcome,
+    refused_outcome,
+)
 from .stream_progress import CompletionReport, StreamOutcome, StreamProgress
 
 __all__ = ["StreamRelay"]
@@ -40,9 +50,9 @@
 # Number of rejected attempts after which the request is tried again; each of
 # them was certainly not executed.
 MAX_REJECTIONS = 4
-NO_SLOT_RETRY_S = 0.4
-# Streams that resume are served before all streams that have not begun.
-RESUME_PRIORITY = -1
+# An engine that crashes under a prompt part does so within this time after the
+# first event.
+ANSWER_START_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -62,13 +72,23 @@
         notices: EngineNotices,
         memory: ResponseMemory,
         limits: KnownLimits,
+        quarantine: HostQuarantine,
         rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._quarantine = quarantine
         self._rules = rules
         self._memory = memory
         self._metrics = metrics
         self._starter = RunStarter(
-            clock, cluster_state, admission, calls, retries, notices, limits, rules
+            clock,
+            cluster_state,
+            admission,
+            calls,
+            retries,
+            notices,
+            limits,
+            quarantine.prompts,
+            rules,
         )
         self._clock = clock
         self._cluster_state = cluster_state
@@ -91,7 +111,7 @@
             async with asyncio.timeout_at(loop_now_s + left_s):
                 return await self._run_until_final(request, progress)
         except TimeoutError:
-            return self._incomplete_outcome(progress, "deadline", timed_out=True)
+            return incomplete_outcome(progress, "deadline", timed_out=True)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
             if progress.reservation_id and progress.reservation_engine is not None:
@@ -123,16 +143,38 @@
         self, request: CallerRequest, progress: StreamProgress
     ) -> StreamOutcome:
         while True:
+            if self._quarantine.prompts.verdict(request) is Verdict.REFUSED:
+                return self._refuse_quarantined(request, progress)
+            progress.trial_parts = tuple(
+                sorted(
+                    progress.own_suspects.union(
+                        self._quarantine.prompts.suspect_parts(request)
+                    )
+                )
+            )
             try:
                 grant = await self._admission.acquire_slot(
-                    self._build_run_request(request, progress)
+                    slot_request(
+                        request,
+                        progress,
+                        self._clock.monotonic(),
+                        self._ages.objective_left_ms(request),
+                        self._tokens_in(request, progress.splitter.events),
+                        self._starter.blocked_engines(request),
+                    )
                 )
             except AdmissionRefusedError as error:
-                return self._after_refusal(progress, error)
+                return refused_outcome(progress, error)
             self._metrics.record_queue_wait(grant.waited_ms / 1000)
             report = CompletionReport()
             try:
                 outcome = await self._attempt(request, grant, progress, report)
+            except QuarantineError as error:
+                # The verdict became known after the request for the slot.
+                log_event(
+                    logger, "grant_unused", request=request.id, verdict=str(error)
+                )
+                outcome = None
             finally:
                 self._admission.release(
                     request.id,
@@ -146,43 +188,19 @@
             if outcome is not None:
                 return outcome
 
-    def _build_run_request(
+    def _refuse_quarantined(
         self, request: CallerRequest, progress: StreamProgress
-    ) -> RunRequest:
-        """Return the request to the owner for a slot for the next run."""
-        prompt = request.metadata.prompt or PromptMetadata(1, 1, 1)
-        now_s = self._clock.monotonic()
-        waited_ms = (now_s - request.arrived_s) * 1000
-        route = request.route
-        patience_ms = caller_patience_ms(route)
-        priority = route.priority
-        if progress.first_event_s is not None:
-            # The caller has part of the response. While it waits, completing
-            # that is worth more than beginning the response to another caller.
-            patience_ms -= int((now_s - progress.last_event_s) * 1000)
-            objective_ms = float(patience_ms)
-            priority = RESUME_PRIORITY
-        else:
-            objective_ms = self._ages.objective_left_ms(request) - waited_ms
-            patience_ms -= int(waited_ms)
-        generated_tokens = self._tokens_in(request, progress.splitter.events)
-        return RunRequest(
-            request.id,
-            request.service,
-            prompt.prompt_tokens,
-            max(1, prompt.expected_tokens - generated_tokens),
-            priority,
-            int(objective_ms),
-            max(0, min(patience_ms, request.left_ms(now_s))),
-            request.left_ms(now_s),
-            tuple(sorted(progress.excluded)),
-            route.max_gap_ms,
-            tuple(
-                sorted(
-                    progress.blocked_engines | self._starter.blocked_engines(request)
-                )
-            ),
+    ) -> StreamOutcome:
+        """Log and return the refusal of a request that would crash engines."""
+        self._metrics.quarantined_requests.inc()
+        log_event(
+            logger,
+            "request_quarantined",
+            request=request.id,
+            parts=",".join(self._quarantine.prompts.suspect_parts(request)),
+            runs=progress.runs,
         )
+        return quarantined_outcome(progress)
 
     def _tokens_in(self, request: CallerRequest, events: int) -> int:
         """Return the number of tokens that ``events`` events carry."""
@@ -196,7 +214,11 @@
         progress: StreamProgress,
         report: CompletionReport,
     ) -> StreamOutcome | None:
-        """Use a granted slot; return the outcome, None to ask for another."""
+        """Use a granted slot; return the outcome, None to ask for another.
+
+        Raises ``QuarantineError``.
+        """
+        progress.answer_began_s = None
         entry = self._starter.granted_engine(
             request, grant.decode_engine, grant.decode_address
         )
@@ -215,7 +237,7 @@
         try:
             stream = await self._starter.open(request, entry, progress)
         except RetryBudgetExhaustedError:
-            return self._incomplete_outcome(progress, "retry_budget")
+            return incomplete_outcome(progress, "retry_budget")
         except NotExecutedError as error:
             if error.overloaded:
                 report.full_engine = entry.id
@@ -229,7 +251,7 @@
             return self._after_broken_run(
                 request,
                 progress,
-                entry.id,
+                entry,
                 error.reason,
                 closed_by_engine=error.closed_by_engine,
             )
@@ -239,12 +261,13 @@
         if stream.status >= 500 and self._may_resume(request, progress):
             stream.abort_if_open()
             reason = f"status_{stream.status}"
-            return self._after_broken_run(request, progress, entry.id, reason)
-        return await self._forward(request, stream, progress, report)
+            return self._after_broken_run(request, progress, entry, reason)
+        return await self._forward(request, entry, stream, progress, report)
 
     async def _forward(
         self,
         request: CallerRequest,
+        entry: EngineEntry,
         stream: OpenStream,
         progress: StreamProgress,
         report: CompletionReport,
@@ -270,7 +293,7 @@
             return self._after_broken_run(
                 request,
                 progress,
-                stream.engine_id,
+                entry,
                 error.reason,
                 closed_by_engine=error.closed_by_engine,
             )
@@ -278,6 +301,7 @@
             stream.abort_if_open()
             run_events = splitter.events - progress.events_before
             report.gap_ms = stream.mean_gap_ms(run_events)
+        self._quarantine.prompts.record_answered(request)
         if progress.events_before == 0:
             report.generated_tokens = self._tokens_in(request, run_events)
         if not progress.sink.started:
@@ -308,6 +332,11 @@
         now_s = self._clock.monotonic()
         if progress.first_event_s is None:
             progress.first_event_s = now_s
+        if progress.answer_began_s is None:
+            progress.answer_began_s = now_s
+        if not progress.answer_recorded and self._is_answering(progress):
+            progress.answer_recorded = True
+            self._quarantine.prompts.record_answered(request)
         if stream.events_forwarded == 0:
             # If no prefill engine was used, this tells the owner that the
             # decode engine has prefilled the prompt.
@@ -344,7 +373,7 @@
             times=progress.rejections,
         )
         if progress.rejections > MAX_REJECTIONS:
-            return self._incomplete_outcome(progress, reason)
+            return incomplete_outcome(progress, reason)
         return None
 
     def _may_resume(self, request: CallerRequest, progress: StreamProgress) -> bool:
@@ -356,11 +385,18 @@
             return False
         return splitter.events == 0 or splitter.last_id is not None
 
+    def _is_answering(self, progress: StreamProgress) -> bool:
+        """Return whether the engine has survived the start of its answer."""
+        began_s = progress.answer_began_s
+        return (
+            began_s is not None and self._clock.monotonic() - began_s >= ANSWER_START_S
+        )
+
     def _after_broken_run(
         self,
         request: CallerRequest,
         progress: StreamProgress,
-        engine_id: str,
+        entry: EngineEntry,
         reason: str,
         *,
         closed_by_engine: bool = False,
@@ -371,7 +407,7 @@
             logger,
             "run_broken",
             request=request.id,
-            engine=engine_id,
+            engine=entry.id,
             reason=reason,
             runs=progress.runs,
             last_event=progress.splitter.last_id,
@@ -380,35 +416,11 @@
             parts=",".join(request.metadata.shared_parts) or None,
             continues=may_resume,
         )
-        progress.excluded.add(engine_id)
-        return None if may_resume else self._incomplete_outcome(progress, reason)
-
-    def _after_refusal(
-        self, progress: StreamProgress, error: AdmissionRefusedError
-    ) -> StreamOutcome:
-        """Return the outcome of a request to which no slot was granted."""
-        if progress.runs == 0:
-            response = refusal(
-                ResultCode.NO_CAPACITY_IN_TIME, error.reason, error.retry_after_s
-            )
-            return StreamOutcome(response.code, error.reason, response)
-        return self._incomplete_outcome(progress, error.reason)
-
-    def _incomplete_outcome(
-        self, progress: StreamProgress, reason: str, *, timed_out: bool = False
-    ) -> StreamOutcome:
-        """Return the outcome of a request without a complete response."""
-        if progress.sink.started:
-            return StreamOutcome(ResultCode.STREAM_INTERRUPTED, reason)
-        if progress.runs == 0 and not timed_out:
-            response = refusal(ResultCode.NO_CAPACITY_IN_TIME, reason, NO_SLOT_RETRY_S)
-        elif progress.sends == 0:
-            response = refusal(
-                ResultCode.DEADLINE_BEFORE_START, reason, NO_SLOT_RETRY_S
+        progress.excluded.add(entry.id)
+        if closed_by_engine and not self._is_answering(progress):
+            self._quarantine.observer.run_broken(request, entry, progress.trial_parts)
+            # The request itself runs on trial before the owner has decided.
+            progress.own_suspects.update(
+                self._quarantine.prompts.unknown_parts(request)
             )
-        else:
-            code = ResultCode.ENGINE_FAILED
-            if timed_out:
-                code = ResultCode.DEADLINE_EXCEEDED
-            response = failure(code, reason, timed_out=timed_out)
-        return StreamOutcome(response.code, reason, response)
+        return None if may_resume else incomplete_outcome(progress, reason)
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -34,6 +34,7 @@
     "not_reserved": "no engine had the slot that was granted",
     "objective_missed": "no slot was expected to be free within its objective",
     "partial_event": "the response of the engine ended within an event",
+    "prompt_quarantined": "engines crash under a part of its prompt",
     "prompt_not_read": "its prompt could not be prefilled",
     "retry_budget": "another send would have exceeded the retry budget",
     "saturated": "it was late while requests on time were refused",
@@ -44,6 +45,10 @@
     "servers_paused": "all backend servers had asked this host to send nothing",
     "silent": "the engine produced no event for too long",
     "stopping": "the host was shutting down and would have cut it off",
+    "trial_deferred": (
+        "an engine crashed under a part of its prompt, and all engines had too many "
+        "runs to try the part again"
+    ),
     "too_many_late": "the limit of waiting late requests was reached",
     "waited_too_long": "no slot became free within its objective",
     "withdrawn": "the host withdrew it from the queue",
@@ -130,6 +135,9 @@
 def _refusal_details(lines: Sequence[LogLine]) -> str:
     """Return the state of the queue that refused a request, or the limits."""
     refused = _last(lines, "place_refused")
+    quarantined = _last(lines, "request_quarantined")
+    if quarantined is not None:
+        return f" (parts {quarantined.get('parts')})"
     if refused is None:
         return _describe_limits(lines)
     return (
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -20,6 +20,7 @@
 from kumquat_relay.protocols import HostEntry
 
 from .builders import SERVICE, run_request
+from .quarantine_fleet import quarantine_of
 
 HOSTS = {"a": 1.0, "b": 1.0, "c": 1.0}
 
@@ -71,6 +72,7 @@
             self.owners,
             queue_owner=None,
             limits=KnownLimits(clock, cluster_state),
+            quarantine=quarantine_of("z", clock, cluster_state.registry).prompts,
         )
         self.preferred_owner = self.owners.owner(SERVICE)
 
--- a/tests/relay/test_crashing_prompt_part.py
+++ b/tests/relay/test_crashing_prompt_part.py
@@ -10,6 +10,7 @@
 
 from kumquat_relay.relay_host import RelayHost
 
+from .fakes import FakeEngine
 from .relay_harness import RelayHarness, run_scenario
 
 DEADLY = "dead"
@@ -84,3 +85,79 @@
         assert results == [(503, None)] * 8
 
     run_scenario(scenario, HOSTS)
+
+
+def test_part_is_not_refused_when_engines_crash_for_other_reasons() -> None:
+    """The engines are killed while a request with the part begins."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        for number in range(2):
+            parts = prompt("a", "session", f"x{number}")
+            for engine in harness.decode_engines:
+                engine.responsive.clear()
+            pending = asyncio.ensure_future(send(harness, parts))
+            await harness.wait_until(
+                lambda: any(
+                    "session" in _sent_parts(engine)
+                    for engine in harness.decode_engines
+                )
+            )
+            for engine in harness.decode_engines:
+                if "session" in _sent_parts(engine):
+                    await engine.crash()
+                engine.responsive.set()
+                engine.received.clear()
+            await pending
+            await asyncio.sleep(0.7)
+            status, _ = await send(harness, prompt("a", "session", f"y{number}"))
+            assert status == 200
+        for host in harness.hosts:
+            result = await send(harness, prompt("a", "session", "z"), host=host)
+            assert result == (200, None)
+
+    run_scenario(scenario, 2)
+
+
+def test_started_host_refuses_what_the_others_have_found() -> None:
+    async def scenario(harness: RelayHarness) -> None:
+        crash_on(harness, DEADLY)
+        await send_deadly(harness, 8, "tale")
+        await asyncio.sleep(0.6)
+        host = harness.new_host("h9")
+        await host.start()
+        harness.hosts.append(host)
+        await harness.wait_until(host.is_ready)
+        await asyncio.sleep(0.6)
+        before = reached(harness, DEADLY)
+        assert await send(harness, prompt("a", DEADLY, "n"), host=host) == (503, None)
+        assert reached(harness, DEADLY) == before
+
+    run_scenario(scenario, HOSTS)
+
+
+def test_second_part_is_found_after_the_first() -> None:
+    async def scenario(harness: RelayHarness) -> None:
+        crash_on(harness, DEADLY)
+        await send_deadly(harness, 8, "tale")
+        first = crashes(harness)
+        crash_on(harness, DEADLY, "bad")
+        for number in range(10):
+            host = harness.hosts[number % HOSTS]
+            await send(harness, prompt("a", "bad", f"b{number}"), host=host)
+            await asyncio.sleep(0.6)
+        assert crashes(harness) - first <= 5
+        for host in harness.hosts:
+            assert await send(harness, prompt("a", "bad", "q"), host=host) == (
+                503,
+                None,
+            )
+            assert await send(harness, prompt("a", "ok", "q"), host=host) == (200, None)
+
+    run_scenario(scenario, HOSTS)
+
+
+def _sent_parts(engine: FakeEngine) -> str:
+    """Return the prompts of the requests that an engine has received."""
+    return " ".join(
+        headers.get("x-prefix-hash", "") for _, _, headers, _ in engine.received
+    )
--- a/tests/relay/test_outlier_detection.py
+++ b/tests/relay/test_outlier_detection.py
@@ -27,6 +27,7 @@
 from kumquat_relay.relay_rules import RelayRules
 
 from .builders import SERVICE, SPEC, QueueHarness, engine, granted, run_request
+from .quarantine_fleet import quarantine_of
 
 ENGINES = 10
 FAULTY_ENGINES = {"d0"}
@@ -108,7 +109,18 @@
     registry.put(engine("p0", EngineRole.PREFILL), 100)
     probe = EngineProbe(None, health, registry)
     limits = LimitOwner(clock, cluster_state)
-    owner = QueueOwner("h0", clock, cluster_state, health, probe, limits, rules=rules)
+    quarantine = quarantine_of("h0", clock, registry)
+    owner = QueueOwner(
+        "h0",
+        clock,
+        cluster_state,
+        health,
+        probe,
+        limits,
+        quarantine.prompts,
+        quarantine.observer,
+        rules=rules,
+    )
     first = asyncio.ensure_future(
         owner.admit(run_request("first", objective_ms=60_000), "h0")
     )
--- a/tests/relay/test_unframed_responses.py
+++ b/tests/relay/test_unframed_responses.py
@@ -52,6 +52,8 @@
         connection.send("POST", "/", [(b"Host", b"engine")], b"body")
         await connection.read_head()
         await check(connection)
+        connection.abort()
+        await asyncio.sleep(0)
         server.close()
 
     asyncio.run(run())
