Let the soak play prompt parts that crash engines

Callers add a part to some prompts for 4 to 9 s while all fake engines crash under it and start again 1.5 s later. The check counts the requests with the part that reach engines from 3 s after the fifth crash under it: more than three are a violation. Engines of the soak stand behind proxies that accept and close connections after a crash, which counts as refused.

A second crash before the restart now does nothing.

--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -219,6 +219,11 @@
         # answer. It starts again after ``restart_s`` as a new incarnation.
         self.crashing_parts: set[str] = set()
         self.crashes = 0
+        # Loop times of the crashes and of arrivals by crashing part.
+        self.crash_times: list[tuple[str, float]] = []
+        self.deadly_arrivals: list[tuple[str, float]] = []
+        # Whether it starts again under the same id.
+        self.keeps_id = False
         self.restart_s = 0.4
         self.on_restart: Callable[[str], None] = lambda previous_id: None
         self._restart: asyncio.Task[None] | None = None
@@ -232,6 +237,8 @@
 
     async def crash(self) -> None:
         """End all connections and accept none until the restart."""
+        if self._restart is not None and not self._restart.done():
+            return
         self.crashes += 1
         for site in list(self._runner.sites):
             await site.stop()
@@ -241,7 +248,8 @@
     async def _start_again(self) -> None:
         await asyncio.sleep(self.restart_s)
         previous_id = self.id
-        self.id = f"{previous_id.partition('.')[0]}.{self.crashes}"
+        if not self.keeps_id:
+            self.id = f"{previous_id.partition('.')[0]}.{self.crashes}"
         self.born_ms += 1000
         await web.TCPSite(
             self._runner, "127.0.0.1", self.address.port, reuse_address=True
@@ -292,6 +300,9 @@
         if request.path.startswith("/api/"):
             return self._api(request, body)
         self.received.append((request.method, request.raw_path, headers, body))
+        self.deadly_arrivals += [
+            (part, self.arrivals_s[-1]) for part in self._deadly_parts(headers)
+        ]
         try:
             await self.responsive.wait()
             return await self._serve(request, headers)
@@ -350,6 +361,13 @@
             )
         return await self._stream(request, headers, response_headers)
 
+    def _deadly_parts(self, headers: dict[str, str]) -> set[str]:
+        """Return the parts of a prompt under which this engine crashes."""
+        parts = headers.get("x-prefix-hash", "").split(",")[:-1]
+        return self.crashing_parts.intersection(
+            part.partition(":")[0] for part in parts
+        )
+
     def _not_executed(self, request_id: str) -> web.Response:
         headers = {"X-Not-Executed": "1", "X-Request-Id": request_id}
         return web.Response(status=503, headers=headers)
@@ -369,9 +387,11 @@
         )
         response.enable_chunked_encoding()
         await response.prepare(request)
-        parts = headers.get("x-prefix-hash", "").split(",")[:-1]
-        if self.crashing_parts.intersection(part.partition(":")[0] for part in parts):
+        deadly_parts = self._deadly_parts(headers)
+        if deadly_parts:
             await asyncio.sleep(self.gap_s)
+            now_s = asyncio.get_running_loop().time()
+            self.crash_times += [(part, now_s) for part in deadly_parts]
             await self.crash()
             return response
         first_event = int(headers.get("last-event-id", "0")) + 1
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import zlib
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -17,6 +19,8 @@
 # Callers time out this long after the deadline; no response may take longer.
 TIMEOUT_AFTER_DEADLINE_S = 1.0
 ROUTES = ("once", "again", "story", "tale")
+# Part of the prompts that contain a shared part, if there are any.
+SHARED_PART_SHARE = 0.3
 DISCONNECT_SHARE = 0.05
 EVENT_SEPARATOR = b"\n\n"
 
@@ -57,7 +61,7 @@
     """Sends one request at a time, each to a random host.
 
     ``disconnect_share`` is the share of requests whose caller disconnects
-    before it has the response.
+    before it has the response. Some prompts contain one of ``shared_parts``.
     """
 
     def __init__(
@@ -65,8 +69,10 @@
         name: str,
         rng: random.Random,
         addresses_by_host: dict[str, Address],
+        shared_parts: Sequence[str] = (),
         disconnect_share: float = DISCONNECT_SHARE,
     ) -> None:
+        self._shared_parts = shared_parts
         self._disconnect_share = disconnect_share
         self._name = name
         self._rng = rng
@@ -125,6 +131,13 @@
             )
         )
 
+    def _prompt_parts(self, request_id: str) -> str:
+        """Return the parts of a prompt; the last is that of the request."""
+        shared = ""
+        if self._shared_parts and self._rng.random() < SHARED_PART_SHARE:
+            shared = f"{self._rng.choice(self._shared_parts)}:200,"
+        return f"ab:200,{shared}{zlib.crc32(request_id.encode()):x}:4600"
+
     def _post(
         self, session: aiohttp.ClientSession, host_id: str, route: str, request_id: str
     ) -> "aiohttp.client._RequestContextManager":
@@ -134,7 +147,7 @@
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Model": "m",
             "X-Token-Counts": "5000,6000",
-            "X-Prefix-Hash": "ab:5000",
+            "X-Prefix-Hash": self._prompt_parts(request_id),
         }
         address = self._addresses_by_host[host_id]
         url = URL(f"http://{address.text}/{route}/p%2Fq?x=1", encoded=True)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -22,6 +22,11 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+# From this time after so many crashes under a prompt part, only a few more
+# requests with it may reach engines.
+DEADLY_APPLY_S = 3.0
+DEADLY_CRASHES = 5
+DEADLY_EXTRA = 3
 
 
 @dataclass(frozen=True)
@@ -47,6 +52,7 @@
         *_find_altered_requests(sent, engines),
         *_find_missing_responses(sent, host_outages),
         *_find_exceeded_limits(engines),
+        *_find_deadly_requests(engines),
     ]
 
 
@@ -170,6 +176,28 @@
     return violations
 
 
+def _find_deadly_requests(engines: Sequence[FakeEngine]) -> list[str]:
+    """Return parts that were sent too often after five crashes under them."""
+    violations = []
+    crashes = sorted(item for engine in engines for item in engine.crash_times)
+    for part in sorted({part for part, _ in crashes}):
+        times = sorted(time for crashed, time in crashes if crashed == part)
+        if len(times) < DEADLY_CRASHES:
+            continue
+        from_s = times[DEADLY_CRASHES - 1] + DEADLY_APPLY_S
+        late = sum(
+            sent == part and time > from_s
+            for engine in engines
+            for sent, time in engine.deadly_arrivals
+        )
+        if late > DEADLY_EXTRA:
+            violations.append(
+                f"{late} requests with part {part} reached engines after "
+                f"{DEADLY_CRASHES} of {len(times)} crashes under it"
+            )
+    return violations
+
+
 def _find_missing_responses(
     sent: Sequence[SentRequest], host_outages: Sequence[HostOutage]
 ) -> list[str]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,7 @@
 # Limits below the load of each engine; hosts can apply them in these times.
 LIMITS_PER_S = (0.5, 1.0, 2.0)
 LIMIT_DURATION_S = (7.0, 12.0)
+DEADLY_PART_DURATION_S = (4.0, 9.0)
 
 _FAULTY_LINK_STATES = (
     LinkState.DELAYED,
@@ -67,6 +68,7 @@
             "engine_answers_lost": self._drop_engine_responses,
             "engine_silent": self._silence_engine,
             "engine_limited": self._limit_engine,
+            "prompt_part_deadly": self._crash_under_prompt_part,
             "configuration": self._change_configuration,
         }
 
@@ -273,6 +275,18 @@
         engine.end_limit()
         self._targets_in_use.discard(engine.id)
 
+    async def _crash_under_prompt_part(self) -> None:
+        """Let callers send a part under which all model engines crash."""
+        if self._acquire_target(["prompt parts"]) is None:
+            return
+        part = f"dead{self.counts['prompt_part_deadly']:x}"
+        for engine in self._harness.engines:
+            engine.crashing_parts.add(part)
+        self._harness.shared_parts.append(part)
+        await asyncio.sleep(self._rng.uniform(*DEADLY_PART_DURATION_S))
+        self._harness.shared_parts.remove(part)
+        self._targets_in_use.discard("prompt parts")
+
     async def _change_configuration(self) -> None:
         self._harness.change_configuration(self._rng.choice((2500, 3000)))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,7 +65,12 @@
     async with SoakHarness(folder, hosts) as harness:
         addresses = {key: link.address for key, link in harness.caller_links.items()}
         callers = [
-            SoakCaller(f"c{number}", random.Random(rng.random()), addresses)
+            SoakCaller(
+                f"c{number}",
+                random.Random(rng.random()),
+                addresses,
+                harness.shared_parts,
+            )
             for number in range(CALLERS)
         ]
         faults = FaultInjector(harness, rng)
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import signal
 from pathlib import Path
@@ -23,6 +24,7 @@
 PROCESSING_S = 0.03
 GAP_S = 0.02
 EVENTS = 12
+ENGINE_RESTART_S = 1.5
 
 
 class SoakHarness:
@@ -45,6 +47,8 @@
         self.engine_links: dict[str, LoopbackProxy] = {}
         self.peer_links: dict[str, LoopbackProxy] = {}
         self.version = 3
+        # Parts that callers add to some prompts.
+        self.shared_parts: list[str] = []
         self._folder = folder
         self._host_count = host_count
 
@@ -67,6 +71,9 @@
                 EVENTS,
             )
             await engine.start()
+            engine.keeps_id = True
+            engine.restart_s = ENGINE_RESTART_S
+            engine.on_restart = functools.partial(self._list_again, engine)
             link = self.engine_links[engine.id] = LoopbackProxy(engine.address)
             await link.start()
             engine.advertised_address = link.address
@@ -95,6 +102,9 @@
         service = PLAIN if engine.stage is None else LLM
         self.store.put("servers", engine.id, engine.entry(service, state))
 
+    def _list_again(self, engine: FakeEngine, previous_id: str) -> None:
+        self.list_engine(engine)
+
     def change_configuration(self, timeout_ms: int) -> None:
         """Write the next configuration, with another timeout of all routes."""
         self.version += 1
