--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -49,6 +49,15 @@
         raise NotImplementedError
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows, history and version of a store at one moment."""
+
+    rows: dict[tuple[str, str], Row]
+    history: list[Row]
+    version: int
+
+
 class FakeStore(_Server):
     """A fake of the platform's store: rows, transactions and feeds."""
 
@@ -64,6 +73,23 @@
         # Applied to each row that hosts write, such as to change addresses.
         self.transform_write: Callable[[Row], Row] = lambda row: row
         self._changed = asyncio.Event()
+        # Rises each time the store comes back from an older copy.
+        self.era = 1
+        # Keys of the rows that transactions have written, in order.
+        self.written: list[tuple[str, str]] = []
+
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can come back."""
+        return StoreCopy(dict(self.rows), list(self.history), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; everything written since then is lost."""
+        self.rows, self.history = dict(copy.rows), list(copy.history)
+        self.version = copy.version
+        self.era += 1
+        self.abort_connections()
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, document: Any) -> None:
         value = base64.b64encode(json.dumps(document).encode()).decode()
@@ -97,6 +123,12 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        era = self.era
+        response = await self._answer(request)
+        response.headers["Store-Era"] = str(era)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.unavailable:
             return web.Response(status=503)
         match request.path:
@@ -132,7 +164,7 @@
     async def _feed(self, request: web.BaseRequest) -> web.Response:
         query = request.query
         after, deadline_ms = int(query["after"]), int(query["wait_ms"])
-        if after < self.oldest_version:
+        if after < self.oldest_version or after > self.version:
             return web.Response(status=410)
         end_s = asyncio.get_running_loop().time() + deadline_ms / 1000
         while True:
@@ -156,6 +188,7 @@
             if (row["ver"] if row else 0) != expected["ver"]:
                 return web.json_response({"rows": []}, status=412)
         for row in body["writes"]:
+            self.written.append((row["table"], row["key"]))
             self._write(self.transform_write(row))
         for row in body["remove"]:
             self.remove(row["table"], row["key"])
