Order the state in the store by era before version

Callers of a route that was added after the store had come back from an older copy could get 404 for as long as the host lived, requests could go to an engine that had been removed, and a new engine could get none. Hosts that started later found no other, and an order could bear a lower fence than an earlier one.

Cause: positions, entries, hosts, removals, lease conditions and fences were compared by the store's version alone, which goes back and is given out again when the store comes back from a copy. A host whose position the new versions had passed got no 410 and missed what lay below it. The class of fault is an order or a cache that takes a version of another system as ever growing.

Versions now carry the era that all answers of the store name. A host that hears of a new one, from any answer or from an owner, reads all tables again; answers of earlier eras are discarded. Entries that engines have not written since the copy change nothing: a shutdown does not end, and a removed engine stays out until a heartbeat shows that it lives. The configuration in force stays, an older one is logged. Each host writes its entry again within a second if it is missing or differs, and the first one the peer key, so there are no two writers of a row; a changed key is adopted. A lease of an earlier era is void, nobody uses one for the longest time that a takeover takes, and fences have the era first.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -199,7 +199,8 @@
     host should own the service. ``configuration`` is the configuration version
     that the owner uses. ``limits`` are the request rates that servers have
     named, None if the digest of the report is that of these rates.
-    ``evidence_digest`` is as in ``RunGrant``.
+    ``evidence_digest`` is as in ``RunGrant``, ``store_era`` the newest era of
+    the store that the owner knows, 0 for the first.
     """
 
     host_id: str
@@ -208,3 +209,4 @@
     configuration: int = -1
     limits: tuple[ServerLimit, ...] | None = field(default=(), metadata=LATER_FIELD)
     evidence_digest: int = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
+    store_era: int = field(default=0, metadata=LATER_FIELD)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -373,6 +373,8 @@
             self._limits.merge(service, reply.limits)
         await self._quarantine.synchronize(service, owner, reply.evidence_digest)
         self._cluster_state.record_owner_version(reply.configuration)
+        if reply.store_era:
+            self._cluster_state.observe_era(reply.store_era, owner)
         if self._owners.set_outdated(owner, reply.outdated):
             log_event(logger, "owner_outdated", peer=owner, outdated=reply.outdated)
         if self._owners.mark_reachable(owner):
--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -15,6 +15,7 @@
 from .engine_registry import EngineEntry, EngineRegistry
 from .protocols import Change, Changes, HostEntry, StateKind
 from .routes import EngineSpec, RouteTable
+from .store_version import FIRST_ERA, NO_VERSION, StoreVersion
 
 __all__ = ["DEFAULT_NOTICE_S", "ClusterState"]
 
@@ -23,6 +24,10 @@
 OUTDATED_MARGIN_S = 1.0
 # Detection time where the settings do not set one.
 DEFAULT_NOTICE_S = 3.0
+# After the store has come back from a copy, hosts write their entries again
+# within this time, and engines that live write a heartbeat.
+HOSTS_GRACE_S = 4.0
+ENGINES_RECHECK_S = 5.0
 # Idle hosts report to an owner at least every 2 s.
 OWNER_VERSION_TTL_S = 3.0
 
@@ -36,6 +41,9 @@
     change of the engines or hosts. ``on_engine_removed`` and
     ``on_engine_restarted`` receive the entry concerned, and
     ``on_newer_version`` runs when an owner has a newer configuration.
+    ``on_era_changed`` runs when the store has come back from an older copy,
+    ``on_engines_uncertain`` when the engines have to be read once more after
+    that.
     """
 
     def __init__(
@@ -54,7 +62,16 @@
         self.on_newer_version: Callable[[], None] = lambda: None
         self._owner_version = -1
         self._owner_version_at_s = float("-inf")
-        self._host_versions_by_id: dict[str, int] = {}
+        self._host_versions_by_id: dict[str, StoreVersion] = {}
+        self._left_incarnations_by_host: dict[str, int] = {}
+        self._missing_host_ids: set[str] = set()
+        self._hosts_due_s = float("inf")
+        self._engines_recheck_s = float("inf")
+        # The newest era of the store that this host has heard of, None before
+        # the first answer.
+        self.era: int | None = None
+        self.on_era_changed: Callable[[], None] = lambda: None
+        self.on_engines_uncertain: Callable[[], None] = lambda: None
         self._engines_current_at_s = clock.monotonic()
         self._loaded_kinds: set[StateKind] = set()
 
@@ -96,6 +113,42 @@
         """Return the version of the configuration, or -1 without one."""
         return self.routes.version if self.routes is not None else -1
 
+    def observe_era(self, era: int, source: str) -> bool:
+        """Record the era of an answer; return whether it is not outdated.
+
+        ``source`` is written to the log. An answer of an earlier era was on
+        its way when the store came back from its copy.
+        """
+        if self.era is None or era == self.era:
+            if self.era is None:
+                log_event(logger, "store_era", source=source, era=era)
+            self.era = era
+            return True
+        if era < self.era:
+            log_event(
+                logger, "store_answer_outdated", source=source, era=era, newer=self.era
+            )
+            return False
+        log_event(
+            logger,
+            "store_era_changed",
+            level=logging.WARNING,
+            source=source,
+            era=era,
+            previous=self.era,
+        )
+        self.era = era
+        now_s = self._clock.monotonic()
+        self.registry.store_reconnected(now_s)
+        self._hosts_due_s = now_s + HOSTS_GRACE_S
+        self._engines_recheck_s = now_s + ENGINES_RECHECK_S
+        self.on_era_changed()
+        return True
+
+    def later_era(self) -> int:
+        """Return the newest era, 0 for a store never restored from a copy."""
+        return self.era if self.era is not None and self.era > FIRST_ERA else 0
+
     def record_owner_version(self, version: int) -> None:
         """Record the configuration version that an owner reported."""
         self._owner_version_at_s = self._clock.monotonic()
@@ -140,7 +193,12 @@
                 self._engine_removed(entries[engine_id], snapshot.version, "not listed")
             self.on_engines_changed()
         elif kind is StateKind.HOSTS:
-            for host_id in set(self.hosts_by_id) - keys:
+            missing = set(self.hosts_by_id) - keys
+            if self._clock.monotonic() < self._hosts_due_s < float("inf"):
+                # They write their entries again.
+                self._missing_host_ids = missing
+                missing = set()
+            for host_id in missing:
                 self._remove_host(host_id, snapshot.version)
         self._loaded_kinds.add(kind)
 
@@ -187,9 +245,19 @@
 
     def apply_deferred_removals(self) -> None:
         """Apply the removals deferred by the grace period that are now due."""
+        now_s = self._clock.monotonic()
+        if now_s >= self._hosts_due_s and self.era is not None:
+            self._hosts_due_s = float("inf")
+            for host_id in sorted(self._missing_host_ids):
+                self._remove_host(host_id, StoreVersion(self.era, 0))
+            self._missing_host_ids.clear()
+        if now_s >= self._engines_recheck_s:
+            self._engines_recheck_s = float("inf")
+            if self.registry.has_restored():
+                self.on_engines_uncertain()
         entries = {entry.id: entry for entry in self.registry.all_entries()}
         for engine_id in self.registry.expire(self._clock.monotonic()):
-            self._engine_removed(entries[engine_id], 0, "did not return")
+            self._engine_removed(entries[engine_id], None, "did not return")
             self.on_engines_changed()
 
     def _apply_routes(self, item: Change) -> None:
@@ -198,6 +266,14 @@
             return
         current = self.version
         if table.version <= current:
+            if table.version < current:
+                log_event(
+                    logger,
+                    "configuration_older",
+                    version=table.version,
+                    in_force=current,
+                    store_version=item.version,
+                )
             return
         self.routes = table
         log_event(
@@ -239,7 +315,9 @@
                 version=item.version,
             )
 
-    def _engine_removed(self, entry: EngineEntry, version: int, reason: str) -> None:
+    def _engine_removed(
+        self, entry: EngineEntry, version: StoreVersion | None, reason: str
+    ) -> None:
         """Log the removal, clear its health state, and run the callback."""
         self._health.remove(entry.id)
         log_event(
@@ -249,11 +327,24 @@
 
     def _apply_host(self, item: Change) -> None:
         """Add, update or remove a host unless a newer version is known."""
-        if self._host_versions_by_id.get(item.key, -1) >= item.version:
+        if self._host_versions_by_id.get(item.key, NO_VERSION) >= item.version:
             return
         if not isinstance(item.value, HostEntry):
+            known = self.hosts_by_id.get(item.key)
+            if known is not None and item.removed:
+                self._left_incarnations_by_host[item.key] = known.incarnation
             self._remove_host(item.key, item.version)
             return
+        known = self.hosts_by_id.get(item.key)
+        newest = max(
+            self._left_incarnations_by_host.get(item.key, -1),
+            known.incarnation - 1 if known is not None else -1,
+        )
+        if item.value.incarnation <= newest:
+            # An older copy of an entry; its process has ended.
+            self._host_versions_by_id[item.key] = item.version
+            return
+        self._missing_host_ids.discard(item.key)
         self._host_versions_by_id[item.key] = item.version
         self.hosts_by_id[item.key] = item.value
         log_event(
@@ -265,7 +356,7 @@
         )
         self.on_hosts_changed()
 
-    def _remove_host(self, host_id: str, version: int) -> None:
+    def _remove_host(self, host_id: str, version: StoreVersion) -> None:
         self._host_versions_by_id[host_id] = version
         if self.hosts_by_id.pop(host_id, None) is not None:
             log_event(logger, "host_gone", host=host_id, version=version)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -4,7 +4,10 @@
 are reused by other services, and the store that lists the engines may have an
 outage.
 
-An entry with an older version than one already seen is ignored. During a store
+An entry with an older version than one already seen is ignored. If the store
+has come back from an older copy, an entry that its engine has not written
+since changes nothing: it neither ends a shutdown nor brings back an engine
+that was removed. During a store
 outage, entries of running engines may expire. Removals that arrive within
 ``RECOVERY_GRACE_S`` after the store is reachable again are therefore deferred
 until the end of that period, so that engines whose entries are restored remain
@@ -16,11 +19,13 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from kumquat_core.settings import Address
 
+from .store_version import StoreVersion
+
 __all__ = ["UNKNOWN_BORN_MS", "EngineEntry", "EngineRegistry", "EngineRole"]
 
 # The platform restores the entries of running engines within about 2 s after a
@@ -45,7 +50,8 @@
 class EngineEntry:
     """One incarnation of an engine or a backend server.
 
-    ``born_ms`` is the start of the process in Unix milliseconds.
+    ``born_ms`` is the start of the process in Unix milliseconds, and
+    ``heartbeat`` rises with each write of the entry by its engine.
     """
 
     id: str
@@ -56,6 +62,7 @@
     draining: bool
     role: EngineRole | None = None
     born_ms: int = 0
+    heartbeat: int = field(default=0, compare=False)
 
 
 @dataclass
@@ -63,16 +70,29 @@
     """An entry with its version and the time of its deferred removal."""
 
     entry: EngineEntry
-    version: int
+    version: StoreVersion
     remove_at_s: float | None = None
 
 
+@dataclass
+class _RemovedEntry:
+    """The last entry of a removed engine, and the version of its removal.
+
+    ``restored_heartbeat`` is that of an entry which is back in a later era,
+    -1 without one.
+    """
+
+    entry: EngineEntry
+    version: StoreVersion
+    restored_heartbeat: int = -1
+
+
 class EngineRegistry:
     """Holds the newest entry of each engine and backend server."""
 
     def __init__(self) -> None:
         self._known_by_id: dict[str, _KnownEntry] = {}
-        self._removed_versions_by_id: dict[str, int] = {}
+        self._removed_by_id: dict[str, _RemovedEntry] = {}
         self._leaving_born_ms_by_id: dict[str, int] = {}
         # Incremented with each change of an entry.
         self.revision = 0
@@ -82,19 +102,61 @@
         """Record that the store is reachable again after an outage."""
         self._reconnected_s = now_s
 
-    def put(self, entry: EngineEntry, version: int) -> bool:
+    def put(self, entry: EngineEntry, version: StoreVersion) -> bool:
         """Store an entry; return false if a newer or equal one is known."""
         known = self._known_by_id.get(entry.id)
         if known is not None and known.version >= version:
             return False
-        if self._removed_versions_by_id.get(entry.id, -1) >= version:
+        removed = self._removed_by_id.get(entry.id)
+        if removed is not None and removed.version >= version:
+            return False
+        if (
+            known is not None
+            and known.version.era != version.era
+            and known.entry.draining
+            and _is_same(entry, known.entry)
+        ):
+            # A shutdown does not end within an incarnation.
+            self.announce_leaving(entry.id, entry.born_ms)
+        if known is not None and _is_older_copy(entry, version, known):
+            # Listed again, so it is not removed after the grace period.
+            known.version, known.remove_at_s = version, None
+            return False
+        if known is None and removed and self._is_restored(entry, version, removed):
             return False
+        self._removed_by_id.pop(entry.id, None)
         self.revision += 1
         self._known_by_id[entry.id] = _KnownEntry(
             self._with_announced_leaving(entry), version
         )
         return True
 
+    def _is_restored(
+        self, entry: EngineEntry, version: StoreVersion, removed: _RemovedEntry
+    ) -> bool:
+        """Return whether an entry of a removed engine is only an older copy.
+
+        The first one in an era may be; a later heartbeat shows that the engine
+        lives.
+        """
+        if not _is_same(entry, removed.entry):
+            return entry.born_ms < removed.entry.born_ms
+        is_first = version.era != removed.version.era
+        if not is_first and entry.heartbeat > removed.restored_heartbeat >= 0:
+            return False
+        if is_first:
+            removed.restored_heartbeat = entry.heartbeat
+        elif removed.restored_heartbeat < 0:
+            return False
+        removed.version = version
+        return True
+
+    def has_restored(self) -> bool:
+        """Return whether entries of removed engines may be older copies."""
+        return any(
+            item.restored_heartbeat >= 0 for item in self._removed_by_id.values()
+        )
+
     def announce_leaving(self, engine_id: str, born_ms: int) -> bool:
         """Record that an incarnation has announced itself that it is leaving.
 
@@ -130,7 +192,7 @@
             del self._leaving_born_ms_by_id[entry.id]
         return replace(entry, draining=entry.draining or born_ms == entry.born_ms)
 
-    def remove(self, engine_id: str, version: int, now_s: float) -> bool:
+    def remove(self, engine_id: str, version: StoreVersion, now_s: float) -> bool:
         """Remove an entry, or defer this while the store recovers.
 
         Returns whether the entry was removed at once.
@@ -138,14 +200,16 @@
         known = self._known_by_id.get(engine_id)
         if known is None or known.version > version:
             return False
-        self._removed_versions_by_id[engine_id] = version
+        self._removed_by_id[engine_id] = _RemovedEntry(known.entry, version)
         if now_s < self._reconnected_s + RECOVERY_GRACE_S:
             known.remove_at_s = self._reconnected_s + RECOVERY_GRACE_S
             return False
         self._delete(engine_id)
         return True
 
-    def retain(self, engine_ids: set[str], version: int, now_s: float) -> list[str]:
+    def retain(
+        self, engine_ids: set[str], version: StoreVersion, now_s: float
+    ) -> list[str]:
         """Remove all entries except these; return the ids removed at once."""
         missing = [key for key in self._known_by_id if key not in engine_ids]
         return [key for key in missing if self.remove(key, version, now_s)]
@@ -178,7 +242,7 @@
 
     def was_removed(self, engine_id: str) -> bool:
         """Tell whether the store has reported the removal of an entry."""
-        return engine_id in self._removed_versions_by_id
+        return engine_id in self._removed_by_id
 
     def usable(
         self, service: str, role: EngineRole | None = None
@@ -194,3 +258,22 @@
     def all_entries(self) -> list[EngineEntry]:
         """Return all known entries, including those of draining engines."""
         return [known.entry for known in self._known_by_id.values()]
+
+
+def _is_same(entry: EngineEntry, other: EngineEntry) -> bool:
+    """Return whether two entries are of one incarnation of an engine."""
+    return entry.born_ms == other.born_ms
+
+
+def _is_older_copy(
+    entry: EngineEntry, version: StoreVersion, last: _KnownEntry
+) -> bool:
+    """Return whether an entry of a later era was written in an earlier one.
+
+    The engine has not written it since the store came back from its copy.
+    """
+    if version.era == last.version.era or entry.born_ms > last.entry.born_ms:
+        return False
+    if entry.born_ms < last.entry.born_ms:
+        return True
+    return entry.heartbeat <= last.entry.heartbeat
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -83,6 +83,8 @@
         )
         for kind in StateKind
     }
+    engines = watches_by_kind[StateKind.ENGINES]
+    cluster_state.on_engines_uncertain = engines.read_again
     configuration = watches_by_kind[StateKind.CONFIGURATION]
     cluster_state.on_newer_version = lambda: configuration.repoll_if_behind(
         cluster_state.is_behind
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -15,6 +15,7 @@
 from .engine_connection import ResponseHead
 from .engine_registry import EngineEntry, EngineRole
 from .routes import RouteTable
+from .store_version import StoreVersion
 
 __all__ = [
     "Change",
@@ -66,7 +67,7 @@
     """
 
     key: str
-    version: int
+    version: StoreVersion
     value: RouteTable | EngineEntry | HostEntry | None
     removed: bool = False
     problem: str = ""
@@ -76,7 +77,7 @@
 class Changes:
     """Changed objects in order of their versions, up to ``version``."""
 
-    version: int
+    version: StoreVersion
     items: tuple[Change, ...]
 
 
@@ -86,13 +87,14 @@
 
     ``used_until_ms`` is the end of its validity, None if there is no lease or
     it cannot be parsed, and ``store_ms`` the time of the response. Both are on
-    the store's monotonic clock.
+    the store's monotonic clock. ``era`` is that of the response.
     """
 
     holder: str
     version: int
     used_until_ms: int | None
     store_ms: int
+    era: int = 0
 
 
 class StoreError(Exception):
@@ -114,11 +116,13 @@
         """Return all objects of a kind; raises ``StoreError``."""
 
     async def wait_for_changes(
-        self, kind: StateKind, after: int, wait_s: float
+        self, kind: StateKind, after: StoreVersion, wait_s: float
     ) -> Changes:
         """Wait for changes after a version; return none after ``wait_s``.
 
-        Raises ``HistoryLostError`` and ``StoreError``.
+        The version of the result has another era if the store has come back
+        from a copy; its items are then incomplete. Raises ``StoreError``, and
+        ``HistoryLostError`` if the store no longer has the changes.
         """
 
     async def put_host(self, entry: HostEntry) -> None:
@@ -127,6 +131,12 @@
     async def remove_host(self, host_id: str) -> None:
         """Remove the entry of a host; raises ``StoreError``."""
 
+    async def has_host(self, entry: HostEntry) -> bool:
+        """Return whether the store has the entry of a host as it is.
+
+        Raises ``StoreError``.
+        """
+
     async def peer_key(self, proposal: bytes) -> bytes:
         """Return the key that all hosts share.
 
@@ -135,7 +145,7 @@
 
     async def acquire_lease(
         self, name: str, holder: str, used_until_ms: int, expected: int
-    ) -> int:
+    ) -> StoreVersion:
         """Write a lease if its version is ``expected``; return the new one.
 
         Raises ``WriteConflictError`` if the lease has another version.
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -203,6 +203,7 @@
             self._cluster_state.version,
             self._limits.apply_report(message, host_id),
             self._quarantine.digest(message.service),
+            self._cluster_state.later_era(),
         )
 
     def drop_expired(self) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -43,6 +43,7 @@
 from .response_memory import ResponseMemory
 from .role_controller import RoleController
 from .status_server import MetricsServer, ReadinessServer
+from .store_registration import StoreRegistration
 from .stream_relay import StreamRelay
 from .timer_task import TimerTask
 
@@ -53,9 +54,6 @@
 CLEANUP_PERIOD_S = 0.5
 PLANNING_PERIOD_S = 0.5
 COMMAND_LEASE_NAME = "engine_orders"
-# A host owns no queues until it is in the host list; the store responds in
-# 4 ms.
-REGISTER_RETRY_S = 0.3
 PEER_KEY_BYTES = 32
 # Limits how long a graceful shutdown waits for the store.
 DEREGISTER_TIMEOUT_S = 0.4
@@ -141,8 +139,22 @@
         )
         self._supervisor: Supervisor | None = None
         self._peer_services: Supervisor | None = None
-        self._registration_task: asyncio.Task[None] | None = None
-        lease = CommandLease(
+        self._peer_key: bytes | None = None
+        self._registration = StoreRegistration(
+            HostEntry(
+                options.host_id,
+                options.peers,
+                options.failure_domain,
+                self._incarnation,
+                options.strength,
+            ),
+            store,
+            secrets.token_bytes(PEER_KEY_BYTES),
+            parts.rng,
+            self._listen_for_peers,
+            parts.metrics.rewritten_rows.inc,
+        )
+        self._lease = CommandLease(
             COMMAND_LEASE_NAME,
             options.host_id,
             store,
@@ -154,7 +166,7 @@
             parts.cluster_state,
             parts.health,
             self._queue_owner,
-            lease,
+            self._lease,
             parts.pool,
             dialect,
             options.host_id,
@@ -168,6 +180,8 @@
         )
         self._notices.on_notice = self._admission.forward_notice
         parts.cluster_state.on_hosts_changed = self._hosts_changed
+        parts.cluster_state.on_era_changed = self._era_changed
+        self._watches = build_watches(store, options, parts, self._owner_selection)
 
     @classmethod
     def from_config(
@@ -204,13 +218,13 @@
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
-            *build_watches(self._store, options, parts, self._owner_selection),
+            *self._watches,
             self._build_caller_server(),
             TimerTask(timers),
         ]
         self._supervisor = Supervisor(services)
         await self._supervisor.start()
-        self._registration_task = asyncio.ensure_future(self._register())
+        self._registration.start()
 
     async def drain(self) -> None:
         """Begin the graceful shutdown and return when the process may exit.
@@ -221,8 +235,7 @@
         shutdown = self._parts.shutdown
         shutdown.begin()
         log_event(logger, "stopping", in_progress=shutdown.in_progress)
-        if self._registration_task is not None:
-            self._registration_task.cancel()
+        self._registration.cancel()
         try:
             async with asyncio.timeout(DEREGISTER_TIMEOUT_S):
                 await self._store.remove_host(self._options.host_id)
@@ -233,6 +246,7 @@
     async def stop(self) -> None:
         """Stop all services and close all connections."""
         in_progress = self._parts.shutdown.in_progress
+        self._registration.cancel()
         self._probe.close()
         self._quarantine.observer.close()
         if self._peer_services is not None:
@@ -291,34 +305,14 @@
             parts.metrics,
         )
 
-    async def _register(self) -> None:
-        """Agree on the peer key, listen for peers and join the host list.
-
-        Retries until the store has accepted the entry of this host.
-        """
-        options = self._options
-        while True:
-            try:
-                key = await self._store.peer_key(secrets.token_bytes(PEER_KEY_BYTES))
-                await self._listen_for_peers(key)
-                entry = HostEntry(
-                    options.host_id,
-                    options.peers,
-                    options.failure_domain,
-                    self._incarnation,
-                    options.strength,
-                )
-                await self._store.put_host(entry)
-                log_event(logger, "host_entered", host=options.host_id)
-                return
-            except StoreError as error:
-                log_event(logger, "host_not_entered", reason=str(error))
-                await asyncio.sleep(REGISTER_RETRY_S)
-
     async def _listen_for_peers(self, key: bytes) -> None:
-        """Start the server for peers unless it is already running."""
-        if self._peer_services is not None:
+        """Start the server for peers, again if the key has changed."""
+        if key == self._peer_key:
             return
+        if self._peer_services is not None:
+            log_event(logger, "peer_key_changed", host=self._options.host_id)
+            await self._peer_services.stop()
+        self._peer_key = key
         identity = PeerIdentity(self._options.host_id, self._incarnation)
         self._peer_links.use_key(key)
         server = PeerServer(self._options.peers, identity, key, self._on_message)
@@ -353,6 +347,15 @@
                 self._incarnations_by_host_id[host_id] = entry.incarnation
                 self._owner_selection.reset_host(host_id)
 
+    def _era_changed(self) -> None:
+        """Read everything again, since the store came back from a copy."""
+        era = self._parts.cluster_state.era
+        assert era is not None
+        self._lease.start_era(era)
+        self._registration.restart()
+        for watch in self._watches:
+            watch.read_again()
+
     def _share_connections(self) -> None:
         """Apply this host's part of the connections that engines accept."""
         cluster_state = self._parts.cluster_state
@@ -398,6 +401,7 @@
         metrics.held_slots.set(self._admission.held_run_count)
         metrics.limited_servers.set(self._limits.known.count())
         self._quarantine.update_metrics(metrics)
+        metrics.store_era.set(parts.cluster_state.era or 0)
         if parts.cluster_state.routes is not None:
             metrics.version.set(parts.cluster_state.routes.version)
         return metrics.text()
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -86,6 +86,14 @@
             ["granted"],
             registry=self.registry,
         )
+        self.store_era = self._gauge(
+            "store_era", "Rises each time the store comes back from an older copy"
+        )
+        self.rewritten_rows = Counter(
+            "kumquat_relay_rewritten_rows",
+            "Rows of this host written again after the store came back from a copy",
+            registry=self.registry,
+        )
         self.quarantined_parts = self._gauge(
             "quarantined_parts",
             "Sets of prompt parts that are refused as engines crash",
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -3,8 +3,9 @@
 A watch reads all objects once and then waits for changes in long polls. An
 error or an unresponsive connection ends a poll. The next one follows after a
 short delay that grows while the store is unreachable, or once another watch of
-this host has reached it. If the store no longer has the history, the watch
-reads all objects again.
+this host has reached it. If the store no longer has the history, or has come
+back from an older copy, the watch reads all objects again. An answer of an
+earlier era of the store is discarded.
 """
 
 import asyncio
@@ -25,6 +26,7 @@
     StoreError,
 )
 from .store_retry_gate import StoreRetryGate
+from .store_version import StoreVersion
 
 __all__ = ["StateWatch"]
 
@@ -65,7 +67,7 @@
         self._behind = asyncio.Event()
         self._count_call = count_call
         self._unreachable = False
-        self._version: int | None = None
+        self._version: StoreVersion | None = None
         self._failures = 0
 
     async def run(self) -> None:
@@ -90,6 +92,8 @@
         """Read all objects or wait for changes, and apply the result."""
         if self._version is None:
             snapshot = await self._store.read(self._kind)
+            if not self._is_current(snapshot):
+                return
             self._record_reconnect()
             self._cluster_state.apply_snapshot(self._kind, snapshot)
             self._version = snapshot.version
@@ -98,12 +102,27 @@
         # the store is noticed at once.
         wait_s = 0.0 if self._unreachable else self._times.wait_s(self._kind)
         changes = await self._poll(self._version, wait_s)
+        if not self._is_current(changes):
+            return
+        if self._version is None or changes.version.era != self._version.era:
+            self._version = None
+            return
         self._record_reconnect()
         self._cluster_state.apply_changes(self._kind, changes)
         self._version = max(self._version, changes.version)
         if changes.items:
             await asyncio.sleep(self._times.pause_s(self._kind))
 
+    def _is_current(self, changes: Changes) -> bool:
+        """Return whether an answer is of the newest era of the store."""
+        era = changes.version.era
+        return self._cluster_state.observe_era(era, self._kind.value)
+
+    def read_again(self) -> None:
+        """Read all objects instead of waiting for changes."""
+        self._version = None
+        self._behind.set()
+
     def repoll_if_behind(self, is_behind: Callable[[], bool]) -> None:
         """Start a new poll if ``is_behind`` still holds after a short delay.
 
@@ -116,7 +135,7 @@
 
         asyncio.get_running_loop().call_later(BEHIND_GRACE_S, repoll)
 
-    async def _poll(self, version: int, wait_s: float) -> Changes:
+    async def _poll(self, version: StoreVersion, wait_s: float) -> Changes:
         """Wait for changes, on a new connection once this host is behind."""
         self._behind.clear()
         poll = asyncio.ensure_future(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,7 @@
 LIMITS_PER_S = (0.5, 1.0, 2.0)
 LIMIT_DURATION_S = (7.0, 12.0)
 DEADLY_PART_DURATION_S = (4.0, 9.0)
+STORE_AWAY_S = 0.3
 
 _FAULTY_LINK_STATES = (
     LinkState.DELAYED,
@@ -60,6 +61,7 @@
             "store_away": self._make_store_unavailable,
             "store_history_lost": self._truncate_store_history,
             "store_answers_lost": self._drop_store_response,
+            "store_restored": self._restore_store,
             "engine_crashed": self._crash_engine,
             "engine_left": self._drain_and_restart_engine,
             "engine_link": self._disturb_engine_link,
@@ -209,6 +211,23 @@
     async def _truncate_store_history(self) -> None:
         self._harness.store.truncate_history()
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from a copy, then write to it again.
+
+        Engines of other faults are written by these.
+        """
+        if self._acquire_target(["store"]) is None:
+            return
+        copy = self._harness.store.copy()
+        await self._sleep_fault_duration()
+        self._harness.store.restore(copy, STORE_AWAY_S)
+        await asyncio.sleep(STORE_AWAY_S + self._rng.uniform(0.1, 1.5))
+        self._harness.write_configuration()
+        for engine in self._harness.engines:
+            if engine.id not in self._targets_in_use:
+                self._harness.list_engine(engine)
+        self._targets_in_use.discard("store")
+
     async def _drop_store_response(self) -> None:
         self._harness.store.drop_responses += 1
 
