Back off from answers of an earlier era, and keep leaving hosts out

An answer of an earlier era was discarded and the poll repeated at once, so a store that answers from two copies would have been called without a pause; it now counts as a failed call. A host that leaves wrote its entry again if the store came back from a copy during its shutdown. Entries of engines that state no heartbeat counted as older copies for ever.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -276,4 +276,5 @@
         return False
     if entry.born_ms < last.entry.born_ms:
         return True
-    return entry.heartbeat <= last.entry.heartbeat
+    has_heartbeats = entry.heartbeat > 0 or last.entry.heartbeat > 0
+    return has_heartbeats and entry.heartbeat <= last.entry.heartbeat
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -92,8 +92,7 @@
         """Read all objects or wait for changes, and apply the result."""
         if self._version is None:
             snapshot = await self._store.read(self._kind)
-            if not self._is_current(snapshot):
-                return
+            self._check_era(snapshot)
             self._record_reconnect()
             self._cluster_state.apply_snapshot(self._kind, snapshot)
             self._version = snapshot.version
@@ -102,8 +101,7 @@
         # the store is noticed at once.
         wait_s = 0.0 if self._unreachable else self._times.wait_s(self._kind)
         changes = await self._poll(self._version, wait_s)
-        if not self._is_current(changes):
-            return
+        self._check_era(changes)
         if self._version is None or changes.version.era != self._version.era:
             self._version = None
             return
@@ -113,10 +111,11 @@
         if changes.items:
             await asyncio.sleep(self._times.pause_s(self._kind))
 
-    def _is_current(self, changes: Changes) -> bool:
-        """Return whether an answer is of the newest era of the store."""
+    def _check_era(self, changes: Changes) -> None:
+        """Raise ``StoreError`` for an answer of an earlier era."""
         era = changes.version.era
-        return self._cluster_state.observe_era(era, self._kind.value)
+        if not self._cluster_state.observe_era(era, self._kind.value):
+            raise StoreError(f"the answer is of the earlier era {era}")
 
     def read_again(self) -> None:
         """Read all objects instead of waiting for changes."""
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -58,11 +58,13 @@
     def restart(self) -> None:
         """Write the rows again if the store does not have them any more."""
         if self._is_registered:
-            self.cancel()
+            if self._task is not None:
+                self._task.cancel()
             self._task = asyncio.ensure_future(self._register_again())
 
     def cancel(self) -> None:
-        """Stop writing."""
+        """Stop writing, also when the store comes back from a copy."""
+        self._is_registered = False
         if self._task is not None:
             self._task.cancel()
 
--- a/tests/relay/test_store_era.py
+++ b/tests/relay/test_store_era.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 from kumquat_platform.store import HOST_TABLE, LEASE_TABLE, PEER_KEY, SECRET_TABLE
 
 from kumquat_core.clock import ManualClock
@@ -277,3 +278,40 @@
     clock.advance(5.0)
     state.apply_deferred_removals()
     assert set(state.hosts_by_id) == {"h1"}
+
+
+def test_leaving_host_does_not_write_its_entry_again() -> None:
+    async def scenario(harness: RelayHarness) -> None:
+        await wait_for_rows(harness, HOST_TABLE, 2)
+        copy = harness.store.copy()
+        leaving = harness.hosts[1]
+        await leaving.drain()
+        harness.store.written.clear()
+        harness.store.restore(copy)
+        await wait_for_era(harness)
+        await asyncio.sleep(1.2)
+        assert (HOST_TABLE, leaving._options.host_id) not in harness.store.written
+
+    run_scenario(scenario, 2)
+
+
+def test_answers_of_an_earlier_era_are_not_repeated_without_a_delay() -> None:
+    """A store that answers from two copies would be asked without a pause."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        calls = 0
+        answer = harness.store._answer
+
+        async def count(request: web.BaseRequest) -> web.StreamResponse:
+            nonlocal calls
+            calls += 1
+            return await answer(request)
+
+        harness.store.restore(harness.store.copy())
+        await wait_for_era(harness)
+        harness.store.era -= 1
+        harness.store._answer = count
+        await asyncio.sleep(1.5)
+        assert calls <= 30
+
+    run_scenario(scenario)
