Notice that the ticket log has come back from an older copy

catch_up now reads the ticket at its own position again. If the log has another one there, or none, the log is read from its start; merging by the highest number keeps what was in force. The cost is one more row in each poll.

Both new tests of test_ticket_log.py failed before: the tickets were not read.

--- a/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
@@ -53,6 +53,15 @@
         """Merge a validated snapshot if its position is higher."""
         return self._store.load_snapshot(document)
 
+    def continues_at(self, first: Ticket | None) -> bool:
+        """Return whether the log still has what was merged from it."""
+        return self._store.continues_at(first)
+
+    def rewind(self) -> None:
+        """Read the log from its start again; what was merged stays."""
+        self._store.rewind()
+        self._tickets.clear()
+
     def apply(self, tickets: Iterable[Ticket]) -> bool:
         """Merge tickets into the store and keep those that were merged."""
         ordered = sorted(tickets, key=lambda item: item.position)
--- a/packages/kumquat_core/src/kumquat_core/ticket_log.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_log.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import json
+import logging
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -29,6 +30,7 @@
 from pydantic import ValidationError
 from returns.result import Failure, Result, Success
 
+from .log_events import log_event
 from .object_client import ObjectClient, StoredObject
 from .result_codes import Execution, ResultCode, RouterError
 from .table_client import ABSENT, TableClient, Write
@@ -50,6 +52,8 @@
     "ticket_key",
 ]
 
+logger = logging.getLogger(__name__)
+
 TICKETS_TABLE = "tickets"
 HEAD_TABLE = "ticket_head"
 HEAD_KEY = "head"
@@ -120,6 +124,12 @@
     def load_snapshot(self, document: dict[str, Any]) -> bool:
         """Merge a validated snapshot if its position is higher."""
 
+    def continues_at(self, first: Ticket | None) -> bool:
+        """Return whether the log still has what was merged from it."""
+
+    def rewind(self) -> None:
+        """Read the log from its start again; what was merged stays."""
+
 
 class SnapshotWrite(Enum):
     """Result of writing a snapshot."""
@@ -266,14 +276,30 @@
         return parse_tickets([row.value for row in rows])
 
     async def catch_up(self, store: TicketTarget) -> Result[bool, RouterError]:
-        """Merge all later tickets; return whether the state changed."""
+        """Merge all later tickets; return whether the state changed.
+
+        The ticket at the current position is read again. If it is another one,
+        the table service has come back from an older copy, and the log is read
+        from its start.
+        """
         before = store.position
         while True:
-            match await self.read_after(store.position):
+            match await self.read_after(max(0, store.position - 1)):
                 case Success(tickets):
                     pass
                 case failure:
                     return Failure(failure.failure())
+            if not store.continues_at(tickets[0] if tickets else None):
+                log_event(
+                    logger,
+                    "ticket_log_restored",
+                    level=logging.WARNING,
+                    position=store.position,
+                )
+                store.rewind()
+                before = 0
+                continue
+            tickets = [item for item in tickets if item.position > store.position]
             if not tickets:
                 return Success(store.position > before)
             if tickets[0].position == store.position + 1:
--- a/packages/kumquat_core/src/kumquat_core/tickets.py
+++ b/packages/kumquat_core/src/kumquat_core/tickets.py
@@ -106,6 +106,9 @@
         }
         self._changed_kinds: set[str] = set()
         self._configuration = Configuration()
+        # The digest of the ticket at the current position, None if that
+        # position is the one of a snapshot.
+        self._last_digest: str | None = None
 
     @property
     def position(self) -> int:
@@ -137,7 +140,7 @@
         for ticket in sorted(tickets, key=lambda item: item.position):
             if ticket.position != position + 1:
                 continue
-            position = ticket.position
+            position, self._last_digest = ticket.position, ticket.digest
             number = max(number, ticket.model.number)
             self._merge_ticket(ticket.model)
         if position == self.position:
@@ -164,9 +167,30 @@
             self._merge_object(
                 (item["kind"], item["name"]), item["number"], item["state"]
             )
+        self._last_digest = None
         self._rebuild(document["position"], max(self.number, document["number"]))
         return True
 
+    def continues_at(self, first: Ticket | None) -> bool:
+        """Return whether the log still has what was merged from it.
+
+        ``first`` is its first ticket from the current position on. A table
+        service that has come back from an older copy has another one there,
+        or none.
+        """
+        if self._last_digest is None:
+            return True
+        return (
+            first is not None
+            and first.position == self.position
+            and first.digest == self._last_digest
+        )
+
+    def rewind(self) -> None:
+        """Read the log from its start again; what was merged stays."""
+        self._last_digest = None
+        self._rebuild(0, self.number)
+
     def _merge_ticket(self, model: TicketModel) -> None:
         for item in model.objects:
             self._merge_object((item.kind, item.name), model.number, item.state)
--- a/tests/core/test_ticket_log.py
+++ b/tests/core/test_ticket_log.py
@@ -312,3 +312,45 @@
         rounds += 1
     assert 1 < rounds < 30
     assert receiver.snapshot() == sender.snapshot()
+
+
+def test_tickets_after_a_restore_of_the_table_are_read():
+    """The log has passed the host's position again, with other tickets."""
+
+    async def run():
+        table = MemoryTable()
+        log, operator, store = make_log(table), TicketStore(), TicketStore()
+        await log.accept(make_model(1), operator)
+        copy = table.copy()
+        for number in (2, 3):
+            await log.accept(make_model(number, names=(f"lost{number}",)), operator)
+        assert (await log.catch_up(store)).unwrap()
+        table.restore(copy)
+        operator = TicketStore()
+        for number in (10, 11, 12):
+            await log.accept(make_model(number, names=(f"new{number}",)), operator)
+        assert (await log.catch_up(store)).unwrap()
+        names = set(store.configuration.models_by_name)
+        # Tickets that were in force stay so, also if the table has lost them.
+        assert names == {"advice", "lost2", "lost3", "new10", "new11", "new12"}
+        assert store.position == operator.position
+
+    asyncio.run(run())
+
+
+def test_shorter_log_after_a_restore_of_the_table_is_followed():
+    async def run():
+        table = MemoryTable()
+        log, store = make_log(table), TicketStore()
+        await log.accept(make_model(1), TicketStore())
+        copy = table.copy()
+        await log.accept(make_model(2, names=("lost",)), TicketStore())
+        await log.catch_up(store)
+        table.restore(copy)
+        await log.catch_up(store)
+        assert store.position == 1
+        await log.accept(make_model(3, names=("new",)), TicketStore())
+        await log.catch_up(store)
+        assert set(store.configuration.models_by_name) == {"advice", "lost", "new"}
+
+    asyncio.run(run())
