Let the emulated engine crash under a prompt and the tables come back

The faults crash_text and crash_s of the emulated engine end all its streams, lose its memory and close every connection for a while; keep_copy and restore_copy of the emulated platform let the tables come back from a copy. The torture test does not use them yet.

--- a/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
@@ -55,13 +55,20 @@
 
 @dataclass
 class EngineFaults:
-    """Enabled faults; times are monotonic seconds."""
+    """Enabled faults; times are monotonic seconds.
+
+    The engine crashes for ``crash_s`` when it begins to answer a prompt that
+    contains ``crash_text``.
+    """
 
     slowdown: float = 1.0
     slowdown_until_s: float = 0.0
     transfer_stall_s: float = 0.0
     fail_prefills: int = 0
     refuse: bool = False
+    crash_text: str = ""
+    crash_s: float = 1.0
+    down_until_s: float = 0.0
 
 
 @dataclass(order=True)
@@ -81,6 +88,7 @@
     request_id: str
     seed: int
     prompt_tokens: int
+    prompt: str = ""
     max_tokens: int = 0
     produced: int = 0
     attached: bool = False
@@ -120,7 +128,13 @@
         self._cancelled_ids: deque[str] = deque(maxlen=1000)
         self._reports: deque[tuple[float, dict[str, Any]]] = deque(maxlen=100)
         self._fence = 0
-        self.counts = {"prefills": 0, "prefill_tokens": 0, "tokens": 0, "imports": 0}
+        self.counts = {
+            "prefills": 0,
+            "prefill_tokens": 0,
+            "tokens": 0,
+            "imports": 0,
+            "crashes": 0,
+        }
         # Seconds spent on prefills, on prefills that were transferred, and on
         # decode steps.
         self.busy_s = {"prefill": 0.0, "prefill_used": 0.0, "decode": 0.0}
@@ -277,7 +291,7 @@
             raise EngineError(410, "request was cancelled")
         self._end_stream(request_id)
         seed = response_seed(content["model"], content["prompt"])
-        stream = _Stream(request_id, seed, content["tokens"])
+        stream = _Stream(request_id, seed, content["tokens"], content["prompt"])
         self._streams_by_request_id[request_id] = stream
         self.counts["imports"] += 1
         await self._release_source(url)
@@ -323,6 +337,8 @@
             headers={**STREAM_HEADERS, "X-Request-Id": body["request_id"]}
         )
         await response.prepare(request)
+        if self.faults.crash_text and self.faults.crash_text in stream.prompt:
+            self.crash()
         try:
             finished = await self._write_tokens(response, stream, generation, start)
         finally:
@@ -413,6 +429,19 @@
             stream.attached = False
             stream.wake.set()
 
+    def is_down(self) -> bool:
+        """Return whether the engine has crashed and is not back yet."""
+        return self._clock.monotonic() < self.faults.down_until_s
+
+    def crash(self) -> None:
+        """End all streams, lose all memory and answer no call for a while."""
+        self.faults.down_until_s = self._clock.monotonic() + self.faults.crash_s
+        self.counts["crashes"] += 1
+        for item in list(self._queue):
+            self._cancel_prefill(item)
+        for request_id in list(self._streams_by_request_id):
+            self.cancel(request_id)
+
     def break_streams(self) -> None:
         """Close the connections of all streams; their memory is kept."""
         for stream in self._streams_by_request_id.values():
@@ -529,6 +558,8 @@
             self.faults.fail_prefills = int(body["fail_prefills"])
         if "refuse" in body:
             self.faults.refuse = bool(body["refuse"])
+        self.faults.crash_text = str(body.get("crash_text", self.faults.crash_text))
+        self.faults.crash_s = float(body.get("crash_s", self.faults.crash_s))
         if body.get("break_streams"):
             self.break_streams()
 
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -70,7 +70,20 @@
             }
         )
 
-    app = web.Application(middlewares=[error_middleware], client_max_size=16_000_000)
+    @web.middleware
+    async def down_middleware(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Close connections while the engine is down, except for faults."""
+        if engine.is_down() and request.path not in ("/faults", "/counts"):
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPServiceUnavailable
+        return await handler(request)
+
+    app = web.Application(
+        middlewares=[down_middleware, error_middleware], client_max_size=16_000_000
+    )
     app.router.add_post("/v1/prefill", _json_handler(engine.prefill))
     app.router.add_post("/v1/import", _json_handler(engine.import_cache))
     app.router.add_post("/v1/decode", engine.decode)
--- a/packages/kumquat_lab/src/kumquat_lab/memory_fakes.py
+++ b/packages/kumquat_lab/src/kumquat_lab/memory_fakes.py
@@ -61,6 +61,14 @@
         )
         return [self._rows_by_key[(table, key)] for key in keys[:limit]]
 
+    def copy(self) -> dict[tuple[str, str], Row]:
+        """Return a copy of all rows."""
+        return dict(self._rows_by_key)
+
+    def restore(self, rows: dict[tuple[str, str], Row]) -> None:
+        """Come back from a copy; everything written since then is lost."""
+        self._rows_by_key = dict(rows)
+
     def delete(self, table: str, key: str) -> None:
         """Remove a row, as log truncation does."""
         del self._rows_by_key[(table, key)]
--- a/packages/kumquat_lab/src/kumquat_lab/platform.py
+++ b/packages/kumquat_lab/src/kumquat_lab/platform.py
@@ -3,7 +3,8 @@
 All four share one port. Faults for the table service and the object store:
 ``outage`` (status 503, nothing takes effect), ``delay_ms`` before the call,
 and ``lose_answers`` (number of writes whose response is lost after they took
-effect). An outage set by ``outage_s`` ends after that time.
+effect). An outage set by ``outage_s`` ends after that time. ``keep_copy``
+keeps a copy of the tables, and ``restore_copy`` lets them come back from it.
 """
 
 import asyncio
@@ -67,6 +68,18 @@
             return [], failed
         return [self._write(write) for write in writes], []
 
+    def copy(self) -> "TableState":
+        """Return a copy of all rows."""
+        state = TableState()
+        state._rows_by_key = {
+            table: dict(rows) for table, rows in self._rows_by_key.items()
+        }
+        state._keys_by_table = {
+            table: list(keys) for table, keys in self._keys_by_table.items()
+        }
+        state.writes = self.writes
+        return state
+
     def get(self, table: str, key: str) -> _Row | None:
         """Return one row, or None."""
         return self._rows_by_key.get(table, {}).get(key)
@@ -128,6 +141,7 @@
     def __init__(self, config: PlatformConfig) -> None:
         self.config = config
         self.tables = TableState()
+        self.table_copy: TableState | None = None
         self.objects = ObjectState()
         self.hosts: list[dict[str, Any]] = []
         self.backend_servers: list[dict[str, Any]] = []
@@ -236,6 +250,10 @@
         self.outage = bool(body.get("outage", self.outage))
         if "outage_s" in body:
             self.outage_until_s = time.monotonic() + float(body["outage_s"])
+        if body.get("keep_copy"):
+            self.table_copy = self.tables.copy()
+        if body.get("restore_copy") and self.table_copy is not None:
+            self.tables = self.table_copy.copy()
         self.delay_ms = float(body.get("delay_ms", self.delay_ms))
         self.lose_answers = int(body.get("lose_answers", self.lose_answers))
         return web.json_response({"writes": self.tables.writes})
--- a/tests/lab/test_engine.py
+++ b/tests/lab/test_engine.py
@@ -181,3 +181,26 @@
         assert pair.decode_engine.role == "prefill"
 
     run(check)
+
+
+def test_prompt_that_crashes_an_engine_ends_all_its_streams():
+    async def check(pair: Pair) -> None:
+        await pair.prepare("sound")
+        sound = asyncio.ensure_future(pair.decode("sound", 0, 10_000))
+        while not pair.decode_engine.counts["tokens"]:
+            await asyncio.sleep(0.001)
+        pair.decode_engine.apply_faults({"crash_text": "cc", "crash_s": 60.0})
+        await pair.prepare("deadly")
+        for task in (pair.decode("deadly", 0, 10), sound):
+            with pytest.raises(RouterError):
+                await task
+        assert pair.decode_engine.counts["crashes"] == 1
+        assert pair.decode_engine.memory.held_pieces == 0
+        with pytest.raises(RouterError):
+            await pair.client.report(pair.urls[1], fresh=True)
+        pair.decode_engine.apply_faults({"crash_text": ""})
+        pair.decode_engine.faults.down_until_s = 0.0
+        await pair.prepare("again")
+        assert len(await pair.decode("again", 0, 10)) == 10
+
+    run(check, total_pieces=100)
--- a/tests/lab/test_platform.py
+++ b/tests/lab/test_platform.py
@@ -54,3 +54,16 @@
     checking.execute("k", b"body")
     assert checking.raise_fence("k", 4)
     assert checking.executions_by_body["body"] == 1
+
+
+def test_tables_come_back_from_a_copy_with_their_older_versions():
+    tables = TableState()
+    tables.transact([write("a", 0, 1)])
+    copy = tables.copy()
+    tables.transact([write("a", 1, 2), write("b", 0, 1)])
+    restored = copy.copy()
+    row = restored.get("t", "a")
+    assert row is not None and (row.version, row.value) == (1, 1)
+    assert restored.get("t", "b") is None
+    assert restored.transact([write("a", 1, 3)]) == ([2], [])
+    assert copy.get("t", "a") == row
