Accept entries of restarted hosts and living engines after a new era

Found by reading the change of the era again. A host that restarted after its clock had gone back has a lower incarnation, and its entry was taken for an older copy within one era, so the others did not list it. An engine that had been removed and was back in a copy stayed out although it lived, since its heartbeats do not change the version of its entry. The rule for incarnations now holds only across eras, and a heartbeat counts at an equal version.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -327,7 +327,8 @@
 
     def _apply_host(self, item: Change) -> None:
         """Add, update or remove a host unless a newer version is known."""
-        if self._host_versions_by_id.get(item.key, NO_VERSION) >= item.version:
+        last_version = self._host_versions_by_id.get(item.key, NO_VERSION)
+        if last_version >= item.version:
             return
         if not isinstance(item.value, HostEntry):
             known = self.hosts_by_id.get(item.key)
@@ -335,15 +336,11 @@
                 self._left_incarnations_by_host[item.key] = known.incarnation
             self._remove_host(item.key, item.version)
             return
-        known = self.hosts_by_id.get(item.key)
-        newest = max(
-            self._left_incarnations_by_host.get(item.key, -1),
-            known.incarnation - 1 if known is not None else -1,
-        )
-        if item.value.incarnation <= newest:
-            # An older copy of an entry; its process has ended.
+        if last_version.era != item.version.era and self._has_ended(item.value):
+            # An older copy of an entry.
             self._host_versions_by_id[item.key] = item.version
             return
+        self._left_incarnations_by_host.pop(item.key, None)
         self._missing_host_ids.discard(item.key)
         self._host_versions_by_id[item.key] = item.version
         self.hosts_by_id[item.key] = item.value
@@ -356,6 +353,14 @@
         )
         self.on_hosts_changed()
 
+    def _has_ended(self, entry: HostEntry) -> bool:
+        """Return whether the process of a host entry has certainly ended."""
+        known = self.hosts_by_id.get(entry.host_id)
+        left = self._left_incarnations_by_host.get(entry.host_id, -1)
+        return entry.incarnation <= left or (
+            known is not None and entry.incarnation < known.incarnation
+        )
+
     def _remove_host(self, host_id: str, version: StoreVersion) -> None:
         self._host_versions_by_id[host_id] = version
         if self.hosts_by_id.pop(host_id, None) is not None:
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -86,6 +86,13 @@
     version: StoreVersion
     restored_heartbeat: int = -1
 
+    def shows_life(self, entry: EngineEntry) -> bool:
+        """Return whether the engine has written since the entry was back.
+
+        A heartbeat alone does not change the version of an entry.
+        """
+        return entry.heartbeat > self.restored_heartbeat >= 0
+
 
 class EngineRegistry:
     """Holds the newest entry of each engine and backend server."""
@@ -108,7 +115,10 @@
         if known is not None and known.version >= version:
             return False
         removed = self._removed_by_id.get(entry.id)
-        if removed is not None and removed.version >= version:
+        if removed is not None and (
+            removed.version > version
+            or (removed.version == version and not removed.shows_life(entry))
+        ):
             return False
         if (
             known is not None
@@ -141,13 +151,12 @@
         """
         if not _is_same(entry, removed.entry):
             return entry.born_ms < removed.entry.born_ms
-        is_first = version.era != removed.version.era
-        if not is_first and entry.heartbeat > removed.restored_heartbeat >= 0:
-            return False
-        if is_first:
+        if version.era == removed.version.era:
+            is_restored = removed.restored_heartbeat >= 0
+            if not is_restored or removed.shows_life(entry):
+                return False
+        else:
             removed.restored_heartbeat = entry.heartbeat
-        elif removed.restored_heartbeat < 0:
-            return False
         removed.version = version
         return True
 
--- a/tests/relay/test_store_era.py
+++ b/tests/relay/test_store_era.py
@@ -315,3 +315,32 @@
         assert calls <= 30
 
     run_scenario(scenario)
+
+
+def test_heartbeat_alone_brings_a_removed_engine_back() -> None:
+    """It does not change the version of the entry."""
+    registry = EngineRegistry()
+    entry = replace(engine("e"), born_ms=1000, heartbeat=9)
+    registry.put(entry, StoreVersion(1, 40))
+    registry.remove("e", StoreVersion(1, 41), now_s=100.0)
+    restored = replace(entry, heartbeat=20)
+    assert not registry.put(restored, StoreVersion(2, 30))
+    assert registry.has_restored()
+    assert not registry.put(restored, StoreVersion(2, 30))
+    assert registry.put(replace(restored, heartbeat=21), StoreVersion(2, 30))
+    assert not registry.has_restored()
+
+
+def test_host_that_restarts_after_its_clock_went_back_is_listed() -> None:
+    """Its incarnation is lower, but its entry is no older copy."""
+    clock = ManualClock(100.0)
+    state = ClusterState(clock, EngineHealth(clock))
+    for number, incarnation in ((5, 7000), (6, 5000)):
+        version = StoreVersion(1, number)
+        entry = HostEntry("h", Address("10.0.0.1", 1), "a", incarnation)
+        change = Change("h", version, entry)
+        state.apply_changes(StateKind.HOSTS, Changes(version, (change,)))
+    assert state.hosts_by_id["h"].incarnation == 5000
+    older = Change("h", StoreVersion(2, 1), replace(entry, incarnation=4000))
+    state.apply_changes(StateKind.HOSTS, Changes(StoreVersion(2, 1), (older,)))
+    assert state.hosts_by_id["h"].incarnation == 5000
