Split the stream relay and log each refusal of the quarantine

From reading the change as a newcomer: a request that the owner refused out of its queue was not counted in kumquat_relay_quarantined_requests and had no line request_quarantined. Decisions are unchanged.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -10,6 +10,7 @@
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
+from kumquat_core.settings import Address
 
 from .engine_health import EngineHealth
 from .engine_registry import EngineEntry, EngineRegistry
@@ -149,6 +150,16 @@
         """Return the newest era, 0 for a store never restored from a copy."""
         return self.era if self.era is not None and self.era > FIRST_ERA else 0
 
+    def host_address(self, host_id: str) -> Address | None:
+        """Return the address of a host for other hosts, None if unknown."""
+        entry = self.hosts_by_id.get(host_id)
+        return entry.address if entry is not None else None
+
+    def strengths_by_host_id(self) -> dict[str, float]:
+        """Return the strengths of the known hosts."""
+        hosts = self.hosts_by_id
+        return {host_id: entry.strength for host_id, entry in hosts.items()}
+
     def record_owner_version(self, version: int) -> None:
         """Record the configuration version that an owner reported."""
         self._owner_version_at_s = self._clock.monotonic()
--- a/packages/kumquat_relay/src/kumquat_relay/queue_types.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_types.py
@@ -8,7 +8,20 @@
 from .engine_registry import EngineEntry
 from .relay_rules import ALL_RULES, RelayRules
 
-__all__ = ["Decision", "Granted", "QueueParameters", "Refused", "QueuedRequest"]
+__all__ = [
+    "QUARANTINED",
+    "TRIAL_DEFERRED",
+    "Decision",
+    "Granted",
+    "QueueParameters",
+    "Refused",
+    "QueuedRequest",
+]
+
+# Reason of the refusal of a request whose prompt parts crash engines.
+QUARANTINED = "prompt_quarantined"
+# Reason of the refusal of a suspect request while all engines have many runs.
+TRIAL_DEFERRED = "trial_deferred"
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -9,7 +9,6 @@
 from kumquat_core.frames import PeerIdentity
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import Message
-from kumquat_core.settings import Address
 from kumquat_core.timers import TimerService
 from kumquatrouter.peer_links import PeerLinks
 from kumquatrouter.peer_server import PeerServer
@@ -79,14 +78,14 @@
         self._owner_selection = OwnerSelection(
             options.host_id,
             parts.clock,
-            self._strengths_by_host_id,
+            parts.cluster_state.strengths_by_host_id,
             options.strength,
             parts.rules,
         )
         self._peer_links = PeerLinks(
             PeerIdentity(options.host_id, self._incarnation),
             secrets.token_bytes(PEER_KEY_BYTES),
-            self._peer_address,
+            parts.cluster_state.host_address,
             parts.clock,
             parts.rng,
         )
@@ -328,14 +327,6 @@
             self._quarantine,
         )
 
-    def _peer_address(self, host_id: str) -> Address | None:
-        entry = self._parts.cluster_state.hosts_by_id.get(host_id)
-        return entry.address if entry is not None else None
-
-    def _strengths_by_host_id(self) -> dict[str, float]:
-        hosts = self._parts.cluster_state.hosts_by_id
-        return {host_id: entry.strength for host_id, entry in hosts.items()}
-
     def _hosts_changed(self) -> None:
         """Apply the current number of hosts and reset restarted ones."""
         hosts = self._parts.cluster_state.hosts_by_id
--- a/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
@@ -8,8 +8,8 @@
 
 from .admission_refusal import AdmissionRefusedError
 from .caller_response import failure, refusal
+from .queue_types import QUARANTINED
 from .stream_progress import StreamOutcome, StreamProgress
-from .stream_queue import QUARANTINED
 
 __all__ = ["incomplete_outcome", "quarantined_outcome", "refused_outcome"]
 
@@ -20,8 +20,6 @@
     progress: StreamProgress, error: AdmissionRefusedError
 ) -> StreamOutcome:
     """Return the outcome of a request to which no slot was granted."""
-    if error.reason == QUARANTINED:
-        return quarantined_outcome(progress)
     if progress.runs == 0:
         response = refusal(
             ResultCode.NO_CAPACITY_IN_TIME, error.reason, error.retry_after_s
--- a/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_queue.py
@@ -29,7 +29,15 @@
 from .engine_registry import EngineRegistry
 from .placement import Placement
 from .priority_reserve import NOTHING_RESERVED, RECHECK_INTERVAL_S, PriorityReserve
-from .queue_types import Decision, Granted, QueuedRequest, QueueParameters, Refused
+from .queue_types import (
+    QUARANTINED,
+    TRIAL_DEFERRED,
+    Decision,
+    Granted,
+    QueuedRequest,
+    QueueParameters,
+    Refused,
+)
 from .queue_wait import QueueWait
 from .retry_schedule import RetrySchedule
 from .role_planner import Demand
@@ -37,12 +45,7 @@
 from .server_limits import ServerLimits
 from .suspect_trials import SuspectTrials
 
-__all__ = ["QUARANTINED", "StreamQueue"]
-
-# Reason of the refusal of a request whose prompt parts crash engines.
-QUARANTINED = "prompt_quarantined"
-# Reason of the refusal of a suspect request while all engines have many runs.
-TRIAL_DEFERRED = "trial_deferred"
+__all__ = ["StreamQueue"]
 
 # Refusals that show a shortage of slots. The other reasons say nothing about
 # the slots left for late requests.
@@ -330,7 +333,7 @@
 
         The empty string means that it may wait.
         """
-        if self._lacks_trial_engine(queued, now_s):
+        if self.trials.is_deferred(queued.request.suspect_parts, now_s):
             return TRIAL_DEFERRED
         placement = self._placement(now_s)
         loads = placement.usable_decode_engines(queued)
@@ -378,15 +381,6 @@
         queued = {queued.host_id for queued in self._queued_by_id.values()}
         return queued | self.ledger.host_ids()
 
-    def _lacks_trial_engine(self, queued: QueuedRequest, now_s: float) -> bool:
-        """Return whether a trial waits for an engine with few runs."""
-        parts = queued.request.suspect_parts
-        return (
-            bool(parts)
-            and self.trials.may_start(parts)
-            and self.trials.retry_after_s(parts, now_s) > 0
-        )
-
     def _refuse(self, queued: QueuedRequest, reason: str, now_s: float) -> Refused:
         """Remove a request from the queue and schedule its retry."""
         del self._queued_by_id[queued.request.request_id]
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -30,6 +30,7 @@
 from .known_limits import KnownLimits
 from .open_stream import OpenStream, RunFailedError
 from .prompt_quarantine import QuarantineError
+from .queue_types import QUARANTINED
 from .relay_metrics import RelayMetrics
 from .relay_rules import ALL_RULES, RelayRules
 from .request_age import RequestAge
@@ -38,6 +39,7 @@
 from .run_starter import RetryBudgetExhaustedError, RunStarter
 from .slot_request import slot_request
 from .stream_limits import event_timeouts
+from .stream_log import log_broken_run, log_stream_timing
 from .stream_outcomes import (
     incomplete_outcome,
     quarantined_outcome,
@@ -118,40 +120,20 @@
                 self._calls.release_reservation(
                     progress.reservation_engine, progress.reservation_id, request.id
                 )
-            self._log_stream_timing(request, progress)
-
-    def _log_stream_timing(
-        self, request: CallerRequest, progress: StreamProgress
-    ) -> None:
-        """Log the time of the first event and the longest gap, if any."""
-        first_s = progress.first_event_s
-        if first_s is None:
-            return
-        self._metrics.record_stream(first_s - request.arrived_s, progress.max_gap_s)
-        log_event(
-            logger,
-            "stream_pace",
-            request=request.id,
-            first_ms=round((first_s - request.arrived_s) * 1000, 1),
-            objective_ms=request.route.objective_ms,
-            max_gap_ms=round(progress.max_gap_s * 1000, 1),
-            allowed_gap_ms=request.route.max_gap_ms,
-            events=progress.splitter.events,
-        )
+            if progress.first_event_s is not None:
+                first_event_s = progress.first_event_s - request.arrived_s
+                self._metrics.record_stream(first_event_s, progress.max_gap_s)
+                log_stream_timing(request, progress)
 
     async def _run_until_final(
         self, request: CallerRequest, progress: StreamProgress
     ) -> StreamOutcome:
         while True:
-            if self._quarantine.prompts.verdict(request) is Verdict.REFUSED:
+            prompts = self._quarantine.prompts
+            suspects = progress.own_suspects.union(prompts.suspect_parts(request))
+            progress.trial_parts = tuple(sorted(suspects))
+            if prompts.verdict(request) is Verdict.REFUSED:
                 return self._refuse_quarantined(request, progress)
-            progress.trial_parts = tuple(
-                sorted(
-                    progress.own_suspects.union(
-                        self._quarantine.prompts.suspect_parts(request)
-                    )
-                )
-            )
             try:
                 grant = await self._admission.acquire_slot(
                     slot_request(
@@ -164,6 +146,8 @@
                     )
                 )
             except AdmissionRefusedError as error:
+                if error.reason == QUARANTINED:
+                    return self._refuse_quarantined(request, progress)
                 return refused_outcome(progress, error)
             self._metrics.record_queue_wait(grant.waited_ms / 1000)
             report = CompletionReport()
@@ -197,7 +181,7 @@
             logger,
             "request_quarantined",
             request=request.id,
-            parts=",".join(self._quarantine.prompts.suspect_parts(request)),
+            parts=",".join(progress.trial_parts) or None,
             runs=progress.runs,
         )
         return quarantined_outcome(progress)
@@ -403,18 +387,8 @@
     ) -> StreamOutcome | None:
         """Return the outcome of a broken run, None if it may resume."""
         may_resume = self._may_resume(request, progress)
-        log_event(
-            logger,
-            "run_broken",
-            request=request.id,
-            engine=entry.id,
-            reason=reason,
-            runs=progress.runs,
-            last_event=progress.splitter.last_id,
-            run_events=progress.splitter.events - progress.events_before,
-            closed_by_engine=closed_by_engine,
-            parts=",".join(request.metadata.shared_parts) or None,
-            continues=may_resume,
+        log_broken_run(
+            request, progress, entry.id, reason, may_resume, closed_by_engine
         )
         progress.excluded.add(entry.id)
         if closed_by_engine and not self._is_answering(progress):
--- a/packages/kumquat_relay/src/kumquat_relay/suspect_trials.py
+++ b/packages/kumquat_relay/src/kumquat_relay/suspect_trials.py
@@ -57,6 +57,14 @@
         """Return after which time a trial does not need a low load."""
         return max(0.0, self.history_of(parts).first_s + PATIENCE_S - now_s)
 
+    def is_deferred(self, parts: tuple[str, ...], now_s: float) -> bool:
+        """Return whether a trial that found no engine is refused for now."""
+        return (
+            bool(parts)
+            and self.may_start(parts)
+            and self.retry_after_s(parts, now_s) > 0
+        )
+
     def start(self, request_id: str, parts: tuple[str, ...], engine_id: str) -> None:
         """Record that a request begins its trial at an engine."""
         self._trials_by_request[request_id] = _Trial(frozenset(parts), engine_id)
