Wait for the poll in the test of a host behind its owner

The test hides a change from polls that wait, but on a busy machine the host's poll could begin after the change and return it at once, as it should. What it checks is the same.

--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -43,6 +44,8 @@
         self._changed = asyncio.Event()
         # Rises each time the store comes back from an older copy.
         self.era = 1
+        # Number of long polls that wait for changes, by table.
+        self.waiting_polls: Counter[str] = Counter()
         # Keys of the rows that transactions have written, in order.
         self.written: list[tuple[str, str]] = []
 
@@ -151,11 +154,14 @@
             left_s = end_s - asyncio.get_running_loop().time()
             if rows or left_s <= 0 or self.unavailable:
                 return self._rows_response(rows)
+            self.waiting_polls[query["table"]] += 1
             try:
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
             except TimeoutError:
                 continue
+            finally:
+                self.waiting_polls[query["table"]] -= 1
 
     def _transact(self, request: web.BaseRequest, body: Any) -> web.Response:
         for expected in body["expected_rev"]:
--- a/tests/relay/test_poll_times.py
+++ b/tests/relay/test_poll_times.py
@@ -49,6 +49,8 @@
 
     async def scenario(harness: RelayHarness) -> None:
         cluster_state = harness.host._parts.cluster_state
+        # A poll that begins after the change would return it at once.
+        await harness.wait_until(lambda: harness.store.waiting_polls["op"] > 0)
         # The change reaches the store without ending the waiting polls.
         changed, harness.store._changed = harness.store._changed, asyncio.Event()
         harness.store.put("op", "config", configuration(8))
