Reserve the ports of a test process instead of guessing them by its id

Its host had failed with 'address already in use' on port 30001, and its callers reached a host of another test process, which was stopping.

Cause: processes took their ports from a part of the range that their process id chose, modulo 30. Two processes with the same remainder took the same ports; whether a port is free is checked before the host listens on it. Ruled out: a fault of the relay (the answers bore the seal of an engine of the other test).

Change: a process keeps a socket on the first port of its part as long as it runs, and takes another part if that port is taken.

--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import functools
-import itertools
-import os
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,12 +16,9 @@
 from kumquat_relay.relay_settings import RelayOptions
 
 from .fakes import FakeEngine, FakeStore
+from .free_ports import free_port
 
 HOST = "shop.example"
-# Below the range of ports that Linux uses for outgoing connections.
-LISTENING_PORTS = (20_000, 32_000)
-PORTS_PER_PROCESS = 400
-PROCESSES = (LISTENING_PORTS[1] - LISTENING_PORTS[0]) // PORTS_PER_PROCESS
 LLM = "llm"
 PLAIN = "plain"
 
@@ -76,32 +70,6 @@
     return document | changes
 
 
-_ports = itertools.cycle(
-    range(
-        LISTENING_PORTS[0] + os.getpid() % PROCESSES * PORTS_PER_PROCESS,
-        LISTENING_PORTS[0] + (os.getpid() % PROCESSES + 1) * PORTS_PER_PROCESS,
-    )
-)
-
-
-def free_port() -> int:
-    """Return a free port outside of the range for outgoing connections.
-
-    An outgoing connection could use a port of that range before the host
-    listens on it. Ports are taken in turn from a part of the range that
-    depends on the process, so that neither another host of this process nor a
-    test that runs at the same time gets the same one.
-    """
-    while True:
-        port = next(_ports)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-
-
 class RelayHarness:
     """Runs a host with a store and engines and sends requests to it."""
 
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -10,7 +10,8 @@
 import aiohttp
 from kumquat_platform.store import HOST_TABLE
 from tests.relay.fakes import FakeEngine, FakeStore, Row
-from tests.relay.relay_harness import LLM, PLAIN, configuration, free_port
+from tests.relay.free_ports import free_port
+from tests.relay.relay_harness import LLM, PLAIN, configuration
 
 from kumquat_core.settings import Address
 
