Close callers' connections without losing what was read or written

Callers of a stopping host that pipelined got one answer and a closed connection, although the host had read the later requests too. Half a head that was read was dropped. Answers bore no "Connection: close", so the caller's next request ran into the close. A large answer was destroyed when the caller sent more bytes while it was read.

Cause: aiohttp composes the headers before the hook that called force_close(), which therefore only closed the connection. Its loop drops queued messages after an answer that closes, pre_shutdown() makes busy connections drop what they read, and transport.close() with unread bytes resets the connection, with the answer still in the buffer of the kernel.

ServerConnections creates the connections.

--- a/packages/kumquat_core/src/kumquat_core/metrics.py
+++ b/packages/kumquat_core/src/kumquat_core/metrics.py
@@ -107,6 +107,12 @@
             ["tenant", "outcome"],
         )
 
+        self._cut = self._counter(
+            "cut_requests",
+            "Requests that the end of the host cut: request or answer.",
+            ["part"],
+        )
+
     def _create_work_metrics(self) -> None:
         self._retries = self._counter(
             "retries", "New grants after a failure, by result code.", ["code"]
@@ -188,6 +194,14 @@
             self._tenants.label_of(tenant), outcome_of(code)
         ).inc()
 
+    def add_cut_requests(self, count: int) -> None:
+        """Count requests in progress that the end of the host cut."""
+        self._cut.labels("request").inc(count)
+
+    def add_cut_answers(self, count: int) -> None:
+        """Count answers that the end of the host left unsent in part."""
+        self._cut.labels("answer").inc(count)
+
     def observe_ttft(self, class_name: str, seconds: float) -> None:
         """Record the time to the first token in seconds."""
         self._ttft.labels(self._classes.label_of(class_name)).observe(seconds)
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -2,6 +2,9 @@
 
 Authenticates the tenant of each request and validates the request before any
 other part handles it. A request that fails validation reaches no engine.
+
+A stopping host answers what it has read. ``stop`` ends when the answers have
+left the process.
 """
 
 import asyncio
@@ -16,6 +19,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdGenerator
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
+from kumquat_core.server_connections import ServerConnections
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
 
@@ -42,6 +46,7 @@
     engine_headers,
     error_response,
     finish_reason,
+    raw_error_response,
     service_response,
     success_headers,
 )
@@ -55,6 +60,12 @@
 
 # aiohttp closes a connection that has sent no request for this time.
 KEEPALIVE_S = 75.0
+LISTEN_BACKLOG = 1024
+
+# Time at a stop for refusals to be sent and for callers to close their side.
+CLOSE_LIMIT_S = 5.0
+# For handlers whose connections were cut after that.
+SHUTDOWN_TIMEOUT_S = 0.5
 
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
@@ -104,6 +115,8 @@
         self._plain_path = plain_path
         self._drain = drain
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._connections: ServerConnections | None = None
 
     def create_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -116,14 +129,24 @@
         return app
 
     async def _close_when_draining(
-        self, _: web.Request, response: web.StreamResponse
+        self, http_request: web.Request, response: web.StreamResponse
     ) -> None:
         """Close kept-alive connections while draining.
 
-        The load balancer then has to open new ones.
+        The load balancer then has to open new ones. A connection on which the
+        next request was read already closes with the answer to that one.
         """
-        if self._drain.draining:
+        connections = self._connections
+        closing = connections is not None and connections.closing
+        if not self._drain.draining and not closing:
+            return
+        request_id = str(http_request.get(REQUEST_ID, ""))
+        if connections is None or not connections.record_answer(
+            http_request, request_id
+        ):
             response.force_close()
+            # aiohttp has composed the headers before it calls this method.
+            response.headers["Connection"] = "close"
 
     async def start(self) -> None:
         """Start listening."""
@@ -132,15 +155,41 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
+        assert self._runner.server is not None
+        self._connections = ServerConnections(
+            self._runner.server,
+            raw_error_response(RouterError(ResultCode.DRAINING, retry_after_s=1.0)),
+        )
         listen = self._options.caller_listen
-        await web.TCPSite(self._runner, listen.ip, listen.port, backlog=1024).start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._connections.create,
+            listen.ip,
+            listen.port,
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Stop listening and close all connections once they are answered."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        if self._listener is not None and self._connections is not None:
+            self._listener.close()
+            count = len(self._connections)
+            closed = await self._connections.close(CLOSE_LIMIT_S)
+            self._observer.metrics.add_cut_answers(closed.cut)
+            log_event(
+                logger,
+                "caller_connections_closed",
+                connections=count,
+                refused_heads=closed.refused_heads,
+                cut=closed.cut,
+            )
+        await runner.cleanup()
 
     async def _handle_completions(
         self, http_request: web.Request
--- a/packages/kumquatrouter/src/kumquatrouter/responses.py
+++ b/packages/kumquatrouter/src/kumquatrouter/responses.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
@@ -20,6 +21,7 @@
     "error_document",
     "error_response",
     "finish_reason",
+    "raw_error_response",
     "service_response",
     "success_headers",
 ]
@@ -56,6 +58,22 @@
     )
 
 
+def raw_error_response(error: RouterError) -> bytes:
+    """Return the bytes of a response to a request whose head is incomplete."""
+    spec, body = spec_of(error.code), json.dumps(error_document(error)).encode()
+    retry_after_s = max(1, math.ceil(error.retry_after_s or 0.0))
+    head = (
+        f"HTTP/1.1 {spec.http_status} {HTTPStatus(spec.http_status).phrase}\r\n"
+        f"X-Result-Code: {error.code.value}\r\n"
+        f"X-Execution: {error.execution.value}\r\n"
+        f"Retry-After: {retry_after_s}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 class StreamFormat:
     """Server-sent events of one completion.
 
