Refuse requests that may outlast a stopping host, and answer those it cuts

A host took in requests of any deadline during the notice period after SIGTERM. Those still running at drain_limit_s were cancelled by the web server, and their callers got a closed connection without a status. No line named them. `kumquatctl undrain` after SIGTERM took the host back into service, and it exited all the same. The host announced its leave to its peers before it had closed the callers' side.

Cause: Drain decided by the notice period only and never compared the time that is left with the longest time of a request.

Drain.begin_stop sets the end of the process. A request is refused as not run when its deadline (three times the timeout of the service for a non-repeatable call, whose outcome must be recorded) is later. At the limit or a second signal each request in progress ends with an answer: unknown, an error event in a stream, or not run while its body is being read. exit_decided says why the process exits, request_cut names each cut request with its time, request_ended bears reason=stopping or cut_at_stop, and kumquat_cut_requests_total counts. The peers learn of the leave when the callers are answered. An earlier drain's notice period is not waited for a second time.

--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -32,7 +32,7 @@
     model_request,
     service_path,
 )
-from .drain import Drain
+from .drain import Drain, RequestInProgress
 from .input_validation import (
     parse_completion,
     parse_deadline_ms,
@@ -67,6 +67,8 @@
 # For handlers whose connections were cut after that.
 SHUTDOWN_TIMEOUT_S = 0.5
 
+CUT_DETAIL = "the host ended before the request"
+
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
 CLASS_NAME = web.RequestKey("class_name", str)
@@ -88,7 +90,9 @@
 
 logger = logging.getLogger(__name__)
 
-Handler = Callable[[web.Request, RequestId], Awaitable[web.StreamResponse]]
+Handler = Callable[
+    [web.Request, RequestId, RequestInProgress], Awaitable[web.StreamResponse]
+]
 
 
 class CallerApi(aiomisc.Service):
@@ -207,14 +211,17 @@
         """Run a handler; turn every failure into a response with a code."""
         request_id = self._ids.next_id()
         http_request[REQUEST_ID] = request_id
-        code = ResultCode.OK
+        code, reason = ResultCode.OK, None
+        request: RequestInProgress | None = None
         started_s = self._clock.monotonic()
         self._observer.metrics.request_started()
         try:
-            with self._drain.request():
-                return await handler(http_request, request_id)
+            with self._drain.request(str(request_id)) as request:
+                return await handler(http_request, request_id, request)
         except RouterError as error:
             code = error.code
+            if code is ResultCode.DRAINING:
+                reason = "stopping"
             if _ignores_record(error) and may_have_predecessor(http_request):
                 note = "An earlier call with this key may have run."
                 error = RouterError(
@@ -241,6 +248,8 @@
             # A stream that failed after its start has status 200; ``_stream``
             # stores the result code of the failure.
             code = http_request.get(STREAM_CODE, code)
+            if request is not None and request.is_cut:
+                reason = "cut_at_stop"
             self._observer.record_request_end(
                 str(request_id),
                 http_request.get(CLASS_NAME, UNKNOWN_LABEL),
@@ -254,6 +263,7 @@
                 request=request_id,
                 tenant=http_request.get(TENANT),
                 code=code.value,
+                reason=reason,
             )
 
     def _authenticate(self, http_request: web.Request, request_id: RequestId) -> Caller:
@@ -271,27 +281,37 @@
         http_request[TENANT] = tenant.name
         return Caller(request_id, tenant, configuration)
 
-    async def _read_body(self, http_request: web.Request) -> bytes:
+    async def _read_body(
+        self, http_request: web.Request, progress: RequestInProgress
+    ) -> bytes:
         """Return the body; its size and the time to send it are limited."""
+        when_cut = RouterError(ResultCode.DRAINING, retry_after_s=1.0)
         try:
             async with asyncio.timeout(self._options.limits.body_timeout_s):
-                return await http_request.read()
+                return await progress.run(http_request.read(), when_cut)
         except TimeoutError as error:
             raise RouterError(ResultCode.SLOW_SENDER) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise RouterError(ResultCode.BODY_TOO_LARGE) from error
 
     async def _run_completion(
-        self, http_request: web.Request, request_id: RequestId
+        self,
+        http_request: web.Request,
+        request_id: RequestId,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
-        body = parse_completion(await self._read_body(http_request))
+        body = parse_completion(await self._read_body(http_request, progress))
         request = model_request(caller, body, http_request)
         http_request[CLASS_NAME] = request.request_class.name
+        progress.check_time_left(request.deadline_ms / 1000)
         if body.stream:
-            return await self._stream(http_request, caller, request)
+            return await self._stream(http_request, caller, request, progress)
         sink = BufferSink()
-        stats = await self._model_path.run(caller.configuration, request, sink)
+        stats = await progress.run(
+            self._model_path.run(caller.configuration, request, sink),
+            RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
+        )
         document = completion_document(
             request_id,
             request.model.name,
@@ -304,12 +324,19 @@
         return web.json_response(document, headers=headers)
 
     async def _stream(
-        self, http_request: web.Request, caller: Caller, request: ModelRequest
+        self,
+        http_request: web.Request,
+        caller: Caller,
+        request: ModelRequest,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         buffer_bytes = self._options.limits.stream_buffer_bytes
         sink = StreamSink(http_request, request, buffer_bytes)
         try:
-            stats = await self._model_path.run(caller.configuration, request, sink)
+            stats = await progress.run(
+                self._model_path.run(caller.configuration, request, sink),
+                RouterError(ResultCode.STREAM_INTERRUPTED, CUT_DETAIL),
+            )
             return await sink.finish(finish_reason(request, stats), stats)
         except RouterError as error:
             if sink.response is None:
@@ -326,7 +353,10 @@
             return await sink.fail(error)
 
     async def _call_service(
-        self, http_request: web.Request, request_id: RequestId
+        self,
+        http_request: web.Request,
+        request_id: RequestId,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         service = find_service(caller, http_request.match_info["service"])
@@ -338,13 +368,17 @@
             service=service,
             method=http_request.method,
             path=service_path(http_request),
-            body=await self._read_body(http_request),
+            body=await self._read_body(http_request, progress),
             headers=dict(http_request.headers),
             idempotency_key=idempotency_key(http_request),
             first_attempt=first_attempt(http_request),
             deadline_ms=min(deadline_ms, service.timeout_ms),
         )
-        backend_response = await self._plain_path.run(caller.configuration, request)
+        progress.check_time_left(request.longest_s)
+        backend_response = await progress.run(
+            self._plain_path.run(caller.configuration, request),
+            RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
+        )
         return service_response(request_id, backend_response)
 
 
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -78,6 +78,9 @@
 # an outage of the store it stops trying after this time.
 OUTCOME_DRAIN_TIMEOUT_S = 30.0
 
+# The same when the requests have used up the drain limit.
+MIN_OUTCOME_DRAIN_TIMEOUT_S = 2.0
+
 # Bounds the tickets that a new host reads in addition to the snapshot: those
 # accepted within this period.
 SNAPSHOT_PERIOD_S = 60.0
@@ -112,7 +115,12 @@
         self._decisions = DecisionLog(self._clock)
         self._observer = RequestObserver(self._metrics, self._decisions)
         limits = options.limits
-        self._drain = Drain(limits.max_streams, self._clock, limits.drain_notice_s)
+        self._drain = Drain(
+            limits.max_streams,
+            self._clock,
+            limits.drain_notice_s,
+            limits.drain_limit_s,
+        )
         self._tickets = TicketStore()
         self._held_grants = HeldGrants(options.host_id, self._identity.incarnation)
         self._create_platform_clients()
@@ -248,7 +256,7 @@
         """Create all services; the caller API starts last and stops first."""
         options = self._options
         ids = RequestIdGenerator(options.host_id, self._identity.incarnation)
-        caller_api = CallerApi(
+        caller_api = self._caller_api = CallerApi(
             options,
             self._tickets,
             ids,
@@ -319,10 +327,18 @@
 
         Returns False when the drain limit was reached first.
         """
-        self._drain.begin()
-        log_event(logger, "drain_started", in_progress=self._drain.in_progress)
-        finished = await self._drain.wait_idle(self._options.limits.drain_limit_s)
-        unsettled = await self._guard.drain(OUTCOME_DRAIN_TIMEOUT_S)
+        self._drain.begin_stop()
+        log_event(
+            logger,
+            "drain_started",
+            in_progress=self._drain.in_progress,
+            left_s=round(self._drain.left_s, 1),
+        )
+        finished = await self._drain.wait_idle(self._drain.left_s)
+        if not finished:
+            self._cut_requests("drain_limit")
+        left_s = max(MIN_OUTCOME_DRAIN_TIMEOUT_S, self._drain.left_s)
+        unsettled = await self._guard.drain(min(OUTCOME_DRAIN_TIMEOUT_S, left_s))
         log_event(
             logger,
             "drain_ended",
@@ -332,15 +348,42 @@
         )
         return finished
 
-    async def stop(self) -> None:
-        """Announce the leave, stop all services and close all connections."""
+    async def stop(self, reason: str = "drained") -> None:
+        """End the callers' side, announce the leave and stop all services.
+
+        ``reason`` says in the log why the process exits now. Requests that
+        are still in progress are cut.
+        """
+        log_event(
+            logger,
+            "exit_decided",
+            reason=reason,
+            in_progress=self._drain.in_progress,
+            left_s=round(self._drain.left_s, 1),
+        )
+        cut = self._cut_requests(reason)
+        # Callers are answered while this host is a member: the others take
+        # the requests of a host that has left for abandoned.
+        await self._caller_api.stop()
         await self._membership_driver.announce_leave()
         await self._supervisor.stop()
         await self._background.drain(BACKGROUND_DRAIN_TIMEOUT_S)
         await self._links.close()
         await self._session.close()
         await self._single_use_session.close()
-        log_event(logger, "host_stopped", host=self._identity.host_id)
+        log_event(
+            logger,
+            "host_stopped",
+            host=self._identity.host_id,
+            reason=reason,
+            cut=cut,
+            unsettled=self._guard.unfinished_count,
+        )
+
+    def _cut_requests(self, reason: str) -> int:
+        cut = self._drain.cut_requests(reason)
+        self._metrics.add_cut_requests(cut)
+        return cut
 
     async def _poll_local_reports(self) -> None:
         await self._local_admission.poll_reports(self._tickets.configuration)
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -98,11 +98,14 @@
         {drain, cut_short}, return_when=asyncio.FIRST_COMPLETED
     )
     finished = drain in done and drain.result()
+    reason = "drained" if finished else "drain_limit"
+    if drain not in done:
+        reason = "second_signal"
     if not finished:
-        log_event(logger, "drain_cut_short", level=logging.WARNING)
+        log_event(logger, "drain_cut_short", level=logging.WARNING, reason=reason)
     drain.cancel()
     cut_short.cancel()
-    await host.stop()
+    await host.stop(reason)
     return 0 if finished else EXIT_DRAIN_CUT_SHORT
 
 
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -63,6 +63,13 @@
         """Return whether the call may run twice."""
         return self.service.repeatable or self.method in REPEATABLE_METHODS
 
+    @property
+    def longest_s(self) -> float:
+        """Return the longest time until the call's outcome is recorded."""
+        if self.repeatable:
+            return self.deadline_ms / 1000
+        return self.service.timeout_ms * LATE_RESPONSE_FACTOR / 1000
+
     @property
     def record_key(self) -> str:
         """Return the key of the call's record, also sent to the server."""
--- a/tests/router/test_caller_api.py
+++ b/tests/router/test_caller_api.py
@@ -178,6 +178,21 @@
     assert path.calls == 0
 
 
+def test_stopping_host_takes_only_requests_that_end_before_it_does():
+    clock = ManualClock()
+    for limit_s, expected in ((5.0, 200), (1.0, 503)):
+        drain = Drain(10, clock, notice_s=2.0, limit_s=limit_s)
+        drain.begin_stop()
+        path = FakeModelPath()
+        arguments = {"data": completion(), "headers": AUTH}
+        status, headers, _ = call(
+            path, "POST", "/v1/completions", drain=drain, **arguments
+        )
+        assert status == expected
+        assert path.calls == (1 if expected == 200 else 0)
+        assert headers["X-Execution"] == ("ran" if expected == 200 else "not_run")
+
+
 @pytest.mark.parametrize(
     ("headers", "execution"),
     [
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -56,3 +56,82 @@
     with drain.request(), pytest.raises(RouterError) as caught, drain.request():
         pass
     assert caught.value.execution is Execution.NOT_RUN
+
+
+def test_request_that_may_outlast_the_process_is_refused_as_not_run():
+    """It was taken in during the notice period and cut at the drain limit."""
+    clock = ManualClock()
+    drain = Drain(10, clock, notice_s=2.0, limit_s=5.0)
+    drain.begin_stop()
+    clock.advance(1.0)
+    with drain.request() as request:
+        request.check_time_left(3.5)
+        with pytest.raises(RouterError) as caught:
+            request.check_time_left(4.0)
+    assert caught.value.code is ResultCode.DRAINING
+    assert caught.value.execution is Execution.NOT_RUN
+
+
+def test_drain_without_a_stop_limits_no_request():
+    drain = Drain(10, ManualClock(), notice_s=2.0, limit_s=5.0)
+    drain.begin()
+    with drain.request() as request:
+        request.check_time_left(1000.0)
+
+
+def test_stop_cannot_be_cancelled_or_prolonged():
+    """A host that was taken back into service would still have exited."""
+    clock = ManualClock()
+    drain = Drain(10, clock, notice_s=0.0, limit_s=5.0)
+    drain.begin_stop()
+    clock.advance(2.0)
+    drain.begin_stop()
+    drain.end()
+    assert drain.left_s == 3.0
+    assert drain.refusing
+
+
+def test_notice_period_of_an_earlier_drain_is_not_waited_for_again():
+    async def scenario() -> None:
+        clock = ManualClock()
+        drain = Drain(10, clock, notice_s=60.0)
+        drain.begin()
+        clock.advance(60.0)
+        drain.begin_stop()
+        assert await drain.wait_idle(0.5)
+
+    asyncio.run(scenario())
+
+
+def test_cut_request_ends_with_its_error_and_new_ones_are_refused():
+    async def scenario() -> None:
+        drain = Drain(10, ManualClock(), notice_s=60.0)
+        error = RouterError(ResultCode.OUTCOME_UNKNOWN)
+
+        async def request() -> None:
+            with drain.request("r1") as progress:
+                await progress.run(asyncio.Event().wait(), error)
+
+        task = asyncio.create_task(request())
+        await asyncio.sleep(0)
+        assert drain.cut_requests("second_signal") == 1
+        with pytest.raises(RouterError) as caught:
+            await task
+        assert caught.value is error
+        assert drain.in_progress == 0
+        assert drain.refusing
+
+    asyncio.run(scenario())
+
+
+def test_request_that_is_cut_between_two_parts_does_not_begin_the_next():
+    async def scenario() -> None:
+        drain = Drain(10, ManualClock())
+        error = RouterError(ResultCode.OUTCOME_UNKNOWN)
+        with drain.request() as progress:
+            drain.cut_requests("drain_limit")
+            with pytest.raises(RouterError) as caught:
+                await progress.run(asyncio.sleep(60), error)
+        assert caught.value is error
+
+    asyncio.run(scenario())
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -198,6 +198,28 @@
         assert json.loads(body)["choices"][0]["text"] == "x" * LARGE
 
 
+def test_requests_in_progress_at_the_end_are_answered_as_unknown():
+    """They were cancelled, and their callers got a closed connection."""
+
+    async def scenario(host: Host) -> None:
+        await host.path.began.wait()
+        await asyncio.sleep(0.05)
+        assert host.drain.cut_requests("drain_limit") == 2
+        await host.stop()
+
+    with Host(scenario) as host, host.connect() as plain, host.connect() as stream:
+        plain.sendall(request_bytes())
+        stream.sendall(request_bytes(stream=True, max_tokens=2))
+        answer = read_all(plain)
+        assert statuses(answer) == [504]
+        assert b"X-Execution: unknown" in answer
+        assert b"Connection: close" in answer
+        events = read_all(stream)
+        assert b'"first"' in events
+        assert b"event: error" in events
+        assert b"[DONE]" not in events
+
+
 def test_idle_connections_do_not_delay_the_stop():
     async def scenario(host: Host) -> None:
         await asyncio.sleep(0.05)
