Believe a response only if it is shown to belong to its call

A server that writes an earlier response again, when the next request was sent on the connection, decided that request: a copied 410, 412 or 507 was believed as a refusal, a copied 200 as the result of a cancel, an order or an import, a copied 409 as a lost conditional write, an old row as the current one. All later responses of the connection were shifted by one.

Cause: the bytes that follow on a connection were taken for the response. Ids of requests don't help: engines need not return them, errors bear none, one request goes several times over one connection, and reports, cache events, orders and the calls of the platform have none. A connection was checked for bytes only before it was used again.

Each exchange sends an id of its own, X-Kumquat-Call-Id, and the server returns it. A response counts if it bears exactly this id, or if it is the first one on its connection, where no earlier one exists. All others raise a transport error ("unknown") and their connection is closed. A server that returns no id gets a new connection for each call, so the platform's services and older engines stay correct. A cut copy can form one valid head with the response behind it (the status of the copy, the id of the response); a second status line in the reason or a header gives it away. Redirects are not followed. Calls to backend servers use each connection once already.

Ruled out: correlating by request id (above), and using each connection once, which costs a handshake per call.

--- a/packages/kumquat_core/src/kumquat_core/backend_client.py
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from .http_client import TRANSPORT_ERRORS, read_response_body, request_json
+from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
 
 __all__ = ["BackendClient", "BackendRequest", "BackendResponse", "HttpBackendClient"]
@@ -87,12 +88,12 @@
         }
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._session.request(
+                async with exchange(
+                    self._session,
                     request.method,
                     url.rstrip("/") + "/" + request.path.lstrip("/"),
                     data=request.body,
                     headers=headers,
-                    allow_redirects=False,
                 ) as response:
                     body = await read_response_body(response, MAX_RESPONSE_BYTES)
                     content_type = response.headers.get("Content-Type", "")
--- a/packages/kumquat_core/src/kumquat_core/engine_client.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -19,6 +19,7 @@
 
 from .configuration import EngineRole
 from .http_client import TRANSPORT_ERRORS, request_json
+from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
 
 __all__ = [
@@ -178,8 +179,6 @@
             "priority": 0,
         }
         document = await self._call("POST", f"{url}/v1/prefill", body, timeout_s)
-        # A late duplicate of another response may arrive on a reused
-        # connection.
         if document.get("request_id", request_id) != request_id:
             raise RouterError(ResultCode.ENGINE_FAILED, "answer of another request")
         return PrefillResult(
@@ -234,8 +233,8 @@
             sock_read=self._idle_timeout_s,
         )
         try:
-            async with self._session.post(
-                f"{url}/v1/decode", json=body, timeout=timeout
+            async with exchange(
+                self._session, "POST", f"{url}/v1/decode", json=body, timeout=timeout
             ) as response:
                 if response.status != 200:
                     raise _error_of_status(response.status)
--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -1,8 +1,9 @@
 """Functions shared by the HTTP clients of external systems.
 
-A faulty server may send a response twice, the second time on a connection
-that is idle by then, or a response that never ends. In the first case the
-connection is closed before it is used again, in the second the call fails.
+A faulty server may send a response twice, or one that never ends. A copy on
+an idle connection closes it before it is used again, ``proved_exchange`` tells
+a later copy from the response to the next request, and an endless response
+fails the call.
 """
 
 import asyncio
@@ -10,10 +11,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
+from .proved_exchange import exchange, record_connection
 from .result_codes import ResultCode, RouterError
 
 __all__ = [
@@ -47,6 +49,14 @@
     public option to prevent that.
     """
 
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        connection = await super().connect(req, traces, timeout)
+        if connection.protocol is not None:
+            record_connection(connection.protocol)
+        return connection
+
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         for protocol, _ in self._conns.get(key, ()):
             if protocol.should_close:
@@ -106,7 +116,7 @@
     """
     try:
         async with asyncio.timeout(timeout_s):
-            async with session.request(method, url, json=body) as response:
+            async with exchange(session, method, url, json=body) as response:
                 body = await read_response_body(response, MAX_RESPONSE_BYTES)
                 return response.status, json.loads(body)
     except TRANSPORT_ERRORS as error:
--- a/packages/kumquat_core/src/kumquat_core/object_client.py
+++ b/packages/kumquat_core/src/kumquat_core/object_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from .http_client import TRANSPORT_ERRORS
+from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
 
 __all__ = ["HttpObjectClient", "ObjectClient", "StoredObject"]
@@ -72,8 +73,8 @@
         url = f"{self._base_url}/objects/{quote(name, safe='')}"
         try:
             async with asyncio.timeout(self._timeout_s):
-                async with self._session.request(
-                    method, url, data=content, headers=headers
+                async with exchange(
+                    self._session, method, url, data=content, headers=headers
                 ) as response:
                     body = await response.read()
                     return response.status, body, response.headers.get("ETag", "")
--- a/packages/kumquat_lab/src/kumquat_lab/backend_server.py
+++ b/packages/kumquat_lab/src/kumquat_lab/backend_server.py
@@ -15,7 +15,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from .emulated_responses import receipt
-from .serving import error_middleware, serve_app
+from .serving import error_middleware, return_call_id, serve_app
 
 __all__ = [
     "BackendConfig",
@@ -138,6 +138,7 @@
     """Return the HTTP application of a backend server."""
     backend = _Backend(config)
     app = web.Application(middlewares=[error_middleware])
+    app.on_response_prepare.append(return_call_id)
     app.router.add_post("/fence", backend.fence)
     app.router.add_get("/executions", backend.executions)
     app.router.add_post("/faults", backend.faults)
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -15,7 +15,7 @@
 
 from .cost_model import EngineHostConfig
 from .emulated_engine import EmulatedEngine
-from .serving import Handler, error_middleware, serve_app
+from .serving import Handler, error_middleware, return_call_id, serve_app
 
 __all__ = ["engine_app", "run_engines"]
 
@@ -84,6 +84,7 @@
     app = web.Application(
         middlewares=[down_middleware, error_middleware], client_max_size=16_000_000
     )
+    app.on_response_prepare.append(return_call_id)
     app.router.add_post("/v1/prefill", _json_handler(engine.prefill))
     app.router.add_post("/v1/import", _json_handler(engine.import_cache))
     app.router.add_post("/v1/decode", engine.decode)
--- a/packages/kumquat_lab/src/kumquat_lab/platform.py
+++ b/packages/kumquat_lab/src/kumquat_lab/platform.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict
 
-from .serving import Handler, error_middleware, serve_app
+from .serving import Handler, error_middleware, return_call_id, serve_app
 
 __all__ = [
     "ObjectState",
@@ -266,6 +266,7 @@
         middlewares=[error_middleware, platform.fault_middleware],
         client_max_size=64_000_000,
     )
+    app.on_response_prepare.append(return_call_id)
     app.router.add_post("/tables/transact", platform.transact)
     app.router.add_get("/tables/{table}/{key}", platform.get_row)
     app.router.add_get("/tables/{table}", platform.scan)
--- a/packages/kumquat_lab/src/kumquat_lab/serving.py
+++ b/packages/kumquat_lab/src/kumquat_lab/serving.py
@@ -6,9 +6,11 @@
 
 from aiohttp import web
 
+from kumquat_core.proved_exchange import CALL_ID_HEADER
+
 from .engine_state import EngineError
 
-__all__ = ["LOOPBACK", "Handler", "error_middleware", "serve_app"]
+__all__ = ["LOOPBACK", "Handler", "error_middleware", "return_call_id", "serve_app"]
 
 LOOPBACK = "127.0.0.1"
 LISTEN_BACKLOG = 1024
@@ -29,6 +31,13 @@
         return web.json_response({"error": f"bad request: {error}"}, status=400)
 
 
+async def return_call_id(request: web.Request, response: web.StreamResponse) -> None:
+    """Give a response the call id of its request."""
+    call_id = request.headers.get(CALL_ID_HEADER)
+    if call_id is not None:
+        response.headers[CALL_ID_HEADER] = call_id
+
+
 async def serve_app(app: web.Application, port: int) -> None:
     """Serve an application on loopback until cancelled."""
     # Handlers are cancelled when a caller disconnects, as a real engine
