End a stream that fails unexpectedly with its error event

An error that is no RouterError, for example a KeyError for an engine's answer without a field, was answered with a second response on a stream whose head was sent: its status line became a part of the body of the first one, and the stream had neither an error event nor an end.

--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -338,9 +338,12 @@
                 RouterError(ResultCode.STREAM_INTERRUPTED, CUT_DETAIL),
             )
             return await sink.finish(finish_reason(request, stats), stats)
-        except RouterError as error:
+        except Exception as unexpected:
             if sink.response is None:
                 raise
+            # The status is sent: a second response on the same stream would
+            # be taken for a part of the first one.
+            error = _as_router_error(unexpected)
             log_event(
                 logger,
                 "stream_failed",
@@ -348,6 +351,7 @@
                 request=request.request_id,
                 code=error.code.value,
                 detail=error.detail,
+                error=None if error is unexpected else repr(unexpected),
             )
             http_request[STREAM_CODE] = error.code
             return await sink.fail(error)
@@ -382,6 +386,12 @@
         return service_response(request_id, backend_response)
 
 
+def _as_router_error(error: Exception) -> RouterError:
+    if isinstance(error, RouterError):
+        return error
+    return RouterError(ResultCode.INTERNAL_ERROR)
+
+
 def _ignores_record(error: RouterError) -> bool:
     """Return whether an error says "not run" without reading the record."""
     return (
--- a/tests/router/test_caller_api.py
+++ b/tests/router/test_caller_api.py
@@ -167,6 +167,20 @@
     assert b'"code": 1304' in content
 
 
+def test_unexpected_failure_in_mid_stream_is_an_error_event():
+    """A second response was written into the body of the first one."""
+    path = FakeModelPath()
+    path.failure = KeyError("prefill_id")
+    arguments = {"data": completion(stream=True), "headers": AUTH}
+    status, _, content = call(path, "POST", "/v1/completions", **arguments)
+    assert status == 200
+    assert content.endswith(b"\n\n")
+    assert b"event: error" in content
+    assert b'"code": 1399' in content
+    assert b"HTTP/1.1" not in content
+    assert b"[DONE]" not in content
+
+
 def test_draining_host_refuses_a_request_as_not_run():
     drain = Drain(10, ManualClock())
     drain.begin()
