Go on at another engine when one resumes a stream with an odd answer

A stream that broke off and was resumed at an engine that sent only the end marker reached its caller as complete, cut in the middle. A 412 from a decode or prefill engine ended the request, since it was taken for a refused order. A token stream of another content type, or with tokens after the end marker, was delivered. A prefill answer without its fields ended the request with an internal error instead of a retry.

Cause: a resumed output without a token was accepted as its end; the statuses of all calls had one meaning; the content type was not read; the order of the end marker was not checked; fields were read without a check.

The other answers (errors, refusals, a head only, an empty body, a stream from another position) already led to the next engine.

An end without a token is believed when a second engine says the same, or when max_tokens were delivered: the first engine may break off between its last token and the end marker. 412 is a refusal for orders only.

The silent engine of test_engine_stream.py now sends the content type that design.md names; its checks are unchanged.

--- a/packages/kumquat_core/src/kumquat_core/engine_client.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -7,12 +7,11 @@
 reports them.
 """
 
-import asyncio
-import json
-import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import Any, NamedTuple, Protocol
+from http import HTTPStatus
+from typing import Any, Protocol
 from urllib.parse import quote
 
 import aiohttp
@@ -21,6 +20,7 @@
 from .http_client import TRANSPORT_ERRORS, request_json
 from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
+from .token_events import Token, read_token_batches
 
 __all__ = [
     "CacheEvent",
@@ -34,17 +34,7 @@
 ]
 
 CONTROL_TIMEOUT_S = 1.0
-EVENT_SEPARATOR = b"\n\n"
-END_EVENT = "data: [DONE]\n\n"
-# A thousand times the size of a typical token event.
-MAX_EVENT_BYTES = 64 * 1024
-
-# A token event: its index, and its text as a valid JSON string.
-TOKEN_EVENT = re.compile(
-    r'data: \{"i": ?([0-9]{1,9}), ?"t": ?'
-    r'("[^"\\\x00-\x1f]*(?:\\(?:["\\/bfnrt]|u[0-9a-fA-F]{4})[^"\\\x00-\x1f]*)*")'
-    r"\}\n\n"
-)
+EVENT_STREAM = "text/event-stream"
 
 
 @dataclass(frozen=True)
@@ -58,24 +48,6 @@
     expires_ms: int
 
 
-class Token(NamedTuple):
-    """One output token and its position in the output, from 0.
-
-    ``literal`` is the text as a JSON string with its quotes. It is forwarded
-    to the caller unchanged, since decoding and encoding each token would cost
-    more than all other work on it.
-    """
-
-    position: int
-    literal: str
-
-    @property
-    def text(self) -> str:
-        """Return the decoded text."""
-        text: str = json.loads(self.literal)
-        return text
-
-
 @dataclass(frozen=True)
 class HeldRequest:
     """A request that holds engine memory."""
@@ -179,15 +151,16 @@
             "priority": 0,
         }
         document = await self._call("POST", f"{url}/v1/prefill", body, timeout_s)
-        if document.get("request_id", request_id) != request_id:
-            raise RouterError(ResultCode.ENGINE_FAILED, "answer of another request")
-        return PrefillResult(
-            prefill_id=document["prefill_id"],
-            tokens=document["tokens"],
-            cached_tokens=document["cached_tokens"],
-            pieces=document["pieces"],
-            expires_ms=document["expires_ms"],
-        )
+        with _reading_document():
+            if document.get("request_id", request_id) != request_id:
+                raise RouterError(ResultCode.ENGINE_FAILED, "answer of another request")
+            return PrefillResult(
+                prefill_id=document["prefill_id"],
+                tokens=document["tokens"],
+                cached_tokens=document["cached_tokens"],
+                pieces=document["pieces"],
+                expires_ms=document["expires_ms"],
+            )
 
     async def import_cache(
         self,
@@ -237,13 +210,17 @@
                 self._session, "POST", f"{url}/v1/decode", json=body, timeout=timeout
             ) as response:
                 if response.status != 200:
-                    raise _error_of_status(response.status)
+                    raise _StatusError(response.status)
+                content_type = response.headers.get("Content-Type", EVENT_STREAM)
+                if not content_type.startswith(EVENT_STREAM):
+                    detail = f"content type {content_type[:40]!r} of a stream"
+                    raise RouterError(ResultCode.ENGINE_FAILED, detail)
                 response_request_id = response.headers.get("X-Request-Id", request_id)
                 if response_request_id != request_id:
                     response.close()
                     detail = "answer of another request"
                     raise RouterError(ResultCode.ENGINE_FAILED, detail)
-                async for batch in _read_token_batches(
+                async for batch in read_token_batches(
                     response.content, self._idle_timeout_s
                 ):
                     yield batch
@@ -260,29 +237,31 @@
         """Return the engine's load report; ``fresh`` requests a new one."""
         path = f"{url}/v1/report" + ("?fresh=1" if fresh else "")
         document = await self._call("GET", path, None, CONTROL_TIMEOUT_S)
-        requests = tuple(
-            HeldRequest(item["request_id"], item["pieces"], item["age_ms"])
-            for item in document["requests"]
-        )
-        return EngineReport(
-            as_of_ms=document["as_of_ms"],
-            role=EngineRole(document["role"]),
-            models=tuple(document["models"]),
-            total_pieces=document["total_pieces"],
-            held_pieces=document["held_pieces"],
-            requests=requests,
-            prefill_queue=document["prefill_queue"],
-            step_ms=document["step_ms"],
-        )
+        with _reading_document():
+            requests = tuple(
+                HeldRequest(item["request_id"], item["pieces"], item["age_ms"])
+                for item in document["requests"]
+            )
+            return EngineReport(
+                as_of_ms=document["as_of_ms"],
+                role=EngineRole(document["role"]),
+                models=tuple(document["models"]),
+                total_pieces=document["total_pieces"],
+                held_pieces=document["held_pieces"],
+                requests=requests,
+                prefill_queue=document["prefill_queue"],
+                step_ms=document["step_ms"],
+            )
 
     async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
         """Return the cache events that follow sequence number ``after``."""
         path = f"{url}/v1/cache-events?after={after}"
         document = await self._call("GET", path, None, CONTROL_TIMEOUT_S)
-        return [
-            CacheEvent(item["sequence"], item["kind"], item["prefix"])
-            for item in document["events"]
-        ]
+        with _reading_document():
+            return [
+                CacheEvent(item["sequence"], item["kind"], item["prefix"])
+                for item in document["events"]
+            ]
 
     async def send_command(self, url: str, command: EngineCommand) -> None:
         """Send a command with its fencing token."""
@@ -293,7 +272,12 @@
             "version": command.version,
             "role": command.role,
         }
-        await self._call("POST", f"{url}/v1/orders", body, CONTROL_TIMEOUT_S)
+        try:
+            await self._call("POST", f"{url}/v1/orders", body, CONTROL_TIMEOUT_S)
+        except _StatusError as error:
+            if error.status == HTTPStatus.PRECONDITION_FAILED:
+                raise RouterError(ResultCode.STALE_FENCE, error.detail) from error
+            raise
 
     async def _call(self, method: str, url: str, body: Any, timeout_s: float) -> Any:
         """Send a request and return the JSON body of its response.
@@ -309,74 +293,30 @@
             error_code=ResultCode.ENGINE_FAILED,
         )
         if status != 200:
-            raise _error_of_status(status)
+            raise _StatusError(status)
         return document
 
 
-_CODES_BY_STATUS = {
-    410: ResultCode.PREFILL_EVICTED,
-    412: ResultCode.STALE_FENCE,
-    507: ResultCode.ENGINE_MEMORY_FULL,
+_CODES_BY_STATUS: dict[int, ResultCode] = {
+    HTTPStatus.GONE: ResultCode.PREFILL_EVICTED,
+    HTTPStatus.INSUFFICIENT_STORAGE: ResultCode.ENGINE_MEMORY_FULL,
 }
 
 
-def _error_of_status(status: int) -> RouterError:
-    """Return the error for a response with a status other than 200."""
-    code = _CODES_BY_STATUS.get(status, ResultCode.ENGINE_FAILED)
-    return RouterError(code, f"engine answered status {status}")
+class _StatusError(RouterError):
+    """A response with a status other than 200."""
 
+    def __init__(self, status: int) -> None:
+        code = _CODES_BY_STATUS.get(status, ResultCode.ENGINE_FAILED)
+        super().__init__(code, f"engine answered status {status}")
+        self.status = status
 
-async def _read_token_batches(
-    content: aiohttp.StreamReader, idle_timeout_s: float | None = None
-) -> AsyncIterator[list[Token]]:
-    """Yield a batch of tokens for each read that completes token events.
 
-    Raises ``TimeoutError`` when no complete event arrives within
-    ``idle_timeout_s``, even if bytes do. The time that the consumer spends
-    on a batch does not count.
-    """
-    pending = b""
-    while True:
-        async with asyncio.timeout(idle_timeout_s):
-            events, pending = await _read_complete_events(content, pending)
-        batch, ended = _parse_events(events)
-        if batch:
-            yield batch
-        if ended:
-            return
-
-
-async def _read_complete_events(
-    content: aiohttp.StreamReader, pending: bytes
-) -> tuple[bytes, bytes]:
-    """Read until an event is complete; return the events and the bytes after.
-
-    Raises ``RouterError`` with ``STREAM_INTERRUPTED`` when the stream ends
-    first and ``ENGINE_FAILED`` when an event exceeds ``MAX_EVENT_BYTES``.
-    """
-    while True:
-        data = await content.readany()
-        if not data:
-            raise RouterError(ResultCode.STREAM_INTERRUPTED, "no end marker")
-        events, separator, pending = (pending + data).rpartition(EVENT_SEPARATOR)
-        if len(pending) > MAX_EVENT_BYTES:
-            raise RouterError(ResultCode.ENGINE_FAILED, "event does not end")
-        if separator:
-            return events + separator, pending
-
-
-def _parse_events(events: bytes) -> tuple[list[Token], bool]:
-    """Return the tokens of complete events, and whether the output ended.
-
-    Raises ``RouterError`` with ``ENGINE_FAILED`` if the bytes contain anything
-    but token events and a final end event.
-    """
+@contextmanager
+def _reading_document() -> Iterator[None]:
+    """Raise ``ENGINE_FAILED`` for a document that lacks fields."""
     try:
-        text = events.decode()
-    except UnicodeDecodeError as error:
-        raise RouterError(ResultCode.ENGINE_FAILED, "event is not UTF-8") from error
-    batch = [Token(int(index), literal) for index, literal in TOKEN_EVENT.findall(text)]
-    remainder = TOKEN_EVENT.sub("", text) if len(batch) * 2 != text.count("\n") else ""
-    if remainder not in ("", END_EVENT):
-        raise RouterError(ResultCode.ENGINE_FAILED, "malformed token event")
-    return batch, remainder == END_EVENT
+        yield
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        detail = f"malformed response: {type(error).__name__}"
+        raise RouterError(ResultCode.ENGINE_FAILED, detail) from error
--- a/packages/kumquat_lab/src/kumquat_lab/model_harness.py
+++ b/packages/kumquat_lab/src/kumquat_lab/model_harness.py
@@ -1,6 +1,6 @@
 """Test harness for a model path with fake engines and a fake shard owner.
 
-Two prefill and two decode engines generate a response of six tokens. Faults
+Two prefill and three decode engines generate a response of six tokens. Faults
 are set for a stage (``prefill``, ``transfer``, ``decode``) or for the URL of
 an engine.
 """
@@ -45,7 +45,7 @@
     engines_by_id=MappingProxyType(
         {
             engine_id: make_engine(engine_id, prefill_tokens_per_s=1000.0)
-            for engine_id in ("p1", "p2", "d1", "d2")
+            for engine_id in ("p1", "p2", "d1", "d2", "d3")
         }
     ),
 )
@@ -150,7 +150,7 @@
         self, configuration: Configuration, pool: str, request: AdmissionRequest
     ) -> Grant:
         """Return a grant immediately."""
-        decode = [e for e in ("d1", "d2") if e not in request.excluded_engines]
+        decode = [e for e in ("d1", "d2", "d3") if e not in request.excluded_engines]
         prefill = "p2" if "p1" in request.excluded_engines else "p1"
         if not decode:
             raise RouterError(ResultCode.NO_ENGINE)
--- a/packages/kumquatrouter/src/kumquatrouter/attempt.py
+++ b/packages/kumquatrouter/src/kumquatrouter/attempt.py
@@ -193,6 +193,8 @@
             last_write_s = self._clock.monotonic()
             write_time_s += last_write_s - now_s
         received_tokens = stats.tokens - start_index
+        if not received_tokens:
+            _check_end(request, stats)
         if received_tokens > 1:
             # Excludes the time spent writing to a slow caller, which says
             # nothing about the engine.
@@ -272,6 +274,19 @@
         )
 
 
+def _check_end(request: ModelRequest, stats: RequestStats) -> None:
+    """Raise ``ENGINE_FAILED`` if a resumed output may not be complete.
+
+    The stream before may have broken off between the last token and the end
+    marker. An engine that resumes without a token may also have lost the
+    output, so a second one has to say the same.
+    """
+    if stats.tokens in (0, request.max_tokens, stats.ends_at):
+        return
+    stats.ends_at = stats.tokens
+    raise RouterError(ResultCode.ENGINE_FAILED, "resumed without a token")
+
+
 def _check_positions(tokens: list[Token], expected_position: int) -> None:
     """Raise ``ENGINE_FAILED`` for missing, repeated or reordered tokens."""
     for offset, token in enumerate(tokens):
--- a/packages/kumquatrouter/src/kumquatrouter/model_request.py
+++ b/packages/kumquatrouter/src/kumquatrouter/model_request.py
@@ -36,6 +36,8 @@
     """Times, delivered tokens, attempts and last engines of one request.
 
     ``tbt_ms`` is the mean time between the tokens of the last stream.
+    ``ends_at`` is the position at which an engine that was to resume the
+    output said that it ends, without a token.
     """
 
     prefill_ms: float = 0.0
@@ -45,6 +47,7 @@
     attempts: int = 0
     prefill_engine: str = ""
     decode_engine: str = ""
+    ends_at: int | None = None
 
 
 class AdmissionClient(Protocol):
--- a/tests/core/test_engine_stream.py
+++ b/tests/core/test_engine_stream.py
@@ -8,8 +8,9 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from kumquat_core.engine_client import HttpEngineClient, Token, _read_token_batches
+from kumquat_core.engine_client import HttpEngineClient, Token
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.token_events import read_token_batches
 
 TEXTS = ["a ", 'quote " and \\ slash', "tab\tline\n", "\u00e6\u00f8\u00e5 \u2603", ""]
 END = "data: [DONE]\n\n"
@@ -35,9 +36,7 @@
 def read_all(data: str, size: int = 7) -> list[Token]:
     async def collect() -> list[Token]:
         content = ChunkedContent(data.encode(), size)
-        return [
-            token async for batch in _read_token_batches(content) for token in batch
-        ]
+        return [token async for batch in read_token_batches(content) for token in batch]
 
     return asyncio.run(collect())
 
@@ -66,6 +65,7 @@
         'data: {"i": 0, "t": "a"}, {"i": 1}\n\n',
         "data: nonsense\n\n",
         END + 'data: {"i": 0, "t": "after the end"}\n\ndata: x\n\n',
+        END + 'data: {"i": 0, "t": "after the end"}\n\n',
     ],
 )
 def test_malformed_event_is_an_engine_failure(event):
@@ -78,7 +78,7 @@
     """Sends one token and then nothing more."""
 
     async def decode(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse()
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
         await response.write(b'data: {"i": 0, "t": "a"}\n\n')
         await asyncio.Event().wait()
--- a/tests/core/test_faulty_servers.py
+++ b/tests/core/test_faulty_servers.py
@@ -10,14 +10,10 @@
 
 from kumquat_core import http_client
 from kumquat_core.backend_client import BackendRequest, HttpBackendClient
-from kumquat_core.engine_client import (
-    MAX_EVENT_BYTES,
-    HttpEngineClient,
-    Token,
-    _read_token_batches,
-)
+from kumquat_core.engine_client import HttpEngineClient, Token
 from kumquat_core.http_client import create_session, request_json
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.token_events import MAX_EVENT_BYTES, read_token_batches
 
 T = TypeVar("T")
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -162,7 +158,7 @@
 
     async def run() -> int:
         content = SlowContent()
-        batches = _read_token_batches(content, IDLE_TIMEOUT_S)
+        batches = read_token_batches(content, IDLE_TIMEOUT_S)
         return sum([len(batch) async for batch in batches])
 
     assert asyncio.run(run()) == 4
@@ -174,7 +170,7 @@
             return b"d" * 4096
 
     async def run() -> None:
-        async for _ in _read_token_batches(Endless(), 5.0):
+        async for _ in read_token_batches(Endless(), 5.0):
             pass
 
     with pytest.raises(RouterError, match="does not end"):
@@ -226,3 +222,25 @@
         return caught.value.code
 
     assert run_against_server(script, call) is ResultCode.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("body", [b"{}", b"[]", b"null", b'{"prefill_id": "p"}'])
+def test_prefill_answer_without_its_fields_is_an_engine_failure(body: bytes) -> None:
+    """It raised a KeyError, which ended the request without a retry."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(http_response(body))
+        await reader.read()
+        writer.close()
+
+    async def call(url: str) -> ResultCode:
+        async with create_session(1.0) as session:
+            client = HttpEngineClient(session, IDLE_TIMEOUT_S)
+            with pytest.raises(RouterError) as caught:
+                await client.prefill(url, "mine", "m", "a b", 1.0)
+        return caught.value.code
+
+    assert run_against_server(script, call) is ResultCode.ENGINE_FAILED
