Read a fence response only with a truth value

A response to POST /fence without a boolean "seen" (null, 0) was read as "never seen". The attempt of the dead holder was then recorded as cancelled and the call was sent once more, although it may have run. Without the field the call ended with an internal error.

Any other value is OUTCOME_UNKNOWN now, and the record stays as it is.

--- a/packages/kumquat_core/src/kumquat_core/backend_client.py
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -120,4 +120,8 @@
         if status != 200:
             detail = f"fence call answered status {status}"
             raise RouterError(ResultCode.OUTCOME_UNKNOWN, detail)
-        return bool(document["seen"])
+        # A wrong "not seen" would permit a second attempt.
+        seen = document.get("seen") if isinstance(document, dict) else None
+        if not isinstance(seen, bool):
+            raise RouterError(ResultCode.OUTCOME_UNKNOWN, "malformed fence response")
+        return seen
--- a/tests/core/test_faulty_servers.py
+++ b/tests/core/test_faulty_servers.py
@@ -244,3 +244,25 @@
         return caught.value.code
 
     assert run_against_server(script, call) is ResultCode.ENGINE_FAILED
+
+
+@pytest.mark.parametrize("body", [b"{}", b"null", b'{"seen": null}', b'{"seen": 0}'])
+def test_fence_answer_without_a_truth_value_is_unknown(body: bytes) -> None:
+    """It was read as "never seen", so that the call was sent once more."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(http_response(body))
+        await reader.read()
+        writer.close()
+
+    async def call(url: str) -> ResultCode:
+        async with create_session(1.0, reuse_connections=False) as session:
+            client = HttpBackendClient(session)
+            with pytest.raises(RouterError) as caught:
+                await client.raise_fence(url, "key", 2)
+        return caught.value.code
+
+    assert run_against_server(script, call) is ResultCode.OUTCOME_UNKNOWN
