Give slow readers the time that is left at a stop

Requests count as in progress until their handler returns. The answer of a caller that reads slowly may still be in a buffer then; ServerConnections cut it 5 s later, although the process had time left.

EntryHost.stop gives the connections the time that is left until the process must exit, at most 30 s; 5 s after a cut.

--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -18,7 +18,7 @@
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdGenerator
-from kumquat_core.result_codes import Execution, ResultCode, RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.server_connections import ServerConnections
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
@@ -28,9 +28,9 @@
     find_service,
     first_attempt,
     idempotency_key,
-    may_have_predecessor,
     model_request,
     service_path,
+    truthful_error,
 )
 from .drain import Drain, RequestInProgress
 from .input_validation import (
@@ -63,7 +63,7 @@
 LISTEN_BACKLOG = 1024
 
 # Time at a stop for refusals to be sent and for callers to close their side.
-CLOSE_LIMIT_S = 5.0
+MIN_CLOSE_LIMIT_S = 5.0
 # For handlers whose connections were cut after that.
 SHUTDOWN_TIMEOUT_S = 0.5
 
@@ -72,20 +72,6 @@
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
 CLASS_NAME = web.RequestKey("class_name", str)
-# Result codes whose "not run" is based on the record of the idempotency key.
-# All other refusals are made without reading the record, so an earlier call
-# with the key may have run, for example under an older configuration.
-CODES_BASED_ON_RECORD = frozenset(
-    {
-        ResultCode.IDEMPOTENCY_KEY_REUSED,
-        ResultCode.INVALID_IDEMPOTENCY_KEY,
-        ResultCode.DEADLINE_BEFORE_START,
-        ResultCode.STORE_UNAVAILABLE,
-        ResultCode.BACKEND_UNREACHABLE,
-        ResultCode.CONFLICTING_ATTEMPT,
-    }
-)
-
 STREAM_CODE = web.RequestKey("stream_code", ResultCode)
 
 logger = logging.getLogger(__name__)
@@ -177,14 +163,21 @@
         )
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stop listening and close all connections once they are answered."""
+        """Stop listening and close all connections."""
+        await self.close(MIN_CLOSE_LIMIT_S)
+
+    async def close(self, limit_s: float) -> None:
+        """Stop listening and close all connections once they are answered.
+
+        Answers that are not sent after ``limit_s`` are cut.
+        """
         runner, self._runner = self._runner, None
         if runner is None:
             return
         if self._listener is not None and self._connections is not None:
             self._listener.close()
             count = len(self._connections)
-            closed = await self._connections.close(CLOSE_LIMIT_S)
+            closed = await self._connections.close(max(MIN_CLOSE_LIMIT_S, limit_s))
             self._observer.metrics.add_cut_answers(closed.cut)
             log_event(
                 logger,
@@ -222,15 +215,7 @@
             code = error.code
             if code is ResultCode.DRAINING:
                 reason = "stopping"
-            if _ignores_record(error) and may_have_predecessor(http_request):
-                note = "An earlier call with this key may have run."
-                error = RouterError(
-                    code,
-                    f"{error.detail} {note}".strip(),
-                    retry_after_s=error.retry_after_s,
-                    execution=Execution.UNKNOWN,
-                )
-            return error_response(error, request_id)
+            return error_response(truthful_error(error, http_request), request_id)
         except asyncio.CancelledError:
             code = ResultCode.CALLER_GONE
             raise
@@ -390,10 +375,3 @@
     if isinstance(error, RouterError):
         return error
     return RouterError(ResultCode.INTERNAL_ERROR)
-
-
-def _ignores_record(error: RouterError) -> bool:
-    """Return whether an error says "not run" without reading the record."""
-    return (
-        error.execution is Execution.NOT_RUN and error.code not in CODES_BASED_ON_RECORD
-    )
--- a/packages/kumquatrouter/src/kumquatrouter/caller_requests.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_requests.py
@@ -12,7 +12,7 @@
     Tenant,
 )
 from kumquat_core.request_ids import RequestId
-from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.result_codes import Execution, ResultCode, RouterError
 
 from .input_validation import DEFAULT_MAX_TOKENS, CompletionModel, parse_deadline_ms
 from .model_request import ModelRequest
@@ -22,13 +22,27 @@
     "find_service",
     "first_attempt",
     "idempotency_key",
-    "may_have_predecessor",
     "model_request",
     "service_path",
+    "truthful_error",
 ]
 
 MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
+# Result codes whose "not run" is based on the record of the idempotency key.
+# All other refusals are made without reading the record, so an earlier call
+# with the key may have run, for example under an older configuration.
+CODES_BASED_ON_RECORD = frozenset(
+    {
+        ResultCode.IDEMPOTENCY_KEY_REUSED,
+        ResultCode.INVALID_IDEMPOTENCY_KEY,
+        ResultCode.DEADLINE_BEFORE_START,
+        ResultCode.STORE_UNAVAILABLE,
+        ResultCode.BACKEND_UNREACHABLE,
+        ResultCode.CONFLICTING_ATTEMPT,
+    }
+)
+
 
 @dataclass(frozen=True)
 class Caller:
@@ -121,7 +135,26 @@
     return http_request.headers.get("X-First-Attempt", "").lower() == "true"
 
 
-def may_have_predecessor(http_request: web.Request) -> bool:
+def _may_have_predecessor(http_request: web.Request) -> bool:
     """Return whether an earlier call may have had the same idempotency key."""
     has_key = "Idempotency-Key" in http_request.headers
     return has_key and not first_attempt(http_request)
+
+
+def truthful_error(error: RouterError, http_request: web.Request) -> RouterError:
+    """Return an error whose "not run" becomes "unknown" where it must.
+
+    An error that was made without the record of its key can't exclude that an
+    earlier call with the key ran.
+    """
+    if error.execution is not Execution.NOT_RUN or error.code in CODES_BASED_ON_RECORD:
+        return error
+    if not _may_have_predecessor(http_request):
+        return error
+    note = "An earlier call with this key may have run."
+    return RouterError(
+        error.code,
+        f"{error.detail} {note}".strip(),
+        retry_after_s=error.retry_after_s,
+        execution=Execution.UNKNOWN,
+    )
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -74,6 +74,10 @@
 BACKGROUND_DRAIN_TIMEOUT_S = 5.0
 GRANTS_QUERY_TIMEOUT_S = 0.5
 
+# Before the process ends, callers that read slowly get the rest of their
+# answers, unless it ends early.
+ANSWER_TIMEOUT_S = 30.0
+
 # Before the process ends, it records the outcomes of non-repeatable calls. In
 # an outage of the store it stops trying after this time.
 OUTCOME_DRAIN_TIMEOUT_S = 30.0
@@ -364,7 +368,9 @@
         cut = self._cut_requests(reason)
         # Callers are answered while this host is a member: the others take
         # the requests of a host that has left for abandoned.
-        await self._caller_api.stop()
+        await self._caller_api.close(
+            0.0 if cut else min(ANSWER_TIMEOUT_S, self._drain.left_s)
+        )
         await self._membership_driver.announce_leave()
         await self._supervisor.stop()
         await self._background.drain(BACKGROUND_DRAIN_TIMEOUT_S)
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -220,6 +220,39 @@
         assert b"[DONE]" not in events
 
 
+def test_request_on_a_connection_that_was_just_accepted_is_refused():
+    """The connection was closed while its request was on its way."""
+
+    async def scenario(host: Host) -> None:
+        host.drain.begin()
+        await asyncio.sleep(0.1)
+        host.drain.cut_requests("drain_limit")
+        await host.api.stop()
+
+    with Host(scenario) as host, host.connect() as new:
+        while not host.api._connections.closing:
+            time.sleep(0.001)
+        new.sendall(request_bytes())
+        assert statuses(read_all(new)) == [503]
+
+
+def test_empty_lines_on_an_idle_connection_are_not_answered():
+    """An answer without a request would be taken for that to the next one."""
+
+    async def scenario(host: Host) -> None:
+        await host.path.began.wait()
+        host.path.release.set()
+        await asyncio.sleep(0.15)
+        host.drain.begin()
+        await host.stop()
+
+    with Host(scenario) as host, host.connect() as idle:
+        idle.sendall(request_bytes())
+        time.sleep(0.05)
+        idle.sendall(b"\r\n")
+        assert statuses(read_all(idle)) == [200]
+
+
 def test_idle_connections_do_not_delay_the_stop():
     async def scenario(host: Host) -> None:
         await asyncio.sleep(0.05)
