End a start at once when the host is told to stop

SIGTERM during the start took effect only when the start had ended, which takes as long as the store and the peers need. No caller is connected at that time. The log has exit_decided reason=stopped_at_start.

--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -17,6 +17,7 @@
     "caller_gone": "the caller closed its connection",
     "caller_leaves_first": "no slot was expected before the caller gives up",
     "connection_broken": "the connection to the engine broke",
+    "cut_at_stop": "its host exited before it was complete",
     "deadline": "the deadline of the caller or the route has passed",
     "endless_event": "the engine sent an event without an end",
     "engine_leaves": "the engine that was granted is leaving or asked for a pause",
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -76,6 +76,24 @@
     typer.echo(json.dumps(SettingsModel.model_json_schema(), indent=2))
 
 
+async def _start(host: EntryHost, stop_requested: asyncio.Event) -> bool:
+    """Start a host; return False when it was told to stop meanwhile.
+
+    A start takes long while the store is away. No caller is connected yet.
+    """
+    start = asyncio.ensure_future(host.start())
+    stop = asyncio.ensure_future(stop_requested.wait())
+    await asyncio.wait({start, stop}, return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    if start.done():
+        await start
+        return True
+    start.cancel()
+    await asyncio.gather(start, return_exceptions=True)
+    await host.stop("stopped_at_start")
+    return False
+
+
 async def _run(options: Options) -> int:
     """Run until a signal and drain; a second signal ends the drain early.
 
@@ -90,7 +108,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
     host = EntryHost.from_config(options)
-    await host.start()
+    if not await _start(host, first_signal):
+        return 0
     await first_signal.wait()
     drain = asyncio.ensure_future(host.drain())
     cut_short = asyncio.ensure_future(second_signal.wait())
