Keep running on SIGHUP

SIGHUP, which tells the relay to reload its settings, ended an entry host at once, by its default action, with its requests in progress and exit status -1. An entry host reads its settings at its start only; it now logs the signal and goes on.

--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -107,6 +107,9 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    # The platform sends SIGHUP to programs that reload their settings. Its
+    # default would end this one with requests in progress.
+    loop.add_signal_handler(signal.SIGHUP, log_event, logger, "reload_not_supported")
     host = EntryHost.from_config(options)
     if not await _start(host, first_signal):
         return 0
--- a/tests/router/test_main.py
+++ b/tests/router/test_main.py
@@ -1,7 +1,7 @@
 """Tests of the signals of an entry host process.
 
 They guard against a stop that waits for a start, which takes long while the
-store is away.
+store is away, and against a SIGHUP that ends the process.
 """
 
 import asyncio
@@ -55,6 +55,6 @@
 
 
 @pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
-def test_signal_drains_the_host(monkeypatch, first):
-    code, host = run_with_signals(monkeypatch, first, started=True)
+def test_signal_drains_the_host_although_it_was_told_to_reload(monkeypatch, first):
+    code, host = run_with_signals(monkeypatch, signal.SIGHUP, first, started=True)
     assert (code, host.calls) == (0, ["start", "drain", "drained"])
