Linger until the caller has received the whole answer

A caller that reads a large answer for longer than the 2 s of the lingering close, and sends something meanwhile, got a reset with a part of the answer still in the buffer of the kernel.

The linger goes on while the kernel has bytes that the caller's side has not acknowledged (TIOCOUTQ), at most 60 s; a stopping host cuts it earlier.

--- a/packages/kumquat_core/src/kumquat_core/server_connections.py
+++ b/packages/kumquat_core/src/kumquat_core/server_connections.py
@@ -13,7 +13,10 @@
 """
 
 import asyncio
+import fcntl
 import logging
+import struct
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -26,6 +29,9 @@
 
 # A client that has read the answer closes its side within a round trip.
 LINGER_S = 2.0
+# For a client that reads slowly. One that reads nothing must not keep its
+# connection open for ever.
+MAX_LINGER_S = 60.0
 CLOSE_POLL_S = 0.02
 
 # The request of a connection that was accepted just before the stop is on its
@@ -34,6 +40,7 @@
 
 # A client may send empty lines after a body; they begin no request.
 BETWEEN_REQUESTS = b"\r\n"
+C_INT = struct.Struct("i")
 
 logger = logging.getLogger(__name__)
 
@@ -128,6 +135,7 @@
         self._is_lingering = False
         self._has_partial_head = False
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._linger_end_s = 0.0
 
     # aiohttp has no public view of the requests that a connection has read.
 
@@ -223,8 +231,31 @@
         self.transport.write_eof()
         if not self.transport.is_reading():
             self.transport.resume_reading()
+        self._linger_end_s = asyncio.get_running_loop().time() + MAX_LINGER_S
+        self._restart_linger_timer()
+
+    def _restart_linger_timer(self) -> None:
         loop = asyncio.get_running_loop()
-        self._linger_timer = loop.call_later(LINGER_S, self.transport.close)
+        self._linger_timer = loop.call_later(LINGER_S, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close, unless the client has not received the whole answer."""
+        is_over = asyncio.get_running_loop().time() >= self._linger_end_s
+        if not is_over and _unsent_bytes(self.transport):
+            self._restart_linger_timer()
+        else:
+            self.transport.close()
+
+
+def _unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the client's kernel has not acknowledged."""
+    buffered: int = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(C_INT.size))
+    except (OSError, ValueError):
+        return buffered
+    return buffered + int(C_INT.unpack(queued)[0])
 
 
 class ServerConnections:
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -17,6 +17,7 @@
 import uvloop
 from test_caller_api import AUTH, SETTINGS, FakeModelPath, make_api
 
+from kumquat_core import server_connections
 from kumquat_core.clock import SystemClock
 from kumquat_core.engine_client import Token
 from kumquatrouter.drain import Drain
@@ -198,6 +199,13 @@
         assert json.loads(body)["choices"][0]["text"] == "x" * LARGE
 
 
+def test_caller_that_reads_longer_than_the_linger_gets_its_whole_answer(monkeypatch):
+    """The connection was closed with bytes unread while the kernel still had
+    a part of the answer."""
+    monkeypatch.setattr(server_connections, "LINGER_S", 0.02)
+    test_large_answer_arrives_completely_although_the_process_ends(b"POST / HTTP/1.1")
+
+
 def test_requests_in_progress_at_the_end_are_answered_as_unknown():
     """They were cancelled, and their callers got a closed connection."""
 
