--- a/packages/kumquat_core/src/kumquat_core/server_connections.py
+++ b/packages/kumquat_core/src/kumquat_core/server_connections.py
@@ -59,6 +59,8 @@
 class _LingeringTransport(asyncio.Transport):
     """Passes all calls to a transport, except for a lingering ``close``."""
 
+    __slots__ = ("_is_lingering", "_on_close", "_transport")
+
     def __init__(
         self, transport: asyncio.Transport, on_close: Callable[[], None]
     ) -> None:
@@ -124,6 +126,16 @@
 class _Connection(asyncio.Protocol):
     """Passes events to aiohttp's protocol and knows what is unanswered."""
 
+    __slots__ = (
+        "_has_partial_head",
+        "_is_lingering",
+        "_linger_end_s",
+        "_linger_timer",
+        "_on_lost",
+        "handler",
+        "last_request",
+        "transport",
+    )
     transport: asyncio.Transport
 
     def __init__(
--- a/packages/kumquatrouter/src/kumquatrouter/drain.py
+++ b/packages/kumquatrouter/src/kumquatrouter/drain.py
@@ -33,6 +33,8 @@
 class RequestInProgress:
     """A request that runs on this host and can be cut at its end."""
 
+    __slots__ = ("_drain", "_ends_s", "_scope", "_started_s", "is_cut", "request_id")
+
     def __init__(self, drain: "Drain", request_id: str, started_s: float) -> None:
         self._drain = drain
         self._started_s = started_s
