--- a/packages/kumquat_core/src/kumquat_core/backend_client.py
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from .http_client import TRANSPORT_ERRORS, read_response_body, request_json
+from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
 
 __all__ = ["BackendClient", "BackendRequest", "BackendResponse", "HttpBackendClient"]
@@ -87,12 +88,12 @@
         }
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._session.request(
+                async with exchange(
+                    self._session,
                     request.method,
                     url.rstrip("/") + "/" + request.path.lstrip("/"),
                     data=request.body,
                     headers=headers,
-                    allow_redirects=False,
                 ) as response:
                     body = await read_response_body(response, MAX_RESPONSE_BYTES)
                     content_type = response.headers.get("Content-Type", "")
@@ -119,4 +120,8 @@
         if status != 200:
             detail = f"fence call answered status {status}"
             raise RouterError(ResultCode.OUTCOME_UNKNOWN, detail)
-        return bool(document["seen"])
+        # A wrong "not seen" would permit a second attempt.
+        seen = document.get("seen") if isinstance(document, dict) else None
+        if not isinstance(seen, bool):
+            raise RouterError(ResultCode.OUTCOME_UNKNOWN, "malformed fence response")
+        return seen
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -2,6 +2,9 @@
 
 Authenticates the tenant of each request and validates the request before any
 other part handles it. A request that fails validation reaches no engine.
+
+A stopping host answers what it has read. ``stop`` ends when the answers have
+left the process.
 """
 
 import asyncio
@@ -15,7 +18,8 @@
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdGenerator
-from kumquat_core.result_codes import Execution, ResultCode, RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.server_connections import ServerConnections
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
 
@@ -24,11 +28,11 @@
     find_service,
     first_attempt,
     idempotency_key,
-    may_have_predecessor,
     model_request,
     service_path,
+    truthful_error,
 )
-from .drain import Drain
+from .drain import Drain, RequestInProgress
 from .input_validation import (
     parse_completion,
     parse_deadline_ms,
@@ -42,6 +46,7 @@
     engine_headers,
     error_response,
     finish_reason,
+    raw_error_response,
     service_response,
     success_headers,
 )
@@ -55,29 +60,25 @@
 
 # aiohttp closes a connection that has sent no request for this time.
 KEEPALIVE_S = 75.0
+LISTEN_BACKLOG = 1024
+
+# Time at a stop for refusals to be sent and for callers to close their side.
+MIN_CLOSE_LIMIT_S = 5.0
+# For handlers whose connections were cut after that.
+SHUTDOWN_TIMEOUT_S = 0.5
+
+CUT_DETAIL = "the host ended before the request"
 
 REQUEST_ID = web.RequestKey("request_id", RequestId)
 TENANT = web.RequestKey("tenant", str)
 CLASS_NAME = web.RequestKey("class_name", str)
-# Result codes whose "not run" is based on the record of the idempotency key.
-# All other refusals are made without reading the record, so an earlier call
-# with the key may have run, for example under an older configuration.
-CODES_BASED_ON_RECORD = frozenset(
-    {
-        ResultCode.IDEMPOTENCY_KEY_REUSED,
-        ResultCode.INVALID_IDEMPOTENCY_KEY,
-        ResultCode.DEADLINE_BEFORE_START,
-        ResultCode.STORE_UNAVAILABLE,
-        ResultCode.BACKEND_UNREACHABLE,
-        ResultCode.CONFLICTING_ATTEMPT,
-    }
-)
-
 STREAM_CODE = web.RequestKey("stream_code", ResultCode)
 
 logger = logging.getLogger(__name__)
 
-Handler = Callable[[web.Request, RequestId], Awaitable[web.StreamResponse]]
+Handler = Callable[
+    [web.Request, RequestId, RequestInProgress], Awaitable[web.StreamResponse]
+]
 
 
 class CallerApi(aiomisc.Service):
@@ -104,6 +105,8 @@
         self._plain_path = plain_path
         self._drain = drain
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._connections: ServerConnections | None = None
 
     def create_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -116,14 +119,24 @@
         return app
 
     async def _close_when_draining(
-        self, _: web.Request, response: web.StreamResponse
+        self, http_request: web.Request, response: web.StreamResponse
     ) -> None:
         """Close kept-alive connections while draining.
 
-        The load balancer then has to open new ones.
+        The load balancer then has to open new ones. A connection on which the
+        next request was read already closes with the answer to that one.
         """
-        if self._drain.draining:
+        connections = self._connections
+        closing = connections is not None and connections.closing
+        if not self._drain.draining and not closing:
+            return
+        request_id = str(http_request.get(REQUEST_ID, ""))
+        if connections is None or not connections.record_answer(
+            http_request, request_id
+        ):
             response.force_close()
+            # aiohttp has composed the headers before it calls this method.
+            response.headers["Connection"] = "close"
 
     async def start(self) -> None:
         """Start listening."""
@@ -132,15 +145,48 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
+        assert self._runner.server is not None
+        self._connections = ServerConnections(
+            self._runner.server,
+            raw_error_response(RouterError(ResultCode.DRAINING, retry_after_s=1.0)),
+        )
         listen = self._options.caller_listen
-        await web.TCPSite(self._runner, listen.ip, listen.port, backlog=1024).start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._connections.create,
+            listen.ip,
+            listen.port,
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self.close(MIN_CLOSE_LIMIT_S)
+
+    async def close(self, limit_s: float) -> None:
+        """Stop listening and close all connections once they are answered.
+
+        Answers that are not sent after ``limit_s`` are cut.
+        """
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        if self._listener is not None and self._connections is not None:
+            self._listener.close()
+            count = len(self._connections)
+            closed = await self._connections.close(max(MIN_CLOSE_LIMIT_S, limit_s))
+            self._observer.metrics.add_cut_answers(closed.cut)
+            log_event(
+                logger,
+                "caller_connections_closed",
+                connections=count,
+                refused_heads=closed.refused_heads,
+                cut=closed.cut,
+            )
+        await runner.cleanup()
 
     async def _handle_completions(
         self, http_request: web.Request
@@ -158,23 +204,18 @@
         """Run a handler; turn every failure into a response with a code."""
         request_id = self._ids.next_id()
         http_request[REQUEST_ID] = request_id
-        code = ResultCode.OK
+        code, reason = ResultCode.OK, None
+        request: RequestInProgress | None = None
         started_s = self._clock.monotonic()
         self._observer.metrics.request_started()
         try:
-            with self._drain.request():
-                return await handler(http_request, request_id)
+            with self._drain.request(str(request_id)) as request:
+                return await handler(http_request, request_id, request)
         except RouterError as error:
             code = error.code
-            if _ignores_record(error) and may_have_predecessor(http_request):
-                note = "An earlier call with this key may have run."
-                error = RouterError(
-                    code,
-                    f"{error.detail} {note}".strip(),
-                    retry_after_s=error.retry_after_s,
-                    execution=Execution.UNKNOWN,
-                )
-            return error_response(error, request_id)
+            if code is ResultCode.DRAINING:
+                reason = "stopping"
+            return error_response(truthful_error(error, http_request), request_id)
         except asyncio.CancelledError:
             code = ResultCode.CALLER_GONE
             raise
@@ -192,6 +233,8 @@
             # A stream that failed after its start has status 200; ``_stream``
             # stores the result code of the failure.
             code = http_request.get(STREAM_CODE, code)
+            if request is not None and request.is_cut:
+                reason = "cut_at_stop"
             self._observer.record_request_end(
                 str(request_id),
                 http_request.get(CLASS_NAME, UNKNOWN_LABEL),
@@ -205,6 +248,7 @@
                 request=request_id,
                 tenant=http_request.get(TENANT),
                 code=code.value,
+                reason=reason,
             )
 
     def _authenticate(self, http_request: web.Request, request_id: RequestId) -> Caller:
@@ -222,27 +266,37 @@
         http_request[TENANT] = tenant.name
         return Caller(request_id, tenant, configuration)
 
-    async def _read_body(self, http_request: web.Request) -> bytes:
+    async def _read_body(
+        self, http_request: web.Request, progress: RequestInProgress
+    ) -> bytes:
         """Return the body; its size and the time to send it are limited."""
+        when_cut = RouterError(ResultCode.DRAINING, retry_after_s=1.0)
         try:
             async with asyncio.timeout(self._options.limits.body_timeout_s):
-                return await http_request.read()
+                return await progress.run(http_request.read(), when_cut)
         except TimeoutError as error:
             raise RouterError(ResultCode.SLOW_SENDER) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise RouterError(ResultCode.BODY_TOO_LARGE) from error
 
     async def _run_completion(
-        self, http_request: web.Request, request_id: RequestId
+        self,
+        http_request: web.Request,
+        request_id: RequestId,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
-        body = parse_completion(await self._read_body(http_request))
+        body = parse_completion(await self._read_body(http_request, progress))
         request = model_request(caller, body, http_request)
         http_request[CLASS_NAME] = request.request_class.name
+        progress.check_time_left(request.deadline_ms / 1000)
         if body.stream:
-            return await self._stream(http_request, caller, request)
+            return await self._stream(http_request, caller, request, progress)
         sink = BufferSink()
-        stats = await self._model_path.run(caller.configuration, request, sink)
+        stats = await progress.run(
+            self._model_path.run(caller.configuration, request, sink),
+            RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
+        )
         document = completion_document(
             request_id,
             request.model.name,
@@ -255,16 +309,26 @@
         return web.json_response(document, headers=headers)
 
     async def _stream(
-        self, http_request: web.Request, caller: Caller, request: ModelRequest
+        self,
+        http_request: web.Request,
+        caller: Caller,
+        request: ModelRequest,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         buffer_bytes = self._options.limits.stream_buffer_bytes
         sink = StreamSink(http_request, request, buffer_bytes)
         try:
-            stats = await self._model_path.run(caller.configuration, request, sink)
+            stats = await progress.run(
+                self._model_path.run(caller.configuration, request, sink),
+                RouterError(ResultCode.STREAM_INTERRUPTED, CUT_DETAIL),
+            )
             return await sink.finish(finish_reason(request, stats), stats)
-        except RouterError as error:
+        except Exception as unexpected:
             if sink.response is None:
                 raise
+            # The status is sent: a second response on the same stream would
+            # be taken for a part of the first one.
+            error = _as_router_error(unexpected)
             log_event(
                 logger,
                 "stream_failed",
@@ -272,12 +336,16 @@
                 request=request.request_id,
                 code=error.code.value,
                 detail=error.detail,
+                error=None if error is unexpected else repr(unexpected),
             )
             http_request[STREAM_CODE] = error.code
             return await sink.fail(error)
 
     async def _call_service(
-        self, http_request: web.Request, request_id: RequestId
+        self,
+        http_request: web.Request,
+        request_id: RequestId,
+        progress: RequestInProgress,
     ) -> web.StreamResponse:
         caller = self._authenticate(http_request, request_id)
         service = find_service(caller, http_request.match_info["service"])
@@ -289,18 +357,21 @@
             service=service,
             method=http_request.method,
             path=service_path(http_request),
-            body=await self._read_body(http_request),
+            body=await self._read_body(http_request, progress),
             headers=dict(http_request.headers),
             idempotency_key=idempotency_key(http_request),
             first_attempt=first_attempt(http_request),
             deadline_ms=min(deadline_ms, service.timeout_ms),
         )
-        backend_response = await self._plain_path.run(caller.configuration, request)
+        progress.check_time_left(request.longest_s)
+        backend_response = await progress.run(
+            self._plain_path.run(caller.configuration, request),
+            RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
+        )
         return service_response(request_id, backend_response)
 
 
-def _ignores_record(error: RouterError) -> bool:
-    """Return whether an error says "not run" without reading the record."""
-    return (
-        error.execution is Execution.NOT_RUN and error.code not in CODES_BASED_ON_RECORD
-    )
+def _as_router_error(error: Exception) -> RouterError:
+    if isinstance(error, RouterError):
+        return error
+    return RouterError(ResultCode.INTERNAL_ERROR)
