--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -46,6 +46,8 @@
         self.era = 1
         # Number of long polls that wait for changes, by table.
         self.waiting_polls: Counter[str] = Counter()
+        # Added to the rows of a table that is read whole, by table.
+        self.rows_added: dict[str, list[Any]] = {}
         # Keys of the rows that transactions have written, in order.
         self.written: list[tuple[str, str]] = []
 
@@ -137,7 +139,7 @@
             and key >= query.get("from", "")
             and ("to" not in query or key < query["to"])
         ]
-        return self._rows_response(rows)
+        return self._rows_response([*rows, *self.rows_added.get(query["table"], ())])
 
     async def _feed(self, request: web.BaseRequest) -> web.Response:
         query = request.query
