Escape control characters and surrogates in log lines

A key of the store with a carriage return, an escape sequence or a line separator was written to the log as it is, so one entry of another writer could begin a line of its own or change a terminal; a lone surrogate cannot be encoded, for which the standard handler prints a traceback in place of the line. Only line feeds and tabs were escaped.

All characters that cannot be printed are escaped now; lines without them stay as they were.

--- a/packages/kumquat_core/src/kumquat_core/log_events.py
+++ b/packages/kumquat_core/src/kumquat_core/log_events.py
@@ -34,10 +34,22 @@
 def _quote(value: object) -> str:
     """Return a value as text, quoted and escaped where needed."""
     text = str(value)
-    if text and not any(character in text for character in QUOTED_CHARACTERS):
+    is_quoted = any(character in text for character in QUOTED_CHARACTERS)
+    if text and not is_quoted and text.isprintable():
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\t", "\\t") + '"'
+    return '"' + "".join(_escape(character) for character in escaped) + '"'
+
+
+def _escape(character: str) -> str:
+    """Return a character, escaped unless it can be printed in a line.
+
+    A carriage return or another control character would break a line or
+    change a terminal; a surrogate cannot be encoded.
+    """
+    if character.isprintable():
+        return character
+    return character.encode("unicode_escape").decode()
 
 
 def log_event(
