Follow the store beside odd entries, and log each of them once

An operator of a similar system reported that one odd entry of another writer kept its hosts from following the list. Here an error while one entry was applied lost all others of the answer, an unexpected error ended the watch for up to 5 s, and a pause that had doubled never became short again. Hosts whose entry turned odd were removed, though they lived, and did not write it again. An odd engine entry that is written with each heartbeat was logged each time.

Ruled out: the megabytes of an entry as the cause of a slow poll; entries are cut at 64 KB before they are parsed.

Change: odd_entries logs an entry once for each problem until it can be read again, remembers 4096 of them, and counts all in kumquat_relay_odd_entries. cluster_state applies each entry on its own. state_watch survives any error and reads the table again within 0.6 s; the supervisor begins with its first delay again after a service has worked for 5 s. A known host is kept while its entry is odd, because another writer's entry tells nothing about its process, and the host writes its own entry again within a second.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -14,6 +14,7 @@
 
 from .engine_health import EngineHealth
 from .engine_registry import EngineEntry, EngineRegistry
+from .odd_entries import OddEntries
 from .protocols import Change, Changes, HostEntry, StateKind
 from .routes import EngineSpec, RouteTable
 from .store_version import FIRST_ERA, NO_VERSION, StoreVersion
@@ -39,7 +40,8 @@
     """State of the store as this host last received it.
 
     The callbacks ``on_engines_changed`` and ``on_hosts_changed`` run after a
-    change of the engines or hosts. ``on_engine_removed`` and
+    change of the engines or hosts, ``on_host_unreadable`` after an entry of a
+    host could not be read. ``on_engine_removed`` and
     ``on_engine_restarted`` receive the entry concerned, and
     ``on_newer_version`` runs when an owner has a newer configuration.
     ``on_era_changed`` runs when the store has come back from an older copy,
@@ -55,11 +57,13 @@
         self._health = health
         self.routes: RouteTable | None = None
         self.registry = EngineRegistry()
+        self.odd_entries = OddEntries()
         self.hosts_by_id: dict[str, HostEntry] = {}
         self.on_engines_changed: Callable[[], None] = lambda: None
         self.on_engine_removed: Callable[[EngineEntry], None] = lambda entry: None
         self.on_engine_restarted: Callable[[EngineEntry], None] = lambda entry: None
         self.on_hosts_changed: Callable[[], None] = lambda: None
+        self.on_host_unreadable: Callable[[str], None] = lambda host_id: None
         self.on_newer_version: Callable[[], None] = lambda: None
         self._owner_version = -1
         self._owner_version_at_s = float("-inf")
@@ -216,26 +220,29 @@
     def apply_changes(self, kind: StateKind, changes: Changes) -> None:
         """Apply changed objects in their order."""
         for item in changes.items:
-            if item.problem:
-                log_event(
-                    logger,
-                    "entry_unreadable",
-                    level=logging.WARNING,
-                    kind=kind.value,
-                    key=item.key,
-                    version=item.version,
-                    problem=item.problem,
-                )
-            match kind:
-                case StateKind.CONFIGURATION:
-                    self._apply_routes(item)
-                case StateKind.ENGINES:
-                    self._apply_engine(item)
-                case StateKind.HOSTS:
-                    self._apply_host(item)
+            try:
+                self._apply(kind, item)
+            except Exception as error:
+                # An entry that cannot be applied must not keep the host from
+                # following the others.
+                self.odd_entries.record(kind, item, repr(error))
         if kind is StateKind.ENGINES and changes.items:
             self.on_engines_changed()
 
+    def _apply(self, kind: StateKind, item: Change) -> None:
+        """Apply one changed object."""
+        if item.problem:
+            self.odd_entries.record(kind, item, item.problem)
+        else:
+            self.odd_entries.forget(kind, item.key)
+        match kind:
+            case StateKind.CONFIGURATION:
+                self._apply_routes(item)
+            case StateKind.ENGINES:
+                self._apply_engine(item)
+            case StateKind.HOSTS:
+                self._apply_host(item)
+
     def mark_engine_leaving(self, engine_id: str, born_ms: int, *, source: str) -> bool:
         """Mark an engine as shutting down; return whether that changed.
 
@@ -341,6 +348,13 @@
         last_version = self._host_versions_by_id.get(item.key, NO_VERSION)
         if last_version >= item.version:
             return
+        if item.problem:
+            # Another writer left it, which tells nothing about the host. The
+            # host writes its entry again.
+            if item.key in self.hosts_by_id:
+                self._host_versions_by_id[item.key] = item.version
+            self.on_host_unreadable(item.key)
+            return
         if not isinstance(item.value, HostEntry):
             known = self.hosts_by_id.get(item.key)
             if known is not None and item.removed:
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -71,6 +71,7 @@
         lambda: shutdown.idle,
     )
     retry_gate = StoreRetryGate()
+    cluster_state.odd_entries.on_entry = parts.metrics.record_odd_entry
     watches_by_kind = {
         kind: StateWatch(
             kind,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -174,11 +174,10 @@
         )
         parts.cluster_state.on_engines_changed = self._queue_owner.engines_changed
         parts.cluster_state.on_engine_removed = self._engine_removed
-        parts.cluster_state.on_engine_restarted = lambda entry: self._clear_notices(
-            entry.id
-        )
+        parts.cluster_state.on_engine_restarted = self._clear_notices
         self._notices.on_notice = self._admission.forward_notice
         parts.cluster_state.on_hosts_changed = self._hosts_changed
+        parts.cluster_state.on_host_unreadable = self._registration.repair
         parts.cluster_state.on_era_changed = self._era_changed
         self._watches = build_watches(store, options, parts, self._owner_selection)
 
@@ -357,15 +356,15 @@
     def _engine_removed(self, entry: EngineEntry) -> None:
         """Discard what this host keeps about a removed engine."""
         self._balancer.remove(entry.id)
-        self._clear_notices(entry.id)
+        self._clear_notices(entry)
         self._role_controller.remove_engines([entry.id])
         self._parts.pool.close_idle(entry.address)
 
-    def _clear_notices(self, engine_id: str) -> None:
+    def _clear_notices(self, entry: EngineEntry) -> None:
         """Discard what an engine said before it was removed or restarted."""
-        self._notices.clear_pause(engine_id)
-        self._limits.remove_engine(engine_id)
-        self._quarantine.observer.remove_engine(engine_id)
+        self._notices.clear_pause(entry.id)
+        self._limits.remove_engine(entry.id)
+        self._quarantine.observer.remove_engine(entry.id)
 
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -63,6 +63,12 @@
             ["kind", "good"],
             registry=self.registry,
         )
+        self._odd_entries = Counter(
+            "kumquat_relay_odd_entries",
+            "Entries received from the store that cannot be read, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
         self.dropped_log_lines = Counter(
             "kumquat_relay_dropped_log_lines",
             "Log lines dropped because standard output was not being read",
@@ -128,6 +134,10 @@
         """Count a poll of the store by its success."""
         self._store_polls.labels(kind, str(succeeded).lower()).inc()
 
+    def record_odd_entry(self, kind: str) -> None:
+        """Count an entry of the store that cannot be read."""
+        self._odd_entries.labels(kind).inc()
+
     def record_permit(self, granted: bool) -> None:
         """Count a plain request that needed a permit of a limited server."""
         self._permits.labels(str(granted).lower()).inc()
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -37,6 +37,7 @@
 # A change that an owner has reaches this host within this time, unless the
 # connection of its poll is unresponsive.
 BEHIND_GRACE_S = 0.5
+MAX_ERROR_CHARACTERS = 200
 
 logger = logging.getLogger(__name__)
 
@@ -69,6 +70,7 @@
         self._unreachable = False
         self._version: StoreVersion | None = None
         self._failures = 0
+        self._logged_error = ""
 
     async def run(self) -> None:
         """Watch the state until cancelled."""
@@ -87,6 +89,13 @@
             except StoreError as error:
                 self._on_failure(str(error))
                 await self._retry_gate.wait(self._kind, self._delay_s())
+            except Exception as error:
+                # Whatever an answer contains, this host goes on to follow the
+                # table, after no longer than while the store is unreachable.
+                self._log_error(error)
+                self._on_failure(type(error).__name__)
+                self._version = None
+                await self._retry_gate.wait(self._kind, self._delay_s())
 
     async def _poll_once(self) -> None:
         """Read all objects or wait for changes, and apply the result."""
@@ -179,6 +188,21 @@
                 reason=reason,
             )
 
+    def _log_error(self, error: Exception) -> None:
+        """Log an unexpected error, once while it lasts."""
+        text = repr(error)[:MAX_ERROR_CHARACTERS]
+        if text == self._logged_error:
+            return
+        self._logged_error = text
+        log_event(
+            logger,
+            "watch_failed",
+            level=logging.ERROR,
+            kind=self._kind.value,
+            version=self._version,
+            error=text,
+        )
+
     def _on_success(self) -> None:
         self._count_call(self._kind.value, True)
         self._retry_gate.mark_reachable()
@@ -195,3 +219,4 @@
                 failures=self._failures,
             )
         self._failures = 0
+        self._logged_error = ""
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -62,6 +62,11 @@
                 self._task.cancel()
             self._task = asyncio.ensure_future(self._register_again())
 
+    def repair(self, host_id: str) -> None:
+        """Write the rows again if the entry of this host is unreadable."""
+        if host_id == self._entry.host_id:
+            self.restart()
+
     def cancel(self) -> None:
         """Stop writing, also when the store comes back from a copy."""
         self._is_registered = False
--- a/packages/kumquatrouter/src/kumquatrouter/supervisor.py
+++ b/packages/kumquatrouter/src/kumquatrouter/supervisor.py
@@ -40,11 +40,16 @@
     async def _run_with_restarts(self) -> None:
         """Run the coroutine, again after each failure, until it returns."""
         delay_s = RESTART_DELAY_S
+        loop = asyncio.get_running_loop()
         while True:
+            began_s = loop.time()
             try:
                 await self.run()
                 return
             except Exception as error:
+                if loop.time() - began_s > MAX_RESTART_DELAY_S:
+                    # It had worked for a while, so this is another failure.
+                    delay_s = RESTART_DELAY_S
                 log_event(
                     logger,
                     "service_failed",
