Reject figures in messages between hosts that later code cannot use

A peer of another build, or one that has read an odd entry, could send NaN, infinity or 2**64 - 1 in any figure. Pace and pauses learned from NaN stay NaN for good, and the reply to a figure beyond 64 bits cannot be encoded. One odd item of a report lost all runs of the report, and one odd member update the whole ping, after which a host that lives is taken for dead.

No caller was seen to be affected: this was found by reading and by the test.

Ruled out: depth, lengths that a frame only claims, timestamps and extension types, which msgpack or the validation refused before.

Change: whole numbers within 2**53, finite figures, ports, addresses and the states of members are part of the types of the fields. Of a list in a message only the items that do not match are left out, which costs nothing while all match. What msgpack cannot hold is a RouterError of the sender.

--- a/packages/kumquat_core/src/kumquat_core/crash_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/crash_messages.py
@@ -10,6 +10,8 @@
 import xxhash
 from pydantic import Field
 
+from .message_fields import Whole
+
 __all__ = [
     "NO_EVIDENCE_DIGEST",
     "CrashEvidence",
@@ -34,7 +36,7 @@
     part: str
     engine: str
     address: str
-    age_ms: Annotated[int, Field(ge=0)]
+    age_ms: Annotated[Whole, Field(ge=0)]
     trial: bool
 
 
@@ -60,7 +62,7 @@
     service: str
     request_id: str
     engine: str
-    born_ms: int
+    born_ms: Whole
     address: str
     parts: tuple[str, ...]
     trial: bool
--- a/packages/kumquat_core/src/kumquat_core/limit_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/limit_messages.py
@@ -11,6 +11,8 @@
 import xxhash
 from pydantic import Field
 
+from .message_fields import Figure, Whole
+
 __all__ = [
     "NO_LIMITS_DIGEST",
     "PermitGrant",
@@ -32,8 +34,8 @@
 
     engine: str
     service: str
-    born_ms: int
-    rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)]
+    born_ms: Whole
+    rate_per_s: Annotated[Figure, Field(ge=0)]
 
 
 def limits_digest(limits: Iterable[ServerLimit]) -> int:
@@ -70,7 +72,7 @@
 
     service: str
     engine: str
-    wanted: Annotated[int, Field(ge=1)]
+    wanted: Annotated[Whole, Field(ge=1)]
 
 
 @dataclass(frozen=True)
@@ -81,5 +83,5 @@
     """
 
     engine: str
-    granted: Annotated[int, Field(ge=0)]
-    wait_ms: Annotated[int, Field(ge=0)]
+    granted: Annotated[Whole, Field(ge=0)]
+    wait_ms: Annotated[Whole, Field(ge=0)]
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -2,14 +2,15 @@
 
 A message is encoded as ``[type number, correlation id, field, ...]`` in
 msgpack. Fields are validated on arrival; a message that does not match its
-type raises ``RouterError`` with ``PEER_PROTOCOL``.
+type raises ``MalformedMessageError``. Of a message that holds many items, such
+as a report of runs, only those that do not match are left out.
 """
 
 from dataclasses import dataclass, fields
-from typing import Any
+from typing import Any, Literal
 
 import msgpack
-from pydantic import TypeAdapter, ValidationError
+from pydantic import TypeAdapter
 
 from .crash_messages import CrashEvidence, CrashRecord, EngineCrashReport
 from .limit_messages import (
@@ -18,6 +19,7 @@
     ServerLimit,
     ServerLimitNotice,
 )
+from .message_fields import Figure, Port, Whole
 from .result_codes import ResultCode, RouterError
 from .run_messages import (
     LATER_FIELD,
@@ -48,7 +50,9 @@
     "HeldGrant",
     "HeldRun",
     "MemberUpdate",
+    "MalformedMessageError",
     "Message",
+    "NotUnderstood",
     "PermitGrant",
     "PermitRequest",
     "Ping",
@@ -85,11 +89,11 @@
     """
 
     host_id: str
-    incarnation: int
-    sequence: int
-    state: str
+    incarnation: Whole
+    sequence: Whole
+    state: Literal["alive", "suspect", "dead"]
     ip: str
-    peer_port: int
+    peer_port: Port
     failure_domain: str
     region: str
 
@@ -99,8 +103,8 @@
     """A heartbeat that carries membership updates."""
 
     host_id: str
-    incarnation: int
-    ticket_position: int
+    incarnation: Whole
+    ticket_position: Whole
     updates: tuple[MemberUpdate, ...] = ()
 
 
@@ -109,7 +113,7 @@
     """Requests that the receiver ping ``target`` for the sender."""
 
     target: str
-    ticket_position: int = 0
+    ticket_position: Whole = 0
     updates: tuple[MemberUpdate, ...] = ()
 
 
@@ -118,8 +122,8 @@
     """Acknowledges a ping; ``reached`` is false if an indirect ping failed."""
 
     host_id: str
-    incarnation: int
-    ticket_position: int
+    incarnation: Whole
+    ticket_position: Whole
     reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
 
@@ -129,9 +133,9 @@
     """State of a shard at the time its owner sent a reply."""
 
     shard_id: str
-    free_pieces: int
-    queued: int
-    expected_wait_ms: int
+    free_pieces: Whole
+    queued: Whole
+    expected_wait_ms: Whole
 
 
 @dataclass(frozen=True)
@@ -148,14 +152,14 @@
     tenant: str
     class_name: str
     model: str
-    prompt_tokens: int
-    max_tokens: int
-    ttft_deadline_ms: int
-    patience_ms: int
+    prompt_tokens: Whole
+    max_tokens: Whole
+    ttft_deadline_ms: Whole
+    patience_ms: Whole
     prefix_blocks: tuple[int, ...] = ()
     excluded_engines: tuple[str, ...] = ()
-    resume_tokens: int = 0
-    attempt: int = 1
+    resume_tokens: Whole = 0
+    attempt: Whole = 1
 
 
 @dataclass(frozen=True)
@@ -166,7 +170,7 @@
     shard_id: str
     prefill_engine: str
     decode_engine: str
-    pieces: int
+    pieces: Whole
     summary: ShardSummary
 
 
@@ -175,9 +179,9 @@
     """The owner does not admit a request; ``code`` is a result code."""
 
     request_id: str
-    code: int
+    code: Whole
     detail: str
-    retry_after_ms: int
+    retry_after_ms: Whole
     summary: ShardSummary | None = None
 
 
@@ -187,8 +191,8 @@
 
     request_id: str
     shard_id: str
-    prefill_ms: float
-    cached_tokens: int
+    prefill_ms: Figure
+    cached_tokens: Whole
 
 
 @dataclass(frozen=True)
@@ -201,7 +205,7 @@
 
     request_id: str
     shard_id: str
-    gap_ms: float
+    gap_ms: Figure
 
 
 @dataclass(frozen=True)
@@ -214,11 +218,11 @@
 
     request_id: str
     shard_id: str
-    code: int
-    prefill_ms: float = 0.0
-    ttft_ms: float = 0.0
-    tbt_ms: float = 0.0
-    tokens: int = 0
+    code: Whole
+    prefill_ms: Figure = 0.0
+    ttft_ms: Figure = 0.0
+    tbt_ms: Figure = 0.0
+    tokens: Whole = 0
     failed_engine: str = ""
 
 
@@ -237,7 +241,7 @@
     request_id: str
     prefill_engine: str
     decode_engine: str
-    pieces: int
+    pieces: Whole
     prefilling: bool
 
 
@@ -261,7 +265,7 @@
     """
 
     host_id: str
-    incarnation: int
+    incarnation: Whole
     grants: tuple[HeldGrant, ...] = ()
     waiting: tuple[str, ...] = ()
 
@@ -270,18 +274,34 @@
 class TicketFetch:
     """Requests the tickets after a position of the log."""
 
-    after_position: int
+    after_position: Whole
 
 
 @dataclass(frozen=True)
 class TicketBatch:
     """Ticket documents, or a snapshot if the log tail lacks some of them."""
 
-    position: int
+    position: Whole
     documents: tuple[dict[str, Any], ...] = ()
     snapshot: dict[str, Any] | None = None
 
 
+@dataclass(frozen=True)
+class NotUnderstood:
+    """Replies to a message that the receiver could not decode."""
+
+
+class MalformedMessageError(RouterError):
+    """A message could not be decoded.
+
+    ``correlation_id`` is 0 if it is not known or no reply is wanted.
+    """
+
+    def __init__(self, detail: str, correlation_id: int = 0) -> None:
+        super().__init__(ResultCode.PEER_PROTOCOL, f"malformed message: {detail}")
+        self.correlation_id = correlation_id
+
+
 # Messages of an entry host to a shard owner about the progress of a request.
 Progress = PrefillDone | SlowStep | Release | CancelAdmission
 
@@ -295,6 +315,7 @@
     | Grant
     | GrantsHeld
     | GrantsQuery
+    | NotUnderstood
     | PermitGrant
     | PermitRequest
     | Ping
@@ -319,16 +340,21 @@
 
 @dataclass(frozen=True)
 class Envelope:
-    """A message with its correlation id; 0 means that no reply is wanted."""
+    """A message with its correlation id; 0 means that no reply is wanted.
+
+    ``left_out`` is the number of items that could not be decoded.
+    """
 
     correlation_id: int
     message: Message
+    left_out: int = 0
 
 
 _TYPES_BY_NUMBER: dict[int, type[Any]] = {
     1: Ping,
     2: PingRequest,
     3: Ack,
+    4: NotUnderstood,
     10: AdmissionRequest,
     11: Grant,
     12: Refusal,
@@ -373,6 +399,7 @@
     "limits": ServerLimit,
     "records": CrashRecord,
 }
+_NESTED_ADAPTERS = {name: TypeAdapter(item) for name, item in _NESTED_TYPES.items()}
 # Nested types whose fields hold tuples of them.
 _TUPLE_FIELDS = frozenset({"updates", "grants", "runs", "limits", "records"})
 _FIELD_NAMES_BY_TYPE: dict[type[Any], tuple[str, ...]] = {
@@ -388,14 +415,21 @@
 
 
 def encode(envelope: Envelope) -> bytes:
-    """Return a message encoded in msgpack."""
+    """Return a message encoded in msgpack.
+
+    Raises ``RouterError`` with ``PEER_PROTOCOL`` if msgpack cannot hold it.
+    """
     number = _NUMBERS_BY_TYPE[type(envelope.message)]
     values = _encode_fields(envelope.message)
     for default in reversed(_LATER_DEFAULTS_BY_TYPE[type(envelope.message)]):
         if values[-1] != _encode_default(default):
             break
         values.pop()
-    encoded: bytes = msgpack.packb([number, envelope.correlation_id, *values])
+    try:
+        encoded: bytes = msgpack.packb([number, envelope.correlation_id, *values])
+    except (OverflowError, ValueError, TypeError) as error:
+        detail = f"cannot be encoded: {type(error).__name__}"
+        raise RouterError(ResultCode.PEER_PROTOCOL, detail) from error
     return encoded
 
 
@@ -425,34 +459,73 @@
     return _encode_fields(value)
 
 
+# What a malformed message raises while it is decoded.
+_MALFORMED = (ValueError, TypeError, KeyError, msgpack.UnpackException)
+
+
 def decode(data: bytes) -> Envelope:
     """Return the message that msgpack data contains.
 
-    Raises ``RouterError`` with ``PEER_PROTOCOL`` if it is malformed.
+    Raises ``MalformedMessageError``.
     """
+    correlation_id = 0
     try:
         number, correlation_id, *values = msgpack.unpackb(data, use_list=False)
+        correlation_id = _check_correlation_id(correlation_id)
         names = _FIELD_NAMES_BY_NUMBER[number]
         later = len(_LATER_DEFAULTS_BY_TYPE[_TYPES_BY_NUMBER[number]])
         if not len(names) - later <= len(values) <= len(names):
             raise ValueError("wrong number of fields")
-        if not isinstance(correlation_id, int):
-            raise ValueError("wrong correlation id")
+        values_by_name = dict(zip(names, values, strict=False))
+        return _decode_message(number, correlation_id, values_by_name)
+    except _MALFORMED as error:
+        raise MalformedMessageError(type(error).__name__, correlation_id) from error
+
+
+def _check_correlation_id(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError("wrong correlation id")
+    return value
+
+
+def _decode_message(
+    number: int, correlation_id: int, values: dict[str, Any]
+) -> Envelope:
+    """Return a message; leave out items that do not match their type."""
+    adapter = _ADAPTERS_BY_NUMBER[number]
+    try:
+        document = {name: _decode_field(name, value) for name, value in values.items()}
+        return Envelope(correlation_id, adapter.validate_python(document))
+    except _MALFORMED:
+        names = [name for name in values if name in _TUPLE_FIELDS]
+        valid = {name: _keep_valid(name, values[name]) for name in names}
+        left_out = sum(
+            len(values[name] or ()) - len(valid[name] or ()) for name in names
+        )
+        if not left_out:
+            raise
         document = {
-            name: _decode_field(name, value)
-            for name, value in zip(names, values, strict=False)
+            name: valid[name] if name in valid else _decode_field(name, value)
+            for name, value in values.items()
         }
-        message = _ADAPTERS_BY_NUMBER[number].validate_python(document)
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        msgpack.UnpackException,
-        ValidationError,
-    ) as error:
-        detail = f"malformed message: {type(error).__name__}"
-        raise RouterError(ResultCode.PEER_PROTOCOL, detail) from error
-    return Envelope(correlation_id, message)
+        message = adapter.validate_python(document)
+        return Envelope(correlation_id, message, left_out)
+
+
+def _keep_valid(name: str, items: Any) -> tuple[Any, ...] | None:
+    """Return the items of a field that match their type."""
+    if items is None:
+        return None
+    if not isinstance(items, tuple):
+        raise TypeError("not a list of items")
+    valid = []
+    for item in items:
+        try:
+            (value,) = _decode_field(name, (item,))
+            valid.append(_NESTED_ADAPTERS[name].validate_python(value))
+        except _MALFORMED:
+            continue
+    return tuple(valid)
 
 
 def _decode_field(name: str, value: Any) -> Any:
@@ -460,7 +533,7 @@
     nested_type = _NESTED_TYPES.get(name)
     if nested_type is None or value is None:
         return value
-    names = [item.name for item in fields(nested_type)]
+    names = _FIELD_NAMES_BY_TYPE[nested_type]
     if name in _TUPLE_FIELDS:
         return tuple(dict(zip(names, item, strict=True)) for item in value)
     return dict(zip(names, value, strict=True))
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -8,6 +8,7 @@
 
 from .crash_messages import NO_EVIDENCE_DIGEST
 from .limit_messages import NO_LIMITS_DIGEST, ServerLimit
+from .message_fields import AddressText, Figure, Whole
 
 __all__ = [
     "LATER_FIELD",
@@ -46,14 +47,14 @@
 
     request_id: str
     service: str
-    prompt_tokens: int
-    expected_tokens: int
-    priority: int
-    objective_ms: int
-    patience_ms: int
-    left_ms: int
+    prompt_tokens: Whole
+    expected_tokens: Whole
+    priority: Whole
+    objective_ms: Whole
+    patience_ms: Whole
+    left_ms: Whole
     excluded: tuple[str, ...] = ()
-    max_gap_ms: int = 0
+    max_gap_ms: Whole = 0
     blocked_engines: tuple[str, ...] = ()
     suspect_parts: tuple[str, ...] = field(default=(), metadata=LATER_FIELD)
 
@@ -71,12 +72,12 @@
 
     request_id: str
     decode_engine: str
-    decode_address: str
+    decode_address: AddressText
     prefill_engine: str
-    prefill_address: str
-    waited_ms: int
+    prefill_address: AddressText
+    waited_ms: Whole
     reserve: bool = False
-    evidence_digest: int = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
+    evidence_digest: Whole = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
@@ -88,8 +89,8 @@
 
     request_id: str
     reason: str
-    retry_after_ms: int
-    waiting: int
+    retry_after_ms: Whole
+    waiting: Whole
 
 
 @dataclass(frozen=True)
@@ -103,7 +104,7 @@
 
     request_id: str
     service: str
-    prefill_ms: float
+    prefill_ms: Figure
     unreachable: bool = False
 
 
@@ -114,7 +115,7 @@
     request_id: str
     service: str
     engine: str
-    silent_ms: int
+    silent_ms: Whole
 
 
 @dataclass(frozen=True)
@@ -129,9 +130,9 @@
 
     service: str
     engine: str
-    born_ms: int
+    born_ms: Whole
     leaving: bool
-    pause_ms: int = 0
+    pause_ms: Whole = 0
 
 
 @dataclass(frozen=True)
@@ -147,11 +148,11 @@
 
     request_id: str
     service: str
-    gap_ms: float = 0.0
+    gap_ms: Figure = 0.0
     full_engine: str = ""
     failed_engine: str = ""
     unreachable: bool = False
-    generated_tokens: int = 0
+    generated_tokens: Whole = 0
     error_response: bool = False
 
 
@@ -166,12 +167,12 @@
 
     request_id: str
     decode_engine: str
-    prompt_tokens: int
-    expected_tokens: int
-    age_ms: int
-    generated_tokens: int = 0
-    gap_ms: float = 0.0
-    longest_gap_ms: float = 0.0
+    prompt_tokens: Whole
+    expected_tokens: Whole
+    age_ms: Whole
+    generated_tokens: Whole = 0
+    gap_ms: Figure = 0.0
+    longest_gap_ms: Figure = 0.0
 
 
 @dataclass(frozen=True)
@@ -187,7 +188,7 @@
     service: str
     runs: tuple[HeldRun, ...] = ()
     counted: bool = field(default=True, metadata=LATER_FIELD)
-    digest: int = field(default=NO_LIMITS_DIGEST, metadata=LATER_FIELD)
+    digest: Whole = field(default=NO_LIMITS_DIGEST, metadata=LATER_FIELD)
     limits: tuple[ServerLimit, ...] = field(default=(), metadata=LATER_FIELD)
 
 
@@ -204,9 +205,9 @@
     """
 
     host_id: str
-    free_slots: int
+    free_slots: Whole
     outdated: bool = False
-    configuration: int = -1
+    configuration: Whole = -1
     limits: tuple[ServerLimit, ...] | None = field(default=(), metadata=LATER_FIELD)
-    evidence_digest: int = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
-    store_era: int = field(default=0, metadata=LATER_FIELD)
+    evidence_digest: Whole = field(default=NO_EVIDENCE_DIGEST, metadata=LATER_FIELD)
+    store_era: Whole = field(default=0, metadata=LATER_FIELD)
