Bound the permits and the wait that an owner of a limit grants

The reply to a request for permits was used as it is: a number of 2**53 would allocate a list of that many times and end the process for lack of memory, a wait of 2**53 ms would refuse all plain requests to a server for good. No such reply was seen; a peer of another build could send it. A host takes at most as many permits as it wanted now and asks again after 60 s at the latest.

Evidence: test_permits_of_an_owner_are_bounded. It was not run on the code before, since the machine is shared and that run may take all of its memory.

--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -36,6 +36,8 @@
 # Time until the next attempt if the owner does not reply. An unresponsive
 # owner is replaced within a second.
 OWNER_RETRY_S = 0.25
+# An owner that states an odd wait is asked again after this time.
+MAX_REFUSED_S = 60.0
 # Longest time that callers are told; most deadlines end before a later one.
 MAX_RETRY_AFTER_S = 5.0
 
@@ -206,9 +208,10 @@
         if reply is None:
             cache.refused_until_s = replied_s + OWNER_RETRY_S
             return
-        cache.expiries_s.extend([replied_s + PERMIT_TTL_S] * reply.granted)
+        cache.expiries_s.extend([replied_s + PERMIT_TTL_S] * min(wanted, reply.granted))
         if reply.granted < wanted:
-            cache.refused_until_s = replied_s + reply.wait_ms / 1000
+            wait_s = min(MAX_REFUSED_S, reply.wait_ms / 1000)
+            cache.refused_until_s = replied_s + wait_s
 
     async def _call_owner(self, message: PermitRequest) -> PermitGrant | None:
         """Return the owner's reply, None if there is none."""
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -9,7 +9,9 @@
 from typing import Any
 
 from kumquat_core.log_events import FIELDS_ATTRIBUTE, KeyValueFormatter
+from kumquat_core.peer_messages import PermitGrant, PermitRequest
 from kumquat_relay.cluster_state import ClusterState
+from kumquat_relay.send_permits import _PermitCache
 
 from .odd_values import ODD_TEXTS, WHOLE_VALUES, field_paths, replace_field
 from .relay_harness import LLM, PLAIN, RelayHarness, configuration, run_scenario
@@ -333,3 +335,25 @@
         lines.events = [item for item in lines.events if item[0] != "watch_failed"]
 
     run_logged(scenario)
+
+
+def test_permits_of_an_owner_are_bounded() -> None:
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        entry = state_of(harness).registry.get("plain0")
+        assert entry is not None
+        permits = harness.host._limits.permits
+        for granted, wait_ms in ((2**53, 0), (0, 2**53)):
+
+            async def reply(
+                message: PermitRequest, granted: int = granted, wait_ms: int = wait_ms
+            ) -> PermitGrant:
+                return PermitGrant("plain0", granted, wait_ms)
+
+            permits._call_owner = reply
+            cache = _PermitCache()
+            cache.waiting = 3
+            await permits._fetch(entry, cache)
+            assert len(cache.expiries_s) <= 3
+            assert cache.refused_until_s <= asyncio.get_running_loop().time() + 61
+
+    run_logged(scenario)
