Leave out single malformed messages between hosts and read all errors of links

One malformed message ended the connection between two hosts, with all calls in progress, and again after each reconnection if the peer sends it with each report. A reply that msgpack cannot hold, and a peer address with a port beyond 65535 or a text such as "...", raised errors in tasks that nobody reads; the link was tried again at once with each message.

Evidence: six new cases of test_peer_links, all of which failed before; in three of them the loop reported "Task exception was never retrieved".

Change: a malformed message is left out and counted in kumquat_relay_odd_messages, the first one of a connection is logged, and its call fails at once with PEER_PROTOCOL through NotUnderstood. A peer of an earlier build closes the connection at that reply, as it did before. Any error of a link starts its retry delay and fails its calls; errors in log lines are cut to 200 characters. Frames that are too large still end their connection.

Ruled out: a change of order. Messages are decoded in the tasks of their calls, which begin in the order of arrival.

--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -28,12 +28,7 @@
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
 from .plain_relay import PlainRelay
-from .protocols import (
-    EngineDialect,
-    HostEntry,
-    StateStore,
-    StoreError,
-)
+from .protocols import EngineDialect, HostEntry, StateStore, StoreError
 from .queue_owner import QueueOwner
 from .relay_metrics import RelayMetrics
 from .relay_settings import RelayOptions
@@ -88,6 +83,7 @@
             parts.cluster_state.host_address,
             parts.clock,
             parts.rng,
+            count_odd=parts.metrics.record_odd_message,
         )
         self._limits = HostLimits.from_parts(
             options.host_id, parts, self._peer_links, self._owner_selection
@@ -313,7 +309,10 @@
         self._peer_key = key
         identity = PeerIdentity(self._options.host_id, self._incarnation)
         self._peer_links.use_key(key)
-        server = PeerServer(self._options.peers, identity, key, self._on_message)
+        count_odd = self._parts.metrics.record_odd_message
+        server = PeerServer(
+            self._options.peers, identity, key, self._on_message, count_odd=count_odd
+        )
         self._peer_services = Supervisor([server])
         await self._peer_services.start()
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -69,6 +69,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self._odd_messages = Counter(
+            "kumquat_relay_odd_messages",
+            "Messages of other hosts that cannot be decoded, wholly or in part",
+            registry=self.registry,
+        )
         self.dropped_log_lines = Counter(
             "kumquat_relay_dropped_log_lines",
             "Log lines dropped because standard output was not being read",
@@ -138,6 +143,10 @@
         """Count an entry of the store that cannot be read."""
         self._odd_entries.labels(kind).inc()
 
+    def record_odd_message(self) -> None:
+        """Count a message of another host that cannot be decoded."""
+        self._odd_messages.inc()
+
     def record_permit(self, granted: bool) -> None:
         """Count a plain request that needed a permit of a limited server."""
         self._permits.labels(str(granted).lower()).inc()
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -1,12 +1,13 @@
 """Streams to other entry hosts: one task for each peer.
 
-The task of a link connects when a message is queued, sends queued messages
-and reads the replies, which are matched to calls by correlation id. When the
-stream ends, all open calls fail with ``PEER_CLOSED`` at once. After a failed
-connection attempt, a link fails further messages at once until its retry
-delay, which is exponential and randomised, is over. The number of bytes
-queued for a slow or frozen peer is limited; a message beyond the limit fails
-with ``PEER_CLOSED``.
+The task of a link connects when a message is queued, sends queued messages and
+reads the replies, which are matched to calls by correlation id. A reply that
+is malformed, or that tells that the peer could not decode the call, fails only
+this call, with ``PEER_PROTOCOL``. When the stream ends, all open calls fail
+with ``PEER_CLOSED`` at once. After a failed connection attempt, a link fails
+further messages at once until its retry delay, which is exponential and
+randomised, is over. The number of bytes queued for a slow or frozen peer is
+limited; a message beyond the limit fails with ``PEER_CLOSED``.
 """
 
 import asyncio
@@ -25,9 +26,19 @@
     write_frame,
 )
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import Envelope, Message, decode, encode
+from kumquat_core.peer_messages import (
+    Envelope,
+    MalformedMessageError,
+    Message,
+    NotUnderstood,
+    decode,
+    encode,
+)
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address
+from kumquat_core.task_errors import describe_error, log_task_error
+
+from .odd_messages import OddMessages
 
 __all__ = ["MAX_QUEUED_BYTES", "PeerLinks", "PeerRefusedError"]
 
@@ -69,8 +80,10 @@
         rng: random.Random,
         on_link_closed: Callable[[str], None],
         count_bytes: CountBytes,
+        count_odd: Callable[[], None],
     ) -> None:
         self.address = address
+        self._count_odd = count_odd
         self._count_bytes = count_bytes
         self._host_id = host_id
         self._identity = identity
@@ -144,6 +157,10 @@
             await self._serve(reader, writer)
         except RouterError as cause:
             error = cause
+        except Exception as cause:
+            # The next attempt may fail in the same way.
+            self._delay_retry()
+            error = self._error(describe_error(cause))
         finally:
             self._fail_open_calls(error)
             log_event(
@@ -188,19 +205,40 @@
     ) -> None:
         """Send queued messages and read replies until the stream ends."""
         sender = asyncio.create_task(self._write(writer))
+        sender.add_done_callback(log_task_error)
+        odd = OddMessages(self._host_id, self._count_odd)
         try:
             while True:
                 data = await read_frame(reader)
                 self._count_bytes("in", len(data) + LENGTH_BYTES)
-                envelope = decode(data)
                 self._unanswered_since_s = None
-                reply = self._replies_by_id.get(envelope.correlation_id)
-                if reply is not None and not reply.done():
-                    reply.set_result(envelope.message)
+                self._receive(data, odd)
         finally:
             sender.cancel()
             writer.transport.abort()
 
+    def _receive(self, data: bytes, odd: OddMessages) -> None:
+        """Give a reply to the call that waits for it."""
+        result: Message | RouterError
+        try:
+            envelope = decode(data)
+        except MalformedMessageError as error:
+            odd.record(error.detail)
+            correlation_id, result = error.correlation_id, error
+        else:
+            correlation_id, result = envelope.correlation_id, envelope.message
+            if envelope.left_out:
+                odd.record_left_out(envelope)
+        reply = self._replies_by_id.get(correlation_id)
+        if reply is None or reply.done():
+            return
+        if isinstance(result, NotUnderstood):
+            result = RouterError(ResultCode.PEER_PROTOCOL, "call not understood")
+        if isinstance(result, RouterError):
+            reply.set_exception(result)
+        else:
+            reply.set_result(result)
+
     async def _write(self, writer: asyncio.StreamWriter) -> None:
         """Send queued messages; ``_serve`` detects the end of the stream."""
         try:
@@ -260,8 +298,10 @@
         rng: random.Random,
         on_link_closed: Callable[[str], None] = lambda host_id: None,
         count_bytes: CountBytes = lambda direction, count: None,
+        count_odd: Callable[[], None] = lambda: None,
     ) -> None:
         self._count_bytes = count_bytes
+        self._count_odd = count_odd
         self._identity = identity
         self._key = key
         self._address_of = address_of
@@ -338,6 +378,7 @@
             self._rng,
             self._on_link_closed,
             self._count_bytes,
+            self._count_odd,
         )
         self._links_by_host_id[host_id] = link
         return link
--- a/packages/kumquatrouter/src/kumquatrouter/peer_server.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_server.py
@@ -2,9 +2,10 @@
 
 Each call is handled in a separate task, because an admission may wait in the
 queue. A malformed frame, or one of another protocol, ends only its own
-connection, with a result code. The number of calls in progress of one
-connection is limited; at the limit nothing more is read from it, so that a
-peer that does not read its replies uses no further memory.
+connection, with a result code. A malformed message is left out, and its sender
+is told so; the first one of a connection is logged. The number of calls in
+progress of one connection is limited; at the limit nothing more is read from
+it, so that a peer that does not read its replies uses no further memory.
 """
 
 import asyncio
@@ -21,9 +22,19 @@
     write_frame,
 )
 from kumquat_core.log_events import log_event
-from kumquat_core.peer_messages import Envelope, Message, decode, encode
+from kumquat_core.peer_messages import (
+    Envelope,
+    MalformedMessageError,
+    Message,
+    NotUnderstood,
+    decode,
+    encode,
+)
 from kumquat_core.result_codes import RouterError
 from kumquat_core.settings import Address
+from kumquat_core.task_errors import describe_error, log_task_error
+
+from .odd_messages import OddMessages
 
 __all__ = ["PeerHandler", "PeerServer"]
 
@@ -48,8 +59,10 @@
         key: bytes,
         handler: PeerHandler,
         count_bytes: CountBytes = lambda direction, count: None,
+        count_odd: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
+        self._count_odd = count_odd
         self._count_bytes = count_bytes
         self._listen = listen
         self._identity = identity
@@ -96,17 +109,18 @@
         def on_call_done(call: "asyncio.Task[None]") -> None:
             calls.discard(call)
             call_permits.release()
+            log_task_error(call)
 
         try:
             peer = await handshake(
                 reader, writer, self._identity, self._key, initiator=False
             )
+            odd = OddMessages(peer.host_id, self._count_odd)
             while True:
                 await call_permits.acquire()
                 data = await read_frame(reader)
                 self._count_bytes("in", len(data) + LENGTH_BYTES)
-                envelope = decode(data)
-                call = asyncio.create_task(self._handle(peer, envelope, writer))
+                call = asyncio.create_task(self._receive(peer, data, writer, odd))
                 calls.add(call)
                 call.add_done_callback(on_call_done)
         except RouterError as error:
@@ -120,12 +134,31 @@
             for call in calls:
                 call.cancel()
 
+    async def _receive(
+        self,
+        peer: PeerIdentity,
+        data: bytes,
+        writer: asyncio.StreamWriter,
+        odd: OddMessages,
+    ) -> None:
+        """Handle a message, or tell its sender that it is malformed."""
+        try:
+            envelope = decode(data)
+        except MalformedMessageError as error:
+            odd.record(error.detail)
+            await self._reply(error.correlation_id, NotUnderstood(), writer)
+            return
+        if envelope.left_out:
+            odd.record_left_out(envelope)
+        await self._handle(peer, envelope, writer)
+
     async def _handle(
         self, peer: PeerIdentity, envelope: Envelope, writer: asyncio.StreamWriter
     ) -> None:
         """Run the handler of one call and write its reply, if it has one."""
         try:
             reply = await self._handler(peer, envelope.message)
+            await self._reply(envelope.correlation_id, reply, writer)
         except Exception as error:
             log_event(
                 logger,
@@ -133,12 +166,16 @@
                 level=logging.ERROR,
                 peer=peer.host_id,
                 message=type(envelope.message).__name__,
-                error=repr(error),
+                error=describe_error(error),
             )
+
+    async def _reply(
+        self, correlation_id: int, reply: Message | None, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write a reply, if there is one and it is wanted."""
+        if reply is None or correlation_id == 0:
             return
-        if reply is None or envelope.correlation_id == 0:
-            return
-        data = encode(Envelope(envelope.correlation_id, reply))
+        data = encode(Envelope(correlation_id, reply))
         self._count_bytes("out", len(data) + LENGTH_BYTES)
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import random
 from collections.abc import Awaitable, Callable
 
@@ -231,3 +232,81 @@
     buffer = Buffer()
     write_frame(buffer, encode(Envelope(3, PING)))
     assert decode(buffer.data[4:]) == Envelope(3, PING)
+
+
+def test_malformed_call_fails_alone():
+    async def scenario() -> None:
+        counted = []
+        async with PeerPair(reply_with_ack) as peers:
+            peers.server._count_odd = lambda: counted.append(1)
+            assert await peers.links.call("b", PING, 5) == ACK
+            for number in range(3):
+                with pytest.raises(RouterError) as caught:
+                    await peers.links.call("b", Ping("a", 2**64 - 1, number), 5)
+                assert_code(caught.value, ResultCode.PEER_PROTOCOL)
+            assert await peers.links.call("b", PING, 5) == ACK
+            assert peers.closed_links == []
+            assert len(counted) == 3
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_malformed_reply_fails_alone():
+    async def odd_reply(peer: PeerIdentity, message: Message) -> Message:
+        position = message.ticket_position
+        return Ack("b", 2**64 - 1 if position == 1 else 1, 0)
+
+    async def scenario() -> None:
+        async with PeerPair(odd_reply) as peers:
+            results = await asyncio.gather(
+                *(peers.links.call("b", Ping("a", 1, n), 5) for n in range(3)),
+                return_exceptions=True,
+            )
+            assert results[0] == results[2] == ACK
+            assert_code(results[1], ResultCode.PEER_PROTOCOL)
+            assert peers.closed_links == []
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_reply_that_cannot_be_encoded_leaves_no_unread_error():
+    async def endless(peer: PeerIdentity, message: Message) -> Message:
+        return Ack("b", 10**30, 0)
+
+    unread = []
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unread.append(context))
+        async with PeerPair(endless) as peers:
+            with pytest.raises(RouterError):
+                await peers.links.call("b", PING, 0.2)
+            gc.collect()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+    assert unread == []
+
+
+@pytest.mark.parametrize(
+    "address",
+    [Address("127.0.0.1", 70_000), Address("...", 80), Address("127.0.0.1", -1)],
+)
+def test_peer_at_an_odd_address_cannot_be_reached(address):
+    unread = []
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unread.append(context))
+        async with PeerPair(reply_with_ack) as peers:
+            good, peers.address = peers.address, address
+            for _ in range(2):
+                with pytest.raises(RouterError) as caught:
+                    await peers.links.call("b", PING, 5)
+                assert_code(caught.value, ResultCode.PEER_CLOSED)
+                peers.clock.advance(5)
+            peers.address = good
+            assert await peers.links.call("b", PING, 5) == ACK
+            gc.collect()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+    assert unread == []
