--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -113,5 +113,5 @@
         raise RouterError(
             error_code, f"{method} failed: {type(error).__name__}"
         ) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise RouterError(error_code, f"{method} answered no JSON") from error
--- a/packages/kumquat_core/src/kumquat_core/request_records.py
+++ b/packages/kumquat_core/src/kumquat_core/request_records.py
@@ -7,15 +7,20 @@
 """
 
 import base64
+import logging
 from dataclasses import dataclass, replace
 from enum import StrEnum
-from typing import Any
+from typing import Annotated, Any
 
+from pydantic import AfterValidator, BaseModel, Field
 from returns.result import Failure, Result, Success
 
 from .group_commit import GroupCommit
+from .log_events import log_event
+from .message_fields import Whole
 from .result_codes import ResultCode, RouterError
 from .table_client import ABSENT, TableClient, Write
+from .task_errors import describe_error
 
 __all__ = [
     "VersionConflict",
@@ -41,6 +46,18 @@
 # The first write and one retry after a read-back. After that the store is
 # considered unavailable, because the caller must be refused quickly.
 MAX_WRITE_TRIES = 2
+MAX_LOGGED_CHARACTERS = 200
+
+
+# Text without line breaks, since it goes into headers and the log.
+Text = Annotated[str, Field(max_length=4096, pattern=r"^[\x20-\x7e]*$")]
+
+logger = logging.getLogger(__name__)
+
+
+def _check_base64(text: str) -> str:
+    base64.b64decode(text, validate=True)
+    return text
 
 
 class RecordState(StrEnum):
@@ -96,17 +113,12 @@
 
     @classmethod
     def from_document(cls, document: dict[str, Any]) -> "Record":
-        """Return the record of a stored JSON document."""
-        return cls(
-            RecordState(document["state"]),
-            document["attempt"],
-            document["fence"],
-            document["body_hash"],
-            document["server_url"],
-            document["checks_fencing"],
-            document["created_ms"],
-            document["outcome"],
-        )
+        """Return the record of a stored JSON document.
+
+        Raises ``ValueError`` if it is not one.
+        """
+        model = _RecordModel.model_validate(document)
+        return cls(**{**dict(model), "outcome": document["outcome"]})
 
     def with_outcome(self, outcome: RecordedOutcome) -> "Record":
         """Return the record as ``done``; a too large body is left out."""
@@ -139,6 +151,27 @@
         return self.is_same_attempt(other) and self.state is other.state
 
 
+class _OutcomeModel(BaseModel):
+    """The outcome in a stored record."""
+
+    status: Annotated[int, Field(ge=100, le=599, strict=True)]
+    content_type: Annotated[str, Field(pattern=r"^[^\x00-\x08\x0a-\x1f\x7f]*$")]
+    body: Annotated[str, AfterValidator(_check_base64)] | None
+
+
+class _RecordModel(BaseModel):
+    """A stored record."""
+
+    state: RecordState
+    attempt: Text
+    fence: Annotated[Whole, Field(strict=True)]
+    body_hash: Text
+    server_url: Text
+    checks_fencing: Annotated[bool, Field(strict=True)]
+    created_ms: Annotated[Whole, Field(strict=True)]
+    outcome: _OutcomeModel | None
+
+
 @dataclass(frozen=True)
 class StoredRecord:
     """A record as read, with its version; an absent record has version 0."""
@@ -201,7 +234,20 @@
             return StoreUnavailable()
         if row is None:
             return StoredRecord()
-        return StoredRecord(row.version, Record.from_document(row.value))
+        try:
+            return StoredRecord(row.version, Record.from_document(row.value))
+        except ValueError as error:
+            log_event(
+                logger,
+                "record_unreadable",
+                level=logging.WARNING,
+                key=key[:MAX_LOGGED_CHARACTERS],
+                version=row.version,
+                problem=describe_error(error),
+            )
+            # Whether the request has run is not known, as when the store does
+            # not answer.
+            return StoreUnavailable()
 
     async def apply_transition(
         self, key: str, expect_version: int, record: Record
--- a/packages/kumquat_core/src/kumquat_core/table_client.py
+++ b/packages/kumquat_core/src/kumquat_core/table_client.py
@@ -6,12 +6,14 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import aiohttp
+from pydantic import BaseModel, ConfigDict, ValidationError
 
 from .http_client import request_json
+from .message_fields import Whole
 from .result_codes import ResultCode, RouterError
 
 __all__ = ["ABSENT", "HttpTableClient", "Row", "TableClient", "TransactResult", "Write"]
@@ -42,6 +44,36 @@
     value: dict[str, Any]
 
 
+class _Answer(BaseModel):
+    """Base of the answers of the table service."""
+
+    model_config = ConfigDict(strict=True)
+
+
+class _RowAnswer(_Answer):
+    version: Whole
+    value: dict[str, Any]
+
+
+class _KeyedRow(_RowAnswer):
+    key: str
+
+
+class _ScanAnswer(_Answer):
+    rows: list[_KeyedRow]
+
+
+class _CommittedAnswer(_Answer):
+    versions: list[Whole]
+
+
+class _FailedAnswer(_Answer):
+    failed: list[Whole]
+
+
+AnswerT = TypeVar("AnswerT", bound=_Answer)
+
+
 @dataclass(frozen=True)
 class TransactResult:
     """New versions of all writes, or the indexes of failed conditions."""
@@ -93,9 +125,10 @@
         }
         status, document = await self._request("POST", "/tables/transact", body)
         if status == 409:
-            return TransactResult(failed=tuple(document["failed"]))
+            return TransactResult(failed=tuple(_parse(_FailedAnswer, document).failed))
         _check_status(status)
-        return TransactResult(versions=tuple(document["versions"]))
+        versions = _parse(_CommittedAnswer, document).versions
+        return TransactResult(versions=tuple(versions))
 
     async def get(self, table: str, key: str) -> Row | None:
         """Return one row, or None."""
@@ -104,7 +137,8 @@
         if status == 404:
             return None
         _check_status(status)
-        return Row(key, document["version"], document["value"])
+        row = _parse(_RowAnswer, document)
+        return Row(key, row.version, row.value)
 
     async def scan(self, table: str, after: str, limit: int) -> list[Row]:
         """Return up to ``limit`` rows after a key, in key order."""
@@ -114,10 +148,8 @@
         )
         status, document = await self._request("GET", path, None)
         _check_status(status)
-        return [
-            Row(item["key"], item["version"], item["value"])
-            for item in document["rows"]
-        ]
+        rows = _parse(_ScanAnswer, document).rows
+        return [Row(item.key, item.version, item.value) for item in rows]
 
     async def _request(self, method: str, path: str, body: Any) -> tuple[int, Any]:
         return await request_json(
@@ -130,6 +162,15 @@
         )
 
 
+def _parse(model: type[AnswerT], document: Any) -> AnswerT:
+    """Validate an answer; raises ``STORE_UNAVAILABLE`` for an odd one."""
+    try:
+        return model.model_validate(document)
+    except ValidationError as error:
+        detail = f"table service answered {error.error_count()} odd fields"
+        raise RouterError(ResultCode.STORE_UNAVAILABLE, detail) from error
+
+
 def _check_status(status: int) -> None:
     if status != 200:
         detail = f"table service answered status {status}"
--- a/packages/kumquat_core/src/kumquat_core/ticket_checks.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_checks.py
@@ -63,6 +63,10 @@
         path = f"line {error.lineno}, column {error.colno}"
         found = _shorten(text[error.pos : error.pos + 20] or "end of file")
         return Failure((FieldError(path, found, f"JSON; {error.msg}"),))
+    except (ValueError, RecursionError) as error:
+        # Numbers of thousands of digits, and nesting without end.
+        found = _shorten(text[:MAX_VALUE_CHARACTERS])
+        return Failure((FieldError("(ticket)", found, f"JSON; {error}"),))
     return check_ticket(document)
 
 
--- a/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
@@ -131,6 +131,6 @@
         if not decompressor.eof:
             raise ValueError("truncated or too large")
         return Success(json.loads(content))
-    except (KeyError, TypeError, ValueError, zlib.error) as error:
+    except (KeyError, TypeError, ValueError, RecursionError, zlib.error) as error:
         detail = f"malformed snapshot: {type(error).__name__}"
         return Failure(RouterError(ResultCode.TICKET_INVALID, detail))
--- a/packages/kumquat_core/src/kumquat_core/ticket_log.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_log.py
@@ -390,7 +390,7 @@
 ) -> Result[dict[str, Any], RouterError]:
     try:
         document = json.loads(stored.content)
-    except ValueError:
+    except (ValueError, RecursionError):
         detail = "the snapshot is not JSON"
         return Failure(RouterError(ResultCode.TICKET_INVALID, detail))
     return parse_snapshot(document)
--- a/packages/kumquat_core/src/kumquat_core/ticket_models.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_models.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from .configuration import EngineRole, ServerState, ServiceKind
+from .message_fields import Whole
 
 __all__ = [
     "STATE_MODELS_BY_KIND",
@@ -19,8 +20,13 @@
 ]
 
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[\w.@*-]+$")]
-Positive = Annotated[int, Field(gt=0)]
-PositiveFloat = Annotated[float, Field(gt=0)]
+# No figure of an operator is larger; infinity would make weights and rates of
+# all others useless.
+MAX_FIGURE = 10**12
+
+Positive = Annotated[int, Field(gt=0, le=MAX_FIGURE)]
+NonNegativeFloat = Annotated[float, Field(ge=0, le=MAX_FIGURE, allow_inf_nan=False)]
+PositiveFloat = Annotated[float, Field(gt=0, le=MAX_FIGURE, allow_inf_nan=False)]
 
 
 class StateModel(BaseModel):
@@ -60,8 +66,8 @@
     max_requests: Positive = 20
     prefill_tokens_per_s: PositiveFloat = 20000.0
     link_bytes_per_s: PositiveFloat = 5e9
-    step_base_ms: Annotated[float, Field(ge=0)] = 12.0
-    step_request_ms: Annotated[float, Field(ge=0)] = 0.9
+    step_base_ms: NonNegativeFloat = 12.0
+    step_request_ms: NonNegativeFloat = 0.9
     checks_fencing: bool = True
 
 
@@ -90,7 +96,7 @@
     tbt_target_ms: Positive
     patience_ms: Positive
     deadline_ms: Positive
-    priority: int = 0
+    priority: Whole = 0
 
 
 class TenantState(StateModel):
--- a/packages/kumquat_core/src/kumquat_core/tickets.py
+++ b/packages/kumquat_core/src/kumquat_core/tickets.py
@@ -33,6 +33,9 @@
 
 ObjectKey = tuple[str, str]
 
+# Positions are keys of twelve digits in the log.
+MAX_POSITION = 10**12
+
 _CLASSES_BY_KIND: dict[str, tuple[type[Any], str]] = {
     "model": (Model, "name"),
     "pool": (Pool, "name"),
@@ -84,10 +87,14 @@
     def from_document(cls, document: dict[str, Any]) -> "Ticket":
         """Return the ticket of a stored document.
 
-        Raises ``ValidationError`` when the ticket in it is not valid.
+        Raises ``ValueError`` when the ticket in it is not valid, and
+        ``KeyError`` or ``TypeError`` when it has none.
         """
         model = TicketModel.model_validate(document["ticket"])
-        return cls(int(document["position"]), model)
+        position = document["position"]
+        if type(position) is not int or not 0 < position < MAX_POSITION:
+            raise ValueError("not a position")
+        return cls(position, model)
 
 
 def digest_of(model: TicketModel) -> str:
--- a/packages/kumquatctl/src/kumquatctl/request_commands.py
+++ b/packages/kumquatctl/src/kumquatctl/request_commands.py
@@ -64,7 +64,11 @@
     ):
         row = await platform.tables.get(RECORDS_TABLE, row_key)
         if row is not None:
-            return Record.from_document(row.value)
+            try:
+                return Record.from_document(row.value)
+            except ValueError as error:
+                detail = f"the record of {row_key} is unreadable"
+                raise RouterError(ResultCode.INVALID_FIELD, detail) from error
     detail = (
         f"no record of {tenant} / {service} / {key}: no such request was sent, "
         "unless tenant, service or key is misspelt"
--- a/packages/kumquatrouter/src/kumquatrouter/ticket_sync.py
+++ b/packages/kumquatrouter/src/kumquatrouter/ticket_sync.py
@@ -17,7 +17,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import Message, TicketBatch, TicketFetch
 from kumquat_core.rendezvous import owner_of
-from kumquat_core.result_codes import RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.ticket_exchange import TicketTail, merge_batch
 from kumquat_core.ticket_log import TicketLog
 from kumquat_core.tickets import TicketStore
@@ -33,6 +33,7 @@
 # Limits one fetch; the next ping of a host with a higher log position starts
 # another.
 MAX_FETCH_ROUNDS = 50
+MAX_LOGGED_PROBLEMS = 100
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +61,7 @@
         self._tail = TicketTail(store)
         self._fetching = False
         self._snapshot_position = 0
+        self._logged_problems: set[str] = set()
 
     async def start(self) -> None:
         """Read the snapshot and the log, or fetch from a peer in an outage."""
@@ -158,6 +160,14 @@
     def _log_failure(
         self, event: str, error: RouterError, peer: str | None = None
     ) -> None:
+        """Log a failure; one that is due to the same odd ticket only once."""
+        if error.code is ResultCode.TICKET_INVALID:
+            problem = f"{event} {peer} {self._store.position} {error.detail}"
+            if problem in self._logged_problems:
+                return
+            if len(self._logged_problems) >= MAX_LOGGED_PROBLEMS:
+                self._logged_problems.clear()
+            self._logged_problems.add(problem)
         log_event(
             logger,
             event,
