Log the errors of background tasks that nobody reads

Tasks for probes, releases, crash reports, permits, owner checks, group commits and attempts whose caller has left were started without a reader of their errors: Python reports them when the task is collected, in several lines and of any length. The registration of a host ended at the first error that is no StoreError, for instance an odd peer key or a port in use, and the host then stayed out of the list until it was started again.

Found by reading all calls of create_task and ensure_future.

Change: log_task_error is a callback for the end of a task and writes one line of at most 200 characters of the error. The registration tries again after 0.3 s whatever the error, and logs an unexpected one once.

Ruled out: the timer service, membership probes and BackgroundTasks, which read the errors of their tasks; the watch of the settings file, whose error is read nowhere, has the callback now too.

--- a/packages/kumquat_core/src/kumquat_core/group_commit.py
+++ b/packages/kumquat_core/src/kumquat_core/group_commit.py
@@ -22,6 +22,7 @@
 
 from .result_codes import RouterError
 from .table_client import TableClient, Write
+from .task_errors import log_task_error
 
 __all__ = ["GroupCommit", "WriteFailure"]
 
@@ -104,6 +105,7 @@
         task = asyncio.get_running_loop().create_task(self._commit(batch))
         self._transactions.add(task)
         task.add_done_callback(self._transactions.discard)
+        task.add_done_callback(log_task_error)
 
     async def _commit(self, batch: list[_Pending]) -> None:
         try:
--- a/packages/kumquat_core/src/kumquat_core/idempotency.py
+++ b/packages/kumquat_core/src/kumquat_core/idempotency.py
@@ -73,6 +73,7 @@
 from .result_codes import Execution, ResultCode, RouterError
 from .settings import Options
 from .table_client import TableClient
+from .task_errors import log_task_error
 
 __all__ = [
     "IdempotencyGuard",
@@ -278,6 +279,8 @@
         self._tasks.add(task)
         self._active_attempts[attempt] += 1
         task.add_done_callback(lambda done: self._remove_task(attempt, done))
+        # Its caller may have ended before it.
+        task.add_done_callback(log_task_error)
         return task
 
     def _remove_task(self, attempt: str, task: "asyncio.Task[Any]") -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -30,6 +30,7 @@
     RunStalled,
 )
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_core.task_errors import log_task_error
 from kumquatrouter.peer_links import PeerLinks
 
 from .admission_refusal import AdmissionRefusedError
@@ -346,6 +347,7 @@
             check = asyncio.ensure_future(self._recheck_owner(owner, service, detail))
             self._checks_by_owner[owner] = check
             check.add_done_callback(lambda _: self._checks_by_owner.pop(owner, None))
+            check.add_done_callback(log_task_error)
         await asyncio.shield(check)
 
     async def _recheck_owner(self, owner: str, service: str, detail: str) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
@@ -13,6 +13,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import EngineCrashReport
 from kumquat_core.result_codes import RouterError
+from kumquat_core.task_errors import log_task_error
 from kumquatrouter.peer_links import PeerLinks
 
 from .caller_request import CallerRequest
@@ -179,3 +180,4 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_task_error)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -7,6 +7,7 @@
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.settings import Address
+from kumquat_core.task_errors import log_task_error
 
 from .caller_request import CallerRequest, Header
 from .engine_connection import (
@@ -246,6 +247,7 @@
         )
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
+        task.add_done_callback(log_task_error)
 
     async def _acquire(
         self, entry: EngineEntry, timeout_s: float, *, recently_used: bool = False
--- a/packages/kumquat_relay/src/kumquat_relay/engine_probe.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_probe.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from kumquat_core.log_events import log_event
+from kumquat_core.task_errors import log_task_error
 
 from .engine_connection import SendFailedError
 from .engine_health import EngineHealth
@@ -49,6 +50,7 @@
         task = asyncio.ensure_future(self._run(engine_id))
         self._tasks_by_engine[engine_id] = task
         task.add_done_callback(lambda _: self._tasks_by_engine.pop(engine_id, None))
+        task.add_done_callback(log_task_error)
 
     def close(self) -> None:
         """Cancel all probes."""
--- a/packages/kumquat_relay/src/kumquat_relay/runner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/runner.py
@@ -8,6 +8,7 @@
 
 from kumquat_core.log_events import log_event
 from kumquat_core.result_codes import RouterError
+from kumquat_core.task_errors import log_task_error
 
 from .log_output import configure_output
 from .protocols import EngineDialect, StateStore
@@ -43,6 +44,7 @@
     log_handler.on_dropped = host.metrics.dropped_log_lines.inc
     await host.start()
     watch_task = asyncio.ensure_future(_watch_settings(path, host, reload_requested))
+    watch_task.add_done_callback(log_task_error)
     await stop_requested.wait()
     watch_task.cancel()
     await host.drain()
--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -17,6 +17,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import PermitGrant, PermitRequest, ServerLimitNotice
 from kumquat_core.result_codes import RouterError
+from kumquat_core.task_errors import log_task_error
 from kumquatrouter.peer_links import PeerLinks
 
 from .engine_registry import EngineEntry
@@ -197,6 +198,8 @@
         """Fetch permits of the owner once for all concurrent requests."""
         if cache.fetch is None or cache.fetch.done():
             cache.fetch = asyncio.ensure_future(self._fetch(entry, cache))
+            # All requests that wait for it may have ended before.
+            cache.fetch.add_done_callback(log_task_error)
         await asyncio.shield(cache.fetch)
 
     async def _fetch(self, entry: EngineEntry, cache: _PermitCache) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from kumquat_core.log_events import log_event
+from kumquat_core.task_errors import describe_error
 
 from .protocols import HostEntry, StateStore, StoreError
 
@@ -50,6 +51,7 @@
         self._use_key = use_key
         self._task: asyncio.Task[None] | None = None
         self._is_registered = False
+        self._logged_error = ""
 
     def start(self) -> None:
         """Write the rows in the background until the store has them."""
@@ -78,8 +80,8 @@
             try:
                 await self._agree_on_key()
                 await self._store.put_host(self._entry)
-            except StoreError as error:
-                log_event(logger, "host_not_entered", reason=str(error))
+            except Exception as error:
+                self._log_failure(error)
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             self._is_registered = True
@@ -95,12 +97,22 @@
                     await self._store.put_host(self._entry)
                     log_event(logger, "host_entered_again", host=self._entry.host_id)
                     self._on_rewritten()
-            except StoreError as error:
-                log_event(logger, "host_not_entered", reason=str(error))
+            except Exception as error:
+                self._log_failure(error)
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             return
 
+    def _log_failure(self, error: Exception) -> None:
+        """Log why a row was not written; an unexpected error only once."""
+        if isinstance(error, StoreError):
+            log_event(logger, "host_not_entered", reason=str(error))
+            return
+        text = describe_error(error)
+        if text != self._logged_error:
+            self._logged_error = text
+            log_event(logger, "registration_failed", level=logging.ERROR, error=text)
+
     async def _agree_on_key(self) -> None:
         """Write the key unless the store has one, and use the store's."""
         self._key = await self._store.peer_key(self._key)
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -357,3 +357,23 @@
             assert cache.refused_until_s <= asyncio.get_running_loop().time() + 61
 
     run_logged(scenario)
+
+
+def test_registration_goes_on_after_an_unexpected_error() -> None:
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        host = harness.new_host("h2")
+        harness.hosts.append(host)
+        registration = host._registration
+        agree, failures = registration._use_key, [ValueError("x" * 10_000)] * 2
+
+        async def fail(key: bytes) -> None:
+            if failures:
+                raise failures.pop()
+            await agree(key)
+
+        registration._use_key = fail
+        await host.start()
+        await harness.wait_until(lambda: ("relay_hosts", "h2") in harness.store.rows)
+        assert len(lines.lines("registration_failed")) == 1
+
+    run_logged(scenario)
