Write odd entries among the good ones in the soak

A new fault leaves odd engines, hosts and leases and an odd configuration in the store for a while and then writes the good configuration again. The promises that the soak checks stay the same.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.relay.fakes import FakeEngine
+from tests.relay.odd_values import WHOLE_VALUES, replace_field
 
 from .checks import HostOutage
 from .host_process import HostProcess
@@ -72,6 +73,7 @@
             "engine_limited": self._limit_engine,
             "prompt_part_deadly": self._crash_under_prompt_part,
             "configuration": self._change_configuration,
+            "odd_entries": self._write_odd_entries,
         }
 
     async def run(self, until_s: float) -> None:
@@ -306,6 +308,22 @@
         self._harness.shared_parts.remove(part)
         self._targets_in_use.discard("prompt parts")
 
+    async def _write_odd_entries(self) -> None:
+        """Write odd entries among the good ones, and remove some later."""
+        store = self._harness.store
+        tables = ("servers", "relay_hosts", "relay_leases")
+        keys = [(self._rng.choice(tables), f"odd{n}") for n in range(5)]
+        for table, key in keys:
+            store.put_raw(table, key, self._rng.choice(WHOLE_VALUES))
+        engine = self._rng.choice(self._harness.engines).entry("plain")
+        text = self._rng.choice(("1e400", "70000", '"127.0.0.1:70000"', "NaN"))
+        store.put_raw("servers", "odd", replace_field(engine, ("addr",), text))
+        store.put_raw("op", "config", self._rng.choice(WHOLE_VALUES))
+        await self._sleep_fault_duration()
+        self._harness.write_configuration()
+        for table, key in keys[:2]:
+            store.remove(table, key)
+
     async def _change_configuration(self) -> None:
         self._harness.change_configuration(self._rng.choice((2500, 3000)))
 
