Let running hosts adopt the key that replaced an odd peer key

A host that starts and finds an odd peer key writes its own in its place. Hosts that ran read the key only at their start and after the store came back from a copy, so they and the new host refused each other's connections for good and had two owners of each queue.

Change: a host whose peer fails to prove the key reads the key again and writes its row if it is missing, after up to 1 s and at most every 10 s, so that a stranger who connects to the peer port causes few calls to the store.

--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -84,6 +84,7 @@
             parts.clock,
             parts.rng,
             count_odd=parts.metrics.record_odd_message,
+            on_other_key=lambda: self._registration.check_key(),
         )
         self._limits = HostLimits.from_parts(
             options.host_id, parts, self._peer_links, self._owner_selection
@@ -207,7 +208,7 @@
         )
         timers = TimerService(parts.clock)
         timers.every(CLEANUP_PERIOD_S, self._clean_up, "sweep")
-        timers.every(REPORT_S, self._report_runs, "report")
+        timers.every(REPORT_S, self._admission.report, "report")
         timers.every(PLANNING_PERIOD_S, self._plan_roles, "plan")
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
@@ -309,9 +310,13 @@
         self._peer_key = key
         identity = PeerIdentity(self._options.host_id, self._incarnation)
         self._peer_links.use_key(key)
-        count_odd = self._parts.metrics.record_odd_message
         server = PeerServer(
-            self._options.peers, identity, key, self._on_message, count_odd=count_odd
+            self._options.peers,
+            identity,
+            key,
+            self._on_message,
+            count_odd=self._parts.metrics.record_odd_message,
+            on_other_key=self._registration.check_key,
         )
         self._peer_services = Supervisor([server])
         await self._peer_services.start()
@@ -377,9 +382,6 @@
         if self._parts.rules.role_changes and not self._parts.shutdown.draining:
             await self._role_controller.step()
 
-    async def _report_runs(self) -> None:
-        await self._admission.report()
-
     def _metrics_text(self) -> bytes:
         parts = self._parts
         metrics = parts.metrics
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -23,6 +23,8 @@
 REGISTER_RETRY_S = 0.3
 # Well within the time in which other hosts keep an entry that is missing.
 REWRITE_SPREAD_S = 1.0
+# Bounds the calls that a stranger who connects to the peer port causes.
+KEY_CHECK_PERIOD_S = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +54,7 @@
         self._task: asyncio.Task[None] | None = None
         self._is_registered = False
         self._logged_error = ""
+        self._key_check_due_s = float("-inf")
 
     def start(self) -> None:
         """Write the rows in the background until the store has them."""
@@ -64,6 +67,17 @@
                 self._task.cancel()
             self._task = asyncio.ensure_future(self._register_again())
 
+    def check_key(self) -> None:
+        """Read the key again, since another host uses another one.
+
+        That host has written its key in place of an odd one, or has not read
+        a new one yet.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._key_check_due_s:
+            self._key_check_due_s = now_s + KEY_CHECK_PERIOD_S
+            self.restart()
+
     def repair(self, host_id: str) -> None:
         """Write the rows again if the entry of this host is unreadable."""
         if host_id == self._entry.host_id:
--- a/packages/kumquatrouter/src/kumquatrouter/peer_links.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_links.py
@@ -81,8 +81,10 @@
         on_link_closed: Callable[[str], None],
         count_bytes: CountBytes,
         count_odd: Callable[[], None],
+        on_other_key: Callable[[], None],
     ) -> None:
         self.address = address
+        self._on_other_key = on_other_key
         self._count_odd = count_odd
         self._count_bytes = count_bytes
         self._host_id = host_id
@@ -192,9 +194,16 @@
             )
             if peer.host_id != self._host_id:
                 raise RouterError(ResultCode.PEER_AUTHENTICATION, "other host id")
-        except BaseException:
+        except BaseException as error:
             self._delay_retry()
-            writer.transport.abort()
+            code = error.code if isinstance(error, RouterError) else None
+            if code is ResultCode.PEER_AUTHENTICATION:
+                # A reset could reach the peer before it has read the proof, by
+                # which it learns that the keys differ.
+                writer.close()
+                self._on_other_key()
+            else:
+                writer.transport.abort()
             raise
         self._failures = 0
         self._was_connected = True
@@ -299,7 +308,9 @@
         on_link_closed: Callable[[str], None] = lambda host_id: None,
         count_bytes: CountBytes = lambda direction, count: None,
         count_odd: Callable[[], None] = lambda: None,
+        on_other_key: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_other_key = on_other_key
         self._count_bytes = count_bytes
         self._count_odd = count_odd
         self._identity = identity
@@ -379,6 +390,7 @@
             self._on_link_closed,
             self._count_bytes,
             self._count_odd,
+            self._on_other_key,
         )
         self._links_by_host_id[host_id] = link
         return link
--- a/packages/kumquatrouter/src/kumquatrouter/peer_server.py
+++ b/packages/kumquatrouter/src/kumquatrouter/peer_server.py
@@ -30,7 +30,7 @@
     decode,
     encode,
 )
-from kumquat_core.result_codes import RouterError
+from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Address
 from kumquat_core.task_errors import describe_error, log_task_error
 
@@ -50,7 +50,11 @@
 
 
 class PeerServer(aiomisc.Service):
-    """Listens for peers and passes their messages to a handler."""
+    """Listens for peers and passes their messages to a handler.
+
+    ``count_odd`` is called for each malformed message, and ``on_other_key``
+    after a peer has failed to prove that it has the shared key.
+    """
 
     def __init__(
         self,
@@ -60,8 +64,10 @@
         handler: PeerHandler,
         count_bytes: CountBytes = lambda direction, count: None,
         count_odd: Callable[[], None] = lambda: None,
+        on_other_key: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
+        self._on_other_key = on_other_key
         self._count_odd = count_odd
         self._count_bytes = count_bytes
         self._listen = listen
@@ -124,6 +130,8 @@
                 calls.add(call)
                 call.add_done_callback(on_call_done)
         except RouterError as error:
+            if error.code is ResultCode.PEER_AUTHENTICATION:
+                self._on_other_key()
             log_event(
                 logger,
                 "peer_connection_closed",
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -8,8 +8,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pytest
+
 from kumquat_core.log_events import FIELDS_ATTRIBUTE, KeyValueFormatter
-from kumquat_core.peer_messages import PermitGrant, PermitRequest
+from kumquat_core.peer_messages import PermitGrant, PermitRequest, RunsHeld
+from kumquat_relay import poll_times, store_registration
 from kumquat_relay.cluster_state import ClusterState
 from kumquat_relay.send_permits import _PermitCache
 
@@ -19,10 +22,7 @@
 MAX_LINE_CHARACTERS = 800
 # Well within the time in which a change of the configuration is to apply.
 FOLLOWED_WITHIN_S = 1.0
-# A host pauses for 1.5 s after it has heard of other hosts.
-HOSTS_FOLLOWED_WITHIN_S = 2.5
-# The own row is written again after up to 1 s.
-REWRITTEN_WITHIN_S = 2.5
+REWRITTEN_WITHIN_S = 1.0
 COUNTS = ("0", "65536", "70000")
 # Fields of an engine's entry, and the odd texts that are valid there.
 VALID_TEXTS: dict[str, tuple[str, ...]] = {
@@ -35,6 +35,13 @@
 }
 
 
+@pytest.fixture(autouse=True)
+def _short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the pauses that spread the calls of a fleet."""
+    monkeypatch.setattr(poll_times, "HOSTS_PAUSE_S", 0.1)
+    monkeypatch.setattr(store_registration, "REWRITE_SPREAD_S", 0.1)
+
+
 class LogLines(logging.Handler):
     """Collects the lines that hosts log, and the errors that nobody reads."""
 
@@ -101,10 +108,8 @@
     return harness.hosts[number]._parts.cluster_state
 
 
-async def is_followed(
-    condition: Callable[[], bool], within_s: float = FOLLOWED_WITHIN_S
-) -> None:
-    async with asyncio.timeout(within_s):
+async def is_followed(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(FOLLOWED_WITHIN_S):
         while not condition():
             await asyncio.sleep(0.01)
 
@@ -122,6 +127,14 @@
     await is_followed(lambda: len(list(state.registry.usable(PLAIN))) == 2)
 
 
+def read_again(harness: RelayHarness) -> None:
+    """Make the host read all tables from their start."""
+    # A watch that has the last version does not miss the history.
+    harness.store.put("another", "row", {})
+    harness.store.truncate_history()
+    harness.store.abort_connections()
+
+
 def odd_engine_values(harness: RelayHarness) -> list[bytes]:
     """Return values that name no engine to use, for both kinds of service."""
     values = list(WHOLE_VALUES)
@@ -151,8 +164,7 @@
         )
         assert statuses == {200: 40}
         assert len(lines.lines("entry_unreadable")) == len(values)
-        harness.store.truncate_history()
-        harness.store.abort_connections()
+        read_again(harness)
         await check_follows(harness, 5)
         assert len(lines.lines("entry_unreadable")) == len(values)
 
@@ -180,9 +192,7 @@
         for number, value in enumerate(values):
             harness.store.put_raw("relay_hosts", f"odd{number}", value)
         harness.store.put("relay_hosts", "another", document)
-        await is_followed(
-            lambda: "another" in state.hosts_by_id, HOSTS_FOLLOWED_WITHIN_S
-        )
+        await is_followed(lambda: "another" in state.hosts_by_id)
         assert set(state.hosts_by_id) == {"h1", "h2", "another"}
         statuses = [
             await harness.request_status(route) for route in ("once", "story") * 5
@@ -244,8 +254,7 @@
             {"key": "bad8" * 1000, "ver": 3},
         ]
         store.rows_added["servers"] = odd_rows
-        store.truncate_history()
-        store.abort_connections()
+        read_again(harness)
         await check_follows(harness, 4)
         assert {item.id for item in state.registry.all_entries()} == known
         assert await harness.request_status("once") == 200
@@ -377,3 +386,27 @@
         assert len(lines.lines("registration_failed")) == 1
 
     run_logged(scenario)
+
+
+def test_running_hosts_adopt_the_key_that_replaced_an_odd_one() -> None:
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        for number in range(2):
+            state = state_of(harness, number)
+            await harness.wait_until(
+                lambda state=state: len(state.hosts_by_id) == 2  # type: ignore[misc]
+            )
+        previous = harness.host._peer_key
+        harness.store.put_raw("relay_secrets", "peer_key", b"odd")
+        host = harness.new_host("h3")
+        harness.hosts.append(host)
+        await host.start()
+        await harness.wait_until(lambda: "h3" in state_of(harness).hosts_by_id)
+        await harness.wait_until(
+            lambda: len({item._peer_key for item in harness.hosts}) == 1
+        )
+        assert harness.host._peer_key != previous
+        for other in harness.hosts[:2]:
+            await asyncio.sleep(0.2)
+            await host._peer_links.call(other._options.host_id, RunsHeld(LLM), 1.0)
+
+    run_logged(scenario, host_count=2)
