Remove an engine whose entry turns odd at once, also after an outage

Removals that arrive within 2 s after the store is reached again are held back, because entries lapse with the store and come back. An entry that another writer has overwritten was held back in the same way, so its engine got new requests for up to 2 s although an odd entry names no engine to use.

Evidence: test_engine_that_turns_odd_after_an_outage_is_removed_at_once, which failed with this line taken back and passes with it.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -307,7 +307,9 @@
         """Add, update or remove the engine that a change concerns."""
         previous = self.registry.get(item.key)
         if not isinstance(item.value, EngineEntry):
-            now_s = self._clock.monotonic()
+            # Only entries that lapsed with the store may return; one that is
+            # odd names no engine to use.
+            now_s = float("inf") if item.problem else self._clock.monotonic()
             removed = self.registry.remove(item.key, item.version, now_s)
             if removed and previous is not None:
                 reason = "removed" if item.removed else "unreadable"
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -285,6 +285,17 @@
     run_logged(scenario)
 
 
+def test_engine_that_turns_odd_after_an_outage_is_removed_at_once() -> None:
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        state = state_of(harness)
+        state.store_reconnected()
+        harness.store.put_raw("servers", "plain0", b"{")
+        await is_followed(lambda: state.registry.get("plain0") is None)
+        assert not state.registry.has_deferred_removals()
+
+    run_logged(scenario)
+
+
 def test_known_host_that_turns_odd_is_kept_and_writes_its_entry_again() -> None:
     async def scenario(harness: RelayHarness, lines: LogLines) -> None:
         state = state_of(harness)
