--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -28,12 +28,7 @@
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
 from .plain_relay import PlainRelay
-from .protocols import (
-    EngineDialect,
-    HostEntry,
-    StateStore,
-    StoreError,
-)
+from .protocols import EngineDialect, HostEntry, StateStore, StoreError
 from .queue_owner import QueueOwner
 from .relay_metrics import RelayMetrics
 from .relay_settings import RelayOptions
@@ -88,6 +83,8 @@
             parts.cluster_state.host_address,
             parts.clock,
             parts.rng,
+            count_odd=parts.metrics.record_odd_message,
+            on_other_key=lambda: self._registration.check_key(),
         )
         self._limits = HostLimits.from_parts(
             options.host_id, parts, self._peer_links, self._owner_selection
@@ -174,11 +171,10 @@
         )
         parts.cluster_state.on_engines_changed = self._queue_owner.engines_changed
         parts.cluster_state.on_engine_removed = self._engine_removed
-        parts.cluster_state.on_engine_restarted = lambda entry: self._clear_notices(
-            entry.id
-        )
+        parts.cluster_state.on_engine_restarted = self._clear_notices
         self._notices.on_notice = self._admission.forward_notice
         parts.cluster_state.on_hosts_changed = self._hosts_changed
+        parts.cluster_state.on_host_unreadable = self._registration.repair
         parts.cluster_state.on_era_changed = self._era_changed
         self._watches = build_watches(store, options, parts, self._owner_selection)
 
@@ -212,7 +208,7 @@
         )
         timers = TimerService(parts.clock)
         timers.every(CLEANUP_PERIOD_S, self._clean_up, "sweep")
-        timers.every(REPORT_S, self._report_runs, "report")
+        timers.every(REPORT_S, self._admission.report, "report")
         timers.every(PLANNING_PERIOD_S, self._plan_roles, "plan")
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
@@ -314,7 +310,14 @@
         self._peer_key = key
         identity = PeerIdentity(self._options.host_id, self._incarnation)
         self._peer_links.use_key(key)
-        server = PeerServer(self._options.peers, identity, key, self._on_message)
+        server = PeerServer(
+            self._options.peers,
+            identity,
+            key,
+            self._on_message,
+            count_odd=self._parts.metrics.record_odd_message,
+            on_other_key=self._registration.check_key,
+        )
         self._peer_services = Supervisor([server])
         await self._peer_services.start()
 
@@ -357,15 +360,15 @@
     def _engine_removed(self, entry: EngineEntry) -> None:
         """Discard what this host keeps about a removed engine."""
         self._balancer.remove(entry.id)
-        self._clear_notices(entry.id)
+        self._clear_notices(entry)
         self._role_controller.remove_engines([entry.id])
         self._parts.pool.close_idle(entry.address)
 
-    def _clear_notices(self, engine_id: str) -> None:
+    def _clear_notices(self, entry: EngineEntry) -> None:
         """Discard what an engine said before it was removed or restarted."""
-        self._notices.clear_pause(engine_id)
-        self._limits.remove_engine(engine_id)
-        self._quarantine.observer.remove_engine(engine_id)
+        self._notices.clear_pause(entry.id)
+        self._limits.remove_engine(entry.id)
+        self._quarantine.observer.remove_engine(entry.id)
 
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
@@ -379,9 +382,6 @@
         if self._parts.rules.role_changes and not self._parts.shutdown.draining:
             await self._role_controller.step()
 
-    async def _report_runs(self) -> None:
-        await self._admission.report()
-
     def _metrics_text(self) -> bytes:
         parts = self._parts
         metrics = parts.metrics
--- a/packages/kumquat_relay/src/kumquat_relay/send_permits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/send_permits.py
@@ -17,6 +17,7 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.peer_messages import PermitGrant, PermitRequest, ServerLimitNotice
 from kumquat_core.result_codes import RouterError
+from kumquat_core.task_errors import log_task_error
 from kumquatrouter.peer_links import PeerLinks
 
 from .engine_registry import EngineEntry
@@ -36,6 +37,8 @@
 # Time until the next attempt if the owner does not reply. An unresponsive
 # owner is replaced within a second.
 OWNER_RETRY_S = 0.25
+# An owner that states an odd wait is asked again after this time.
+MAX_REFUSED_S = 60.0
 # Longest time that callers are told; most deadlines end before a later one.
 MAX_RETRY_AFTER_S = 5.0
 
@@ -195,6 +198,8 @@
         """Fetch permits of the owner once for all concurrent requests."""
         if cache.fetch is None or cache.fetch.done():
             cache.fetch = asyncio.ensure_future(self._fetch(entry, cache))
+            # All requests that wait for it may have ended before.
+            cache.fetch.add_done_callback(log_task_error)
         await asyncio.shield(cache.fetch)
 
     async def _fetch(self, entry: EngineEntry, cache: _PermitCache) -> None:
@@ -206,9 +211,10 @@
         if reply is None:
             cache.refused_until_s = replied_s + OWNER_RETRY_S
             return
-        cache.expiries_s.extend([replied_s + PERMIT_TTL_S] * reply.granted)
+        cache.expiries_s.extend([replied_s + PERMIT_TTL_S] * min(wanted, reply.granted))
         if reply.granted < wanted:
-            cache.refused_until_s = replied_s + reply.wait_ms / 1000
+            wait_s = min(MAX_REFUSED_S, reply.wait_ms / 1000)
+            cache.refused_until_s = replied_s + wait_s
 
     async def _call_owner(self, message: PermitRequest) -> PermitGrant | None:
         """Return the owner's reply, None if there is none."""
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from kumquat_core.log_events import log_event
+from kumquat_core.task_errors import describe_error
 
 from .protocols import HostEntry, StateStore, StoreError
 
@@ -22,6 +23,8 @@
 REGISTER_RETRY_S = 0.3
 # Well within the time in which other hosts keep an entry that is missing.
 REWRITE_SPREAD_S = 1.0
+# Bounds the calls that a stranger who connects to the peer port causes.
+KEY_CHECK_PERIOD_S = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +53,8 @@
         self._use_key = use_key
         self._task: asyncio.Task[None] | None = None
         self._is_registered = False
+        self._logged_error = ""
+        self._key_check_due_s = float("-inf")
 
     def start(self) -> None:
         """Write the rows in the background until the store has them."""
@@ -62,6 +67,22 @@
                 self._task.cancel()
             self._task = asyncio.ensure_future(self._register_again())
 
+    def check_key(self) -> None:
+        """Read the key again, since another host uses another one.
+
+        That host has written its key in place of an odd one, or has not read
+        a new one yet.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._key_check_due_s:
+            self._key_check_due_s = now_s + KEY_CHECK_PERIOD_S
+            self.restart()
+
+    def repair(self, host_id: str) -> None:
+        """Write the rows again if the entry of this host is unreadable."""
+        if host_id == self._entry.host_id:
+            self.restart()
+
     def cancel(self) -> None:
         """Stop writing, also when the store comes back from a copy."""
         self._is_registered = False
@@ -73,8 +94,8 @@
             try:
                 await self._agree_on_key()
                 await self._store.put_host(self._entry)
-            except StoreError as error:
-                log_event(logger, "host_not_entered", reason=str(error))
+            except Exception as error:
+                self._log_failure(error)
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             self._is_registered = True
@@ -90,12 +111,22 @@
                     await self._store.put_host(self._entry)
                     log_event(logger, "host_entered_again", host=self._entry.host_id)
                     self._on_rewritten()
-            except StoreError as error:
-                log_event(logger, "host_not_entered", reason=str(error))
+            except Exception as error:
+                self._log_failure(error)
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             return
 
+    def _log_failure(self, error: Exception) -> None:
+        """Log why a row was not written; an unexpected error only once."""
+        if isinstance(error, StoreError):
+            log_event(logger, "host_not_entered", reason=str(error))
+            return
+        text = describe_error(error)
+        if text != self._logged_error:
+            self._logged_error = text
+            log_event(logger, "registration_failed", level=logging.ERROR, error=text)
+
     async def _agree_on_key(self) -> None:
         """Write the key unless the store has one, and use the store's."""
         self._key = await self._store.peer_key(self._key)
