Add a proxy for tests that writes copies of a server's answers

Servers that write an earlier answer again were tested only with scripts of single connections. RelayHarness lists its engines behind such proxies with stuttering=True.

FakeEngine echoes the request id in 421 as well, as engines do in all answers to requests.

--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -150,7 +150,10 @@
         headers = {name.lower(): value for name, value in request.headers.items()}
         expected = headers.get("x-expect-instance", self.id)
         if expected != self.id:
-            return web.Response(status=421, headers={"X-Instance-Id": self.id})
+            wrong_instance = {"X-Instance-Id": self.id}
+            if "x-request-id" in headers:
+                wrong_instance["X-Request-Id"] = headers["x-request-id"]
+            return web.Response(status=421, headers=wrong_instance)
         self.arrivals_s.append(asyncio.get_running_loop().time())
         if request.path.startswith("/api/"):
             return self._api(request, body)
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -19,6 +19,7 @@
 from kumquat_relay.relay_settings import RelayOptions
 
 from .fakes import FakeEngine, FakeStore
+from .stutter import StutteringProxy
 
 HOST = "shop.example"
 # Below the range of ports that Linux uses for outgoing connections.
@@ -103,10 +104,16 @@
 
 
 class RelayHarness:
-    """Runs a host with a store and engines and sends requests to it."""
+    """Runs a host with a store and engines and sends requests to it.
 
-    def __init__(self, host_count: int = 1) -> None:
+    With ``stuttering``, each engine is listed with the address of a proxy that
+    can write copies of its answers; ``proxies_by_id`` has them by engine id.
+    """
+
+    def __init__(self, host_count: int = 1, *, stuttering: bool = False) -> None:
         self._host_count = host_count
+        self._stuttering = stuttering
+        self.proxies_by_id: dict[str, StutteringProxy] = {}
         self.store = FakeStore()
         self.prefill_engine = FakeEngine("reader", "prefill")
         self.decode_engines = [FakeEngine(f"decode{n}", "decode") for n in range(2)]
@@ -118,6 +125,11 @@
         for engine in self._engines():
             await engine.start()
             engine.on_restart = functools.partial(self._list_again, engine)
+            if self._stuttering:
+                proxy = StutteringProxy(engine.address)
+                await proxy.start()
+                self.proxies_by_id[engine.id] = proxy
+                engine.advertised_address = proxy.address
         self.store.put("op", "config", configuration())
         for engine in self._engines():
             self.list_engine(engine)
@@ -154,6 +166,8 @@
         await self.session.close()
         for host in self.hosts:
             await host.stop()
+        for proxy in self.proxies_by_id.values():
+            await proxy.stop()
         for engine in self._engines():
             await engine.stop()
         await self.store.stop()
@@ -217,12 +231,15 @@
 
 
 def run_scenario(
-    scenario: Callable[[RelayHarness], Awaitable[None]], host_count: int = 1
+    scenario: Callable[[RelayHarness], Awaitable[None]],
+    host_count: int = 1,
+    *,
+    stuttering: bool = False,
 ) -> None:
     """Run a scenario with a new harness."""
 
     async def run() -> None:
-        async with RelayHarness(host_count) as harness:
+        async with RelayHarness(host_count, stuttering=stuttering) as harness:
             await scenario(harness)
 
     asyncio.run(run())
