Log and count answers that are not accepted

What operators saw: a request whose answer was recognized as that of another request ended with connection_broken, as after a reset. Nothing told how often a server writes an earlier answer again, which engine does, or what arrived.

EngineExchanges sends all requests and control calls to engines and is the only place that accepts an answer; it replaces four copies of that code in PlainRelay, EngineCalls and RoleController. Each rejected answer is counted in kumquat_relay_rejected_answers by fault and logged as answer_not_accepted, at most ten lines a second.

The report of an engine is now read up to 64 KB as other control calls are; it had no limit.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -15,7 +15,7 @@
     ResponseHead,
     SendFailedError,
 )
-from .engine_notices import EngineNotices
+from .engine_exchange import AnswerNotAcceptedError, EngineExchanges, read_bounded
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
 from .known_limits import KnownLimits
@@ -32,7 +32,6 @@
 # Engines send this status both when they have no capacity and when the prefill
 # result has expired.
 OVERLOADED_STATUS = 503
-MAX_BUFFERED_BODY_BYTES = 64 * 1024
 EVENT_STREAM = b"text/event-stream"
 
 logger = logging.getLogger(__name__)
@@ -78,14 +77,14 @@
         clock: Clock,
         pool: EnginePool,
         dialect: EngineDialect,
-        notices: EngineNotices,
         limits: KnownLimits,
+        exchanges: EngineExchanges,
     ) -> None:
+        self._exchanges = exchanges
         self._limits = limits
         self._clock = clock
         self._pool = pool
         self._dialect = dialect
-        self._notices = notices
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     async def prefill(
@@ -153,11 +152,10 @@
         )
         sent_s = self._clock.monotonic()
         try:
-            head = await self._send_and_read_head(
-                request, entry, connection, options, sent_s
-            )
+            async with asyncio.timeout(event_timeouts(request.route).first_event_s):
+                head = await self._exchanges.send(request, entry, connection, options)
             if self._dialect.not_executed(head):
-                await _read_bounded(connection)
+                await read_bounded(connection)
                 self._pool.release(connection)
                 self._log_sent(request, entry, began_s, f"rejected_{head.status}")
                 raise NotExecutedError(
@@ -166,6 +164,11 @@
         except SendFailedError as error:
             connection.abort()
             raise NotExecutedError("send_failed") from error
+        except AnswerNotAcceptedError as error:
+            connection.abort()
+            outcome = f"not_accepted: {error.fault.value}"
+            self._log_sent(request, entry, began_s, outcome)
+            raise RunFailedError("answer_not_accepted") from error
         except ConnectionBrokenError as error:
             connection.abort()
             self._log_sent(request, entry, began_s, f"broken: {error}")
@@ -235,7 +238,7 @@
         headers: list[Header],
         request_id: str,
     ) -> None:
-        is_paused = self._notices.remaining_pause_s(entry.id) > 0
+        is_paused = self._exchanges.notices.remaining_pause_s(entry.id) > 0
         if is_paused or self._limits.is_limited(entry.id):
             # The engine wants fewer requests. Results and reservations expire
             # there within seconds without a release.
@@ -260,30 +263,6 @@
                 f"not_connected: {error}", unreachable=True
             ) from error
 
-    async def _send_and_read_head(
-        self,
-        request: CallerRequest,
-        entry: EngineEntry,
-        connection: EngineConnection,
-        options: SendOptions,
-        sent_s: float,
-    ) -> ResponseHead:
-        """Send a request and return the head of its response.
-
-        The wait is limited to the route's timeout for the first event.
-        """
-        headers = self._dialect.engine_headers(request.metadata, options)
-        connection.send(request.method, request.target, headers, request.body)
-        async with asyncio.timeout(event_timeouts(request.route).first_event_s):
-            head = await connection.read_head()
-        if self._dialect.belongs_to_other_request(
-            head, request.id, reused=connection.exchanges > 1
-        ):
-            raise ConnectionBrokenError("answer of another request")
-        notice = self._dialect.notice(head, entry.id)
-        self._notices.apply(entry, notice, head.status, sent_s)
-        return head
-
     async def _exchange(
         self,
         request: CallerRequest,
@@ -292,17 +271,9 @@
         options: SendOptions,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return its complete response."""
-        sent_s = self._clock.monotonic()
         try:
-            headers = self._dialect.engine_headers(request.metadata, options)
-            connection.send(request.method, request.target, headers, request.body)
-            head = await connection.read_head()
-            reused = connection.exchanges > 1
-            if self._dialect.belongs_to_other_request(head, request.id, reused=reused):
-                raise ConnectionBrokenError("answer of another request")
-            notice = self._dialect.notice(head, entry.id)
-            self._notices.apply(entry, notice, head.status, sent_s)
-            body = await _read_bounded(connection)
+            head = await self._exchanges.send(request, entry, connection, options)
+            body = await read_bounded(connection)
         except BaseException:
             connection.abort()
             raise
@@ -334,20 +305,14 @@
     ) -> tuple[int, bytes]:
         """Send a request of the relay's own; return its status and body."""
         async with asyncio.timeout(CONTROL_CALL_TIMEOUT_S):
-            connection = await self._pool.acquire(
-                entry.address, recently_used=False, timeout_s=CONTROL_CALL_TIMEOUT_S
+            return await self._exchanges.call(
+                entry,
+                method,
+                target,
+                headers,
+                body,
+                connect_timeout_s=CONTROL_CALL_TIMEOUT_S,
             )
-            try:
-                connection.send(method, target, headers, body)
-                head = await connection.read_head()
-                notice = self._dialect.notice(head, entry.id)
-                self._notices.apply(entry, notice, head.status)
-                response = await _read_bounded(connection)
-            except BaseException:
-                connection.abort()
-                raise
-        self._pool.release(connection)
-        return head.status, response
 
     def _log_sent(
         self, request: CallerRequest, entry: EngineEntry, began_s: float, outcome: str
@@ -360,13 +325,3 @@
             ms=round((self._clock.monotonic() - began_s) * 1000, 1),
             outcome=outcome,
         )
-
-
-async def _read_bounded(connection: EngineConnection) -> bytes:
-    """Return the response body, up to ``MAX_BUFFERED_BODY_BYTES``."""
-    parts: list[bytes] = []
-    async for part in connection.read_body():
-        parts.append(part)
-        if sum(map(len, parts)) > MAX_BUFFERED_BODY_BYTES:
-            raise ConnectionBrokenError("answer is too large")
-    return b"".join(parts)
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -7,12 +7,15 @@
 from kumquat_core.clock import Clock, SystemClock
 
 from .cluster_state import ClusterState
+from .engine_exchange import EngineExchanges
 from .engine_health import EngineHealth
+from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .host_retry_budget import HostRetryBudget
 from .owner_selection import OwnerSelection
 from .poll_times import PollTimes
-from .protocols import StateKind, StateStore
+from .protocols import EngineDialect, StateKind, StateStore
+from .rejected_answers import RejectedAnswers
 from .relay_metrics import RelayMetrics
 from .relay_rules import RelayRules
 from .relay_settings import RelayOptions
@@ -54,6 +57,13 @@
             options.rules,
         )
 
+    def engine_exchanges(
+        self, dialect: EngineDialect, notices: EngineNotices
+    ) -> EngineExchanges:
+        """Return the object over which all requests to engines go."""
+        rejected = RejectedAnswers(self.clock, self.metrics.record_rejected_answer)
+        return EngineExchanges(self.clock, self.pool, dialect, notices, rejected)
+
 
 def build_watches(
     store: StateStore, options: RelayOptions, parts: HostParts, owners: OwnerSelection
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -23,8 +23,8 @@
     ResponseHead,
     SendFailedError,
 )
+from .engine_exchange import AnswerNotAcceptedError, EngineExchanges
 from .engine_health import EngineHealth, Failure
-from .engine_notices import EngineNotices
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry
 from .host_retry_budget import HostRetryBudget
@@ -82,12 +82,12 @@
         health: EngineHealth,
         retries: HostRetryBudget,
         dialect: EngineDialect,
-        notices: EngineNotices,
+        exchanges: EngineExchanges,
         memory: ResponseMemory,
         permits: SendPermits,
     ) -> None:
         self._permits = permits
-        self._notices = notices
+        self._exchanges = exchanges
         self._memory = memory
         self._clock = clock
         self._pool = pool
@@ -204,6 +204,11 @@
             connection.abort()
             self._log(request, entry, began_s, "not_sent", str(error))
             raise _NotExecutedError("send_failed") from error
+        except AnswerNotAcceptedError as error:
+            connection.abort()
+            self._log(request, entry, began_s, "not_accepted", error.fault.value)
+            self._record_failure(entry, Failure.BROKEN)
+            raise _MayHaveExecutedError("answer_not_accepted") from error
         except ConnectionBrokenError as error:
             connection.abort()
             self._log(request, entry, began_s, "broken", str(error))
@@ -235,16 +240,7 @@
         connection: EngineConnection,
         options: SendOptions,
     ) -> CallerResponse:
-        headers = self._dialect.engine_headers(request.metadata, options)
-        sent_s = self._clock.monotonic()
-        connection.send(request.method, request.target, headers, request.body)
-        head = await connection.read_head()
-        if self._dialect.belongs_to_other_request(
-            head, request.id, reused=connection.exchanges > 1
-        ):
-            raise ConnectionBrokenError("answer of another request")
-        notice = self._dialect.notice(head, entry.id)
-        self._notices.apply(entry, notice, head.status, sent_s)
+        head = await self._exchanges.send(request, entry, connection, options)
         with self._memory.buffer() as response:
             async for part in connection.read_body():
                 response.add(part)
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -237,13 +237,8 @@
     def not_executed(self, head: ResponseHead) -> bool:
         """Tell whether a response proves that the request was not executed."""
 
-    def belongs_to_other_request(
-        self, head: ResponseHead, request_id: str, *, reused: bool
-    ) -> bool:
-        """Tell whether a response belongs to another request.
-
-        ``reused`` tells whether the connection carried an earlier exchange.
-        """
+    def request_ids(self, head: ResponseHead) -> Sequence[str]:
+        """Return the ids of the requests that a response names."""
 
     def notice(self, head: ResponseHead, engine_id: str) -> EngineNotice:
         """Return what a response says about the engine ``engine_id``."""
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -98,6 +98,7 @@
         self._notices = EngineNotices(
             parts.clock, parts.cluster_state, self._limits.known
         )
+        self._exchanges = parts.engine_exchanges(dialect, self._notices)
         self._balancer = PlainBalancer(
             parts.cluster_state.registry,
             parts.health,
@@ -166,7 +167,7 @@
             parts.health,
             self._queue_owner,
             self._lease,
-            parts.pool,
+            self._exchanges,
             dialect,
             options.host_id,
             self._notices,
@@ -272,12 +273,12 @@
             parts.health,
             parts.retries,
             self._dialect,
-            self._notices,
+            self._exchanges,
             memory,
             self._limits.permits,
         )
         calls = EngineCalls(
-            parts.clock, parts.pool, self._dialect, self._notices, self._limits.known
+            parts.clock, parts.pool, self._dialect, self._limits.known, self._exchanges
         )
         streams = StreamRelay(
             parts.clock,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -94,6 +94,12 @@
             "Rows of this host written again after the store came back from a copy",
             registry=self.registry,
         )
+        self._rejected_answers = Counter(
+            "kumquat_relay_rejected_answers",
+            "Responses of engines that were not accepted as answers, by fault",
+            ["fault"],
+            registry=self.registry,
+        )
         self.quarantined_parts = self._gauge(
             "quarantined_parts",
             "Sets of prompt parts that are refused as engines crash",
@@ -132,6 +138,10 @@
         """Count a plain request that needed a permit of a limited server."""
         self._permits.labels(str(granted).lower()).inc()
 
+    def record_rejected_answer(self, fault: str) -> None:
+        """Count a response that was not accepted as an answer."""
+        self._rejected_answers.labels(fault).inc()
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/kumquat_relay/src/kumquat_relay/role_controller.py
+++ b/packages/kumquat_relay/src/kumquat_relay/role_controller.py
@@ -17,9 +17,9 @@
 from .cluster_state import ClusterState
 from .command_lease import CommandLease
 from .engine_connection import ConnectionBrokenError, SendFailedError
+from .engine_exchange import EngineExchanges
 from .engine_health import EngineHealth
 from .engine_notices import EngineNotices
-from .engine_pool import EnginePool
 from .engine_registry import EngineEntry, EngineRole
 from .protocols import EngineDialect, EngineReport, StoreError
 from .queue_owner import QueueOwner
@@ -53,7 +53,7 @@
         health: EngineHealth,
         owner: QueueOwner,
         lease: CommandLease,
-        pool: EnginePool,
+        exchanges: EngineExchanges,
         dialect: EngineDialect,
         holder: str,
         notices: EngineNotices,
@@ -66,7 +66,7 @@
         self._health = health
         self._owner = owner
         self._lease = lease
-        self._pool = pool
+        self._exchanges = exchanges
         self._dialect = dialect
         self._holder = holder
         self._planners_by_service: dict[str, RolePlanner] = {}
@@ -211,27 +211,22 @@
         The status is None if there was no response and 0 if nothing was sent.
         """
         try:
-            connection = await self._pool.acquire(
-                engine.address, recently_used=True, timeout_s=COMMAND_TIMEOUT_S
-            )
+            async with asyncio.timeout(COMMAND_TIMEOUT_S):
+                return await self._exchanges.call(
+                    engine,
+                    method,
+                    target,
+                    headers,
+                    body,
+                    connect_timeout_s=COMMAND_TIMEOUT_S,
+                    recently_used=True,
+                )
         except SendFailedError as error:
             log_event(logger, "engine_call_not_sent", reason=str(error), target=target)
             return 0, b""
-        response_body = bytearray()
-        try:
-            async with asyncio.timeout(COMMAND_TIMEOUT_S):
-                connection.send(method, target, headers, body)
-                head = await connection.read_head()
-                notice = self._dialect.notice(head, engine.id)
-                self._notices.apply(engine, notice, head.status)
-                async for part in connection.read_body():
-                    response_body += part
-        except (ConnectionBrokenError, SendFailedError, TimeoutError) as error:
+        except (ConnectionBrokenError, TimeoutError) as error:
             log_event(logger, "engine_call_failed", reason=repr(error), target=target)
-            connection.abort()
             return None, b""
-        self._pool.release(connection)
-        return head.status, bytes(response_body)
 
     def remove_engines(self, engine_ids: Iterable[str]) -> None:
         """Discard the state of engines that were removed."""
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -12,6 +12,9 @@
 
 # Explains the values that hosts log as ``reason``.
 _TEXTS_BY_REASON = {
+    "answer_not_accepted": (
+        "what arrived as its answer may be a copy of another one; it may have run"
+    ),
     "backend_answer": "the backend server responded with an error",
     "body_too_large": "its body is larger than the configuration allows",
     "caller_gone": "the caller closed its connection",
--- /dev/null
+++ b/tests/relay/test_answer_check.py
@@ -0,0 +1,46 @@
+"""Tests of the decision whether a response is an answer, and of its record."""
+
+import pytest
+
+from kumquat_core.clock import ManualClock
+from kumquat_relay.answer_check import AnswerFault
+from kumquat_relay.rejected_answers import MAX_LINES_PER_PERIOD, RejectedAnswers
+
+from .relay_harness import RelayHarness, run_scenario
+from .stutter import Copy, Exchange
+
+
+def test_lines_of_rejected_answers_are_limited_and_all_are_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A stuttering server may otherwise fill the disk with log lines."""
+    clock = ManualClock()
+    counted: list[str] = []
+    rejected = RejectedAnswers(clock, counted.append)
+    with caplog.at_level("INFO"):
+        for number in range(50):
+            rejected.record(AnswerFault.NO_ID, "e", f"r{number}", 500, 2)
+        assert len(caplog.records) == MAX_LINES_PER_PERIOD
+        clock.advance(1.0)
+        rejected.record(AnswerFault.NO_ID, "e", "r50", 500, 2)
+    assert len(caplog.records) == MAX_LINES_PER_PERIOD + 1
+    assert counted == ["no_id"] * 51
+
+
+def test_a_rejected_answer_is_counted_and_named_as_the_reason() -> None:
+    """Operators could not tell a copied answer from a broken connection."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        def plan(exchange: Exchange) -> Copy:
+            return Copy(exchange.answer)
+
+        for proxy in harness.proxies_by_id.values():
+            proxy.plan = plan
+        statuses = [await harness.request_status("once") for _ in range(4)]
+        assert 502 in statuses
+        metrics = harness.host._parts.metrics.text().decode()
+        count = statuses.count(502)
+        line = f'kumquat_relay_rejected_answers_total{{fault="other_id"}} {count}.0'
+        assert line in metrics
+
+    run_scenario(scenario, stuttering=True)
