Believe no answer without a request id on a connection used before

Cause: only a successful response without an id was taken for a copy of an earlier one. An error or a refusal without one was believed on any connection.

Change: on a connection that carried an exchange before, an answer bears exactly one id, that of the request, whatever its status. On the first exchange of a connection nothing earlier exists, so that a response without an id is still accepted, but the connection is closed after it. A response with another id or with several is never accepted. The connection is aborted, the request ends as one that may have run, and its notices (pause, limit, leaving) are not read.

--- a/packages/kumquat_relay/src/kumquat_relay/answer_check.py
+++ b/packages/kumquat_relay/src/kumquat_relay/answer_check.py
@@ -16,19 +16,21 @@
 
     NO_ID = "no_id"
     OTHER_ID = "other_id"
+    SEVERAL_IDS = "several_ids"
 
 
 def answer_fault(
-    status: int, ids: Sequence[str], request_id: str, *, reused: bool
+    ids: Sequence[str], request_id: str, *, reused: bool
 ) -> AnswerFault | None:
     """Return why a response is not accepted, None if it is.
 
     ``ids`` are the request ids that the response names. On a ``reused``
-    connection a successful response without one may be a copy of an earlier
-    response.
+    connection a response without one may be a copy of an earlier response,
+    whatever its status. A connection on which a response without one was
+    accepted must not be reused: a copy of it could not be told apart.
     """
     if not ids:
-        if reused and 200 <= status < 300:
-            return AnswerFault.NO_ID
-        return None
+        return AnswerFault.NO_ID if reused else None
+    if len(ids) > 1:
+        return AnswerFault.SEVERAL_IDS
     return None if ids[0] == request_id else AnswerFault.OTHER_ID
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -216,6 +216,7 @@
         self.exchanges = 0
         self._protocol = protocol
         self._body_complete = False
+        self._may_be_reused = True
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EngineConnection":
@@ -296,6 +297,10 @@
             else:
                 raise self._protocol.broken(f"unexpected {type(event).__name__}")
 
+    def end_reuse(self) -> None:
+        """Close the connection at the end of the exchange."""
+        self._may_be_reused = False
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused.
 
@@ -307,6 +312,7 @@
             return self.usable
         reusable = (
             self._body_complete
+            and self._may_be_reused
             and not protocol.closed
             and not protocol.failure
             and not protocol.events
--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -67,17 +67,15 @@
         sent_s = self._clock.monotonic()
         connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
-        fault = answer_fault(
-            head.status,
-            self._dialect.request_ids(head),
-            request.id,
-            reused=connection.exchanges > 1,
-        )
+        ids = self._dialect.request_ids(head)
+        fault = answer_fault(ids, request.id, reused=connection.exchanges > 1)
         if fault is not None:
             self._rejected.record(
                 fault, entry.id, request.id, head.status, connection.exchanges
             )
             raise AnswerNotAcceptedError(fault)
+        if not ids:
+            connection.end_reuse()
         notice = self._dialect.notice(head, entry.id)
         self.notices.apply(entry, notice, head.status, sent_s)
         return head
--- a/tests/relay/test_answer_check.py
+++ b/tests/relay/test_answer_check.py
@@ -1,15 +1,40 @@
 """Tests of the decision whether a response is an answer, and of its record."""
 
+from collections.abc import Sequence
+
 import pytest
 
 from kumquat_core.clock import ManualClock
-from kumquat_relay.answer_check import AnswerFault
+from kumquat_relay.answer_check import AnswerFault, answer_fault
 from kumquat_relay.rejected_answers import MAX_LINES_PER_PERIOD, RejectedAnswers
 
 from .relay_harness import RelayHarness, run_scenario
 from .stutter import Copy, Exchange
 
 
+@pytest.mark.parametrize(
+    ("ids", "reused", "fault"),
+    [
+        (["mine"], False, None),
+        (["mine"], True, None),
+        ([], False, None),
+        ([], True, AnswerFault.NO_ID),
+        (["other"], False, AnswerFault.OTHER_ID),
+        (["other"], True, AnswerFault.OTHER_ID),
+        (["Mine"], True, AnswerFault.OTHER_ID),
+        (["mine, mine"], True, AnswerFault.OTHER_ID),
+        ([""], False, AnswerFault.OTHER_ID),
+        (["mine", "mine"], False, AnswerFault.SEVERAL_IDS),
+        (["mine", "other"], True, AnswerFault.SEVERAL_IDS),
+    ],
+)
+def test_an_answer_bears_the_id_of_its_request(
+    ids: Sequence[str], reused: bool, fault: AnswerFault | None
+) -> None:
+    """Where an earlier answer could be written again, the id decides alone."""
+    assert answer_fault(ids, "mine", reused=reused) is fault
+
+
 def test_lines_of_rejected_answers_are_limited_and_all_are_counted(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -74,6 +74,20 @@
     asyncio.run(run())
 
 
+def test_a_connection_whose_reuse_was_ended_is_closed_after_the_exchange() -> None:
+    """A copy of an answer without an id could be taken for the next answer."""
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            connection.end_reuse()
+            assert await exchange(connection) == b"ok"
+            assert not connection.finish()
+            assert not connection.usable
+
+    asyncio.run(run())
+
+
 def test_an_extra_response_prevents_reuse_of_the_connection() -> None:
     async def run() -> None:
         async with ScriptedPeer(
