Reject an answer whose head is joined of two responses

What callers saw: if the copy of an earlier answer was cut in its head, the answer after it went on in the last reason phrase or header value, such as 'Retry-After: 1HTTP/1.1 200 OK'. The head had the status and the refusal of the copy and the request id of the answer, so a request that ran ended as refused, or with a 404 or 500 of another one.

Change: a status line inside a reason phrase or a header value shows that the head is joined of two; the answer is not accepted (fault joined_head). An interim response that contains one closes the connection, since the final answer has become part of it. Other cuts were and are malformed for h11: in a header name, in the protocol or status code, after a line, in a Content-Length or Transfer-Encoding. The request id itself is skipped, as callers choose it and could otherwise let every server look like a faulty one.

--- a/packages/kumquat_relay/src/kumquat_relay/answer_check.py
+++ b/packages/kumquat_relay/src/kumquat_relay/answer_check.py
@@ -5,10 +5,17 @@
 caller an answer of another request, or reports a request that ran as refused.
 """
 
-from collections.abc import Sequence
+import re
+from collections.abc import Iterable, Sequence
 from enum import Enum
 
-__all__ = ["AnswerFault", "answer_fault"]
+from .caller_request import Header
+
+__all__ = ["AnswerFault", "answer_fault", "is_joined_head"]
+
+# The status line of a response inside the head of another: the bytes before it
+# were an earlier response that ended there.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d[ \t]+\d{3}(?!\d)")
 
 
 class AnswerFault(Enum):
@@ -17,6 +24,7 @@
     NO_ID = "no_id"
     OTHER_ID = "other_id"
     SEVERAL_IDS = "several_ids"
+    JOINED_HEAD = "joined_head"
 
 
 def answer_fault(
@@ -34,3 +42,20 @@
     if len(ids) > 1:
         return AnswerFault.SEVERAL_IDS
     return None if ids[0] == request_id else AnswerFault.OTHER_ID
+
+
+def is_joined_head(
+    reason: bytes, headers: Iterable[Header], request_id: str = ""
+) -> bool:
+    """Tell whether a head consists of the beginnings of two responses.
+
+    If a copy of an earlier response is cut in its head, the response after it
+    goes on in the last reason phrase or header value. The result has headers
+    of both, such as the refusal of one and the request id of the other. The
+    id itself is skipped, since callers choose it.
+    """
+    own_id = request_id.encode("latin-1", "replace")
+    return _STATUS_LINE.search(reason) is not None or any(
+        b"HTTP/" in value and value != own_id and _STATUS_LINE.search(value) is not None
+        for _, value in headers
+    )
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -18,6 +18,7 @@
 
 from kumquat_core.settings import Address
 
+from .answer_check import is_joined_head
 from .caller_request import Header
 
 __all__ = [
@@ -152,6 +153,10 @@
                     if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
                         self.fail("too many interim answers")
                         return
+                    if is_joined_head(event.reason, event.headers.raw_items()):
+                        # The final answer is part of this head.
+                        self.fail("joined interim answer")
+                        return
                     continue
                 self.events.append(event)
                 if isinstance(event, h11.Data):
--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -8,7 +8,7 @@
 
 from kumquat_core.clock import Clock
 
-from .answer_check import AnswerFault, answer_fault
+from .answer_check import AnswerFault, answer_fault, is_joined_head
 from .caller_request import CallerRequest, Header
 from .engine_connection import (
     ConnectionBrokenError,
@@ -69,6 +69,8 @@
         head = await connection.read_head()
         ids = self._dialect.request_ids(head)
         fault = answer_fault(ids, request.id, reused=connection.exchanges > 1)
+        if is_joined_head(head.reason, head.headers, request.id):
+            fault = AnswerFault.JOINED_HEAD
         if fault is not None:
             self._rejected.record(
                 fault, entry.id, request.id, head.status, connection.exchanges
--- a/tests/relay/test_answer_check.py
+++ b/tests/relay/test_answer_check.py
@@ -5,7 +5,7 @@
 import pytest
 
 from kumquat_core.clock import ManualClock
-from kumquat_relay.answer_check import AnswerFault, answer_fault
+from kumquat_relay.answer_check import AnswerFault, answer_fault, is_joined_head
 from kumquat_relay.rejected_answers import MAX_LINES_PER_PERIOD, RejectedAnswers
 
 from .relay_harness import RelayHarness, run_scenario
@@ -35,6 +35,30 @@
     assert answer_fault(ids, "mine", reused=reused) is fault
 
 
+@pytest.mark.parametrize(
+    ("reason", "headers", "joined"),
+    [
+        (b"OK", [(b"Via", b"HTTP/1.1 proxy"), (b"X-Request-Id", b"mine")], False),
+        (b"InternHTTP/1.1 200 OK", [], True),
+        (b"HTTP/1.1 200 OK", [], True),
+        (b"OK", [(b"Retry-After", b"1HTTP/1.1 200 OK")], True),
+        (b"OK", [(b"X-Not-Executed", b"HTTP/1.1 404")], True),
+        (b"OK", [(b"X-Request-Id", b"mineHTTP/1.1 200 OK")], True),
+    ],
+)
+def test_a_head_that_is_joined_of_two_is_recognized(
+    reason: bytes, headers: list[tuple[bytes, bytes]], joined: bool
+) -> None:
+    """Such a head has the refusal of one answer and the id of the other."""
+    assert is_joined_head(reason, headers, "mine") is joined
+
+
+def test_an_id_that_looks_like_a_status_line_does_not_reject_answers() -> None:
+    """A caller could otherwise let each server look like a faulty one."""
+    headers = [(b"X-Request-Id", b"HTTP/1.1 200 OK")]
+    assert not is_joined_head(b"OK", headers, "HTTP/1.1 200 OK")
+
+
 def test_lines_of_rejected_answers_are_limited_and_all_are_counted(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -88,6 +88,19 @@
     asyncio.run(run())
 
 
+def test_an_interim_response_that_contains_the_final_one_closes() -> None:
+    """A cut interim response hid the answer, and its body became the head."""
+    joined = b"HTTP/1.1 103 Early Hints\r\nLink: <a>" + COMPLETE_RESPONSE
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(joined + COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            with pytest.raises(ConnectionBrokenError, match="joined interim"):
+                await exchange(connection)
+
+    asyncio.run(run())
+
+
 def test_an_extra_response_prevents_reuse_of_the_connection() -> None:
     async def run() -> None:
         async with ScriptedPeer(
