Send each control call over a connection of its own

What operators saw: with servers that write an earlier answer again, a host took the answer to a caller's request for the report of an engine, and the copied answer to a reservation for that of a request.

Cause: control calls (report, order, reservation, releases) bear no request id, so that nothing tells their answers from copies of others, but they shared connections with requests.

Change: a control call is the only exchange of its connection. It takes a connection that has carried none, such as one that the probe opened, or opens one, and closes it after the answer. Nothing earlier can arrive on it, and a copy of its answer meets no request.

Evidence: test_a_copy_is_not_taken_for_the_answer_to_a_control_call, 16 cases of 40 calls after requests with copied answers.

Cost: a new connection for each control call that could have reused one.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -6,6 +6,8 @@
 on, believed as a refusal or read for notices.
 """
 
+from typing import NoReturn
+
 from kumquat_core.clock import Clock
 
 from .answer_check import AnswerFault, answer_fault, is_joined_head
@@ -72,10 +74,7 @@
         if is_joined_head(head.reason, head.headers, request.id):
             fault = AnswerFault.JOINED_HEAD
         if fault is not None:
-            self._rejected.record(
-                fault, entry.id, request.id, head.status, connection.exchanges
-            )
-            raise AnswerNotAcceptedError(fault)
+            self._reject(fault, entry, request.id, connection, head)
         if not ids:
             connection.end_reuse()
         notice = self._dialect.notice(head, entry.id)
@@ -91,27 +90,38 @@
         body: bytes,
         *,
         connect_timeout_s: float,
-        recently_used: bool = False,
     ) -> tuple[int, bytes]:
         """Send a control call; return the status and body of its answer.
 
-        Raises ``SendFailedError`` and ``ConnectionBrokenError``.
+        Answers to control calls bear no id. So a call is the only exchange of
+        its connection: no earlier answer can arrive on it, and a copy of its
+        own answer meets no other request. Raises ``SendFailedError`` and
+        ``ConnectionBrokenError``.
         """
-        connection = await self._pool.acquire(
-            entry.address, recently_used=recently_used, timeout_s=connect_timeout_s
-        )
+        connection = await self._pool.acquire_unused(entry.address, connect_timeout_s)
         try:
             connection.send(method, target, headers, body)
             head = await connection.read_head()
+            if is_joined_head(head.reason, head.headers):
+                self._reject(AnswerFault.JOINED_HEAD, entry, target, connection, head)
             notice = self._dialect.notice(head, entry.id)
             self.notices.apply(entry, notice, head.status)
             response = await read_bounded(connection)
-        except BaseException:
+        finally:
             connection.abort()
-            raise
-        self._pool.release(connection)
         return head.status, response
 
+    def _reject(
+        self,
+        fault: AnswerFault,
+        entry: EngineEntry,
+        call: str,
+        connection: EngineConnection,
+        head: ResponseHead,
+    ) -> NoReturn:
+        self._rejected.record(fault, entry.id, call, head.status, connection.exchanges)
+        raise AnswerNotAcceptedError(fault)
+
 
 async def read_bounded(connection: EngineConnection) -> bytes:
     """Return the response body, up to ``MAX_BUFFERED_BODY_BYTES``."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -83,6 +83,20 @@
             return connection
         return await self.open(address, timeout_s)
 
+    async def acquire_unused(
+        self, address: Address, timeout_s: float
+    ) -> EngineConnection:
+        """Return a connection that has carried no exchange.
+
+        Raises ``SendFailedError`` if no connection can be opened.
+        """
+        idle = self._idle_by_address.get(address, [])
+        for connection in idle:
+            if connection.exchanges == 0 and self._is_recent(connection):
+                idle.remove(connection)
+                return connection
+        return await self.open(address, timeout_s)
+
     async def open(
         self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> EngineConnection:
@@ -127,6 +141,12 @@
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
+    def _is_recent(self, connection: EngineConnection) -> bool:
+        """Return whether the server has hardly closed the connection yet."""
+        idle_s = self._clock.monotonic() - connection.idle_since_s
+        limit_s = min(RECENT_USE_S, self._idle_limit_s(connection))
+        return connection.usable and idle_s <= limit_s
+
     def _max_idle(self) -> int:
         """Return how many connections to an engine this host keeps idle."""
         return int(min(MAX_IDLE_PER_ADDRESS, max(1.0, self._idle_share)))
--- a/packages/kumquat_relay/src/kumquat_relay/role_controller.py
+++ b/packages/kumquat_relay/src/kumquat_relay/role_controller.py
@@ -219,7 +219,6 @@
                     headers,
                     body,
                     connect_timeout_s=COMMAND_TIMEOUT_S,
-                    recently_used=True,
                 )
         except SendFailedError as error:
             log_event(logger, "engine_call_not_sent", reason=str(error), target=target)
--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -11,6 +11,8 @@
 import aiohttp
 import pytest
 
+from kumquat_relay.engine_connection import ConnectionBrokenError
+
 from .fakes import FakeEngine
 from .relay_harness import RelayHarness, run_scenario
 from .stutter import Copy, CopyTime, Exchange, Plan, as_chunked, without_id
@@ -173,3 +175,70 @@
 ) -> None:
     """The head of a cut refusal took over the id of the answer after it."""
     check_plain_requests(kind, time, cut=True)
+
+
+@pytest.mark.parametrize("time", CopyTime)
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_copy_is_not_taken_for_the_answer_to_a_control_call(
+    kind: str, time: CopyTime
+) -> None:
+    """Control calls bear no id that would tell a copy from their answer."""
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        copies = CopyMaker(time, cut=False)
+        engines = harness.backend_servers
+        for engine in engines:
+            judge.use(engine, copies.plan)
+        results = []
+        for _ in range(20):
+            copies.active = True
+            prepare_answers(engines, kind)
+            await judge.send("once")
+            copies.active = False
+            for engine in engines:
+                results.append(await report_of(harness, engine))
+        assert [item for item in results if item != "sound"] == []
+
+    stutter_scenario(scenario)
+
+
+async def report_of(harness: RelayHarness, engine: FakeEngine) -> str:
+    """Return "sound" if a request for an engine's report gets a report."""
+    entry = harness.host._parts.cluster_state.registry.get(engine.id)
+    assert entry is not None
+    call = harness.host._dialect.report_request(entry)
+    try:
+        status, body = await harness.host._exchanges.call(
+            entry, *call, b"", connect_timeout_s=0.5
+        )
+    except ConnectionBrokenError as error:
+        return str(error)
+    return "sound" if status == 200 and b'"busy"' in body else f"{status} {body!r}"
+
+
+@pytest.mark.parametrize("time", CopyTime)
+@pytest.mark.parametrize("is_full", [True, False])
+def test_copies_of_control_calls_reach_no_request(
+    is_full: bool, time: CopyTime
+) -> None:
+    """A copy of a control call's answer ended a request that had run."""
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        copies = CopyMaker(time, cut=False)
+        engine = harness.decode_engines[0]
+        harness.store.remove("servers", harness.decode_engines[1].id)
+        judge.use(engine, copies.plan)
+        entry = harness.host._parts.cluster_state.registry.get(engine.id)
+        assert entry is not None
+        for _ in range(20):
+            copies.active, engine.full = True, is_full
+            method, target, headers, body = harness.host._dialect.reserve(entry, 5, 90)
+            status, _ = await harness.host._exchanges.call(
+                entry, method, target, headers, body, connect_timeout_s=0.5
+            )
+            assert status == (503 if is_full else 200)
+            copies.active, engine.full = False, False
+            await judge.send("tale")
+        assert judge.outcomes == {"200": 20}
+
+    stutter_scenario(scenario)
