Send no request id twice over one connection

What callers saw: an engine refused a run because its prefill result had expired, and the run was sent there again on the same connection. A copy of the refusal, which bears the right id, was taken for the second answer: the request ended as refused though it had run. The same holds for a caller that uses one id for two requests.

Change: a connection keeps eight-byte hashes of the ids that it carried, and the pool does not hand it out for an id among them. Equal hashes of different ids only cost another connection. A connection ends after 1,000 exchanges, which bounds the hashes to 8 KB. This covers prefill and run at one engine, the second send of RunStarter.open, plain repeats and equal ids of callers.

Evidence: test_a_refusal_is_not_believed_when_the_run_is_sent_there_again, 8 cases of 30 streams.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -100,7 +100,7 @@
         result, reason, unreachable = None, "ok", False
         try:
             async with asyncio.timeout(min(PREFILL_TIMEOUT_S, left_ms / 1000)):
-                connection = await self._acquire(entry, options.left_ms / 1000)
+                connection = await self._acquire(request, entry, options.left_ms / 1000)
                 head, body = await self._exchange(request, entry, connection, options)
             if head.status == 200:
                 result = self._dialect.prefill_result(body, entry)
@@ -138,6 +138,7 @@
         """
         began_s = self._clock.monotonic()
         connection = await self._acquire(
+            request,
             entry,
             request.left_ms(began_s) / 1000,
             recently_used=not request.route.allows_retry,
@@ -251,12 +252,20 @@
         task.add_done_callback(self._background_tasks.discard)
 
     async def _acquire(
-        self, entry: EngineEntry, timeout_s: float, *, recently_used: bool = False
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        timeout_s: float,
+        *,
+        recently_used: bool = False,
     ) -> EngineConnection:
         """Return a connection; raises ``NotExecutedError`` if none opens."""
         try:
             return await self._pool.acquire(
-                entry.address, recently_used=recently_used, timeout_s=timeout_s
+                entry.address,
+                recently_used=recently_used,
+                timeout_s=timeout_s,
+                request_id=request.id,
             )
         except SendFailedError as error:
             raise NotExecutedError(
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -5,6 +5,10 @@
 connection belongs to no request and closes it. ``SendFailedError`` means that
 no byte of the request was sent, ``ConnectionBrokenError`` that the peer may
 have received it.
+
+A server may write an answer again later. The request id tells the copy from
+the next answer unless the same request is sent again, so a connection carries
+no request id twice.
 """
 
 import asyncio
@@ -42,6 +46,9 @@
 
 # Limit on an incomplete response head or the framing of an incomplete chunk.
 MAX_HEAD_BYTES = 64 * 1024
+# Bounds the memory for the ids of a connection's requests to 8 KB. It adds one
+# new connection per 1,000 requests at most.
+MAX_EXCHANGES = 1000
 # Servers send at most one or two informational (1xx) responses before the
 # final one.
 MAX_INFORMATIONAL_RESPONSES = 16
@@ -222,6 +229,7 @@
         self._protocol = protocol
         self._body_complete = False
         self._may_be_reused = True
+        self._sent_ids = bytearray()
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EngineConnection":
@@ -250,10 +258,22 @@
         """Tell whether the peer has closed or reset the connection."""
         return self._protocol.closed_by_peer
 
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with this id was sent on the connection.
+
+        May also be true for another id, but never false for one that was sent.
+        """
+        return _digest(request_id) in self._sent_ids
+
     def send(
-        self, method: str, target: str, headers: list[Header], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: list[Header],
+        body: bytes,
+        request_id: str = "",
     ) -> None:
-        """Send a request.
+        """Send a request; ``request_id`` is empty if it bears none.
 
         Raises ``SendFailedError`` if the connection is not usable or the
         request is not valid HTTP.
@@ -275,6 +295,8 @@
         protocol.begin_exchange()
         self._body_complete = False
         self.exchanges += 1
+        if request_id:
+            self._sent_ids += _digest(request_id)
         protocol.transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -318,6 +340,7 @@
         reusable = (
             self._body_complete
             and self._may_be_reused
+            and self.exchanges < MAX_EXCHANGES
             and not protocol.closed
             and not protocol.failure
             and not protocol.events
@@ -348,6 +371,11 @@
                         self.idle_limit_s = float(number)
 
 
+def _digest(request_id: str) -> bytes:
+    """Return eight bytes that are equal for equal ids."""
+    return hash(request_id).to_bytes(8, "big", signed=True)
+
+
 def _enable_keepalive(transport: asyncio.BaseTransport) -> None:
     """Set socket options that detect a peer which failed without a reset."""
     sock = transport.get_extra_info("socket")
--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -67,7 +67,9 @@
         """
         headers = self._dialect.engine_headers(request.metadata, options)
         sent_s = self._clock.monotonic()
-        connection.send(request.method, request.target, headers, request.body)
+        connection.send(
+            request.method, request.target, headers, request.body, request.id
+        )
         head = await connection.read_head()
         ids = self._dialect.request_ids(head)
         fault = answer_fault(ids, request.id, reused=connection.exchanges > 1)
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -61,25 +61,33 @@
         )
 
     async def acquire(
-        self, address: Address, *, recently_used: bool, timeout_s: float
+        self,
+        address: Address,
+        *,
+        recently_used: bool,
+        timeout_s: float,
+        request_id: str = "",
     ) -> EngineConnection:
         """Return an idle connection or open one.
 
         With ``recently_used``, connections that were idle for more than
-        ``RECENT_USE_S`` are not reused. Raises ``SendFailedError`` if no
-        connection can be opened.
+        ``RECENT_USE_S`` are not reused; one that has carried ``request_id``
+        never is. Raises ``SendFailedError`` if no connection can be opened.
         """
         now_s = self._clock.monotonic()
         idle = self._idle_by_address.get(address, [])
-        while idle:
-            connection = idle.pop()
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
             idle_s = now_s - connection.idle_since_s
             if not connection.usable or idle_s > self._idle_limit_s(connection):
+                del idle[index]
                 connection.abort()
                 continue
             if recently_used and idle_s > RECENT_USE_S:
-                idle.append(connection)
                 break
+            if request_id and connection.has_carried(request_id):
+                continue
+            del idle[index]
             return connection
         return await self.open(address, timeout_s)
 
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -188,6 +188,7 @@
                 entry.address,
                 recently_used=not request.route.allows_retry,
                 timeout_s=left_ms / 1000,
+                request_id=request.id,
             )
         except SendFailedError as error:
             self._log(request, entry, began_s, "not_connected", str(error))
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kumquat_core.clock import ManualClock
+from kumquat_relay import engine_connection
 from kumquat_relay.engine_connection import (
     ConnectionBrokenError,
     EngineConnection,
@@ -197,3 +198,47 @@
             pool.close()
 
     asyncio.run(run())
+
+
+def test_a_request_is_not_sent_twice_over_one_connection() -> None:
+    """A copy of its first answer would bear the right id."""
+
+    async def run() -> None:
+        pool = EnginePool(ManualClock())
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 3)) as peer:
+            first = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="a"
+            )
+            first.send("GET", "/", REQUEST_HEADERS, b"", "a")
+            await first.read_head()
+            assert [part async for part in first.read_body()] == [b"ok"]
+            pool.release(first)
+            second = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="a"
+            )
+            assert second is not first
+            other = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="b"
+            )
+            assert other is first
+            second.abort()
+            other.abort()
+
+    asyncio.run(run())
+
+
+def test_a_connection_is_closed_after_its_last_exchange(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The ids that a connection has carried must not take unbounded memory."""
+    monkeypatch.setattr(engine_connection, "MAX_EXCHANGES", 2)
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 2)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            assert await exchange(connection) == b"ok"
+            assert connection.finish()
+            assert await exchange(connection) == b"ok"
+            assert not connection.finish()
+
+    asyncio.run(run())
--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -242,3 +242,47 @@
         assert judge.outcomes == {"200": 20}
 
     stutter_scenario(scenario)
+
+
+@pytest.mark.parametrize("time", CopyTime)
+@pytest.mark.parametrize("cut", [False, True])
+def test_a_refusal_is_not_believed_when_the_run_is_sent_there_again(
+    time: CopyTime, cut: bool
+) -> None:
+    """The copy of a refusal has the id of the request that is sent again.
+
+    A run is sent to its engine again if the engine refuses a prefill result
+    that has expired.
+    """
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        harness.store.remove("servers", harness.decode_engines[1].id)
+        engine = harness.decode_engines[0]
+        engine.prefills_expired = True
+        copies = CopyMaker(time, cut=cut)
+        judge.use(
+            engine,
+            lambda exchange: copies.plan(exchange) if exchange.status == 503 else None,
+        )
+        for _ in range(30):
+            await judge.send("tale")
+        assert judge.faults == []
+        assert judge.outcomes["200"] > 5
+
+    stutter_scenario(scenario)
+
+
+@pytest.mark.parametrize("time", CopyTime)
+def test_two_requests_of_callers_may_have_the_same_id(time: CopyTime) -> None:
+    """An id that a caller uses twice would not tell a copy of the first."""
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        harness.store.remove("servers", harness.backend_servers[1].id)
+        engine = harness.backend_servers[0]
+        judge.use(engine, lambda exchange: Copy(exchange.answer, time, 0.002))
+        for number in range(20):
+            engine.status = 404 if number % 2 else 200
+            status = await harness.request_status("once", X_Request_Id="same")
+            assert status == engine.status
+
+    stutter_scenario(scenario)
