Check that notices of copied answers change nothing

A copied refusal with a pause, a limit or the announcement of a shutdown must not keep a host from an engine.

--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -286,3 +286,32 @@
             assert status == engine.status
 
     stutter_scenario(scenario)
+
+
+REFUSAL_WITH_NOTICES = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 60\r\n"
+    b"Server-Leaving: 1\r\nServer-Limit: 1\r\n%sContent-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("id_line", [b"", b"X-Request-Id: another\r\n"])
+def test_a_notice_of_an_answer_that_is_not_accepted_changes_nothing(
+    id_line: bytes,
+) -> None:
+    """An old refusal kept a host from an engine that had become free."""
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        for engine in harness.backend_servers:
+            judge.use(engine, lambda exchange: Copy(REFUSAL_WITH_NOTICES % id_line))
+        for _ in range(10):
+            await judge.send("once")
+        assert judge.outcomes["502"] > 0
+        host = harness.host
+        for engine in harness.backend_servers:
+            entry = host._parts.cluster_state.registry.get(engine.id)
+            assert entry is not None
+            assert not entry.draining
+            assert host._notices.remaining_pause_s(engine.id) == 0
+            assert not host._limits.known.is_limited(engine.id)
+
+    stutter_scenario(scenario)
