Reuse no connection whose request was not sent whole

An engine may answer before it has read the request. The connection was then reused although a part of the request was still in the buffer of the transport, so that an engine which reads no further would take it for the next request. The rule of the module was checked only against the state of the parser.

Evidence: test_an_answer_before_the_request_was_sent_prevents_reuse with a body of 64 MB failed before. Usual requests fit into the buffers of the kernel.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -341,6 +341,7 @@
             self._body_complete
             and self._may_be_reused
             and self.exchanges < MAX_EXCHANGES
+            and self._is_sent()
             and not protocol.closed
             and not protocol.failure
             and not protocol.events
@@ -355,6 +356,11 @@
         protocol.busy = False
         return True
 
+    def _is_sent(self) -> bool:
+        """Tell whether all bytes of the request have left this process."""
+        transport = self._protocol.transport
+        return transport is not None and transport.get_write_buffer_size() == 0
+
     def abort(self) -> None:
         """Close the connection at once, which also cancels the peer's work."""
         if self._protocol.transport is not None:
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -242,3 +242,17 @@
             assert not connection.finish()
 
     asyncio.run(run())
+
+
+def test_an_answer_before_the_request_was_sent_prevents_reuse() -> None:
+    """The rest of the request would come before the next one."""
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            connection.send("POST", "/", REQUEST_HEADERS, bytes(64 * 1024 * 1024))
+            await connection.read_head()
+            assert [part async for part in connection.read_body()] == [b"ok"]
+            assert not connection.finish()
+
+    asyncio.run(run())
