--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -10,11 +10,12 @@
 
 import aiohttp
 import pytest
+from multidict import CIMultiDict
 
 from kumquat_relay.engine_connection import ConnectionBrokenError
 
 from .fakes import FakeEngine
-from .relay_harness import RelayHarness, run_scenario
+from .relay_harness import HOST, RelayHarness, run_scenario
 from .stutter import Copy, CopyTime, Exchange, Plan, as_chunked, without_id
 
 # Statuses with which a host promises that a request has not run.
@@ -315,3 +316,22 @@
             assert not host._limits.known.is_limited(engine.id)
 
     stutter_scenario(scenario)
+
+
+def test_a_request_with_two_ids_is_known_by_the_first() -> None:
+    """Engines that echo the second one would look like stuttering engines."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        callers = harness.host._options.callers
+        headers = CIMultiDict(
+            [("Host", HOST), ("X-Request-Id", "first"), ("X-Request-Id", "second")]
+        )
+        async with harness.session.post(
+            f"http://{callers.text}/once/a", headers=headers
+        ) as response:
+            assert response.status == 200
+            assert response.headers.getall("X-Request-Id") == ["first"]
+        runs = [engine.runs for engine in harness.backend_servers]
+        assert sorted(runs) == [[], ["first"]]
+
+    run_scenario(scenario)
