Use no connection twice for a while at an engine that copies answers

What callers saw: at a server that writes each answer again where the next one is expected, every second request ended as one that may have run, since its connection had been used before: 100 of 200 requests got 502.

Change: after a response that was not accepted, the pool closes the idle connections to that engine and reuses none for 30 s. On the first exchange of a connection no copy can arrive. Sound engines are not concerned.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -122,6 +122,7 @@
         head: ResponseHead,
     ) -> NoReturn:
         self._rejected.record(fault, entry.id, call, head.status, connection.exchanges)
+        self._pool.suspend_reuse(entry.address)
         raise AnswerNotAcceptedError(fault)
 
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -10,6 +10,10 @@
 connections from all of them together and resets those beyond it. Each host
 keeps at most its share of them idle; if that is less than one, it keeps one
 for a part of the usual time.
+
+A faulty engine writes earlier answers again. Each copy fails the request that
+is sent on its connection, so for some time after one was seen, a request to
+that engine is the only one of its connection.
 """
 
 import math
@@ -35,6 +39,9 @@
 MAX_IDLE_PER_ADDRESS = 8
 # Part of an engine's connections that may be idle. The others carry requests.
 IDLE_CONNECTION_SHARE = 0.5
+# Time without reuse after a response that was not accepted. A host then fails
+# few requests in this time at an engine that copies each answer.
+NO_REUSE_S = 30.0
 
 
 class EnginePool:
@@ -47,6 +54,7 @@
         self._clock = clock
         self._idle_by_address: dict[Address, list[EngineConnection]] = {}
         self._idle_share = math.inf
+        self._no_reuse_until_by_address: dict[Address, float] = {}
         self.opened = 0
 
     def set_connection_limit(self, max_connections: int, hosts: int) -> None:
@@ -116,6 +124,9 @@
         """Return a connection to the pool, or close it if not reusable."""
         if not connection.finish():
             return
+        if self._is_reuse_suspended(connection.address):
+            connection.abort()
+            return
         idle = self._idle_by_address.setdefault(connection.address, [])
         if len(idle) >= self._max_idle():
             connection.abort()
@@ -123,6 +134,12 @@
         connection.idle_since_s = self._clock.monotonic()
         idle.append(connection)
 
+    def suspend_reuse(self, address: Address) -> None:
+        """Reuse no connections to an engine that copies its answers."""
+        until_s = self._clock.monotonic() + NO_REUSE_S
+        self._no_reuse_until_by_address[address] = until_s
+        self.close_idle(address)
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to a removed address."""
         for connection in self._idle_by_address.pop(address, []):
@@ -131,6 +148,9 @@
     def close_stale(self) -> None:
         """Close the connections whose idle limit has passed."""
         now_s = self._clock.monotonic()
+        for address, until_s in list(self._no_reuse_until_by_address.items()):
+            if now_s >= until_s:
+                del self._no_reuse_until_by_address[address]
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
@@ -155,6 +175,10 @@
         limit_s = min(RECENT_USE_S, self._idle_limit_s(connection))
         return connection.usable and idle_s <= limit_s
 
+    def _is_reuse_suspended(self, address: Address) -> bool:
+        until_s = self._no_reuse_until_by_address.get(address, -math.inf)
+        return self._clock.monotonic() < until_s
+
     def _max_idle(self) -> int:
         """Return how many connections to an engine this host keeps idle."""
         return int(min(MAX_IDLE_PER_ADDRESS, max(1.0, self._idle_share)))
--- a/tests/relay/test_copied_answers.py
+++ b/tests/relay/test_copied_answers.py
@@ -9,15 +9,17 @@
 import random
 import re
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any, cast
 
+import pytest
 from hypothesis import given, settings, strategies as st
 from kumquat_platform.dialect import PlatformDialect
 
 from kumquat_core.clock import SystemClock
 from kumquat_core.settings import Address
+from kumquat_relay import engine_pool
 from kumquat_relay.caller_request import CallerRequest, Header, RequestMetadata
 from kumquat_relay.cluster_state import ClusterState
 from kumquat_relay.engine_calls import EngineCalls, NotExecutedError, RunParameters
@@ -322,6 +324,14 @@
             await asyncio.sleep(0)
 
 
+@pytest.fixture(autouse=True, scope="module")
+def reuse_after_copies() -> Iterator[None]:
+    """Let connections be reused after a copy, so that more copies are met."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(engine_pool, "NO_REUSE_S", 0.0)
+        yield
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(steps=st.lists(STEPS, min_size=2, max_size=10))
 def test_no_copy_is_taken_for_an_answer(steps: list[Step]) -> None:
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -11,7 +11,7 @@
     EngineConnection,
     SendFailedError,
 )
-from kumquat_relay.engine_pool import EnginePool
+from kumquat_relay.engine_pool import NO_REUSE_S, EnginePool
 
 from .scripted_peer import ScriptedPeer, respond_with
 
@@ -256,3 +256,32 @@
             assert not connection.finish()
 
     asyncio.run(run())
+
+
+def test_reuse_is_suspended_for_some_time() -> None:
+    """Each copy of an engine that copies every answer fails a request."""
+
+    async def run() -> None:
+        clock = ManualClock()
+        pool = EnginePool(clock)
+
+        async def acquire() -> EngineConnection:
+            return await pool.acquire(peer.address, recently_used=True, timeout_s=1.0)
+
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 3)) as peer:
+            idle, used = await acquire(), await acquire()
+            pool.release(idle)
+            pool.suspend_reuse(peer.address)
+            assert not idle.usable
+            await exchange(used)
+            pool.release(used)
+            assert not used.usable
+            clock.advance(NO_REUSE_S + 0.1)
+            pool.close_stale()
+            again = await acquire()
+            await exchange(again)
+            pool.release(again)
+            assert await acquire() is again
+            again.abort()
+
+    asyncio.run(run())
--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -12,7 +12,9 @@
 import pytest
 from multidict import CIMultiDict
 
+from kumquat_relay import engine_pool
 from kumquat_relay.engine_connection import ConnectionBrokenError
+from kumquat_relay.engine_pool import NO_REUSE_S
 
 from .fakes import FakeEngine
 from .relay_harness import HOST, RelayHarness, run_scenario
@@ -24,6 +26,12 @@
 UNKNOWN = (502, 504)
 
 
+@pytest.fixture(autouse=True)
+def reuse_after_copies(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let connections be reused after a copy, so that more copies are met."""
+    monkeypatch.setattr(engine_pool, "NO_REUSE_S", 0.0)
+
+
 KINDS = ("200", "404", "500", "refusal")
 
 
@@ -335,3 +343,54 @@
         assert sorted(runs) == [[], ["first"]]
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("cut", [False, True])
+@pytest.mark.parametrize("time", CopyTime)
+def test_a_copy_is_not_taken_for_an_answer_to_a_stream(
+    time: CopyTime, cut: bool
+) -> None:
+    """Prefills and runs of model engines, sound and failing in turn."""
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        engines = [harness.prefill_engine, *harness.decode_engines]
+        copies = CopyMaker(time, cut=cut)
+        for engine in engines:
+            engine.events = 2
+            judge.use(engine, copies.plan)
+        for number in range(24):
+            harness.prefill_engine.full = number % 4 == 1
+            for engine in harness.decode_engines:
+                engine.prefills_expired = number % 4 == 3
+            await judge.send("tale" if number % 3 else "story")
+        assert judge.outcomes["200"] > 0
+        assert harness.proxies_by_id[harness.prefill_engine.id].copies > 5
+        # A prefill result that a run names was made for its request.
+        prefilled_ids = [
+            headers["x-request-id"]
+            for _, _, headers, _ in harness.prefill_engine.received
+        ]
+        for engine in harness.decode_engines:
+            for _, _, headers, _ in engine.received:
+                handle = headers.get("x-kv-source", "").rpartition("/k")[2]
+                if handle:
+                    assert prefilled_ids[int(handle) - 1] == headers["x-request-id"]
+
+    stutter_scenario(scenario)
+
+
+def test_few_requests_are_lost_at_servers_that_copy_each_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Half of the requests met a copy, as each connection was used twice."""
+    monkeypatch.setattr(engine_pool, "NO_REUSE_S", NO_REUSE_S)
+
+    async def scenario(harness: RelayHarness, judge: Judge) -> None:
+        for engine in harness.backend_servers:
+            judge.use(engine, lambda exchange: Copy(exchange.answer))
+        for _ in range(60):
+            await judge.send("once")
+        assert judge.outcomes["200"] >= 58
+        assert judge.outcomes["502"] == 60 - judge.outcomes["200"]
+
+    stutter_scenario(scenario)
