--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -5,6 +5,10 @@
 connection belongs to no request and closes it. ``SendFailedError`` means that
 no byte of the request was sent, ``ConnectionBrokenError`` that the peer may
 have received it.
+
+A server may write an answer again later. The request id tells the copy from
+the next answer unless the same request is sent again, so a connection carries
+no request id twice.
 """
 
 import asyncio
@@ -18,6 +22,7 @@
 
 from kumquat_core.settings import Address
 
+from .answer_check import is_joined_head
 from .caller_request import Header
 
 __all__ = [
@@ -41,6 +46,9 @@
 
 # Limit on an incomplete response head or the framing of an incomplete chunk.
 MAX_HEAD_BYTES = 64 * 1024
+# Bounds the memory for the ids of a connection's requests to 8 KB. It adds one
+# new connection per 1,000 requests at most.
+MAX_EXCHANGES = 1000
 # Servers send at most one or two informational (1xx) responses before the
 # final one.
 MAX_INFORMATIONAL_RESPONSES = 16
@@ -152,6 +160,10 @@
                     if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
                         self.fail("too many interim answers")
                         return
+                    if is_joined_head(event.reason, event.headers.raw_items()):
+                        # The final answer is part of this head.
+                        self.fail("joined interim answer")
+                        return
                     continue
                 self.events.append(event)
                 if isinstance(event, h11.Data):
@@ -216,6 +228,8 @@
         self.exchanges = 0
         self._protocol = protocol
         self._body_complete = False
+        self._may_be_reused = True
+        self._sent_ids = bytearray()
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EngineConnection":
@@ -244,10 +258,22 @@
         """Tell whether the peer has closed or reset the connection."""
         return self._protocol.closed_by_peer
 
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with this id was sent on the connection.
+
+        May also be true for another id, but never false for one that was sent.
+        """
+        return _digest(request_id) in self._sent_ids
+
     def send(
-        self, method: str, target: str, headers: list[Header], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: list[Header],
+        body: bytes,
+        request_id: str = "",
     ) -> None:
-        """Send a request.
+        """Send a request; ``request_id`` is empty if it bears none.
 
         Raises ``SendFailedError`` if the connection is not usable or the
         request is not valid HTTP.
@@ -269,6 +295,8 @@
         protocol.begin_exchange()
         self._body_complete = False
         self.exchanges += 1
+        if request_id:
+            self._sent_ids += _digest(request_id)
         protocol.transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -296,6 +324,10 @@
             else:
                 raise self._protocol.broken(f"unexpected {type(event).__name__}")
 
+    def end_reuse(self) -> None:
+        """Close the connection at the end of the exchange."""
+        self._may_be_reused = False
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused.
 
@@ -307,6 +339,9 @@
             return self.usable
         reusable = (
             self._body_complete
+            and self._may_be_reused
+            and self.exchanges < MAX_EXCHANGES
+            and self._is_sent()
             and not protocol.closed
             and not protocol.failure
             and not protocol.events
@@ -321,6 +356,11 @@
         protocol.busy = False
         return True
 
+    def _is_sent(self) -> bool:
+        """Tell whether all bytes of the request have left this process."""
+        transport = self._protocol.transport
+        return transport is not None and transport.get_write_buffer_size() == 0
+
     def abort(self) -> None:
         """Close the connection at once, which also cancels the peer's work."""
         if self._protocol.transport is not None:
@@ -337,6 +377,11 @@
                         self.idle_limit_s = float(number)
 
 
+def _digest(request_id: str) -> bytes:
+    """Return eight bytes that are equal for equal ids."""
+    return hash(request_id).to_bytes(8, "big", signed=True)
+
+
 def _enable_keepalive(transport: asyncio.BaseTransport) -> None:
     """Set socket options that detect a peer which failed without a reset."""
     sock = transport.get_extra_info("socket")
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -5,12 +5,13 @@
 import pytest
 
 from kumquat_core.clock import ManualClock
+from kumquat_relay import engine_connection
 from kumquat_relay.engine_connection import (
     ConnectionBrokenError,
     EngineConnection,
     SendFailedError,
 )
-from kumquat_relay.engine_pool import EnginePool
+from kumquat_relay.engine_pool import NO_REUSE_S, EnginePool
 
 from .scripted_peer import ScriptedPeer, respond_with
 
@@ -74,6 +75,33 @@
     asyncio.run(run())
 
 
+def test_a_connection_whose_reuse_was_ended_is_closed_after_the_exchange() -> None:
+    """A copy of an answer without an id could be taken for the next answer."""
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            connection.end_reuse()
+            assert await exchange(connection) == b"ok"
+            assert not connection.finish()
+            assert not connection.usable
+
+    asyncio.run(run())
+
+
+def test_an_interim_response_that_contains_the_final_one_closes() -> None:
+    """A cut interim response hid the answer, and its body became the head."""
+    joined = b"HTTP/1.1 103 Early Hints\r\nLink: <a>" + COMPLETE_RESPONSE
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(joined + COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            with pytest.raises(ConnectionBrokenError, match="joined interim"):
+                await exchange(connection)
+
+    asyncio.run(run())
+
+
 def test_an_extra_response_prevents_reuse_of_the_connection() -> None:
     async def run() -> None:
         async with ScriptedPeer(
@@ -170,3 +198,90 @@
             pool.close()
 
     asyncio.run(run())
+
+
+def test_a_request_is_not_sent_twice_over_one_connection() -> None:
+    """A copy of its first answer would bear the right id."""
+
+    async def run() -> None:
+        pool = EnginePool(ManualClock())
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 3)) as peer:
+            first = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="a"
+            )
+            first.send("GET", "/", REQUEST_HEADERS, b"", "a")
+            await first.read_head()
+            assert [part async for part in first.read_body()] == [b"ok"]
+            pool.release(first)
+            second = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="a"
+            )
+            assert second is not first
+            other = await pool.acquire(
+                peer.address, recently_used=True, timeout_s=1.0, request_id="b"
+            )
+            assert other is first
+            second.abort()
+            other.abort()
+
+    asyncio.run(run())
+
+
+def test_a_connection_is_closed_after_its_last_exchange(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The ids that a connection has carried must not take unbounded memory."""
+    monkeypatch.setattr(engine_connection, "MAX_EXCHANGES", 2)
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 2)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            assert await exchange(connection) == b"ok"
+            assert connection.finish()
+            assert await exchange(connection) == b"ok"
+            assert not connection.finish()
+
+    asyncio.run(run())
+
+
+def test_an_answer_before_the_request_was_sent_prevents_reuse() -> None:
+    """The rest of the request would come before the next one."""
+
+    async def run() -> None:
+        async with ScriptedPeer(respond_with(COMPLETE_RESPONSE)) as peer:
+            connection = await EngineConnection.open(peer.address, 1.0)
+            connection.send("POST", "/", REQUEST_HEADERS, bytes(64 * 1024 * 1024))
+            await connection.read_head()
+            assert [part async for part in connection.read_body()] == [b"ok"]
+            assert not connection.finish()
+
+    asyncio.run(run())
+
+
+def test_reuse_is_suspended_for_some_time() -> None:
+    """Each copy of an engine that copies every answer fails a request."""
+
+    async def run() -> None:
+        clock = ManualClock()
+        pool = EnginePool(clock)
+
+        async def acquire() -> EngineConnection:
+            return await pool.acquire(peer.address, recently_used=True, timeout_s=1.0)
+
+        async with ScriptedPeer(respond_with(*[COMPLETE_RESPONSE] * 3)) as peer:
+            idle, used = await acquire(), await acquire()
+            pool.release(idle)
+            pool.suspend_reuse(peer.address)
+            assert not idle.usable
+            await exchange(used)
+            pool.release(used)
+            assert not used.usable
+            clock.advance(NO_REUSE_S + 0.1)
+            pool.close_stale()
+            again = await acquire()
+            await exchange(again)
+            pool.release(again)
+            assert await acquire() is again
+            again.abort()
+
+    asyncio.run(run())
