Log why a stopping host exits and which requests it cuts

The logs of a planned stop could not tell three faults apart: a host that exits at the end of its grace period with requests in progress, one that exits too early, and one whose responses were still in a buffer. No line said why a host exited, and a request that was cut had no line of its own or one that blamed its caller.

`exit_decided` states the reason (idle, work_done or grace_over), the time since SIGTERM and the requests in progress. `request_cut` names each request that is left when the process exits, and `kumquat_relay_requests_cut_total` counts them. `connections_closed` tells how many responses were not sent completely. `kumquatctl relay losses` counts the cut requests as `cut` with the reason `host_stopped`, and `kumquatctl explain` says how much time they had left. No decision changes.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -23,6 +23,7 @@
 from .caller_request import CallerRequest
 from .caller_response import CallerResponse, client_error, failure, refusal
 from .cluster_state import ClusterState
+from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
@@ -119,6 +120,7 @@
         self._shutdown = shutdown
         self._metrics = metrics
         self._detached_tasks: set[asyncio.Task[CallerResponse]] = set()
+        self._open_requests = OpenRequests(clock, metrics)
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
 
@@ -152,8 +154,28 @@
         self._server.pre_shutdown()
         while self._shutdown.in_progress and self._shutdown.left_s > 0:
             await asyncio.sleep(STOP_POLL_S)
+        self._log_unsent()
+        self._open_requests.cut_all()
         await self._runner.cleanup()
 
+    def _log_unsent(self) -> None:
+        """Log how much of the responses is still in buffers, if any is."""
+        assert self._server is not None
+        sizes = [
+            connection.transport.get_write_buffer_size()
+            for connection in self._server.connections
+            if connection.transport is not None
+        ]
+        unsent = [size for size in sizes if size]
+        log_event(
+            logger,
+            "connections_closed",
+            open=len(sizes),
+            detached=len(self._detached_tasks),
+            unsent=len(unsent),
+            unsent_bytes=sum(unsent),
+        )
+
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         with self._shutdown.track_request():
             arrived_s = self._clock.monotonic()
@@ -227,6 +249,7 @@
             service,
             self._clock.monotonic(),
         )
+        self._open_requests.add(request)
         log_event(
             logger,
             "request_read",
@@ -333,6 +356,8 @@
         """
         duration_s = self._clock.monotonic() - began_s
         kind = request.route.kind.value if request is not None else "none"
+        if request is not None:
+            self._open_requests.remove(request)
         self._metrics.record_request(kind, code, duration_s)
         log_event(
             logger,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -233,14 +233,27 @@
         """
         shutdown = self._parts.shutdown
         shutdown.begin()
-        log_event(logger, "stopping", in_progress=shutdown.in_progress)
+        log_event(
+            logger,
+            "stopping",
+            in_progress=shutdown.in_progress,
+            grace_s=shutdown.grace_s,
+        )
         self._registration.cancel()
         try:
             async with asyncio.timeout(DEREGISTER_TIMEOUT_S):
                 await self._store.remove_host(self._options.host_id)
         except (StoreError, TimeoutError) as error:
             log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
-        await shutdown.wait()
+        reason = await shutdown.wait()
+        log_event(
+            logger,
+            "exit_decided",
+            reason=reason.value,
+            in_progress=shutdown.in_progress,
+            after_ms=round(shutdown.elapsed_s * 1000),
+            grace_s=shutdown.grace_s,
+        )
 
     async def stop(self) -> None:
         """Stop all services and close all connections."""
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -45,6 +45,12 @@
             buckets=DURATION_BUCKETS_S,
             registry=self.registry,
         )
+        self._cut = Counter(
+            "kumquat_relay_requests_cut",
+            "Requests that were in progress when their host exited, by kind of route",
+            ["kind"],
+            registry=self.registry,
+        )
         self._queue_waits = self._stream_histogram(
             "queue_wait_seconds",
             "Time in the queue until the request was granted a slot",
@@ -115,6 +121,10 @@
         self._requests.labels(kind, str(code.value)).inc()
         self._durations.labels(kind).observe(duration_s)
 
+    def record_cut(self, kind: str) -> None:
+        """Count a request that ended because its host exited."""
+        self._cut.labels(kind).inc()
+
     def record_queue_wait(self, wait_s: float) -> None:
         """Record how long a request waited for its slot."""
         self._queue_waits.observe(wait_s)
--- a/packages/kumquat_relay/src/kumquat_relay/shutdown.py
+++ b/packages/kumquat_relay/src/kumquat_relay/shutdown.py
@@ -10,10 +10,11 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
+from enum import Enum
 
 from kumquat_core.clock import Clock
 
-__all__ = ["Shutdown"]
+__all__ = ["ExitReason", "Shutdown"]
 
 # Time until the load balancer has removed the host: it checks readiness once
 # per second and removes a host after two failed checks.
@@ -33,6 +34,17 @@
 POLL_S = 0.05
 
 
+class ExitReason(Enum):
+    """Why a stopping process exits."""
+
+    # Nothing was in progress when the load balancer had removed the host.
+    IDLE = "idle"
+    # The last request in progress has ended.
+    WORK_DONE = "work_done"
+    # The platform is about to kill the process; requests may be cut.
+    GRACE_OVER = "grace_over"
+
+
 class Shutdown:
     """Counts the requests in progress and decides when the host may exit.
 
@@ -46,6 +58,7 @@
         self.in_progress = 0
         self._began_s: float | None = None
         self._last_request_s = float("-inf")
+        self._had_work_after_detection = False
 
     @property
     def draining(self) -> bool:
@@ -92,18 +105,31 @@
         idle_s = self._clock.monotonic() - self._last_request_s
         return self.in_progress == 0 and idle_s > IDLE_S
 
-    def may_exit(self) -> bool:
-        """Tell whether the process may exit now."""
+    @property
+    def elapsed_s(self) -> float:
+        """Return the seconds since the start of the shutdown, 0 before it."""
         if self._began_s is None:
-            return False
-        now_s = self._clock.monotonic()
-        if now_s >= self._began_s + self.grace_s - EXIT_MARGIN_S:
-            return True
-        if now_s < self._began_s + DETECTION_S or self.in_progress:
-            return False
-        return now_s >= self._last_request_s + QUIET_S
+            return 0.0
+        return self._clock.monotonic() - self._began_s
 
-    async def wait(self) -> None:
-        """Return as soon as the process may exit."""
-        while not self.may_exit():
+    def exit_reason(self) -> ExitReason | None:
+        """Return why the process may exit now, None if it may not."""
+        if self._began_s is None:
+            return None
+        now_s = self._clock.monotonic()
+        if self.left_s <= 0:
+            return ExitReason.GRACE_OVER
+        if now_s < self._began_s + DETECTION_S:
+            return None
+        if self.in_progress or now_s < self._last_request_s + QUIET_S:
+            self._had_work_after_detection = True
+            return None
+        if self._had_work_after_detection:
+            return ExitReason.WORK_DONE
+        return ExitReason.IDLE
+
+    async def wait(self) -> ExitReason:
+        """Return why the process exits, as soon as it may."""
+        while (reason := self.exit_reason()) is None:
             await asyncio.sleep(POLL_S)
+        return reason
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -70,6 +70,12 @@
             f"answered 404: {_TEXTS_BY_REASON['no_route']} (version "
             f"{no_route.get('version')})"
         )
+    cut = _last(lines, "request_cut")
+    if cut is not None:
+        return (
+            f"cut: its host exited {cut.get('ms')} ms after it was read, "
+            f"{cut.get('left_ms')} ms before its deadline"
+        )
     if not ends:
         last = lines[-1]
         return (
--- a/packages/kumquatctl/src/kumquatctl/relay_losses.py
+++ b/packages/kumquatctl/src/kumquatctl/relay_losses.py
@@ -109,6 +109,10 @@
         request = self._requests_by_id.get(request_id)
         if request is None:
             return
+        if line.event == "request_cut":
+            del self._requests_by_id[request_id]
+            self._record_loss(request, "cut", "host_stopped")
+            return
         if line.event == "request_ended":
             del self._requests_by_id[request_id]
             self._finish_request(request, line)
--- a/tests/ctl/test_log_timeline.py
+++ b/tests/ctl/test_log_timeline.py
@@ -92,6 +92,18 @@
     assert output[-1].startswith("unknown: the lines end with stream_pace at")
 
 
+def test_a_request_cut_by_a_planned_stop_names_the_time_that_it_had_left() -> None:
+    prefix = "h1 time=2026-01-01T00:00:00.000 level=info logger=x"
+    lines = [
+        f"{prefix} event=request_read request=ab route=r",
+        f"{prefix} event=request_cut request=ab ms=1510.2 left_ms=489",
+        f"{prefix} event=request_ended request=ab code=1211 reason=caller_gone",
+    ]
+    assert explain("ab", "--log", "-", stdin="\n".join(lines))[-1] == (
+        "cut: its host exited 1510.2 ms after it was read, 489 ms before its deadline"
+    )
+
+
 def test_a_request_that_no_line_names_is_an_error() -> None:
     result = CliRunner().invoke(app, ["explain", "gone", "--log", str(RECORDED)])
     assert result.exit_code == 11
--- a/tests/ctl/test_relay_losses.py
+++ b/tests/ctl/test_relay_losses.py
@@ -38,6 +38,16 @@
     assert reasons(line(1, "request_read")) == {("cut", "host_ended"): 1}
 
 
+def test_a_request_cut_by_a_planned_stop_counts_once() -> None:
+    """The line that ends its handler afterwards must not count again."""
+    lines = [
+        line(1, "request_read"),
+        line(2, "request_cut", ms=1000),
+        line(3, "request_ended", code=1211, reason="caller_gone", ms=1000),
+    ]
+    assert reasons(*lines) == {("cut", "host_stopped"): 1}
+
+
 def test_logs_of_several_hosts_are_merged_by_time(tmp_path: Path) -> None:
     """The owner of the queue logs the wait; without it the run seems slow."""
     entry = tmp_path / "entry.log"
--- a/tests/relay/test_shutdown.py
+++ b/tests/relay/test_shutdown.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kumquat_core.clock import ManualClock
-from kumquat_relay.shutdown import Shutdown
+from kumquat_relay.shutdown import ExitReason, Shutdown
 
 
 def test_streams_that_would_be_cut_off_are_refused() -> None:
@@ -21,10 +21,10 @@
     clock = ManualClock()
     shutdown = Shutdown(clock, grace_s=8.0)
     shutdown.begin()
-    assert not shutdown.may_exit()
+    assert shutdown.exit_reason() is None
     clock.advance(2.6)
-    assert shutdown.may_exit()
+    assert shutdown.exit_reason() is ExitReason.IDLE
     with shutdown.track_request():
-        assert not shutdown.may_exit()
+        assert shutdown.exit_reason() is None
         clock.advance(5.0)
-        assert shutdown.may_exit()
+        assert shutdown.exit_reason() is ExitReason.GRACE_OVER
