Accept requests while stopping only if they surely end before the exit

Callers saw closed connections for requests that had run, 6 to 8 s after SIGTERM of a host whose servers were slow.

A stopping host compared the time left with the route's objective, the usual time, and not with the time that a request may take: its route's timeout or its deadline. Streams were accepted for two seconds whatever they may last. And it exited only after half a second without a request, so callers that opened new connections kept it until the platform was about to kill it; the last requests were cut then (`exit_decided reason=grace_over`).

Now a request is accepted only if its longest time and the time for its response fit, and only until the load balancer has removed the host (2.5 s). Then the listener closes, further requests are refused at once with a short Retry-After, and the accepted work alone decides when the process exits. For streams the longest time is the deadline too: nothing else limits an output.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -29,7 +29,7 @@
 from .relay_metrics import RelayMetrics
 from .response_sink import CallerDisconnectedError
 from .routes import CallerLimits, RouteKind, RouteTable
-from .shutdown import Shutdown
+from .shutdown import ExitReason, Shutdown
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
@@ -140,17 +140,21 @@
             self._runner, self._listen.ip, self._listen.port, backlog=LISTEN_BACKLOG
         ).start()
 
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stop listening, wait for requests to end and close all connections.
+    async def drain(self) -> ExitReason:
+        """Serve until the host may exit, and return why it exits.
 
-        A request may have arrived on an open connection since the host was
-        found idle, so connections in use are closed only after their
-        responses.
+        New connections are accepted until the load balancer has removed the
+        host.
         """
+        await self._shutdown.wait_for_detection()
+        await self._stop_listening()
+        return await self._shutdown.wait()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening, wait for requests and close all connections."""
         if self._runner is None or self._server is None:
             return
-        for site in list(self._runner.sites):
-            await site.stop()
+        await self._stop_listening()
         self._server.pre_shutdown()
         while self._shutdown.in_progress and self._shutdown.left_s > 0:
             await asyncio.sleep(STOP_POLL_S)
@@ -158,6 +162,11 @@
         self._open_requests.cut_all()
         await self._runner.cleanup()
 
+    async def _stop_listening(self) -> None:
+        assert self._runner is not None
+        for site in list(self._runner.sites):
+            await site.stop()
+
     def _log_unsent(self) -> None:
         """Log how much of the responses is still in buffers, if any is."""
         assert self._server is not None
@@ -177,30 +186,24 @@
         )
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        with self._shutdown.track_request():
-            arrived_s = self._clock.monotonic()
-            result = await self._read_request(http_request)
-            if isinstance(result, CallerResponse):
-                self._record_end(None, result.code, result.reason, arrived_s)
-                return self._to_http_response(result)
-            if self._would_be_cut_off(result):
-                caller_response = refusal(
-                    ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S
-                )
-                self._record_end(
-                    result, caller_response.code, caller_response.reason, arrived_s
-                )
-                return self._to_http_response(caller_response)
+        arrived_s = self._clock.monotonic()
+        result = await self._read_request(http_request)
+        if isinstance(result, CallerResponse):
+            self._record_end(None, result.code, result.reason, arrived_s)
+            return self._to_http_response(result)
+        if not self._shutdown.accepts(result.deadline_s - self._clock.monotonic()):
+            caller_response = refusal(
+                ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S
+            )
+            self._record_end(
+                result, caller_response.code, caller_response.reason, arrived_s
+            )
+            return self._to_http_response(caller_response)
+        with self._shutdown.track_work():
             if result.route.kind is RouteKind.STREAM:
                 return await self._handle_stream(http_request, result)
             return await self._handle_plain(result)
 
-    def _would_be_cut_off(self, request: CallerRequest) -> bool:
-        """Tell whether the process may exit before the response ends."""
-        if request.route.kind is RouteKind.STREAM:
-            return self._shutdown.refuses_streams
-        return self._shutdown.left_s < request.route.objective_ms / 1000
-
     async def _read_request(
         self, http_request: web.BaseRequest
     ) -> CallerRequest | CallerResponse:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -137,6 +137,7 @@
             parts.rules,
         )
         self._supervisor: Supervisor | None = None
+        self._callers: CallerServer | None = None
         self._peer_services: Supervisor | None = None
         self._peer_key: bytes | None = None
         self._registration = StoreRegistration(
@@ -214,11 +215,12 @@
         timers.every(CLEANUP_PERIOD_S, self._clean_up, "sweep")
         timers.every(REPORT_S, self._report_runs, "report")
         timers.every(PLANNING_PERIOD_S, self._plan_roles, "plan")
+        self._callers = self._build_caller_server()
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
             *self._watches,
-            self._build_caller_server(),
+            self._callers,
             TimerTask(timers),
         ]
         self._supervisor = Supervisor(services)
@@ -245,7 +247,8 @@
                 await self._store.remove_host(self._options.host_id)
         except (StoreError, TimeoutError) as error:
             log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
-        reason = await shutdown.wait()
+        assert self._callers is not None
+        reason = await self._callers.drain()
         log_event(
             logger,
             "exit_decided",
--- a/packages/kumquat_relay/src/kumquat_relay/shutdown.py
+++ b/packages/kumquat_relay/src/kumquat_relay/shutdown.py
@@ -1,10 +1,16 @@
-"""Graceful shutdown of an entry host.
+"""Graceful shutdown of an entry host: what it accepts and when it exits.
 
 Load pattern: all hosts are restarted one after the other while callers keep
-their connections open. The host immediately fails its readiness check, asks
-callers with each response to close the connection and serves the requests that
-still arrive. It exits when no request is in progress and none has arrived for
-a while, at the latest shortly before the platform kills the process.
+their connections open and never pause. The host immediately fails its
+readiness check and asks callers with each response to close the connection.
+Until the load balancer has removed it, it accepts requests whose longest time
+ends before the process must exit; it refuses all others, which another host
+accepts immediately. It exits when the accepted work has ended, at the latest
+shortly before the platform kills the process. Requests that are refused never
+delay the exit.
+
+The usual time of a request decides nothing: servers may take as long as the
+timeout of the route.
 """
 
 import asyncio
@@ -19,12 +25,8 @@
 # Time until the load balancer has removed the host: it checks readiness once
 # per second and removes a host after two failed checks.
 DETECTION_S = 2.5
-# How long after the start of the shutdown new streams are accepted; later ones
-# would be cut off when the process exits.
-ACCEPT_STREAMS_S = 2.0
-# A caller that still uses an open connection sends its next request within
-# this time.
-QUIET_S = 0.5
+# Time kept for sending a response that comes at the deadline of its request.
+ANSWER_MARGIN_S = 0.1
 # A host without requests for this long is idle; hosts of busy services receive
 # requests more often.
 IDLE_S = 2.0
@@ -46,7 +48,7 @@
 
 
 class Shutdown:
-    """Counts the requests in progress and decides when the host may exit.
+    """Counts the accepted work and decides when the host may exit.
 
     ``grace_s`` is the time from the start of the shutdown until the platform
     kills the process.
@@ -71,11 +73,15 @@
             self._began_s = self._clock.monotonic()
 
     @property
-    def refuses_streams(self) -> bool:
-        """Tell whether new streams are refused since they would be cut off."""
-        if self._began_s is None:
-            return False
-        return self._clock.monotonic() >= self._began_s + ACCEPT_STREAMS_S
+    def detected(self) -> bool:
+        """Tell whether the load balancer has removed the host."""
+        return self.draining and self.elapsed_s >= DETECTION_S
+
+    def accepts(self, longest_s: float) -> bool:
+        """Tell whether a request that may take ``longest_s`` is accepted."""
+        if not self.draining:
+            return True
+        return not self.detected and longest_s + ANSWER_MARGIN_S <= self.left_s
 
     @property
     def left_s(self) -> float:
@@ -89,8 +95,8 @@
         return end_s - self._clock.monotonic()
 
     @contextmanager
-    def track_request(self) -> Iterator[None]:
-        """Count a request as in progress while the context is open."""
+    def track_work(self) -> Iterator[None]:
+        """Count an accepted request as work while the context is open."""
         self.in_progress += 1
         self._last_request_s = self._clock.monotonic()
         try:
@@ -116,18 +122,22 @@
         """Return why the process may exit now, None if it may not."""
         if self._began_s is None:
             return None
-        now_s = self._clock.monotonic()
         if self.left_s <= 0:
             return ExitReason.GRACE_OVER
-        if now_s < self._began_s + DETECTION_S:
+        if not self.detected:
             return None
-        if self.in_progress or now_s < self._last_request_s + QUIET_S:
+        if self.in_progress:
             self._had_work_after_detection = True
             return None
         if self._had_work_after_detection:
             return ExitReason.WORK_DONE
         return ExitReason.IDLE
 
+    async def wait_for_detection(self) -> None:
+        """Return when the load balancer has removed the host."""
+        while not self.detected and self.left_s > 0:
+            await asyncio.sleep(POLL_S)
+
     async def wait(self) -> ExitReason:
         """Return why the process exits, as soon as it may."""
         while (reason := self.exit_reason()) is None:
--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -9,17 +9,23 @@
 
 from kumquat_core.settings import Address
 
-__all__ = ["HostProcess"]
+__all__ = ["GRACE_S", "HostProcess"]
 
 ROOT = Path(__file__).resolve().parents[2]
 EXIT_TIMEOUT_S = 12.0
+GRACE_S = 4.0
 
 
 class HostProcess:
     """A process of ``platform/front.py``; signals go only to its own id."""
 
     def __init__(
-        self, host_id: str, folder: Path, store: Address, ports: list[int]
+        self,
+        host_id: str,
+        folder: Path,
+        store: Address,
+        ports: list[int],
+        grace_s: float = GRACE_S,
     ) -> None:
         self.host_id = host_id
         self.callers = Address("127.0.0.1", ports[0])
@@ -28,7 +34,7 @@
         self._log = folder / f"{host_id}.log"
         self._process: asyncio.subprocess.Process | None = None
         self.paused = False
-        document = {
+        self._document = {
             "host_id": host_id,
             "failure_domain": "a",
             "listen": {
@@ -39,12 +45,17 @@
             },
             "store": store.text,
             "retries": {"ratio": 0.2, "window_s": 10.0, "allowance": 60.0},
-            "stop_grace_s": 4.0,
+            "stop_grace_s": grace_s,
             "processor": {"share": 1.0, "speed": 1.0, "link_mbps": 1000.0},
             "order_lease_s": 3.0,
             "log_level": "info",
         }
-        self._settings.write_text(json.dumps(document))
+        self._settings.write_text(json.dumps(self._document))
+
+    def change_grace(self, grace_s: float) -> None:
+        """Write another grace period to the settings file."""
+        self._document["stop_grace_s"] = grace_s
+        self._settings.write_text(json.dumps(self._document))
 
     @property
     def running(self) -> bool:
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -14,7 +14,7 @@
 
 from kumquat_core.settings import Address
 
-from .host_process import HostProcess
+from .host_process import GRACE_S, HostProcess
 from .loopback_proxy import LoopbackProxy
 
 __all__ = ["SoakHarness"]
@@ -34,7 +34,7 @@
     ``engine_links`` engine ids to proxies.
     """
 
-    def __init__(self, folder: Path, host_count: int) -> None:
+    def __init__(self, folder: Path, host_count: int, grace_s: float = GRACE_S) -> None:
         self.store = FakeStore()
         self.engines = [
             FakeEngine("reader", "prefill"),
@@ -52,6 +52,7 @@
         self.shared_parts: list[str] = []
         self._folder = folder
         self._host_count = host_count
+        self._grace_s = grace_s
 
     async def __aenter__(self) -> "SoakHarness":
         try:
@@ -143,7 +144,7 @@
         peers = LoopbackProxy(Address("127.0.0.1", ports[3]))
         self.peer_links[host_id] = peers
         await peers.start()
-        host = HostProcess(host_id, self._folder, store.address, ports)
+        host = HostProcess(host_id, self._folder, store.address, ports, self._grace_s)
         self.hosts.append(host)
         link = self.caller_links[host_id] = LoopbackProxy(host.callers)
         await link.start()
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -10,6 +10,7 @@
 from .callers import RequestOutcome, SentRequest, SoakCaller
 from .checks import find_violations
 from .soak_harness import EVENTS, SoakHarness
+from .stop_trial import StopTrial
 
 CALLERS = 4
 # A host leaves the rotation within two readiness polls and exits within its
@@ -17,6 +18,8 @@
 ROTATION_TIMEOUT_S = 4.0
 STOP_INTERVAL_S = 1.5
 STARTUP_DELAY_S = 0.25
+# Hosts follow a new configuration within this time.
+CONFIGURATION_S = 1.0
 
 
 async def _wait_for_rotation(ingress: FakeIngress, count: int) -> None:
@@ -80,3 +83,32 @@
     """Guards against SIGHUP before the host has installed its handlers: the
     default action ended the host without a log line, and it stayed down."""
     assert asyncio.run(_reload_during_startup(tmp_path)) is None
+
+
+async def _stop_under_busy_callers(
+    folder: Path, callers: int, slow_s: tuple[float, float], timeout_ms: int
+) -> StopTrial:
+    """Stop one of two hosts while servers are slow; return the trial."""
+    async with SoakHarness(folder, host_count=2) as harness:
+        harness.change_configuration(timeout_ms)
+        await asyncio.sleep(CONFIGURATION_S)
+        trial = StopTrial(harness, callers, slow_s)
+        slow = asyncio.ensure_future(trial.slow_down())
+        await trial.start()
+        await asyncio.sleep(STOP_INTERVAL_S)
+        await trial.stop_host("h0")
+        await trial.end()
+        slow.cancel()
+        return trial
+
+
+def test_slow_servers_at_a_stop_lose_no_requests(tmp_path: Path) -> None:
+    """Guards against requests that are accepted since they usually end before
+    the host exits, and cut since they may take longer. Callers that never
+    paused kept the host until the end of its grace period."""
+    trial = asyncio.run(_stop_under_busy_callers(tmp_path, 40, (0.3, 1.9), 2000))
+    assert trial.closed() == []
+    assert sum(item.status == 200 for item in trial.attempts) > 60
+    # Accepted until the load balancer has removed the host, or until a request
+    # of two seconds may not end any more; then the last one takes 2 s.
+    assert trial.stop_times[0] < 3.7
