Move parts of the caller server and the relay host to modules of their own

Reading a request and sending an event stream get a module each, since the caller server is about to close connections itself. The removal of the host's entry goes to the registration that writes it, and metrics of shared objects to these. No behaviour changes.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
 from http import HTTPStatus
 
 import aiomisc
@@ -21,77 +20,30 @@
 from kumquat_core.settings import Address
 
 from .caller_request import CallerRequest
-from .caller_response import CallerResponse, client_error, failure, refusal
+from .caller_response import CallerResponse, failure, refusal
+from .caller_sink import CallerSink
 from .cluster_state import ClusterState
 from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
+from .request_reader import DEFAULT_LIMITS, STOPPING_RETRY_AFTER_S, RequestReader
 from .response_sink import CallerDisconnectedError
-from .routes import CallerLimits, RouteKind, RouteTable
+from .routes import RouteKind
 from .shutdown import ExitReason, Shutdown
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
 
-# Apply until the first configuration is received.
-DEFAULT_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
-# A starting host receives its configuration within a second.
-NOT_READY_RETRY_AFTER_S = 1.0
-# Another host accepts the caller's next connection immediately.
-STOPPING_RETRY_AFTER_S = 0.05
 # Callers reuse connections that were idle for up to 80 % of the idle limit.
 # Closing them later than the limit loses no request.
 IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
-MAX_LOGGED_PARTS = 8
 STOP_POLL_S = 0.02
 
 logger = logging.getLogger(__name__)
 
 
-class _StreamSink:
-    """Sends a streamed response to the caller.
-
-    ``response`` is None until its head is sent.
-    """
-
-    def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
-        self._http_request = http_request
-        self._close = close
-        self.response: web.StreamResponse | None = None
-
-    @property
-    def started(self) -> bool:
-        return self.response is not None
-
-    async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
-        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        if self._close:
-            response.force_close()
-        if self._http_request.version >= (1, 1):
-            response.enable_chunked_encoding()
-        self.response = response
-        try:
-            await response.prepare(self._http_request)
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-    async def write(self, data: bytes) -> None:
-        assert self.response is not None
-        try:
-            await self.response.write(data)
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-    async def finish(self) -> None:
-        assert self.response is not None
-        try:
-            await self.response.write_eof()
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-
 class CallerServer(aiomisc.Service):
     """Serves callers over HTTP/1.1.
 
@@ -113,14 +65,13 @@
         super().__init__()
         self._listen = listen
         self._clock = clock
-        self._cluster_state = cluster_state
         self._plain_relay = plain
         self._stream_relay = streams
-        self._dialect = dialect
         self._shutdown = shutdown
         self._metrics = metrics
         self._detached_tasks: set[asyncio.Task[CallerResponse]] = set()
         self._open_requests = OpenRequests(clock, metrics)
+        self._reader = RequestReader(clock, cluster_state, dialect, self._open_requests)
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
 
@@ -187,7 +138,7 @@
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._clock.monotonic()
-        result = await self._read_request(http_request)
+        result = await self._reader.read(http_request)
         if isinstance(result, CallerResponse):
             self._record_end(None, result.code, result.reason, arrived_s)
             return self._to_http_response(result)
@@ -204,74 +155,6 @@
                 return await self._handle_stream(http_request, result)
             return await self._handle_plain(result)
 
-    async def _read_request(
-        self, http_request: web.BaseRequest
-    ) -> CallerRequest | CallerResponse:
-        """Return the request, or the response if it cannot be served."""
-        routes = self._cluster_state.routes
-        limits = routes.limits if routes is not None else DEFAULT_LIMITS
-        if http_request.headers.get("Expect", "").lower() == "100-continue":
-            assert http_request.transport is not None
-            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > limits.max_body_bytes:
-                return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
-        if routes is None:
-            return refusal(
-                ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
-            )
-        return self._match_route(http_request, routes, bytes(body))
-
-    def _match_route(
-        self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
-    ) -> CallerRequest | CallerResponse:
-        """Return the routed request, or the response if it has no route."""
-        metadata = self._dialect.read_request(http_request.raw_headers)
-        target = http_request.raw_path
-        route = routes.match(metadata.host, target)
-        if route is None:
-            log_event(
-                logger,
-                "no_route",
-                request=metadata.request_id,
-                host=metadata.host,
-                version=routes.version,
-            )
-            return client_error(404, ResultCode.UNKNOWN_SERVICE, "no_route")
-        if not metadata.request_id:
-            return client_error(400, ResultCode.INVALID_FIELD, "no_request_id")
-        service = route.service_for(metadata.request_id)
-        request = CallerRequest(
-            metadata,
-            http_request.method,
-            target,
-            body,
-            route,
-            service,
-            self._clock.monotonic(),
-        )
-        self._open_requests.add(request)
-        log_event(
-            logger,
-            "request_read",
-            request=request.id,
-            route=route.name,
-            service=service,
-            version=routes.version,
-            left_ms=request.left_ms(request.arrived_s),
-            objective_ms=route.objective_ms or None,
-            bytes=len(body),
-            prompt_tokens=metadata.prompt.prompt_tokens if metadata.prompt else None,
-            expected_tokens=metadata.prompt.expected_tokens
-            if metadata.prompt
-            else None,
-            parts=",".join(metadata.shared_parts[:MAX_LOGGED_PARTS]) or None,
-            max_tokens=metadata.prompt.max_output_tokens if metadata.prompt else None,
-        )
-        return request
-
     async def _handle_plain(self, request: CallerRequest) -> web.StreamResponse:
         """Relay a plain request, detached if it must not be retried."""
         task = asyncio.ensure_future(self._plain_relay.run(request))
@@ -297,7 +180,7 @@
     async def _handle_stream(
         self, http_request: web.BaseRequest, request: CallerRequest
     ) -> web.StreamResponse:
-        sink = _StreamSink(http_request, close=self._shutdown.draining)
+        sink = CallerSink(http_request, close=self._shutdown.draining)
         code, reason = ResultCode.CALLER_GONE, "caller_gone"
         caller_response: CallerResponse | None = None
         try:
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
@@ -0,0 +1,60 @@
+"""Sends the event stream of a response to its caller.
+
+Load pattern: hundreds of streams at a time, each with tens of events per
+second, which are written as they arrive.
+"""
+
+from collections.abc import Sequence
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from .response_sink import CallerDisconnectedError
+
+__all__ = ["CallerSink"]
+
+
+class CallerSink:
+    """Sends a streamed response to the caller.
+
+    ``response`` is None until its head is sent.
+    """
+
+    def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
+        self._http_request = http_request
+        self._close = close
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the head of the response has been sent."""
+        return self.response is not None
+
+    async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send the head of the response."""
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        if self._close:
+            response.force_close()
+        if self._http_request.version >= (1, 1):
+            response.enable_chunked_encoding()
+        self.response = response
+        try:
+            await response.prepare(self._http_request)
+        except ConnectionError as error:
+            raise CallerDisconnectedError from error
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self.response is not None
+        try:
+            await self.response.write(data)
+        except ConnectionError as error:
+            raise CallerDisconnectedError from error
+
+    async def finish(self) -> None:
+        """End the response."""
+        assert self.response is not None
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerDisconnectedError from error
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -54,6 +54,16 @@
             options.rules,
         )
 
+    def update_metrics(self) -> None:
+        """Set the metrics of the shared objects to their current values."""
+        metrics, cluster_state = self.metrics, self.cluster_state
+        metrics.in_progress.set(self.shutdown.in_progress)
+        metrics.engines.set(len(cluster_state.registry.all_entries()))
+        metrics.opened.set(self.pool.opened)
+        metrics.store_era.set(cluster_state.era or 0)
+        if cluster_state.routes is not None:
+            metrics.version.set(cluster_state.routes.version)
+
 
 def build_watches(
     store: StateStore, options: RelayOptions, parts: HostParts, owners: OwnerSelection
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -1,6 +1,5 @@
 """Builds and runs the services of a relay host."""
 
-import asyncio
 import logging
 import secrets
 
@@ -32,7 +31,6 @@
     EngineDialect,
     HostEntry,
     StateStore,
-    StoreError,
 )
 from .queue_owner import QueueOwner
 from .relay_metrics import RelayMetrics
@@ -54,8 +52,6 @@
 PLANNING_PERIOD_S = 0.5
 COMMAND_LEASE_NAME = "engine_orders"
 PEER_KEY_BYTES = 32
-# Limits how long a graceful shutdown waits for the store.
-DEREGISTER_TIMEOUT_S = 0.4
 
 logger = logging.getLogger(__name__)
 
@@ -241,12 +237,7 @@
             in_progress=shutdown.in_progress,
             grace_s=shutdown.grace_s,
         )
-        self._registration.cancel()
-        try:
-            async with asyncio.timeout(DEREGISTER_TIMEOUT_S):
-                await self._store.remove_host(self._options.host_id)
-        except (StoreError, TimeoutError) as error:
-            log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
+        await self._registration.withdraw()
         assert self._callers is not None
         reason = await self._callers.drain()
         log_event(
@@ -401,14 +392,9 @@
     def _metrics_text(self) -> bytes:
         parts = self._parts
         metrics = parts.metrics
-        metrics.in_progress.set(parts.shutdown.in_progress)
         metrics.waiting.set(sum(self._queue_owner.waiting_counts().values()))
-        metrics.engines.set(len(parts.cluster_state.registry.all_entries()))
-        metrics.opened.set(parts.pool.opened)
         metrics.held_slots.set(self._admission.held_run_count)
         metrics.limited_servers.set(self._limits.known.count())
         self._quarantine.update_metrics(metrics)
-        metrics.store_era.set(parts.cluster_state.era or 0)
-        if parts.cluster_state.routes is not None:
-            metrics.version.set(parts.cluster_state.routes.version)
+        parts.update_metrics()
         return metrics.text()
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -0,0 +1,116 @@
+"""Reads the requests of callers completely and matches them to routes.
+
+Load pattern: a few hundred requests per second with bodies of some kilobytes;
+a few callers send their bodies slowly or never completely.
+"""
+
+import logging
+
+from aiohttp import web
+
+from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
+from kumquat_core.result_codes import ResultCode
+
+from .caller_request import CallerRequest
+from .caller_response import CallerResponse, client_error, refusal
+from .cluster_state import ClusterState
+from .open_requests import OpenRequests
+from .protocols import EngineDialect
+from .routes import CallerLimits, RouteTable
+
+__all__ = ["DEFAULT_LIMITS", "STOPPING_RETRY_AFTER_S", "RequestReader"]
+
+# Apply until the first configuration is received.
+DEFAULT_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
+# A starting host receives its configuration within a second.
+NOT_READY_RETRY_AFTER_S = 1.0
+# Another host accepts the caller's next connection immediately.
+STOPPING_RETRY_AFTER_S = 0.05
+MAX_LOGGED_PARTS = 8
+
+logger = logging.getLogger(__name__)
+
+
+class RequestReader:
+    """Turns HTTP requests into requests with a route."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        cluster_state: ClusterState,
+        dialect: EngineDialect,
+        open_requests: OpenRequests,
+    ) -> None:
+        self._clock = clock
+        self._cluster_state = cluster_state
+        self._dialect = dialect
+        self._open_requests = open_requests
+
+    async def read(
+        self, http_request: web.BaseRequest
+    ) -> CallerRequest | CallerResponse:
+        """Return the request, or the response if it cannot be served."""
+        routes = self._cluster_state.routes
+        limits = routes.limits if routes is not None else DEFAULT_LIMITS
+        if http_request.headers.get("Expect", "").lower() == "100-continue":
+            assert http_request.transport is not None
+            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = bytearray()
+        async for chunk in http_request.content.iter_any():
+            body += chunk
+            if len(body) > limits.max_body_bytes:
+                return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
+        if routes is None:
+            return refusal(
+                ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
+            )
+        return self._match_route(http_request, routes, bytes(body))
+
+    def _match_route(
+        self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
+    ) -> CallerRequest | CallerResponse:
+        """Return the routed request, or the response if it has no route."""
+        metadata = self._dialect.read_request(http_request.raw_headers)
+        target = http_request.raw_path
+        route = routes.match(metadata.host, target)
+        if route is None:
+            log_event(
+                logger,
+                "no_route",
+                request=metadata.request_id,
+                host=metadata.host,
+                version=routes.version,
+            )
+            return client_error(404, ResultCode.UNKNOWN_SERVICE, "no_route")
+        if not metadata.request_id:
+            return client_error(400, ResultCode.INVALID_FIELD, "no_request_id")
+        service = route.service_for(metadata.request_id)
+        request = CallerRequest(
+            metadata,
+            http_request.method,
+            target,
+            body,
+            route,
+            service,
+            self._clock.monotonic(),
+        )
+        self._open_requests.add(request)
+        log_event(
+            logger,
+            "request_read",
+            request=request.id,
+            route=route.name,
+            service=service,
+            version=routes.version,
+            left_ms=request.left_ms(request.arrived_s),
+            objective_ms=route.objective_ms or None,
+            bytes=len(body),
+            prompt_tokens=metadata.prompt.prompt_tokens if metadata.prompt else None,
+            expected_tokens=metadata.prompt.expected_tokens
+            if metadata.prompt
+            else None,
+            parts=",".join(metadata.shared_parts[:MAX_LOGGED_PARTS]) or None,
+            max_tokens=metadata.prompt.max_output_tokens if metadata.prompt else None,
+        )
+        return request
--- a/packages/kumquat_relay/src/kumquat_relay/store_registration.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_registration.py
@@ -22,6 +22,8 @@
 REGISTER_RETRY_S = 0.3
 # Well within the time in which other hosts keep an entry that is missing.
 REWRITE_SPREAD_S = 1.0
+# Limits how long a graceful shutdown waits for the store.
+WITHDRAW_TIMEOUT_S = 0.4
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +70,15 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def withdraw(self) -> None:
+        """Stop writing and remove the entry, if the store responds."""
+        self.cancel()
+        try:
+            async with asyncio.timeout(WITHDRAW_TIMEOUT_S):
+                await self._store.remove_host(self._entry.host_id)
+        except (StoreError, TimeoutError) as error:
+            log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
+
     async def _register(self) -> None:
         while True:
             try:
