Close callers' connections without losing what was read or answered

Callers of a stopping host could see a closed connection where a request had been read or a response was under way:

- Requests pipelined behind the first one were read and dropped, since its response closed the connection.
- `Server.pre_shutdown()` ended the readers of idle connections while the host still waited for others; bytes that arrived then were read and dropped.
- An incomplete head or body got a closed connection.
- Closing a connection with unread bytes reset it, which may destroy the response before them.
- Responses in buffers were lost when the event loop ended.

`CallerConnection` can stop reading for good, so that bytes that were not read stay in the kernel and the caller knows that its request has not run. While the host stops, requests that were read are answered in order, and the last response says `Connection: close`. The sending side is then closed; the connection follows once the caller has closed it too, or 0.3 s after the caller's kernel has acknowledged the response. A request whose body does not arrive is refused at the exit. All of it is bounded by the grace period.

--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -0,0 +1,255 @@
+"""Connections of callers, which a stopping host closes without losing bytes.
+
+Load pattern: several hundred connections are open when a host stops, most of
+them idle, some with a request or part of one, some with responses that their
+callers have not read yet. Bytes that the host has not read stay in the
+kernel, so that a caller knows that its request has not run. The sending side
+is closed first, and the connection once the caller has closed it too or after
+a short time: closing it with unread bytes resets it, which would destroy a
+response that is still on its way.
+"""
+
+import asyncio
+import fcntl
+import logging
+import socket
+import struct
+import termios
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+
+from kumquat_core.log_events import log_event
+
+__all__ = ["CallerConnection", "CallerConnections"]
+
+# How long callers that do not close a connection themselves may read the last
+# response before unread bytes reset the connection.
+LINGER_S = 0.3
+# Time for the last responses and closes once the process must exit. The margin
+# of the shutdown includes it.
+LAST_RESPONSES_S = 0.35
+POLL_S = 0.01
+# The state of a TCP connection that both sides have closed, see tcp(7).
+TCP_STATE_CLOSED = 7
+INT_BYTES = 4
+# Sent if part of a head was read when the host exits.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+logger = logging.getLogger(__name__)
+
+
+class CallerConnection(RequestHandler):
+    """A connection that can stop reading for good.
+
+    ``closing`` is set when the sending side is about to be closed, after the
+    last response.
+    """
+
+    __slots__ = ("_has_partial_head", "_last_payload", "_reading_stopped", "closing")
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, **options)
+        self._last_payload: StreamReader | None = None
+        self._has_partial_head = False
+        self._reading_stopped = False
+        self.closing = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; remember if they end within a head."""
+        count, was_in_body = self._request_count, self.in_body
+        super().data_received(data)
+        if self._request_count != count:
+            self._last_payload = self._messages[-1][1]
+            self._has_partial_head = False
+        elif data and not was_in_body:
+            self._has_partial_head = True
+
+    @property
+    def in_body(self) -> bool:
+        """Tell whether the body of the last request is incomplete."""
+        return self._last_payload is not None and not self._last_payload.is_eof()
+
+    @property
+    def has_next_request(self) -> bool:
+        """Tell whether a request was read that is not being handled yet."""
+        return bool(self._messages)
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether all requests that were read have been answered."""
+        task = self._task_handler
+        if self.closing or self.transport is None or task is None or task.done():
+            return True
+        if self._messages or self._request_in_progress:
+            return False
+        waits = self._waiter is not None and not self._waiter.done()
+        # The rest of a body whose request was answered early is discarded.
+        return waits or self.in_body
+
+    def stop_reading(self) -> None:
+        """Leave all further bytes unread, except the rest of a body."""
+        if not self.in_body:
+            self._reading_stopped = True
+            self._pause_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._reading_stopped:
+            super()._resume_transport_reading()
+
+    async def finish(self, left_s: Callable[[], float]) -> int:
+        """Close the connection once its responses have arrived.
+
+        Returns the bytes that could not be sent while ``left_s`` was positive.
+        """
+        if self.closing or self.transport is None or self.transport.is_closing():
+            return 0
+        self.closing = True
+        transport = self.transport
+        self.stop_reading()
+        if self._has_partial_head:
+            transport.write(REFUSAL)
+        try:
+            transport.write_eof()
+        except OSError as error:
+            log_event(logger, "caller_connection_lost", error=repr(error))
+        while self._is_open() and left_s() > 0 and _unsent_bytes(transport):
+            await asyncio.sleep(POLL_S)
+        linger_end_s = asyncio.get_running_loop().time() + LINGER_S
+        while self._is_open() and left_s() > 0:
+            if asyncio.get_running_loop().time() >= linger_end_s:
+                break
+            await asyncio.sleep(POLL_S)
+        unsent = _unsent_bytes(transport) if self._is_open() else 0
+        if unsent:
+            transport.abort()
+        else:
+            transport.close()
+        return unsent
+
+    def _is_open(self) -> bool:
+        """Tell whether the caller has not closed the connection yet."""
+        return self.transport is not None and not _is_closed(self.transport)
+
+
+class CallerConnections(web.Server):
+    """All connections of callers.
+
+    ``left_s`` returns the seconds until the process must exit.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        left_s: Callable[[], float],
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, **options)
+        self._left_s = left_s
+        self._closers: set[asyncio.Task[int]] = set()
+        self.unsent_counts: list[int] = []
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    async def send_last(
+        self, http_request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Send a response and close its connection afterwards.
+
+        Requests that were read behind this one are answered first.
+        """
+        connection = _connection_of(http_request)
+        if connection.has_next_request:
+            return
+        connection.stop_reading()
+        response.headers["Connection"] = "close"
+        try:
+            await response.prepare(http_request)
+            await response.write_eof()
+        except ConnectionError as error:
+            log_event(logger, "caller_connection_lost", error=repr(error))
+            return
+        self.close_later(http_request)
+
+    def close_later(self, http_request: web.BaseRequest) -> None:
+        """Close the connection of a request that has been answered."""
+        connection = _connection_of(http_request)
+        if connection.has_next_request:
+            # They were sent behind a stream whose head announced the close.
+            log_event(logger, "requests_behind_stream_dropped")
+        self._start_closer(connection)
+
+    async def close_all(self) -> None:
+        """Answer what was read and close all connections.
+
+        No further request is read. ``unsent_counts`` has the bytes of each
+        connection that could not be sent.
+        """
+        while self._seconds_left() > 0:
+            for connection in self._caller_connections():
+                connection.stop_reading()
+            await asyncio.sleep(POLL_S)
+            if all(item.answered for item in self._caller_connections()):
+                break
+        for connection in self._caller_connections():
+            self._start_closer(connection)
+        await asyncio.gather(*self._closers)
+
+    def _start_closer(self, connection: CallerConnection) -> None:
+        task = asyncio.ensure_future(connection.finish(self._seconds_left))
+        self._closers.add(task)
+        task.add_done_callback(self._closer_ended)
+
+    def _closer_ended(self, task: asyncio.Task[int]) -> None:
+        self._closers.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log_event(
+                logger,
+                "close_failed",
+                level=logging.ERROR,
+                error=repr(error),
+            )
+        elif not task.cancelled() and task.result():
+            self.unsent_counts.append(task.result())
+
+    def _seconds_left(self) -> float:
+        return self._left_s() + LAST_RESPONSES_S
+
+    def _caller_connections(self) -> list[CallerConnection]:
+        return [item for item in self.connections if isinstance(item, CallerConnection)]
+
+
+def _connection_of(http_request: web.BaseRequest) -> CallerConnection:
+    connection = http_request.protocol
+    assert isinstance(connection, CallerConnection)
+    return connection
+
+
+def _unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the caller's host has not acknowledged yet."""
+    buffered: int = transport.get_write_buffer_size()
+    try:
+        sock = transport.get_extra_info("socket")
+        in_kernel = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+    except OSError:
+        # The socket is closed, so nothing more can be sent.
+        return buffered
+    return buffered + int(struct.unpack("i", in_kernel)[0])
+
+
+def _is_closed(transport: asyncio.Transport) -> bool:
+    """Tell whether both sides have closed the connection, or it was reset."""
+    try:
+        sock = transport.get_extra_info("socket")
+        state: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return True
+    return state[0] == TCP_STATE_CLOSED
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -19,6 +19,7 @@
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.settings import Address
 
+from .caller_connection import CallerConnections
 from .caller_request import CallerRequest
 from .caller_response import CallerResponse, failure, refusal
 from .caller_sink import CallerSink
@@ -30,7 +31,7 @@
 from .request_reader import DEFAULT_LIMITS, STOPPING_RETRY_AFTER_S, RequestReader
 from .response_sink import CallerDisconnectedError
 from .routes import RouteKind
-from .shutdown import ExitReason, Shutdown
+from .shutdown import Shutdown
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
@@ -72,45 +73,53 @@
         self._detached_tasks: set[asyncio.Task[CallerResponse]] = set()
         self._open_requests = OpenRequests(clock, metrics)
         self._reader = RequestReader(clock, cluster_state, dialect, self._open_requests)
-        self._server: web.Server | None = None
+        self._closing = False
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Start to accept connections."""
-        self._server = web.Server(
+        self._connections = CallerConnections(
             self._handle,
+            lambda: self._shutdown.left_s,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=DEFAULT_LIMITS.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             max_line_size=DEFAULT_LIMITS.max_header_bytes,
             max_field_size=DEFAULT_LIMITS.max_header_bytes,
         )
-        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
+        self._runner = web.ServerRunner(self._connections, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(
             self._runner, self._listen.ip, self._listen.port, backlog=LISTEN_BACKLOG
         ).start()
 
-    async def drain(self) -> ExitReason:
-        """Serve until the host may exit, and return why it exits.
+    async def drain(self) -> None:
+        """Serve until the host may exit, then close all connections.
 
         New connections are accepted until the load balancer has removed the
         host.
         """
         await self._shutdown.wait_for_detection()
         await self._stop_listening()
-        return await self._shutdown.wait()
+        reason = await self._shutdown.wait()
+        log_event(
+            logger,
+            "exit_decided",
+            reason=reason.value,
+            in_progress=self._shutdown.in_progress,
+            after_ms=round(self._shutdown.elapsed_s * 1000),
+            grace_s=self._shutdown.grace_s,
+        )
+        await self._close_connections()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening, wait for requests and close all connections."""
-        if self._runner is None or self._server is None:
+        if self._runner is None:
             return
         await self._stop_listening()
-        self._server.pre_shutdown()
         while self._shutdown.in_progress and self._shutdown.left_s > 0:
             await asyncio.sleep(STOP_POLL_S)
-        self._log_unsent()
-        self._open_requests.cut_all()
+        await self._close_connections()
         await self._runner.cleanup()
 
     async def _stop_listening(self) -> None:
@@ -118,20 +127,20 @@
         for site in list(self._runner.sites):
             await site.stop()
 
-    def _log_unsent(self) -> None:
-        """Log how much of the responses is still in buffers, if any is."""
-        assert self._server is not None
-        sizes = [
-            connection.transport.get_write_buffer_size()
-            for connection in self._server.connections
-            if connection.transport is not None
-        ]
-        unsent = [size for size in sizes if size]
+    async def _close_connections(self) -> None:
+        """Answer every request that was read and close all connections."""
+        if self._closing:
+            return
+        self._closing = True
+        open_connections = len(self._connections.connections)
+        self._reader.end_incomplete()
+        await self._connections.close_all()
+        self._open_requests.cut_all()
+        unsent = self._connections.unsent_counts
         log_event(
             logger,
             "connections_closed",
-            open=len(sizes),
-            detached=len(self._detached_tasks),
+            open=open_connections,
             unsent=len(unsent),
             unsent_bytes=sum(unsent),
         )
@@ -141,21 +150,23 @@
         result = await self._reader.read(http_request)
         if isinstance(result, CallerResponse):
             self._record_end(None, result.code, result.reason, arrived_s)
-            return self._to_http_response(result)
-        if not self._shutdown.accepts(result.deadline_s - self._clock.monotonic()):
+            return await self._respond(http_request, result)
+        longest_s = result.deadline_s - self._clock.monotonic()
+        if self._closing or not self._shutdown.accepts(longest_s):
             caller_response = refusal(
                 ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S
             )
             self._record_end(
                 result, caller_response.code, caller_response.reason, arrived_s
             )
-            return self._to_http_response(caller_response)
+            return await self._respond(http_request, caller_response)
         with self._shutdown.track_work():
             if result.route.kind is RouteKind.STREAM:
                 return await self._handle_stream(http_request, result)
-            return await self._handle_plain(result)
+            caller_response = await self._handle_plain(result)
+        return await self._respond(http_request, caller_response)
 
-    async def _handle_plain(self, request: CallerRequest) -> web.StreamResponse:
+    async def _handle_plain(self, request: CallerRequest) -> CallerResponse:
         """Relay a plain request, detached if it must not be retried."""
         task = asyncio.ensure_future(self._plain_relay.run(request))
         try:
@@ -175,7 +186,7 @@
         self._record_end(
             request, caller_response.code, caller_response.reason, request.arrived_s
         )
-        return self._to_http_response(caller_response)
+        return caller_response
 
     async def _handle_stream(
         self, http_request: web.BaseRequest, request: CallerRequest
@@ -198,11 +209,15 @@
         finally:
             self._record_end(request, code, reason, request.arrived_s)
         if sink.response is None:
-            return self._to_http_response(caller_response or failure(code, reason))
+            return await self._respond(
+                http_request, caller_response or failure(code, reason)
+            )
         # The response has begun, so only a broken connection shows the caller
         # that it is incomplete.
         if reason != "complete" and http_request.transport is not None:
             http_request.transport.abort()
+        elif self._shutdown.draining:
+            self._connections.close_later(http_request)
         return sink.response
 
     def _internal_error(
@@ -218,15 +233,18 @@
         )
         return failure(ResultCode.INTERNAL_ERROR, "internal_error")
 
-    def _to_http_response(self, caller_response: CallerResponse) -> web.Response:
+    async def _respond(
+        self, http_request: web.BaseRequest, caller_response: CallerResponse
+    ) -> web.Response:
+        """Return a response; while the host is stopping, send it at once."""
         response = web.Response(
             status=caller_response.status,
             reason=_reason_phrase(caller_response.status),
             headers=CIMultiDict(caller_response.headers),
             body=caller_response.body,
         )
-        if self._shutdown.draining:
-            response.force_close()
+        if self._shutdown.draining or self._closing:
+            await self._connections.send_last(http_request, response)
         return response
 
     def _record_end(
--- a/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
@@ -34,7 +34,7 @@
         """Send the head of the response."""
         response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         if self._close:
-            response.force_close()
+            response.headers["Connection"] = "close"
         if self._http_request.version >= (1, 1):
             response.enable_chunked_encoding()
         self.response = response
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -239,15 +239,7 @@
         )
         await self._registration.withdraw()
         assert self._callers is not None
-        reason = await self._callers.drain()
-        log_event(
-            logger,
-            "exit_decided",
-            reason=reason.value,
-            in_progress=shutdown.in_progress,
-            after_ms=round(shutdown.elapsed_s * 1000),
-            grace_s=shutdown.grace_s,
-        )
+        await self._callers.drain()
 
     async def stop(self) -> None:
         """Stop all services and close all connections."""
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -1,7 +1,9 @@
 """Reads the requests of callers completely and matches them to routes.
 
 Load pattern: a few hundred requests per second with bodies of some kilobytes;
-a few callers send their bodies slowly or never completely.
+a few callers send their bodies slowly or never completely. When the host
+stops, ``end_incomplete`` ends the reading of the latter, so that they get a
+refusal and do not delay the exit.
 """
 
 import logging
@@ -15,6 +17,7 @@
 from .caller_request import CallerRequest
 from .caller_response import CallerResponse, client_error, refusal
 from .cluster_state import ClusterState
+from .cutoff import Cutoff
 from .open_requests import OpenRequests
 from .protocols import EngineDialect
 from .routes import CallerLimits, RouteTable
@@ -46,6 +49,11 @@
         self._cluster_state = cluster_state
         self._dialect = dialect
         self._open_requests = open_requests
+        self._body_cutoff = Cutoff()
+
+    def end_incomplete(self) -> None:
+        """Refuse the requests whose bodies have not arrived completely."""
+        self._body_cutoff.end_all()
 
     async def read(
         self, http_request: web.BaseRequest
@@ -57,10 +65,20 @@
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > limits.max_body_bytes:
-                return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
+        try:
+            async with self._body_cutoff.timeout_at(None):
+                async for chunk in http_request.content.iter_any():
+                    body += chunk
+                    if len(body) > limits.max_body_bytes:
+                        return client_error(
+                            413, ResultCode.BODY_TOO_LARGE, "body_too_large"
+                        )
+        except TimeoutError:
+            metadata = self._dialect.read_request(http_request.raw_headers)
+            log_event(
+                logger, "body_incomplete", request=metadata.request_id, bytes=len(body)
+            )
+            return refusal(ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S)
         if routes is None:
             return refusal(
                 ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
