Answer requests that outlast the grace period instead of closing on them

A request that was accepted before SIGTERM may last longer than the grace period. Its caller got a closed connection, and its log line blamed the caller (`caller_gone`), since the host cancelled its handler.

When the process must exit, all deadlines of requests in progress are now moved to that moment. A request of which nothing was sent is refused with 503; any other plain request, and a stream that has not begun, gets 504 with code 1306, since it may have run; a stream that has begun is broken off as before. All of them are logged as `request_cut` and counted.

Before, test_a_request_that_outlasts_the_grace_period_is_answered_and_counted and test_a_grace_period_that_is_changed_while_stopping_is_followed failed with IncompleteReadError (0 bytes read).

--- a/packages/kumquat_relay/src/kumquat_relay/caller_response.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_response.py
@@ -9,7 +9,13 @@
 
 from kumquat_core.result_codes import ResultCode
 
-__all__ = ["CallerResponse", "failure", "client_error", "refusal"]
+__all__ = [
+    "MIN_RETRY_AFTER_S",
+    "CallerResponse",
+    "failure",
+    "client_error",
+    "refusal",
+]
 
 RETRY_AFTER = "Retry-After"
 RESULT_CODE = "X-Result-Code"
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -24,6 +24,7 @@
 from .caller_response import CallerResponse, failure, refusal
 from .caller_sink import CallerSink
 from .cluster_state import ClusterState
+from .cutoff import HOST_STOPPED, Cutoff
 from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
@@ -62,6 +63,7 @@
         dialect: EngineDialect,
         shutdown: Shutdown,
         metrics: RelayMetrics,
+        cutoff: Cutoff,
     ) -> None:
         super().__init__()
         self._listen = listen
@@ -73,6 +75,7 @@
         self._detached_tasks: set[asyncio.Task[CallerResponse]] = set()
         self._open_requests = OpenRequests(clock, metrics)
         self._reader = RequestReader(clock, cluster_state, dialect, self._open_requests)
+        self._cutoff = cutoff
         self._closing = False
         self._runner: web.ServerRunner | None = None
 
@@ -133,6 +136,7 @@
             return
         self._closing = True
         open_connections = len(self._connections.connections)
+        self._cutoff.end_all()
         self._reader.end_incomplete()
         await self._connections.close_all()
         self._open_requests.cut_all()
@@ -262,6 +266,8 @@
         kind = request.route.kind.value if request is not None else "none"
         if request is not None:
             self._open_requests.remove(request)
+        if request is not None and reason == HOST_STOPPED:
+            self._open_requests.record_cut(request)
         self._metrics.record_request(kind, code, duration_s)
         log_event(
             logger,
--- a/packages/kumquat_relay/src/kumquat_relay/cutoff.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cutoff.py
@@ -10,7 +10,10 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-__all__ = ["Cutoff"]
+__all__ = ["HOST_STOPPED", "Cutoff"]
+
+# The reason that is logged for requests that end because their host exits.
+HOST_STOPPED = "host_stopped"
 
 
 class Cutoff:
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -16,7 +16,8 @@
 from kumquat_core.result_codes import ResultCode
 
 from .caller_request import CallerRequest
-from .caller_response import CallerResponse, failure, refusal
+from .caller_response import MIN_RETRY_AFTER_S, CallerResponse, failure, refusal
+from .cutoff import HOST_STOPPED, Cutoff
 from .engine_connection import (
     ConnectionBrokenError,
     EngineConnection,
@@ -85,7 +86,9 @@
         notices: EngineNotices,
         memory: ResponseMemory,
         permits: SendPermits,
+        cutoff: Cutoff,
     ) -> None:
+        self._cutoff = cutoff
         self._permits = permits
         self._notices = notices
         self._memory = memory
@@ -101,9 +104,11 @@
         progress = _Progress()
         self._retries.record_request(request.service)
         try:
-            async with asyncio.timeout_at(_loop_deadline_s(request, self._clock)):
+            async with self._cutoff.timeout_at(_loop_deadline_s(request, self._clock)):
                 return await self._send_until_final(request, progress)
         except TimeoutError:
+            if self._cutoff.reached:
+                return _cut_response(progress)
             return _timeout_response(progress)
 
     async def _send_until_final(
@@ -316,6 +321,13 @@
     )
 
 
+def _cut_response(progress: _Progress) -> CallerResponse:
+    """Return the response to a request whose host must exit."""
+    if progress.sends == 0:
+        return refusal(ResultCode.DRAINING, HOST_STOPPED, MIN_RETRY_AFTER_S)
+    return failure(ResultCode.OUTCOME_UNKNOWN, HOST_STOPPED, timed_out=True)
+
+
 def _timeout_response(progress: _Progress) -> CallerResponse:
     """Return the response to a request whose deadline has passed."""
     if progress.failed_response is not None:
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -16,6 +16,7 @@
 from .admission import Admission
 from .caller_server import CallerServer
 from .command_lease import CommandLease
+from .cutoff import Cutoff
 from .engine_calls import EngineCalls
 from .engine_notices import EngineNotices
 from .engine_probe import EngineProbe
@@ -263,7 +264,7 @@
 
     def _build_caller_server(self) -> CallerServer:
         options, parts = self._options, self._parts
-        memory = ResponseMemory()
+        memory, cutoff = ResponseMemory(), Cutoff()
         plain = PlainRelay(
             parts.clock,
             parts.pool,
@@ -274,6 +275,7 @@
             self._notices,
             memory,
             self._limits.permits,
+            cutoff,
         )
         calls = EngineCalls(
             parts.clock, parts.pool, self._dialect, self._notices, self._limits.known
@@ -290,6 +292,7 @@
             memory,
             self._limits.known,
             self._quarantine,
+            cutoff,
             parts.rules,
         )
         return CallerServer(
@@ -301,6 +304,7 @@
             self._dialect,
             parts.shutdown,
             parts.metrics,
+            cutoff,
         )
 
     async def _listen_for_peers(self, key: bytes) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
@@ -7,11 +7,17 @@
 from kumquat_core.result_codes import ResultCode
 
 from .admission_refusal import AdmissionRefusedError
-from .caller_response import failure, refusal
+from .caller_response import MIN_RETRY_AFTER_S, failure, refusal
+from .cutoff import HOST_STOPPED
 from .queue_types import QUARANTINED
 from .stream_progress import StreamOutcome, StreamProgress
 
-__all__ = ["incomplete_outcome", "quarantined_outcome", "refused_outcome"]
+__all__ = [
+    "incomplete_outcome",
+    "quarantined_outcome",
+    "refused_outcome",
+    "timeout_outcome",
+]
 
 NO_SLOT_RETRY_S = 0.4
 
@@ -58,3 +64,16 @@
             code = ResultCode.DEADLINE_EXCEEDED
         response = failure(code, reason, timed_out=timed_out)
     return StreamOutcome(response.code, reason, response)
+
+
+def timeout_outcome(progress: StreamProgress, *, host_stopped: bool) -> StreamOutcome:
+    """Return the outcome at the deadline, or when the host must exit."""
+    if not host_stopped:
+        return incomplete_outcome(progress, "deadline", timed_out=True)
+    if progress.sink.started:
+        return StreamOutcome(ResultCode.STREAM_INTERRUPTED, HOST_STOPPED)
+    if progress.sends == 0:
+        response = refusal(ResultCode.DRAINING, HOST_STOPPED, MIN_RETRY_AFTER_S)
+    else:
+        response = failure(ResultCode.OUTCOME_UNKNOWN, HOST_STOPPED, timed_out=True)
+    return StreamOutcome(response.code, HOST_STOPPED, response)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -21,6 +21,7 @@
 from .caller_request import CallerRequest
 from .cluster_state import ClusterState
 from .crash_evidence import Verdict
+from .cutoff import Cutoff
 from .engine_calls import EngineCalls, NotExecutedError
 from .engine_connection import ConnectionBrokenError
 from .engine_notices import EngineNotices
@@ -44,6 +45,7 @@
     incomplete_outcome,
     quarantined_outcome,
     refused_outcome,
+    timeout_outcome,
 )
 from .stream_progress import CompletionReport, StreamOutcome, StreamProgress
 
@@ -75,8 +77,10 @@
         memory: ResponseMemory,
         limits: KnownLimits,
         quarantine: HostQuarantine,
+        cutoff: Cutoff,
         rules: RelayRules = ALL_RULES,
     ) -> None:
+        self._cutoff = cutoff
         self._quarantine = quarantine
         self._rules = rules
         self._memory = memory
@@ -110,10 +114,10 @@
         loop_now_s = asyncio.get_running_loop().time()
         left_s = max(0.0, request.deadline_s - self._clock.monotonic())
         try:
-            async with asyncio.timeout_at(loop_now_s + left_s):
+            async with self._cutoff.timeout_at(loop_now_s + left_s):
                 return await self._run_until_final(request, progress)
         except TimeoutError:
-            return incomplete_outcome(progress, "deadline", timed_out=True)
+            return timeout_outcome(progress, host_stopped=self._cutoff.reached)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
             if progress.reservation_id and progress.reservation_engine is not None:
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -59,6 +59,8 @@
 REFUSED = "12"
 FAILED = "13"
 CALLER_GONE = "1211"
+# The reason of requests that ended because their host had to exit.
+HOST_STOPPED = "host_stopped"
 
 
 def cause_of(lines: Sequence[LogLine]) -> str:
@@ -74,7 +76,7 @@
     if cut is not None:
         return (
             f"cut: its host exited {cut.get('ms')} ms after it was read, "
-            f"{cut.get('left_ms')} ms before its deadline"
+            f"{cut.get('left_ms')} ms before its deadline{_cut_response(lines)}"
         )
     if not ends:
         last = lines[-1]
@@ -180,6 +182,16 @@
     )
 
 
+def _cut_response(lines: Sequence[LogLine]) -> str:
+    """Return what the caller of a cut request got, if its host answered."""
+    end = _last(lines, "request_ended")
+    if end is None or end.get("reason") != HOST_STOPPED:
+        return ""
+    if end.get("code").startswith(REFUSED):
+        return "; the caller was told that it has not run"
+    return "; the caller was told that it may have run"
+
+
 def _describe_progress(lines: Sequence[LogLine]) -> str:
     """Return how far a request got before its caller disconnected."""
     if _last(lines, "stream_pace") is not None:
--- a/tests/ctl/test_log_timeline.py
+++ b/tests/ctl/test_log_timeline.py
@@ -102,6 +102,11 @@
     assert explain("ab", "--log", "-", stdin="\n".join(lines))[-1] == (
         "cut: its host exited 1510.2 ms after it was read, 489 ms before its deadline"
     )
+    lines[-1] = f"{prefix} event=request_ended request=ab code=1306 reason=host_stopped"
+    assert explain("ab", "--log", "-", stdin="\n".join(lines))[-1] == (
+        "cut: its host exited 1510.2 ms after it was read, 489 ms before its "
+        "deadline; the caller was told that it may have run"
+    )
 
 
 def test_a_request_that_no_line_names_is_an_error() -> None:
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -11,6 +11,7 @@
 import pytest
 from aiohttp import web
 
+from kumquat_core.log_events import KeyValueFormatter
 from kumquat_relay.relay_host import RelayHost
 
 from .raw_caller import RawCaller, RawResponse, request_bytes
@@ -230,6 +231,49 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_outlasts_the_grace_period_is_answered_and_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Its caller got a closed connection, and no line named it."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await _connect(harness)
+        await _hold_servers(harness, caller, "once")
+        harness.host._parts.shutdown.grace_s = 1.5
+        stop = _stop(harness.host)
+        response = await caller.read()
+        assert (response.status, response.closes) == (504, True)
+        await stop
+        _release_servers(harness)
+        text = harness.host.metrics.text().decode()
+        assert 'kumquat_relay_requests_cut_total{kind="once"} 1.0' in text
+
+    with caplog.at_level("INFO"):
+        run_scenario(scenario)
+    lines = [KeyValueFormatter().format(record) for record in caplog.records]
+    (cut,) = [line for line in lines if "event=request_cut" in line]
+    assert "request=held" in cut
+    (decision,) = [line for line in lines if "event=exit_decided" in line]
+    assert "reason=grace_over" in decision
+
+
+def test_a_grace_period_that_is_changed_while_stopping_is_followed() -> None:
+    async def scenario(harness: RelayHarness) -> None:
+        loop = asyncio.get_running_loop()
+        caller = await _connect(harness)
+        await _hold_servers(harness, caller, "once")
+        began_s = loop.time()
+        stop = _stop(harness.host)
+        await asyncio.sleep(DETECTION_S + 0.1)
+        harness.host._parts.shutdown.grace_s = 1.5
+        assert (await caller.read()).status == 504
+        await stop
+        assert loop.time() - began_s < 1.5
+        _release_servers(harness)
+
+    run_scenario(scenario)
+
+
 async def _send_until_refused(harness: RelayHarness, name: str) -> list[str]:
     """Open a connection for each request; return those without a response."""
     unanswered = []
