Count work as in progress after its caller has left

A request that must not be repeated runs on when its caller closes the connection, but only requests with a connection were counted. A stopping host exited in the midst of it, so its server was cut off and no line told.

Such a request now counts as work until it ends, which `detached_ended` logs with its result; if the grace period ends first, it is logged and counted as cut. test_work_whose_caller_has_left_is_finished failed before: the host had exited while the server still worked on the request.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -177,13 +177,13 @@
             if request.route.allows_retry:
                 caller_response = await task
             else:
-                self._detached_tasks.add(task)
-                task.add_done_callback(self._detached_tasks.discard)
                 caller_response = await asyncio.shield(task)
         except asyncio.CancelledError:
             self._record_end(
                 request, ResultCode.CALLER_GONE, "caller_gone", request.arrived_s
             )
+            if not request.route.allows_retry:
+                self._detach(request, task)
             raise
         except Exception as error:
             caller_response = self._internal_error(request, error)
@@ -192,6 +192,37 @@
         )
         return caller_response
 
+    def _detach(
+        self, request: CallerRequest, task: asyncio.Task[CallerResponse]
+    ) -> None:
+        """Let a request run on whose caller has closed its connection."""
+        self._detached_tasks.add(task)
+        self._open_requests.add(request)
+        self._shutdown.begin_work()
+        task.add_done_callback(lambda _: self._detached_ended(request, task))
+
+    def _detached_ended(
+        self, request: CallerRequest, task: asyncio.Task[CallerResponse]
+    ) -> None:
+        self._detached_tasks.discard(task)
+        self._shutdown.end_work()
+        self._open_requests.remove(request)
+        if task.cancelled():
+            return
+        error = task.exception()
+        response = (
+            self._internal_error(request, error) if error is not None else task.result()
+        )
+        log_event(
+            logger,
+            "detached_ended",
+            request=request.id,
+            code=response.code.value,
+            reason=response.reason,
+        )
+        if response.reason == HOST_STOPPED:
+            self._open_requests.record_cut(request)
+
     async def _handle_stream(
         self, http_request: web.BaseRequest, request: CallerRequest
     ) -> web.StreamResponse:
@@ -225,7 +256,7 @@
         return sink.response
 
     def _internal_error(
-        self, request: CallerRequest, error: Exception
+        self, request: CallerRequest, error: BaseException
     ) -> CallerResponse:
         """Log an unexpected error and return the response to its request."""
         log_event(
--- a/packages/kumquat_relay/src/kumquat_relay/shutdown.py
+++ b/packages/kumquat_relay/src/kumquat_relay/shutdown.py
@@ -94,16 +94,24 @@
         end_s = self._began_s + self.grace_s - EXIT_MARGIN_S
         return end_s - self._clock.monotonic()
 
+    def begin_work(self) -> None:
+        """Count an accepted request as work until ``end_work``."""
+        self.in_progress += 1
+        self._last_request_s = self._clock.monotonic()
+
+    def end_work(self) -> None:
+        """Record that an accepted request has ended."""
+        self.in_progress -= 1
+        self._last_request_s = self._clock.monotonic()
+
     @contextmanager
     def track_work(self) -> Iterator[None]:
         """Count an accepted request as work while the context is open."""
-        self.in_progress += 1
-        self._last_request_s = self._clock.monotonic()
+        self.begin_work()
         try:
             yield
         finally:
-            self.in_progress -= 1
-            self._last_request_s = self._clock.monotonic()
+            self.end_work()
 
     @property
     def idle(self) -> bool:
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -231,6 +231,26 @@
     run_scenario(scenario)
 
 
+def test_work_whose_caller_has_left_is_finished() -> None:
+    """A request that must not be repeated was cancelled at its server, since
+    only requests with a connection counted as in progress."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await _connect(harness)
+        await _hold_servers(harness, caller, "once")
+        caller.close()
+        await asyncio.sleep(0.05)
+        stop = _stop(harness.host)
+        await asyncio.sleep(DETECTION_S + 0.3)
+        assert not stop.done()
+        _release_servers(harness)
+        await stop
+        assert _runs(harness) == {"held"}
+        assert sum(engine.cancelled for engine in harness.backend_servers) == 0
+
+    run_scenario(scenario)
+
+
 def test_a_request_that_outlasts_the_grace_period_is_answered_and_counted(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
