Stop the callers' side of a host before the links to other hosts

The server for other hosts, the probes and the observer of crashes stopped before the server for callers, so a request that was still served then could neither get nor give back a slot of a queue that this host owns.

No loss of this kind was seen: the new tests of an owner that stops passed before, since a planned stop waits for its work first. The order matters when a host is stopped without a graceful shutdown.

--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -243,15 +243,17 @@
         await self._callers.drain()
 
     async def stop(self) -> None:
-        """Stop all services and close all connections."""
+        """Stop all services, first the callers', which use the others."""
         in_progress = self._parts.shutdown.in_progress
         self._registration.cancel()
-        self._probe.close()
-        self._quarantine.observer.close()
-        if self._peer_services is not None:
-            await self._peer_services.stop()
+        if self._callers is not None:
+            await self._callers.stop()
         if self._supervisor is not None:
             await self._supervisor.stop()
+        if self._peer_services is not None:
+            await self._peer_services.stop()
+        self._probe.close()
+        self._quarantine.observer.close()
         self._parts.pool.close()
         await self._store.close()
         log_event(logger, "stopped", in_progress=in_progress)
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -364,6 +365,53 @@
     run_scenario(scenario)
 
 
+def _with_owner(
+    check: Callable[[RelayHarness, RelayHost, RelayHost], Awaitable[None]],
+) -> Callable[[RelayHarness], Awaitable[None]]:
+    """Return a scenario that knows the owner of the queue and another host."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        first, second = harness.hosts
+        owner_id = first._owner_selection.owner("llm")
+        owner = first if owner_id == first._options.host_id else second
+        await check(harness, owner, second if owner is first else first)
+
+    return scenario
+
+
+def test_streams_of_other_hosts_survive_the_stop_of_their_queues_owner() -> None:
+    """The owner closed its connections to other hosts before its callers'."""
+
+    async def check(harness: RelayHarness, owner: RelayHost, other: RelayHost) -> None:
+        for engine in harness.decode_engines:
+            engine.gap_s = 0.15
+        async with harness.send("story", host=other) as response:
+            stop = _stop(owner)
+            first = await response.read()
+        async with harness.send("story", host=other) as response:
+            assert await response.read() == first
+            assert response.status == 200
+        await stop
+
+    run_scenario(_with_owner(check), host_count=2)
+
+
+def test_streams_of_the_stopping_owner_itself_are_finished() -> None:
+    async def check(harness: RelayHarness, owner: RelayHost, other: RelayHost) -> None:
+        for engine in harness.decode_engines:
+            engine.gap_s = 0.3
+        async with (
+            harness.send("tale", host=owner) as response,
+            harness.send("tale", host=other) as second,
+        ):
+            stop = _stop(owner)
+            assert await response.read() == await second.read()
+            assert (response.status, second.status) == (200, 200)
+        await stop
+
+    run_scenario(_with_owner(check), host_count=2)
+
+
 def test_two_hosts_that_stop_at_once_answer_their_requests() -> None:
     async def scenario(harness: RelayHarness) -> None:
         addresses = [host._options.callers for host in harness.hosts]
