Follow a grace period that changes while the host stops

The settings were not read any more after SIGTERM, so a host that was told that it had less time was killed in the midst of its work, and one that had more did not use it.

The settings are now watched until the connections are closed. The new soak test sends SIGTERM, SIGHUP and SIGTERM to a host with two requests in progress and shortens the grace period from 9 to 2.2 s: the requests are answered with 504, logged as cut, and the host exits within the new time. A second test stops a host that has no configuration yet, since its store is away.

--- a/packages/kumquat_relay/src/kumquat_relay/runner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/runner.py
@@ -44,8 +44,9 @@
     await host.start()
     watch_task = asyncio.ensure_future(_watch_settings(path, host, reload_requested))
     await stop_requested.wait()
-    watch_task.cancel()
+    # A grace period that changes while the host stops is followed.
     await host.drain()
+    watch_task.cancel()
     await host.stop()
     log_handler.flush()
 
--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -9,7 +9,7 @@
 
 from kumquat_core.settings import Address
 
-__all__ = ["GRACE_S", "HostProcess"]
+__all__ = ["EXIT_TIMEOUT_S", "GRACE_S", "HostProcess"]
 
 ROOT = Path(__file__).resolve().parents[2]
 EXIT_TIMEOUT_S = 12.0
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -6,9 +6,11 @@
 from pathlib import Path
 
 from tests.relay.ingress import FakeIngress
+from tests.relay.raw_caller import RawCaller, request_bytes
 
 from .callers import RequestOutcome, SentRequest, SoakCaller
 from .checks import find_violations
+from .host_process import EXIT_TIMEOUT_S
 from .soak_harness import EVENTS, SoakHarness
 from .stop_trial import StopTrial
 
@@ -112,3 +114,70 @@
     # Accepted until the load balancer has removed the host, or until a request
     # of two seconds may not end any more; then the last one takes 2 s.
     assert trial.stop_times[0] < 3.7
+
+
+async def _stop_with_changes(folder: Path) -> tuple[float, list[int], str]:
+    """Shorten the grace period while a host stops, with further signals.
+
+    Returns how long the host took to exit, the statuses of the requests that
+    it held and its log.
+    """
+    loop = asyncio.get_running_loop()
+    async with SoakHarness(folder, host_count=1, grace_s=9.0) as harness:
+        host = harness.hosts[0]
+        for engine in harness.engines:
+            engine.responsive.clear()
+        callers = [await RawCaller.connect(host.callers) for _ in range(2)]
+        for number, caller in enumerate(callers):
+            caller.writer.write(request_bytes("once", f"held{number}", 3000))
+        await asyncio.sleep(0.3)
+        began_s = loop.time()
+        for signal_number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            host.send(signal_number)
+            await asyncio.sleep(0.1)
+        host.change_grace(2.2)
+        host.send(signal.SIGHUP)
+        responses = [await caller.read() for caller in callers]
+        host.send(signal.SIGTERM)
+        assert await host.wait_for_exit() == 0
+        took_s = loop.time() - began_s
+        for engine in harness.engines:
+            engine.responsive.set()
+    log = (folder / "h0.log").read_text()
+    return took_s, [response.status for response in responses], log
+
+
+def test_a_shorter_grace_period_is_followed_under_signals_in_series(
+    tmp_path: Path,
+) -> None:
+    """The settings were not read any more after SIGTERM, so the platform
+    killed the host in the midst of its work."""
+    took_s, statuses, log = asyncio.run(_stop_with_changes(tmp_path))
+    assert took_s < 2.2
+    # The requests may have run, so they are not refused.
+    assert statuses == [504, 504]
+    assert log.count("event=request_cut") == 2
+    assert "reason=grace_over" in log
+    assert "Traceback" not in log
+
+
+async def _stop_during_startup(folder: Path) -> int | None:
+    async with SoakHarness(folder, host_count=1) as harness:
+        host = harness.hosts[0]
+        host.send(signal.SIGKILL)
+        await host.wait_for_exit()
+        log = folder / "h0.log"
+        starts = log.read_text().count("event=started")
+        harness.store.unavailable = True
+        await host.start()
+        async with asyncio.timeout(EXIT_TIMEOUT_S):
+            while log.read_text().count("event=started") == starts:
+                await asyncio.sleep(0.02)
+        host.send(signal.SIGTERM)
+        return await host.wait_for_exit()
+
+
+def test_a_stop_before_a_host_has_its_configuration_ends_it_in_order(
+    tmp_path: Path,
+) -> None:
+    assert asyncio.run(_stop_during_startup(tmp_path)) == 0
