Answer a request behind a stream that began before the stop

The head of a stream that began before SIGTERM does not announce the close, so a caller may send its next request on the connection. A stopping host closed the connection at the end of the stream and dropped that request, if it had read it. The connection now stays open, and the next response closes it.

A connection that the web server is closing since its caller asked for it may still have a response in its buffer; the exit waits for that one too.

test_a_request_behind_a_stream_that_began_before_the_stop_is_answered failed before with IncompleteReadError (0 bytes read).

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -108,21 +108,16 @@
 
         Returns the bytes that could not be sent while ``left_s`` was positive.
         """
-        if self.closing or self.transport is None or self.transport.is_closing():
+        if self.closing or self.transport is None:
             return 0
         self.closing = True
         transport = self.transport
-        self.stop_reading()
-        if self._has_partial_head:
-            transport.write(REFUSAL)
-        try:
-            transport.write_eof()
-        except OSError as error:
-            log_event(logger, "caller_connection_lost", error=repr(error))
+        if not transport.is_closing():
+            self._close_sending_side(transport)
         while self._is_open() and left_s() > 0 and _unsent_bytes(transport):
             await asyncio.sleep(POLL_S)
         linger_end_s = asyncio.get_running_loop().time() + LINGER_S
-        while self._is_open() and left_s() > 0:
+        while self._is_open() and left_s() > 0 and not transport.is_closing():
             if asyncio.get_running_loop().time() >= linger_end_s:
                 break
             await asyncio.sleep(POLL_S)
@@ -133,6 +128,16 @@
             transport.close()
         return unsent
 
+    def _close_sending_side(self, transport: asyncio.Transport) -> None:
+        """Send the end of the connection after what is in the buffers."""
+        self.stop_reading()
+        if self._has_partial_head:
+            transport.write(REFUSAL)
+        try:
+            transport.write_eof()
+        except OSError as error:
+            log_event(logger, "caller_connection_lost", error=repr(error))
+
     def _is_open(self) -> bool:
         """Tell whether the caller has not closed the connection yet."""
         return self.transport is not None and not _is_closed(self.transport)
@@ -180,10 +185,13 @@
         self.close_later(http_request)
 
     def close_later(self, http_request: web.BaseRequest) -> None:
-        """Close the connection of a request that has been answered."""
+        """Close the connection after a response that announced the close.
+
+        Requests that were sent behind the one of a stream are not answered:
+        the head of the stream told the caller that they won't be.
+        """
         connection = _connection_of(http_request)
         if connection.has_next_request:
-            # They were sent behind a stream whose head announced the close.
             log_event(logger, "requests_behind_stream_dropped")
         self._start_closer(connection)
 
@@ -239,8 +247,8 @@
     try:
         sock = transport.get_extra_info("socket")
         in_kernel = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
-    except OSError:
-        # The socket is closed, so nothing more can be sent.
+    except (OSError, ValueError):
+        # The socket is closed; the kernel sends what it has.
         return buffered
     return buffered + int(struct.unpack("i", in_kernel)[0])
 
@@ -250,6 +258,6 @@
     try:
         sock = transport.get_extra_info("socket")
         state: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    except OSError:
+    except (OSError, ValueError):
         return True
     return state[0] == TCP_STATE_CLOSED
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -251,7 +251,7 @@
         # that it is incomplete.
         if reason != "complete" and http_request.transport is not None:
             http_request.transport.abort()
-        elif self._shutdown.draining:
+        elif sink.announces_close:
             self._connections.close_later(http_request)
         return sink.response
 
--- a/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
@@ -17,12 +17,13 @@
 class CallerSink:
     """Sends a streamed response to the caller.
 
-    ``response`` is None until its head is sent.
+    ``response`` is None until its head is sent. ``announces_close`` tells
+    whether the head says that the connection is closed afterwards.
     """
 
     def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
         self._http_request = http_request
-        self._close = close
+        self.announces_close = close
         self.response: web.StreamResponse | None = None
 
     @property
@@ -33,7 +34,7 @@
     async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send the head of the response."""
         response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        if self._close:
+        if self.announces_close:
             response.headers["Connection"] = "close"
         if self._http_request.version >= (1, 1):
             response.enable_chunked_encoding()
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -167,6 +167,26 @@
     run_scenario(scenario)
 
 
+def test_a_request_behind_a_stream_that_began_before_the_stop_is_answered() -> None:
+    """The head of such a stream did not announce the close."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        for engine in harness.decode_engines:
+            engine.gap_s = 0.2
+        caller = await _connect(harness)
+        caller.writer.write(request_bytes("tale", "stream", 2500))
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert b"connection: close" not in head.lower()
+        stop = _stop(harness.host)
+        await asyncio.sleep(DETECTION_S + 0.05)
+        caller.writer.write(request_bytes("once", "behind"))
+        await caller.reader.readuntil(b"0\r\n\r\n")
+        _assert_refused(await caller.read())
+        await stop
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("sent_bytes", [20, -2], ids=["head", "body"])
 def test_an_incomplete_request_is_refused_and_does_not_delay_the_exit(
     sent_bytes: int,
@@ -208,7 +228,8 @@
     run_scenario(scenario)
 
 
-def test_a_response_in_a_buffer_arrives_before_the_exit() -> None:
+@pytest.mark.parametrize("connection", ["keep-alive", "close"])
+def test_a_response_in_a_buffer_arrives_before_the_exit(connection: str) -> None:
     """The event loop ended while responses were still in its buffers."""
     body = b"0123456789" * 400_000
 
@@ -220,7 +241,9 @@
         for engine in harness.backend_servers:
             engine._serve = large  # type: ignore[method-assign]
         caller = await _connect(harness, receive_buffer=4096)
-        caller.writer.write(request_bytes("once", "large"))
+        request = request_bytes("once", "large")
+        header = f"\r\nConnection: {connection}\r\n".encode()
+        caller.writer.write(request.replace(b"\r\n", header, 1))
         await harness.wait_until(lambda: _arrivals(harness) > 0)
         stop = _stop(harness.host)
         await asyncio.sleep(DETECTION_S + 0.5)
