Let the soak find plain requests that planned stops cut

The soak excused every closed connection of a host that it stopped, and its servers answered within 30 ms, so it could not see a request that a planned stop cuts.

A plain request that ran and whose connection was closed between SIGTERM and the restart, while nothing else disturbed its host, is a violation.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,6 +12,7 @@
 
 # Routes whose requests may be executed at most once.
 NON_REPEATABLE_ROUTES = ("once", "tale")
+PLAIN_ROUTES = ("once", "again")
 REFUSAL_STATUSES = (429, 503)
 TARGET_SUFFIX = "p%2Fq?x=1"
 # After a pause a host first handles what arrived meanwhile.
@@ -31,11 +32,16 @@
 
 @dataclass(frozen=True)
 class HostOutage:
-    """A period in which callers could not reach a host, in loop seconds."""
+    """A period in which callers could not reach a host, in loop seconds.
+
+    ``stopped_s`` is the time at which the process exited in a planned stop,
+    None for other outages.
+    """
 
     host_id: str
     began_s: float
     ended_s: float
+    stopped_s: float | None = None
 
 
 def find_violations(
@@ -51,6 +57,7 @@
         *_find_wrong_responses(sent, engines, events),
         *_find_altered_requests(sent, engines),
         *_find_missing_responses(sent, host_outages),
+        *_find_cut_requests(sent, engines, host_outages),
         *_find_exceeded_limits(engines),
         *_find_deadly_requests(engines),
     ]
@@ -125,7 +132,7 @@
 
 
 def _expected_body(route: str, events: int) -> bytes:
-    if route in ("once", "again"):
+    if route in PLAIN_ROUTES:
         return b"whole"
     return b"".join(
         f"id: {number}\ndata: e{number}".encode() + EVENT_SEPARATOR
@@ -213,3 +220,38 @@
             for outage in host_outages
         )
     ]
+
+
+def _find_cut_requests(
+    sent: Sequence[SentRequest],
+    engines: Sequence[FakeEngine],
+    host_outages: Sequence[HostOutage],
+) -> list[str]:
+    """Return plain requests that ran and were cut by a planned stop.
+
+    Their connection was closed without a response between SIGTERM and the exit
+    of the process, and nothing else disturbed the host. A stream may also be
+    broken off since its engine failed.
+    """
+    runs = _run_counts(engines)
+    violations = []
+    for item in sent:
+        if item.outcome is not RequestOutcome.CLOSED or not runs[item.request_id]:
+            continue
+        outages = [
+            outage
+            for outage in host_outages
+            if outage.host_id == item.host_id
+            and outage.began_s - OUTAGE_MARGIN_S < item.ended_s
+            and item.began_s < outage.ended_s + OUTAGE_MARGIN_S
+        ]
+        if (
+            item.route in PLAIN_ROUTES
+            and outages
+            and all(outage.stopped_s is not None for outage in outages)
+        ):
+            violations.append(
+                f"{item.request_id} on {item.route} at {item.host_id} was cut by a "
+                "planned stop"
+            )
+    return violations
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -127,10 +127,13 @@
         began_s = asyncio.get_running_loop().time()
         host.send(signal_number)
         await host.wait_for_exit()
+        stopped_s = None
+        if signal_number is signal.SIGTERM:
+            stopped_s = asyncio.get_running_loop().time()
         await asyncio.sleep(RESTART_DELAY_S)
         await host.start()
         await asyncio.sleep(RESTART_DELAY_S)
-        self._record_outage(host.host_id, began_s)
+        self._record_outage(host.host_id, began_s, stopped_s)
 
     async def _pause_host(self) -> None:
         host = self._acquire_host()
@@ -309,8 +312,11 @@
     async def _change_configuration(self) -> None:
         self._harness.change_configuration(self._rng.choice((2500, 3000)))
 
-    def _record_outage(self, host_id: str, began_s: float) -> None:
+    def _record_outage(
+        self, host_id: str, began_s: float, stopped_s: float | None = None
+    ) -> None:
         """Record an outage that ends now and release the host."""
         ended_s = asyncio.get_running_loop().time()
-        self.host_outages.append(HostOutage(host_id, began_s, ended_s))
+        outage = HostOutage(host_id, began_s, ended_s, stopped_s)
+        self.host_outages.append(outage)
         self._targets_in_use.discard(host_id)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -76,12 +76,14 @@
         faults = FaultInjector(harness, rng)
         faults_end_s = loop.time() + seconds
         caller_tasks = asyncio.gather(*(caller.run() for caller in callers))
+        varying = asyncio.ensure_future(harness.vary_processing(random.Random(seed)))
         await faults.run(faults_end_s)
         measure_from_s = loop.time() + RECOVERY_S
         await asyncio.sleep(RECOVERY_S + MEASUREMENT_S)
         for caller in callers:
             caller.stopping = True
         await caller_tasks
+        varying.cancel()
         exited_hosts = [
             f"{host.host_id} exited unexpectedly with status {host.exit_status}"
             for host in harness.hosts
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -4,6 +4,7 @@
 import base64
 import functools
 import json
+import random
 import signal
 from pathlib import Path
 
@@ -25,6 +26,11 @@
 GAP_S = 0.02
 EVENTS = 12
 ENGINE_RESTART_S = 1.5
+# Some requests take far longer than the others, up to two thirds of the
+# deadline, so that a host that stops has requests of every length.
+SLOW_SHARE = 0.25
+SLOW_PROCESSING_S = (0.3, 1.9)
+PROCESSING_CHANGE_S = 0.05
 
 
 class SoakHarness:
@@ -104,6 +110,16 @@
         service = PLAIN if engine.stage is None else LLM
         self.store.put("servers", engine.id, engine.entry(service, state))
 
+    async def vary_processing(self, rng: random.Random) -> None:
+        """Let each engine take another time every few milliseconds."""
+        while True:
+            for engine in self.engines:
+                slow = rng.random() < SLOW_SHARE
+                engine.processing_s = (
+                    rng.uniform(*SLOW_PROCESSING_S) if slow else PROCESSING_S
+                )
+            await asyncio.sleep(PROCESSING_CHANGE_S)
+
     def _list_again(self, engine: FakeEngine, previous_id: str) -> None:
         self.list_engine(engine)
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -70,6 +70,24 @@
     assert len(lines) == violations, lines
 
 
+@pytest.mark.parametrize(
+    ("outages", "violations"),
+    [
+        ([HostOutage("h0", 11.0, 15.0, 14.0)], 1),
+        ([HostOutage("h1", 11.0, 15.0, 14.0)], 0),
+        ([HostOutage("h0", 11.0, 15.0)], 0),
+        ([HostOutage("h0", 11.0, 15.0, 14.0), HostOutage("h0", 12.0, 13.0)], 0),
+        ([], 0),
+    ],
+)
+def test_requests_cut_by_planned_stops_are_found(
+    outages: list[HostOutage], violations: int
+) -> None:
+    cut = sent("once", outcome=RequestOutcome.CLOSED, status=0)
+    assert len(find_violations([cut], [engine("a")], EVENTS, outages)) == violations
+    assert find_violations([cut], [engine()], EVENTS, outages) == []
+
+
 def test_served_share_counts_only_requests_after_the_faults() -> None:
     during_faults = sent("once", began_s=1.0, status=503)
     disconnected = sent("once", began_s=6.0, outcome=RequestOutcome.LEFT)
