Send no refusal to connections on which no request is waiting

An idle connection on which an empty line had arrived, which some callers send after a request, got a 503 when its host stopped, and so did one whose last response had announced the close. Both are closed without a response now, and a refusal of part of a head is logged as `head_incomplete`.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -49,17 +49,25 @@
     """A connection that can stop reading for good.
 
     ``closing`` is set when the sending side is about to be closed, after the
-    last response.
+    last response, and ``close_announced`` if that response says so.
     """
 
-    __slots__ = ("_has_partial_head", "_last_payload", "_reading_stopped", "closing")
+    __slots__ = (
+        "_last_payload",
+        "_partial_head_after",
+        "_reading_stopped",
+        "close_announced",
+        "closing",
+    )
 
     def __init__(self, manager: web.Server, **options: Any) -> None:
         super().__init__(manager, **options)
         self._last_payload: StreamReader | None = None
-        self._has_partial_head = False
+        # The number of requests before the head of which a part was received.
+        self._partial_head_after: int | None = None
         self._reading_stopped = False
         self.closing = False
+        self.close_announced = False
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; remember if they end within a head."""
@@ -67,9 +75,8 @@
         super().data_received(data)
         if self._request_count != count:
             self._last_payload = self._messages[-1][1]
-            self._has_partial_head = False
-        elif data and not was_in_body:
-            self._has_partial_head = True
+        elif data.strip(b"\r\n") and not was_in_body:
+            self._partial_head_after = count
 
     @property
     def in_body(self) -> bool:
@@ -131,7 +138,9 @@
     def _close_sending_side(self, transport: asyncio.Transport) -> None:
         """Send the end of the connection after what is in the buffers."""
         self.stop_reading()
-        if self._has_partial_head:
+        has_partial_head = self._partial_head_after == self._request_count
+        if has_partial_head and not self.close_announced:
+            log_event(logger, "head_incomplete")
             transport.write(REFUSAL)
         try:
             transport.write_eof()
@@ -175,6 +184,7 @@
         if connection.has_next_request:
             return
         connection.stop_reading()
+        connection.close_announced = True
         response.headers["Connection"] = "close"
         try:
             await response.prepare(http_request)
@@ -193,6 +203,7 @@
         connection = _connection_of(http_request)
         if connection.has_next_request:
             log_event(logger, "requests_behind_stream_dropped")
+        connection.close_announced = True
         self._start_closer(connection)
 
     async def close_all(self) -> None:
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -209,6 +209,22 @@
     run_scenario(scenario)
 
 
+def test_empty_lines_on_an_idle_connection_get_no_response() -> None:
+    """Some callers send an empty line after a request."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await _connect(harness)
+        caller.writer.write(request_bytes("once", "first"))
+        assert (await caller.read()).status == 200
+        caller.writer.write(b"\r\n")
+        await asyncio.sleep(0.05)
+        stop = _stop(harness.host)
+        assert await caller.at_end()
+        await stop
+
+    run_scenario(scenario)
+
+
 def test_unread_bytes_do_not_destroy_the_response_before_them() -> None:
     """Closing a connection with unread bytes resets it."""
 
