--- a/tests/soak/stop_trial.py
+++ b/tests/soak/stop_trial.py
@@ -251,6 +251,7 @@
     timeout_ms: int,
     grace_s: float,
     rotates: bool,
+    together: int,
 ) -> int:
     async with SoakHarness(folder, hosts, grace_s) as harness:
         harness.change_configuration(timeout_ms)
@@ -261,8 +262,10 @@
         await trial.start()
         await asyncio.sleep(1.0)
         slow = asyncio.ensure_future(trial.slow_down())
-        for host in harness.hosts:
-            await trial.stop_host(host.host_id)
+        host_ids = [host.host_id for host in harness.hosts]
+        for first in range(0, len(host_ids), together):
+            group = host_ids[first : first + together]
+            await asyncio.gather(*(trial.stop_host(item) for item in group))
         await trial.end()
         slow.cancel()
     cut = trial.cut()
@@ -295,12 +298,13 @@
     rotates: Annotated[
         bool, typer.Option(help="Whether a stopping host gets no new callers.")
     ] = False,
+    together: Annotated[int, typer.Option(help="Hosts stopped at once.", min=1)] = 1,
 ) -> None:
     """Stop all hosts in turn and print how many requests were cut."""
     folder = Path(tempfile.mkdtemp(prefix="stops-"))
     slow_s = (fastest, slowest)
     cut = asyncio.run(
-        _run(folder, hosts, callers, slow_s, timeout_ms, grace_s, rotates)
+        _run(folder, hosts, callers, slow_s, timeout_ms, grace_s, rotates, together)
     )
     if cut:
         typer.echo(f"logs are kept in {folder}")
