Let a failed close of a connection not stop the others

An error while one connection is closed ended the wait for all of them, and with it the graceful shutdown. It is logged as `close_failed`; now the others are waited for.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -220,7 +220,8 @@
                 break
         for connection in self._caller_connections():
             self._start_closer(connection)
-        await asyncio.gather(*self._closers)
+        # Errors are logged when a closer ends.
+        await asyncio.gather(*self._closers, return_exceptions=True)
 
     def _start_closer(self, connection: CallerConnection) -> None:
         task = asyncio.ensure_future(connection.finish(self._seconds_left))
