Close idle connections of callers after the configured limit

Connections of callers were closed after the default limit of 15 s and two more, whatever the configuration says, while callers use them again until four fifths of the configured limit have passed. With a limit of more than 21 s a request could cross the close. New connections now follow the configuration.

No case was seen.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -155,23 +155,28 @@
 class CallerConnections(web.Server):
     """All connections of callers.
 
-    ``left_s`` returns the seconds until the process must exit.
+    ``left_s`` returns the seconds until the process must exit, ``idle_s`` how
+    long a new connection may be idle before it is closed.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         left_s: Callable[[], float],
+        idle_s: Callable[[], float],
         **options: Any,
     ) -> None:
         super().__init__(handler, **options)
         self._left_s = left_s
+        self._idle_s = idle_s
         self._closers: set[asyncio.Task[int]] = set()
         self.unsent_counts: list[int] = []
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self, loop=self._loop, keepalive_timeout=self._idle_s(), **self._kwargs
+        )
 
     async def send_last(
         self, http_request: web.BaseRequest, response: web.StreamResponse
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -84,9 +84,9 @@
         self._connections = CallerConnections(
             self._handle,
             lambda: self._shutdown.left_s,
+            lambda: self._reader.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=DEFAULT_LIMITS.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             max_line_size=DEFAULT_LIMITS.max_header_bytes,
             max_field_size=DEFAULT_LIMITS.max_header_bytes,
         )
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -51,6 +51,12 @@
         self._open_requests = open_requests
         self._body_cutoff = Cutoff()
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits that are in force."""
+        routes = self._cluster_state.routes
+        return routes.limits if routes is not None else DEFAULT_LIMITS
+
     def end_incomplete(self) -> None:
         """Refuse the requests whose bodies have not arrived completely."""
         self._body_cutoff.end_all()
@@ -59,8 +65,7 @@
         self, http_request: web.BaseRequest
     ) -> CallerRequest | CallerResponse:
         """Return the request, or the response if it cannot be served."""
-        routes = self._cluster_state.routes
-        limits = routes.limits if routes is not None else DEFAULT_LIMITS
+        routes, limits = self._cluster_state.routes, self.limits
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
