--- a/tests/relay/raw_caller.py
+++ b/tests/relay/raw_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from typing import ClassVar
 
 from kumquat_core.settings import Address
 
@@ -28,7 +29,9 @@
 
 
 class RawCaller:
-    """One connection to a host."""
+    """One connection to a host; ``opened`` has all that were opened."""
+
+    opened: ClassVar[list["RawCaller"]] = []
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -47,7 +50,9 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, (address.ip, address.port))
-        return cls(*await asyncio.open_connection(sock=sock))
+        caller = cls(*await asyncio.open_connection(sock=sock))
+        cls.opened.append(caller)
+        return caller
 
     async def read(self) -> RawResponse:
         """Read one response with a length."""
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -16,7 +16,7 @@
 from kumquat_relay.relay_host import RelayHost
 
 from .raw_caller import RawCaller, RawResponse, request_bytes
-from .relay_harness import RelayHarness, run_scenario
+from .relay_harness import RelayHarness, run_scenario as run_with_harness
 
 DETECTION_S = 0.4
 # A stop without work ends soon after the detection, also on a busy machine.
@@ -28,6 +28,23 @@
     monkeypatch.setattr("kumquat_relay.shutdown.DETECTION_S", DETECTION_S)
 
 
+def run_scenario(
+    scenario: Callable[[RelayHarness], Awaitable[None]], host_count: int = 1
+) -> None:
+    """Run a scenario with a new harness and close its callers afterwards."""
+
+    async def run(harness: RelayHarness) -> None:
+        try:
+            await scenario(harness)
+        finally:
+            for caller in RawCaller.opened:
+                caller.close()
+            RawCaller.opened.clear()
+            await asyncio.sleep(0)
+
+    run_with_harness(run, host_count)
+
+
 def _stop(host: RelayHost) -> asyncio.Task[None]:
     """Begin a planned stop, as SIGTERM does."""
 
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -138,6 +138,8 @@
         host.change_grace(2.2)
         host.send(signal.SIGHUP)
         responses = [await caller.read() for caller in callers]
+        for caller in callers:
+            caller.close()
         host.send(signal.SIGTERM)
         assert await host.wait_for_exit() == 0
         took_s = loop.time() - began_s
