Accept and read what arrived before a busy host closes its listener

The event loop of a host runs its timers before it accepts connections and reads, so a host that was busy at the moment when the balancer had removed it closed the listener before it had accepted what had arrived meanwhile, and the kernel reset those connections.

The loop now gets one pass before the listener closes and one before connections stop reading; what arrived is refused truthfully. The new test blocks the loop over the detection and failed before with IncompleteReadError (0 bytes read).

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -42,6 +42,10 @@
 IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
 STOP_POLL_S = 0.02
+# A busy event loop runs its timers before it accepts and reads what arrived
+# meanwhile. After this time it has done so, and the callers get a refusal
+# instead of a closed connection.
+LOOP_PASS_S = 0.02
 
 logger = logging.getLogger(__name__)
 
@@ -103,6 +107,7 @@
         host.
         """
         await self._shutdown.wait_for_detection()
+        await asyncio.sleep(LOOP_PASS_S)
         await self._stop_listening()
         reason = await self._shutdown.wait()
         log_event(
@@ -113,6 +118,7 @@
             after_ms=round(self._shutdown.elapsed_s * 1000),
             grace_s=self._shutdown.grace_s,
         )
+        await asyncio.sleep(LOOP_PASS_S)
         await self._close_connections()
 
     async def stop(self, exception: Exception | None = None) -> None:
--- a/tests/relay/test_connections_at_a_stop.py
+++ b/tests/relay/test_connections_at_a_stop.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 from aiohttp import web
 
-from .raw_caller import request_bytes
+from .raw_caller import RawCaller, request_bytes
 from .relay_harness import RelayHarness
 from .stopping_host import (
     DETECTION_S,
@@ -219,3 +222,26 @@
         await stop
 
     run_scenario(scenario)
+
+
+def test_a_connection_that_waits_while_the_host_is_busy_is_answered() -> None:
+    """The listener was closed before it had accepted the connections that had
+    arrived while the event loop was busy; the kernel reset them."""
+
+    async def run() -> None:
+        async with RelayHarness() as harness:
+            host = harness.host
+            stop = stop_host(host)
+            await asyncio.sleep(0.2)
+            callers = harness.options.callers
+            sock = socket.create_connection((callers.ip, callers.port))
+            sock.sendall(request_bytes("once", "waits"))
+            time.sleep(2.5)
+            caller = RawCaller(*await asyncio.open_connection(sock=sock))
+            assert_refused(await caller.read())
+            caller.close()
+            await stop
+
+    # The loop of the platform's hosts runs timers before it accepts.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
