--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -44,7 +44,7 @@
     ),
     "servers_paused": "all backend servers had asked this host to send nothing",
     "silent": "the engine produced no event for too long",
-    "stopping": "the host was shutting down and would have cut it off",
+    "stopping": "the host was shutting down and might have cut it off",
     "trial_deferred": (
         "an engine crashed under a part of its prompt, and all engines had too many "
         "runs to try the part again"
