--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
 from http import HTTPStatus
 
 import aiomisc
@@ -20,77 +19,37 @@
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.settings import Address
 
+from .caller_connection import CallerConnections
 from .caller_request import CallerRequest
-from .caller_response import CallerResponse, client_error, failure, refusal
+from .caller_response import CallerResponse, failure, refusal
+from .caller_sink import CallerSink
 from .cluster_state import ClusterState
+from .cutoff import HOST_STOPPED, Cutoff
+from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
+from .request_reader import DEFAULT_LIMITS, STOPPING_RETRY_AFTER_S, RequestReader
 from .response_sink import CallerDisconnectedError
-from .routes import CallerLimits, RouteKind, RouteTable
+from .routes import RouteKind
 from .shutdown import Shutdown
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
 
-# Apply until the first configuration is received.
-DEFAULT_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
-# A starting host receives its configuration within a second.
-NOT_READY_RETRY_AFTER_S = 1.0
-# Another host accepts the caller's next connection immediately.
-STOPPING_RETRY_AFTER_S = 0.05
 # Callers reuse connections that were idle for up to 80 % of the idle limit.
 # Closing them later than the limit loses no request.
 IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
-MAX_LOGGED_PARTS = 8
 STOP_POLL_S = 0.02
+# A busy event loop runs its timers before it accepts and reads what arrived
+# meanwhile. After this time it has done so, and the callers get a refusal
+# instead of a closed connection.
+LOOP_PASS_S = 0.02
 
 logger = logging.getLogger(__name__)
 
 
-class _StreamSink:
-    """Sends a streamed response to the caller.
-
-    ``response`` is None until its head is sent.
-    """
-
-    def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
-        self._http_request = http_request
-        self._close = close
-        self.response: web.StreamResponse | None = None
-
-    @property
-    def started(self) -> bool:
-        return self.response is not None
-
-    async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
-        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        if self._close:
-            response.force_close()
-        if self._http_request.version >= (1, 1):
-            response.enable_chunked_encoding()
-        self.response = response
-        try:
-            await response.prepare(self._http_request)
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-    async def write(self, data: bytes) -> None:
-        assert self.response is not None
-        try:
-            await self.response.write(data)
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-    async def finish(self) -> None:
-        assert self.response is not None
-        try:
-            await self.response.write_eof()
-        except ConnectionError as error:
-            raise CallerDisconnectedError from error
-
-
 class CallerServer(aiomisc.Service):
     """Serves callers over HTTP/1.1.
 
@@ -108,170 +67,172 @@
         dialect: EngineDialect,
         shutdown: Shutdown,
         metrics: RelayMetrics,
+        cutoff: Cutoff,
     ) -> None:
         super().__init__()
         self._listen = listen
         self._clock = clock
-        self._cluster_state = cluster_state
         self._plain_relay = plain
         self._stream_relay = streams
-        self._dialect = dialect
         self._shutdown = shutdown
         self._metrics = metrics
         self._detached_tasks: set[asyncio.Task[CallerResponse]] = set()
-        self._server: web.Server | None = None
+        self._open_requests = OpenRequests(clock, metrics)
+        self._reader = RequestReader(clock, cluster_state, dialect, self._open_requests)
+        self._cutoff = cutoff
+        self._closing = False
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Start to accept connections."""
-        self._server = web.Server(
+        self._connections = CallerConnections(
             self._handle,
+            lambda: self._shutdown.left_s,
+            lambda: self._reader.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=DEFAULT_LIMITS.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             max_line_size=DEFAULT_LIMITS.max_header_bytes,
             max_field_size=DEFAULT_LIMITS.max_header_bytes,
         )
-        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
+        self._runner = web.ServerRunner(self._connections, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(
             self._runner, self._listen.ip, self._listen.port, backlog=LISTEN_BACKLOG
         ).start()
 
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stop listening, wait for requests to end and close all connections.
+    async def drain(self) -> None:
+        """Serve until the host may exit, then close all connections.
 
-        A request may have arrived on an open connection since the host was
-        found idle, so connections in use are closed only after their
-        responses.
+        New connections are accepted until the load balancer has removed the
+        host.
         """
-        if self._runner is None or self._server is None:
+        await self._shutdown.wait_for_detection()
+        await asyncio.sleep(LOOP_PASS_S)
+        await self._stop_listening()
+        reason = await self._shutdown.wait()
+        log_event(
+            logger,
+            "exit_decided",
+            reason=reason.value,
+            in_progress=self._shutdown.in_progress,
+            after_ms=round(self._shutdown.elapsed_s * 1000),
+            grace_s=self._shutdown.grace_s,
+        )
+        await asyncio.sleep(LOOP_PASS_S)
+        await self._close_connections()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening, wait for requests and close all connections."""
+        if self._runner is None:
             return
-        for site in list(self._runner.sites):
-            await site.stop()
-        self._server.pre_shutdown()
+        await self._stop_listening()
         while self._shutdown.in_progress and self._shutdown.left_s > 0:
             await asyncio.sleep(STOP_POLL_S)
+        await self._close_connections()
         await self._runner.cleanup()
 
-    async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        with self._shutdown.track_request():
-            arrived_s = self._clock.monotonic()
-            result = await self._read_request(http_request)
-            if isinstance(result, CallerResponse):
-                self._record_end(None, result.code, result.reason, arrived_s)
-                return self._to_http_response(result)
-            if self._would_be_cut_off(result):
-                caller_response = refusal(
-                    ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S
-                )
-                self._record_end(
-                    result, caller_response.code, caller_response.reason, arrived_s
-                )
-                return self._to_http_response(caller_response)
-            if result.route.kind is RouteKind.STREAM:
-                return await self._handle_stream(http_request, result)
-            return await self._handle_plain(result)
-
-    def _would_be_cut_off(self, request: CallerRequest) -> bool:
-        """Tell whether the process may exit before the response ends."""
-        if request.route.kind is RouteKind.STREAM:
-            return self._shutdown.refuses_streams
-        return self._shutdown.left_s < request.route.objective_ms / 1000
-
-    async def _read_request(
-        self, http_request: web.BaseRequest
-    ) -> CallerRequest | CallerResponse:
-        """Return the request, or the response if it cannot be served."""
-        routes = self._cluster_state.routes
-        limits = routes.limits if routes is not None else DEFAULT_LIMITS
-        if http_request.headers.get("Expect", "").lower() == "100-continue":
-            assert http_request.transport is not None
-            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > limits.max_body_bytes:
-                return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
-        if routes is None:
-            return refusal(
-                ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
-            )
-        return self._match_route(http_request, routes, bytes(body))
+    async def _stop_listening(self) -> None:
+        assert self._runner is not None
+        for site in list(self._runner.sites):
+            await site.stop()
 
-    def _match_route(
-        self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
-    ) -> CallerRequest | CallerResponse:
-        """Return the routed request, or the response if it has no route."""
-        metadata = self._dialect.read_request(http_request.raw_headers)
-        target = http_request.raw_path
-        route = routes.match(metadata.host, target)
-        if route is None:
-            log_event(
-                logger,
-                "no_route",
-                request=metadata.request_id,
-                host=metadata.host,
-                version=routes.version,
-            )
-            return client_error(404, ResultCode.UNKNOWN_SERVICE, "no_route")
-        if not metadata.request_id:
-            return client_error(400, ResultCode.INVALID_FIELD, "no_request_id")
-        service = route.service_for(metadata.request_id)
-        request = CallerRequest(
-            metadata,
-            http_request.method,
-            target,
-            body,
-            route,
-            service,
-            self._clock.monotonic(),
-        )
+    async def _close_connections(self) -> None:
+        """Answer every request that was read and close all connections."""
+        if self._closing:
+            return
+        self._closing = True
+        open_connections = len(self._connections.connections)
+        self._cutoff.end_all()
+        self._reader.end_incomplete()
+        await self._connections.close_all()
+        self._open_requests.cut_all()
+        unsent = self._connections.unsent_counts
         log_event(
             logger,
-            "request_read",
-            request=request.id,
-            route=route.name,
-            service=service,
-            version=routes.version,
-            left_ms=request.left_ms(request.arrived_s),
-            objective_ms=route.objective_ms or None,
-            bytes=len(body),
-            prompt_tokens=metadata.prompt.prompt_tokens if metadata.prompt else None,
-            expected_tokens=metadata.prompt.expected_tokens
-            if metadata.prompt
-            else None,
-            parts=",".join(metadata.shared_parts[:MAX_LOGGED_PARTS]) or None,
-            max_tokens=metadata.prompt.max_output_tokens if metadata.prompt else None,
+            "connections_closed",
+            open=open_connections,
+            unsent=len(unsent),
+            unsent_bytes=sum(unsent),
         )
-        return request
 
-    async def _handle_plain(self, request: CallerRequest) -> web.StreamResponse:
+    async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        arrived_s = self._clock.monotonic()
+        result = await self._reader.read(http_request)
+        if isinstance(result, CallerResponse):
+            self._record_end(None, result.code, result.reason, arrived_s)
+            return await self._respond(http_request, result)
+        longest_s = result.deadline_s - self._clock.monotonic()
+        if self._closing or not self._shutdown.accepts(longest_s):
+            caller_response = refusal(
+                ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S
+            )
+            self._record_end(
+                result, caller_response.code, caller_response.reason, arrived_s
+            )
+            return await self._respond(http_request, caller_response)
+        with self._shutdown.track_work():
+            if result.route.kind is RouteKind.STREAM:
+                return await self._handle_stream(http_request, result)
+            caller_response = await self._handle_plain(result)
+        return await self._respond(http_request, caller_response)
+
+    async def _handle_plain(self, request: CallerRequest) -> CallerResponse:
         """Relay a plain request, detached if it must not be retried."""
         task = asyncio.ensure_future(self._plain_relay.run(request))
         try:
             if request.route.allows_retry:
                 caller_response = await task
             else:
-                self._detached_tasks.add(task)
-                task.add_done_callback(self._detached_tasks.discard)
                 caller_response = await asyncio.shield(task)
         except asyncio.CancelledError:
             self._record_end(
                 request, ResultCode.CALLER_GONE, "caller_gone", request.arrived_s
             )
+            if not request.route.allows_retry:
+                self._detach(request, task)
             raise
         except Exception as error:
             caller_response = self._internal_error(request, error)
         self._record_end(
             request, caller_response.code, caller_response.reason, request.arrived_s
         )
-        return self._to_http_response(caller_response)
+        return caller_response
+
+    def _detach(
+        self, request: CallerRequest, task: asyncio.Task[CallerResponse]
+    ) -> None:
+        """Let a request run on whose caller has closed its connection."""
+        self._detached_tasks.add(task)
+        self._open_requests.add(request)
+        self._shutdown.begin_work()
+        task.add_done_callback(lambda _: self._detached_ended(request, task))
+
+    def _detached_ended(
+        self, request: CallerRequest, task: asyncio.Task[CallerResponse]
+    ) -> None:
+        self._detached_tasks.discard(task)
+        self._shutdown.end_work()
+        self._open_requests.remove(request)
+        if task.cancelled():
+            return
+        error = task.exception()
+        response = (
+            self._internal_error(request, error) if error is not None else task.result()
+        )
+        log_event(
+            logger,
+            "detached_ended",
+            request=request.id,
+            code=response.code.value,
+            reason=response.reason,
+        )
+        if response.reason == HOST_STOPPED:
+            self._open_requests.record_cut(request)
 
     async def _handle_stream(
         self, http_request: web.BaseRequest, request: CallerRequest
     ) -> web.StreamResponse:
-        sink = _StreamSink(http_request, close=self._shutdown.draining)
+        sink = CallerSink(http_request, close=self._shutdown.draining)
         code, reason = ResultCode.CALLER_GONE, "caller_gone"
         caller_response: CallerResponse | None = None
         try:
@@ -289,15 +250,19 @@
         finally:
             self._record_end(request, code, reason, request.arrived_s)
         if sink.response is None:
-            return self._to_http_response(caller_response or failure(code, reason))
+            return await self._respond(
+                http_request, caller_response or failure(code, reason)
+            )
         # The response has begun, so only a broken connection shows the caller
         # that it is incomplete.
         if reason != "complete" and http_request.transport is not None:
             http_request.transport.abort()
+        elif sink.announces_close:
+            self._connections.close_later(http_request)
         return sink.response
 
     def _internal_error(
-        self, request: CallerRequest, error: Exception
+        self, request: CallerRequest, error: BaseException
     ) -> CallerResponse:
         """Log an unexpected error and return the response to its request."""
         log_event(
@@ -309,15 +274,18 @@
         )
         return failure(ResultCode.INTERNAL_ERROR, "internal_error")
 
-    def _to_http_response(self, caller_response: CallerResponse) -> web.Response:
+    async def _respond(
+        self, http_request: web.BaseRequest, caller_response: CallerResponse
+    ) -> web.Response:
+        """Return a response; while the host is stopping, send it at once."""
         response = web.Response(
             status=caller_response.status,
             reason=_reason_phrase(caller_response.status),
             headers=CIMultiDict(caller_response.headers),
             body=caller_response.body,
         )
-        if self._shutdown.draining:
-            response.force_close()
+        if self._shutdown.draining or self._closing:
+            await self._connections.send_last(http_request, response)
         return response
 
     def _record_end(
@@ -333,6 +301,10 @@
         """
         duration_s = self._clock.monotonic() - began_s
         kind = request.route.kind.value if request is not None else "none"
+        if request is not None:
+            self._open_requests.remove(request)
+        if request is not None and reason == HOST_STOPPED:
+            self._open_requests.record_cut(request)
         self._metrics.record_request(kind, code, duration_s)
         log_event(
             logger,
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -1,6 +1,5 @@
 """Builds and runs the services of a relay host."""
 
-import asyncio
 import logging
 import secrets
 
@@ -17,6 +16,7 @@
 from .admission import Admission
 from .caller_server import CallerServer
 from .command_lease import CommandLease
+from .cutoff import Cutoff
 from .engine_calls import EngineCalls
 from .engine_notices import EngineNotices
 from .engine_probe import EngineProbe
@@ -28,7 +28,7 @@
 from .owner_selection import OwnerSelection
 from .plain_balancer import PlainBalancer
 from .plain_relay import PlainRelay
-from .protocols import EngineDialect, HostEntry, StateStore, StoreError
+from .protocols import EngineDialect, HostEntry, StateStore
 from .queue_owner import QueueOwner
 from .relay_metrics import RelayMetrics
 from .relay_settings import RelayOptions
@@ -49,8 +49,6 @@
 PLANNING_PERIOD_S = 0.5
 COMMAND_LEASE_NAME = "engine_orders"
 PEER_KEY_BYTES = 32
-# Limits how long a graceful shutdown waits for the store.
-DEREGISTER_TIMEOUT_S = 0.4
 
 logger = logging.getLogger(__name__)
 
@@ -135,6 +133,7 @@
             parts.rules,
         )
         self._supervisor: Supervisor | None = None
+        self._callers: CallerServer | None = None
         self._peer_services: Supervisor | None = None
         self._peer_key: bytes | None = None
         self._registration = StoreRegistration(
@@ -211,11 +210,12 @@
         timers.every(CLEANUP_PERIOD_S, self._clean_up, "sweep")
         timers.every(REPORT_S, self._admission.report, "report")
         timers.every(PLANNING_PERIOD_S, self._plan_roles, "plan")
+        self._callers = self._build_caller_server()
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
             *self._watches,
-            self._build_caller_server(),
+            self._callers,
             TimerTask(timers),
         ]
         self._supervisor = Supervisor(services)
@@ -230,25 +230,28 @@
         """
         shutdown = self._parts.shutdown
         shutdown.begin()
-        log_event(logger, "stopping", in_progress=shutdown.in_progress)
-        self._registration.cancel()
-        try:
-            async with asyncio.timeout(DEREGISTER_TIMEOUT_S):
-                await self._store.remove_host(self._options.host_id)
-        except (StoreError, TimeoutError) as error:
-            log_event(logger, "host_entry_kept", reason=str(error) or "timeout")
-        await shutdown.wait()
+        log_event(
+            logger,
+            "stopping",
+            in_progress=shutdown.in_progress,
+            grace_s=shutdown.grace_s,
+        )
+        await self._registration.withdraw()
+        assert self._callers is not None
+        await self._callers.drain()
 
     async def stop(self) -> None:
-        """Stop all services and close all connections."""
+        """Stop all services, first the callers', which use the others."""
         in_progress = self._parts.shutdown.in_progress
         self._registration.cancel()
-        self._probe.close()
-        self._quarantine.observer.close()
-        if self._peer_services is not None:
-            await self._peer_services.stop()
+        if self._callers is not None:
+            await self._callers.stop()
         if self._supervisor is not None:
             await self._supervisor.stop()
+        if self._peer_services is not None:
+            await self._peer_services.stop()
+        self._probe.close()
+        self._quarantine.observer.close()
         self._parts.pool.close()
         await self._store.close()
         log_event(logger, "stopped", in_progress=in_progress)
@@ -261,7 +264,7 @@
 
     def _build_caller_server(self) -> CallerServer:
         options, parts = self._options, self._parts
-        memory = ResponseMemory()
+        memory, cutoff = ResponseMemory(), Cutoff()
         plain = PlainRelay(
             parts.clock,
             parts.pool,
@@ -272,6 +275,7 @@
             self._exchanges,
             memory,
             self._limits.permits,
+            cutoff,
         )
         calls = EngineCalls(
             parts.clock, parts.pool, self._dialect, self._limits.known, self._exchanges
@@ -288,6 +292,7 @@
             memory,
             self._limits.known,
             self._quarantine,
+            cutoff,
             parts.rules,
         )
         return CallerServer(
@@ -299,6 +304,7 @@
             self._dialect,
             parts.shutdown,
             parts.metrics,
+            cutoff,
         )
 
     async def _listen_for_peers(self, key: bytes) -> None:
@@ -386,14 +392,9 @@
     def _metrics_text(self) -> bytes:
         parts = self._parts
         metrics = parts.metrics
-        metrics.in_progress.set(parts.shutdown.in_progress)
         metrics.waiting.set(sum(self._queue_owner.waiting_counts().values()))
-        metrics.engines.set(len(parts.cluster_state.registry.all_entries()))
-        metrics.opened.set(parts.pool.opened)
         metrics.held_slots.set(self._admission.held_run_count)
         metrics.limited_servers.set(self._limits.known.count())
         self._quarantine.update_metrics(metrics)
-        metrics.store_era.set(parts.cluster_state.era or 0)
-        if parts.cluster_state.routes is not None:
-            metrics.version.set(parts.cluster_state.routes.version)
+        parts.update_metrics()
         return metrics.text()
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -48,7 +48,7 @@
     ),
     "servers_paused": "all backend servers had asked this host to send nothing",
     "silent": "the engine produced no event for too long",
-    "stopping": "the host was shutting down and would have cut it off",
+    "stopping": "the host was shutting down and might have cut it off",
     "trial_deferred": (
         "an engine crashed under a part of its prompt, and all engines had too many "
         "runs to try the part again"
@@ -63,6 +63,8 @@
 REFUSED = "12"
 FAILED = "13"
 CALLER_GONE = "1211"
+# The reason of requests that ended because their host had to exit.
+HOST_STOPPED = "host_stopped"
 
 
 def cause_of(lines: Sequence[LogLine]) -> str:
@@ -74,6 +76,12 @@
             f"answered 404: {_TEXTS_BY_REASON['no_route']} (version "
             f"{no_route.get('version')})"
         )
+    cut = _last(lines, "request_cut")
+    if cut is not None:
+        return (
+            f"cut: its host exited {cut.get('ms')} ms after it was read, "
+            f"{cut.get('left_ms')} ms before its deadline{_cut_response(lines)}"
+        )
     if not ends:
         last = lines[-1]
         return (
@@ -178,6 +186,16 @@
     )
 
 
+def _cut_response(lines: Sequence[LogLine]) -> str:
+    """Return what the caller of a cut request got, if its host answered."""
+    end = _last(lines, "request_ended")
+    if end is None or end.get("reason") != HOST_STOPPED:
+        return ""
+    if end.get("code").startswith(REFUSED):
+        return "; the caller was told that it has not run"
+    return "; the caller was told that it may have run"
+
+
 def _describe_progress(lines: Sequence[LogLine]) -> str:
     """Return how far a request got before its caller disconnected."""
     if _last(lines, "stream_pace") is not None:
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -4,6 +4,7 @@
 import base64
 import functools
 import json
+import random
 import signal
 from pathlib import Path
 
@@ -15,7 +16,7 @@
 
 from kumquat_core.settings import Address
 
-from .host_process import HostProcess
+from .host_process import GRACE_S, HostProcess
 from .loopback_proxy import LoopbackProxy
 
 __all__ = ["SoakHarness"]
@@ -26,6 +27,11 @@
 GAP_S = 0.02
 EVENTS = 12
 ENGINE_RESTART_S = 1.5
+# Some requests take far longer than the others, up to two thirds of the
+# deadline, so that a host that stops has requests of every length.
+SLOW_SHARE = 0.25
+SLOW_PROCESSING_S = (0.3, 1.9)
+PROCESSING_CHANGE_S = 0.05
 
 
 class SoakHarness:
@@ -35,7 +41,7 @@
     ``engine_links`` engine ids to proxies.
     """
 
-    def __init__(self, folder: Path, host_count: int) -> None:
+    def __init__(self, folder: Path, host_count: int, grace_s: float = GRACE_S) -> None:
         self.store = FakeStore()
         self.engines = [
             FakeEngine("reader", "prefill"),
@@ -53,6 +59,7 @@
         self.shared_parts: list[str] = []
         self._folder = folder
         self._host_count = host_count
+        self._grace_s = grace_s
 
     async def __aenter__(self) -> "SoakHarness":
         try:
@@ -104,6 +111,16 @@
         service = PLAIN if engine.stage is None else LLM
         self.store.put("servers", engine.id, engine.entry(service, state))
 
+    async def vary_processing(self, rng: random.Random) -> None:
+        """Let each engine take another time every few milliseconds."""
+        while True:
+            for engine in self.engines:
+                slow = rng.random() < SLOW_SHARE
+                engine.processing_s = (
+                    rng.uniform(*SLOW_PROCESSING_S) if slow else PROCESSING_S
+                )
+            await asyncio.sleep(PROCESSING_CHANGE_S)
+
     def _list_again(self, engine: FakeEngine, previous_id: str) -> None:
         self.list_engine(engine)
 
@@ -144,7 +161,7 @@
         peers = LoopbackProxy(Address("127.0.0.1", ports[3]))
         self.peer_links[host_id] = peers
         await peers.start()
-        host = HostProcess(host_id, self._folder, store.address, ports)
+        host = HostProcess(host_id, self._folder, store.address, ports, self._grace_s)
         self.hosts.append(host)
         link = self.caller_links[host_id] = LoopbackProxy(host.callers)
         await link.start()
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -6,17 +6,25 @@
 from pathlib import Path
 
 from tests.relay.ingress import FakeIngress
+from tests.relay.raw_caller import RawCaller, request_bytes
 
 from .callers import RequestOutcome, SentRequest, SoakCaller
 from .checks import find_violations
+from .host_process import EXIT_TIMEOUT_S, GRACE_S
 from .soak_harness import EVENTS, SoakHarness
+from .stop_trial import StopTrial
 
 CALLERS = 4
 # A host leaves the rotation within two readiness polls and exits within its
 # grace period.
 ROTATION_TIMEOUT_S = 4.0
 STOP_INTERVAL_S = 1.5
+# Requests with the deadline of the callers, 3 s, fit into it until the host
+# has left the rotation, so none of them is refused.
+LONG_GRACE_S = 8.0
 STARTUP_DELAY_S = 0.25
+# Hosts follow a new configuration within this time.
+CONFIGURATION_S = 1.0
 
 
 async def _wait_for_rotation(ingress: FakeIngress, count: int) -> None:
@@ -26,7 +34,7 @@
 
 
 async def _stop_hosts_in_turn(folder: Path) -> tuple[list[SentRequest], list[str]]:
-    async with SoakHarness(folder, host_count=2) as harness:
+    async with SoakHarness(folder, host_count=2, grace_s=LONG_GRACE_S) as harness:
         ingress = FakeIngress(
             {host.host_id: (host.callers, host.readiness) for host in harness.hosts}
         )
@@ -60,7 +68,7 @@
     assert len(sent) > 100
     assert [item for item in sent if item.outcome is not RequestOutcome.ANSWERED] == []
     served = sum(item.served for item in sent)
-    assert served >= 0.95 * len(sent), f"{served} of {len(sent)}"
+    assert served >= 0.98 * len(sent), f"{served} of {len(sent)}"
 
 
 async def _reload_during_startup(folder: Path) -> int | None:
@@ -80,3 +88,99 @@
     """Guards against SIGHUP before the host has installed its handlers: the
     default action ended the host without a log line, and it stayed down."""
     assert asyncio.run(_reload_during_startup(tmp_path)) is None
+
+
+async def _stop_under_busy_callers(
+    folder: Path, callers: int, slow_s: tuple[float, float], timeout_ms: int
+) -> StopTrial:
+    """Stop one of two hosts while servers are slow; return the trial."""
+    async with SoakHarness(folder, host_count=2) as harness:
+        harness.change_configuration(timeout_ms)
+        await asyncio.sleep(CONFIGURATION_S)
+        trial = StopTrial(harness, callers, slow_s)
+        slow = asyncio.ensure_future(trial.slow_down())
+        await trial.start()
+        await asyncio.sleep(STOP_INTERVAL_S)
+        await trial.stop_host("h0")
+        await trial.end()
+        slow.cancel()
+        return trial
+
+
+def test_slow_servers_at_a_stop_lose_no_requests(tmp_path: Path) -> None:
+    """Guards against requests that are accepted since they usually end before
+    the host exits, and cut since they may take longer. Callers that never
+    paused kept the host until the end of its grace period."""
+    trial = asyncio.run(_stop_under_busy_callers(tmp_path, 40, (0.3, 1.9), 2000))
+    assert trial.closed() == []
+    assert sum(item.status == 200 for item in trial.attempts) > 60
+    assert trial.stop_times[0] < GRACE_S
+
+
+async def _stop_with_changes(folder: Path) -> tuple[float, list[int], str]:
+    """Shorten the grace period while a host stops, with further signals.
+
+    Returns how long the host took to exit, the statuses of the requests that
+    it held and its log.
+    """
+    loop = asyncio.get_running_loop()
+    async with SoakHarness(folder, host_count=1, grace_s=9.0) as harness:
+        host = harness.hosts[0]
+        for engine in harness.engines:
+            engine.responsive.clear()
+        callers = [await RawCaller.connect(host.callers) for _ in range(2)]
+        for number, caller in enumerate(callers):
+            caller.writer.write(request_bytes("once", f"held{number}", 3000))
+        await asyncio.sleep(0.3)
+        began_s = loop.time()
+        for signal_number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            host.send(signal_number)
+            await asyncio.sleep(0.1)
+        host.change_grace(2.2)
+        host.send(signal.SIGHUP)
+        responses = [await caller.read() for caller in callers]
+        for caller in callers:
+            caller.close()
+        host.send(signal.SIGTERM)
+        assert await host.wait_for_exit() == 0
+        took_s = loop.time() - began_s
+        for engine in harness.engines:
+            engine.responsive.set()
+    log = (folder / "h0.log").read_text()
+    return took_s, [response.status for response in responses], log
+
+
+def test_a_shorter_grace_period_is_followed_under_signals_in_series(
+    tmp_path: Path,
+) -> None:
+    """The settings were not read any more after SIGTERM, so the platform
+    killed the host in the midst of its work."""
+    took_s, statuses, log = asyncio.run(_stop_with_changes(tmp_path))
+    assert took_s < 2.2
+    # The requests may have run, so they are not refused.
+    assert statuses == [504, 504]
+    assert log.count("event=request_cut") == 2
+    assert "reason=grace_over" in log
+    assert "Traceback" not in log
+
+
+async def _stop_during_startup(folder: Path) -> int | None:
+    async with SoakHarness(folder, host_count=1) as harness:
+        host = harness.hosts[0]
+        host.send(signal.SIGKILL)
+        await host.wait_for_exit()
+        log = folder / "h0.log"
+        starts = log.read_text().count("event=started")
+        harness.store.unavailable = True
+        await host.start()
+        async with asyncio.timeout(EXIT_TIMEOUT_S):
+            while log.read_text().count("event=started") == starts:
+                await asyncio.sleep(0.02)
+        host.send(signal.SIGTERM)
+        return await host.wait_for_exit()
+
+
+def test_a_stop_before_a_host_has_its_configuration_ends_it_in_order(
+    tmp_path: Path,
+) -> None:
+    assert asyncio.run(_stop_during_startup(tmp_path)) == 0
