Reset the connections of HTTP/1.0 callers whose streams break

What callers saw: a stream without chunks that broke off, or whose deadline passed, ended with a regular close, which an HTTP/1.0 caller takes for its end.

Cause: the transport was aborted, which closes the socket. The kernel resets a connection at a close only if unread bytes are left, so the peer read an end of file. Besides, a handler that was cancelled after the head did not abort it.

Change: an incomplete response is broken off in one place, also when its handler is cancelled, with SO_LINGER 0 if it has no chunks. Chunked responses are closed as before: the missing last chunk tells, and a reset could drop events that are still on the way.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections.abc import Sequence
 from http import HTTPStatus
 
@@ -29,6 +31,7 @@
 from .response_sink import CallerDisconnectedError
 from .routes import CallerLimits, RouteKind, RouteTable
 from .shutdown import Shutdown
+from .stream_progress import COMPLETE
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
@@ -45,6 +48,8 @@
 LISTEN_BACKLOG = 512
 MAX_LOGGED_PARTS = 8
 STOP_POLL_S = 0.02
+# With this SO_LINGER value a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 logger = logging.getLogger(__name__)
 
@@ -90,6 +95,20 @@
         except ConnectionError as error:
             raise CallerDisconnectedError from error
 
+    def break_off(self) -> None:
+        """Close the connection so that the response is seen to be incomplete.
+
+        A response without chunks ends with its connection, so only a reset
+        tells an incomplete one from a complete one.
+        """
+        transport = self._http_request.transport
+        if transport is None:
+            return
+        sock = transport.get_extra_info("socket")
+        if self._http_request.version < (1, 1) and sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
+
 
 class CallerServer(aiomisc.Service):
     """Serves callers over HTTP/1.1.
@@ -288,12 +307,11 @@
             code, reason = caller_response.code, caller_response.reason
         finally:
             self._record_end(request, code, reason, request.arrived_s)
+            # Also when the handler is cancelled, as at the end of the process.
+            if sink.started and reason != COMPLETE:
+                sink.break_off()
         if sink.response is None:
             return self._to_http_response(caller_response or failure(code, reason))
-        # The response has begun, so only a broken connection shows the caller
-        # that it is incomplete.
-        if reason != "complete" and http_request.transport is not None:
-            http_request.transport.abort()
         return sink.response
 
     def _internal_error(
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -10,7 +10,10 @@
 from .protocols import PrefillResult
 from .response_sink import ResponseSink
 
-__all__ = ["CompletionReport", "StreamOutcome", "StreamProgress"]
+__all__ = ["COMPLETE", "CompletionReport", "StreamOutcome", "StreamProgress"]
+
+# The reason of the outcome of a complete response.
+COMPLETE = "complete"
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -45,7 +45,7 @@
     quarantined_outcome,
     refused_outcome,
 )
-from .stream_progress import CompletionReport, StreamOutcome, StreamProgress
+from .stream_progress import COMPLETE, CompletionReport, StreamOutcome, StreamProgress
 
 __all__ = ["StreamRelay"]
 
@@ -342,7 +342,7 @@
     async def _complete(self, progress: StreamProgress, status: int) -> StreamOutcome:
         await progress.sink.finish()
         code = ResultCode.OK if status < 500 else ResultCode.ENGINE_FAILED
-        return StreamOutcome(code, "complete")
+        return StreamOutcome(code, COMPLETE)
 
     def _after_rejection(
         self, request: CallerRequest, progress: StreamProgress, reason: str
