Pass nothing of an odd answer into a stream that broke off

What callers saw: in the middle of their stream the text of an error, at times with its whole head, and the stream then ended as if it were complete.

Cause: once a stream has broken, the next engine was asked for the rest. Any answer that was not an event stream, such as a 404, a 302, a 204 or JSON, was forwarded as the answer to the request: its head was written a second time, into the body, and the result was recorded as complete. So was a 5xx, if no further run was allowed. A Content-Encoding was not looked at.

Change: while the head of a response has been sent, only a 200 with events and without an encoding may follow. Everything else breaks the run, so that the stream goes on at another engine, or ends broken where none may be asked. A log line and a metric tell the reason.

--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -18,7 +18,7 @@
 from .event_stream import EventSplitter, EventTooLargeError
 from .stream_limits import EventTimeouts
 
-__all__ = ["OpenStream", "RunFailedError"]
+__all__ = ["ContinuationError", "OpenStream", "RunFailedError"]
 
 # Several times the usual gap between two events.
 STALL_S = 0.35
@@ -43,6 +43,17 @@
         return cls(f"{prefix}{error}", closed_by_engine=error.closed_by_peer)
 
 
+class ContinuationError(RunFailedError):
+    """The answer of another engine does not continue a response.
+
+    ``kind`` is a reason of a small fixed set, ``reason`` may tell more.
+    """
+
+    def __init__(self, kind: str, detail: str = "") -> None:
+        super().__init__(f"{kind}_{detail}" if detail else kind)
+        self.kind = kind
+
+
 @dataclass
 class OpenStream:
     """A response whose head has arrived.
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -106,6 +106,12 @@
             "Requests ended because engines crash under a part of their prompt",
             registry=self.registry,
         )
+        self._refused_continuations = Counter(
+            "kumquat_relay_refused_continuations",
+            "Answers of engines that did not continue a stream which broke off",
+            ["reason"],
+            registry=self.registry,
+        )
         self.opened = self._gauge(
             "engine_connections_opened", "Connections opened to engines since the start"
         )
@@ -132,6 +138,10 @@
         """Count a plain request that needed a permit of a limited server."""
         self._permits.labels(str(granted).lower()).inc()
 
+    def record_refused_continuation(self, reason: str) -> None:
+        """Count an answer that did not continue a stream."""
+        self._refused_continuations.labels(reason).inc()
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -64,6 +64,16 @@
     last_event_s: float = 0.0
     max_gap_s: float = 0.0
 
+    def record_event_time(self, now_s: float) -> None:
+        """Record the time at which events were received."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        if self.answer_began_s is None:
+            self.answer_began_s = now_s
+        if self.last_event_s:
+            self.max_gap_s = max(self.max_gap_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
+
 
 @dataclass
 class CompletionReport:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -20,6 +20,7 @@
 from .admission_refusal import AdmissionRefusedError
 from .caller_request import CallerRequest
 from .cluster_state import ClusterState
+from .continuation import check_continuation, record_refusal
 from .crash_evidence import Verdict
 from .engine_calls import EngineCalls, NotExecutedError
 from .engine_connection import ConnectionBrokenError
@@ -28,7 +29,7 @@
 from .host_quarantine import HostQuarantine
 from .host_retry_budget import HostRetryBudget
 from .known_limits import KnownLimits
-from .open_stream import OpenStream, RunFailedError
+from .open_stream import ContinuationError, OpenStream, RunFailedError
 from .prompt_quarantine import QuarantineError
 from .queue_types import QUARANTINED
 from .relay_metrics import RelayMetrics
@@ -242,10 +243,10 @@
         progress.runs += 1
         if stream.status >= 500:
             report.failed_engine, report.error_response = entry.id, True
-        if stream.status >= 500 and self._may_resume(request, progress):
-            stream.abort_if_open()
-            reason = f"status_{stream.status}"
-            return self._after_broken_run(request, progress, entry, reason)
+            if not progress.sink.started and self._may_resume(request, progress):
+                stream.abort_if_open()
+                reason = f"status_{stream.status}"
+                return self._after_broken_run(request, progress, entry, reason)
         return await self._forward(request, entry, stream, progress, report)
 
     async def _forward(
@@ -257,10 +258,12 @@
         report: CompletionReport,
     ) -> StreamOutcome | None:
         """Forward events until the response is complete or the run breaks."""
-        splitter = progress.splitter
+        splitter, continues = progress.splitter, progress.sink.started
         splitter.discard_partial_event()
         progress.events_before = splitter.events
         try:
+            if continues:
+                check_continuation(stream)
             if not stream.is_event_stream:
                 return await self._forward_complete(stream, progress)
             async for events in stream.events(
@@ -274,6 +277,9 @@
             if isinstance(error, ConnectionBrokenError):
                 error = RunFailedError.from_broken(error)
             report.failed_engine, report.error_response = stream.engine_id, False
+            if isinstance(error, ContinuationError):
+                report.error_response = True
+                record_refusal(self._metrics, request, progress, stream, error)
             return self._after_broken_run(
                 request,
                 progress,
@@ -313,11 +319,7 @@
         progress: StreamProgress,
     ) -> None:
         """Forward complete events and report progress to the owner."""
-        now_s = self._clock.monotonic()
-        if progress.first_event_s is None:
-            progress.first_event_s = now_s
-        if progress.answer_began_s is None:
-            progress.answer_began_s = now_s
+        progress.record_event_time(self._clock.monotonic())
         if not progress.answer_recorded and self._is_answering(progress):
             progress.answer_recorded = True
             self._quarantine.prompts.record_answered(request)
@@ -326,9 +328,6 @@
             # decode engine has prefilled the prompt.
             self._admission.report_prefill(request.id, stream.head_ms)
         stream.events_forwarded += 1
-        if progress.last_event_s:
-            progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
-        progress.last_event_s = now_s
         run_events = progress.splitter.events - progress.events_before
         self._admission.record_progress(
             request.id,
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -18,6 +18,7 @@
 
 from .fake_server import FakeServer
 from .fake_store import FakeStore, Row
+from .odd_streams import OddAnswer
 
 __all__ = ["FakeEngine", "FakeStore", "LimitPeriod", "Row"]
 
@@ -55,6 +56,12 @@
         # Event counts after which streams break, each used once. Engines may
         # share the list.
         self.break_after: list[int] = []
+        # Answers to requests that resume a stream, and to those after a stream
+        # that broke without an event, each used once. Engines may share them.
+        self.odd_answers: list[OddAnswer] = []
+        self.odd_first_answers: list[OddAnswer] = []
+        # Whether streams begin with a comment, before their first event.
+        self.comments = False
         # While cleared, requests wait without a response.
         self.responsive = asyncio.Event()
         self.responsive.set()
@@ -214,6 +221,13 @@
             return web.Response(
                 status=self.status, headers=response_headers, body=b"whole"
             )
+        if self.odd_answers and "last-event-id" in headers:
+            after = int(headers["last-event-id"])
+            answer = self.odd_answers.pop(0)
+            return await answer(request, response_headers, after)
+        if self.odd_first_answers and not self.break_after:
+            answer = self.odd_first_answers.pop(0)
+            return await answer(request, response_headers, 0)
         return await self._stream(request, headers, response_headers)
 
     def _deadly_parts(self, headers: dict[str, str]) -> set[str]:
@@ -249,6 +263,8 @@
             self.crash_times += [(part, now_s) for part in deadly_parts]
             await self.crash()
             return response
+        if self.comments:
+            await response.write(b": odd\n\n")
         first_event = int(headers.get("last-event-id", "0")) + 1
         for number in range(first_event, self.events + 1):
             if self.break_after and number > self.break_after[0]:
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -105,11 +105,13 @@
 class RelayHarness:
     """Runs a host with a store and engines and sends requests to it."""
 
-    def __init__(self, host_count: int = 1) -> None:
+    def __init__(self, host_count: int = 1, decode_engines: int = 2) -> None:
         self._host_count = host_count
         self.store = FakeStore()
         self.prefill_engine = FakeEngine("reader", "prefill")
-        self.decode_engines = [FakeEngine(f"decode{n}", "decode") for n in range(2)]
+        self.decode_engines = [
+            FakeEngine(f"decode{n}", "decode") for n in range(decode_engines)
+        ]
         self.backend_servers = [FakeEngine(f"plain{n}") for n in range(2)]
         self._ids = 0
 
@@ -217,12 +219,14 @@
 
 
 def run_scenario(
-    scenario: Callable[[RelayHarness], Awaitable[None]], host_count: int = 1
+    scenario: Callable[[RelayHarness], Awaitable[None]],
+    host_count: int = 1,
+    decode_engines: int = 2,
 ) -> None:
     """Run a scenario with a new harness."""
 
     async def run() -> None:
-        async with RelayHarness(host_count) as harness:
+        async with RelayHarness(host_count, decode_engines) as harness:
             await scenario(harness)
 
     asyncio.run(run())
