Check that the events of a resumed run continue the stream

What callers saw: events twice, a gap, or events of a run that started from the beginning, in a stream that ended as if it were complete.

Cause: the events of the engine that was asked for the rest were passed on without a look at their ids. Besides, a stream whose last event has no id was resumed after an earlier one, and an id of more than 4,300 digits raised an error in the conversion to a number.

Change: a sequence keeps the last id and the largest step between two events of one run. The first event of a resumed run must have an id above the last one and not beyond that step; later ones must not go back. Everything before an event that does not belong there is passed on, nothing from it on. The run then breaks. The events of the first run stay those of its engine.

Remains: after a single event the step is unknown, so that a skip is not seen. The protocol only states that ids rise, so a step of one is not assumed.

--- a/packages/kumquat_relay/src/kumquat_relay/event_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/event_stream.py
@@ -6,6 +6,8 @@
 counted as events: they show no progress of the response.
 """
 
+from .event_sequence import EventSequence
+
 __all__ = ["EventSplitter", "EventTooLargeError"]
 
 EVENT_END = b"\n\n"
@@ -13,6 +15,8 @@
 COMMENT_PREFIX = b":"
 # Thirty times the longest event of a model engine, which carries a few tokens.
 MAX_EVENT_BYTES = 64 * 1024
+# Python refuses to convert numbers of several thousand digits.
+MAX_ID_DIGITS = 18
 
 
 class EventTooLargeError(Exception):
@@ -22,19 +26,42 @@
 class EventSplitter:
     """Assembles complete events from chunks of a stream.
 
-    ``events`` counts the complete events; ``last_id`` is the last numeric id.
+    ``events`` counts the complete events. ``misplaced`` tells why an
+    event does not continue the stream, empty if all do; nothing after it is
+    forwarded.
     """
 
     def __init__(self) -> None:
         self._partial = bytearray()
+        self._sequence = EventSequence()
         self.events = 0
-        self.last_id: int | None = None
+        self.misplaced = ""
 
     @property
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
         return bytes(self._partial)
 
+    @property
+    def last_id(self) -> int | None:
+        """Return the last numeric id."""
+        return self._sequence.last_id
+
+    @property
+    def can_continue(self) -> bool:
+        """Tell whether another engine can go on after the last event."""
+        return self._sequence.can_continue
+
+    def resume_after(self, event_id: int | None) -> None:
+        """Begin after the last event that the caller already has."""
+        self._sequence.last_id = event_id
+
+    def begin_run(self) -> None:
+        """Discard an incomplete event before another run."""
+        self._partial.clear()
+        self._sequence.begin_run()
+        self.misplaced = ""
+
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk; return the events that it completes, unchanged.
 
@@ -48,29 +75,41 @@
         if end < 0:
             self._check_partial_size()
             return b""
-        complete = bytes(self._partial[: end + len(EVENT_END)])
+        complete = bytes(self._partial[:end])
         del self._partial[: end + len(EVENT_END)]
         self._check_partial_size()
+        accepted = []
         for block in complete.split(EVENT_END):
-            self._count_event(block)
-        return complete
-
-    def discard_partial_event(self) -> None:
-        """Discard an incomplete event before another engine continues."""
-        self._partial.clear()
+            if self._accept(block):
+                accepted.append(block + EVENT_END)
+            if self.misplaced:
+                break
+        return b"".join(accepted)
 
     def _check_partial_size(self) -> None:
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"{len(self._partial)} bytes without an end")
 
-    def _count_event(self, block: bytes) -> None:
-        """Count a block that has fields and record its id."""
+    def _accept(self, block: bytes) -> bool:
+        """Count a block that has fields; tell whether it is forwarded."""
         lines = [line for line in block.split(b"\n") if line.strip()]
         if all(line.startswith(COMMENT_PREFIX) for line in lines):
-            return
+            return True
+        event_id = _event_id(lines)
+        self.misplaced = self._sequence.misplacement(event_id)
+        if self.misplaced:
+            return False
+        self._sequence.record(event_id)
         self.events += 1
-        for line in lines:
-            if line.startswith(ID_FIELD_PREFIX):
-                value = line[len(ID_FIELD_PREFIX) :].strip()
-                if value.isdigit():
-                    self.last_id = int(value)
+        return True
+
+
+def _event_id(lines: list[bytes]) -> int | None:
+    """Return the last numeric id among the fields of an event."""
+    event_id = None
+    for line in lines:
+        if line.startswith(ID_FIELD_PREFIX):
+            value = line[len(ID_FIELD_PREFIX) :].strip()
+            if value.isdigit() and len(value) <= MAX_ID_DIGITS:
+                event_id = int(value)
+    return event_id
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -85,7 +85,8 @@
         """Yield the bytes of complete events as they arrive.
 
         Raises ``RunFailedError`` if the connection breaks, the stream ends
-        within an event, or no event completes within ``timeouts``.
+        within an event, or no event completes within ``timeouts``, and
+        ``ContinuationError`` if an event does not continue the stream.
         ``on_stall`` is called with the idle time in milliseconds after each
         ``STALL_S`` without an event.
         """
@@ -123,6 +124,8 @@
                     # Time spent waiting for a slow caller is not idle time
                     # of the engine.
                     last_progress_s, stalls = self._clock.monotonic(), 0
+            if splitter.misplaced:
+                raise ContinuationError("event", splitter.misplaced)
         closed = self._connection.closed_by_peer
         if splitter.remainder:
             raise RunFailedError("partial_event", closed_by_engine=closed)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -106,7 +106,7 @@
         Raises ``CallerDisconnectedError``.
         """
         progress = StreamProgress(sink)
-        progress.splitter.last_id = request.metadata.resume_after
+        progress.splitter.resume_after(request.metadata.resume_after)
         self._retries.record_request(request.service)
         loop_now_s = asyncio.get_running_loop().time()
         left_s = max(0.0, request.deadline_s - self._clock.monotonic())
@@ -259,7 +259,7 @@
     ) -> StreamOutcome | None:
         """Forward events until the response is complete or the run breaks."""
         splitter, continues = progress.splitter, progress.sink.started
-        splitter.discard_partial_event()
+        splitter.begin_run()
         progress.events_before = splitter.events
         try:
             if continues:
@@ -366,7 +366,7 @@
             return False
         if not self._rules.resumption and splitter.events > 0:
             return False
-        return splitter.events == 0 or splitter.last_id is not None
+        return splitter.can_continue
 
     def _is_answering(self, progress: StreamProgress) -> bool:
         """Return whether the engine has survived the start of its answer."""
--- a/tests/relay/odd_streams.py
+++ b/tests/relay/odd_streams.py
@@ -93,4 +93,12 @@
     ),
     "no_head": _closed_before_the_head,
     "head_only": _stream(lambda after: b"", breaks=True),
+    "repeats": _stream(lambda after: _event(after) + _event(after + 1)),
+    "from_the_start": _stream(
+        lambda after: b"".join(_event(number) for number in range(1, 6))
+    ),
+    "skips": _stream(lambda after: _event(after + 2)),
+    "no_ids": _stream(lambda after: b"data: odd\n\n"),
+    "not_a_number": _stream(lambda after: b"id: odd\ndata: odd\n\n"),
+    "goes_back_later": _stream(lambda after: _event(after + 1) + _event(after)),
 }
