Break a resumed run that has no event

What callers saw: a stream that broke off ended as if it were complete.

Cause: an engine that was asked for the rest and sent an event stream without an event, with a proper end, completed the response. Comments in it were passed on. A run that broke after a comment, before its first event, was completed by such an answer too, although its head had been sent.

Evidence: 5 tests fail on the commit before: an empty answer and one with only a comment, with a third engine left and with none, and an empty one after a comment.

Change: a run that continues a response must have an event before it can end; comments before its first event are left out, since they may belong to an answer of another kind. A first run without events stays complete if its engine ended it properly.

Cost: if an engine breaks off between its last event and the end of its response, the rest is empty as well. The stream then ends broken, as nothing shows that it was complete.

After: all pass, with the tests of a whole host and of endless answers.

--- a/packages/kumquat_relay/src/kumquat_relay/event_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/event_stream.py
@@ -26,14 +26,15 @@
 class EventSplitter:
     """Assembles complete events from chunks of a stream.
 
-    ``events`` counts the complete events. ``misplaced`` tells why an
-    event does not continue the stream, empty if all do; nothing after it is
-    forwarded.
+    ``events`` counts the complete events. ``awaits_event`` is set until the
+    first event of a run that continues a response. ``misplaced`` tells why an
+    event does not continue it, empty if all do; nothing after it is forwarded.
     """
 
     def __init__(self) -> None:
         self._partial = bytearray()
         self._sequence = EventSequence()
+        self.awaits_event = False
         self.events = 0
         self.misplaced = ""
 
@@ -56,10 +57,15 @@
         """Begin after the last event that the caller already has."""
         self._sequence.last_id = event_id
 
-    def begin_run(self) -> None:
-        """Discard an incomplete event before another run."""
+    def begin_run(self, *, continues: bool) -> None:
+        """Discard an incomplete event before another run.
+
+        Comments before the first event of a run that continues a response are
+        left out, since they may belong to an answer of another kind.
+        """
         self._partial.clear()
         self._sequence.begin_run()
+        self.awaits_event = continues
         self.misplaced = ""
 
     def feed(self, chunk: bytes) -> bytes:
@@ -94,11 +100,12 @@
         """Count a block that has fields; tell whether it is forwarded."""
         lines = [line for line in block.split(b"\n") if line.strip()]
         if all(line.startswith(COMMENT_PREFIX) for line in lines):
-            return True
+            return not self.awaits_event
         event_id = _event_id(lines)
         self.misplaced = self._sequence.misplacement(event_id)
         if self.misplaced:
             return False
+        self.awaits_event = False
         self._sequence.record(event_id)
         self.events += 1
         return True
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -126,6 +126,8 @@
                     last_progress_s, stalls = self._clock.monotonic(), 0
             if splitter.misplaced:
                 raise ContinuationError("event", splitter.misplaced)
+        if splitter.awaits_event:
+            raise ContinuationError("empty")
         closed = self._connection.closed_by_peer
         if splitter.remainder:
             raise RunFailedError("partial_event", closed_by_engine=closed)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -259,7 +259,7 @@
     ) -> StreamOutcome | None:
         """Forward events until the response is complete or the run breaks."""
         splitter, continues = progress.splitter, progress.sink.started
-        splitter.begin_run()
+        splitter.begin_run(continues=continues)
         progress.events_before = splitter.events
         try:
             if continues:
--- a/tests/relay/odd_streams.py
+++ b/tests/relay/odd_streams.py
@@ -93,6 +93,8 @@
     ),
     "no_head": _closed_before_the_head,
     "head_only": _stream(lambda after: b"", breaks=True),
+    "empty": _stream(lambda after: b""),
+    "comments_only": _stream(lambda after: b": odd\n\n"),
     "repeats": _stream(lambda after: _event(after) + _event(after + 1)),
     "from_the_start": _stream(
         lambda after: b"".join(_event(number) for number in range(1, 6))
--- a/tests/relay/test_engine_state.py
+++ b/tests/relay/test_engine_state.py
@@ -80,6 +80,6 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert splitter.last_id == 1
-    splitter.begin_run()
+    splitter.begin_run(continues=True)
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
     assert splitter.events == 2
--- a/tests/relay/test_resumed_streams.py
+++ b/tests/relay/test_resumed_streams.py
@@ -85,7 +85,7 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("kind", ["status_500", "status_404", "other_type"])
+@pytest.mark.parametrize("kind", ["status_500", "status_404", "other_type", "empty"])
 def test_stream_that_broke_after_a_comment_gets_no_other_answer(kind: str) -> None:
     """The head was sent with the comment: nothing else fits behind it."""
 
