Forward compressed bodies of requests as they are

What servers got: the decompressed body of a request with Content-Encoding gzip or deflate, beside that header, so that they could not read it. A body that is not what its header says made the host answer 500 by itself.

Cause: the web server decompresses bodies of requests by default.

Change: the host does not decompress. The fake servers of the tests do not either, so that they show the bytes on the wire.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -147,6 +147,8 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            # Engines get bodies as they are, also compressed ones.
+            auto_decompress=False,
             keepalive_timeout=DEFAULT_LIMITS.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             max_line_size=DEFAULT_LIMITS.max_header_bytes,
             max_field_size=DEFAULT_LIMITS.max_header_bytes,
--- a/tests/relay/fake_server.py
+++ b/tests/relay/fake_server.py
@@ -14,7 +14,9 @@
         self.address = Address("127.0.0.1", 0)
 
     async def start(self) -> None:
-        self._server = web.Server(self.handle, handler_cancellation=True)
+        self._server = web.Server(
+            self.handle, handler_cancellation=True, auto_decompress=False
+        )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", self.address.port)
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -1,8 +1,10 @@
 """Tests of what callers read on their connections, as raw bytes."""
 
+import gzip
+
 import pytest
 
-from .raw_answers import exchange
+from .raw_answers import exchange, parse_answer, read_all, request_bytes
 from .relay_harness import RelayHarness, run_scenario
 
 EVENTS = b"".join(f"id: {n}\ndata: e{n}\n\n".encode() for n in range(1, 6))
@@ -36,3 +38,29 @@
         assert EVENTS.startswith(answer.body)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("encoding", ["gzip", "deflate", "unknown"])
+def test_compressed_body_reaches_its_server_unchanged(encoding: str) -> None:
+    """The host decompressed bodies and passed their encoding on."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        body = gzip.compress(b"body", mtime=0)
+        sent = request_bytes(
+            "once",
+            harness.next_request_id(),
+            "1.1",
+            "POST",
+            body,
+            f"Content-Encoding: {encoding}",
+            "Connection: close",
+        )
+        data, _ = await read_all(harness.host._options.callers, sent)
+        assert parse_answer(data, reset=False).status == 200
+        (received,) = [
+            item for engine in harness.backend_servers for item in engine.received
+        ]
+        assert received[2]["content-encoding"] == encoding
+        assert received[3] == body
+
+    run_scenario(scenario)
