--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -118,3 +118,31 @@
         }.intersection(answer.headers)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("route", ["once", "story"])
+@pytest.mark.parametrize(
+    "header", ["X-Deadline-Ms: {}", "X-Token-Counts: {},5", "X-Token-Counts: 5,{}"]
+)
+def test_endless_number_does_not_fail_a_request(header: str, route: str) -> None:
+    """A number that cannot be converted ended a request with status 500."""
+
+    async def send(harness: RelayHarness, digits: int) -> int:
+        line = header.format("9" * digits).encode()
+        sent = request_bytes(
+            route,
+            harness.next_request_id(),
+            "1.1",
+            "POST",
+            b"body",
+            "Connection: close",
+        )
+        name = line.partition(b":")[0]
+        lines = [line if x.startswith(name) else x for x in sent.split(b"\r\n")]
+        data, _ = await read_all(harness.host._options.callers, b"\r\n".join(lines))
+        return parse_answer(data, reset=False).status
+
+    async def scenario(harness: RelayHarness) -> None:
+        assert [await send(harness, digits) for digits in (400, 5000)] == [200, 200]
+
+    run_scenario(scenario)
