End requests whose bodies do not arrive

What callers saw: no answer to a request whose body stops or goes on with bytes that are no chunk, until they closed the connection. The request counted as in progress all the while, so a stopping host waited for it.

Cause: the body was awaited without a limit. If the web server finds invalid bytes in a body that is being read, it does not tell the reader of the body.

Change: a body may pause as long as a connection may be idle, 15 s by default; then the request ends with 408 and SLOW_SENDER, which is true since it was not sent. Invalid bodies of which the reader is told end with 400. Both are logged.

Invalid framing is refused with 400 by the parser.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -28,6 +28,7 @@
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
+from .request_body import read_body
 from .response_sink import CallerDisconnectedError
 from .routes import CallerLimits, RouteKind, RouteTable
 from .shutdown import Shutdown
@@ -209,16 +210,14 @@
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > limits.max_body_bytes:
-                return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
+        body = await read_body(http_request, limits)
+        if isinstance(body, CallerResponse):
+            return body
         if routes is None:
             return refusal(
                 ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
             )
-        return self._match_route(http_request, routes, bytes(body))
+        return self._match_route(http_request, routes, body)
 
     def _match_route(
         self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -41,6 +41,8 @@
         self.stage = stage
         self.events = 5
         self.gap_s = 0.002
+        # Size of each event, filled up with a comment.
+        self.event_bytes = 0
         # Method, path, headers and body of each request.
         self.received: list[tuple[str, str, dict[str, str], bytes]] = []
         # Loop time of the arrival of each request, control calls included.
@@ -273,7 +275,10 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(f"id: {number}\ndata: e{number}\n\n".encode())
+            event = f"id: {number}\ndata: e{number}\n".encode()
+            if self.event_bytes:
+                event += b":".ljust(self.event_bytes, b"a") + b"\n"
+            await response.write(event + b"\n")
             await asyncio.sleep(self.gap_s)
         await response.write_eof()
         return response
