--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -61,28 +61,50 @@
         )
 
     async def acquire(
-        self, address: Address, *, recently_used: bool, timeout_s: float
+        self,
+        address: Address,
+        *,
+        recently_used: bool,
+        timeout_s: float,
+        request_id: str = "",
     ) -> EngineConnection:
         """Return an idle connection or open one.
 
         With ``recently_used``, connections that were idle for more than
-        ``RECENT_USE_S`` are not reused. Raises ``SendFailedError`` if no
-        connection can be opened.
+        ``RECENT_USE_S`` are not reused; one that has carried ``request_id``
+        never is. Raises ``SendFailedError`` if no connection can be opened.
         """
         now_s = self._clock.monotonic()
         idle = self._idle_by_address.get(address, [])
-        while idle:
-            connection = idle.pop()
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
             idle_s = now_s - connection.idle_since_s
             if not connection.usable or idle_s > self._idle_limit_s(connection):
+                del idle[index]
                 connection.abort()
                 continue
             if recently_used and idle_s > RECENT_USE_S:
-                idle.append(connection)
                 break
+            if request_id and connection.has_carried(request_id):
+                continue
+            del idle[index]
             return connection
         return await self.open(address, timeout_s)
 
+    async def acquire_unused(
+        self, address: Address, timeout_s: float
+    ) -> EngineConnection:
+        """Return a connection that has carried no exchange.
+
+        Raises ``SendFailedError`` if no connection can be opened.
+        """
+        idle = self._idle_by_address.get(address, [])
+        for connection in idle:
+            if connection.exchanges == 0 and self._is_recent(connection):
+                idle.remove(connection)
+                return connection
+        return await self.open(address, timeout_s)
+
     async def open(
         self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> EngineConnection:
@@ -127,6 +149,12 @@
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
+    def _is_recent(self, connection: EngineConnection) -> bool:
+        """Return whether the server has hardly closed the connection yet."""
+        idle_s = self._clock.monotonic() - connection.idle_since_s
+        limit_s = min(RECENT_USE_S, self._idle_limit_s(connection))
+        return connection.usable and idle_s <= limit_s
+
     def _max_idle(self) -> int:
         """Return how many connections to an engine this host keeps idle."""
         return int(min(MAX_IDLE_PER_ADDRESS, max(1.0, self._idle_share)))
