Close the connection behind a stream without chunks

What callers saw: an HTTP/1.0 caller that asks to keep its connection waited for the end of a complete stream until it gave up.

Cause: a stream without chunks ends with its connection, but the web server kept the connection, as the request asked for it.

The test fails on the commit before.

Change: the connection is closed behind a stream for an HTTP/1.0 caller.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -76,6 +76,9 @@
             response.force_close()
         if self._http_request.version >= (1, 1):
             response.enable_chunked_encoding()
+        else:
+            # Its end is that of the connection, also if the caller keeps them.
+            response.force_close()
         self.response = response
         try:
             await response.prepare(self._http_request)
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -327,3 +327,24 @@
         assert [item[3] for item in received] == [inner]
 
     run_scenario(scenario)
+
+
+def test_stream_without_chunks_ends_with_its_connection() -> None:
+    """HTTP/1.0 callers that keep connections never saw the end."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        sent = request_bytes(
+            "tale",
+            harness.next_request_id(),
+            "1.0",
+            "POST",
+            b"body",
+            "Connection: keep-alive",
+        )
+        async with asyncio.timeout(2.0):
+            data, reset = await read_all(harness.host._options.callers, sent)
+        answer = parse_answer(data, reset=reset)
+        assert answer.complete
+        assert answer.body == EVENTS
+
+    run_scenario(scenario)
