--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -33,6 +33,7 @@
 from .response_sink import CallerDisconnectedError
 from .routes import RouteKind
 from .shutdown import Shutdown
+from .stream_progress import COMPLETE
 from .stream_relay import StreamRelay
 
 __all__ = ["CallerServer"]
@@ -91,6 +92,8 @@
             lambda: self._reader.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
             handler_cancellation=True,
             access_log=None,
+            # Engines get bodies as they are, also compressed ones.
+            auto_decompress=False,
             max_line_size=DEFAULT_LIMITS.max_header_bytes,
             max_field_size=DEFAULT_LIMITS.max_header_bytes,
         )
@@ -249,15 +252,14 @@
             code, reason = caller_response.code, caller_response.reason
         finally:
             self._record_end(request, code, reason, request.arrived_s)
+            # Also when the handler is cancelled, as at the end of the process.
+            if sink.started and reason != COMPLETE:
+                sink.break_off()
         if sink.response is None:
             return await self._respond(
                 http_request, caller_response or failure(code, reason)
             )
-        # The response has begun, so only a broken connection shows the caller
-        # that it is incomplete.
-        if reason != "complete" and http_request.transport is not None:
-            http_request.transport.abort()
-        elif sink.announces_close:
+        if reason == COMPLETE and sink.announces_close:
             self._connections.close_later(http_request)
         return sink.response
 
--- a/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_sink.py
@@ -4,6 +4,8 @@
 second, which are written as they arrive.
 """
 
+import socket
+import struct
 from collections.abc import Sequence
 
 from aiohttp import web
@@ -13,6 +15,9 @@
 
 __all__ = ["CallerSink"]
 
+# With this SO_LINGER value a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class CallerSink:
     """Sends a streamed response to the caller.
@@ -23,7 +28,8 @@
 
     def __init__(self, http_request: web.BaseRequest, *, close: bool) -> None:
         self._http_request = http_request
-        self.announces_close = close
+        # The end of a response without chunks is that of the connection.
+        self.announces_close = close or http_request.version < (1, 1)
         self.response: web.StreamResponse | None = None
 
     @property
@@ -59,3 +65,17 @@
             await self.response.write_eof()
         except ConnectionError as error:
             raise CallerDisconnectedError from error
+
+    def break_off(self) -> None:
+        """Close the connection so that the response is seen to be incomplete.
+
+        A response without chunks ends with its connection, so only a reset
+        tells an incomplete one from a complete one.
+        """
+        transport = self._http_request.transport
+        if transport is None:
+            return
+        sock = transport.get_extra_info("socket")
+        if self._http_request.version < (1, 1) and sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -18,7 +18,7 @@
 from .event_stream import EventSplitter, EventTooLargeError
 from .stream_limits import EventTimeouts
 
-__all__ = ["OpenStream", "RunFailedError"]
+__all__ = ["ContinuationError", "OpenStream", "RunFailedError"]
 
 # Several times the usual gap between two events.
 STALL_S = 0.35
@@ -43,6 +43,17 @@
         return cls(f"{prefix}{error}", closed_by_engine=error.closed_by_peer)
 
 
+class ContinuationError(RunFailedError):
+    """The answer of another engine does not continue a response.
+
+    ``kind`` is a reason of a small fixed set, ``reason`` may tell more.
+    """
+
+    def __init__(self, kind: str, detail: str = "") -> None:
+        super().__init__(f"{kind}_{detail}" if detail else kind)
+        self.kind = kind
+
+
 @dataclass
 class OpenStream:
     """A response whose head has arrived.
@@ -74,7 +85,8 @@
         """Yield the bytes of complete events as they arrive.
 
         Raises ``RunFailedError`` if the connection breaks, the stream ends
-        within an event, or no event completes within ``timeouts``.
+        within an event, or no event completes within ``timeouts``, and
+        ``ContinuationError`` if an event does not continue the stream.
         ``on_stall`` is called with the idle time in milliseconds after each
         ``STALL_S`` without an event.
         """
@@ -112,6 +124,10 @@
                     # Time spent waiting for a slow caller is not idle time
                     # of the engine.
                     last_progress_s, stalls = self._clock.monotonic(), 0
+            if splitter.misplaced:
+                raise ContinuationError("event", splitter.misplaced)
+        if splitter.awaits_event:
+            raise ContinuationError("empty")
         closed = self._connection.closed_by_peer
         if splitter.remainder:
             raise RunFailedError("partial_event", closed_by_engine=closed)
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -129,6 +129,12 @@
             "Requests ended because engines crash under a part of their prompt",
             registry=self.registry,
         )
+        self._refused_continuations = Counter(
+            "kumquat_relay_refused_continuations",
+            "Answers of engines that did not continue a stream which broke off",
+            ["reason"],
+            registry=self.registry,
+        )
         self.opened = self._gauge(
             "engine_connections_opened", "Connections opened to engines since the start"
         )
@@ -171,6 +177,10 @@
         """Count a response that was not accepted as an answer."""
         self._rejected_answers.labels(fault).inc()
 
+    def record_refused_continuation(self, reason: str) -> None:
+        """Count an answer that did not continue a stream."""
+        self._refused_continuations.labels(reason).inc()
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -20,6 +20,7 @@
 from .cutoff import Cutoff
 from .open_requests import OpenRequests
 from .protocols import EngineDialect
+from .request_body import read_body
 from .routes import CallerLimits, RouteTable
 
 __all__ = ["DEFAULT_LIMITS", "STOPPING_RETRY_AFTER_S", "RequestReader"]
@@ -69,26 +70,20 @@
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = bytearray()
         try:
             async with self._body_cutoff.timeout_at(None):
-                async for chunk in http_request.content.iter_any():
-                    body += chunk
-                    if len(body) > limits.max_body_bytes:
-                        return client_error(
-                            413, ResultCode.BODY_TOO_LARGE, "body_too_large"
-                        )
+                body = await read_body(http_request, limits)
         except TimeoutError:
             metadata = self._dialect.read_request(http_request.raw_headers)
-            log_event(
-                logger, "body_incomplete", request=metadata.request_id, bytes=len(body)
-            )
+            log_event(logger, "body_incomplete", request=metadata.request_id)
             return refusal(ResultCode.DRAINING, "stopping", STOPPING_RETRY_AFTER_S)
+        if isinstance(body, CallerResponse):
+            return body
         if routes is None:
             return refusal(
                 ResultCode.NOT_READY, "no_configuration", NOT_READY_RETRY_AFTER_S
             )
-        return self._match_route(http_request, routes, bytes(body))
+        return self._match_route(http_request, routes, body)
 
     def _match_route(
         self, http_request: web.BaseRequest, routes: RouteTable, body: bytes
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -20,6 +20,7 @@
 from .admission_refusal import AdmissionRefusedError
 from .caller_request import CallerRequest
 from .cluster_state import ClusterState
+from .continuation import check_continuation, record_refusal
 from .crash_evidence import Verdict
 from .cutoff import Cutoff
 from .engine_calls import EngineCalls, NotExecutedError
@@ -29,7 +30,7 @@
 from .host_quarantine import HostQuarantine
 from .host_retry_budget import HostRetryBudget
 from .known_limits import KnownLimits
-from .open_stream import OpenStream, RunFailedError
+from .open_stream import ContinuationError, OpenStream, RunFailedError
 from .prompt_quarantine import QuarantineError
 from .queue_types import QUARANTINED
 from .relay_metrics import RelayMetrics
@@ -47,7 +48,7 @@
     refused_outcome,
     timeout_outcome,
 )
-from .stream_progress import CompletionReport, StreamOutcome, StreamProgress
+from .stream_progress import COMPLETE, CompletionReport, StreamOutcome, StreamProgress
 
 __all__ = ["StreamRelay"]
 
@@ -109,7 +110,7 @@
         Raises ``CallerDisconnectedError``.
         """
         progress = StreamProgress(sink)
-        progress.splitter.last_id = request.metadata.resume_after
+        progress.splitter.resume_after(request.metadata.resume_after)
         self._retries.record_request(request.service)
         loop_now_s = asyncio.get_running_loop().time()
         left_s = max(0.0, request.deadline_s - self._clock.monotonic())
@@ -246,10 +247,10 @@
         progress.runs += 1
         if stream.status >= 500:
             report.failed_engine, report.error_response = entry.id, True
-        if stream.status >= 500 and self._may_resume(request, progress):
-            stream.abort_if_open()
-            reason = f"status_{stream.status}"
-            return self._after_broken_run(request, progress, entry, reason)
+            if not progress.sink.started and self._may_resume(request, progress):
+                stream.abort_if_open()
+                reason = f"status_{stream.status}"
+                return self._after_broken_run(request, progress, entry, reason)
         return await self._forward(request, entry, stream, progress, report)
 
     async def _forward(
@@ -261,10 +262,12 @@
         report: CompletionReport,
     ) -> StreamOutcome | None:
         """Forward events until the response is complete or the run breaks."""
-        splitter = progress.splitter
-        splitter.discard_partial_event()
+        splitter, continues = progress.splitter, progress.sink.started
+        splitter.begin_run(continues=continues)
         progress.events_before = splitter.events
         try:
+            if continues:
+                check_continuation(stream)
             if not stream.is_event_stream:
                 return await self._forward_complete(stream, progress)
             async for events in stream.events(
@@ -278,6 +281,9 @@
             if isinstance(error, ConnectionBrokenError):
                 error = RunFailedError.from_broken(error)
             report.failed_engine, report.error_response = stream.engine_id, False
+            if isinstance(error, ContinuationError):
+                report.error_response = True
+                record_refusal(self._metrics, request, progress, stream, error)
             return self._after_broken_run(
                 request,
                 progress,
@@ -317,11 +323,7 @@
         progress: StreamProgress,
     ) -> None:
         """Forward complete events and report progress to the owner."""
-        now_s = self._clock.monotonic()
-        if progress.first_event_s is None:
-            progress.first_event_s = now_s
-        if progress.answer_began_s is None:
-            progress.answer_began_s = now_s
+        progress.record_event_time(self._clock.monotonic())
         if not progress.answer_recorded and self._is_answering(progress):
             progress.answer_recorded = True
             self._quarantine.prompts.record_answered(request)
@@ -330,9 +332,6 @@
             # decode engine has prefilled the prompt.
             self._admission.report_prefill(request.id, stream.head_ms)
         stream.events_forwarded += 1
-        if progress.last_event_s:
-            progress.max_gap_s = max(progress.max_gap_s, now_s - progress.last_event_s)
-        progress.last_event_s = now_s
         run_events = progress.splitter.events - progress.events_before
         self._admission.record_progress(
             request.id,
@@ -346,7 +345,7 @@
     async def _complete(self, progress: StreamProgress, status: int) -> StreamOutcome:
         await progress.sink.finish()
         code = ResultCode.OK if status < 500 else ResultCode.ENGINE_FAILED
-        return StreamOutcome(code, "complete")
+        return StreamOutcome(code, COMPLETE)
 
     def _after_rejection(
         self, request: CallerRequest, progress: StreamProgress, reason: str
@@ -371,7 +370,7 @@
             return False
         if not self._rules.resumption and splitter.events > 0:
             return False
-        return splitter.events == 0 or splitter.last_id is not None
+        return splitter.can_continue
 
     def _is_answering(self, progress: StreamProgress) -> bool:
         """Return whether the engine has survived the start of its answer."""
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -78,13 +78,21 @@
     can write copies of its answers; ``proxies_by_id`` has them by engine id.
     """
 
-    def __init__(self, host_count: int = 1, *, stuttering: bool = False) -> None:
+    def __init__(
+        self,
+        host_count: int = 1,
+        decode_engines: int = 2,
+        *,
+        stuttering: bool = False,
+    ) -> None:
         self._host_count = host_count
         self._stuttering = stuttering
         self.proxies_by_id: dict[str, StutteringProxy] = {}
         self.store = FakeStore()
         self.prefill_engine = FakeEngine("reader", "prefill")
-        self.decode_engines = [FakeEngine(f"decode{n}", "decode") for n in range(2)]
+        self.decode_engines = [
+            FakeEngine(f"decode{n}", "decode") for n in range(decode_engines)
+        ]
         self.backend_servers = [FakeEngine(f"plain{n}") for n in range(2)]
         self._ids = 0
 
@@ -201,13 +209,16 @@
 def run_scenario(
     scenario: Callable[[RelayHarness], Awaitable[None]],
     host_count: int = 1,
+    decode_engines: int = 2,
     *,
     stuttering: bool = False,
 ) -> None:
     """Run a scenario with a new harness."""
 
     async def run() -> None:
-        async with RelayHarness(host_count, stuttering=stuttering) as harness:
+        async with RelayHarness(
+            host_count, decode_engines, stuttering=stuttering
+        ) as harness:
             await scenario(harness)
 
     asyncio.run(run())
