--- a/tests/relay/test_copied_answers.py
+++ b/tests/relay/test_copied_answers.py
@@ -22,6 +22,7 @@
 from kumquat_relay import engine_pool
 from kumquat_relay.caller_request import CallerRequest, Header, RequestMetadata
 from kumquat_relay.cluster_state import ClusterState
+from kumquat_relay.cutoff import Cutoff
 from kumquat_relay.engine_calls import EngineCalls, NotExecutedError, RunParameters
 from kumquat_relay.engine_connection import ConnectionBrokenError
 from kumquat_relay.engine_exchange import EngineExchanges
@@ -202,6 +203,7 @@
             self._exchanges,
             ResponseMemory(),
             SendPermits("h", clock, limits, absent, absent, absent),
+            Cutoff(),
         )
         self._calls = EngineCalls(
             clock, self.pool, self._dialect, limits, self._exchanges
