Answer cut requests when the grace period is over before the close

With a grace period below 0.35 s, or one that a reload shortens below the time that has passed, close_all closed every connection before the handlers of cut requests could answer. The close now takes at least 0.2 s.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -32,6 +32,10 @@
 # Time for the last responses and closes once the process must exit. The margin
 # of the shutdown includes it.
 LAST_RESPONSES_S = 0.35
+# Time for them if the grace period is over before the close begins, since it is
+# very short or was shortened by a reload. The handlers of requests that are cut
+# need a few steps of the event loop to answer.
+MIN_CLOSE_S = 0.2
 POLL_S = 0.01
 # The state of a TCP connection that both sides have closed, see tcp(7).
 TCP_STATE_CLOSED = 7
@@ -170,6 +174,7 @@
         self._left_s = left_s
         self._idle_s = idle_s
         self._closers: set[asyncio.Task[int]] = set()
+        self._min_end_s = float("-inf")
         self.unsent_counts: list[int] = []
 
     def __call__(self) -> RequestHandler:
@@ -217,6 +222,7 @@
         No further request is read. ``unsent_counts`` has the bytes of each
         connection that could not be sent.
         """
+        self._min_end_s = asyncio.get_running_loop().time() + MIN_CLOSE_S
         while self._seconds_left() > 0:
             for connection in self._caller_connections():
                 connection.stop_reading()
@@ -246,7 +252,8 @@
             self.unsent_counts.append(task.result())
 
     def _seconds_left(self) -> float:
-        return self._left_s() + LAST_RESPONSES_S
+        min_left_s = self._min_end_s - asyncio.get_running_loop().time()
+        return max(self._left_s() + LAST_RESPONSES_S, min_left_s)
 
     def _caller_connections(self) -> list[CallerConnection]:
         return [item for item in self.connections if isinstance(item, CallerConnection)]
