Close idle connections once their last answer is acknowledged

An idle connection was closed when its answer had left the process but not the kernel. A byte that arrived afterwards reset the connection and destroyed the rest of the answer. An abort counts such an answer as cut as well.

--- a/packages/kumquat_core/src/kumquat_core/server_connections.py
+++ b/packages/kumquat_core/src/kumquat_core/server_connections.py
@@ -214,15 +214,15 @@
             self.handler.force_close()
             return True
         self.transport.pause_reading()
-        if self.transport.get_write_buffer_size():
-            self.handler.force_close()
-        else:
+        # Bytes that arrive at a closed connection reset it, which destroys an
+        # answer that the client's kernel has not acknowledged.
+        if not _unsent_bytes(self.transport):
             self.transport.close()
         return False
 
     def abort(self) -> bool:
         """Close at once; return whether an answer was not sent completely."""
-        unsent_bytes = self.transport.get_write_buffer_size()
+        unsent_bytes = _unsent_bytes(self.transport)
         cut = unsent_bytes > 0 or self.handler._current_request is not None
         if cut:
             log_event(
