Do not run a request behind the last response of a connection

aiohttp parses the bytes behind an upgrade request only after its response. A stopping host had announced the close by then, but ran the request behind it at a server and closed the connection without an answer.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -220,6 +220,10 @@
         """Tell whether a request was read behind this one."""
         return _connection_of(http_request).has_next_request
 
+    def close_announced(self, http_request: web.BaseRequest) -> bool:
+        """Tell whether a response announced the close of the connection."""
+        return _connection_of(http_request).close_announced
+
     def close_later(self, http_request: web.BaseRequest) -> None:
         """Close the connection after a response that announced the close.
 
--- a/tests/relay/test_behind_last_stream.py
+++ b/tests/relay/test_behind_last_stream.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from .raw_caller import request_bytes
 from .relay_harness import RelayHarness
 from .test_planned_stop import _connect, _runs, _stop, run_scenario
@@ -47,3 +49,28 @@
         assert "behind" not in _runs(harness)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("route", ["once", "tale"])
+def test_a_request_behind_an_upgrade_request_does_not_run_unanswered(
+    route: str,
+) -> None:
+    """aiohttp parses such a request after the last response was sent."""
+    upgrade = b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await _connect(harness)
+        stop = _stop(harness.host)
+        await asyncio.sleep(0.02)
+        caller.writer.write(
+            request_bytes(route, "first", 1000).replace(b"\r\n", upgrade, 1)
+            + request_bytes("once", "behind", 1000)
+        )
+        async with asyncio.timeout(5):
+            received = await caller.reader.read()
+            await stop
+        assert received.startswith(b"HTTP/1.1 200")
+        is_answered = received.count(b"HTTP/1.1 200") == 2
+        assert ("behind" in _runs(harness)) == is_answered
+
+    run_scenario(scenario)
