--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -48,6 +48,8 @@
         self.waiting_polls: Counter[str] = Counter()
         # Added to the rows of a table that is read whole, by table.
         self.rows_added: dict[str, list[Any]] = {}
+        # Added to the changed rows that a poll of a table gets, by table.
+        self.changes_added: dict[str, list[Any]] = {}
         # Keys of the rows that transactions have written, in order.
         self.written: list[tuple[str, str]] = []
 
@@ -155,7 +157,8 @@
             ]
             left_s = end_s - asyncio.get_running_loop().time()
             if rows or left_s <= 0 or self.unavailable:
-                return self._rows_response(rows)
+                added = self.changes_added.get(query["table"], ()) if rows else ()
+                return self._rows_response([*rows, *added])
             self.waiting_polls[query["table"]] += 1
             try:
                 async with asyncio.timeout(left_s):
--- a/tests/relay/test_odd_rows.py
+++ b/tests/relay/test_odd_rows.py
@@ -111,3 +111,28 @@
 
     caplog.set_level(logging.WARNING)
     run_scenario(scenario)
+
+
+def test_odd_versions_do_not_reject_the_changes_beside_them() -> None:
+    """A version that cannot be one looked like a row of an earlier poll, for
+    which the whole answer was rejected: the watch stood still."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        fake = harness.store
+        store = PlatformStore(fake.address)
+        try:
+            seen = await store.read(StateKind.ENGINES)
+            fake.changes_added["servers"] = [
+                None,
+                {"key": "bad1", "ver": -1},
+                {"key": "bad2", "ver": True},
+                {"key": "bad3", "ver": "3"},
+                {"key": "bad4", "ver": 9**99, "table": 7},
+            ]
+            harness.list_engine(harness.backend_servers[0], "draining")
+            changes = await store.wait_for_changes(StateKind.ENGINES, seen.version, 1.0)
+            assert [item.key for item in changes.items if item.value] == ["plain0"]
+        finally:
+            await store.close()
+
+    run_scenario(scenario)
