--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -14,6 +14,9 @@
 
 # The reason of the outcome of a complete response.
 COMPLETE = "complete"
+# An engine that crashes under a prompt part does so within this time after the
+# first event.
+ANSWER_START_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -64,6 +67,11 @@
     last_event_s: float = 0.0
     max_gap_s: float = 0.0
 
+    def is_answering(self, now_s: float) -> bool:
+        """Tell whether the engine has survived the start of its answer."""
+        began_s = self.answer_began_s
+        return began_s is not None and now_s - began_s >= ANSWER_START_S
+
     def record_event_time(self, now_s: float) -> None:
         """Record the time at which events were received."""
         if self.first_event_s is None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -55,9 +55,6 @@
 # Number of rejected attempts after which the request is tried again; each of
 # them was certainly not executed.
 MAX_REJECTIONS = 4
-# An engine that crashes under a prompt part does so within this time after the
-# first event.
-ANSWER_START_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -324,7 +321,9 @@
     ) -> None:
         """Forward complete events and report progress to the owner."""
         progress.record_event_time(self._clock.monotonic())
-        if not progress.answer_recorded and self._is_answering(progress):
+        if not progress.answer_recorded and progress.is_answering(
+            self._clock.monotonic()
+        ):
             progress.answer_recorded = True
             self._quarantine.prompts.record_answered(request)
         if stream.events_forwarded == 0:
@@ -372,13 +371,6 @@
             return False
         return splitter.can_continue
 
-    def _is_answering(self, progress: StreamProgress) -> bool:
-        """Return whether the engine has survived the start of its answer."""
-        began_s = progress.answer_began_s
-        return (
-            began_s is not None and self._clock.monotonic() - began_s >= ANSWER_START_S
-        )
-
     def _after_broken_run(
         self,
         request: CallerRequest,
@@ -394,7 +386,7 @@
             request, progress, entry.id, reason, may_resume, closed_by_engine
         )
         progress.excluded.add(entry.id)
-        if closed_by_engine and not self._is_answering(progress):
+        if closed_by_engine and not progress.is_answering(self._clock.monotonic()):
             self._quarantine.observer.run_broken(request, entry, progress.trial_parts)
             # The request itself runs on trial before the owner has decided.
             progress.own_suspects.update(
--- a/tests/relay/test_odd_rows.py
+++ b/tests/relay/test_odd_rows.py
@@ -8,7 +8,8 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
-from kumquat_platform.store import PlatformStore, _parse_changes, _parse_rows
+from kumquat_platform.rows import parse_changes, parse_rows
+from kumquat_platform.store import PlatformStore
 
 from kumquat_core.log_events import FIELDS_ATTRIBUTE
 from kumquat_relay.protocols import StateKind, StoreError
@@ -48,7 +49,7 @@
 def test_good_rows_are_followed_beside_an_odd_one(row: Any) -> None:
     document = {"ver": 9, "store_era": 1}
     response = {"rows": [GOOD_ROWS[0], row, GOOD_ROWS[1]]}
-    changes = _parse_changes(StateKind.ENGINES, _parse_rows(response), document)
+    changes = parse_changes(StateKind.ENGINES, parse_rows(response), document)
     good = [item.key for item in changes.items if item.value is not None]
     assert [key for key in good if key in "az" and key] == ["a", "z"]
     for item in changes.items:
@@ -60,7 +61,7 @@
 @given(version=odd_values)
 def test_odd_version_of_a_response_is_a_store_error(version: Any) -> None:
     try:
-        changes = _parse_changes(
+        changes = parse_changes(
             StateKind.ENGINES, GOOD_ROWS, {"ver": version, "store_era": 1}
         )
     except StoreError:
--- a/tests/relay/test_store_era.py
+++ b/tests/relay/test_store_era.py
@@ -10,7 +10,8 @@
 
 import pytest
 from aiohttp import web
-from kumquat_platform.store import HOST_TABLE, LEASE_TABLE, PEER_KEY, SECRET_TABLE
+from kumquat_platform.rows import HOST_TABLE
+from kumquat_platform.store import LEASE_TABLE, PEER_KEY, SECRET_TABLE
 
 from kumquat_core.clock import ManualClock
 from kumquat_core.settings import Address
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import aiohttp
-from kumquat_platform.store import HOST_TABLE
+from kumquat_platform.rows import HOST_TABLE
 from tests.relay.fakes import FakeEngine, FakeStore, Row
 from tests.relay.free_ports import free_port
 from tests.relay.relay_harness import LLM, PLAIN, configuration
