--- a/tests/relay/test_behind_last_stream.py
+++ b/tests/relay/test_behind_last_stream.py
@@ -6,15 +6,15 @@
 
 from .raw_caller import request_bytes
 from .relay_harness import RelayHarness
-from .test_planned_stop import _connect, _runs, _stop, run_scenario
+from .stopping_host import connect, run_scenario, runs, stop_host
 
 
 def test_a_request_read_with_a_stream_is_answered_behind_it() -> None:
     """Such a request ran, and its caller got a closed connection."""
 
     async def scenario(harness: RelayHarness) -> None:
-        caller = await _connect(harness)
-        stop = _stop(harness.host)
+        caller = await connect(harness)
+        stop = stop_host(harness.host)
         await asyncio.sleep(0.02)
         caller.writer.write(
             request_bytes("tale", "stream", 1000)
@@ -35,8 +35,8 @@
     async def scenario(harness: RelayHarness) -> None:
         for engine in harness.decode_engines:
             engine.gap_s = 0.05
-        caller = await _connect(harness)
-        stop = _stop(harness.host)
+        caller = await connect(harness)
+        stop = stop_host(harness.host)
         await asyncio.sleep(0.02)
         caller.writer.write(request_bytes("tale", "stream", 1500))
         async with asyncio.timeout(5):
@@ -46,7 +46,7 @@
             await stop
         assert b"connection: close" in head.lower()
         assert received.endswith(b"0\r\n\r\n")
-        assert "behind" not in _runs(harness)
+        assert "behind" not in runs(harness)
 
     run_scenario(scenario)
 
@@ -59,8 +59,8 @@
     upgrade = b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
 
     async def scenario(harness: RelayHarness) -> None:
-        caller = await _connect(harness)
-        stop = _stop(harness.host)
+        caller = await connect(harness)
+        stop = stop_host(harness.host)
         await asyncio.sleep(0.02)
         caller.writer.write(
             request_bytes(route, "first", 1000).replace(b"\r\n", upgrade, 1)
@@ -71,6 +71,6 @@
             await stop
         assert received.startswith(b"HTTP/1.1 200")
         is_answered = received.count(b"HTTP/1.1 200") == 2
-        assert ("behind" in _runs(harness)) == is_answered
+        assert ("behind" in runs(harness)) == is_answered
 
     run_scenario(scenario)
--- a/tests/relay/test_short_grace.py
+++ b/tests/relay/test_short_grace.py
@@ -6,12 +6,12 @@
 
 from .raw_caller import RawCaller
 from .relay_harness import RelayHarness
-from .test_planned_stop import (
-    _connect,
-    _hold_servers,
-    _release_servers,
-    _stop,
+from .stopping_host import (
+    connect,
+    hold_servers,
+    release_servers,
     run_scenario,
+    stop_host,
 )
 
 
@@ -22,14 +22,14 @@
     """The connection was closed before its handler could answer."""
 
     async def scenario(harness: RelayHarness) -> None:
-        caller: RawCaller = await _connect(harness)
-        await _hold_servers(harness, caller, "once")
+        caller: RawCaller = await connect(harness)
+        await hold_servers(harness, caller, "once")
         harness.host._parts.shutdown.grace_s = grace_s
-        stop = _stop(harness.host)
+        stop = stop_host(harness.host)
         async with asyncio.timeout(3):
             assert (await caller.read()).status == 504
             await stop
-        _release_servers(harness)
+        release_servers(harness)
 
     run_scenario(scenario)
 
@@ -38,14 +38,14 @@
     """A reload can shorten the grace period below the time that has passed."""
 
     async def scenario(harness: RelayHarness) -> None:
-        caller: RawCaller = await _connect(harness)
-        await _hold_servers(harness, caller, "once")
-        stop = _stop(harness.host)
+        caller: RawCaller = await connect(harness)
+        await hold_servers(harness, caller, "once")
+        stop = stop_host(harness.host)
         await asyncio.sleep(1.2)
         harness.host._parts.shutdown.grace_s = 1.0
         async with asyncio.timeout(3):
             assert (await caller.read()).status == 504
             await stop
-        _release_servers(harness)
+        release_servers(harness)
 
     run_scenario(scenario)
