Ignore signals that arrive after a host has stopped

Cause: closing the event loop restores the default action of the signals, and the interpreter takes some milliseconds to exit afterwards. A platform that reads the status takes the stop for a crash.

Change: the last step of both programs removes the handlers and ignores the signals.

Evidence: test_signals_until_the_exit_do_not_change_the_status, with a signal every half millisecond until the exit, gave the statuses -15 and -1 before and 0 and 0 now. While the modules load, SIGTERM still ends the process by its default action; nothing has been read then.

--- a/packages/kumquat_relay/src/kumquat_relay/runner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/runner.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from kumquat_core.exit_signals import ignore_stop_signals
 from kumquat_core.log_events import log_event
 from kumquat_core.result_codes import RouterError
 from kumquat_core.task_errors import log_task_error
@@ -51,6 +52,7 @@
     watch_task.cancel()
     await host.stop()
     log_handler.flush()
+    ignore_stop_signals(loop)
 
 
 async def _watch_settings(
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -11,6 +11,7 @@
 import typer
 import uvloop
 
+from kumquat_core.exit_signals import ignore_stop_signals
 from kumquat_core.log_events import configure_logging, log_event
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Options, SettingsModel, load_options
@@ -52,7 +53,7 @@
     """Run an entry host until SIGTERM or SIGINT."""
     options = _load(settings)
     configure_logging(options.log_level)
-    sys.exit(uvloop.run(_run(options)))
+    sys.exit(uvloop.run(_run_to_exit(options)))
 
 
 @app.command("check-config")
@@ -94,6 +95,13 @@
     return False
 
 
+async def _run_to_exit(options: Options) -> int:
+    """Run until a signal; ignore those that arrive after the stop."""
+    exit_code = await _run(options)
+    ignore_stop_signals(asyncio.get_running_loop())
+    return exit_code
+
+
 async def _run(options: Options) -> int:
     """Run until a signal and drain; a second signal ends the drain early.
 
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -23,6 +23,7 @@
 # has left the rotation, so none of them is refused.
 LONG_GRACE_S = 8.0
 STARTUP_DELAY_S = 0.25
+SIGNAL_INTERVAL_S = 0.0005
 # Hosts follow a new configuration within this time.
 CONFIGURATION_S = 1.0
 
@@ -184,3 +185,25 @@
     tmp_path: Path,
 ) -> None:
     assert asyncio.run(_stop_during_startup(tmp_path)) == 0
+
+
+async def _signal_until_exit(folder: Path) -> list[int | None]:
+    statuses: list[int | None] = []
+    async with SoakHarness(folder, host_count=1) as harness:
+        host = harness.hosts[0]
+        for signal_number in (signal.SIGTERM, signal.SIGHUP):
+            host.send(signal.SIGTERM)
+            exited = asyncio.ensure_future(host.wait_for_exit())
+            while not exited.done():
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+                host.send(signal_number)
+            statuses.append(await exited)
+            await host.start()
+            await harness.wait_until_ready()
+    return statuses
+
+
+def test_signals_until_the_exit_do_not_change_the_status(tmp_path: Path) -> None:
+    """Guards against a signal after the event loop was closed: its default
+    action ended the process with a status other than 0."""
+    assert asyncio.run(_signal_until_exit(tmp_path)) == [0, 0]
