Write each idle copy of the stuttering proxy before the next request

Cause: the proxy drops a copy that is still due when the next answer begins, and an idle copy is due 2 ms after its answer. On a fast machine the next request is answered sooner. Load was ruled out: it failed on the idle machine.

The proxy now writes an idle copy before it forwards the next request of its connection, and the test sends that request once the copies are written. No bound changed.

--- a/tests/relay/stutter.py
+++ b/tests/relay/stutter.py
@@ -36,7 +36,8 @@
 class CopyTime(Enum):
     """When a copy is written.
 
-    ``AT_ONCE``: with the end of the answer. ``IDLE``: ``delay_s`` after it.
+    ``AT_ONCE``: with the end of the answer. ``IDLE``: ``delay_s`` after it,
+    before the next request is forwarded.
     ``AFTER_REQUEST``: as soon as the next request has arrived.
     ``BEFORE_NEXT``: in one write with the first bytes of the next answer.
     """
@@ -87,7 +88,8 @@
 class StutteringProxy:
     """Forwards connections to a server and adds copies of its answers.
 
-    ``copies`` counts the copies that were written.
+    ``copies`` counts the copies that were written, ``exchanges_in_progress``
+    the exchanges of which an answer or an idle copy is still to be written.
     """
 
     def __init__(self, server: Address, plan: Plan | None = None) -> None:
@@ -95,6 +97,7 @@
         self.plan = plan
         self.copies = 0
         self.connections = 0
+        self.exchanges_in_progress = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -163,18 +166,26 @@
             request, raw = await self._read_request(parser)
             if request is None:
                 return
-            self._write_pending(CopyTime.AFTER_REQUEST)
-            self._server_writer.write(raw)
-            exchange = await self._forward_answer(request)
-            if exchange is None:
-                return
-            copy = self._proxy.plan(exchange) if self._proxy.plan else None
-            self._pending = copy
-            self._write_pending(CopyTime.AT_ONCE)
-            if self._pending and self._pending.time is CopyTime.IDLE:
-                asyncio.get_running_loop().call_later(
-                    self._pending.delay_s, self._write_pending, CopyTime.IDLE
-                )
+            self._proxy.exchanges_in_progress += 1
+            try:
+                if not await self._exchange(request, raw):
+                    return
+            finally:
+                self._proxy.exchanges_in_progress -= 1
+
+    async def _exchange(self, request: h11.Request, raw: bytes) -> bool:
+        """Forward a request and its answer; return whether to go on."""
+        self._write_pending(CopyTime.AFTER_REQUEST)
+        self._server_writer.write(raw)
+        exchange = await self._forward_answer(request)
+        if exchange is None:
+            return False
+        self._pending = self._proxy.plan(exchange) if self._proxy.plan else None
+        self._write_pending(CopyTime.AT_ONCE)
+        if self._pending and self._pending.time is CopyTime.IDLE:
+            await asyncio.sleep(self._pending.delay_s)
+            self._write_pending(CopyTime.IDLE)
+        return True
 
     async def _read_request(
         self, parser: h11.Connection
--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -4,6 +4,7 @@
 that isn't its own, lets a request that ran end as refused, or runs it twice.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from itertools import cycle
@@ -147,6 +148,14 @@
         engine.status = int(kind) if kind != "refusal" else 200
 
 
+async def wait_for_idle_copies(harness: RelayHarness) -> None:
+    """Return when each proxy has written its answers and idle copies."""
+    proxies = harness.proxies_by_id.values()
+    async with asyncio.timeout(5.0):
+        while any(proxy.exchanges_in_progress for proxy in proxies):
+            await asyncio.sleep(0.001)
+
+
 def check_plain_requests(kind: str, time: CopyTime, *, cut: bool) -> None:
     """Send plain requests to servers that copy their answers of a kind."""
 
@@ -158,6 +167,7 @@
             copies.active = True
             prepare_answers(harness.backend_servers, kind)
             await judge.send("once")
+            await wait_for_idle_copies(harness)
             copies.active = False
             prepare_answers(harness.backend_servers, "404" if kind == "200" else "200")
             await judge.send("again" if number % 2 else "once")
