Keep the exit status of a child that is signalled while it exits

Cause: asyncio's Process.send_signal polls the child before it sends. If the child has just exited, the poll takes its status from the thread that waits for it, and asyncio reports 255.

The lab's processes had the same fault.

--- a/packages/kumquat_lab/src/kumquat_lab/processes.py
+++ b/packages/kumquat_lab/src/kumquat_lab/processes.py
@@ -6,16 +6,17 @@
 """
 
 import asyncio
-import contextlib
 import ctypes
 import os
 import random
 import signal
 import socket
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
+from .child_signals import ChildSignals
+
 __all__ = ["ChildProcess", "ProcessGroup", "reserve_ports"]
 
 STOP_TIMEOUT_S = 5.0
@@ -84,6 +85,10 @@
     name: str
     process: asyncio.subprocess.Process
     log_path: Path
+    _signals: ChildSignals = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        self._signals = ChildSignals(self.process.pid)
 
     @property
     def pid(self) -> int:
@@ -98,8 +103,7 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal unless the process has exited."""
         if self.running:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
+            self._signals.send(number)
 
     def cpu_s(self) -> float:
         """Return the CPU time used so far, in seconds."""
--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from kumquat_core.settings import Address
+from kumquat_lab.child_signals import ChildSignals
 
 __all__ = ["EXIT_TIMEOUT_S", "GRACE_S", "HostProcess"]
 
@@ -33,6 +34,7 @@
         self._settings = folder / f"{host_id}.json"
         self._log = folder / f"{host_id}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._signals: ChildSignals | None = None
         self.paused = False
         self._document = {
             "host_id": host_id,
@@ -80,12 +82,12 @@
                 stdout=log,
                 stderr=log,
             )
+        self._signals = ChildSignals(self._process.pid)
 
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process unless it has exited."""
-        if self._process is None or self._process.returncode is not None:
+        if self._signals is None or not self._signals.send(signal_number):
             return
-        self._process.send_signal(signal_number)
         if signal_number in (signal.SIGSTOP, signal.SIGCONT):
             self.paused = signal_number is signal.SIGSTOP
 
