Bound the size of an answer of the store

Callers saw nothing so far: the fault was found by reading the code. An answer of the platform's store that did not end was read until the time of the call was over, and kept whole in memory. So was that of the own interface's object store.

The margin of a poll's time did not help: within it, the size depends on the network only.

Changes have no such limit, so a watch that gets too many reads its table in pages instead. Reads may then succeed where each poll fails, so only a poll ends an outage now: otherwise the delay would not grow and two log lines would follow each poll. The first poll after an outage in which the table was read again does not wait, which is one more call.

--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -19,6 +19,7 @@
 from .result_codes import ResultCode, RouterError
 
 __all__ = [
+    "MAX_RESPONSE_BYTES",
     "TRANSPORT_ERRORS",
     "AnswerTooLargeError",
     "create_session",
--- a/packages/kumquat_core/src/kumquat_core/object_client.py
+++ b/packages/kumquat_core/src/kumquat_core/object_client.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from .http_client import TRANSPORT_ERRORS
+from .http_client import MAX_RESPONSE_BYTES, TRANSPORT_ERRORS, read_response_body
 from .proved_exchange import exchange
 from .result_codes import ResultCode, RouterError
 
@@ -76,7 +76,7 @@
                 async with exchange(
                     self._session, method, url, data=content, headers=headers
                 ) as response:
-                    body = await response.read()
+                    body = await read_response_body(response, MAX_RESPONSE_BYTES)
                     return response.status, body, response.headers.get("ETag", "")
         except TRANSPORT_ERRORS as error:
             raise _unavailable(type(error).__name__) from error
--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -26,6 +26,7 @@
     "HistoryLostError",
     "HostEntry",
     "LeaseState",
+    "OversizedAnswerError",
     "PrefillResult",
     "SendOptions",
     "StateKind",
@@ -101,6 +102,10 @@
     """A call to the store failed; a write may have been applied."""
 
 
+class OversizedAnswerError(StoreError):
+    """The answer exceeds what this host reads of one answer."""
+
+
 class HistoryLostError(Exception):
     """The store no longer has the changes after the requested version."""
 
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -21,6 +21,7 @@
 from .protocols import (
     Changes,
     HistoryLostError,
+    OversizedAnswerError,
     StateKind,
     StateStore,
     StoreError,
@@ -76,8 +77,8 @@
         """Watch the state until cancelled."""
         while True:
             try:
-                await self._poll_once()
-                self._on_success()
+                has_polled = await self._poll_once()
+                self._on_success(has_polled=has_polled)
             except HistoryLostError:
                 log_event(
                     logger,
@@ -87,6 +88,9 @@
                 )
                 self._version = None
             except StoreError as error:
+                if isinstance(error, OversizedAnswerError):
+                    # The same changes would be too large again; pages are not.
+                    self._version = None
                 self._on_failure(str(error))
                 await self._retry_gate.wait(self._kind, self._delay_s())
             except Exception as error:
@@ -97,15 +101,18 @@
                 self._version = None
                 await self._retry_gate.wait(self._kind, self._delay_s())
 
-    async def _poll_once(self) -> None:
-        """Read all objects or wait for changes, and apply the result."""
+    async def _poll_once(self) -> bool:
+        """Read all objects or wait for changes, and apply the result.
+
+        Returns whether it waited for changes.
+        """
         if self._version is None:
             snapshot = await self._store.read(self._kind)
             self._check_era(snapshot)
             self._record_reconnect()
             self._cluster_state.apply_snapshot(self._kind, snapshot)
             self._version = snapshot.version
-            return
+            return False
         # The first poll after a failure does not wait, so that a recovery of
         # the store is noticed at once.
         wait_s = 0.0 if self._unreachable else self._times.wait_s(self._kind)
@@ -113,12 +120,13 @@
         self._check_era(changes)
         if self._version is None or changes.version.era != self._version.era:
             self._version = None
-            return
+            return False
         self._record_reconnect()
         self._cluster_state.apply_changes(self._kind, changes)
         self._version = max(self._version, changes.version)
         if changes.items:
             await asyncio.sleep(self._times.pause_s(self._kind))
+        return True
 
     def _check_era(self, changes: Changes) -> None:
         """Raise ``StoreError`` for an answer of an earlier era."""
@@ -203,11 +211,18 @@
             error=text,
         )
 
-    def _on_success(self) -> None:
+    def _on_success(self, *, has_polled: bool) -> None:
+        """Record a successful call.
+
+        Only a poll ends an outage: each poll may fail where all reads succeed,
+        and the delay must grow and the log line not be repeated then.
+        """
         self._count_call(self._kind.value, True)
         self._retry_gate.mark_reachable()
         if self._kind is StateKind.ENGINES:
             self._cluster_state.mark_engines_current()
+        if not has_polled:
+            return
         if self._unreachable:
             self._unreachable = False
             log_event(
--- a/tests/core/test_faulty_servers.py
+++ b/tests/core/test_faulty_servers.py
@@ -8,10 +8,11 @@
 import aiohttp
 import pytest
 
-from kumquat_core import http_client
+from kumquat_core import http_client, object_client
 from kumquat_core.backend_client import BackendRequest, HttpBackendClient
 from kumquat_core.engine_client import HttpEngineClient, Token
 from kumquat_core.http_client import create_session, request_json
+from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.token_events import MAX_EVENT_BYTES, read_token_batches
 
@@ -205,6 +206,31 @@
     assert run_against_server(script, call) is ResultCode.ENGINE_FAILED
 
 
+@pytest.mark.parametrize("method", ["get", "put"])
+def test_endless_answer_of_the_object_store_is_a_store_failure(
+    monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    """The client read all of it, until its time was over."""
+    limit = 100_000
+    monkeypatch.setattr(object_client, "MAX_RESPONSE_BYTES", limit)
+
+    async def call(url: str) -> RouterError:
+        async with create_session(1.0) as session:
+            # Long enough that the limit and not the time ends the call.
+            client = HttpObjectClient(session, url, 9.0)
+            with pytest.raises(RouterError) as caught:
+                if method == "get":
+                    await client.get("o")
+                else:
+                    await client.put("o", b"x", None)
+        return caught.value
+
+    script = stream_that_sends(b"b" * 65536, 0.0)
+    error = run_against_server(script, call)
+    assert error.code is ResultCode.STORE_UNAVAILABLE
+    assert "AnswerTooLargeError" in error.detail
+
+
 def test_incomplete_backend_response_has_unknown_outcome() -> None:
     async def script(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
