--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -122,11 +122,13 @@
                 return self._transact(request, await request.json())
         return web.Response(status=404)
 
-    def _rows_response(self, rows: list[Row]) -> web.Response:
+    def _rows_response(
+        self, rows: list[Row], *, more_pages: bool = False
+    ) -> web.Response:
         return web.json_response(
             {
                 "rows": rows,
-                "more_pages": False,
+                "more_pages": more_pages,
                 "ver": self.version,
                 "now_ms": self._now_ms(),
             }
@@ -141,7 +143,9 @@
             and key >= query.get("from", "")
             and ("to" not in query or key < query["to"])
         ]
-        return self._rows_response([*rows, *self.rows_added.get(query["table"], ())])
+        rows += self.rows_added.get(query["table"], ())
+        limit = int(query.get("limit", len(rows)))
+        return self._rows_response(rows[:limit], more_pages=len(rows) > limit)
 
     async def _feed(self, request: web.BaseRequest) -> web.Response:
         query = request.query
