Read a table again when the version of its answers goes back

After an answer that stated an impossible version, such as 2**53, a watch asked for what came after it. A store that answers such polls with nothing left the host without any later change: no engine, host or configuration was followed until it started again. Engines and hosts missing from that answer, or whose rows had no version of their own, were kept out for good, since their removal bore the impossible version.

No bound tells such a version at once, since the protocol states none for the counter. But it only increases and answers are linearizable, so an answer with an earlier version than the one before proves that one of both is wrong. The watch then reads the table again, after the delay of a failed call, and versions beyond that of what it reads are forgotten. A copy of an earlier answer to a poll without rows, which was taken for one that has nothing new, now costs such a read as well.

The era of the store is not covered: an answer with a later era than it has stops its hosts, and the protocol says nothing about eras.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -17,7 +17,7 @@
 from .odd_entries import OddEntries
 from .protocols import Change, Changes, HostEntry, StateKind
 from .routes import EngineSpec, RouteTable
-from .store_version import FIRST_ERA, NO_VERSION, StoreVersion
+from .store_version import FIRST_ERA, NO_VERSION, StoreVersion, possible_versions
 
 __all__ = ["DEFAULT_NOTICE_S", "ClusterState"]
 
@@ -199,6 +199,11 @@
 
     def apply_snapshot(self, kind: StateKind, snapshot: Changes) -> None:
         """Apply all objects of a kind and remove the others of that kind."""
+        if kind is StateKind.ENGINES:
+            self.registry.forget_impossible(snapshot.version)
+        elif kind is StateKind.HOSTS:
+            known = self._host_versions_by_id
+            self._host_versions_by_id = possible_versions(known, snapshot.version)
         self.apply_changes(kind, snapshot)
         keys = {item.key for item in snapshot.items}
         if kind is StateKind.ENGINES:
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -201,6 +201,18 @@
             del self._leaving_born_ms_by_id[entry.id]
         return replace(entry, draining=entry.draining or born_ms == entry.born_ms)
 
+    def forget_impossible(self, newest: StoreVersion) -> None:
+        """Forget versions that the store cannot have given out.
+
+        ``newest`` is the version of an answer after all that they are of.
+        Anything that the store has is newer than them then.
+        """
+        items: list[_KnownEntry | _RemovedEntry] = [*self._known_by_id.values()]
+        items += self._removed_by_id.values()
+        for item in items:
+            if not item.version.is_possible(newest):
+                item.version = StoreVersion(newest.era, 0)
+
     def remove(self, engine_id: str, version: StoreVersion, now_s: float) -> bool:
         """Remove an entry, or defer this while the store recovers.
 
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -121,9 +121,14 @@
         if self._version is None or changes.version.era != self._version.era:
             self._version = None
             return False
+        if changes.version < self._version:
+            # The store never counts back, so this answer is another one's or
+            # the version of this host is wrong: no changes would follow it.
+            stated, self._version = changes.version, None
+            raise StoreError(f"the answer has the earlier version {stated}")
         self._record_reconnect()
         self._cluster_state.apply_changes(self._kind, changes)
-        self._version = max(self._version, changes.version)
+        self._version = changes.version
         if changes.items:
             await asyncio.sleep(self._times.pause_s(self._kind))
         return True
--- a/packages/kumquat_relay/src/kumquat_relay/store_version.py
+++ b/packages/kumquat_relay/src/kumquat_relay/store_version.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["FIRST_ERA", "NO_VERSION", "StoreVersion"]
+__all__ = ["FIRST_ERA", "NO_VERSION", "StoreVersion", "possible_versions"]
 
 # The era of a store that has never come back from a copy, at most.
 FIRST_ERA = 1
@@ -28,8 +28,23 @@
         """Return the version as a fencing token, which never goes back."""
         return (self.era << _NUMBER_BITS) | self.number
 
+    def is_possible(self, newest: "StoreVersion") -> bool:
+        """Tell whether the store can have given it out before ``newest``."""
+        return self.era != newest.era or self.number <= newest.number
+
     def __str__(self) -> str:
         return f"{self.era}.{self.number}"
 
 
 NO_VERSION = StoreVersion(-1, -1)
+
+
+def possible_versions(
+    versions_by_key: dict[str, StoreVersion], newest: StoreVersion
+) -> dict[str, StoreVersion]:
+    """Return the versions that the store can have given out by ``newest``."""
+    return {
+        key: version
+        for key, version in versions_by_key.items()
+        if version.is_possible(newest)
+    }
--- a/tests/relay/test_impossible_figures.py
+++ b/tests/relay/test_impossible_figures.py
@@ -12,12 +12,14 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 
 from kumquat_relay import poll_times, store_registration
 
+from .fake_store import FakeStore, Row
 from .odd_values import MAX_NUMBER
 from .relay_harness import PLAIN, RelayHarness, configuration
-from .test_odd_entries import LogLines, is_followed, read_again, run_logged, state_of
+from .test_odd_entries import LogLines, read_again, run_logged, state_of
 
 
 @pytest.fixture(autouse=True)
@@ -72,11 +74,11 @@
         row = changed_row(harness, "servers", engine.id)
         await deliver(harness, "servers", {**row, "deleted": removed}, way)
         harness.list_engine(engine)
-        await is_followed(lambda: len(list(state.registry.usable(PLAIN))) == 2)
+        await harness.wait_until(lambda: len(list(state.registry.usable(PLAIN))) == 2)
         harness.list_engine(engine, "draining")
-        await is_followed(lambda: len(list(state.registry.usable(PLAIN))) == 1)
+        await harness.wait_until(lambda: len(list(state.registry.usable(PLAIN))) == 1)
         harness.store.remove("servers", engine.id)
-        await is_followed(lambda: state.registry.get(engine.id) is None)
+        await harness.wait_until(lambda: state.registry.get(engine.id) is None)
 
     run_logged(scenario)
 
@@ -103,6 +105,73 @@
         row = changed_row(harness, "op", "config")
         await deliver(harness, "op", row, "changes")
         harness.store.put("op", "config", configuration(4))
-        await is_followed(lambda: state.version == 4)
+        await harness.wait_until(lambda: state.version == 4)
 
     run_logged(scenario)
+
+
+class WrongVersion:
+    """Lets a store state a version far beyond its counter for a while.
+
+    The store answers polls after a later version than its own with nothing.
+    """
+
+    def __init__(self, store: FakeStore) -> None:
+        self.stated = 0
+        self.active = True
+        self._store = store
+        self._rows_response = store._rows_response
+        store._rows_response = self._respond  # type: ignore[method-assign]
+        self._feed = store._feed
+        store._feed = self._feed_later  # type: ignore[method-assign]
+
+    def _respond(self, rows: list[Row], *, more_pages: bool = False) -> web.Response:
+        if not self.active:
+            return self._rows_response(rows, more_pages=more_pages)
+        version, self._store.version = self._store.version, MAX_NUMBER
+        try:
+            self.stated += 1
+            return self._rows_response(rows, more_pages=more_pages)
+        finally:
+            self._store.version = version
+
+    async def _feed_later(self, request: web.BaseRequest) -> web.StreamResponse:
+        if int(request.query["after"]) > self._store.version:
+            await asyncio.sleep(0.05)
+            return self._respond([])
+        return await self._feed(request)
+
+
+@pytest.mark.parametrize("way", ["read", "changes"])
+def test_hosts_follow_after_an_answer_with_an_impossible_version(way: str) -> None:
+    """Each poll asked for what came after that version and got nothing. What
+    had been missing in the answer was never listed again."""
+
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        state = state_of(harness)
+        await harness.wait_until(lambda: len(state.hosts_by_id) == 2)
+        engine = harness.backend_servers[0]
+        removed = {
+            key: harness.store.rows[key]
+            for key in (("servers", engine.id), ("relay_hosts", "h2"))
+        }
+        wrong = WrongVersion(harness.store)
+        for key in removed:
+            harness.store.remove(*key)
+        if way == "read":
+            read_again(harness)
+        else:
+            harness.store.put("op", "config", configuration(4))
+        await harness.wait_until(lambda: state.registry.get(engine.id) is None)
+        await harness.wait_until(lambda: wrong.stated >= 6)
+        wrong.active = False
+        for row in removed.values():
+            harness.store._write(row)
+        await harness.wait_until(lambda: state.registry.get(engine.id) is not None)
+        await harness.wait_until(lambda: "h2" in state.hosts_by_id)
+        harness.store.put("op", "config", configuration(5))
+        await harness.wait_until(lambda: state.version == 5)
+        harness.list_engine(engine, "draining")
+        await harness.wait_until(lambda: len(list(state.registry.usable(PLAIN))) == 1)
+
+    run_logged(scenario, host_count=2)
