Order the entries of an engine within an era by version alone

An engine whose entry once stated a start in the future (born of 2**53) and was then removed or unreadable was never used again, whatever it wrote later: all its entries seemed to be of an earlier incarnation. The other engines of its service had to serve all its requests.

Start times tell copies from new entries after the store has come back from an older copy. Within an era the versions of the store do that, and a known entry is replaced by their order alone; only entries of removed engines were compared by start time there too. A late write of an earlier incarnation is now treated alike in both cases: it counts until the engine's next heartbeat.

In a later era such an entry still keeps the engine out until it starts again with another id or a restart of the hosts.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -147,10 +147,12 @@
         """Return whether an entry of a removed engine is only an older copy.
 
         The first one in an era may be; a later heartbeat shows that the engine
-        lives.
+        lives. Within an era the versions order all writes, so the start time
+        that an entry states decides nothing there.
         """
         if not _is_same(entry, removed.entry):
-            return entry.born_ms < removed.entry.born_ms
+            is_later_era = version.era != removed.version.era
+            return is_later_era and entry.born_ms < removed.entry.born_ms
         if version.era == removed.version.era:
             is_restored = removed.restored_heartbeat >= 0
             if not is_restored or removed.shows_life(entry):
--- a/tests/relay/test_impossible_figures.py
+++ b/tests/relay/test_impossible_figures.py
@@ -175,3 +175,27 @@
         await harness.wait_until(lambda: len(list(state.registry.usable(PLAIN))) == 1)
 
     run_logged(scenario, host_count=2)
+
+
+@pytest.mark.parametrize("way", ["removed", "unreadable"])
+def test_engine_is_used_after_an_entry_that_was_born_in_the_future(way: str) -> None:
+    """All later entries were taken for those of an earlier incarnation."""
+
+    async def scenario(harness: RelayHarness, lines: LogLines) -> None:
+        registry = state_of(harness).registry
+        engine = harness.backend_servers[0]
+        document = {**engine.entry(PLAIN), "born": MAX_NUMBER}
+        harness.store.put("servers", engine.id, document)
+        await harness.wait_until(
+            lambda: getattr(registry.get(engine.id), "born_ms", 0) == MAX_NUMBER
+        )
+        if way == "removed":
+            harness.store.remove("servers", engine.id)
+        else:
+            harness.store.put_raw("servers", engine.id, b"{")
+        await harness.wait_until(lambda: registry.get(engine.id) is None)
+        harness.list_engine(engine)
+        await harness.wait_until(lambda: registry.get(engine.id) is not None)
+        assert len(list(registry.usable(PLAIN))) == 2
+
+    run_logged(scenario)
