Cut long values in log lines

Names in messages between hosts have no bound but that of a frame, 4 MB, and a host that becomes the owner of a service logs its name. Three real hosts that got odd messages wrote lines of up to 1,113 characters for a service of 1,000. For one of three million they wrote none: the output of the relay dropped the line and counted it (log_lines_dropped), so the operator learned nothing of it. Processes without that output, such as those of the own interface, would write it whole; that was not run.

The formatter cuts each value at 4,096 characters and states its length, whoever logs it. A request whose id is longer cannot be told from one with the same beginning in the log. Tracebacks stay whole.

Before: the test's line has a million characters. After: under 8,192.

--- a/packages/kumquat_core/src/kumquat_core/log_events.py
+++ b/packages/kumquat_core/src/kumquat_core/log_events.py
@@ -7,13 +7,19 @@
 
 FIELDS_ATTRIBUTE = "event_fields"
 QUOTED_CHARACTERS = ' "=\n\t'
+# Texts of other programs, such as names in messages between hosts, may have
+# megabytes. Ids that tools look up in logs are far shorter than this.
+MAX_VALUE_CHARACTERS = 4096
 
 
 class KeyValueFormatter(logging.Formatter):
     """Formats a record as ``time=... level=... logger=... event=...``."""
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return the line of a record, with line breaks escaped."""
+        """Return the line of a record, with line breaks escaped.
+
+        Long values are cut, except tracebacks, whose end says most.
+        """
         fields: dict[str, object] = {
             "time": self._time(record),
             "level": record.levelname.lower(),
@@ -21,9 +27,10 @@
             "event": record.getMessage(),
         }
         fields.update(getattr(record, FIELDS_ATTRIBUTE, {}))
+        parts = [f"{key}={_quote(_cut(str(value)))}" for key, value in fields.items()]
         if record.exc_info:
-            fields["exception"] = self.formatException(record.exc_info)
-        return " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+            parts.append(f"exception={_quote(self.formatException(record.exc_info))}")
+        return " ".join(parts)
 
     def _time(self, record: logging.LogRecord) -> str:
         """Return the time with milliseconds, by which lines can be sorted."""
@@ -31,9 +38,15 @@
         return f"{seconds}.{int(record.msecs):03d}"
 
 
-def _quote(value: object) -> str:
-    """Return a value as text, quoted and escaped where needed."""
-    text = str(value)
+def _cut(text: str) -> str:
+    """Return the beginning of a long text, and its length."""
+    if len(text) <= MAX_VALUE_CHARACTERS:
+        return text
+    return f"{text[:MAX_VALUE_CHARACTERS]}... ({len(text)} characters)"
+
+
+def _quote(text: str) -> str:
+    """Return a text, quoted and escaped where needed."""
     is_quoted = any(character in text for character in QUOTED_CHARACTERS)
     if text and not is_quoted and text.isprintable():
         return text
