Log a ticket that cannot be read and keeps a host from later ones

The design says that hosts stay at the position before an odd ticket and log it once (ticket_poll_failed). A host that had merged any ticket logged nothing: since the ticket at its position is read again with each poll, the odd one never was the first of the answer, and only then it was an error. Operators saw later tickets accepted and not applied, without a line that says why, and such a host did not ask its peers.

Pages of the log now state the error that ended them, and a poll that merges nothing because of it fails. parse_tickets moves with them to ticket_page, since ticket_log is long; its tests import it from there.

Also tests for statements of the pages that had none: a row of a known key with an odd version, the time of a lease's answer, and how often peers with other keys make a host read the key.

Before: test_hosts_stay_before_an_odd_ticket_and_log_it_once finds no line in four polls. The new tests of rows pass before, too.

--- a/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_exchange.py
@@ -16,7 +16,8 @@
 
 from .peer_messages import TicketBatch
 from .result_codes import ResultCode, RouterError
-from .ticket_log import TicketTarget, parse_snapshot, parse_tickets
+from .ticket_log import TicketTarget, parse_snapshot
+from .ticket_page import parse_tickets
 from .tickets import Ticket, TicketStore
 
 __all__ = ["TicketTail", "merge_batch"]
--- a/packages/kumquat_core/src/kumquat_core/ticket_log.py
+++ b/packages/kumquat_core/src/kumquat_core/ticket_log.py
@@ -22,7 +22,7 @@
 import json
 import logging
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -35,9 +35,11 @@
 from .result_codes import Execution, ResultCode, RouterError
 from .table_client import ABSENT, TableClient, Write
 from .ticket_models import SnapshotModel, TicketModel
+from .ticket_page import TicketPage, parse_page
 from .tickets import Ticket, TicketStore, digest_of
 
 __all__ = [
+    "LOG_TABLE",
     "Acceptance",
     "Accepted",
     "AlreadyAccepted",
@@ -48,7 +50,6 @@
     "TicketTarget",
     "ticket_index_document",
     "parse_snapshot",
-    "parse_tickets",
     "ticket_key",
 ]
 
@@ -269,26 +270,37 @@
         A ticket that this version cannot read ends the list. If it is the
         first one, the result is ``TICKET_INVALID``.
         """
+        page = await self._read_page(position, limit)
+        return page.bind(TicketPage.to_result)
+
+    async def _read_page(
+        self, position: int, limit: int = BATCH_ROWS
+    ) -> Result[TicketPage, RouterError]:
         try:
             rows = await self._table.scan(LOG_TABLE, ticket_key(position), limit)
         except RouterError as error:
             return Failure(error)
-        return parse_tickets([row.value for row in rows])
+        return Success(parse_page([row.value for row in rows]))
 
     async def catch_up(self, store: TicketTarget) -> Result[bool, RouterError]:
         """Merge all later tickets; return whether the state changed.
 
+        A ticket that cannot be read ends this. The result is
+        ``TICKET_INVALID`` if it is the first later one.
+
         The ticket at the current position is read again. If it is another one,
         the table service has come back from an older copy, and the log is read
         from its start.
         """
         before = store.position
         while True:
-            match await self.read_after(max(0, store.position - 1)):
-                case Success(tickets):
-                    pass
+            match await self._read_page(max(0, store.position - 1)):
+                case Success(page):
+                    tickets = page.tickets
                 case failure:
                     return Failure(failure.failure())
+            if page.error is not None and not tickets:
+                return Failure(page.error)
             if not store.continues_at(tickets[0] if tickets else None):
                 log_event(
                     logger,
@@ -300,6 +312,8 @@
                 before = 0
                 continue
             tickets = [item for item in tickets if item.position > store.position]
+            if not tickets and page.error is not None and store.position == before:
+                return Failure(page.error)
             if not tickets:
                 return Success(store.position > before)
             if tickets[0].position == store.position + 1:
@@ -366,25 +380,6 @@
         return Success(SnapshotWrite.LOST_RACE)
 
 
-def parse_tickets(
-    documents: Sequence[dict[str, Any]],
-) -> Result[list[Ticket], RouterError]:
-    """Return the tickets before the first invalid one.
-
-    If the first one is invalid, the result is ``TICKET_INVALID``.
-    """
-    tickets: list[Ticket] = []
-    for document in documents:
-        try:
-            tickets.append(Ticket.from_document(document))
-        except (ValidationError, KeyError, TypeError, ValueError) as error:
-            if tickets:
-                break
-            detail = f"a ticket in the log is not valid: {type(error).__name__}"
-            return Failure(RouterError(ResultCode.TICKET_INVALID, detail))
-    return Success(tickets)
-
-
 def _parse_snapshot_content(
     stored: StoredObject,
 ) -> Result[dict[str, Any], RouterError]:
--- a/tests/core/test_odd_tables.py
+++ b/tests/core/test_odd_tables.py
@@ -20,7 +20,8 @@
 from kumquat_core.result_codes import RouterError
 from kumquat_core.table_client import HttpTableClient, Row
 from kumquat_core.ticket_checks import check_ticket_text
-from kumquat_core.ticket_log import _parse_snapshot_content, parse_tickets
+from kumquat_core.ticket_log import _parse_snapshot_content
+from kumquat_core.ticket_page import parse_tickets
 
 deterministic = settings(derandomize=True, max_examples=150, deadline=None)
 DEEP = "[" * 10_000 + "]" * 10_000
--- a/tests/relay/test_odd_rows.py
+++ b/tests/relay/test_odd_rows.py
@@ -13,6 +13,7 @@
 
 from kumquat_core.log_events import FIELDS_ATTRIBUTE
 from kumquat_relay.protocols import StateKind, StoreError
+from kumquat_relay.store_registration import KEY_CHECK_PERIOD_S
 
 from .odd_values import (
     ENGINE,
@@ -137,3 +138,59 @@
             await store.close()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("version", [-1, 10**400, 1.5, "3", None])
+def test_known_key_whose_row_has_an_odd_version_is_odd(version: Any) -> None:
+    """Its value was applied, or its last one kept, although it may be old."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        state = harness.hosts[0]._parts.cluster_state
+        await harness.wait_until(lambda: len(state.hosts_by_id) == 2)
+        hosts, store = dict(state.hosts_by_id), harness.store
+        for table, key in (("servers", "plain0"), ("relay_hosts", "h2")):
+            store.changes_added[table] = [{**store.rows[table, key], "ver": version}]
+            store.put(table, "another", {})
+        await harness.wait_until(lambda: state.registry.get("plain0") is None)
+        store.changes_added.clear()
+        assert state.hosts_by_id == hosts
+        harness.list_engine(harness.backend_servers[0])
+        await harness.wait_until(lambda: state.registry.get("plain0") is not None)
+
+    run_scenario(scenario, host_count=2)
+
+
+@pytest.mark.parametrize("now_ms", [-1, 10**400, 1.5, "3", None, True])
+def test_lease_answer_with_an_odd_time_fails(
+    monkeypatch: pytest.MonkeyPatch, now_ms: Any
+) -> None:
+    """The end of a lease would be compared with a time that is none."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        monkeypatch.setattr(harness.store, "_now_ms", lambda: now_ms)
+        store = PlatformStore(harness.store.address)
+        try:
+            with pytest.raises(StoreError):
+                await store.read_lease("roles")
+        finally:
+            await store.close()
+
+    run_scenario(scenario)
+
+
+def test_other_keys_of_peers_cause_few_calls() -> None:
+    """Whoever connects to the peer port could cause calls to the store."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        registration = harness.host._registration
+        restarts: list[float] = []
+        registration.restart = lambda: restarts.append(0.0)
+        for _ in range(5):
+            registration.check_key()
+        assert len(restarts) == 1
+        registration._key_check_due_s -= KEY_CHECK_PERIOD_S
+        for _ in range(5):
+            registration.check_key()
+        assert len(restarts) == 2
+
+    run_scenario(scenario)
--- a/tests/router/test_ticket_sync.py
+++ b/tests/router/test_ticket_sync.py
@@ -4,11 +4,13 @@
 another host has a newer one.
 """
 
+import logging
 import random
 
 from kumquat_core.peer_messages import TicketBatch
 from kumquat_core.result_codes import ResultCode, RouterError
-from kumquat_core.ticket_log import TicketLog
+from kumquat_core.table_client import Write
+from kumquat_core.ticket_log import LOG_TABLE, TicketLog, ticket_key
 from kumquat_core.ticket_models import ObjectModel, TicketModel
 from kumquat_core.tickets import TicketStore
 from kumquat_lab.memory_fakes import MemoryObjectStore, MemoryTable
@@ -121,3 +123,30 @@
     written_by, positions = run_in_virtual_time(main)
     assert len(written_by) == 1
     assert positions == [3, 3, 3, 3]
+
+
+def test_hosts_stay_before_an_odd_ticket_and_log_it_once(caplog):
+    """Merged tickets behind one that a later build wrote would differ from
+    those that hosts of that build have; each poll logged the odd one."""
+
+    async def main(clock):
+        region = Region()
+        sync = region.add("a")
+        await region.accept(1)
+        await sync.start()
+        await region.accept(2)
+        await region.accept(3)
+        row = region.table.row(LOG_TABLE, ticket_key(2))
+        odd = row.value | {"ticket": {"number": "many"}}
+        region.table.apply([Write(LOG_TABLE, row.key, None, odd)])
+        for _ in range(4):
+            await sync.poll()
+        assert region.positions() == [1]
+        region.table.apply([Write(LOG_TABLE, row.key, None, row.value)])
+        await sync.poll()
+        return region.positions()
+
+    caplog.set_level(logging.WARNING)
+    assert run_in_virtual_time(main) == [3]
+    logged = [item for item in caplog.records if item.msg == "ticket_poll_failed"]
+    assert len(logged) == 1
