--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -147,10 +147,12 @@
         """Return whether an entry of a removed engine is only an older copy.
 
         The first one in an era may be; a later heartbeat shows that the engine
-        lives.
+        lives. Within an era the versions order all writes, so the start time
+        that an entry states decides nothing there.
         """
         if not _is_same(entry, removed.entry):
-            return entry.born_ms < removed.entry.born_ms
+            is_later_era = version.era != removed.version.era
+            return is_later_era and entry.born_ms < removed.entry.born_ms
         if version.era == removed.version.era:
             is_restored = removed.restored_heartbeat >= 0
             if not is_restored or removed.shows_life(entry):
@@ -201,6 +203,18 @@
             del self._leaving_born_ms_by_id[entry.id]
         return replace(entry, draining=entry.draining or born_ms == entry.born_ms)
 
+    def forget_impossible(self, newest: StoreVersion) -> None:
+        """Forget versions that the store cannot have given out.
+
+        ``newest`` is the version of an answer after all that they are of.
+        Anything that the store has is newer than them then.
+        """
+        items: list[_KnownEntry | _RemovedEntry] = [*self._known_by_id.values()]
+        items += self._removed_by_id.values()
+        for item in items:
+            if not item.version.is_possible(newest):
+                item.version = StoreVersion(newest.era, 0)
+
     def remove(self, engine_id: str, version: StoreVersion, now_s: float) -> bool:
         """Remove an entry, or defer this while the store recovers.
 
