Let the lab's servers write copies of responses, also under torture

They now take the fault `stutter`: copies of successes, errors, refusals, control calls, prefills and streams, at once, late on the idle connection or before the next response, cut anywhere, with and without the id of the call. Torture plays it for engines, backend servers and the store, counts the copies, and takes `--fault` to play only some kinds.

--- a/packages/kumquat_lab/src/kumquat_lab/backend_server.py
+++ b/packages/kumquat_lab/src/kumquat_lab/backend_server.py
@@ -4,10 +4,12 @@
 a test detects a repeated execution even if the router changes the key. With
 ``checks_fencing`` it refuses a fence lower than the highest seen for a key.
 Faults: ``delay_ms`` before the execution, ``drop_answers`` (number of
-responses dropped after the execution) and ``refuse`` (status 503 before it).
+responses dropped after the execution), ``refuse`` (status 503 before it) and
+``stutter`` (copies of responses).
 """
 
 import asyncio
+import random
 from collections import Counter
 from typing import Any
 
@@ -16,6 +18,7 @@
 
 from .emulated_responses import receipt
 from .serving import error_middleware, return_call_id, serve_app
+from .stutter import CopyKind, Stutter
 
 __all__ = [
     "BackendConfig",
@@ -80,6 +83,9 @@
         self.delay_ms = 0.0
         self.drop_answers = 0
         self.refuse = False
+        self.stutter = Stutter(
+            random.Random(f"stutter/{config.server_id}"), _kind_of_response
+        )
 
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Execute a call, once its fence is accepted."""
@@ -131,7 +137,16 @@
         self.delay_ms = float(body.get("delay_ms", self.delay_ms))
         self.drop_answers = int(body.get("drop_answers", self.drop_answers))
         self.refuse = bool(body.get("refuse", self.refuse))
-        return web.json_response({})
+        return web.json_response({"copies": self.stutter.apply_fault(body)})
+
+
+def _kind_of_response(request: web.Request, status: int) -> CopyKind | None:
+    """Return the kind of a response, or None if it is never copied."""
+    if request.path in ("/executions", "/faults"):
+        return None
+    if status >= 400:
+        return CopyKind.REFUSAL if status in (412, 503) else CopyKind.ERROR
+    return CopyKind.CONTROL if request.path == "/fence" else CopyKind.SUCCESS
 
 
 def backend_app(config: BackendConfig) -> web.Application:
@@ -139,6 +154,7 @@
     backend = _Backend(config)
     app = web.Application(middlewares=[error_middleware])
     app.on_response_prepare.append(return_call_id)
+    backend.stutter.add_to(app)
     app.router.add_post("/fence", backend.fence)
     app.router.add_get("/executions", backend.executions)
     app.router.add_post("/faults", backend.faults)
--- a/packages/kumquat_lab/src/kumquat_lab/check_commands.py
+++ b/packages/kumquat_lab/src/kumquat_lab/check_commands.py
@@ -38,10 +38,13 @@
     seed: int = 1,
     seconds: Annotated[float, typer.Option(min=1, max=120)] = 30.0,
     hosts: Annotated[int, typer.Option(help="entry hosts for each client account")] = 4,
+    fault: Annotated[
+        list[str] | None, typer.Option(help="inject only this kind; repeatable")
+    ] = None,
     json_file: JsonFile = None,
 ) -> None:
     """Run random faults under load; exit status 1 on a violated invariant."""
-    result = uvloop.run(run_torture(seed, seconds, hosts))
+    result = uvloop.run(run_torture(seed, seconds, hosts, only_faults=fault or ()))
     write_json(asdict(result), json_file)
     if result.violated:
         raise typer.Exit(1)
--- a/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
@@ -40,6 +40,7 @@
     PrefixCache,
     StoredPrefill,
 )
+from .stutter import RecordedStream
 
 __all__ = ["EmulatedEngine", "EngineFaults"]
 
@@ -50,7 +51,6 @@
 # A prefill advances in slices so that a slow period which begins or ends
 # during it changes the duration of the remainder.
 PREFILL_SLICE_S = 0.02
-STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
 
 @dataclass
@@ -333,9 +333,7 @@
         stream.wake = asyncio.Event()
         stream.attached = True
         self._streams_attached.set()
-        response = web.StreamResponse(
-            headers={**STREAM_HEADERS, "X-Request-Id": body["request_id"]}
-        )
+        response = RecordedStream(body["request_id"])
         await response.prepare(request)
         if self.faults.crash_text and self.faults.crash_text in stream.prompt:
             self.crash()
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -16,9 +16,12 @@
 from .cost_model import EngineHostConfig
 from .emulated_engine import EmulatedEngine
 from .serving import Handler, error_middleware, return_call_id, serve_app
+from .stutter import CopyKind, Stutter
 
 __all__ = ["engine_app", "run_engines"]
 
+REFUSALS = frozenset({409, 410, 412, 429, 503, 507})
+
 
 def _json_handler(
     call: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]],
@@ -29,6 +32,20 @@
     return handle
 
 
+def _kind_of_response(request: web.Request, status: int) -> CopyKind | None:
+    """Return the kind of a response, or None if it is never copied.
+
+    Engines fetch from each other, and tools of the lab read and control
+    engines, without proof that a response is no copy.
+    """
+    if not request.path.startswith("/v1/") or request.path.startswith("/v1/kv/"):
+        return None
+    if status >= 400:
+        return CopyKind.REFUSAL if status in REFUSALS else CopyKind.ERROR
+    kinds = {"/v1/prefill": CopyKind.PREFILL, "/v1/decode": CopyKind.STREAM}
+    return kinds.get(request.path, CopyKind.CONTROL)
+
+
 def engine_app(engine: EmulatedEngine) -> web.Application:
     """Return the HTTP application of one engine."""
 
@@ -55,9 +72,14 @@
         await engine.apply_command(await request.json())
         return web.json_response({})
 
+    stutter = Stutter(
+        random.Random(f"stutter/{engine.config.engine_id}"), _kind_of_response
+    )
+
     async def faults(request: web.Request) -> web.Response:
-        engine.apply_faults(await request.json())
-        return web.json_response({})
+        body = await request.json()
+        engine.apply_faults(body)
+        return web.json_response({"copies": stutter.apply_fault(body)})
 
     async def counts(_: web.Request) -> web.Response:
         evicted = engine.results.evicted
@@ -85,6 +107,7 @@
         middlewares=[down_middleware, error_middleware], client_max_size=16_000_000
     )
     app.on_response_prepare.append(return_call_id)
+    stutter.add_to(app)
     app.router.add_post("/v1/prefill", _json_handler(engine.prefill))
     app.router.add_post("/v1/import", _json_handler(engine.import_cache))
     app.router.add_post("/v1/decode", engine.decode)
--- a/packages/kumquat_lab/src/kumquat_lab/platform.py
+++ b/packages/kumquat_lab/src/kumquat_lab/platform.py
@@ -5,9 +5,11 @@
 and ``lose_answers`` (number of writes whose response is lost after they took
 effect). An outage set by ``outage_s`` ends after that time. ``keep_copy``
 keeps a copy of the tables, and ``restore_copy`` lets them come back from it.
+``stutter`` makes the platform write copies of responses.
 """
 
 import asyncio
+import random
 import time
 from bisect import bisect_right, insort
 from dataclasses import dataclass
@@ -18,6 +20,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from .serving import Handler, error_middleware, return_call_id, serve_app
+from .stutter import CopyKind, Stutter
 
 __all__ = [
     "ObjectState",
@@ -149,6 +152,7 @@
         self.outage_until_s = 0.0
         self.delay_ms = 0.0
         self.lose_answers = 0
+        self.stutter = Stutter(random.Random("stutter/platform"), _kind_of_response)
 
     @web.middleware
     async def fault_middleware(
@@ -256,7 +260,23 @@
             self.tables = self.table_copy.copy()
         self.delay_ms = float(body.get("delay_ms", self.delay_ms))
         self.lose_answers = int(body.get("lose_answers", self.lose_answers))
-        return web.json_response({"writes": self.tables.writes})
+        copies = self.stutter.apply_fault(body)
+        return web.json_response({"writes": self.tables.writes, "copies": copies})
+
+
+def _kind_of_response(request: web.Request, status: int) -> CopyKind | None:
+    """Return the kind of a response, or None if it is never copied.
+
+    Tools of the lab write the host list, and engines read weights, without
+    proof that a response is no copy.
+    """
+    if not request.path.startswith((*STORE_PREFIXES, "/hosts")) or (
+        request.path == "/hosts" and request.method == "PUT"
+    ):
+        return None
+    if status >= 400:
+        return CopyKind.REFUSAL if status in (409, 412, 503) else CopyKind.ERROR
+    return CopyKind.SUCCESS
 
 
 def platform_app(config: PlatformConfig) -> web.Application:
@@ -267,6 +287,7 @@
         client_max_size=64_000_000,
     )
     app.on_response_prepare.append(return_call_id)
+    platform.stutter.add_to(app)
     app.router.add_post("/tables/transact", platform.transact)
     app.router.add_get("/tables/{table}/{key}", platform.get_row)
     app.router.add_get("/tables/{table}", platform.scan)
--- a/packages/kumquat_lab/src/kumquat_lab/torture.py
+++ b/packages/kumquat_lab/src/kumquat_lab/torture.py
@@ -12,8 +12,8 @@
 import random
 import time
 from collections import Counter, defaultdict
-from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
@@ -32,6 +32,7 @@
 from .emulated_responses import response_seed
 from .stack import Stack, StackConfig, running_stack
 from .torture_faults import FaultInjector
+from .torture_result import TortureResult
 
 __all__ = ["TortureResult", "run_torture"]
 
@@ -61,46 +62,15 @@
     outcome: CallOutcome
 
 
-@dataclass
-class TortureResult:
-    """Numbers of requests, faults, outcomes and invariant violations."""
-
-    seed: int
-    requests: int = 0
-    max_executions: int = 0
-    false_not_run: int = 0
-    damaged: int = 0
-    lost: int = 0
-    held: int = 0
-    reverted_tickets: int = 0
-    late_tickets: int = 0
-    work_for_leaving: int = 0
-    faults: dict[str, int] = field(default_factory=dict)
-    outcomes: dict[str, int] = field(default_factory=dict)
-    details: list[str] = field(default_factory=list)
-
-    @property
-    def violated(self) -> bool:
-        """Tell whether any invariant was violated."""
-        counts = (
-            self.false_not_run,
-            self.damaged,
-            self.lost,
-            self.held,
-            self.reverted_tickets,
-            self.late_tickets,
-            self.work_for_leaving,
-        )
-        return self.max_executions > 1 or any(counts)
-
-
 class _Torture:
     """A torture run against a stack."""
 
-    def __init__(self, stack: Stack, seed: int) -> None:
+    def __init__(self, stack: Stack, seed: int, only_faults: Collection[str]) -> None:
         self._stack = stack
         self._rng = random.Random(f"torture/{seed}")
-        self._faults = FaultInjector(stack, random.Random(f"faults/{seed}"))
+        self._faults = FaultInjector(
+            stack, random.Random(f"faults/{seed}"), only_faults
+        )
         self._sent_requests: list[SentRequest] = []
         self._numbers_by_process: dict[tuple[str, int], int] = {}
         self._accepted_numbers: list[int] = []
@@ -382,9 +352,16 @@
 
 
 async def run_torture(
-    seed: int, seconds: float, hosts: int, log_level: str = "warning"
+    seed: int,
+    seconds: float,
+    hosts: int,
+    log_level: str = "warning",
+    only_faults: Collection[str] = (),
 ) -> TortureResult:
-    """Start a stack, run the torture test against it and return the result."""
+    """Start a stack, run the torture test against it and return the result.
+
+    ``only_faults`` names the kinds of faults to inject; empty for all.
+    """
     config = StackConfig.model_validate(
         {
             "hosts_per_firm": hosts,
@@ -395,6 +372,6 @@
         }
     )
     async with running_stack(config) as stack:
-        torture = _Torture(stack, seed)
+        torture = _Torture(stack, seed, only_faults)
         await torture.run(seconds)
         return torture.result
--- a/packages/kumquat_lab/src/kumquat_lab/torture_faults.py
+++ b/packages/kumquat_lab/src/kumquat_lab/torture_faults.py
@@ -10,7 +10,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -31,6 +31,7 @@
 LEAVING_GRACE_S = 4.0
 LEAVING_WATCH_S = 2.0
 READY_POLL_S = 0.1
+STUTTER_S = 4.0
 ENGINE_COMMAND = ("kumquat_lab", "engine", "--config")
 
 # At most this many hosts of a client account are down at the same time, so
@@ -49,10 +50,15 @@
 
 @dataclass
 class FaultInjector:
-    """Injects faults and removes them; counts them in ``counts_by_kind``."""
+    """Injects faults and removes them; counts them in ``counts_by_kind``.
+
+    ``only_kinds`` names the kinds to inject; empty for all. The copies that
+    stuttering servers wrote are counted there as well.
+    """
 
     stack: Stack
     rng: random.Random
+    only_kinds: Collection[str] = ()
     counts_by_kind: Counter[str] = field(default_factory=Counter)
     outages: list[HostOutage] = field(default_factory=list)
     work_for_leaving: int = 0
@@ -81,10 +87,15 @@
             "backend_slow": self.slow_down_backend,
             "backend_answers_lost": self.lose_backend_responses,
             "backend_refuses": self.make_backend_refuse,
+            "engines_stutter": self.make_engines_stutter,
+            "backends_stutter": self.make_backends_stutter,
+            "store_stutters": self.make_store_stutter,
         }
+        if unknown := set(self.only_kinds) - set(kinds):
+            raise ValueError(f"unknown faults: {sorted(unknown)}")
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < until_s:
-                kind = self.rng.choice(sorted(kinds))
+                kind = self.rng.choice(sorted(self.only_kinds or kinds))
                 self.counts_by_kind[kind] += 1
                 group.create_task(kinds[kind]())
                 await asyncio.sleep(self.rng.expovariate(1 / mean_pause_s))
@@ -261,6 +272,30 @@
         """Make one backend server refuse all calls for two seconds."""
         await self._inject_backend_fault({"refuse": True}, {"refuse": False})
 
+    async def make_engines_stutter(self) -> None:
+        """Make all engines copy responses for some seconds."""
+        ports = [engine.port for engine in self.stack.plan.engines]
+        await self._make_stutter([f"http://127.0.0.1:{port}" for port in ports])
+
+    async def make_backends_stutter(self) -> None:
+        """Make all backend servers copy responses for some seconds."""
+        ports = [server.port for server in self.stack.plan.servers]
+        await self._make_stutter([f"http://127.0.0.1:{port}" for port in ports])
+
+    async def make_store_stutter(self) -> None:
+        """Make the platform copy responses for some seconds."""
+        await self._make_stutter([self.stack.plan.platform_url])
+
+    async def _make_stutter(self, urls: list[str]) -> None:
+        fault = {"share": self.rng.choice((0.1, 0.5, 1.0))}
+        for url in urls:
+            await self._set_faults(url, {"stutter": fault})
+        await asyncio.sleep(STUTTER_S)
+        for url in urls:
+            ended = await self._set_faults(url, {"stutter": {}})
+            for name, count in ended.get("copies", {}).items():
+                self.counts_by_kind[f"copies {name}"] += count
+
     def _pick_host(self, account: ClientAccount) -> EntryHostPlan | None:
         """Choose a running host, or return None if too many are down."""
         hosts = self.stack.plan.hosts_of(account)
@@ -333,9 +368,13 @@
         await asyncio.sleep(2.0)
         await self._set_faults(url, reset)
 
-    async def _set_faults(self, url: str, body: dict[str, Any]) -> None:
-        """Change the faults of a process, unless the process is down."""
+    async def _set_faults(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Change the faults of a process and return its response.
+
+        The response is empty if the process is down.
+        """
         try:
-            await self.stack.call("POST", f"{url}/faults", body)
+            answer = await self.stack.call("POST", f"{url}/faults", body)
         except TRANSPORT_ERRORS:
-            return
+            return {}
+        return dict(answer)
