Reuse no connection for 30 s at a server of the own interface that copies

Callers of model requests got 504 for most requests while engines wrote copies before their next responses: a copy costs the call and its connection, but the next pair of calls ran into the next copy, so every second call to such a server failed, and a model request needs three calls. The relay already opens a new connection for each request there; the own interface only closed the one connection.

The connector now reuses no connection to a server for 30 s after a response that may belong to another request, and closes the idle ones.

Other servers and sound ones keep their connections; both have tests.

--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -40,26 +41,48 @@
 # The largest response is a snapshot of the configuration, less than 2 MB for
 # 12,000 engines.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# A server that wrote one copy tends to write more. Each copy on a used
+# connection costs a call, so this long every call gets a new connection.
+NO_REUSE_S = 30.0
 
 
 class _CheckedConnector(aiohttp.TCPConnector):
     """Reuses only connections on which nothing arrived while they were idle.
 
     aiohttp treats such bytes as the response to the next request and has no
-    public option to prevent that.
+    public option to prevent that. No connection to a server is reused for
+    ``NO_REUSE_S`` after a response that may belong to another request.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._reused_again_s_by_key: dict[ConnectionKey, float] = {}
+
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         connection = await super().connect(req, traces, timeout)
         if connection.protocol is not None:
-            record_connection(connection.protocol)
+            on_doubt = partial(self._stop_reuse, req.connection_key)
+            record_connection(connection.protocol, on_doubt)
         return connection
 
+    def _stop_reuse(self, key: ConnectionKey) -> None:
+        self._reused_again_s_by_key[key] = self._loop.time() + NO_REUSE_S
+
+    def _may_reuse(self, key: ConnectionKey) -> bool:
+        reused_again_s = self._reused_again_s_by_key.get(key)
+        if reused_again_s is None:
+            return True
+        if self._loop.time() < reused_again_s:
+            return False
+        del self._reused_again_s_by_key[key]
+        return True
+
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        may_reuse = self._may_reuse(key)
         for protocol, _ in self._conns.get(key, ()):
-            if protocol.should_close:
+            if protocol.should_close or not may_reuse:
                 protocol.close()
         return await super()._get(key, traces)
 
--- a/packages/kumquat_core/src/kumquat_core/proved_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/proved_exchange.py
@@ -16,6 +16,7 @@
 import itertools
 import os
 import re
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from contextvars import ContextVar
 from typing import Any
@@ -44,7 +45,14 @@
 class _Exchange:
     """One exchange: its id, and the connection that carries it."""
 
-    __slots__ = ("_request", "_response", "call_id", "on_used_connection", "protocol")
+    __slots__ = (
+        "_request",
+        "_response",
+        "call_id",
+        "on_doubt",
+        "on_used_connection",
+        "protocol",
+    )
 
     def __init__(
         self, session: aiohttp.ClientSession, method: str, url: str, **arguments: Any
@@ -52,6 +60,7 @@
         self.call_id = f"{_process_prefix}-{next(_numbers):x}"
         self.on_used_connection = False
         self.protocol: ResponseHandler | None = None
+        self.on_doubt: Callable[[], None] | None = None
         headers = {**arguments.pop("headers", {}), CALL_ID_HEADER: self.call_id}
         self._request = session.request(
             method, url, headers=headers, allow_redirects=False, **arguments
@@ -66,6 +75,7 @@
             # A connection keeps the context in which it was opened, and so
             # this object, until it is closed: 7 KB each with the response.
             protocol, self.protocol = self.protocol, None
+            on_doubt, self.on_doubt = self.on_doubt, None
             del self._request
         ids = response.headers.getall(CALL_ID_HEADER, [])
         reason = _doubt(response, ids, self)
@@ -74,6 +84,8 @@
             # aiohttp may have returned the connection to its pool already.
             protocol.force_close()
         if reason:
+            if on_doubt is not None:
+                on_doubt()
             del self._response
             response.close()
             raise UnprovedResponseError(reason)
@@ -92,15 +104,19 @@
 _used_connections: WeakSet[ResponseHandler] = WeakSet()
 
 
-def record_connection(protocol: ResponseHandler) -> None:
+def record_connection(
+    protocol: ResponseHandler, on_doubt: Callable[[], None] | None = None
+) -> None:
     """Record the connection of the current exchange.
 
     Called by the connector, also when aiohttp repeats a request because a
-    used connection was closed.
+    used connection was closed. ``on_doubt`` is called when the response may
+    belong to another request.
     """
     current = _current_exchange.get()
     if current is not None:
         current.protocol = protocol
+        current.on_doubt = on_doubt
         current.on_used_connection = protocol in _used_connections
     _used_connections.add(protocol)
 
--- a/tests/core/test_stuttering_servers.py
+++ b/tests/core/test_stuttering_servers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 
 import pytest
 
+from kumquat_core import http_client
 from kumquat_core.engine_client import (
     EngineCommand,
     HttpEngineClient,
@@ -307,3 +309,46 @@
     assert isinstance(results[1], RouterError)
     assert results[2] == 2
     assert server.connections == 2
+
+
+def test_no_connection_is_reused_for_a_while_after_a_copy():
+    """Every second call to a server that went on to write copies failed."""
+    answers = [(200, report(number)) for number in range(10)]
+    server = StutteringServer(answers, bytes)
+    results = run_calls(server, [Clients.report] * 10)
+    assert [n for n, x in enumerate(results) if isinstance(x, RouterError)] == [1]
+    assert server.connections == 9
+
+
+def test_connections_are_reused_again_after_that_time(monkeypatch):
+    monkeypatch.setattr(http_client, "NO_REUSE_S", 0.0)
+    copies = iter([bytes] + [lambda _: b""] * 9)
+    answers = [(200, report(number)) for number in range(10)]
+    server = StutteringServer(answers, lambda answer: next(copies)(answer))
+    results = run_calls(server, [Clients.report] * 10)
+    assert isinstance(results[1], RouterError)
+    assert results[2:] == list(range(2, 10))
+    assert server.connections == 2
+
+
+def test_copy_of_one_server_does_not_concern_another():
+    async def run() -> int:
+        servers = [
+            StutteringServer([(200, report(n)) for n in range(6)], copy)
+            for copy in (bytes, lambda _: b"")
+        ]
+        listeners = [
+            await asyncio.start_server(s.serve, "127.0.0.1", 0) for s in servers
+        ]
+        async with create_session(1.0) as session:
+            for listener in listeners:
+                port = listener.sockets[0].getsockname()[1]
+                clients = Clients(session, f"http://127.0.0.1:{port}")
+                for _ in range(6):
+                    with contextlib.suppress(RouterError):
+                        await clients.report()
+        for listener in listeners:
+            listener.close()
+        return servers[1].connections
+
+    assert asyncio.run(run()) == 1
--- a/tests/lab/test_stutter.py
+++ b/tests/lab/test_stutter.py
@@ -10,6 +10,7 @@
 import pytest
 from aiohttp import web
 
+from kumquat_core import http_client
 from kumquat_core.http_client import create_session
 from kumquat_core.proved_exchange import (
     CALL_ID_HEADER,
@@ -200,9 +201,10 @@
 
 
 @pytest.mark.parametrize("server", SERVERS)
-def test_no_call_gets_a_copy_of_another_response(server):
+def test_no_call_gets_a_copy_of_another_response(server, monkeypatch):
     """Reused connections and all kinds of copies at once. With the proof of
     ``proved_exchange`` switched off, some calls get a copy."""
+    monkeypatch.setattr(http_client, "NO_REUSE_S", 0.0)
     call = {"backend": _call_backend, "platform": _call_platform}[server]
 
     async def run() -> Counter[object]:
