--- a/packages/kumquat_lab/src/kumquat_lab/stack.py
+++ b/packages/kumquat_lab/src/kumquat_lab/stack.py
@@ -69,6 +69,7 @@
     first_port: Annotated[int, Field(ge=0, le=65000)] = 0
     engine_changes: dict[str, float] = Field(default_factory=dict)
     tbt_target_ms: Annotated[int, Field(ge=0)] = 0
+    host_limits: dict[str, float] = Field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -320,6 +321,7 @@
             "disabled_rules": self.plan.config.disabled_rules,
             "log_level": self.plan.config.log_level,
             "seed": self.plan.config.seed,
+            "limits": self.plan.config.host_limits,
         }
 
 
