Let an entry host that cuts requests at its drain limit answer them

The drain cuts the requests at its limit, and the stop cuts them once more. If no outcome of a call is left to record in between, the cancellation of the requests is still on its way, and asyncio raises an error when an expiring timeout is moved: "Cannot change state of expiring Timeout". Requests that were cut are now left alone.

Ruled out: too little time for the answers, since the close of the connections takes up to 5 s. The test cut only once, so it passed.

Evidence: the new test fails without the change.

--- a/packages/kumquatrouter/src/kumquatrouter/drain.py
+++ b/packages/kumquatrouter/src/kumquatrouter/drain.py
@@ -199,9 +199,9 @@
         """
         self.begin()
         self._refuses_all = True
-        count = sum(not request.is_cut for request in self._requests)
-        for request in self._requests:
-            if not request.is_cut:
-                request.log_cut(reason)
+        # One that was cut before may be on its way out.
+        uncut = [request for request in self._requests if not request.is_cut]
+        for request in uncut:
+            request.log_cut(reason)
             request.cut()
-        return count
+        return len(uncut)
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -135,3 +135,28 @@
         assert caught.value is error
 
     asyncio.run(scenario())
+
+
+def test_requests_can_be_cut_again_before_they_have_ended():
+    """The drain cuts at its limit, and the stop right after it once more: this
+    raised an error, and the process ended before it had answered."""
+
+    async def scenario() -> None:
+        drain = Drain(10, ManualClock())
+        error = RouterError(ResultCode.OUTCOME_UNKNOWN)
+
+        async def request() -> None:
+            with drain.request() as progress:
+                await progress.run(asyncio.Event().wait(), error)
+
+        task = asyncio.create_task(request())
+        await asyncio.sleep(0)
+        assert drain.cut_requests("drain_limit") == 1
+        await asyncio.sleep(0)
+        # The cancellation of the request is on its way.
+        assert drain.cut_requests("drain_limit") == 0
+        with pytest.raises(RouterError) as caught:
+            await task
+        assert caught.value is error
+
+    asyncio.run(scenario())
