Follow a drain limit that a reload changes on an entry host

Callers of an entry host whose platform shortened the time for a stop would have lost their requests when the platform ended the process: the host read its settings at its start only, and SIGHUP had no effect.

At SIGHUP an entry host now reads `limits.drain_limit_s` again, also while it stops, and its wait for the last request follows it. What a shorter limit cuts is answered as unknown. New log events: `drain_limit_changed` and `reload_failed`; `reload_not_supported` stays for everything else. The time for recording outcomes and for answers after the last request is not changed by a reload.

--- a/packages/kumquatrouter/src/kumquatrouter/drain.py
+++ b/packages/kumquatrouter/src/kumquatrouter/drain.py
@@ -106,7 +106,8 @@
         self._notice_s = notice_s
         self._limit_s = limit_s
         self._began_s: float | None = None
-        self._ends_s = math.inf
+        self._stop_began_s: float | None = None
+        self._stop_scope: asyncio.Timeout | None = None
         self._refuses_all = False
         self._requests: set[RequestInProgress] = set()
         self._idle = asyncio.Event()
@@ -132,7 +133,10 @@
     @property
     def left_s(self) -> float:
         """Return the time until the process must exit."""
-        return max(0.0, self._ends_s - self.clock.monotonic())
+        if self._stop_began_s is None:
+            return math.inf
+        ends_s = self._stop_began_s + self._limit_s
+        return max(0.0, ends_s - self.clock.monotonic())
 
     @property
     def _notice_left_s(self) -> float:
@@ -171,13 +175,43 @@
 
     def end(self) -> None:
         """Cancel the drain and accept requests again, unless a stop began."""
-        if self._ends_s == math.inf:
+        if self._stop_began_s is None:
             self._began_s = None
 
     def begin_stop(self) -> None:
         """Begin a drain that ends with the process."""
         self.begin()
-        self._ends_s = min(self._ends_s, self.clock.monotonic() + self._limit_s)
+        if self._stop_began_s is None:
+            self._stop_began_s = self.clock.monotonic()
+
+    def change_limit(self, limit_s: float) -> None:
+        """Change the limit, also of a stop that has begun.
+
+        Requests were accepted for the time left until then. Those that a
+        shorter limit cuts get an answer that says so.
+        """
+        self._limit_s = limit_s
+        if self._stop_scope is not None and not self._stop_scope.expired():
+            loop = asyncio.get_running_loop()
+            self._stop_scope.reschedule(loop.time() + self.left_s)
+
+    async def wait_for_stop(self) -> bool:
+        """Wait like ``wait_idle``, until the process must exit.
+
+        Follows a limit that changes meanwhile.
+        """
+        try:
+            async with asyncio.timeout(self.left_s) as self._stop_scope:
+                await self._wait_until_unused()
+        except TimeoutError:
+            return False
+        finally:
+            self._stop_scope = None
+        return True
+
+    async def _wait_until_unused(self) -> None:
+        await asyncio.sleep(self._notice_left_s)
+        await self._idle.wait()
 
     async def wait_idle(self, limit_s: float) -> bool:
         """Wait for the notice period and until no request is in progress.
@@ -186,8 +220,7 @@
         """
         try:
             async with asyncio.timeout(limit_s):
-                await asyncio.sleep(self._notice_left_s)
-                await self._idle.wait()
+                await self._wait_until_unused()
         except TimeoutError:
             return False
         return True
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -326,6 +326,16 @@
             position=self._tickets.position,
         )
 
+    def change_drain_limit(self, limit_s: float) -> None:
+        """Follow a changed ``drain_limit_s``, also while a stop goes on."""
+        self._drain.change_limit(limit_s)
+        log_event(
+            logger,
+            "drain_limit_changed",
+            limit_s=limit_s,
+            in_progress=self._drain.in_progress,
+        )
+
     async def drain(self) -> bool:
         """Refuse new requests and wait for those in progress.
 
@@ -338,7 +348,7 @@
             in_progress=self._drain.in_progress,
             left_s=round(self._drain.left_s, 1),
         )
-        finished = await self._drain.wait_idle(self._drain.left_s)
+        finished = await self._drain.wait_for_stop()
         if not finished:
             self._cut_requests("drain_limit")
         left_s = max(MIN_OUTCOME_DRAIN_TIMEOUT_S, self._drain.left_s)
--- a/packages/kumquatrouter/src/kumquatrouter/main.py
+++ b/packages/kumquatrouter/src/kumquatrouter/main.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
@@ -53,7 +54,7 @@
     """Run an entry host until SIGTERM or SIGINT."""
     options = _load(settings)
     configure_logging(options.log_level)
-    sys.exit(uvloop.run(_run_to_exit(options)))
+    sys.exit(uvloop.run(_run_to_exit(options, settings)))
 
 
 @app.command("check-config")
@@ -95,14 +96,32 @@
     return False
 
 
-async def _run_to_exit(options: Options) -> int:
+async def _run_to_exit(options: Options, settings: Path) -> int:
     """Run until a signal; ignore those that arrive after the stop."""
-    exit_code = await _run(options)
+    exit_code = await _run(options, settings)
     ignore_stop_signals(asyncio.get_running_loop())
     return exit_code
 
 
-async def _run(options: Options) -> int:
+def _reload(host: EntryHost, options: Options, settings: Path) -> Options:
+    """Follow a changed drain limit and return the options in force.
+
+    All other settings are followed at the next start only. The options stay
+    when the file is not valid.
+    """
+    try:
+        limit_s = load_options(settings).limits.drain_limit_s
+    except RouterError as error:
+        log_event(logger, "reload_failed", level=logging.ERROR, detail=error.detail)
+        return options
+    if limit_s == options.limits.drain_limit_s:
+        log_event(logger, "reload_not_supported")
+        return options
+    host.change_drain_limit(limit_s)
+    return replace(options, limits=replace(options.limits, drain_limit_s=limit_s))
+
+
+async def _run(options: Options, settings: Path) -> int:
     """Run until a signal and drain; a second signal ends the drain early.
 
     Returns the exit code of the process.
@@ -115,9 +134,14 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    # The platform sends SIGHUP to programs that reload their settings. Its
-    # default would end this one with requests in progress.
-    loop.add_signal_handler(signal.SIGHUP, log_event, logger, "reload_not_supported")
+
+    def on_reload() -> None:
+        nonlocal options
+        options = _reload(host, options, settings)
+
+    # The default of SIGHUP would end the process with requests in progress,
+    # so its handler comes first. It runs when the host has been created.
+    loop.add_signal_handler(signal.SIGHUP, on_reload)
     host = EntryHost.from_config(options)
     if not await _start(host, first_signal):
         return 0
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from kumquat_core.clock import ManualClock
+from kumquat_core.clock import ManualClock, SystemClock
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
 from kumquatrouter.drain import Drain
 
@@ -137,6 +137,54 @@
     asyncio.run(scenario())
 
 
+def test_changed_limit_holds_for_a_stop_that_has_begun():
+    """Requests were accepted for a time that the process no longer had."""
+    clock = ManualClock()
+    drain = Drain(10, clock, notice_s=60.0, limit_s=60.0)
+    drain.begin_stop()
+    clock.advance(2.0)
+    drain.change_limit(5.0)
+    assert drain.left_s == 3.0
+    with drain.request() as request:
+        with pytest.raises(RouterError):
+            request.check_time_left(4.0)
+        drain.change_limit(10.0)
+        request.check_time_left(4.0)
+
+
+@pytest.mark.parametrize("limits", [(60.0, 0.05), (0.05, 60.0, 0.1)])
+def test_stop_that_waits_follows_a_changed_limit(limits):
+    """It went on to the limit that it began with."""
+
+    async def scenario() -> None:
+        drain = Drain(10, SystemClock(), limit_s=limits[0])
+        with drain.request():
+            drain.begin_stop()
+            wait = asyncio.create_task(drain.wait_for_stop())
+            await asyncio.sleep(0)
+            for limit_s in limits[1:]:
+                drain.change_limit(limit_s)
+            async with asyncio.timeout(10.0):
+                assert not await wait
+
+    asyncio.run(scenario())
+
+
+def test_stop_with_a_longer_limit_waits_for_its_last_request():
+    async def scenario() -> None:
+        drain = Drain(10, SystemClock(), limit_s=0.02)
+        with drain.request():
+            drain.begin_stop()
+            wait = asyncio.create_task(drain.wait_for_stop())
+            await asyncio.sleep(0)
+            drain.change_limit(60.0)
+            await asyncio.sleep(0.1)
+            assert not wait.done()
+        assert await wait
+
+    asyncio.run(scenario())
+
+
 def test_requests_can_be_cut_again_before_they_have_ended():
     """The drain cuts at its limit, and the stop right after it once more: this
     raised an error, and the process ended before it had answered."""
