Shorten the call ids of the own interface

Each call to engines, backend servers and the platform carries an id so that its response can be told from copies, and servers return it: 35 bytes a call each way. The number alone is unique among the calls of a process, and no two processes share a connection, so the prefix only tells processes behind one proxy apart. It is now 4 characters instead of 12 and a hyphen.

--- a/packages/kumquat_core/src/kumquat_core/proved_exchange.py
+++ b/packages/kumquat_core/src/kumquat_core/proved_exchange.py
@@ -14,8 +14,8 @@
 """
 
 import itertools
-import os
 import re
+import secrets
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from contextvars import ContextVar
@@ -31,7 +31,9 @@
 # A header such as "Via: HTTP/1.1 proxy" has no status after the version.
 STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}(?: |$)")
 
-_process_prefix = os.urandom(6).hex()
+# The number alone is unique among the calls of this process, which shares its
+# connections with none. The prefix tells processes behind one proxy apart.
+_process_prefix = secrets.token_urlsafe(3)
 _numbers = itertools.count(1)
 
 
@@ -57,7 +59,7 @@
     def __init__(
         self, session: aiohttp.ClientSession, method: str, url: str, **arguments: Any
     ) -> None:
-        self.call_id = f"{_process_prefix}-{next(_numbers):x}"
+        self.call_id = f"{_process_prefix}{next(_numbers):x}"
         self.on_used_connection = False
         self.protocol: ResponseHandler | None = None
         self.on_doubt: Callable[[], None] | None = None
