Test copies on the links between hosts and from the host list

Where the own interface reads what comes next on a connection, all clients but these two had a test with copies. Replies between hosts bear a correlation id that no link uses twice, also after it connects again; the host list is read by `proved_exchange`. Both tests passed before and are guards only.

--- a/tests/core/test_stuttering_servers.py
+++ b/tests/core/test_stuttering_servers.py
@@ -21,6 +21,7 @@
     HttpEngineClient,
     PrefillResult,
 )
+from kumquat_core.host_list_client import HttpHostListClient
 from kumquat_core.http_client import create_session
 from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
@@ -113,6 +114,7 @@
         self.engine = HttpEngineClient(session, 0.5)
         self.table = HttpTableClient(session, url, 0.5)
         self.objects = HttpObjectClient(session, url, 0.5)
+        self.host_list = HttpHostListClient(session, url, 0.5)
 
     async def prefill(self) -> Any:
         return await self.engine.prefill(self.url, "r", "m", "a b", 0.5)
@@ -147,6 +149,9 @@
         found = await self.objects.get("o")
         return None if found is None else found.content
 
+    async def hosts(self) -> Any:
+        return [host.host_id for host in (await self.host_list.fetch()).hosts]
+
     async def put(self) -> Any:
         return await self.objects.put("o", b"x", None)
 
@@ -174,6 +179,18 @@
     )
 
 
+def hosts(host_id: str) -> bytes:
+    host = {
+        "host_id": host_id,
+        "address": "127.0.0.1",
+        "peer_port": 1,
+        "failure_domain": "f",
+        "region": "r",
+        "state": "live",
+    }
+    return document(hosts=[host], backend_servers=[])
+
+
 def tokens(text: str) -> bytes:
     return f'data: {{"i": 0, "t": "{text}"}}\n\ndata: [DONE]\n\n'.encode()
 
@@ -218,6 +235,8 @@
     ),
     "object": ("stored", (200, b"old"), (200, b"new"), b"new"),
     "absent object": ("stored", (404, b""), (200, b"new"), b"new"),
+    "hosts": ("hosts", (200, hosts("a")), (200, hosts("b")), ["b"]),
+    "no hosts": ("hosts", (503, b"{}"), (200, hosts("b")), ["b"]),
     "put refused": ("put", (412, b""), (200, b""), True),
     "put": ("put", (200, b""), (412, b""), False),
 }
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import gc
 import random
 from collections.abc import Awaitable, Callable
@@ -12,7 +13,7 @@
 import pytest
 
 from kumquat_core.clock import ManualClock
-from kumquat_core.frames import PeerIdentity, write_frame
+from kumquat_core.frames import PeerIdentity, handshake, read_frame, write_frame
 from kumquat_core.peer_messages import (
     Ack,
     Envelope,
@@ -310,3 +311,46 @@
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
     assert unread == []
+
+
+class RepeatingPeer:
+    """Host b, which writes old replies before and behind each new one."""
+
+    def __init__(self) -> None:
+        self._old: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await handshake(reader, writer, PeerIdentity("b", 1), KEY, initiator=False)
+        with contextlib.suppress(RouterError):
+            while True:
+                call = decode(await read_frame(reader))
+                reply = Ack("b", 1, call.message.ticket_position)
+                data = encode(Envelope(call.correlation_id, reply))
+                for frame in (*self._old, data, data):
+                    write_frame(writer, frame)
+                self._old.append(data)
+        writer.close()
+
+
+def test_reply_that_is_written_again_is_not_that_to_another_call():
+    """Correlation ids are never used again, also on the next stream."""
+
+    async def scenario() -> None:
+        peer = RepeatingPeer()
+        server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        links = PeerLinks(
+            PeerIdentity("a", 1), KEY, lambda _: address, ManualClock(), random.Random()
+        )
+        for number in range(9):
+            if number == 5:
+                links.drop("b")
+                await asyncio.sleep(0.05)
+            reply = await links.call("b", Ping("a", 1, number), 5)
+            assert reply == Ack("b", 1, number)
+        await links.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
