Split the messages of members and of admissions from the peer messages

The data classes of the membership and of admissions have modules of their own; `peer_messages` keeps the codec and re-exports all public names. Behaviour is unchanged: the code was moved as it is.

--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -7,11 +7,25 @@
 """
 
 from dataclasses import dataclass, fields
-from typing import Any, Literal
+from typing import Any
 
 import msgpack
 from pydantic import TypeAdapter
 
+from .admission_messages import (
+    AdmissionRequest,
+    CancelAdmission,
+    Grant,
+    GrantsHeld,
+    GrantsQuery,
+    HeldGrant,
+    PrefillDone,
+    Progress,
+    Refusal,
+    Release,
+    ShardSummary,
+    SlowStep,
+)
 from .crash_messages import CrashEvidence, CrashRecord, EngineCrashReport
 from .limit_messages import (
     PermitGrant,
@@ -19,7 +33,8 @@
     ServerLimit,
     ServerLimitNotice,
 )
-from .message_fields import Figure, Port, Whole
+from .member_messages import Ack, MemberUpdate, Ping, PingRequest
+from .message_fields import Whole
 from .result_codes import ResultCode, RouterError
 from .run_messages import (
     LATER_FIELD,
@@ -80,196 +95,6 @@
 ]
 
 
-@dataclass(frozen=True)
-class MemberUpdate:
-    """The state of a member as one host knows it.
-
-    ``state`` is alive, suspect or dead. Only the member itself increments
-    ``sequence``, to refute a suspicion.
-    """
-
-    host_id: str
-    incarnation: Whole
-    sequence: Whole
-    state: Literal["alive", "suspect", "dead"]
-    ip: str
-    peer_port: Port
-    failure_domain: str
-    region: str
-
-
-@dataclass(frozen=True)
-class Ping:
-    """A heartbeat that carries membership updates."""
-
-    host_id: str
-    incarnation: Whole
-    ticket_position: Whole
-    updates: tuple[MemberUpdate, ...] = ()
-
-
-@dataclass(frozen=True)
-class PingRequest:
-    """Requests that the receiver ping ``target`` for the sender."""
-
-    target: str
-    ticket_position: Whole = 0
-    updates: tuple[MemberUpdate, ...] = ()
-
-
-@dataclass(frozen=True)
-class Ack:
-    """Acknowledges a ping; ``reached`` is false if an indirect ping failed."""
-
-    host_id: str
-    incarnation: Whole
-    ticket_position: Whole
-    reached: bool = True
-    updates: tuple[MemberUpdate, ...] = ()
-
-
-@dataclass(frozen=True)
-class ShardSummary:
-    """State of a shard at the time its owner sent a reply."""
-
-    shard_id: str
-    free_pieces: Whole
-    queued: Whole
-    expected_wait_ms: Whole
-
-
-@dataclass(frozen=True)
-class AdmissionRequest:
-    """Requests a prefill and a decode engine from a shard owner.
-
-    Deadlines are remaining milliseconds, since the clocks of hosts differ.
-    ``prefix_blocks`` are the hashes of the prompt's leading blocks.
-    ``resume_tokens`` is the number of tokens already sent to the caller.
-    """
-
-    request_id: str
-    shard_id: str
-    tenant: str
-    class_name: str
-    model: str
-    prompt_tokens: Whole
-    max_tokens: Whole
-    ttft_deadline_ms: Whole
-    patience_ms: Whole
-    prefix_blocks: tuple[int, ...] = ()
-    excluded_engines: tuple[str, ...] = ()
-    resume_tokens: Whole = 0
-    attempt: Whole = 1
-
-
-@dataclass(frozen=True)
-class Grant:
-    """Memory is reserved at the decode engine, and the prefill may start."""
-
-    request_id: str
-    shard_id: str
-    prefill_engine: str
-    decode_engine: str
-    pieces: Whole
-    summary: ShardSummary
-
-
-@dataclass(frozen=True)
-class Refusal:
-    """The owner does not admit a request; ``code`` is a result code."""
-
-    request_id: str
-    code: Whole
-    detail: str
-    retry_after_ms: Whole
-    summary: ShardSummary | None = None
-
-
-@dataclass(frozen=True)
-class PrefillDone:
-    """The prefill has ended; the request still uses its decode engine."""
-
-    request_id: str
-    shard_id: str
-    prefill_ms: Figure
-    cached_tokens: Whole
-
-
-@dataclass(frozen=True)
-class SlowStep:
-    """A token took much longer than a decode step of a full batch.
-
-    It is sent while the stream is open, because its ``Release`` follows only
-    seconds later.
-    """
-
-    request_id: str
-    shard_id: str
-    gap_ms: Figure
-
-
-@dataclass(frozen=True)
-class Release:
-    """The request no longer uses its engines.
-
-    Times are those that the entry host observed, zero for a stage that the
-    request did not reach.
-    """
-
-    request_id: str
-    shard_id: str
-    code: Whole
-    prefill_ms: Figure = 0.0
-    ttft_ms: Figure = 0.0
-    tbt_ms: Figure = 0.0
-    tokens: Whole = 0
-    failed_engine: str = ""
-
-
-@dataclass(frozen=True)
-class CancelAdmission:
-    """The entry host no longer waits for the grant of a request."""
-
-    request_id: str
-    shard_id: str
-
-
-@dataclass(frozen=True)
-class HeldGrant:
-    """A grant whose engines an entry host still uses."""
-
-    request_id: str
-    prefill_engine: str
-    decode_engine: str
-    pieces: Whole
-    prefilling: bool
-
-
-@dataclass(frozen=True)
-class GrantsQuery:
-    """Asks an entry host which of its requests are still open.
-
-    It names either the requests or the engines whose grants are queried.
-    """
-
-    request_ids: tuple[str, ...] = ()
-    engine_ids: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class GrantsHeld:
-    """Replies to a ``GrantsQuery``.
-
-    ``waiting`` lists the queried requests that have no grant yet. Request ids
-    are never reused, so a queried request in neither list has ended for good.
-    """
-
-    host_id: str
-    incarnation: Whole
-    grants: tuple[HeldGrant, ...] = ()
-    waiting: tuple[str, ...] = ()
-
-
 @dataclass(frozen=True)
 class TicketFetch:
     """Requests the tickets after a position of the log."""
@@ -302,9 +127,6 @@
         self.correlation_id = correlation_id
 
 
-# Messages of an entry host to a shard owner about the progress of a request.
-Progress = PrefillDone | SlowStep | Release | CancelAdmission
-
 Message = (
     Ack
     | AdmissionRequest
