Split clients, peer messages and status from the entry host

Its clients with their connections, the handling of peers' messages with the queries of grants, and readiness, status document and metrics have modules of their own; the timer task moves to `supervisor`, the hedge budget of a policy to `scheduling_policy`. Behaviour is unchanged: the code was moved. Only the class name that the log states if the timers crash is now `TimerTask`.

`EntryHost` stays the only public name of `entry_host`.

--- a/packages/kumquat_core/src/kumquat_core/scheduling_policy.py
+++ b/packages/kumquat_core/src/kumquat_core/scheduling_policy.py
@@ -20,6 +20,7 @@
     ShardSummary,
 )
 from .result_codes import ResultCode, RouterError
+from .retry_budget import HedgeBudget
 from .rule_set import RuleSet
 from .shard_scheduler import ShardScheduler
 
@@ -27,6 +28,7 @@
     "KumquatPolicy",
     "Policy",
     "Scheduler",
+    "create_hedge_budget",
     "create_scheduler",
     "decides_locally",
     "parse_policy",
@@ -114,3 +116,11 @@
             return ShardScheduler(shard_id, clock, rng, rules)
         case RoundRobin() | LeastReportedLoad() | TwoChoices():
             return LocalScheduler(shard_id, clock, rng, policy)
+
+
+def create_hedge_budget(policy: Policy) -> HedgeBudget | None:
+    """Return the budget of a policy that sends second prefills, or None."""
+    match policy:
+        case KumquatPolicy(rules) if rules.hedging:
+            return HedgeBudget()
+    return None
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -2,46 +2,25 @@
 
 import logging
 import random
-from dataclasses import asdict
 from functools import partial
-from typing import Any
 
-from kumquat_core.backend_client import HttpBackendClient
 from kumquat_core.clock import SystemClock
-from kumquat_core.engine_client import HttpEngineClient
 from kumquat_core.frames import PeerIdentity
-from kumquat_core.host_list_client import HttpHostListClient
-from kumquat_core.http_client import create_session
 from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.log_events import log_event
 from kumquat_core.membership import ChangeKind, Membership, MembershipChange
 from kumquat_core.metrics import RouterMetrics
-from kumquat_core.object_client import HttpObjectClient
-from kumquat_core.peer_messages import (
-    AdmissionRequest,
-    CancelAdmission,
-    GrantsHeld,
-    GrantsQuery,
-    Message,
-    Ping,
-    PingRequest,
-    PrefillDone,
-    Release,
-    SlowStep,
-    TicketFetch,
-)
 from kumquat_core.request_ids import RequestIdGenerator
-from kumquat_core.result_codes import RouterError
-from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries, HedgeBudget
+from kumquat_core.retry_budget import BudgetedRetries, DeadlineRetries
 from kumquat_core.scheduling_policy import (
     KumquatPolicy,
+    create_hedge_budget,
     create_scheduler,
     decides_locally,
     parse_policy,
 )
 from kumquat_core.settings import Options
 from kumquat_core.shard_scheduler import ShardScheduler
-from kumquat_core.table_client import HttpTableClient
 from kumquat_core.ticket_log import TicketLog
 from kumquat_core.tickets import TicketStore
 from kumquat_core.timers import TimerService
@@ -53,26 +32,25 @@
 from .drain import Drain
 from .engine_orders import EngineCommandSender
 from .held_grants import HeldGrants, TrackingAdmissionClient
-from .host_directory import HostDirectory
+from .host_status import HostStatus
 from .local_admission import LocalAdmissionClient
 from .membership_driver import MembershipDriver
-from .metered_clients import MeteredTableClient
 from .model_path import ModelPath
 from .owner_client import OwnerClient
+from .peer_handler import GrantQueries, PeerMessageHandler
 from .peer_links import PeerLinks
 from .peer_server import PeerServer
 from .plain_path import PlainPath
+from .platform_clients import PlatformClients
 from .request_observer import RequestObserver
 from .shard_owners import CreateScheduler, OwnedShards
-from .status_report import engine_documents, owners_by_shard, resident_bytes
-from .supervisor import Supervisor, TaskService
+from .supervisor import Supervisor, TimerTask
 from .ticket_sync import TicketSync
 
 __all__ = ["EntryHost"]
 
 OWNER_UPDATE_PERIOD_S = 0.1
 BACKGROUND_DRAIN_TIMEOUT_S = 5.0
-GRANTS_QUERY_TIMEOUT_S = 0.5
 
 # Before the process ends, callers that read slowly get the rest of their
 # answers, unless it ends early.
@@ -92,18 +70,6 @@
 logger = logging.getLogger(__name__)
 
 
-class _TimerTask(TaskService):
-    """Runs the timer service under the supervisor."""
-
-    def __init__(self, timers: TimerService) -> None:
-        super().__init__()
-        self._timers = timers
-
-    async def run(self) -> None:
-        """Run the timers until cancelled."""
-        await self._timers.run()
-
-
 class EntryHost:
     """One entry-host process; must be created inside a running event loop."""
 
@@ -127,33 +93,11 @@
         )
         self._tickets = TicketStore()
         self._held_grants = HeldGrants(options.host_id, self._identity.incarnation)
-        self._create_platform_clients()
+        self._clients = PlatformClients.from_config(options, self._metrics, self._clock)
         self._create_peer_services()
         self._create_shard_services()
         self._supervisor = self._create_supervisor()
 
-    def _create_platform_clients(self) -> None:
-        """Create the clients of the external services and of the engines."""
-        options, timing = self._options, self._options.timing
-        connect_s, store_s = timing.engine_connect_timeout_s, timing.store_timeout_s
-        self._session = create_session(connect_s)
-        self._single_use_session = create_session(connect_s, reuse_connections=False)
-        self._directory = HostDirectory(
-            HttpHostListClient(self._session, options.host_list_url, store_s)
-        )
-        self._table_client = MeteredTableClient(
-            HttpTableClient(self._session, options.table_service_url, store_s),
-            self._metrics,
-            self._clock,
-        )
-        self._object_client = HttpObjectClient(
-            self._session, options.object_store_url, store_s
-        )
-        self._engine_client = HttpEngineClient(
-            self._session, timing.stream_idle_timeout_s
-        )
-        self._backend_client = HttpBackendClient(self._single_use_session)
-
     def _create_peer_services(self) -> None:
         """Create membership, peer links and ticket synchronisation."""
         options = self._options
@@ -183,7 +127,7 @@
         self._ticket_sync = TicketSync(
             options.host_id,
             self._tickets,
-            TicketLog(self._table_client, self._object_client, self._rng),
+            TicketLog(self._clients.table, self._clients.objects, self._rng),
             self._links.call,
             self._ticket_peers,
             self._rng,
@@ -196,18 +140,18 @@
             host_id,
             self._options.region,
             self._clock,
-            self._engine_client,
+            self._clients.engines,
             self._membership,
             self._background,
-            self._query_grants,
-            lambda: self._directory.backend_states_by_id,
+            GrantQueries(host_id, self._held_grants, self._links).query,
+            lambda: self._clients.directory.backend_states_by_id,
             self._observer,
             self._create_shard_scheduler(self._rng),
             EngineCommandSender(
                 host_id,
                 self._identity.incarnation,
-                self._table_client,
-                self._engine_client,
+                self._clients.table,
+                self._clients.engines,
             ),
         )
         self._owner_client = OwnerClient(
@@ -219,7 +163,7 @@
             self._rng,
         )
         self._local_admission = LocalAdmissionClient(
-            self._engine_client,
+            self._clients.engines,
             lambda pool: create_scheduler(self._policy, pool, self._clock, self._rng),
         )
 
@@ -230,27 +174,27 @@
         retries = DeadlineRetries(self._rng) if is_local else BudgetedRetries(self._rng)
         return ModelPath(
             self._clock,
-            self._engine_client,
+            self._clients.engines,
             TrackingAdmissionClient(admissions, self._held_grants),
             self._background,
             ids,
             self._observer,
             retries,
-            self._hedge_budget(),
+            create_hedge_budget(self._policy),
         )
 
     def _create_plain_path(self) -> PlainPath:
         self._guard = IdempotencyGuard.from_config(
             self._options,
-            table=self._table_client,
-            backend=self._backend_client,
+            table=self._clients.table,
+            backend=self._clients.backends,
             clock=self._clock,
             is_live=self._membership.is_live,
         )
         return PlainPath(
             self._clock,
-            self._backend_client,
-            self._directory,
+            self._clients.backends,
+            self._clients.directory,
             self._guard,
             self._rng,
             self._observer,
@@ -270,22 +214,35 @@
             self._clock,
             self._observer,
         )
+        status = HostStatus(
+            options,
+            self._identity,
+            self._tickets,
+            self._membership,
+            self._owners,
+            self._clients.table,
+            self._drain,
+            self._metrics,
+        )
         admin_api = AdminApi(
             options.admin_listen,
-            self._is_ready,
-            self._status,
+            status.is_ready,
+            status.document,
             self._drain,
-            self._render_metrics,
+            status.render_metrics,
             self._decisions,
         )
+        messages = PeerMessageHandler(
+            self._owners, self._held_grants, self._membership_driver, self._ticket_sync
+        )
         peer_server = PeerServer(
             options.peer_listen,
             self._identity,
             options.peer_key,
-            self._on_message,
+            messages.handle,
             self._metrics.add_peer_bytes,
         )
-        timers = _TimerTask(self._timers)
+        timers = TimerTask(self._timers)
         return Supervisor(
             [timers, peer_server, self._membership_driver, admin_api, caller_api]
         )
@@ -385,8 +342,7 @@
         await self._supervisor.stop()
         await self._background.drain(BACKGROUND_DRAIN_TIMEOUT_S)
         await self._links.close()
-        await self._session.close()
-        await self._single_use_session.close()
+        await self._clients.close()
         log_event(
             logger,
             "host_stopped",
@@ -411,15 +367,9 @@
         rules = self._policy.rules if isinstance(self._policy, KumquatPolicy) else None
         return lambda shard_id, clock: ShardScheduler(shard_id, clock, rng, rules)
 
-    def _hedge_budget(self) -> HedgeBudget | None:
-        match self._policy:
-            case KumquatPolicy(rules) if rules.hedging:
-                return HedgeBudget()
-        return None
-
     async def _refresh_hosts(self) -> None:
-        if await self._directory.refresh():
-            self._membership.apply_host_list(self._directory.hosts())
+        if await self._clients.directory.refresh():
+            self._membership.apply_host_list(self._clients.directory.hosts())
 
     def _on_member_change(self, change: MembershipChange) -> None:
         """Close the link to a host that is declared dead."""
@@ -443,76 +393,7 @@
             return live
         listed = {
             host.host_id
-            for host in self._directory.hosts()
+            for host in self._clients.directory.hosts()
             if host.region == self._options.region
         }
         return sorted({*live, *listed})
-
-    async def _query_grants(
-        self, host_id: str, query: GrantsQuery
-    ) -> GrantsHeld | None:
-        """Return the grants that a host holds, or None without a reply."""
-        if host_id == self._identity.host_id:
-            return self._held_grants.answer_query(query)
-        try:
-            reply = await self._links.call(host_id, query, GRANTS_QUERY_TIMEOUT_S)
-        except RouterError:
-            return None
-        return reply if isinstance(reply, GrantsHeld) else None
-
-    async def _on_message(self, peer: PeerIdentity, message: Message) -> Message | None:
-        """Handle a message of a peer and return the reply, if it has one."""
-        match message:
-            case AdmissionRequest():
-                return await self._owners.admit(message)
-            case PrefillDone() | SlowStep() | Release() | CancelAdmission():
-                self._owners.handle(message)
-            case GrantsQuery():
-                return self._held_grants.answer_query(message)
-            case Ping() | PingRequest():
-                return await self._membership_driver.handle(peer.host_id, message)
-            case TicketFetch():
-                return self._ticket_sync.answer_fetch(message)
-        return None
-
-    def _is_ready(self) -> bool:
-        return self._tickets.position > 0 and not self._membership.superseded
-
-    def _status(self) -> dict[str, Any]:
-        configuration = self._tickets.configuration
-        live_hosts = self._membership.live_host_ids()
-        return {
-            "host_id": self._identity.host_id,
-            "incarnation": self._identity.incarnation,
-            "region": self._options.region,
-            "failure_domain": self._options.failure_domain,
-            "ready": self._is_ready() and not self._drain.draining,
-            "ticket_position": self._tickets.position,
-            "ticket_number": self._tickets.number,
-            "ticket_age_s": self._table_client.scan_age_s,
-            "in_progress": self._drain.in_progress,
-            "draining": self._drain.draining,
-            "live_hosts": live_hosts,
-            "owned_shards": self._owners.shard_ids(),
-            "owners": owners_by_shard(
-                configuration,
-                self._options.region,
-                self._membership.owner_candidates(),
-            ),
-            "lost_regions": sorted(self._membership.lost_regions),
-            "shards": [asdict(summary) for summary in self._owners.summaries()],
-            "engines": engine_documents(
-                configuration,
-                self._options.region,
-                self._owners.held_pieces_by_engine(),
-            ),
-            "store": asdict(self._table_client.health()),
-            "resident_bytes": resident_bytes(),
-        }
-
-    def _render_metrics(self) -> bytes:
-        """Return all metrics after setting the gauges to the current state."""
-        self._metrics.set_tickets(self._tickets.position, self._table_client.scan_age_s)
-        self._metrics.set_members(self._membership.counts_by_state())
-        self._metrics.set_ready(self._is_ready() and not self._drain.draining)
-        return self._metrics.render()
--- a/packages/kumquatrouter/src/kumquatrouter/supervisor.py
+++ b/packages/kumquatrouter/src/kumquatrouter/supervisor.py
@@ -12,8 +12,9 @@
 import aiomisc
 
 from kumquat_core.log_events import log_event
+from kumquat_core.timers import TimerService
 
-__all__ = ["Supervisor", "TaskService"]
+__all__ = ["Supervisor", "TaskService", "TimerTask"]
 
 RESTART_DELAY_S = 0.1
 MAX_RESTART_DELAY_S = 5.0
@@ -94,3 +95,15 @@
                     service=type(service).__name__,
                     error=repr(error),
                 )
+
+
+class TimerTask(TaskService):
+    """Runs the timer service under the supervisor."""
+
+    def __init__(self, timers: TimerService) -> None:
+        super().__init__()
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Run the timers until cancelled."""
+        await self._timers.run()
