Refuse part of a head behind a complete request at a stop

Callers that sent a request and the beginning of the next one in one segment got the answer to the first and, when the host stopped, a closed connection without a refusal.

Cause: only a segment without a complete request counted as part of a head. The parser of the web server does not tell whether it holds one.

Before the sending side is closed, the parser now gets an empty line. Between requests it skips it; within a head it ends the head or raises an error. No bytes are parsed afterwards, so the probe cannot become part of a request.

Evidence: the six new cases failed before, each with a closed connection instead of a 503, and pass after. Ruled out: counting the bytes of the segment, since the parser does not tell where a request ends.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
@@ -40,6 +41,7 @@
 # The state of a TCP connection that both sides have closed, see tcp(7).
 TCP_STATE_CLOSED = 7
 INT_BYTES = 4
+EMPTY_LINE = b"\r\n\r\n"
 # Sent if part of a head was read when the host exits.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
@@ -59,7 +61,6 @@
     __slots__ = (
         "_drops_requests",
         "_last_payload",
-        "_partial_head_after",
         "_reading_stopped",
         "close_announced",
         "closing",
@@ -68,29 +69,42 @@
     def __init__(self, manager: web.Server, **options: Any) -> None:
         super().__init__(manager, **options)
         self._last_payload: StreamReader | None = None
-        # The number of requests before the head of which a part was received.
-        self._partial_head_after: int | None = None
         self._reading_stopped = False
         self._drops_requests = False
         self.closing = False
         self.close_announced = False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; remember if they end within a head."""
+        """Parse received bytes and remember the body of the last request."""
         if self._drops_requests:
             return
-        count, was_in_body = self._request_count, self.in_body
+        count = self._request_count
         super().data_received(data)
         if self._request_count != count:
             self._last_payload = self._messages[-1][1]
-        elif data.strip(b"\r\n") and not was_in_body:
-            self._partial_head_after = count
 
     @property
     def in_body(self) -> bool:
         """Tell whether the body of the last request is incomplete."""
         return self._last_payload is not None and not self._last_payload.is_eof()
 
+    def _end_parsing(self) -> bool:
+        """Parse no further heads; tell whether part of one was received.
+
+        The parser does not tell, but an empty line shows it: between requests
+        the parser skips it, within a head it ends the head or is an error.
+        """
+        if self.in_body or self._parser is None:
+            return False
+        self._drops_requests = True
+        if self._upgraded:
+            return bool(self._message_tail.strip(EMPTY_LINE))
+        try:
+            messages, _, _ = self._parser.feed_data(EMPTY_LINE)
+        except HttpProcessingError:
+            return True
+        return bool(messages)
+
     @property
     def has_next_request(self) -> bool:
         """Tell whether a request was read that is not being handled yet."""
@@ -154,8 +168,7 @@
     def _close_sending_side(self, transport: asyncio.Transport) -> None:
         """Send the end of the connection after what is in the buffers."""
         self.stop_reading()
-        has_partial_head = self._partial_head_after == self._request_count
-        if has_partial_head and not self.close_announced:
+        if self._end_parsing() and not self.close_announced:
             log_event(logger, "head_incomplete")
             transport.write(REFUSAL)
         try:
--- a/tests/relay/test_connections_at_a_stop.py
+++ b/tests/relay/test_connections_at_a_stop.py
@@ -107,6 +107,36 @@
     run_scenario(scenario)
 
 
+CHUNKED = b"\r\nTransfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize("sent_bytes", [1, 20, -5], ids=["method", "line", "end"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_part_of_a_head_behind_a_complete_request_is_refused(
+    framing: str, sent_bytes: int
+) -> None:
+    """Both came in one segment: the caller got a closed connection, since only
+    bytes of a segment without a request counted as part of a head."""
+    first = request_bytes("once", "first")
+    if framing == "chunks":
+        first = first.replace(b"\r\nContent-Length: 4\r\n", CHUNKED)
+        first = first.replace(b"\r\n\r\nbody", b"\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await connect(harness)
+        rest = request_bytes("once", "behind", body=b"")[:sent_bytes]
+        caller.writer.write(first + rest)
+        response = await caller.read()
+        assert (response.status, response.closes) == (200, False)
+        stop = stop_host(harness.host)
+        assert_refused(await caller.read())
+        assert await caller.at_end()
+        await stop
+        assert runs(harness) == {"first"}
+
+    run_scenario(scenario)
+
+
 def test_empty_lines_on_an_idle_connection_get_no_response() -> None:
     """Some callers send an empty line after a request."""
 
