Refuse requests for a tunnel at once

Callers that sent CONNECT waited for an answer until the idle timeout of their connection.

Cause: the web server gives such a request a body without an end, and the host reads bodies before it matches routes, so what decides was never reached.

The host now answers 400 (1102, method_not_supported) before it reads the body and closes the connection after the answer: what follows belongs to the tunnel and must not be parsed as requests. 400 is not retried by callers, as the request can be served at no host.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 
 import aiomisc
-from aiohttp import web
+from aiohttp import hdrs, web
 from multidict import CIMultiDict
 
 from kumquat_core.clock import Clock
@@ -21,7 +21,7 @@
 
 from .caller_connection import CallerConnections
 from .caller_request import CallerRequest
-from .caller_response import CallerResponse, failure, refusal
+from .caller_response import CallerResponse, client_error, failure, refusal
 from .caller_sink import CallerSink
 from .cluster_state import ClusterState
 from .cutoff import HOST_STOPPED, Cutoff
@@ -160,6 +160,8 @@
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._clock.monotonic()
+        if http_request.method == hdrs.METH_CONNECT:
+            return await self._refuse_tunnel(http_request, arrived_s)
         result = await self._reader.read(http_request)
         if isinstance(result, CallerResponse):
             self._record_end(None, result.code, result.reason, arrived_s)
@@ -181,6 +183,21 @@
             caller_response = await self._handle_plain(result)
         return await self._respond(http_request, caller_response)
 
+    async def _refuse_tunnel(
+        self, http_request: web.BaseRequest, arrived_s: float
+    ) -> web.StreamResponse:
+        """Refuse a request for a tunnel, whose bytes have no end.
+
+        What follows belongs to the tunnel, so the connection is closed.
+        """
+        caller_response = client_error(
+            400, ResultCode.INVALID_FIELD, "method_not_supported"
+        )
+        self._record_end(None, caller_response.code, caller_response.reason, arrived_s)
+        response = _http_response(caller_response)
+        await self._connections.send_last(http_request, response)
+        return response
+
     async def _handle_plain(self, request: CallerRequest) -> CallerResponse:
         """Relay a plain request, detached if it must not be retried."""
         task = asyncio.ensure_future(self._plain_relay.run(request))
@@ -285,12 +302,7 @@
         self, http_request: web.BaseRequest, caller_response: CallerResponse
     ) -> web.Response:
         """Return a response; while the host is stopping, send it at once."""
-        response = web.Response(
-            status=caller_response.status,
-            reason=_reason_phrase(caller_response.status),
-            headers=CIMultiDict(caller_response.headers),
-            body=caller_response.body,
-        )
+        response = _http_response(caller_response)
         if self._shutdown.draining or self._closing:
             await self._connections.send_last(http_request, response)
         return response
@@ -324,6 +336,15 @@
         )
 
 
+def _http_response(caller_response: CallerResponse) -> web.Response:
+    return web.Response(
+        status=caller_response.status,
+        reason=_reason_phrase(caller_response.status),
+        headers=CIMultiDict(caller_response.headers),
+        body=caller_response.body,
+    )
+
+
 def _reason_phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -329,6 +329,27 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("target", ["shop.example:443", "/once/p", "/nothing"])
+def test_request_for_a_tunnel_is_refused_at_once(target: str) -> None:
+    """Its bytes have no end, so it waited for them until the idle timeout."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        inner = request_bytes("once", "inner", "1.1", "POST", b"body")
+        head = (
+            f"CONNECT {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: tunnel\r\n\r\n"
+        )
+        callers = harness.host._options.callers
+        for parts in ([head.encode() + inner], [head.encode(), inner]):
+            data, _ = await read_all(callers, *parts)
+            answer = parse_answer(data, reset=False)
+            assert (answer.status, answer.rest) == (400, b"")
+            assert answer.header("connection") == "close"
+        assert not any(server.received for server in harness.backend_servers)
+        assert harness.host._parts.shutdown.in_progress == 0
+
+    run_scenario(scenario)
+
+
 def test_stream_without_chunks_ends_with_its_connection() -> None:
     """HTTP/1.0 callers that keep connections never saw the end."""
 
