Give the last run of a stream the time of its caller

Callers of streams that may be resumed got a broken stream when an engine paused for 1.2 s, or 0.9 s before its first event, although no other engine was allowed to resume it and the stream would have gone on.

Cause: the time after which a run fails was chosen by whether the route may be resumed, from multiples of the usual pause, and not by whether another run may follow (max_engines).

The last run that a route allows now has the time of a stream that cannot be resumed, until its caller disconnects. Earlier runs fail as before, so resuming costs no more time. A stream whose last event bears no id also cannot be resumed; if it turns so within a run, the time stays as it was at the start of that run.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -61,13 +61,15 @@
     ``source`` is a prefill result that the engine fetches and consumes,
     ``fetch_from`` an engine that may still cache parts of the prompt,
     ``resume_after`` the last event id that the caller has, and
-    ``reservation_id`` a reservation at the engine.
+    ``reservation_id`` a reservation at the engine. ``may_resume`` tells
+    whether another run may follow.
     """
 
     source: PrefillResult | None = None
     fetch_from: Address | None = None
     resume_after: int | None = None
     reservation_id: str = ""
+    may_resume: bool = False
 
 
 class EngineCalls:
@@ -152,9 +154,10 @@
             resume_after=start.resume_after,
             reservation_id=start.reservation_id,
         )
+        timeouts = event_timeouts(request.route, may_resume=start.may_resume)
         sent_s = self._clock.monotonic()
         try:
-            async with asyncio.timeout(event_timeouts(request.route).first_event_s):
+            async with asyncio.timeout(timeouts.first_event_s):
                 head = await self._exchanges.send(request, entry, connection, options)
             if self._dialect.not_executed(head):
                 await read_bounded(connection)
--- a/packages/kumquat_relay/src/kumquat_relay/routes.py
+++ b/packages/kumquat_relay/src/kumquat_relay/routes.py
@@ -70,6 +70,10 @@
             return self.resumable
         return self.kind is RouteKind.REPEATABLE
 
+    def allows_run_after(self, runs: int) -> bool:
+        """Tell whether a request may run once more after ``runs`` runs."""
+        return self.allows_retry and runs < self.max_engines
+
     def service_for(self, request_id: str) -> str:
         """Return the service of a request, always the same for the same id."""
         if len(self.services) == 1:
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -153,12 +153,13 @@
         source, progress.prefill = progress.prefill, None
         reservation_id, progress.reservation_id = progress.reservation_id, ""
         last_id = progress.splitter.last_id
+        may_resume = request.route.allows_run_after(progress.runs + 1)
         probably_expired = source is not None and self._expiry.likely_expired(
             source.engine.address
         )
         if source is not None and not probably_expired:
             try:
-                start = RunParameters(source, None, last_id, reservation_id)
+                start = RunParameters(source, None, last_id, reservation_id, may_resume)
                 return await self._send(request, entry, start, progress)
             except NotExecutedError as error:
                 # The first request that names a reservation consumes it.
@@ -179,7 +180,7 @@
                     raise
                 reservation_id, progress.reservation_id = progress.reservation_id, ""
         fetch_from = source.engine.address if source is not None else None
-        start = RunParameters(None, fetch_from, last_id, reservation_id)
+        start = RunParameters(None, fetch_from, last_id, reservation_id, may_resume)
         stream = await self._send(request, entry, start, progress)
         if source is not None and not probably_expired:
             self._expiry.record_expired(source.engine.address)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_limits.py
@@ -7,7 +7,7 @@
 Only complete events count as progress. A stream that can be resumed at another
 engine fails after a few of the pauses that its route allows. Failing any other
 stream before its caller disconnects gains nothing, so its timeouts cover the
-caller's patience.
+caller's patience. The same holds for the last run that its route allows.
 """
 
 from dataclasses import dataclass
@@ -50,10 +50,13 @@
     )
 
 
-def event_timeouts(route: Route) -> EventTimeouts:
-    """Return the timeouts of the streams of a route."""
+def event_timeouts(route: Route, *, may_resume: bool) -> EventTimeouts:
+    """Return the timeouts of a run of a stream.
+
+    ``may_resume`` tells whether another run may follow.
+    """
     disconnect_s = caller_patience_ms(route) / 1000 + DISCONNECT_MARGIN_S
-    if not route.allows_retry:
+    if not may_resume:
         return EventTimeouts(disconnect_s, disconnect_s)
     return EventTimeouts(
         min(disconnect_s, max(MIN_FIRST_EVENT_TIMEOUT_S, route.objective_ms / 1000)),
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -269,7 +269,9 @@
                 return await self._forward_complete(stream, progress)
             async for events in stream.events(
                 splitter,
-                event_timeouts(request.route),
+                event_timeouts(
+                    request.route, may_resume=self._may_resume(request, progress)
+                ),
                 lambda silent_ms: self._admission.report_stall(request.id, silent_ms),
             ):
                 await self._forward_events(request, stream, events, progress)
@@ -364,8 +366,8 @@
 
     def _may_resume(self, request: CallerRequest, progress: StreamProgress) -> bool:
         """Tell whether another engine may resume or restart the stream."""
-        route, splitter = request.route, progress.splitter
-        if not route.allows_retry or progress.runs >= route.max_engines:
+        splitter = progress.splitter
+        if not request.route.allows_run_after(progress.runs):
             return False
         if not self._rules.resumption and splitter.events > 0:
             return False
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -285,7 +285,7 @@
 ) -> None:
     """A fixed timeout of 1.2 s failed streams on routes with longer pauses."""
     route = stream_route(objective_ms=5000, max_gap_ms=max_gap_ms, resumable=resumable)
-    timeouts = event_timeouts(route)
+    timeouts = event_timeouts(route, may_resume=resumable)
     assert timeouts.gap_s > max_gap_ms / 1000
     assert timeouts.first_event_s >= 5.0
     # Callers disconnect by then, so a longer timeout would gain nothing.
