Let callers that never read not keep a stopping host

A caller that never read its answer kept a stopping host until the end of its grace period, so the hosts that are stopped after it waited as long.

Decision: while a caller may still read, its answer is worth more than a shorter stop, since requests that may not be repeated have run; nobody else waits for the host, which is out of rotation. But its deadline states how long it waits at the most. A host therefore gives an answer up once the deadline of its request has passed and the caller has acknowledged no byte for 2 s. A caller that goes on reading, however slowly, and one that reads late but before its deadline keep the host, as before, until the grace period ends. connections_closed counts the answers that were given up, as it counted those at the end.

Streams are bounded by their deadline already. Ruled out: a fixed limit from the stop on, which would cut answers that their callers still wait for.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -37,6 +37,9 @@
 # is very short or was shortened by a reload. The handlers of requests that are
 # cut need a few steps of the event loop to answer.
 MIN_CLOSE_S = 0.2
+# How long a caller may read nothing of its response once its deadline has
+# passed. Callers abandon streams after pauses of this length.
+UNREAD_S = 2.0
 POLL_S = 0.01
 # The state of a TCP connection that both sides have closed, see tcp(7).
 TCP_STATE_CLOSED = 7
@@ -55,15 +58,19 @@
     """A connection that can stop reading for good.
 
     ``closing`` is set when the sending side is about to be closed, after the
-    last response, and ``close_announced`` if that response says so.
+    last response, and ``close_announced`` if that response says so. ``due_s``
+    is the loop time of the latest deadline of its requests.
     """
 
     __slots__ = (
         "_drops_requests",
         "_last_payload",
         "_reading_stopped",
+        "_unsent",
+        "_unsent_since_s",
         "close_announced",
         "closing",
+        "due_s",
     )
 
     def __init__(self, manager: web.Server, **options: Any) -> None:
@@ -71,8 +78,12 @@
         self._last_payload: StreamReader | None = None
         self._reading_stopped = False
         self._drops_requests = False
+        # The bytes that were unsent, and since when there have been as many.
+        self._unsent = 0
+        self._unsent_since_s = float("-inf")
         self.closing = False
         self.close_announced = False
+        self.due_s = float("-inf")
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and remember the body of the last request."""
@@ -122,6 +133,20 @@
         # The rest of a body whose request was answered early is discarded.
         return waits or self.in_body
 
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has left its response unread.
+
+        It may read at any time until its deadline, and for as long as it goes
+        on reading. Must be called repeatedly.
+        """
+        if self.transport is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        unsent = _unsent_bytes(self.transport)
+        if not unsent or unsent != self._unsent:
+            self._unsent, self._unsent_since_s = unsent, now_s
+        return now_s >= max(self.due_s, self._unsent_since_s + UNREAD_S)
+
     def stop_reading(self) -> None:
         """Leave all further bytes unread, except the rest of a body."""
         if not self.in_body:
@@ -143,7 +168,8 @@
     async def finish(self, left_s: Callable[[], float]) -> int:
         """Close the connection once its responses have arrived.
 
-        Returns the bytes that could not be sent while ``left_s`` was positive.
+        Returns the bytes that could not be sent while ``left_s`` was positive
+        and the caller read them.
         """
         if self.closing or self.transport is None:
             return 0
@@ -152,6 +178,8 @@
         if not transport.is_closing():
             self._close_sending_side(transport)
         while self._is_open() and left_s() > 0 and _unsent_bytes(transport):
+            if self.is_abandoned():
+                break
             await asyncio.sleep(POLL_S)
         linger_end_s = asyncio.get_running_loop().time() + LINGER_S
         while self._is_open() and left_s() > 0 and not transport.is_closing():
@@ -208,6 +236,11 @@
             self, loop=self._loop, keepalive_timeout=self._idle_s(), **self._kwargs
         )
 
+    def expect_answer(self, http_request: web.BaseRequest, due_s: float) -> None:
+        """Record the loop time until which a caller waits for its response."""
+        connection = _connection_of(http_request)
+        connection.due_s = max(connection.due_s, due_s)
+
     async def send_last(
         self, http_request: web.BaseRequest, response: web.StreamResponse
     ) -> None:
@@ -261,7 +294,9 @@
             for connection in self._caller_connections():
                 connection.stop_reading()
             await asyncio.sleep(POLL_S)
-            if all(item.answered for item in self._caller_connections()):
+            waiting = [item for item in self._caller_connections() if not item.answered]
+            abandoned = [item.is_abandoned() for item in waiting]
+            if all(abandoned):
                 break
         for connection in self._caller_connections():
             self._start_closer(connection)
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -167,6 +167,8 @@
             self._record_end(None, result.code, result.reason, arrived_s)
             return await self._respond(http_request, result)
         longest_s = result.deadline_s - self._clock.monotonic()
+        now_s = asyncio.get_running_loop().time()
+        self._connections.expect_answer(http_request, now_s + longest_s)
         # A request behind the last response must not run: it gets no answer.
         announced = self._connections.close_announced(http_request)
         if self._closing or announced or not self._shutdown.accepts(longest_s):
