Refuse part of a head behind a request on the own interface, too

Same cause as in the relay: a caller of the project's own interface that sent a request and the beginning of the next one in one segment got a closed connection when the host stopped, since the segment held a complete request.

Both servers now ask the parser of the web server with an empty line (partial_heads), the relay before it ends the sending side, the own interface before it closes an idle connection.

--- a/packages/kumquat_core/src/kumquat_core/server_connections.py
+++ b/packages/kumquat_core/src/kumquat_core/server_connections.py
@@ -24,6 +24,7 @@
 from aiohttp import web
 
 from .log_events import log_event
+from .partial_heads import ends_within_head
 
 __all__ = ["ClosedConnections", "ServerConnections"]
 
@@ -209,7 +210,7 @@
             return False
         if self.transport.is_closing():
             return False
-        if self._has_partial_head:
+        if self._has_partial_head or ends_within_head(self.handler):
             self.transport.write(refusal)
             self.handler.force_close()
             return True
--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -19,11 +19,11 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
 from kumquat_core.log_events import log_event
+from kumquat_core.partial_heads import ends_within_head
 
 __all__ = ["CallerConnection", "CallerConnections"]
 
@@ -44,7 +44,6 @@
 # The state of a TCP connection that both sides have closed, see tcp(7).
 TCP_STATE_CLOSED = 7
 INT_BYTES = 4
-EMPTY_LINE = b"\r\n\r\n"
 # Sent if part of a head was read when the host exits.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
@@ -100,21 +99,11 @@
         return self._last_payload is not None and not self._last_payload.is_eof()
 
     def _end_parsing(self) -> bool:
-        """Parse no further heads; tell whether part of one was received.
-
-        The parser does not tell, but an empty line shows it: between requests
-        the parser skips it, within a head it ends the head or is an error.
-        """
-        if self.in_body or self._parser is None:
+        """Parse no further heads; tell whether part of one was received."""
+        if self.in_body:
             return False
         self._drops_requests = True
-        if self._upgraded:
-            return bool(self._message_tail.strip(EMPTY_LINE))
-        try:
-            messages, _, _ = self._parser.feed_data(EMPTY_LINE)
-        except HttpProcessingError:
-            return True
-        return bool(messages)
+        return ends_within_head(self)
 
     @property
     def has_next_request(self) -> bool:
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -181,6 +181,30 @@
         assert statuses(read_all(other)) == [200]
 
 
+def test_half_a_head_behind_a_complete_request_is_refused_at_the_stop():
+    """Both came in one segment: the caller got a closed connection."""
+    answered = threading.Event()
+
+    async def scenario(host: Host) -> None:
+        host.path.release.set()
+        while not answered.is_set():
+            await asyncio.sleep(0.01)
+        host.drain.begin()
+        await host.stop()
+
+    with Host(scenario) as host, host.connect() as connection:
+        connection.sendall(request_bytes() + request_bytes()[:40])
+        first = b""
+        while not first.endswith(b"}"):
+            first += connection.recv(65536)
+        answered.set()
+        assert statuses(first) == [200]
+        assert b"Connection: close" not in first
+        answer = read_all(connection)
+        assert statuses(answer) == [503]
+        assert b"X-Execution: not_run" in answer
+
+
 @pytest.mark.parametrize("send", [b"", b"POST /v1/completions HTTP/1.1\r\n"])
 def test_large_answer_arrives_completely_although_the_process_ends(send):
     """The event loop ended while the transport still had a part of it, and
