Accept what the kernel holds when the listener of a host closes

Callers that connected while a busy host closed its listener got a reset connection, although their request had arrived. None of them ran.

Cause: the kernel completes connections and holds them until the event loop accepts them; closing the listener resets them. The pause of 20 ms before the close was to let the loop accept them, but a busy loop runs its timers before it accepts, so the pause could end without a pass.

The host now keeps a second descriptor of the listener open while the loop gives up its own, accepts all that is held, and closes it. It then lets the loop take three steps after each pause, so that it reads from what it has accepted, and the requests get a refusal.

The test opens five connections between the last accept and the close: reset before with both event loops, five refusals after. What was ruled out: that the host had read the requests, since it logs each.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -23,6 +23,7 @@
 from .caller_request import CallerRequest
 from .caller_response import CallerResponse, client_error, failure, refusal
 from .caller_sink import CallerSink
+from .closing_listener import close_listener
 from .cluster_state import ClusterState
 from .cutoff import HOST_STOPPED, Cutoff
 from .open_requests import OpenRequests
@@ -43,10 +44,12 @@
 IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
 STOP_POLL_S = 0.02
-# A busy event loop runs its timers before it accepts and reads what arrived
-# meanwhile. After this time it has done so, and the callers get a refusal
-# instead of a closed connection.
+# Within this time callers send the request of a connection that was accepted
+# just before.
 LOOP_PASS_S = 0.02
+# Steps of the event loop, between which it reads from connections. Accepted
+# connections are read from the second one on.
+LOOP_STEPS = 3
 
 logger = logging.getLogger(__name__)
 
@@ -110,7 +113,7 @@
         host.
         """
         await self._shutdown.wait_for_detection()
-        await asyncio.sleep(LOOP_PASS_S)
+        await _pass_loop()
         await self._stop_listening()
         reason = await self._shutdown.wait()
         log_event(
@@ -121,7 +124,7 @@
             after_ms=round(self._shutdown.elapsed_s * 1000),
             grace_s=self._shutdown.grace_s,
         )
-        await asyncio.sleep(LOOP_PASS_S)
+        await _pass_loop()
         await self._close_connections()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -137,7 +140,9 @@
     async def _stop_listening(self) -> None:
         assert self._runner is not None
         for site in list(self._runner.sites):
-            await site.stop()
+            held = await close_listener(site, self._connections)
+            if held:
+                log_event(logger, "held_connections_accepted", count=held)
 
     async def _close_connections(self) -> None:
         """Answer every request that was read and close all connections."""
@@ -338,6 +343,17 @@
         )
 
 
+async def _pass_loop() -> None:
+    """Let the loop accept and read what has arrived.
+
+    A busy loop runs its timers before it does so, also the one that ends the
+    sleep. Callers get a refusal then instead of a closed connection.
+    """
+    await asyncio.sleep(LOOP_PASS_S)
+    for _ in range(LOOP_STEPS):
+        await asyncio.sleep(0)
+
+
 def _http_response(caller_response: CallerResponse) -> web.Response:
     return web.Response(
         status=caller_response.status,
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/closing_listener.py
@@ -0,0 +1,57 @@
+"""Closes a listener without resetting the connections that it holds.
+
+Load pattern: a few hundred callers connect to a host that stops. The kernel
+completes their connections and holds them until the event loop accepts them;
+a busy loop leaves tens of them for a tenth of a second. Closing the listener
+resets all of those, although their requests may have arrived.
+"""
+
+import asyncio
+import os
+import socket
+from collections.abc import Callable
+
+from aiohttp import web
+
+__all__ = ["close_listener"]
+
+
+async def close_listener(
+    site: web.BaseSite, create_protocol: Callable[[], asyncio.Protocol]
+) -> int:
+    """Close a site and accept the connections that the kernel holds for it.
+
+    Returns the number of these connections.
+    """
+    server = site._server
+    if server is None:
+        return 0
+    # A second descriptor keeps the listener open while the loop gives up its
+    # own; nothing but these lines runs between the last accept and its close.
+    listeners = [_duplicate(item) for item in getattr(server, "sockets", ())]
+    await site.stop()
+    held = [connection for item in listeners for connection in _accept_all(item)]
+    loop = asyncio.get_running_loop()
+    for connection in held:
+        await loop.connect_accepted_socket(create_protocol, connection)
+    return len(held)
+
+
+def _duplicate(listener: socket.socket) -> socket.socket:
+    duplicate = socket.socket(fileno=os.dup(listener.fileno()))
+    duplicate.setblocking(False)
+    return duplicate
+
+
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
+    """Return the connections that are held, and close the listener."""
+    accepted: list[socket.socket] = []
+    with listener:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                # None is left, or the process has no descriptor for another.
+                return accepted
+            connection.setblocking(False)
+            accepted.append(connection)
--- a/tests/relay/test_connections_at_a_stop.py
+++ b/tests/relay/test_connections_at_a_stop.py
@@ -7,11 +7,14 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 
 import pytest
 import uvloop
 from aiohttp import web
 
+from kumquat_relay.caller_server import CallerServer
+
 from .raw_caller import RawCaller, request_bytes
 from .relay_harness import RelayHarness
 from .stopping_host import (
@@ -274,3 +277,38 @@
     # The loop of the platform's hosts runs timers before it accepts.
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run())
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_connections_that_the_kernel_holds_when_the_listener_closes(
+    new_loop: Callable[[], asyncio.AbstractEventLoop],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They had arrived since the host last accepted any; the kernel reset
+    them. With 250 callers that never paused that were 14 of 15,986."""
+    socks: list[socket.socket] = []
+    stop_listening = CallerServer._stop_listening
+
+    async def connect_and_stop_listening(server: CallerServer) -> None:
+        for number in range(5 if not socks else 0):
+            sock = socket.create_connection((server._listen.ip, server._listen.port))
+            sock.sendall(request_bytes("once", f"held{number}"))
+            socks.append(sock)
+        await stop_listening(server)
+
+    monkeypatch.setattr(CallerServer, "_stop_listening", connect_and_stop_listening)
+    monkeypatch.setattr("kumquat_relay.shutdown.DETECTION_S", DETECTION_S)
+
+    async def run() -> None:
+        async with RelayHarness() as harness:
+            stop = stop_host(harness.host)
+            await harness.wait_until(lambda: len(socks) == 5)
+            for sock in socks:
+                caller = RawCaller(*await asyncio.open_connection(sock=sock))
+                assert_refused(await caller.read())
+                caller.close()
+            await stop
+            assert runs(harness) == set()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(run())
