--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -268,6 +268,23 @@
         assert statuses(read_all(new)) == [503]
 
 
+def test_connection_that_the_kernel_holds_when_the_listener_closes_is_refused():
+    """The kernel reset it, since the event loop had not accepted it yet."""
+    held: list[socket.socket] = []
+
+    async def scenario(host: Host) -> None:
+        host.drain.begin()
+        held.append(host.connect())
+        held[0].sendall(request_bytes())
+        await host.api.stop()
+
+    with Host(scenario) as host:
+        host._thread.join()
+        with held[0] as connection:
+            assert statuses(read_all(connection)) == [503]
+            assert host.path.calls == 0
+
+
 def test_empty_lines_on_an_idle_connection_are_not_answered():
     """An answer without a request would be taken for that to the next one."""
 
