Log held connections that a closing listener cannot accept

While a listener closes, an accept that failed for another reason than "none is left", such as a lack of descriptors, ended the loop without a log line, and the kernel reset the rest: callers would have been cut with nothing in any log. Found by reading. The new event held_connections_lost states the error; the test fails without it.

--- a/packages/kumquat_core/src/kumquat_core/closing_listener.py
+++ b/packages/kumquat_core/src/kumquat_core/closing_listener.py
@@ -7,12 +7,17 @@
 """
 
 import asyncio
+import logging
 import os
 import socket
 from collections.abc import Callable
 
+from .log_events import log_event
+
 __all__ = ["close_listener"]
 
+logger = logging.getLogger(__name__)
+
 
 async def close_listener(
     server: asyncio.AbstractServer, create_protocol: Callable[[], asyncio.Protocol]
@@ -45,8 +50,16 @@
         while True:
             try:
                 connection, _ = listener.accept()
-            except OSError:
-                # None is left, or the process has no descriptor for another.
+            except BlockingIOError:
+                return accepted
+            except OSError as error:
+                # Such as no descriptor for another; closing resets the others.
+                log_event(
+                    logger,
+                    "held_connections_lost",
+                    level=logging.WARNING,
+                    error=repr(error),
+                )
                 return accepted
             connection.setblocking(False)
             accepted.append(connection)
