End requests that may have run as unknown, not as refused

Callers read a server's own 408, 429 or 503, with its seal, although the server had run the request and had not stated otherwise. These statuses promise "not run, and never will be", so a caller sends even a request again that must not be repeated. Streams before their head, repeatable requests after their last attempt and the answer kept from an earlier attempt (failed_response) were passed on in the same way. A 408 or 429 also ended repeatable requests that another server could have served.

Cause: only the proof that a request was not executed was looked for. An answer without it was taken for an ordinary answer, whatever its status promises to the caller.

Ruled out: a change for sound servers.

Such an answer now counts as an error of a server that may have run the request: routes that allow it go on at another server, others end with 502 and without the seal. The log keeps the status (503_unproven).

--- a/packages/kumquat_relay/src/kumquat_relay/caller_response.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_response.py
@@ -2,7 +2,8 @@
 
 A ``429`` or ``503`` guarantees that the request was not executed and won't be;
 only ``refusal`` builds such a response. ``failure`` guarantees nothing about
-execution.
+execution. A server's own response with such a status is passed on only if the
+server states that it did not execute the request.
 """
 
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 
 __all__ = [
     "MIN_RETRY_AFTER_S",
+    "PROMISE_STATUSES",
     "CallerResponse",
     "failure",
     "client_error",
@@ -20,6 +22,9 @@
 RETRY_AFTER = "Retry-After"
 RESULT_CODE = "X-Result-Code"
 MIN_RETRY_AFTER_S = 0.05
+# Callers read these as "not executed, and never will be" and send even a
+# request again that must not be repeated.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -4,7 +4,9 @@
 it was sent or if the response proves that it was not executed. Other requests
 are also retried after a failure, within the limit of the route and this host's
 share of the retry budget. A response is read completely before it is passed
-on, so a caller never receives part of one.
+on, so a caller never receives part of one. An answer that promises "not run"
+without a proof of it counts as an error of a server that may have run the
+request.
 """
 
 import asyncio
@@ -16,7 +18,13 @@
 from kumquat_core.result_codes import ResultCode
 
 from .caller_request import CallerRequest
-from .caller_response import MIN_RETRY_AFTER_S, CallerResponse, failure, refusal
+from .caller_response import (
+    MIN_RETRY_AFTER_S,
+    PROMISE_STATUSES,
+    CallerResponse,
+    failure,
+    refusal,
+)
 from .cutoff import HOST_STOPPED, Cutoff
 from .engine_connection import (
     ConnectionBrokenError,
@@ -45,6 +53,10 @@
 # A request with less time left is not sent, since its response would not reach
 # the caller before the deadline.
 MIN_SEND_MS = 5
+# Reason of a failure that replaces a server's promise without a proof:
+# the status of the server is between the two.
+STATUS = "status_"
+UNPROVEN = "_unproven"
 
 logger = logging.getLogger(__name__)
 
@@ -232,7 +244,7 @@
             raise
         finally:
             self._balancer.record_end(entry.id, latency_ms)
-        self._log(request, entry, began_s, "answered", str(response.status))
+        self._log(request, entry, began_s, "answered", _answer_detail(response))
         if response.status >= 500:
             self._record_failure(entry, Failure.ERROR_ANSWER)
         elif self._health.record_success(entry.id):
@@ -284,11 +296,23 @@
 def _caller_response(
     head: ResponseHead, body: bytes, dialect: EngineDialect
 ) -> CallerResponse:
+    """Return the response to a request that may have been executed."""
+    if head.status in PROMISE_STATUSES:
+        # Its callers would send the request again, and it may have run.
+        reason = f"{STATUS}{head.status}{UNPROVEN}"
+        return failure(ResultCode.BACKEND_FAILED, reason)
     headers = tuple(dialect.response_headers(head))
     code = ResultCode.OK if head.status < 500 else ResultCode.BACKEND_FAILED
     return CallerResponse(head.status, headers, body, code, "backend_answer")
 
 
+def _answer_detail(response: CallerResponse) -> str:
+    """Return the status that the server gave, marked if it isn't passed on."""
+    if response.reason.endswith(UNPROVEN):
+        return response.reason.removeprefix(STATUS)
+    return str(response.status)
+
+
 def _loop_deadline_s(request: CallerRequest, clock: Clock) -> float:
     """Return the deadline of a request in the time of the event loop."""
     left_s = request.deadline_s - clock.monotonic()
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -19,6 +19,7 @@
 from .admission import PREFILL_SKIPPED, Admission
 from .admission_refusal import AdmissionRefusedError
 from .caller_request import CallerRequest
+from .caller_response import PROMISE_STATUSES
 from .cluster_state import ClusterState
 from .continuation import check_continuation, record_refusal
 from .crash_evidence import Verdict
@@ -242,9 +243,11 @@
                 closed_by_engine=error.closed_by_engine,
             )
         progress.runs += 1
-        if stream.status >= 500:
+        is_unproven = stream.status in PROMISE_STATUSES
+        if stream.status >= 500 or is_unproven:
             report.failed_engine, report.error_response = entry.id, True
-            if not progress.sink.started and self._may_resume(request, progress):
+            may_resume = self._may_resume(request, progress)
+            if not progress.sink.started and (is_unproven or may_resume):
                 stream.abort_if_open()
                 reason = f"status_{stream.status}"
                 return self._after_broken_run(request, progress, entry, reason)
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -48,6 +48,12 @@
     ),
     "servers_paused": "all backend servers had asked this host to send nothing",
     "silent": "the engine produced no event for too long",
+    **{
+        f"status_{status}_unproven": (
+            f"a backend server answered {status} without stating that it had not run it"
+        )
+        for status in (408, 429, 503)
+    },
     "stopping": "the host was shutting down and might have cut it off",
     "trial_deferred": (
         "an engine crashed under a part of its prompt, and all engines had too many "
--- a/packages/kumquatctl/src/kumquatctl/relay_losses.py
+++ b/packages/kumquatctl/src/kumquatctl/relay_losses.py
@@ -183,7 +183,8 @@
     request.last_engine = line.get("engine")
     outcome, detail = line.get("outcome"), line.get("detail")
     if outcome == "answered":
-        request.last_error = f"status_{detail}" if detail.startswith("5") else ""
+        is_error = detail.startswith("5") or detail.endswith("_unproven")
+        request.last_error = f"status_{detail}" if is_error else ""
     else:
         request.last_error = "" if outcome in _SUCCESSFUL_OUTCOMES else outcome
 
--- a/tests/ctl/test_relay_losses.py
+++ b/tests/ctl/test_relay_losses.py
@@ -7,6 +7,7 @@
 import json
 from pathlib import Path
 
+import pytest
 from typer.testing import CliRunner
 
 from kumquatctl.log_lines import read_lines
@@ -85,12 +86,13 @@
     assert reasons(*lines) == {("late", "pause"): 1}
 
 
-def test_a_failure_keeps_the_last_engine_and_its_error() -> None:
+@pytest.mark.parametrize("detail", ["500", "503_unproven", "429_unproven"])
+def test_a_failure_keeps_the_last_engine_and_its_error(detail: str) -> None:
     lines = [
         line(1, "request_read"),
         line(2, "sent", engine="e1", outcome="broken", detail="reset"),
-        line(3, "sent", engine="e2", outcome="answered", detail="500"),
+        line(3, "sent", engine="e2", outcome="answered", detail=detail),
         line(3, "request_ended", code=1301, reason="backend_answer", ms=2000),
     ]
     (loss,) = account_for(read_lines(lines, "h1")).losses
-    assert (loss.engine, loss.last_error) == ("e2", "status_500")
+    assert (loss.engine, loss.last_error) == ("e2", f"status_{detail}")
--- a/tests/relay/odd_streams.py
+++ b/tests/relay/odd_streams.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-__all__ = ["ODD_ANSWERS", "OddAnswer"]
+__all__ = ["ODD_ANSWERS", "OddAnswer", "complete_answer"]
 
 OddAnswer = Callable[
     [web.BaseRequest, Mapping[str, str], int], Awaitable[web.StreamResponse]
@@ -20,7 +20,7 @@
     return f"id: {number}\ndata: e{number}\n\n".encode()
 
 
-def _complete(status: int, content_type: str = "text/plain") -> OddAnswer:
+def complete_answer(status: int, content_type: str = "text/plain") -> OddAnswer:
     """Return an answer with a body, as long as an event stream it is not."""
 
     async def answer(
@@ -78,16 +78,16 @@
 
 
 ODD_ANSWERS: dict[str, OddAnswer] = {
-    "status_500": _complete(500),
-    "status_503": _complete(503),
-    "status_404": _complete(404),
-    "status_429": _complete(429),
-    "status_302": _complete(302),
-    "status_204": _complete(204),
+    "status_500": complete_answer(500),
+    "status_503": complete_answer(503),
+    "status_404": complete_answer(404),
+    "status_429": complete_answer(429),
+    "status_302": complete_answer(302),
+    "status_204": complete_answer(204),
     "refusal": _refusal,
     "error_as_events": _stream(lambda after: _event(after + 1), status=500),
     "error_404_as_events": _stream(lambda after: _event(after + 1), status=404),
-    "other_type": _complete(200, "application/json"),
+    "other_type": complete_answer(200, "application/json"),
     "encoded": _stream(
         lambda after: _event(after + 1), more_headers={"Content-Encoding": "gzip"}
     ),
