Let reservations use connections again

Cost that operators pay: each control call opened a connection.

Cause: answers to control calls bear no id, so that each call was the only exchange of its connection. Ruled out: an id of their own.

A reservation's answer has something that no other answer has: the id of the reservation. On a connection used before it counts only with an id that the connection has not carried; anything else, a refusal too, is not believed, and the call goes once more over an unused connection. A copy of another reservation of the connection has an id that is known, and copies of other answers have none. Requests that follow a reservation on its connection are told from copies by their own ids as before.

In service no connection is used twice for 30 s after a copy.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from kumquat_core.clock import Clock
@@ -203,7 +204,12 @@
         method, target, headers, body = self._dialect.reserve(entry, tokens, ttl_ms)
         try:
             status, response = await self._control_call(
-                entry, method, target, headers, body
+                entry,
+                method,
+                target,
+                headers,
+                body,
+                read_token=self._dialect.parse_reservation,
             )
             return self._dialect.parse_reservation(response) if status == 200 else ""
         except (SendFailedError, ConnectionBrokenError, TimeoutError) as error:
@@ -313,6 +319,8 @@
         target: str,
         headers: list[Header],
         body: bytes,
+        *,
+        read_token: Callable[[bytes], str] | None = None,
     ) -> tuple[int, bytes]:
         """Send a request of the relay's own; return its status and body."""
         async with asyncio.timeout(CONTROL_CALL_TIMEOUT_S):
@@ -323,6 +331,7 @@
                 headers,
                 body,
                 connect_timeout_s=CONTROL_CALL_TIMEOUT_S,
+                read_token=read_token,
             )
 
     def _log_sent(
--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -259,12 +259,13 @@
         return self._protocol.closed_by_peer
 
     def has_carried(self, request_id: str) -> bool:
-        """Tell whether a request with this id was sent on the connection.
-
-        May also be true for another id, but never false for one that was sent.
-        """
+        """Tell whether this id was used here; may also hold for others."""
         return _digest(request_id) in self._sent_ids
 
+    def record_id(self, request_id: str) -> None:
+        """Record an id that a copy of this exchange bears; empty for none."""
+        self._sent_ids += _digest(request_id) if request_id else b""
+
     def send(
         self,
         method: str,
@@ -275,8 +276,8 @@
     ) -> None:
         """Send a request; ``request_id`` is empty if it bears none.
 
-        Raises ``SendFailedError`` if the connection is not usable or the
-        request is not valid HTTP.
+        Raises ``SendFailedError`` if the connection is unusable or the request
+        is not valid HTTP.
         """
         protocol = self._protocol
         if not self.usable or protocol.transport is None:
@@ -295,8 +296,7 @@
         protocol.begin_exchange()
         self._body_complete = False
         self.exchanges += 1
-        if request_id:
-            self._sent_ids += _digest(request_id)
+        self.record_id(request_id)
         protocol.transport.write(data)
 
     async def read_head(self) -> ResponseHead:
--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -1,11 +1,15 @@
 """Exchanges with engines: a request is sent and its answer is checked.
 
-Load pattern: plain requests, prefills, runs and control calls share the
+Load pattern: plain requests, prefills, runs and reservations share the
 connections of one pool, and a faulty server may write the answer to one of
 them again where that to another is expected. Only an accepted answer is passed
-on, believed as a refusal or read for notices.
+on, believed as a refusal or read for notices. Most streams of a busy service
+reserve, and a connection of its own for each reservation would double the new
+connections, which are billed.
 """
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import NoReturn
 
 from kumquat_core.clock import Clock
@@ -26,6 +30,7 @@
 __all__ = ["AnswerNotAcceptedError", "EngineExchanges", "read_bounded"]
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
+SUCCESS_STATUS = 200
 
 
 class AnswerNotAcceptedError(ConnectionBrokenError):
@@ -36,6 +41,27 @@
         self.fault = fault
 
 
+@dataclass(frozen=True)
+class _ControlCall:
+    """A request of the relay's own."""
+
+    entry: EngineEntry
+    method: str
+    target: str
+    headers: list[Header]
+    body: bytes
+    read_token: Callable[[bytes], str] | None
+
+    def token(self, status: int, response: bytes) -> str:
+        """Return the token of an answer, empty if it has none."""
+        if self.read_token is None or status != SUCCESS_STATUS:
+            return ""
+        try:
+            return self.read_token(response)
+        except ValueError:
+            return ""
+
+
 class EngineExchanges:
     """Sends requests over pooled connections and checks their answers."""
 
@@ -92,27 +118,79 @@
         body: bytes,
         *,
         connect_timeout_s: float,
+        read_token: Callable[[bytes], str] | None = None,
     ) -> tuple[int, bytes]:
         """Send a control call; return the status and body of its answer.
 
-        Answers to control calls bear no id. So a call is the only exchange of
-        its connection: no earlier answer can arrive on it, and a copy of its
-        own answer meets no other request. Raises ``SendFailedError`` and
-        ``ConnectionBrokenError``.
+        Answers to control calls bear no id. So a call without ``read_token``
+        is the only exchange of its connection: no earlier answer can arrive on
+        it, and a copy of its own answer meets no other request.
+
+        ``read_token`` reads what only the answer to this call has, such as the
+        id of a reservation; it raises ``ValueError`` if there is none. A call
+        with it uses pooled connections. On a used one an answer counts only
+        with a token that the connection has not carried; otherwise the call is
+        sent again on an unused one, so it must be one that may be repeated.
+        Requests that follow on the connection are told from copies by id.
+
+        Raises ``SendFailedError`` and ``ConnectionBrokenError``.
         """
+        call = _ControlCall(entry, method, target, headers, body, read_token)
+        if read_token is not None:
+            connection = await self._pool.acquire(
+                entry.address, recently_used=True, timeout_s=connect_timeout_s
+            )
+            is_unused = connection.exchanges == 0
+            try:
+                return await self._call_on(connection, call)
+            except ConnectionBrokenError:
+                if is_unused:
+                    raise
         connection = await self._pool.acquire_unused(entry.address, connect_timeout_s)
+        return await self._call_on(connection, call)
+
+    async def _call_on(
+        self, connection: EngineConnection, call: "_ControlCall"
+    ) -> tuple[int, bytes]:
+        """Send a control call on a connection and check its answer."""
+        entry = call.entry
         try:
-            connection.send(method, target, headers, body)
+            connection.send(call.method, call.target, call.headers, call.body)
             head = await connection.read_head()
             if is_joined_head(head.reason, head.headers):
-                self._reject(AnswerFault.JOINED_HEAD, entry, target, connection, head)
-            notice = self._dialect.notice(head, entry.id)
-            self.notices.apply(entry, notice, head.status)
+                fault = AnswerFault.JOINED_HEAD
+                self._reject(fault, entry, call.target, connection, head)
             response = await read_bounded(connection)
-        finally:
+            token = call.token(head.status, response)
+            if connection.exchanges > 1:
+                self._check_token(token, call, connection, head)
+            if call.read_token is None:
+                connection.end_reuse()
+            connection.record_id(token)
+        except BaseException:
             connection.abort()
+            raise
+        notice = self._dialect.notice(head, entry.id)
+        self.notices.apply(entry, notice, head.status)
+        self._pool.release(connection)
         return head.status, response
 
+    def _check_token(
+        self,
+        token: str,
+        call: "_ControlCall",
+        connection: EngineConnection,
+        head: ResponseHead,
+    ) -> None:
+        """Raise ``AnswerNotAcceptedError`` if an answer may be a copy."""
+        is_carried = bool(token) and connection.has_carried(token)
+        if is_carried or self._dialect.request_ids(head):
+            fault = AnswerFault.OTHER_ID
+            self._reject(fault, call.entry, call.target, connection, head)
+        if not token:
+            # Sound engines refuse like this, so that reuse is not suspended.
+            raise AnswerNotAcceptedError(AnswerFault.NO_ID)
+
     def _reject(
         self,
         fault: AnswerFault,
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -49,6 +49,8 @@
         self.arrivals_s: list[float] = []
         self.runs: list[str] = []
         self.role_commands: list[dict[str, Any]] = []
+        # Answers to the role commands from now on.
+        self.role_command_status = 202
         # Paths of the control calls, such as reservations.
         self.calls: list[str] = []
         self.handles: set[str] = set()
@@ -190,11 +192,11 @@
                 )
             case "/api/order":
                 self.role_commands.append(json.loads(body))
-                return web.Response(status=202)
+                return web.Response(status=self.role_command_status)
             case "/api/hold-take":
                 if self.full:
                     return web.Response(status=503)
-                return web.json_response({"hold": "hold1"})
+                return web.json_response({"hold": f"hold{len(self.calls)}"})
         return web.Response(status=200)
 
     async def _serve(
--- a/tests/relay/test_stuttering_servers.py
+++ b/tests/relay/test_stuttering_servers.py
@@ -4,27 +4,22 @@
 that isn't its own, lets a request that ran end as refused, or runs it twice.
 """
 
-import asyncio
-from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
-from itertools import cycle
-
-import aiohttp
 import pytest
 from multidict import CIMultiDict
 
 from kumquat_relay import engine_pool
-from kumquat_relay.engine_connection import ConnectionBrokenError
 from kumquat_relay.engine_pool import NO_REUSE_S
 
-from .fakes import FakeEngine
 from .relay_harness import HOST, RelayHarness, run_scenario
-from .stutter import Copy, CopyTime, Exchange, Plan, as_chunked, without_id
-
-# Statuses with which a host promises that a request has not run.
-PROMISES = (408, 421, 429, 503)
-# Statuses with which a host says that a request may have run.
-UNKNOWN = (502, 504)
+from .stutter import Copy, CopyTime
+from .stutter_judge import (
+    KINDS,
+    CopyMaker,
+    Judge,
+    prepare_answers,
+    stutter_scenario,
+    wait_for_idle_copies,
+)
 
 
 @pytest.fixture(autouse=True)
@@ -33,129 +28,6 @@
     monkeypatch.setattr(engine_pool, "NO_REUSE_S", 0.0)
 
 
-KINDS = ("200", "404", "500", "refusal")
-
-
-class Judge:
-    """Compares what callers got with what servers answered and ran."""
-
-    def __init__(self, harness: RelayHarness) -> None:
-        self._harness = harness
-        self._statuses_by_id: dict[str, list[int]] = {}
-        self.faults: list[str] = []
-        self.outcomes: Counter[str] = Counter()
-        for proxy in harness.proxies_by_id.values():
-            proxy.plan = self._record
-
-    def use(self, engine: FakeEngine, plan: Plan) -> None:
-        """Let an engine stutter as ``plan`` says."""
-
-        def recorded(exchange: Exchange) -> Copy | None:
-            self._record(exchange)
-            return plan(exchange)
-
-        self._harness.proxies_by_id[engine.id].plan = recorded
-
-    def _record(self, exchange: Exchange) -> None:
-        statuses = self._statuses_by_id.setdefault(exchange.request_id, [])
-        statuses.append(exchange.status)
-
-    def runs(self, request_id: str) -> int:
-        """Return how often a request ran."""
-        engines = self._harness.backend_servers + self._harness.decode_engines
-        return sum(engine.runs.count(request_id) for engine in engines)
-
-    async def send(self, route: str) -> int | None:
-        """Send a request; record its faults and return its status."""
-        request_id = self._harness.next_request_id()
-        method = "GET" if route == "again" else "POST"
-        status: int | None = None
-        try:
-            async with self._harness.send(
-                route, method, X_Request_Id=request_id
-            ) as response:
-                status = response.status
-                echoed = response.headers.get("X-Request-Id", request_id)
-                await response.read()
-            if echoed != request_id:
-                self.faults.append(f"{request_id}: answer of {echoed}")
-        except aiohttp.ClientError:
-            pass
-        ran = self.runs(request_id)
-        given = self._statuses_by_id.get(request_id, [])
-        if status in PROMISES and ran:
-            self.faults.append(f"{request_id}: {status}, but it ran")
-        elif status not in (None, *UNKNOWN, *PROMISES) and status not in given:
-            self.faults.append(f"{request_id}: {status} instead of {given}")
-        if ran > 1 and route == "once":
-            self.faults.append(f"{request_id}: ran {ran} times")
-        self.outcomes[str(status)] += 1
-        return status
-
-
-def stutter_scenario(
-    scenario: Callable[[RelayHarness, Judge], Awaitable[None]],
-) -> None:
-    async def run(harness: RelayHarness) -> None:
-        judge = Judge(harness)
-        await scenario(harness, judge)
-        assert judge.faults == []
-
-    run_scenario(run, stuttering=True)
-
-
-def cut_lengths(answer: bytes) -> Iterator[int]:
-    """Return lengths of copies that are cut at each line and within it."""
-    position = 0
-    for line in answer.split(b"\r\n"):
-        yield from (position + len(line) // 2, position + len(line))
-        position += len(line) + 2
-
-
-COPIES: dict[str, Callable[[bytes], bytes]] = {
-    "same": lambda answer: answer,
-    "without id": without_id,
-    "chunked": as_chunked,
-    "chunked without id": lambda answer: as_chunked(without_id(answer)),
-}
-
-
-class CopyMaker:
-    """A plan that copies each answer in another way while it is active."""
-
-    def __init__(self, time: CopyTime, *, cut: bool) -> None:
-        self._time = time
-        self._cut = cut
-        self._changes = cycle(COPIES.values())
-        self._made = 0
-        self.active = True
-
-    def plan(self, exchange: Exchange) -> Copy | None:
-        if not self.active:
-            return None
-        data = next(self._changes)(exchange.answer)
-        self._made += 1
-        if self._cut:
-            lengths = list(cut_lengths(data))
-            data = data[: lengths[self._made % len(lengths)]]
-        return Copy(data, self._time, delay_s=0.002)
-
-
-def prepare_answers(engines: list[FakeEngine], kind: str) -> None:
-    """Let engines give the next answers of a kind."""
-    for engine in engines:
-        engine.full = kind == "refusal"
-        engine.status = int(kind) if kind != "refusal" else 200
-
-
-async def wait_for_idle_copies(harness: RelayHarness) -> None:
-    """Return when each proxy has written its answers and idle copies."""
-    proxies = harness.proxies_by_id.values()
-    async with asyncio.timeout(5.0):
-        while any(proxy.exchanges_in_progress for proxy in proxies):
-            await asyncio.sleep(0.001)
-
-
 def check_plain_requests(kind: str, time: CopyTime, *, cut: bool) -> None:
     """Send plain requests to servers that copy their answers of a kind."""
 
@@ -196,73 +68,6 @@
     check_plain_requests(kind, time, cut=True)
 
 
-@pytest.mark.parametrize("time", CopyTime)
-@pytest.mark.parametrize("kind", KINDS)
-def test_a_copy_is_not_taken_for_the_answer_to_a_control_call(
-    kind: str, time: CopyTime
-) -> None:
-    """Control calls bear no id that would tell a copy from their answer."""
-
-    async def scenario(harness: RelayHarness, judge: Judge) -> None:
-        copies = CopyMaker(time, cut=False)
-        engines = harness.backend_servers
-        for engine in engines:
-            judge.use(engine, copies.plan)
-        results = []
-        for _ in range(20):
-            copies.active = True
-            prepare_answers(engines, kind)
-            await judge.send("once")
-            copies.active = False
-            for engine in engines:
-                results.append(await report_of(harness, engine))
-        assert [item for item in results if item != "sound"] == []
-
-    stutter_scenario(scenario)
-
-
-async def report_of(harness: RelayHarness, engine: FakeEngine) -> str:
-    """Return "sound" if a request for an engine's report gets a report."""
-    entry = harness.host._parts.cluster_state.registry.get(engine.id)
-    assert entry is not None
-    call = harness.host._dialect.report_request(entry)
-    try:
-        status, body = await harness.host._exchanges.call(
-            entry, *call, b"", connect_timeout_s=0.5
-        )
-    except ConnectionBrokenError as error:
-        return str(error)
-    return "sound" if status == 200 and b'"busy"' in body else f"{status} {body!r}"
-
-
-@pytest.mark.parametrize("time", CopyTime)
-@pytest.mark.parametrize("is_full", [True, False])
-def test_copies_of_control_calls_reach_no_request(
-    is_full: bool, time: CopyTime
-) -> None:
-    """A copy of a control call's answer ended a request that had run."""
-
-    async def scenario(harness: RelayHarness, judge: Judge) -> None:
-        copies = CopyMaker(time, cut=False)
-        engine = harness.decode_engines[0]
-        harness.store.remove("servers", harness.decode_engines[1].id)
-        judge.use(engine, copies.plan)
-        entry = harness.host._parts.cluster_state.registry.get(engine.id)
-        assert entry is not None
-        for _ in range(20):
-            copies.active, engine.full = True, is_full
-            method, target, headers, body = harness.host._dialect.reserve(entry, 5, 90)
-            status, _ = await harness.host._exchanges.call(
-                entry, method, target, headers, body, connect_timeout_s=0.5
-            )
-            assert status == (503 if is_full else 200)
-            copies.active, engine.full = False, False
-            await judge.send("tale")
-        assert judge.outcomes == {"200": 20}
-
-    stutter_scenario(scenario)
-
-
 @pytest.mark.parametrize("time", CopyTime)
 @pytest.mark.parametrize("cut", [False, True])
 def test_a_refusal_is_not_believed_when_the_run_is_sent_there_again(
@@ -360,7 +165,11 @@
 def test_a_copy_is_not_taken_for_an_answer_to_a_stream(
     time: CopyTime, cut: bool
 ) -> None:
-    """Prefills and runs of model engines, sound and failing in turn."""
+    """Prefills and runs of model engines, sound and failing in turn.
+
+    Copies of two streams are followed by two streams without: a run is sent
+    behind its reservation, so that each copy of one would fail it.
+    """
 
     async def scenario(harness: RelayHarness, judge: Judge) -> None:
         engines = [harness.prefill_engine, *harness.decode_engines]
@@ -368,7 +177,8 @@
         for engine in engines:
             engine.events = 2
             judge.use(engine, copies.plan)
-        for number in range(24):
+        for number in range(48):
+            copies.active = number % 4 < 2
             harness.prefill_engine.full = number % 4 == 1
             for engine in harness.decode_engines:
                 engine.prefills_expired = number % 4 == 3
