--- a/tests/relay/test_stuttering_store.py
+++ b/tests/relay/test_stuttering_store.py
@@ -19,7 +19,7 @@
 )
 
 from .fakes import FakeEngine, FakeStore
-from .stutter import Copy, CopyTime, StutteringProxy
+from .stutter import Copy, CopyTime, Exchange, StutteringProxy
 
 Scenario = Callable[[FakeStore, PlatformStore, StutteringProxy], Awaitable[None]]
 
@@ -126,3 +126,39 @@
             version = max(version, changes.version)
 
     run_with_store(scenario, time)
+
+
+@pytest.mark.parametrize("time", [CopyTime.AFTER_REQUEST, CopyTime.BEFORE_NEXT])
+def test_one_copy_spoils_one_poll_only(time: CopyTime) -> None:
+    """Each poll after a copy got the answer to the poll before it."""
+
+    async def scenario(
+        fake: FakeStore, store: PlatformStore, proxy: StutteringProxy
+    ) -> None:
+        copies = [time]
+
+        def copy_once(exchange: Exchange) -> Copy | None:
+            return Copy(exchange.answer, copies.pop()) if copies else None
+
+        version = (await store.read(StateKind.ENGINES)).version
+        proxy.plan, failures, connections = copy_once, 0, proxy.connections
+        loop, engine = asyncio.get_running_loop(), FakeEngine("e")
+        for number in range(12):
+            key = f"e{number}"
+            # The store holds each poll until there is a change.
+            loop.call_later(0.02, fake.put, "servers", key, engine.entry("service"))
+            while True:
+                try:
+                    changes = await store.wait_for_changes(
+                        StateKind.ENGINES, version, 2.0
+                    )
+                    break
+                except StoreError:
+                    failures += 1
+            assert [item.key for item in changes.items] == [key]
+            version = changes.version
+        assert not copies
+        assert failures == 1
+        assert proxy.connections <= connections + 2
+
+    run_with_store(scenario, time)
