--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -43,6 +43,8 @@
         self.gap_s = 0.002
         # Size of each event, filled up with a comment.
         self.event_bytes = 0
+        # Whether the data of each event names its request.
+        self.events_name_request = False
         # Method, path, headers and body of each request.
         self.received: list[tuple[str, str, dict[str, str], bytes]] = []
         # Loop time of the arrival of each request, control calls included.
@@ -280,7 +282,8 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            event = f"id: {number}\ndata: e{number}\n".encode()
+            text = headers["x-request-id"] if self.events_name_request else "e"
+            event = f"id: {number}\ndata: {text}{number}\n".encode()
             if self.event_bytes:
                 event += b":".ljust(self.event_bytes, b"a") + b"\n"
             await response.write(event + b"\n")
