Reject a copy inside a body without length or chunks

A server that copied an answer directly behind one without length or chunks gave the caller both: the body of such an answer ends with its connection, so the head and the body of the copy were passed on as a part of it, and of a stream as an event.

Such a body is now searched for the head of another response: a status line, the line end of the protocol and the name of a header. Where one is found the exchange ends as one that may have run. Bodies with a length or chunks are not searched, and text about HTTP with other line ends or without a header line is passed on.

Six new tests fail without the search, four guard what is passed on. A copy that is cut before its first header cannot be told from the body.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -24,6 +24,7 @@
 
 from .answer_check import is_joined_head
 from .caller_request import Header
+from .response_framing import BodyCheck, idle_limit_s, is_framed
 
 __all__ = [
     "ConnectionBrokenError",
@@ -230,6 +231,7 @@
         self._body_complete = False
         self._may_be_reused = True
         self._sent_ids = bytearray()
+        self._body_check: BodyCheck | None = None
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EngineConnection":
@@ -305,7 +307,9 @@
         if not isinstance(event, h11.Response):
             raise self._protocol.broken(f"unexpected {type(event).__name__}")
         headers = tuple(event.headers.raw_items())
-        self._read_idle_limit(headers)
+        limit_s = idle_limit_s(headers)
+        self.idle_limit_s = self.idle_limit_s if limit_s is None else limit_s
+        self._body_check = None if is_framed(headers) else BodyCheck()
         return ResponseHead(event.status_code, event.reason, headers)
 
     async def read_body(self) -> AsyncIterator[bytes]:
@@ -317,6 +321,8 @@
             event = await self._protocol.next_event()
             if isinstance(event, h11.Data):
                 self._protocol.body_consumed(len(event.data))
+                if self._body_check and self._body_check.has_other_head(event.data):
+                    raise self._protocol.broken("another answer in the body")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._body_complete = True
@@ -367,15 +373,6 @@
             self._protocol.transport.abort()
         self._protocol.closed = True
 
-    def _read_idle_limit(self, headers: tuple[Header, ...]) -> None:
-        """Record the timeout of a Keep-Alive header."""
-        for name, value in headers:
-            if name.lower() == b"keep-alive":
-                for part in value.split(b","):
-                    key, _, number = part.strip().partition(b"=")
-                    if key.lower() == b"timeout" and number.strip().isdigit():
-                        self.idle_limit_s = float(number)
-
 
 def _digest(request_id: str) -> bytes:
     """Return eight bytes that are equal for equal ids."""
--- a/tests/relay/test_unframed_responses.py
+++ b/tests/relay/test_unframed_responses.py
@@ -28,12 +28,20 @@
     check: Callable[[EngineConnection], Awaitable[None]],
     *,
     reset: bool = False,
+    head: bytes = HEAD,
+    pause_at: int | None = None,
 ) -> None:
-    """Run ``check`` on a connection whose server sends ``body`` and ends."""
+    """Run ``check`` on a connection whose server sends ``body`` and ends.
+
+    With ``pause_at`` the body is written in two parts.
+    """
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD + body)
+        writer.write(head + body[:pause_at])
+        if pause_at is not None:
+            await asyncio.sleep(0.02)
+            writer.write(body[pause_at:])
         await writer.drain()
         if reset:
             # The data must arrive before the reset discards what is queued.
@@ -117,3 +125,45 @@
         assert raised.value.closed_by_engine
 
     exchange(EVENT, check, reset=True)
+
+
+@pytest.mark.parametrize("pause_at", [None, 5, 12, 17, 30])
+def test_a_copy_behind_a_response_is_no_part_of_it(pause_at: int | None) -> None:
+    """Nothing but its head tells a copy from the rest of such a body."""
+
+    async def check(connection: EngineConnection) -> None:
+        with pytest.raises(ConnectionBrokenError):
+            await read(connection)
+
+    exchange(b"whole" + HEAD + b"whole", check, pause_at=pause_at)
+
+
+def test_a_copy_behind_a_stream_is_no_part_of_it() -> None:
+    """The caller got the head and the events of the copy."""
+
+    async def check(connection: EngineConnection) -> None:
+        with pytest.raises(RunFailedError):
+            await read_events(connection)
+
+    exchange(EVENT + HEAD + EVENT, check)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"HTTP/1.1 200 OK", b"see HTTP/1.1 404\nHost: b", b"HTTP/1.1 200 OK\r\ntext"],
+)
+def test_a_body_may_name_the_protocol(body: bytes) -> None:
+    async def check(connection: EngineConnection) -> None:
+        assert await read(connection) == body
+
+    exchange(body, check)
+
+
+def test_a_framed_body_may_contain_a_whole_response() -> None:
+    """Its length shows that it belongs to the response."""
+
+    async def check(connection: EngineConnection) -> None:
+        assert await read(connection) == HEAD
+
+    length = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(HEAD)
+    exchange(HEAD, check, head=length)
