Suspend reuse after a copy on an idle connection

A copy that arrived on an idle connection closed that connection, but the others to the server went on being used, and the next copy of the server could meet a request there and end it as one that may have run.

Such bytes now have the same effect as a response that is not accepted: no connection to the address is used twice for 30 s. 408 is left out, since sound servers may announce with it that they close an idle connection, and so are bytes that begin no answer. The new log line copy_on_idle_connection names the address.

Of the eight new cases the four with a copy fail without the change; the four others guard what sound servers do.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -24,7 +24,7 @@
 
 from .answer_check import is_joined_head
 from .caller_request import Header
-from .response_framing import BodyCheck, idle_limit_s, is_framed
+from .response_framing import BodyCheck, idle_limit_s, is_copied_answer, is_framed
 
 __all__ = [
     "ConnectionBrokenError",
@@ -50,8 +50,7 @@
 # Bounds the memory for the ids of a connection's requests to 8 KB. It adds one
 # new connection per 1,000 requests at most.
 MAX_EXCHANGES = 1000
-# Servers send at most one or two informational (1xx) responses before the
-# final one.
+# Servers send one or two informational (1xx) responses at most.
 MAX_INFORMATIONAL_RESPONSES = 16
 
 
@@ -102,6 +101,7 @@
         self.busy = False
         self.closed = False
         self.closed_by_peer = False
+        self.answered_idle = False
         self._informational_count = 0
         self._queued_bytes = 0
         self._paused = False
@@ -117,6 +117,7 @@
 
     def data_received(self, data: bytes) -> None:
         if not self.busy:
+            self.answered_idle = is_copied_answer(data)
             self.fail("bytes without a request")
             return
         self._feed(data)
@@ -260,6 +261,11 @@
         """Tell whether the peer has closed or reset the connection."""
         return self._protocol.closed_by_peer
 
+    @property
+    def answered_idle(self) -> bool:
+        """Tell whether the server wrote an answer while it was idle."""
+        return self._protocol.answered_idle
+
     def has_carried(self, request_id: str) -> bool:
         """Tell whether this id was used here; may also hold for others."""
         return _digest(request_id) in self._sent_ids
@@ -307,8 +313,7 @@
         if not isinstance(event, h11.Response):
             raise self._protocol.broken(f"unexpected {type(event).__name__}")
         headers = tuple(event.headers.raw_items())
-        limit_s = idle_limit_s(headers)
-        self.idle_limit_s = self.idle_limit_s if limit_s is None else limit_s
+        self.idle_limit_s = idle_limit_s(headers, self.idle_limit_s)
         self._body_check = None if is_framed(headers) else BodyCheck()
         return ResponseHead(event.status_code, event.reason, headers)
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -16,9 +16,11 @@
 that engine is the only one of its connection.
 """
 
+import logging
 import math
 
 from kumquat_core.clock import Clock
+from kumquat_core.log_events import log_event
 from kumquat_core.settings import Address
 
 from .engine_connection import EngineConnection
@@ -43,6 +45,8 @@
 # few requests in this time at an engine that copies each answer.
 NO_REUSE_S = 30.0
 
+logger = logging.getLogger(__name__)
+
 
 class EnginePool:
     """Idle connections by address, in order of their last use.
@@ -89,7 +93,7 @@
             idle_s = now_s - connection.idle_since_s
             if not connection.usable or idle_s > self._idle_limit_s(connection):
                 del idle[index]
-                connection.abort()
+                self._discard(connection)
                 continue
             if recently_used and idle_s > RECENT_USE_S:
                 break
@@ -158,17 +162,26 @@
                 if connection.usable and now_s - connection.idle_since_s < limit_s:
                     kept.append(connection)
                 else:
-                    connection.abort()
-            if kept:
+                    self._discard(connection)
+            if kept and not self._is_reuse_suspended(address):
                 self._idle_by_address[address] = kept
             else:
-                del self._idle_by_address[address]
+                self._idle_by_address.pop(address, None)
 
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
+    def _discard(self, connection: EngineConnection) -> None:
+        """Close an idle connection; suspend reuse if a copy arrived on it."""
+        connection.abort()
+        if connection.answered_idle:
+            log_event(
+                logger, "copy_on_idle_connection", address=connection.address.text
+            )
+            self.suspend_reuse(connection.address)
+
     def _is_recent(self, connection: EngineConnection) -> bool:
         """Return whether the server has hardly closed the connection yet."""
         idle_s = self._clock.monotonic() - connection.idle_since_s
--- a/packages/kumquat_relay/src/kumquat_relay/response_framing.py
+++ b/packages/kumquat_relay/src/kumquat_relay/response_framing.py
@@ -10,11 +10,14 @@
 
 from .caller_request import Header
 
-__all__ = ["BodyCheck", "idle_limit_s", "is_framed"]
+__all__ = ["BodyCheck", "idle_limit_s", "is_copied_answer", "is_framed"]
 
 # A status line and the beginning of a header line. Text about HTTP rarely has
 # the line ends of the protocol.
 _HEAD = re.compile(rb"HTTP/\d\.\d[ \t]+\d{3}[^\r\n]{0,128}\r\n[!#-'*+.^_`|~\w-]{1,64}:")
+_STATUS = re.compile(rb"HTTP/\d\.\d[ \t]+(\d{3})")
+# Sound servers may send this before they close an idle connection.
+_REQUEST_TIMEOUT = b"408"
 # Longer than any match that is still incomplete.
 _OVERLAP_BYTES = 256
 
@@ -42,9 +45,14 @@
     )
 
 
-def idle_limit_s(headers: Iterable[Header]) -> float | None:
-    """Return the timeout of the last valid Keep-Alive header, if any."""
-    limit_s = None
+def is_copied_answer(data: bytes) -> bool:
+    """Tell whether bytes without a request begin another answer."""
+    match = _STATUS.match(data)
+    return match is not None and match[1] != _REQUEST_TIMEOUT
+
+
+def idle_limit_s(headers: Iterable[Header], limit_s: float | None) -> float | None:
+    """Return the timeout of the last Keep-Alive header, else ``limit_s``."""
     for name, value in headers:
         if name.lower() == b"keep-alive":
             for part in value.split(b","):
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -285,3 +285,61 @@
             again.abort()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("closes", ["acquire", "close_stale"])
+@pytest.mark.parametrize(
+    ("late", "suspended"),
+    [
+        (COMPLETE_RESPONSE, True),
+        (COMPLETE_RESPONSE[:20], True),
+        (b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", False),
+        (b"\r\n", False),
+    ],
+)
+def test_a_copy_on_an_idle_connection_suspends_reuse(
+    late: bytes, suspended: bool, closes: str
+) -> None:
+    """The next copy would fail a request on another connection.
+
+    Sound servers may announce with 408 that they close an idle connection.
+    """
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(COMPLETE_RESPONSE)
+            if not late_written:
+                late_written.append(True)
+                await idle.wait()
+                writer.write(late)
+
+    late_written: list[bool] = []
+    idle = asyncio.Event()
+
+    async def run() -> None:
+        pool = EnginePool(ManualClock())
+
+        async def acquire() -> EngineConnection:
+            return await pool.acquire(peer.address, recently_used=True, timeout_s=1.0)
+
+        async with ScriptedPeer(script) as peer:
+            first, second = await acquire(), await acquire()
+            await exchange(first)
+            await exchange(second)
+            pool.release(second)
+            pool.release(first)
+            idle.set()
+            async with asyncio.timeout(2.0):
+                while first.usable:
+                    await asyncio.sleep(0.001)
+            if closes == "close_stale":
+                pool.close_stale()
+            third = await acquire()
+            assert (third is second) is not suspended
+            assert second.usable is not suspended
+            third.abort()
+            second.abort()
+
+    asyncio.run(run())
