Report an engine as crashed only if it closed the connection

After a run that broke off a host opens a connection to the engine and counts it as crashed if the connection ends at once. A faulty engine that wrote an answer on that connection was counted as well: bytes without a request close it on this side. The report may quarantine prompts and ends their requests as refused for good.

The probe now looks at what the engine did, and not at whether the connection is usable. The new test gave "closed" before and gives "connected" now; an engine that closes at once is still "closed". A second test shows that the connection of a health probe on which a copy arrives carries no request; it passed before.

--- a/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
@@ -129,9 +129,10 @@
             return str(error)
         # A proxy of an engine that has ended accepts and closes.
         await asyncio.sleep(PROXY_CLOSE_S)
-        if not connection.usable:
+        if connection.closed_by_peer:
             connection.abort()
             return "closed"
+        # A process that writes bytes without a request has not ended.
         self._pool.release(connection)
         return "connected"
 
