--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -24,6 +24,7 @@
 
 from .answer_check import is_joined_head
 from .caller_request import Header
+from .response_framing import BodyCheck, idle_limit_s, is_copied_answer, is_framed
 
 __all__ = [
     "ConnectionBrokenError",
@@ -49,8 +50,7 @@
 # Bounds the memory for the ids of a connection's requests to 8 KB. It adds one
 # new connection per 1,000 requests at most.
 MAX_EXCHANGES = 1000
-# Servers send at most one or two informational (1xx) responses before the
-# final one.
+# Servers send one or two informational (1xx) responses at most.
 MAX_INFORMATIONAL_RESPONSES = 16
 
 
@@ -101,6 +101,7 @@
         self.busy = False
         self.closed = False
         self.closed_by_peer = False
+        self.answered_idle = False
         self._informational_count = 0
         self._queued_bytes = 0
         self._paused = False
@@ -116,6 +117,7 @@
 
     def data_received(self, data: bytes) -> None:
         if not self.busy:
+            self.answered_idle = is_copied_answer(data)
             self.fail("bytes without a request")
             return
         self._feed(data)
@@ -230,6 +232,7 @@
         self._body_complete = False
         self._may_be_reused = True
         self._sent_ids = bytearray()
+        self._body_check: BodyCheck | None = None
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EngineConnection":
@@ -258,13 +261,19 @@
         """Tell whether the peer has closed or reset the connection."""
         return self._protocol.closed_by_peer
 
-    def has_carried(self, request_id: str) -> bool:
-        """Tell whether a request with this id was sent on the connection.
+    @property
+    def answered_idle(self) -> bool:
+        """Tell whether the server wrote an answer while it was idle."""
+        return self._protocol.answered_idle
 
-        May also be true for another id, but never false for one that was sent.
-        """
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether this id was used here; may also hold for others."""
         return _digest(request_id) in self._sent_ids
 
+    def record_id(self, request_id: str) -> None:
+        """Record an id that a copy of this exchange bears; empty for none."""
+        self._sent_ids += _digest(request_id) if request_id else b""
+
     def send(
         self,
         method: str,
@@ -275,8 +284,8 @@
     ) -> None:
         """Send a request; ``request_id`` is empty if it bears none.
 
-        Raises ``SendFailedError`` if the connection is not usable or the
-        request is not valid HTTP.
+        Raises ``SendFailedError`` if the connection is unusable or the request
+        is not valid HTTP.
         """
         protocol = self._protocol
         if not self.usable or protocol.transport is None:
@@ -295,8 +304,7 @@
         protocol.begin_exchange()
         self._body_complete = False
         self.exchanges += 1
-        if request_id:
-            self._sent_ids += _digest(request_id)
+        self.record_id(request_id)
         protocol.transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -305,7 +313,8 @@
         if not isinstance(event, h11.Response):
             raise self._protocol.broken(f"unexpected {type(event).__name__}")
         headers = tuple(event.headers.raw_items())
-        self._read_idle_limit(headers)
+        self.idle_limit_s = idle_limit_s(headers, self.idle_limit_s)
+        self._body_check = None if is_framed(headers) else BodyCheck()
         return ResponseHead(event.status_code, event.reason, headers)
 
     async def read_body(self) -> AsyncIterator[bytes]:
@@ -317,6 +326,8 @@
             event = await self._protocol.next_event()
             if isinstance(event, h11.Data):
                 self._protocol.body_consumed(len(event.data))
+                if self._body_check and self._body_check.has_other_head(event.data):
+                    raise self._protocol.broken("another answer in the body")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._body_complete = True
@@ -367,15 +378,6 @@
             self._protocol.transport.abort()
         self._protocol.closed = True
 
-    def _read_idle_limit(self, headers: tuple[Header, ...]) -> None:
-        """Record the timeout of a Keep-Alive header."""
-        for name, value in headers:
-            if name.lower() == b"keep-alive":
-                for part in value.split(b","):
-                    key, _, number = part.strip().partition(b"=")
-                    if key.lower() == b"timeout" and number.strip().isdigit():
-                        self.idle_limit_s = float(number)
-
 
 def _digest(request_id: str) -> bytes:
     """Return eight bytes that are equal for equal ids."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -43,12 +43,16 @@
         self.gap_s = 0.002
         # Size of each event, filled up with a comment.
         self.event_bytes = 0
+        # Whether the data of each event names its request.
+        self.events_name_request = False
         # Method, path, headers and body of each request.
         self.received: list[tuple[str, str, dict[str, str], bytes]] = []
         # Loop time of the arrival of each request, control calls included.
         self.arrivals_s: list[float] = []
         self.runs: list[str] = []
         self.role_commands: list[dict[str, Any]] = []
+        # Answers to the role commands from now on.
+        self.role_command_status = 202
         # Paths of the control calls, such as reservations.
         self.calls: list[str] = []
         self.handles: set[str] = set()
@@ -190,11 +194,11 @@
                 )
             case "/api/order":
                 self.role_commands.append(json.loads(body))
-                return web.Response(status=202)
+                return web.Response(status=self.role_command_status)
             case "/api/hold-take":
                 if self.full:
                     return web.Response(status=503)
-                return web.json_response({"hold": "hold1"})
+                return web.json_response({"hold": f"hold{len(self.calls)}"})
         return web.Response(status=200)
 
     async def _serve(
@@ -278,7 +282,8 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            event = f"id: {number}\ndata: e{number}\n".encode()
+            text = headers["x-request-id"] if self.events_name_request else "e"
+            event = f"id: {number}\ndata: {text}{number}\n".encode()
             if self.event_bytes:
                 event += b":".ljust(self.event_bytes, b"a") + b"\n"
             await response.write(event + b"\n")
