End the connection of a poll whose answer has an earlier version

After a copy of an answer without changes and a new read of the table, each poll got the answer to the poll before it.

--- a/packages/kumquat_relay/src/kumquat_relay/protocols.py
+++ b/packages/kumquat_relay/src/kumquat_relay/protocols.py
@@ -20,6 +20,7 @@
 __all__ = [
     "Change",
     "Changes",
+    "EarlierAnswerError",
     "EngineDialect",
     "EngineNotice",
     "EngineReport",
@@ -106,6 +107,13 @@
     """The answer exceeds what this host reads of one answer."""
 
 
+class EarlierAnswerError(StoreError):
+    """The answer has an earlier version than the call asked for.
+
+    It belongs to another call, or the version of this host is wrong.
+    """
+
+
 class HistoryLostError(Exception):
     """The store no longer has the changes after the requested version."""
 
--- a/packages/kumquat_relay/src/kumquat_relay/state_watch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/state_watch.py
@@ -20,6 +20,7 @@
 from .poll_times import PollTimes
 from .protocols import (
     Changes,
+    EarlierAnswerError,
     HistoryLostError,
     OversizedAnswerError,
     StateKind,
@@ -88,8 +89,9 @@
                 )
                 self._version = None
             except StoreError as error:
-                if isinstance(error, OversizedAnswerError):
-                    # The same changes would be too large again; pages are not.
+                # The same changes would be too large again; pages are not. And
+                # no changes would follow a version that the store never had.
+                if isinstance(error, OversizedAnswerError | EarlierAnswerError):
                     self._version = None
                 self._on_failure(str(error))
                 await self._retry_gate.wait(self._kind, self._delay_s())
@@ -121,11 +123,6 @@
         if self._version is None or changes.version.era != self._version.era:
             self._version = None
             return False
-        if changes.version < self._version:
-            # The store never counts back, so this answer is another one's or
-            # the version of this host is wrong: no changes would follow it.
-            stated, self._version = changes.version, None
-            raise StoreError(f"the answer has the earlier version {stated}")
         self._record_reconnect()
         self._cluster_state.apply_changes(self._kind, changes)
         self._version = changes.version
--- a/tests/relay/test_stuttering_store.py
+++ b/tests/relay/test_stuttering_store.py
@@ -13,6 +13,7 @@
 
 from kumquat_relay.protocols import (
     Changes,
+    EarlierAnswerError,
     StateKind,
     StoreError,
     WriteConflictError,
@@ -162,3 +163,32 @@
         assert proxy.connections <= connections + 2
 
     run_with_store(scenario, time)
+
+
+@pytest.mark.parametrize("time", [CopyTime.AFTER_REQUEST, CopyTime.BEFORE_NEXT])
+def test_an_earlier_answer_without_changes_ends_its_connection(
+    time: CopyTime,
+) -> None:
+    """After a table was read again, each poll got the answer to the poll
+    before it, whose version was earlier, and the table was read once more."""
+
+    async def scenario(
+        fake: FakeStore, store: PlatformStore, proxy: StutteringProxy
+    ) -> None:
+        proxy.plan = lambda exchange: Copy(exchange.answer, time)
+        version = (await store.read(StateKind.ENGINES)).version
+        changes = await store.wait_for_changes(StateKind.ENGINES, version, 0.0)
+        assert changes.items == ()
+        proxy.plan = None
+        fake.put("other", "key", {})
+        version = (await store.read(StateKind.ENGINES)).version
+        with pytest.raises(EarlierAnswerError):
+            await store.wait_for_changes(StateKind.ENGINES, version, 0.0)
+        for number in range(3):
+            key = f"e{number}"
+            fake.put("servers", key, FakeEngine(key).entry("service"))
+            changes = await store.wait_for_changes(StateKind.ENGINES, version, 2.0)
+            assert [item.key for item in changes.items] == [key]
+            version = changes.version
+
+    run_with_store(scenario, time)
