Use a reservation only at the engine that gave it

Engines: a run named a reservation of another engine in X-Kv-Hold, and the engine that had given it kept the slot and memory until they lapsed.

Cause: a stream keeps its reservation when the prompt is not read after it (a refused prefill), and the next grant may name another engine. The reservation was sent there, or overwritten by a new one. It is now released when a run starts at another engine and before another reservation is taken.

Ruled out: a copy of a control call's answer; the logs of both runs show no rejected answer, and a grant at another engine before the run.

The fake engines give each reservation its own id and can refuse and fail at random.

--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -77,6 +77,7 @@
         Returns whether the run may start there, which is also the case if the
         service has no reservations.
         """
+        self.release_reservation(request, progress)
         spec = self._cluster_state.engine_spec(request.service)
         if spec is None or not spec.reservation_ttl_ms or not self._rules.reservation:
             return True
@@ -102,6 +103,16 @@
         progress.reservation_engine = entry
         return bool(progress.reservation_id)
 
+    def release_reservation(
+        self, request: CallerRequest, progress: StreamProgress
+    ) -> None:
+        """Release a reservation that no run has used, if there is one."""
+        if progress.reservation_id and progress.reservation_engine is not None:
+            self._calls.release_reservation(
+                progress.reservation_engine, progress.reservation_id, request.id
+            )
+        progress.reservation_id = ""
+
     async def prefill(
         self, request: CallerRequest, grant: RunGrant, progress: StreamProgress
     ) -> bool:
@@ -150,6 +161,9 @@
         result has expired; an accepted reservation shows that it has capacity.
         The parts of the prompt often remain at the engine that prefilled them.
         """
+        if progress.reservation_engine != entry:
+            # An earlier grant was for another engine.
+            self.release_reservation(request, progress)
         source, progress.prefill = progress.prefill, None
         reservation_id, progress.reservation_id = progress.reservation_id, ""
         last_id = progress.splitter.last_id
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -122,10 +122,7 @@
             return timeout_outcome(progress, host_stopped=self._cutoff.reached)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
-            if progress.reservation_id and progress.reservation_engine is not None:
-                self._calls.release_reservation(
-                    progress.reservation_engine, progress.reservation_id, request.id
-                )
+            self._starter.release_reservation(request, progress)
             if progress.first_event_s is not None:
                 first_event_s = progress.first_event_s - request.arrived_s
                 self._metrics.record_stream(first_event_s, progress.max_gap_s)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,10 @@
 
 __all__ = ["FakeEngine", "FakeStore", "LimitPeriod", "Row"]
 
+# With random answers, the shares of refusals and of errors.
+REFUSED_SHARE = 0.3
+ERROR_SHARE = 0.2
+
 
 @dataclass
 class LimitPeriod:
@@ -51,8 +56,12 @@
         self.role_commands: list[dict[str, Any]] = []
         # Paths of the control calls, such as reservations.
         self.calls: list[str] = []
-        self.handles: set[str] = set()
+        # Prefill results by the id of their request, and reservations.
+        self.request_ids_by_handle: dict[str, str] = {}
+        self.holds: set[str] = set()
         self.full = False
+        # Refuses requests and answers with errors at random, if set.
+        self.random_answers: random.Random | None = None
         # Rejects requests that name a prefill result, as if it had expired.
         self.prefills_expired = False
         # Event counts after which streams break, each used once. Engines may
@@ -192,20 +201,22 @@
                 self.role_commands.append(json.loads(body))
                 return web.Response(status=202)
             case "/api/hold-take":
-                if self.full:
+                if self.full or self._chance(REFUSED_SHARE):
                     return web.Response(status=503)
-                return web.json_response({"hold": "hold1"})
+                hold = f"hold{len(self.calls)}"
+                self.holds.add(hold)
+                return web.json_response({"hold": hold})
         return web.Response(status=200)
 
     async def _serve(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
         request_id = headers["x-request-id"]
-        if self.full:
+        if self.full or self._chance(REFUSED_SHARE):
             return self._not_executed(request_id)
         if headers.get("x-stage") == "prefill":
             handle = f"k{len(self.received)}"
-            self.handles.add(handle)
+            self.request_ids_by_handle[handle] = request_id
             return web.json_response(
                 {"kv_handle": handle, "tokens": 10, "version": 1},
                 headers={"X-Request-Id": request_id},
@@ -223,9 +234,8 @@
                 self.drop_responses -= 1
                 assert request.transport is not None
                 request.transport.abort()
-            return web.Response(
-                status=self.status, headers=response_headers, body=b"whole"
-            )
+            status = 500 if self._chance(ERROR_SHARE) else self.status
+            return web.Response(status=status, headers=response_headers, body=b"whole")
         if self.odd_answers and "last-event-id" in headers:
             after = int(headers["last-event-id"])
             answer = self.odd_answers.pop(0)
@@ -235,6 +245,10 @@
             return await answer(request, response_headers, 0)
         return await self._stream(request, headers, response_headers)
 
+    def _chance(self, share: float) -> bool:
+        """Decide at random, if answers are random at all."""
+        return self.random_answers is not None and self.random_answers.random() < share
+
     def _deadly_parts(self, headers: dict[str, str]) -> set[str]:
         """Return the parts of a prompt under which this engine crashes."""
         parts = headers.get("x-prefix-hash", "").split(",")[:-1]
