--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -85,6 +85,7 @@
         *,
         stuttering: bool = False,
     ) -> None:
+        self.retries = RetryBudgetSettings(0.2, 10.0, 60.0)
         self._host_count = host_count
         self._stuttering = stuttering
         self.proxies_by_id: dict[str, StutteringProxy] = {}
@@ -128,7 +129,7 @@
             metrics=Address("127.0.0.1", free_port()),
             peers=Address("127.0.0.1", free_port()),
             store=self.store.address,
-            retries=RetryBudgetSettings(0.2, 10.0, 60.0),
+            retries=self.retries,
             stop_grace_s=4.0,
             order_lease_s=3.0,
             log_level="info",
--- a/tests/relay/scripted_peer.py
+++ b/tests/relay/scripted_peer.py
@@ -12,9 +12,14 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset instead of a regular end."""
-    sock = writer.get_extra_info("socket")
+    reset_transport(writer.transport)
+
+
+def reset_transport(transport: asyncio.WriteTransport) -> None:
+    """Close the connection of a transport with a TCP reset."""
+    sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
+    transport.abort()
 
 
 class ScriptedPeer:
