Close the connections of test servers before their loops

Tests that passed were followed by the warning "Event loop is closed" in StreamWriter.__del__, each time in another test.

Cause: a server of a test left its writer open when its event loop was closed; the error came with the collection of the writer in a later test. A plugin that recorded where each writer was made and which were open after their loop closed (1 run of tests/core, relay, router, lab and ctl) named 8 writers of two servers: that of test_faulty_servers (7, in 4 test functions), whose scripts end or are cancelled without closing, and that of test_engine_reconnection (1). Writers of product code: none.

Both servers close their writers now, and so do three other ones that depended on their peers: the frozen peer of test_peer_links, the balancer of the soak (ingress.py) and the sink of slope_traffic.

--- a/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
+++ b/packages/kumquat_lab/src/kumquat_lab/slope_traffic.py
@@ -155,9 +155,12 @@
     return f'data: {{"i": {index}, "t": "1e1a6a4 "}}\n\n'.encode()
 
 
-async def _discard(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
-    while await reader.read(65536):
-        pass
+async def _discard(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while await reader.read(65536):
+            pass
+    finally:
+        writer.close()
 
 
 async def _measure() -> list[Series]:
--- a/tests/core/test_faulty_servers.py
+++ b/tests/core/test_faulty_servers.py
@@ -31,9 +31,12 @@
     """Return the result of a call to a server that runs a script."""
 
     async def run() -> T:
+        writers: list[asyncio.StreamWriter] = []
+
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            writers.append(writer)
             try:
                 await script(reader, writer)
             except (asyncio.IncompleteReadError, ConnectionError):
@@ -46,6 +49,8 @@
                 return await call(f"http://127.0.0.1:{port}")
         finally:
             server.close()
+            for writer in writers:
+                writer.transport.abort()
 
     return asyncio.run(run())
 
--- a/tests/relay/ingress.py
+++ b/tests/relay/ingress.py
@@ -107,12 +107,16 @@
                 group.create_task(_forward(reader, target_writer))
                 group.create_task(_forward(target_reader, writer))
         except* OSError:
-            # One side has closed its connection; close the other one as well.
+            # One side has closed its connection; the other one ends as well.
+            pass
+        finally:
             writer.transport.abort()
 
 
 async def _forward(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while data := await reader.read(CHUNK_BYTES):
-        writer.write(data)
-        await writer.drain()
-    writer.close()
+    try:
+        while data := await reader.read(CHUNK_BYTES):
+            writer.write(data)
+            await writer.drain()
+    finally:
+        writer.close()
--- a/tests/relay/test_engine_reconnection.py
+++ b/tests/relay/test_engine_reconnection.py
@@ -70,8 +70,10 @@
 
 
 async def _accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    await reader.read()
-    writer.close()
+    try:
+        await reader.read()
+    finally:
+        writer.close()
 
 
 def test_the_probe_detects_an_engine_that_accepts_connections_again() -> None:
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -132,7 +132,10 @@
 
 def test_send_queue_for_a_frozen_peer_is_limited():
     async def frozen(reader, writer) -> None:
-        await asyncio.Event().wait()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            writer.close()
 
     async def scenario() -> None:
         server = await asyncio.start_server(frozen, "127.0.0.1", 0)
