Let the soak's stuttering engines meet other requests

The fault was too weak. One engine stuttered at a time, mostly after a success, whose copy is recognized, and a connection was used again only after a second or so.

A new check compares the prefill results and reservations that runs name with those that engines gave; it has tests of its own.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,15 +14,25 @@
 
 from kumquat_core.settings import Address
 
-__all__ = ["RequestOutcome", "SentRequest", "SoakCaller"]
+__all__ = [
+    "EVENT_SEPARATOR",
+    "PLAIN_ROUTES",
+    "STREAM_ROUTES",
+    "RequestOutcome",
+    "SentRequest",
+    "SoakCaller",
+]
 
 DEADLINE_S = 3.0
 # Callers time out this long after the deadline; no response may take longer.
 TIMEOUT_AFTER_DEADLINE_S = 1.0
-ROUTES = ("once", "again", "story", "tale")
+PLAIN_ROUTES = ("once", "again")
+STREAM_ROUTES = ("story", "tale")
+ROUTES = (*PLAIN_ROUTES, *STREAM_ROUTES)
 # Part of the prompts that contain a shared part, if there are any.
 SHARED_PART_SHARE = 0.3
 DISCONNECT_SHARE = 0.05
+PAUSE_S = 0.125
 EVENT_SEPARATOR = b"\n\n"
 
 
@@ -66,7 +76,8 @@
     ``disconnect_share`` is the share of requests whose caller disconnects
     before it has the response. A caller ``without_chunks`` speaks HTTP/1.0 and
     tells an end of its connection from a reset, which aiohttp does not. Some
-    prompts contain one of ``shared_parts``.
+    prompts contain one of ``shared_parts``. It pauses for ``pause_s`` on
+    average between two requests to any of ``routes``.
     """
 
     def __init__(
@@ -77,7 +88,11 @@
         shared_parts: Sequence[str] = (),
         disconnect_share: float = DISCONNECT_SHARE,
         without_chunks: bool = False,
+        routes: Sequence[str] = ROUTES,
+        pause_s: float = PAUSE_S,
     ) -> None:
+        self._routes = routes
+        self._pause_s = pause_s
         self._without_chunks = without_chunks
         self._shared_parts = shared_parts
         self._disconnect_share = disconnect_share
@@ -94,13 +109,13 @@
         """
         async with aiohttp.ClientSession() as session:
             while not self.stopping:
-                await asyncio.sleep(self._rng.expovariate(8.0))
+                await asyncio.sleep(self._rng.expovariate(1 / self._pause_s))
                 await self._send(session, len(self.sent))
 
     async def _send(self, session: aiohttp.ClientSession, number: int) -> None:
         loop = asyncio.get_running_loop()
         host_id = self._rng.choice(sorted(self._addresses_by_host))
-        route = self._rng.choice(ROUTES)
+        route = self._rng.choice(self._routes)
         request_id = f"{self._name}-{number}"
         began_s = loop.time()
         disconnects = self._rng.random() < self._disconnect_share
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,14 +6,18 @@
 
 from tests.relay.fakes import FakeEngine
 
-from .callers import EVENT_SEPARATOR, RequestOutcome, SentRequest
+from .callers import (
+    EVENT_SEPARATOR,
+    PLAIN_ROUTES,
+    STREAM_ROUTES,
+    RequestOutcome,
+    SentRequest,
+)
 
 __all__ = ["HostOutage", "find_violations", "served_share"]
 
 # Routes whose requests may be executed at most once.
 NON_REPEATABLE_ROUTES = ("once", "tale")
-PLAIN_ROUTES = ("once", "again")
-STREAM_ROUTES = ("story", "tale")
 REFUSAL_STATUSES = (429, 503)
 TARGET_SUFFIX = "p%2Fq?x=1"
 # After a pause a host first handles what arrived meanwhile.
@@ -68,6 +72,7 @@
         *_find_wrong_responses(sent, engines, events, host_outages),
         *_find_foreign_answers(sent),
         *_find_joined_streams(sent, events),
+        *_find_foreign_results(engines),
         *_find_altered_requests(sent, engines),
         *_find_missing_responses(sent, host_outages),
         *_find_cut_requests(sent, engines, host_outages),
@@ -175,6 +180,30 @@
     ]
 
 
+def _find_foreign_results(engines: Sequence[FakeEngine]) -> list[str]:
+    """Return runs with a prefill result or reservation that is not their own.
+
+    A host that takes a copy for the answer to a prefill or a reservation names
+    the result of another request, or one that its engine never gave.
+    """
+    request_ids_by_source = {
+        f"{(engine.advertised_address or engine.address).text}/{handle}": request_id
+        for engine in engines
+        for handle, request_id in engine.request_ids_by_handle.items()
+    }
+    violations = []
+    for engine in engines:
+        for _, _, headers, _ in engine.received:
+            request_id = headers.get("x-request-id", "")
+            source = headers.get("x-kv-source", "")
+            hold = headers.get("x-kv-hold", "")
+            if source and request_ids_by_source.get(source) != request_id:
+                violations.append(f"{request_id} at {engine.id} names {source}")
+            if hold and hold not in engine.holds:
+                violations.append(f"{request_id} at {engine.id} names {hold}")
+    return violations
+
+
 def _expected_body(route: str, events: int) -> bytes:
     if route in PLAIN_ROUTES:
         return b"whole"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,8 +10,9 @@
 from tests.relay.odd_streams import ODD_ANSWERS
 from tests.relay.odd_values import WHOLE_VALUES, replace_field
 
+from .callers import SentRequest
 from .checks import HostOutage
-from .copies import random_copies
+from .copies import stuttering_engines
 from .host_process import HostProcess
 from .loopback_proxy import LinkState, LoopbackProxy
 from .soak_harness import EVENTS, SoakHarness
@@ -57,6 +58,8 @@
         self.counts: Counter[str] = Counter()
         self.log: list[str] = []
         self.host_outages: list[HostOutage] = []
+        # Requests of the callers that belong to faults.
+        self.sent: list[SentRequest] = []
         self._injectors_by_kind: dict[str, Callable[[], Awaitable[None]]] = {
             "host_killed": self._kill_host,
             "host_stopped": self._stop_host,
@@ -338,17 +341,14 @@
             store.remove(table, key)
 
     async def _stutter(self) -> None:
-        """Let an engine write copies of its answers."""
-        name = self._acquire_target(
-            [f"stutter of {key}" for key in self._harness.stutters]
-        )
-        if name is None:
+        """Let all engines write copies of refusals, errors and others."""
+        if self._acquire_target(["stutter"]) is None:
             return
-        proxy = self._harness.stutters[name.removeprefix("stutter of ")]
-        proxy.plan = random_copies(random.Random(self._rng.random()))
-        await self._sleep_fault_duration()
-        proxy.plan = None
-        self._targets_in_use.discard(name)
+        rng = random.Random(self._rng.random())
+        async with stuttering_engines(self._harness, rng) as callers:
+            await self._sleep_fault_duration()
+        self.sent += [item for caller in callers for item in caller.sent]
+        self._targets_in_use.discard("stutter")
 
     async def _answer_resumed_streams_oddly(self) -> None:
         """Break streams and answer requests for their rest oddly."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -96,7 +96,7 @@
             for host in harness.hosts
             if host.exit_status is not None
         ]
-    sent = [item for caller in callers for item in caller.sent]
+    sent = [*faults.sent, *(item for caller in callers for item in caller.sent)]
     result = SoakResult(seed, sent, dict(faults.counts), exited_hosts)
     result.violations += find_violations(
         sent, harness.engines, EVENTS, faults.host_outages
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,7 +25,7 @@
 
 
 def test_short_soak_of_stuttering_engines_and_odd_streams(tmp_path: Path) -> None:
-    """Without their mends, seed 4 shows a violation within these seconds."""
+    """The code before their mends (5cd6b42) shows violations."""
     kinds = ("engine_stutters", "stream_answer_odd")
     result = asyncio.run(
         run_soak(STUTTER_SEED, SECONDS, tmp_path, hosts=2, fault_kinds=kinds)
@@ -122,6 +122,28 @@
     assert find_violations([cut], [engine()], EVENTS, outages) == []
 
 
+@pytest.mark.parametrize(
+    ("header", "value", "violations"),
+    [
+        ("x-kv-source", "127.0.0.1:0/k1", 0),
+        ("x-kv-source", "127.0.0.1:0/k2", 1),
+        ("x-kv-source", "127.0.0.1:0/k3", 1),
+        ("x-kv-hold", "hold1", 0),
+        ("x-kv-hold", "hold2", 1),
+    ],
+)
+def test_results_of_other_requests_are_found(
+    header: str, value: str, violations: int
+) -> None:
+    """A copy that is taken for the answer to a prefill or a reservation."""
+    fake_engine = engine("a", target="/tale/p%2Fq?x=1")
+    fake_engine.request_ids_by_handle = {"k1": "a", "k2": "b"}
+    fake_engine.holds = {"hold1"}
+    fake_engine.received[0][2][header] = value
+    lines = find_violations([sent("tale", body=STREAM)], [fake_engine], EVENTS, [])
+    assert len(lines) == violations, lines
+
+
 def test_served_share_counts_only_requests_after_the_faults() -> None:
     during_faults = sent("once", began_s=1.0, status=503)
     disconnected = sent("once", began_s=6.0, outcome=RequestOutcome.LEFT)
