--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -176,12 +176,13 @@
         if request.path.startswith("/api/"):
             return self._api(request, body)
         self.received.append((request.method, request.raw_path, headers, body))
+        number = len(self.received)
         self.deadly_arrivals += [
             (part, self.arrivals_s[-1]) for part in self._deadly_parts(headers)
         ]
         try:
             await self.responsive.wait()
-            return await self._serve(request, headers)
+            return await self._serve(request, headers, number)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -209,13 +210,13 @@
         return web.Response(status=200)
 
     async def _serve(
-        self, request: web.BaseRequest, headers: dict[str, str]
+        self, request: web.BaseRequest, headers: dict[str, str], number: int
     ) -> web.StreamResponse:
         request_id = headers["x-request-id"]
         if self.full or self._chance(REFUSED_SHARE):
             return self._not_executed(request_id)
         if headers.get("x-stage") == "prefill":
-            handle = f"k{len(self.received)}"
+            handle = f"k{number}"
             self.request_ids_by_handle[handle] = request_id
             return web.json_response(
                 {"kv_handle": handle, "tokens": 10, "version": 1},
--- a/tests/soak/copies.py
+++ b/tests/soak/copies.py
@@ -19,6 +19,8 @@
 __all__ = ["stuttering_engines"]
 
 COPY_SHARE = 0.5
+# Control calls are few, so all of their answers are copied.
+CONTROL_PREFIX = "/api/"
 MAX_IDLE_S = 0.3
 # A copy on an idle connection is seen before the next request.
 TIMES = (*CopyTime, CopyTime.AFTER_REQUEST, CopyTime.BEFORE_NEXT)
@@ -35,7 +37,8 @@
 
     def __call__(self, exchange: Exchange) -> Copy | None:
         """Return a copy of an answer of any kind, or none."""
-        if self._rng.random() >= COPY_SHARE:
+        is_control_call = exchange.target.startswith(CONTROL_PREFIX)
+        if not is_control_call and self._rng.random() >= COPY_SHARE:
             return None
         data = exchange.answer
         if self._rng.random() < WITHOUT_ID_SHARE:
@@ -55,8 +58,8 @@
 ) -> AsyncIterator[list[SoakCaller]]:
     """Let all engines stutter under more callers, which have ended at the end.
 
-    Half of the answers are copied, whole or cut, with their id or not, at any
-    time.
+    Half of the answers and all those to control calls are copied, whole or
+    cut, with their id or not, at any time.
     """
     host_id = rng.choice(sorted(harness.caller_links))
     callers = [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -149,6 +149,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
         killed = signal_number is signal.SIGKILL
         self._record_outage(host.host_id, began_s, stopped_s, killed=killed)
+        self._targets_in_use.discard(host.host_id)
 
     async def _pause_host(self) -> None:
         host = self._acquire_host()
@@ -159,6 +160,7 @@
         await self._sleep_fault_duration()
         host.send(signal.SIGCONT)
         self._record_outage(host.host_id, began_s)
+        self._targets_in_use.discard(host.host_id)
 
     async def _reload_host(self) -> None:
         host = self._acquire_host()
@@ -376,8 +378,7 @@
         *,
         killed: bool = False,
     ) -> None:
-        """Record an outage that ends now and release the host."""
+        """Record an outage that ends now."""
         ended_s = asyncio.get_running_loop().time()
         outage = HostOutage(host_id, began_s, ended_s, stopped_s, killed)
         self.host_outages.append(outage)
-        self._targets_in_use.discard(host_id)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,14 +1,21 @@
 """Runs a short soak with a fixed seed and tests the checks of the soak."""
 
 import asyncio
+import random
 from pathlib import Path
 
+import aiohttp
 import pytest
 from tests.relay.fakes import FakeEngine
 
+from kumquat_core.settings import Address
+
 from .callers import RequestOutcome, SentRequest
 from .checks import HostOutage, find_violations, served_share
+from .faults import FaultInjector
+from .loopback_proxy import LoopbackProxy
 from .soak import run_soak
+from .soak_harness import SoakHarness
 
 SEED = 3
 STUTTER_SEED = 4
@@ -144,6 +151,51 @@
     assert len(lines) == violations, lines
 
 
+def test_prompts_that_wait_together_get_results_of_their_own() -> None:
+    """The fake engine named one result for all prompts of a silent period,
+    which the check took for a copy."""
+
+    async def send(session: aiohttp.ClientSession, request_id: str) -> str:
+        headers = {"X-Request-Id": request_id, "X-Stage": "prefill"}
+        url = f"http://{reader.address.text}/tale/p"
+        async with session.post(url, headers=headers) as response:
+            return str((await response.json())["kv_handle"])
+
+    async def run() -> None:
+        await reader.start()
+        reader.responsive.clear()
+        async with aiohttp.ClientSession() as session:
+            sent = [asyncio.ensure_future(send(session, key)) for key in "ab"]
+            while len(reader.received) < 2:
+                await asyncio.sleep(0.01)
+            reader.responsive.set()
+            handles = await asyncio.gather(*sent)
+        assert [reader.request_ids_by_handle[key] for key in handles] == ["a", "b"]
+        await reader.stop()
+
+    reader = FakeEngine("reader", "prefill")
+    asyncio.run(asyncio.wait_for(run(), 10.0))
+
+
+def test_fault_of_a_link_does_not_release_its_host(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another fault then started the host a second time, on the same ports."""
+
+    async def run() -> FaultInjector:
+        harness = SoakHarness(tmp_path, 0)
+        harness.caller_links["h0"] = LoopbackProxy(Address("127.0.0.1", 1))
+        faults = FaultInjector(harness, random.Random(1))
+        faults._targets_in_use.add("h0")
+        monkeypatch.setattr(faults, "_sleep_fault_duration", lambda: asyncio.sleep(0))
+        await faults._disturb_caller_link()
+        return faults
+
+    faults = asyncio.run(run())
+    assert [outage.host_id for outage in faults.host_outages] == ["h0"]
+    assert faults._targets_in_use == {"h0"}
+
+
 def test_served_share_counts_only_requests_after_the_faults() -> None:
     during_faults = sent("once", began_s=1.0, status=503)
     disconnected = sent("once", began_s=6.0, outcome=RequestOutcome.LEFT)
