--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -28,6 +28,8 @@
 from .engine_connection import ConnectionBrokenError
 from .engine_notices import EngineNotices
 from .engine_registry import EngineEntry
+from .event_steps import EventSteps
+from .event_stream import EventSplitter
 from .host_quarantine import HostQuarantine
 from .host_retry_budget import HostRetryBudget
 from .known_limits import KnownLimits
@@ -101,13 +103,15 @@
         self._calls = calls
         self._retries = retries
         self._ages = ages
+        self._steps = EventSteps()
 
     async def run(self, request: CallerRequest, sink: ResponseSink) -> StreamOutcome:
         """Serve a request until it has an outcome.
 
         Raises ``CallerDisconnectedError``.
         """
-        progress = StreamProgress(sink)
+        steps = self._steps.of_service(request.service, self._tokens_in(request, 1))
+        progress = StreamProgress(sink, EventSplitter(steps))
         progress.splitter.resume_after(request.metadata.resume_after)
         self._retries.record_request(request.service)
         loop_now_s = asyncio.get_running_loop().time()
@@ -119,10 +123,7 @@
             return timeout_outcome(progress, host_stopped=self._cutoff.reached)
         finally:
             self._calls.release_unused(progress.prefill, request.id)
-            if progress.reservation_id and progress.reservation_engine is not None:
-                self._calls.release_reservation(
-                    progress.reservation_engine, progress.reservation_id, request.id
-                )
+            self._starter.release_reservation(request, progress)
             if progress.first_event_s is not None:
                 first_event_s = progress.first_event_s - request.arrived_s
                 self._metrics.record_stream(first_event_s, progress.max_gap_s)
