--- a/tests/core/test_stuttering_servers.py
+++ b/tests/core/test_stuttering_servers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -14,11 +15,13 @@
 
 import pytest
 
+from kumquat_core import http_client
 from kumquat_core.engine_client import (
     EngineCommand,
     HttpEngineClient,
     PrefillResult,
 )
+from kumquat_core.host_list_client import HttpHostListClient
 from kumquat_core.http_client import create_session
 from kumquat_core.object_client import HttpObjectClient
 from kumquat_core.result_codes import Execution, ResultCode, RouterError
@@ -111,6 +114,7 @@
         self.engine = HttpEngineClient(session, 0.5)
         self.table = HttpTableClient(session, url, 0.5)
         self.objects = HttpObjectClient(session, url, 0.5)
+        self.host_list = HttpHostListClient(session, url, 0.5)
 
     async def prefill(self) -> Any:
         return await self.engine.prefill(self.url, "r", "m", "a b", 0.5)
@@ -145,6 +149,9 @@
         found = await self.objects.get("o")
         return None if found is None else found.content
 
+    async def hosts(self) -> Any:
+        return [host.host_id for host in (await self.host_list.fetch()).hosts]
+
     async def put(self) -> Any:
         return await self.objects.put("o", b"x", None)
 
@@ -172,6 +179,18 @@
     )
 
 
+def hosts(host_id: str) -> bytes:
+    host = {
+        "host_id": host_id,
+        "address": "127.0.0.1",
+        "peer_port": 1,
+        "failure_domain": "f",
+        "region": "r",
+        "state": "live",
+    }
+    return document(hosts=[host], backend_servers=[])
+
+
 def tokens(text: str) -> bytes:
     return f'data: {{"i": 0, "t": "{text}"}}\n\ndata: [DONE]\n\n'.encode()
 
@@ -216,6 +235,8 @@
     ),
     "object": ("stored", (200, b"old"), (200, b"new"), b"new"),
     "absent object": ("stored", (404, b""), (200, b"new"), b"new"),
+    "hosts": ("hosts", (200, hosts("a")), (200, hosts("b")), ["b"]),
+    "no hosts": ("hosts", (503, b"{}"), (200, hosts("b")), ["b"]),
     "put refused": ("put", (412, b""), (200, b""), True),
     "put": ("put", (200, b""), (412, b""), False),
 }
@@ -307,3 +328,46 @@
     assert isinstance(results[1], RouterError)
     assert results[2] == 2
     assert server.connections == 2
+
+
+def test_no_connection_is_reused_for_a_while_after_a_copy():
+    """Every second call to a server that went on to write copies failed."""
+    answers = [(200, report(number)) for number in range(10)]
+    server = StutteringServer(answers, bytes)
+    results = run_calls(server, [Clients.report] * 10)
+    assert [n for n, x in enumerate(results) if isinstance(x, RouterError)] == [1]
+    assert server.connections == 9
+
+
+def test_connections_are_reused_again_after_that_time(monkeypatch):
+    monkeypatch.setattr(http_client, "NO_REUSE_S", 0.0)
+    copies = iter([bytes] + [lambda _: b""] * 9)
+    answers = [(200, report(number)) for number in range(10)]
+    server = StutteringServer(answers, lambda answer: next(copies)(answer))
+    results = run_calls(server, [Clients.report] * 10)
+    assert isinstance(results[1], RouterError)
+    assert results[2:] == list(range(2, 10))
+    assert server.connections == 2
+
+
+def test_copy_of_one_server_does_not_concern_another():
+    async def run() -> int:
+        servers = [
+            StutteringServer([(200, report(n)) for n in range(6)], copy)
+            for copy in (bytes, lambda _: b"")
+        ]
+        listeners = [
+            await asyncio.start_server(s.serve, "127.0.0.1", 0) for s in servers
+        ]
+        async with create_session(1.0) as session:
+            for listener in listeners:
+                port = listener.sockets[0].getsockname()[1]
+                clients = Clients(session, f"http://127.0.0.1:{port}")
+                for _ in range(6):
+                    with contextlib.suppress(RouterError):
+                        await clients.report()
+        for listener in listeners:
+            listener.close()
+        return servers[1].connections
+
+    assert asyncio.run(run()) == 1
