Send no request behind a reservation unless the server returns ids

Requests to an engine that names no request ids ended with 502 and "answer_not_accepted" although the engine had served them, streams too: 10 of 10 requests in the new test, each sent behind a reservation.

An answer without an id counts only as the first one of a connection, and connections are no longer used after such an answer; but a reservation has no id and so does not show whether the server returns any. That next answers would bear one was trusted.

A request now uses a connection only if it is unused or an answer on it bore the id of its request. A copy of a reservation's answer can no longer meet a request there, either. Reservations use first the connections that requests cannot use. Nothing is learned for an address, where another engine may follow.

test_a_request_is_not_sent_twice_over_one_connection uses the pool without the exchange that reads ids, so it states that they are returned.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -217,8 +217,8 @@
 class EngineConnection:
     """A connection to one address.
 
-    ``exchanges`` counts the requests sent on it. ``idle_limit_s`` is the idle
-    timeout that the server announced, None if it announced none.
+    ``exchanges`` counts its requests, ``returns_ids`` tells if an answer had
+    the id of one. ``idle_limit_s`` is the announced idle timeout, if any.
     """
 
     def __init__(self, address: Address, protocol: _Protocol) -> None:
@@ -226,6 +226,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
         self.exchanges = 0
+        self.returns_ids = False
         self._protocol = protocol
         self._body_complete = False
         self._may_be_reused = True
--- a/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_exchange.py
@@ -103,7 +103,9 @@
             fault = AnswerFault.JOINED_HEAD
         if fault is not None:
             self._reject(fault, entry, request.id, connection, head)
-        if not ids:
+        if ids:
+            connection.returns_ids = True
+        else:
             connection.end_reuse()
         notice = self._dialect.notice(head, entry.id)
         self.notices.apply(entry, notice, head.status, sent_s)
@@ -131,7 +133,8 @@
         with it uses pooled connections. On a used one an answer counts only
         with a token that the connection has not carried; otherwise the call is
         sent again on an unused one, so it must be one that may be repeated.
-        Requests that follow on the connection are told from copies by id.
+        Requests follow on the connection only if the server returned the id of
+        one there before; they are told from copies by it.
 
         Raises ``SendFailedError`` and ``ConnectionBrokenError``.
         """
--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -79,11 +79,14 @@
         """Return an idle connection or open one.
 
         With ``recently_used``, connections that were idle for more than
-        ``RECENT_USE_S`` are not reused; one that has carried ``request_id``
-        never is. Raises ``SendFailedError`` if no connection can be opened.
+        ``RECENT_USE_S`` are not reused. One that has carried ``request_id``
+        never is, nor one on which the server has not returned an id yet: the
+        answer would not be accepted if it never does. Raises
+        ``SendFailedError`` if no connection can be opened.
         """
         now_s = self._clock.monotonic()
         idle = self._idle_by_address.get(address, [])
+        fallback: EngineConnection | None = None
         for index in reversed(range(len(idle))):
             connection = idle[index]
             idle_s = now_s - connection.idle_since_s
@@ -93,10 +96,17 @@
                 continue
             if recently_used and idle_s > RECENT_USE_S:
                 break
-            if request_id and connection.has_carried(request_id):
+            if request_id and not _may_carry(connection, request_id):
+                continue
+            if not request_id and connection.returns_ids:
+                # Requests cannot use the others, so these are used first.
+                fallback = fallback or connection
                 continue
             del idle[index]
             return connection
+        if fallback is not None:
+            idle.remove(fallback)
+            return fallback
         return await self.open(address, timeout_s)
 
     async def acquire_unused(
@@ -189,3 +199,10 @@
         if connection.idle_limit_s is not None:
             limit_s = max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
         return limit_s * min(1.0, self._idle_share)
+
+
+def _may_carry(connection: EngineConnection, request_id: str) -> bool:
+    """Tell whether the answer to a request can be told from earlier ones."""
+    if connection.exchanges == 0:
+        return True
+    return connection.returns_ids and not connection.has_carried(request_id)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -77,6 +77,8 @@
         self.drop_responses = 0
         # Added to every response, for example to announce a shutdown.
         self.extra_headers: dict[str, str] = {}
+        # Whether answers to requests bear the ids of these.
+        self.returns_ids = True
         # The limits that it has named, in order.
         self.limit_periods: list[LimitPeriod] = []
         # Ids of prompt parts under which the engine crashes when it begins to
@@ -154,6 +156,8 @@
         response = await self._handle(request)
         if not response.prepared:
             response.headers.update(self.extra_headers)
+            if not self.returns_ids:
+                response.headers.pop("X-Request-Id", None)
         return response
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -254,6 +258,8 @@
         headers: dict[str, str],
         response_headers: dict[str, str],
     ) -> web.StreamResponse:
+        if not self.returns_ids:
+            del response_headers["X-Request-Id"]
         response = web.StreamResponse(
             headers={
                 **response_headers,
--- a/tests/relay/test_copied_control_calls.py
+++ b/tests/relay/test_copied_control_calls.py
@@ -196,6 +196,37 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("route", ["once", "tale"])
+def test_no_request_without_an_id_follows_a_reservation(
+    route: str, idle_for_long: None
+) -> None:
+    """An engine that names no ids was taken for one that writes copies.
+
+    Nothing had shown that it returns the ids of requests, since a reservation
+    has none, and the answer to the request behind one was not accepted.
+    """
+
+    async def scenario(harness: RelayHarness) -> None:
+        role = harness.backend_servers if route == "once" else harness.decode_engines
+        engine = role[0]
+        for other in role[1:]:
+            harness.store.remove("servers", other.id)
+        engine.returns_ids = False
+        calls, entry = calls_of(harness), entry_of(harness, engine)
+        statuses = []
+        for _ in range(10):
+            assert await calls.reserve(entry, 5, 90)
+            statuses.append(await harness.request_status(route))
+        assert statuses == [200] * 10
+        # Reservations still share their connection.
+        opened = harness.host._parts.pool.opened
+        for _ in range(10):
+            assert await calls.reserve(entry, 5, 90)
+        assert harness.host._parts.pool.opened <= opened + 1
+
+    run_scenario(scenario)
+
+
 def test_a_refused_reservation_is_asked_for_once_more_on_another_connection(
     idle_for_long: None,
 ) -> None:
--- a/tests/relay/test_engine_connection.py
+++ b/tests/relay/test_engine_connection.py
@@ -212,6 +212,7 @@
             first.send("GET", "/", REQUEST_HEADERS, b"", "a")
             await first.read_head()
             assert [part async for part in first.read_body()] == [b"ok"]
+            first.returns_ids = True
             pool.release(first)
             second = await pool.acquire(
                 peer.address, recently_used=True, timeout_s=1.0, request_id="a"
