Accept what the kernel holds when the listener of an entry host closes

Callers that connected to a stopping entry host just before it closed its listener got a reset connection.

The own interface now closes its listener in the same way. The module moves to kumquat_core and takes the server; the relay stops its site afterwards, which closes nothing more.

Evidence: the new test opens five connections with a complete request before the close. Before, 5 of 5 were reset with the loop of asyncio and 4 or 5 with uvloop; after, all get 503 and none runs. Ruled out for both: that a connection which its caller reset while the kernel held it keeps the others from being accepted (six connections, three of them reset, both loops: three answers).

--- a/packages/kumquat_relay/src/kumquat_relay/closing_listener.py
+++ b/packages/kumquat_core/src/kumquat_core/closing_listener.py
@@ -11,25 +11,20 @@
 import socket
 from collections.abc import Callable
 
-from aiohttp import web
-
 __all__ = ["close_listener"]
 
 
 async def close_listener(
-    site: web.BaseSite, create_protocol: Callable[[], asyncio.Protocol]
+    server: asyncio.AbstractServer, create_protocol: Callable[[], asyncio.Protocol]
 ) -> int:
-    """Close a site and accept the connections that the kernel holds for it.
+    """Close a server and accept the connections that the kernel holds for it.
 
     Returns the number of these connections.
     """
-    server = site._server
-    if server is None:
-        return 0
     # A second descriptor keeps the listener open while the loop gives up its
     # own; nothing but these lines runs between the last accept and its close.
     listeners = [_duplicate(item) for item in getattr(server, "sockets", ())]
-    await site.stop()
+    server.close()
     held = [connection for item in listeners for connection in _accept_all(item)]
     loop = asyncio.get_running_loop()
     for connection in held:
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -15,6 +15,7 @@
 from multidict import CIMultiDict
 
 from kumquat_core.clock import Clock
+from kumquat_core.closing_listener import close_listener
 from kumquat_core.log_events import log_event
 from kumquat_core.result_codes import ResultCode
 from kumquat_core.settings import Address
@@ -23,7 +24,6 @@
 from .caller_request import CallerRequest
 from .caller_response import CallerResponse, client_error, failure, refusal
 from .caller_sink import CallerSink
-from .closing_listener import close_listener
 from .cluster_state import ClusterState
 from .cutoff import HOST_STOPPED, Cutoff
 from .open_requests import OpenRequests
@@ -140,7 +140,9 @@
     async def _stop_listening(self) -> None:
         assert self._runner is not None
         for site in list(self._runner.sites):
-            held = await close_listener(site, self._connections)
+            assert site._server is not None
+            held = await close_listener(site._server, self._connections)
+            await site.stop()
             if held:
                 log_event(logger, "held_connections_accepted", count=held)
 
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from kumquat_core.clock import Clock
+from kumquat_core.closing_listener import close_listener
 from kumquat_core.log_events import log_event
 from kumquat_core.request_ids import RequestId, RequestIdGenerator
 from kumquat_core.result_codes import ResultCode, RouterError
@@ -175,7 +176,9 @@
         if runner is None:
             return
         if self._listener is not None and self._connections is not None:
-            self._listener.close()
+            held = await close_listener(self._listener, self._connections.create)
+            if held:
+                log_event(logger, "held_connections_accepted", count=held)
             count = len(self._connections)
             closed = await self._connections.close(max(MIN_CLOSE_LIMIT_S, limit_s))
             self._observer.metrics.add_cut_answers(closed.cut)
