Write no refusal within an answer when a connection is closed

A caller that had left part of a streamed answer unread, had sent part of its next head and read on after the host had taken it for gone got "HTTP/1.1 503" between two chunks of the answer.

Cause: a connection whose caller reads nothing is closed although its request is still in progress, and the close refuses part of a head behind it. Each trusts the other's case not to happen: the probe of the parser states that all requests must have been answered. Only a connection whose requests are all answered gets the refusal now.

The host ends its streams before it closes connections, and then resets them, so that no way was found to see this at a whole host; its other answers are in the buffer as a whole before the close.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -98,12 +98,16 @@
         """Tell whether the body of the last request is incomplete."""
         return self._last_payload is not None and not self._last_payload.is_eof()
 
-    def _end_parsing(self) -> bool:
-        """Parse no further heads; tell whether part of one was received."""
+    def _end_parsing(self, *, answered: bool) -> bool:
+        """Parse no further heads; tell whether part of one can be refused.
+
+        Unless all that was read is ``answered``, a refusal would be written
+        within an answer.
+        """
         if self.in_body:
             return False
         self._drops_requests = True
-        return ends_within_head(self)
+        return answered and not self.close_announced and ends_within_head(self)
 
     @property
     def has_next_request(self) -> bool:
@@ -162,10 +166,10 @@
         """
         if self.closing or self.transport is None:
             return 0
-        self.closing = True
+        answered, self.closing = self.answered, True
         transport = self.transport
         if not transport.is_closing():
-            self._close_sending_side(transport)
+            self._close_sending_side(transport, answered=answered)
         while self._is_open() and left_s() > 0 and _unsent_bytes(transport):
             if self.is_abandoned():
                 break
@@ -182,10 +186,12 @@
             transport.close()
         return unsent
 
-    def _close_sending_side(self, transport: asyncio.Transport) -> None:
+    def _close_sending_side(
+        self, transport: asyncio.Transport, *, answered: bool
+    ) -> None:
         """Send the end of the connection after what is in the buffers."""
         self.stop_reading()
-        if self._end_parsing() and not self.close_announced:
+        if self._end_parsing(answered=answered):
             log_event(logger, "head_incomplete")
             transport.write(REFUSAL)
         try:
