Answer connections that asyncio has just accepted when a listener closes

Cause: asyncio creates the transport of an accepted connection in a task, which fails without a log line once the server is closed, and leaves the socket open. The close trusted that what the loop had accepted had its transport. uvloop creates it at once. The loop now stops accepting, takes two steps, and the server is closed after that; what arrives meanwhile is accepted from the second descriptor.

--- a/packages/kumquat_core/src/kumquat_core/closing_listener.py
+++ b/packages/kumquat_core/src/kumquat_core/closing_listener.py
@@ -13,6 +13,8 @@
 
 __all__ = ["close_listener"]
 
+ACCEPT_STEPS = 2
+
 
 async def close_listener(
     server: asyncio.AbstractServer, create_protocol: Callable[[], asyncio.Protocol]
@@ -21,12 +23,18 @@
 
     Returns the number of these connections.
     """
+    loop = asyncio.get_running_loop()
+    for item in getattr(server, "sockets", ()):
+        loop.remove_reader(item.fileno())
+    # asyncio creates the transports of what it has accepted in the next step,
+    # and can no longer do so when the server is closed. uvloop needs no step.
+    for _ in range(ACCEPT_STEPS):
+        await asyncio.sleep(0)
     # A second descriptor keeps the listener open while the loop gives up its
     # own; nothing but these lines runs between the last accept and its close.
     listeners = [_duplicate(item) for item in getattr(server, "sockets", ())]
     server.close()
     held = [connection for item in listeners for connection in _accept_all(item)]
-    loop = asyncio.get_running_loop()
     for connection in held:
         await loop.connect_accepted_socket(create_protocol, connection)
     return len(held)
