--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -176,7 +176,9 @@
         if runner is None:
             return
         if self._listener is not None and self._connections is not None:
-            await close_listener(self._listener, self._connections.create)
+            held = await close_listener(self._listener, self._connections.create)
+            if held:
+                log_event(logger, "held_connections_accepted", count=held)
             count = len(self._connections)
             closed = await self._connections.close(max(MIN_CLOSE_LIMIT_S, limit_s))
             self._observer.metrics.add_cut_answers(closed.cut)
