--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -108,7 +108,8 @@
                 continue
             del idle[index]
             return connection
-        if fallback is not None:
+        # A copy on a connection behind it closes all idle ones.
+        if fallback is not None and fallback.usable:
             idle.remove(fallback)
             return fallback
         return await self.open(address, timeout_s)
