--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -47,8 +47,7 @@
 
 # Limit on an incomplete response head or the framing of an incomplete chunk.
 MAX_HEAD_BYTES = 64 * 1024
-# Bounds the memory for the ids of a connection's requests to 8 KB. It adds one
-# new connection per 1,000 requests at most.
+# Bounds the memory for the ids of a connection's requests to 8 KB.
 MAX_EXCHANGES = 1000
 # Servers send one or two informational (1xx) responses at most.
 MAX_INFORMATIONAL_RESPONSES = 16
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -370,12 +370,11 @@
 
     def _may_resume(self, request: CallerRequest, progress: StreamProgress) -> bool:
         """Tell whether another engine may resume or restart the stream."""
-        splitter = progress.splitter
         if not request.route.allows_run_after(progress.runs):
             return False
-        if not self._rules.resumption and splitter.events > 0:
+        if not self._rules.resumption and progress.splitter.events > 0:
             return False
-        return splitter.can_continue
+        return progress.splitter.can_continue
 
     def _after_broken_run(
         self,
