--- a/tests/relay/test_last_run.py
+++ b/tests/relay/test_last_run.py
@@ -18,7 +18,7 @@
 DEADLINE_MS = 20_000
 
 
-async def _allow_runs(harness: RelayHarness, runs: int) -> None:
+async def allow_runs(harness: RelayHarness, runs: int) -> None:
     document = configuration(version=4)
     for route in document["routes"]:
         route |= {"max_attempts": runs, "timeout_ms": DEADLINE_MS}
@@ -28,7 +28,7 @@
     )
 
 
-def _pausing_answer(where: str) -> OddAnswer:
+def pausing_answer(where: str) -> OddAnswer:
     """Return an event stream that pauses once, before its head or an event."""
 
     async def answer(
@@ -51,6 +51,20 @@
     return answer
 
 
+async def read_stream(harness: RelayHarness) -> bytes:
+    """Send a request for a stream; return its body once it is complete."""
+    caller = await RawCaller.connect(harness.options.callers)
+    caller.writer.write(request_bytes("story", "last", DEADLINE_MS))
+    received = b""
+    async with asyncio.timeout(DEADLINE_MS / 1000):
+        while not (answer := parse_answer(received, reset=False)).complete:
+            chunk = await caller.reader.read(65536)
+            assert chunk, received
+            received += chunk
+    caller.close()
+    return answer.body
+
+
 @pytest.mark.parametrize("where", ["head", "event"])
 @pytest.mark.parametrize("runs", [1, 2])
 def test_the_last_run_of_a_stream_has_the_time_of_its_caller(
@@ -60,23 +74,14 @@
     engine could resume it, also if none was allowed to."""
 
     async def scenario(harness: RelayHarness) -> None:
-        await _allow_runs(harness, runs)
-        answers = [_pausing_answer(where)]
+        await allow_runs(harness, runs)
+        answers = [pausing_answer(where)]
         for engine in harness.decode_engines:
             engine.odd_first_answers = answers if runs == 1 else []
             engine.odd_answers = answers if runs == 2 else []
         if runs == 2:
             harness.break_next_stream(after=1)
-        caller = await RawCaller.connect(harness.options.callers)
-        caller.writer.write(request_bytes("story", "last", DEADLINE_MS))
-        received = b""
-        async with asyncio.timeout(DEADLINE_MS / 1000):
-            while not (answer := parse_answer(received, reset=False)).complete:
-                chunk = await caller.reader.read(65536)
-                assert chunk, received
-                received += chunk
-        caller.close()
-        assert answer.body == EVENTS
+        assert await read_stream(harness) == EVENTS
         assert sum(len(engine.runs) for engine in harness.decode_engines) == runs
 
     run_scenario(scenario)
