--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -95,6 +95,12 @@
         # Ids of prompt parts under which the engine crashes when it begins to
         # answer. It starts again after ``restart_s`` as a new incarnation.
         self.crashing_parts: set[str] = set()
+        # Bodies of requests under which the engine crashes likewise, after
+        # ``deadly_delay_s``.
+        self.deadly_bodies: set[bytes] = set()
+        self.deadly_delay_s = 0.02
+        # Whether it falls silent at a crash, as a process that loses power.
+        self.crashes_silently = False
         self.crashes = 0
         self._heartbeats = 0
         # Loop times of the crashes and of arrivals by crashing part.
@@ -123,6 +129,16 @@
         self.abort_connections()
         self._restart = asyncio.ensure_future(self._start_again())
 
+    async def _crash_under_request(self) -> None:
+        """End like a process that a request has crashed; never returns."""
+        await asyncio.sleep(self.deadly_delay_s)
+        if self.crashes_silently:
+            self.responsive.clear()
+            await asyncio.sleep(self.restart_s)
+            self.responsive.set()
+        await self.crash()
+        await asyncio.Event().wait()
+
     async def _start_again(self) -> None:
         await asyncio.sleep(self.restart_s)
         previous_id = self.id
@@ -233,6 +249,8 @@
         if self.prefills_expired and "x-kv-source" in headers:
             return self._not_executed(request_id)
         self.runs.append(request_id)
+        if await request.read() in self.deadly_bodies:
+            await self._crash_under_request()
         response_headers = {
             "X-Request-Id": request_id,
             "X-Response-Seal": f"seal-{self.id}",
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -84,6 +84,7 @@
         decode_engines: int = 2,
         *,
         stuttering: bool = False,
+        backend_servers: int = 2,
     ) -> None:
         self.retries = RetryBudgetSettings(0.2, 10.0, 60.0)
         self._host_count = host_count
@@ -94,7 +95,7 @@
         self.decode_engines = [
             FakeEngine(f"decode{n}", "decode") for n in range(decode_engines)
         ]
-        self.backend_servers = [FakeEngine(f"plain{n}") for n in range(2)]
+        self.backend_servers = [FakeEngine(f"plain{n}") for n in range(backend_servers)]
         self._ids = 0
 
     async def __aenter__(self) -> "RelayHarness":
@@ -189,6 +190,7 @@
         method: str = "POST",
         *,
         host: RelayHost | None = None,
+        body: bytes = b"body",
         **headers: str,
     ) -> "aiohttp.client._RequestContextManager":
         sent = {
@@ -203,7 +205,7 @@
         callers = (host or self.host)._options.callers
         url = f"http://{callers.text}/{route}/p%2Fq?x=1"
         return self.session.request(
-            method, URL(url, encoded=True), headers=sent | names, data=b"body"
+            method, URL(url, encoded=True), headers=sent | names, data=body
         )
 
 
@@ -213,12 +215,16 @@
     decode_engines: int = 2,
     *,
     stuttering: bool = False,
+    backend_servers: int = 2,
 ) -> None:
     """Run a scenario with a new harness."""
 
     async def run() -> None:
         async with RelayHarness(
-            host_count, decode_engines, stuttering=stuttering
+            host_count,
+            decode_engines,
+            stuttering=stuttering,
+            backend_servers=backend_servers,
         ) as harness:
             await scenario(harness)
 
