Refuse requests that crash the servers that run them, at all hosts

Callers saw: while a request that crashes servers came again, all servers of its service were down for seconds at a time, and sound requests got 502 and 503.

Cause: a run that ended with its server was a failure of that server and of nothing else. Plain requests carried no verdict, model requests only one on shared prompt parts, so each host sent the request again, and the retries of one attempt took down the next server.

The mark of a request, a keyed digest of caller, method, target and body, now counts as one more part of it in the evidence on prompt parts. A plain server whose run broke and that refuses connections has crashed; so has one that fell silent once the store shows the end of its incarnation. The owner of the group passes new evidence on plain requests to all hosts; digests in the replies to reports repair what is lost. Suspect requests run one at a time, one at each server (request_trials); after crashes at two addresses the request is refused, for each service. A crash is struck out when its server writes to the store later.

--- a/packages/kumquat_core/src/kumquat_core/crash_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/crash_messages.py
@@ -17,6 +17,9 @@
     "CrashEvidence",
     "CrashRecord",
     "EngineCrashReport",
+    "TrialEnded",
+    "TrialGrant",
+    "TrialRequest",
     "evidence_digest",
 ]
 
@@ -68,6 +71,42 @@
     trial: bool
 
 
+@dataclass(frozen=True)
+class TrialRequest:
+    """Asks the owner of a group to let a suspect request run on trial.
+
+    ``mark`` is that of the request. It may run at one of ``engines``, the
+    first of which is preferred. The reply is wanted within ``wait_ms``; the
+    trial ends within ``left_ms``.
+    """
+
+    group: str
+    request_id: str
+    mark: str
+    engines: tuple[str, ...]
+    wait_ms: Annotated[Whole, Field(ge=0)]
+    left_ms: Annotated[Whole, Field(ge=0)]
+
+
+@dataclass(frozen=True)
+class TrialGrant:
+    """Lets a suspect request run at ``engine``, or not yet if that is empty.
+
+    ``evidence_digest`` is that of what the owner knows.
+    """
+
+    engine: str
+    evidence_digest: Whole
+
+
+@dataclass(frozen=True)
+class TrialEnded:
+    """Reports that the trial of a request has ended."""
+
+    group: str
+    request_id: str
+
+
 def evidence_digest(records: Iterable[CrashRecord]) -> int:
     """Return a 32-bit digest by which two hosts compare what they know.
 
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -26,7 +26,14 @@
     ShardSummary,
     SlowStep,
 )
-from .crash_messages import CrashEvidence, CrashRecord, EngineCrashReport
+from .crash_messages import (
+    CrashEvidence,
+    CrashRecord,
+    EngineCrashReport,
+    TrialEnded,
+    TrialGrant,
+    TrialRequest,
+)
 from .limit_messages import (
     PermitGrant,
     PermitRequest,
@@ -90,6 +97,9 @@
     "SlowStep",
     "TicketBatch",
     "TicketFetch",
+    "TrialEnded",
+    "TrialGrant",
+    "TrialRequest",
     "decode",
     "encode",
 ]
@@ -157,6 +167,9 @@
     | SlowStep
     | TicketBatch
     | TicketFetch
+    | TrialEnded
+    | TrialGrant
+    | TrialRequest
 )
 
 
@@ -202,6 +215,9 @@
     41: PermitGrant,
     42: CrashEvidence,
     43: EngineCrashReport,
+    44: TrialRequest,
+    45: TrialGrant,
+    46: TrialEnded,
 }
 _NUMBERS_BY_TYPE = {value: key for key, value in _TYPES_BY_NUMBER.items()}
 _ADAPTERS_BY_NUMBER = {
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -223,7 +223,8 @@
             return
         services = self._cluster_state.routes.services_by_name
         model_services = {name for name, spec in services.items() if spec.engine}
-        for name in sorted(model_services | self._limits.groups()):
+        groups = self._limits.groups() | self._quarantine.groups()
+        for name in sorted(model_services | groups):
             await self._report_service(name)
 
     def _is_report_due(self) -> bool:
--- a/packages/kumquat_relay/src/kumquat_relay/caller_request.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_request.py
@@ -4,7 +4,7 @@
 a model engine describe its prompt, see ``PromptMetadata``.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .routes import Route
 
@@ -33,7 +33,8 @@
     ``headers`` are those that are forwarded to the engine. ``deadline_ms`` is
     the time that the caller waits for the response. ``resume_after`` is the
     number of the last event that the caller has received. ``shared_parts`` are
-    the ids of the parts of its prompt that other prompts may contain too.
+    the ids of the parts of its prompt that other prompts may contain too, and
+    ``credentials`` tell the client accounts of a host apart.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     prompt: PromptMetadata | None
     resume_after: int | None
     shared_parts: tuple[str, ...] = ()
+    credentials: bytes = b""
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,7 @@
     """One completely received attempt of a caller.
 
     ``arrived_s`` is the monotonic time at which it was completely received.
+    ``marks_by_key`` keeps what ``RequestMarks`` has computed.
     """
 
     metadata: RequestMetadata
@@ -59,6 +62,9 @@
     route: Route
     service: str
     arrived_s: float
+    marks_by_key: dict[bytes, str] = field(
+        default_factory=dict, compare=False, repr=False
+    )
 
     @property
     def id(self) -> str:
--- a/packages/kumquat_relay/src/kumquat_relay/crash_evidence.py
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_evidence.py
@@ -1,8 +1,10 @@
-"""Finds the prompt parts that crash the engines of one service.
+"""Finds the prompt parts and requests that crash engines or backend servers.
 
 Load pattern: some requests contain a prompt part that crashes each engine that
 begins to answer them. They arrive at any host and share their other parts with
-harmless requests, while engines also crash for other reasons.
+harmless requests, while engines also crash for other reasons. Or one request
+does so as a whole, and comes again with equal parts. Below, the mark of a
+request counts as one more part of it, see ``request_marks``.
 
 A part is suspect once an engine has crashed at the beginning of an answer to a
 request with it. It is cleared when a request with it is answered. It is
@@ -10,7 +12,8 @@
 ``CERTAIN_CRASHES`` crashes. Crashes at the same moment count once, since they
 may have a common cause, unless the request was a trial. If several parts share
 all their crashes, only requests with all of them are refused; trials of the
-others show which part is the cause.
+others show which part is the cause. A crash no longer counts if its engine
+turns out to live, since connections also break and are refused elsewhere.
 
 A quarantine ends after ``QUARANTINE_S``, doubled with each further crash. Then
 the part is suspect again, so one trial decides. After ``MAX_CRASHES`` it does
@@ -39,6 +42,8 @@
 FORGET_SUSPECT_S = 3600.0
 # Meanwhile all hosts have learned that a part is cleared.
 FORGET_CLEARED_S = 120.0
+# An engine that has ended writes nothing to the store after this time.
+MAX_WRITE_DELAY_S = 3.0
 # Bounds on memory where no two requests share a part.
 MAX_PARTS = 64
 MAX_HARMLESS_PARTS = 4096
@@ -117,6 +122,8 @@
 
     def __init__(self) -> None:
         self._parts_by_id: dict[str, _Part] = {}
+        # Times until which crashes of these engines are not recorded.
+        self._live_until_s_by_engine: dict[str, float] = {}
         self._digest: int | None = None
 
     def record_crash(
@@ -129,6 +136,8 @@
         known = self._parts_by_id.get(part)
         if known is not None and known.cleared_s is not None:
             return False
+        if at_s < self._live_until_s_by_engine.get(engine, float("-inf")):
+            return False
         if known is not None and engine in known.crashes_by_engine:
             crash = known.crashes_by_engine[engine]
             if not trial or crash.trial:
@@ -152,6 +161,25 @@
         self._digest = None
         return True
 
+    def record_life(self, engine: str, now_s: float) -> list[str]:
+        """Record that an engine has just written to the store.
+
+        Returns the parts that its connections had made suspect before.
+        """
+        latest_s = now_s - MAX_WRITE_DELAY_S
+        acquitted = []
+        for part_id, part in list(self._parts_by_id.items()):
+            crash = part.crashes_by_engine.get(engine)
+            if crash is None or crash.at_s > latest_s:
+                continue
+            self._live_until_s_by_engine[engine] = latest_s
+            del part.crashes_by_engine[engine]
+            acquitted.append(part_id)
+            if not part.crashes_by_engine:
+                del self._parts_by_id[part_id]
+            self._digest = None
+        return acquitted
+
     def merge(self, records: Iterable[CrashRecord], now_s: float) -> bool:
         """Add the records of another host; return whether any was unknown."""
         changed = False
@@ -192,10 +220,10 @@
 
     def verdict(self, parts: Iterable[str], now_s: float) -> Verdict:
         """Return how a request with these parts is treated."""
-        if not self._parts_by_id:
+        present = set(parts)
+        if present.isdisjoint(self._parts_by_id):
             return Verdict.NORMAL
         self.expire(now_s)
-        present = set(parts)
         suspects = self.suspects(present)
         if any(self._explains(part, present, now_s) for part in suspects):
             return Verdict.REFUSED
@@ -241,12 +269,19 @@
             if part.is_quarantined(now_s)
         }
 
+    def is_empty(self) -> bool:
+        """Return whether nothing is suspect, cleared or quarantined."""
+        return not self._parts_by_id
+
     def suspect_count(self) -> int:
         """Return the number of parts that are suspect or quarantined."""
         return sum(part.cleared_s is None for part in self._parts_by_id.values())
 
     def expire(self, now_s: float) -> None:
         """Forget cleared parts and those that only a few crashes concern."""
+        for engine, until_s in list(self._live_until_s_by_engine.items()):
+            if now_s - until_s > FORGET_SUSPECT_S:
+                del self._live_until_s_by_engine[engine]
         for part_id, part in list(self._parts_by_id.items()):
             forget_s = (
                 FORGET_CLEARED_S if part.cleared_s is not None else FORGET_SUSPECT_S
--- a/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
@@ -2,7 +2,12 @@
 
 A run whose engine closed its connection is a crash only if the engine then
 refuses connections, and if most of its other runs end too. The host that had
-the run checks the first condition, the owner of the service the second.
+the run checks the first condition, the owner of the service the second. No
+owner knows the runs at a backend server, so there the first one suffices until
+the server is seen to live.
+
+An engine may also fall silent, or accept connections again at once. Its runs
+are kept until the store shows that its incarnation has ended.
 """
 
 import asyncio
@@ -21,6 +26,7 @@
 from .engine_connection import SendFailedError
 from .engine_pool import EnginePool
 from .engine_registry import EngineEntry, EngineRegistry
+from .engine_runs import EngineRun, EngineRuns
 from .owner_selection import OwnerSelection
 from .prompt_quarantine import PromptQuarantine
 
@@ -36,7 +42,9 @@
 PROXY_CLOSE_S = 0.03
 # Outcomes of a probe that show that no process listens. A timeout may be due
 # to the network.
-REFUSALS = (ConnectionRefusedError.__name__, "closed")
+REFUSED = ConnectionRefusedError.__name__
+REFUSALS = (REFUSED, "closed")
+LEAVING = "leaving"
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +73,7 @@
         self._owners = owners
         self._quarantine = quarantine
         self._reports = CrashReports()
+        self._runs = EngineRuns(clock)
         self._tasks: set[asyncio.Task[None]] = set()
         self.runs_at: Callable[[str, str], int] = lambda service, engine_id: 0
 
@@ -72,7 +81,7 @@
         self, request: CallerRequest, entry: EngineEntry, trial_parts: tuple[str, ...]
     ) -> None:
         """Report the engine of a run that ended before its answer began."""
-        parts = self._quarantine.unknown_parts(request)
+        parts = self._record_broken(request, entry, trial=bool(trial_parts))
         if not parts:
             return
         report = EngineCrashReport(
@@ -86,6 +95,77 @@
         )
         self._start(self._check_and_report(report, entry))
 
+    def run_began(
+        self, request: CallerRequest, entry: EngineEntry, *, trial: bool
+    ) -> None:
+        """Record that a request is sent to an engine."""
+        self._runs.begin(request, entry, trial=trial)
+
+    def run_ended(self, request_id: str) -> None:
+        """Record that no engine has a run of a request any more."""
+        self._runs.end(request_id)
+
+    def record_answer(self, request_id: str, entry: EngineEntry) -> None:
+        """Record that an engine has answered, so that it lives."""
+        self._runs.end(request_id)
+        self._runs.record_answer(entry)
+
+    def run_silent(
+        self, request: CallerRequest, entry: EngineEntry, *, trial: bool
+    ) -> None:
+        """Record a run that got no whole answer though its engine may live."""
+        self._record_broken(request, entry, trial=trial)
+
+    async def plain_run_broken(
+        self,
+        request: CallerRequest,
+        entry: EngineEntry,
+        *,
+        trial: bool,
+    ) -> None:
+        """Record a crash if the backend server now refuses connections."""
+        parts = self._record_broken(request, entry, trial=trial)
+        if parts and await self._check(request.id, entry) == REFUSED:
+            self._record_crash(EngineRun(request.service, parts, entry, trial))
+
+    def _record_broken(
+        self, request: CallerRequest, entry: EngineEntry, *, trial: bool
+    ) -> tuple[str, ...]:
+        """Keep a broken run; return the parts that may crash engines."""
+        parts = self._quarantine.unknown_parts(request)
+        self._runs.record_broken(EngineRun(request.service, parts, entry, trial))
+        return parts
+
+    def engine_removed(self, entry: EngineEntry) -> None:
+        """Apply the removal of an engine, or of the one that had its id.
+
+        An engine that has announced its end did not crash.
+        """
+        listed = self._registry.get(entry.id)
+        if listed is not None or not entry.draining:
+            self.engine_ended(entry.id, listed.born_ms if listed else None)
+
+    def engine_ended(self, engine_id: str, born_ms: int | None) -> None:
+        """Record crashes under the runs that an ended incarnation had.
+
+        The one that was born at ``born_ms`` lives.
+        """
+        open_runs, broken = self._runs.take_ended(engine_id, born_ms)
+        for run in open_runs:
+            parts = self._quarantine.unknown_parts(run.request)
+            broken.append(EngineRun(run.request.service, parts, run.entry, run.trial))
+        for item in broken:
+            self._record_crash(item)
+
+    def _record_crash(self, run: EngineRun) -> None:
+        self._quarantine.record_crash(
+            run.service,
+            run.parts,
+            run.entry.incarnation,
+            run.entry.address.text,
+            trial=run.trial,
+        )
+
     def record_broken_run(self, engine_id: str) -> None:
         """Record at the owner that the connection of a run broke."""
         self._reports.record_broken_run(engine_id, self._clock.monotonic())
@@ -106,20 +186,24 @@
     async def _check_and_report(
         self, report: EngineCrashReport, entry: EngineEntry
     ) -> None:
+        if await self._check(report.request_id, entry) in REFUSALS:
+            await self._send(report)
+
+    async def _check(self, request_id: str, entry: EngineEntry) -> str:
+        """Return how the engine of a broken run treats a new connection."""
         await asyncio.sleep(PROBE_DELAY_S)
         listed = self._registry.get(entry.id)
         if listed is not None and listed.draining:
-            return
+            return LEAVING
         outcome = await self._probe(entry)
         log_event(
             logger,
             "engine_crash_checked",
             engine=entry.id,
-            request=report.request_id,
+            request=request_id,
             outcome=outcome,
         )
-        if outcome in REFUSALS:
-            await self._send(report)
+        return outcome
 
     async def _probe(self, entry: EngineEntry) -> str:
         """Return how an engine treats a new connection."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_notices.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_notices.py
@@ -42,7 +42,8 @@
 class EngineNotices:
     """Applies notices of engines and keeps the pauses that they asked for.
 
-    ``on_notice`` is called with each notice that has changed something.
+    ``on_notice`` is called with each notice that has changed something,
+    ``on_replaced`` with an engine whose address belongs to another one.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self._pauses_by_id: dict[str, _Pause] = {}
         self.on_notice: Callable[[EngineEntry, EngineNotice], None]
         self.on_notice = lambda entry, notice: None
+        self.on_replaced: Callable[[EngineEntry], None] = lambda entry: None
 
     def apply(
         self,
@@ -83,6 +85,8 @@
         if notice.pause_s > 0:
             self._start_pause(entry, notice.pause_s)
             changed = True
+        if notice.replaced:
+            self.on_replaced(entry)
         if changed:
             self.on_notice(entry, notice)
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -18,7 +18,7 @@
 state.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -64,6 +64,11 @@
     born_ms: int = 0
     heartbeat: int = field(default=0, compare=False)
 
+    @property
+    def incarnation(self) -> str:
+        """Return the id and the start, which no other process has."""
+        return f"{self.id}/{self.born_ms}"
+
 
 @dataclass
 class _KnownEntry:
@@ -95,7 +100,10 @@
 
 
 class EngineRegistry:
-    """Holds the newest entry of each engine and backend server."""
+    """Holds the newest entry of each engine and backend server.
+
+    ``on_written`` is called with each entry that is new to this host.
+    """
 
     def __init__(self) -> None:
         self._known_by_id: dict[str, _KnownEntry] = {}
@@ -104,6 +112,7 @@
         # Incremented with each change of an entry.
         self.revision = 0
         self._reconnected_s = float("-inf")
+        self.on_written: Callable[[EngineEntry], None] = lambda entry: None
 
     def store_reconnected(self, now_s: float) -> None:
         """Record that the store is reachable again after an outage."""
@@ -139,6 +148,7 @@
         self._known_by_id[entry.id] = _KnownEntry(
             self._with_announced_leaving(entry), version
         )
+        self.on_written(entry)
         return True
 
     def _is_restored(
--- a/packages/kumquat_relay/src/kumquat_relay/message_dispatch.py
+++ b/packages/kumquat_relay/src/kumquat_relay/message_dispatch.py
@@ -15,6 +15,8 @@
     RunsHeld,
     RunStalled,
     ServerLimitNotice,
+    TrialEnded,
+    TrialRequest,
 )
 
 from .host_quarantine import HostQuarantine
@@ -43,6 +45,10 @@
             return limit_owner.grant_permits(message)
         case CrashEvidence():
             return quarantine.prompts.apply(message, host_id)
+        case TrialRequest():
+            return await quarantine.trials.grant(message)
+        case TrialEnded():
+            quarantine.trials.end(message)
         case EngineCrashReport():
             quarantine.observer.apply(message)
         case RunPrefilled():
--- a/packages/kumquat_relay/src/kumquat_relay/plain_balancer.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_balancer.py
@@ -21,6 +21,7 @@
 from .engine_health import EngineHealth
 from .engine_notices import EngineNotices
 from .engine_registry import EngineEntry, EngineRegistry
+from .host_parts import HostParts
 from .relay_rules import ALL_RULES, RelayRules
 
 __all__ = ["PlainBalancer"]
@@ -75,12 +76,31 @@
         self._rng = rng
         self._stats_by_id: dict[str, _ServerStats] = {}
 
+    @classmethod
+    def from_parts(
+        cls, parts: HostParts, failure_domain: str, notices: EngineNotices
+    ) -> "PlainBalancer":
+        """Create the balancer of a host in a failure domain."""
+        return cls(
+            parts.cluster_state.registry,
+            parts.health,
+            failure_domain,
+            parts.rng,
+            notices,
+            parts.clock,
+            parts.rules,
+        )
+
     def choose(self, service: str, excluded: set[str]) -> EngineEntry | None:
         """Return the server with the lowest cost, None if there is none.
 
         Servers in ``excluded`` and servers that have asked this host for a
         pause are not considered.
         """
+        return next(iter(self.ranked(service, excluded)), None)
+
+    def ranked(self, service: str, excluded: set[str]) -> list[EngineEntry]:
+        """Return the servers that ``choose`` considers, the best one first."""
         entries = [
             entry
             for entry in self._registry.usable(service)
@@ -89,13 +109,9 @@
         ]
         entries = self._health.preferred(entries)
         if not self._rules.plain_choice:
-            return self._rng.choice(entries) if entries else None
+            return self._rng.sample(entries, len(entries))
         lowest_latency_ms = self._lowest_latency_ms(service)
-        return min(
-            entries,
-            key=lambda entry: self._cost(entry, lowest_latency_ms),
-            default=None,
-        )
+        return sorted(entries, key=lambda entry: self._cost(entry, lowest_latency_ms))
 
     def remaining_pause_s(self, service: str, excluded: set[str]) -> float | None:
         """Return the seconds until the first pause of a server ends.
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -10,22 +10,16 @@
 """
 
 import asyncio
+import functools
 import logging
-from dataclasses import dataclass, field
 
 from kumquat_core.clock import Clock
 from kumquat_core.log_events import log_event
 from kumquat_core.result_codes import ResultCode
 
 from .caller_request import CallerRequest
-from .caller_response import (
-    MIN_RETRY_AFTER_S,
-    PROMISE_STATUSES,
-    CallerResponse,
-    failure,
-    refusal,
-)
-from .cutoff import HOST_STOPPED, Cutoff
+from .caller_response import PROMISE_STATUSES, CallerResponse, failure
+from .cutoff import Cutoff
 from .engine_connection import (
     ConnectionBrokenError,
     EngineConnection,
@@ -38,18 +32,21 @@
 from .engine_registry import EngineEntry
 from .host_retry_budget import HostRetryBudget
 from .plain_balancer import PlainBalancer
+from .plain_outcomes import (
+    PlainProgress,
+    cut_response,
+    final_failure,
+    quarantined_response,
+    timeout_response,
+)
+from .plain_quarantine import PlainQuarantine
+from .prompt_quarantine import QuarantineError
 from .protocols import EngineDialect, SendOptions
 from .response_memory import ResponseMemory
 from .send_permits import SendPermits
 
 __all__ = ["PlainRelay"]
 
-# Retry-After without a usable server: enough time for a restarted server to
-# appear in the store.
-NO_SERVER_RETRY_S = 0.5
-# Retry-After if servers are known but did not serve the request: several times
-# the usual latency.
-UNSERVED_RETRY_S = 0.25
 # A request with less time left is not sent, since its response would not reach
 # the caller before the deadline.
 MIN_SEND_MS = 5
@@ -69,21 +66,6 @@
     """The send failed, but the request may have been executed."""
 
 
-@dataclass
-class _Progress:
-    """State of one request over its attempts.
-
-    ``without_permit`` are the servers whose named limit is used up.
-    """
-
-    tried: set[str] = field(default_factory=set)
-    without_permit: set[str] = field(default_factory=set)
-    sends: int = 0
-    may_have_executed: bool = False
-    last_reason: str = "no_server"
-    failed_response: CallerResponse | None = None
-
-
 class PlainRelay:
     """Sends plain requests and returns their responses."""
 
@@ -98,8 +80,10 @@
         exchanges: EngineExchanges,
         memory: ResponseMemory,
         permits: SendPermits,
+        quarantine: PlainQuarantine,
         cutoff: Cutoff,
     ) -> None:
+        self._quarantine = quarantine
         self._cutoff = cutoff
         self._permits = permits
         self._exchanges = exchanges
@@ -113,25 +97,31 @@
 
     async def run(self, request: CallerRequest) -> CallerResponse:
         """Send a request until there is a final response, and return it."""
-        progress = _Progress()
+        progress = PlainProgress()
         self._retries.record_request(request.service)
         try:
+            # Also before there is a server for it.
+            self._quarantine.check(request)
             async with self._cutoff.timeout_at(_loop_deadline_s(request, self._clock)):
                 return await self._send_until_final(request, progress)
+        except QuarantineError as error:
+            return quarantined_response(progress, error.verdict)
         except TimeoutError:
             if self._cutoff.reached:
-                return _cut_response(progress)
-            return _timeout_response(progress)
+                return cut_response(progress)
+            return timeout_response(progress)
+        finally:
+            self._quarantine.end_trial(request)
 
     async def _send_until_final(
-        self, request: CallerRequest, progress: _Progress
+        self, request: CallerRequest, progress: PlainProgress
     ) -> CallerResponse:
         while True:
             excluded = progress.tried | progress.without_permit
             entry = self._balancer.choose(request.service, excluded)
             if entry is None and progress.without_permit:
                 retry_s = self._permits.retry_after_s(progress.without_permit)
-                return _final_failure(progress, limit_s=retry_s)
+                return final_failure(progress, limit_s=retry_s)
             if entry is None:
                 pause_s = self._balancer.remaining_pause_s(
                     request.service, progress.tried
@@ -139,24 +129,33 @@
                 if pause_s is not None and await self._wait_for_pause(request, pause_s):
                     continue
                 pause_s = self._balancer.remaining_pause_s(request.service, set())
-                return _final_failure(progress, pause_s)
+                return final_failure(progress, pause_s)
+            entry = await self._quarantine.choose(
+                request,
+                entry,
+                functools.partial(self._balancer.ranked, request.service, excluded),
+            )
             if not await self._permits.acquire(request.id, entry):
+                self._quarantine.end_trial(request)
                 progress.without_permit.add(entry.id)
                 continue
             if not self._may_send(request, progress):
                 self._permits.give_back(entry)
-                return _final_failure(progress)
+                return final_failure(progress)
+            self._quarantine.check(request)
             progress.tried.add(entry.id)
             try:
                 response = await self._send(request, entry, progress)
             except _NotExecutedError as error:
+                self._quarantine.end_trial(request)
                 progress.last_reason = str(error)
                 continue
             except _MayHaveExecutedError as error:
                 progress.may_have_executed = True
                 progress.last_reason = str(error)
                 if not request.route.allows_retry:
-                    return _final_failure(progress)
+                    return final_failure(progress)
+                await self._quarantine.wait_for_check(request)
                 continue
             if response.status >= 500 and request.route.allows_retry:
                 progress.failed_response = response
@@ -175,7 +174,7 @@
         await asyncio.sleep(pause_s)
         return True
 
-    def _may_send(self, request: CallerRequest, progress: _Progress) -> bool:
+    def _may_send(self, request: CallerRequest, progress: PlainProgress) -> bool:
         """Tell whether time, route and retry budget allow another send."""
         if request.left_ms(self._clock.monotonic()) < MIN_SEND_MS:
             return False
@@ -192,7 +191,7 @@
         return False
 
     async def _send(
-        self, request: CallerRequest, entry: EngineEntry, progress: _Progress
+        self, request: CallerRequest, entry: EngineEntry, progress: PlainProgress
     ) -> CallerResponse:
         """Send a request once and return the response.
 
@@ -213,6 +212,7 @@
             raise _NotExecutedError("not_connected") from error
         options = SendOptions(entry.id, request.left_ms(self._clock.monotonic()))
         self._balancer.record_send(entry.id)
+        self._quarantine.run_began(request, entry)
         progress.sends += 1
         latency_ms: float | None = None
         try:
@@ -231,6 +231,9 @@
             connection.abort()
             self._log(request, entry, began_s, "broken", str(error))
             self._record_failure(entry, Failure.BROKEN)
+            self._quarantine.run_broken(
+                request, entry, closed_by_server=error.closed_by_peer
+            )
             raise _MayHaveExecutedError("connection_broken") from error
         except _NotExecutedError as error:
             self._log(request, entry, began_s, "not_executed", str(error))
@@ -241,10 +244,13 @@
             if request.left_ms(self._clock.monotonic()) <= 0:
                 progress.may_have_executed = True
                 self._record_failure(entry, Failure.BROKEN)
+                self._quarantine.run_broken(request, entry, closed_by_server=False)
             raise
         finally:
             self._balancer.record_end(entry.id, latency_ms)
+            self._quarantine.run_ended(request)
         self._log(request, entry, began_s, "answered", _answer_detail(response))
+        self._quarantine.record_answered(request, entry)
         if response.status >= 500:
             self._record_failure(entry, Failure.ERROR_ANSWER)
         elif self._health.record_success(entry.id):
@@ -317,42 +323,3 @@
     """Return the deadline of a request in the time of the event loop."""
     left_s = request.deadline_s - clock.monotonic()
     return asyncio.get_running_loop().time() + max(0.0, left_s)
-
-
-def _final_failure(
-    progress: _Progress, pause_s: float | None = None, limit_s: float | None = None
-) -> CallerResponse:
-    """Return the response to a request that must not be sent again.
-
-    ``pause_s`` is the time until the first pause of a server ends, ``limit_s``
-    the time until a server whose limit is used up may get the request.
-    """
-    if progress.failed_response is not None:
-        return progress.failed_response
-    if progress.may_have_executed:
-        return failure(ResultCode.BACKEND_FAILED, progress.last_reason)
-    if limit_s is not None:
-        return refusal(ResultCode.NO_CAPACITY_IN_TIME, "server_limited", limit_s)
-    if pause_s is not None:
-        return refusal(ResultCode.BACKEND_UNREACHABLE, "servers_paused", pause_s)
-    if not progress.tried:
-        return refusal(ResultCode.NO_ENGINE, "no_server", NO_SERVER_RETRY_S)
-    return refusal(
-        ResultCode.BACKEND_UNREACHABLE, progress.last_reason, UNSERVED_RETRY_S
-    )
-
-
-def _cut_response(progress: _Progress) -> CallerResponse:
-    """Return the response to a request whose host must exit."""
-    if progress.sends == 0:
-        return refusal(ResultCode.DRAINING, HOST_STOPPED, MIN_RETRY_AFTER_S)
-    return failure(ResultCode.OUTCOME_UNKNOWN, HOST_STOPPED, timed_out=True)
-
-
-def _timeout_response(progress: _Progress) -> CallerResponse:
-    """Return the response to a request whose deadline has passed."""
-    if progress.failed_response is not None:
-        return progress.failed_response
-    if progress.sends == 0:
-        return refusal(ResultCode.DEADLINE_BEFORE_START, "deadline", UNSERVED_RETRY_S)
-    return failure(ResultCode.DEADLINE_EXCEEDED, "deadline", timed_out=True)
--- a/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
@@ -1,15 +1,20 @@
-"""What this host knows about prompt parts that crash engines.
+"""What this host knows about prompt parts and requests that crash engines.
 
 The owner of a service collects the crashes that hosts report. Its grants and
 replies to reports carry a digest of what it knows; a host with another digest
 exchanges its knowledge with the owner before it uses the grant. So an owner
 that has just begun learns what the hosts know, and a host that was cut off
 learns it with the next reply. New knowledge is also sent at once to the hosts
-that have requests of the service. Nothing is sent while no engine has crashed.
+that have requests of the service, and to all hosts if it concerns requests to
+backend servers, which need no grant. Nothing is sent while no engine has
+crashed.
+
+A verdict on a request as a whole holds for all services, since the service of
+its route may be replaced.
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from kumquat_core.clock import Clock
 from kumquat_core.crash_messages import NO_EVIDENCE_DIGEST
@@ -20,7 +25,9 @@
 
 from .caller_request import CallerRequest
 from .crash_evidence import CrashEvidenceSet, CrashHistory, HarmlessParts, Verdict
+from .engine_registry import EngineEntry
 from .owner_selection import OwnerSelection
+from .request_marks import RequestMarks, is_plain_mark
 
 __all__ = ["PromptQuarantine", "QuarantineError"]
 
@@ -42,10 +49,12 @@
 
 
 class PromptQuarantine:
-    """Verdicts on prompt parts, and the exchange of their evidence.
+    """Verdicts on prompt parts and requests, and the exchange of evidence.
 
-    ``on_change`` is called with the service after its evidence has changed;
-    ``hosts_of`` returns the hosts that have requests at an owned queue.
+    Evidence is kept by group: a model service with those backend servers whose
+    hosts report to its owner, as ``group_of`` tells. ``on_change`` is called
+    with the group after its evidence has changed; ``hosts_of`` returns the
+    hosts that have requests at an owned queue, ``all_hosts`` all other hosts.
     """
 
     def __init__(
@@ -56,35 +65,67 @@
         owners: OwnerSelection,
         *,
         enabled: bool = True,
+        group_of: Callable[[str], str] = lambda service: service,
+        all_hosts: Callable[[], Iterable[str]] = lambda: (),
     ) -> None:
+        self.marks = RequestMarks()
+        self._group_of = group_of
+        self._all_hosts = all_hosts
         self._enabled = enabled
         self._host_id = host_id
         self._clock = clock
         self._links = links
         self._owners = owners
-        self._evidence_by_service: dict[str, CrashEvidenceSet] = {}
-        self._harmless_by_service: dict[str, HarmlessParts] = {}
-        self._logged_by_service: dict[str, set[tuple[str, ...]]] = {}
+        self._evidence_by_group: dict[str, CrashEvidenceSet] = {}
+        self._harmless_by_group: dict[str, HarmlessParts] = {}
+        self._logged_by_group: dict[str, set[tuple[str, ...]]] = {}
         self.on_change: Callable[[str], None] = lambda service: None
         self.hosts_of: Callable[[str], Iterable[str]] = lambda service: ()
 
     def verdict(self, request: CallerRequest) -> Verdict:
         """Return how a request is treated."""
-        evidence = self._evidence_by_service.get(request.service)
-        if evidence is None or not request.metadata.shared_parts:
+        if not self._has_evidence():
             return Verdict.NORMAL
-        return evidence.verdict(request.metadata.shared_parts, self._clock.monotonic())
+        parts, now_s = self._parts_of(request), self._clock.monotonic()
+        own = self._evidence_by_group.get(self.group(request))
+        for evidence in self._evidence_by_group.values():
+            if evidence is own or not evidence.suspects((parts[-1],)):
+                continue
+            if evidence.verdict(parts, now_s) is Verdict.REFUSED:
+                return Verdict.REFUSED
+        return own.verdict(parts, now_s) if own is not None else Verdict.NORMAL
 
-    def verdict_on_parts(self, service: str, parts: tuple[str, ...]) -> Verdict:
+    def verdict_on_parts(self, group: str, parts: tuple[str, ...]) -> Verdict:
         """Return how a queued request with suspect parts is treated."""
-        return self._evidence(service).verdict(parts, self._clock.monotonic())
+        return self._evidence(group).verdict(parts, self._clock.monotonic())
 
     def suspect_parts(self, request: CallerRequest) -> tuple[str, ...]:
         """Return the parts of a request that need a trial."""
-        evidence = self._evidence_by_service.get(request.service)
-        if evidence is None:
+        evidence = self._evidence_by_group.get(self.group(request))
+        if evidence is None or evidence.is_empty():
             return ()
-        return evidence.suspects(request.metadata.shared_parts)
+        return evidence.suspects(self._parts_of(request))
+
+    def group(self, request: CallerRequest) -> str:
+        """Return the group whose owner decides on a request."""
+        return self._group_of(request.service)
+
+    def groups(self) -> set[str]:
+        """Return the groups of which this host has evidence."""
+        return {
+            group
+            for group, evidence in self._evidence_by_group.items()
+            if not evidence.is_empty()
+        }
+
+    def _has_evidence(self) -> bool:
+        return any(
+            not evidence.is_empty() for evidence in self._evidence_by_group.values()
+        )
+
+    def _parts_of(self, request: CallerRequest) -> tuple[str, ...]:
+        """Return the shared parts of a request and its mark, which is last."""
+        return (*request.metadata.shared_parts, self.marks.mark(request))
 
     def check(self, request: CallerRequest, trial_parts: tuple[str, ...]) -> None:
         """Raise ``QuarantineError`` if a request must not reach an engine.
@@ -100,23 +141,34 @@
             raise QuarantineError(verdict)
 
     def unknown_parts(self, request: CallerRequest) -> tuple[str, ...]:
-        """Return the parts of a prompt that are not known to be harmless."""
+        """Return the parts of a request that are not known to be harmless."""
         if not self._enabled:
             return ()
-        harmless = self._harmless(request.service)
-        return tuple(
-            part for part in request.metadata.shared_parts if part not in harmless
-        )
+        harmless = self._harmless(self.group(request))
+        return tuple(part for part in self._parts_of(request) if part not in harmless)
 
     def record_answered(self, request: CallerRequest) -> None:
         """Record that an engine has survived the beginning of an answer."""
         if not self._enabled:
             return
-        harmless = self._harmless(request.service)
-        for part in request.metadata.shared_parts:
+        group = self.group(request)
+        harmless, parts = self._harmless(group), request.metadata.shared_parts
+        if group in self.groups():
+            parts = self._parts_of(request)
+        for part in parts:
             harmless.add(part)
-        if request.service in self._evidence_by_service:
-            self._clear_harmless(request.service, request.metadata.shared_parts)
+        self._clear_harmless(group, parts)
+
+    def record_life(self, entry: EngineEntry) -> None:
+        """Record that an engine has just written its entry."""
+        now_s = self._clock.monotonic()
+        for group in self.groups():
+            parts = self._evidence(group).record_life(entry.incarnation, now_s)
+            if parts:
+                log_event(
+                    logger, "engine_not_crashed", engine=entry.id, parts=",".join(parts)
+                )
+                self.on_change(group)
 
     def record_crash(
         self,
@@ -127,17 +179,18 @@
         *,
         trial: bool,
     ) -> None:
-        """Record at the owner that an engine crashed under some parts."""
+        """Record that an engine crashed under some parts."""
         if not self._enabled:
             return
-        evidence, now_s = self._evidence(service), self._clock.monotonic()
-        harmless = self._harmless(service)
-        changed = False
+        group = self._group_of(service)
+        evidence, now_s = self._evidence(group), self._clock.monotonic()
+        harmless = self._harmless(group)
+        changed = []
         for part in parts:
             if part in harmless:
                 continue
             if evidence.record_crash(part, engine, address, now_s, trial=trial):
-                changed = True
+                changed.append(part)
                 log_event(
                     logger,
                     "prompt_part_suspected",
@@ -148,11 +201,16 @@
                     crashes=len(evidence.crashes_of(part)),
                 )
         if changed:
-            self._share(service)
+            self._share(group, changed)
 
     def apply(self, message: CrashEvidence, host_id: str) -> CrashEvidence:
-        """Merge what another host knows; return what this host knows."""
-        self._merge(message, host_id)
+        """Merge what another host knows; return what this host knows.
+
+        An owner passes it on at once, so that all hosts learn it in time.
+        """
+        changed = self._merge(message, host_id)
+        if changed and self._owners.owner(message.service) == self._host_id:
+            self._share(message.service, {item.part for item in message.records})
         evidence = self._evidence(message.service)
         return CrashEvidence(message.service, evidence.records(self._clock.monotonic()))
 
@@ -162,7 +220,7 @@
 
     def digest(self, service: str) -> int:
         """Return the digest of what this host knows about a service."""
-        evidence = self._evidence_by_service.get(service)
+        evidence = self._evidence_by_group.get(service)
         if evidence is None:
             return NO_EVIDENCE_DIGEST
         return evidence.digest(self._clock.monotonic())
@@ -195,19 +253,20 @@
         """Return the numbers of quarantined sets and of suspect parts."""
         now_s = self._clock.monotonic()
         quarantined = suspect = 0
-        for evidence in self._evidence_by_service.values():
+        for evidence in self._evidence_by_group.values():
             evidence.expire(now_s)
             quarantined += len(evidence.quarantined(now_s))
             suspect += evidence.suspect_count()
         return quarantined, suspect
 
-    def _merge(self, message: CrashEvidence, host_id: str) -> None:
+    def _merge(self, message: CrashEvidence, host_id: str) -> bool:
+        """Add what another host knows; return whether any of it was new."""
         if not self._enabled:
-            return
+            return False
         service, now_s = message.service, self._clock.monotonic()
         evidence = self._evidence(service)
         if not evidence.merge(message.records, now_s):
-            return
+            return False
         log_event(
             logger,
             "crash_evidence_merged",
@@ -218,6 +277,7 @@
         self._log_quarantined(service)
         self._clear_harmless(service, {record.part for record in message.records})
         self.on_change(service)
+        return True
 
     def _clear_harmless(self, service: str, parts: Iterable[str]) -> None:
         """Clear suspect parts that this host has seen answered."""
@@ -230,15 +290,22 @@
             return
         for part in cleared:
             log_event(logger, "prompt_part_cleared", service=service, part=part)
-        self._share(service)
+        self._share(service, cleared)
 
-    def _share(self, service: str) -> None:
-        """Send the evidence to the owner or, as the owner, to the hosts."""
+    def _share(self, service: str, parts: Collection[str]) -> None:
+        """Send the evidence on some parts to the owner, or from it to all."""
         now_s = self._clock.monotonic()
         self._log_quarantined(service)
         owner = self._owners.owner(service)
-        receivers = {owner} if owner != self._host_id else set(self.hosts_of(service))
-        message = CrashEvidence(service, self._evidence(service).records(now_s))
+        receivers = {owner}
+        if owner == self._host_id:
+            receivers.update(self.hosts_of(service))
+            if any(is_plain_mark(part) for part in parts):
+                receivers.update(self._all_hosts())
+        records = self._evidence(service).records(now_s)
+        message = CrashEvidence(
+            service, tuple(record for record in records if record.part in parts)
+        )
         for host_id in sorted(receivers - {self._host_id}):
             try:
                 self._links.post(host_id, message)
@@ -256,7 +323,7 @@
         """Log the sets of parts that are newly in quarantine."""
         evidence = self._evidence(service)
         quarantined = evidence.quarantined(self._clock.monotonic())
-        for parts in quarantined - self._logged_by_service.get(service, set()):
+        for parts in quarantined - self._logged_by_group.get(service, set()):
             log_event(
                 logger,
                 "prompt_parts_quarantined",
@@ -265,10 +332,10 @@
                 parts=",".join(parts),
                 crashes=",".join(evidence.crashes_of(parts[0])),
             )
-        self._logged_by_service[service] = quarantined
+        self._logged_by_group[service] = quarantined
 
     def _evidence(self, service: str) -> CrashEvidenceSet:
-        return self._evidence_by_service.setdefault(service, CrashEvidenceSet())
+        return self._evidence_by_group.setdefault(service, CrashEvidenceSet())
 
     def _harmless(self, service: str) -> HarmlessParts:
-        return self._harmless_by_service.setdefault(service, HarmlessParts())
+        return self._harmless_by_group.setdefault(service, HarmlessParts())
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -94,14 +94,9 @@
             parts.clock, parts.cluster_state, self._limits.known
         )
         self._exchanges = parts.engine_exchanges(dialect, self._notices)
-        self._balancer = PlainBalancer(
-            parts.cluster_state.registry,
-            parts.health,
-            options.failure_domain,
-            parts.rng,
-            self._notices,
-            parts.clock,
-            parts.rules,
+        self._quarantine.follow_notices(self._notices)
+        self._balancer = PlainBalancer.from_parts(
+            parts, options.failure_domain, self._notices
         )
         self._probe = EngineProbe(
             parts.pool, parts.health, parts.cluster_state.registry
@@ -275,6 +270,7 @@
             self._exchanges,
             memory,
             self._limits.permits,
+            self._quarantine.plain,
             cutoff,
         )
         calls = EngineCalls(
@@ -317,6 +313,7 @@
         self._peer_key = key
         identity = PeerIdentity(self._options.host_id, self._incarnation)
         self._peer_links.use_key(key)
+        self._quarantine.prompts.marks.use_key(key)
         server = PeerServer(
             self._options.peers,
             identity,
@@ -375,7 +372,7 @@
         """Discard what an engine said before it was removed or restarted."""
         self._notices.clear_pause(entry.id)
         self._limits.remove_engine(entry.id)
-        self._quarantine.observer.remove_engine(entry.id)
+        self._quarantine.engine_removed(entry)
 
     async def _clean_up(self) -> None:
         """Remove engines, connections and runs whose time has expired."""
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -122,6 +122,7 @@
         except TimeoutError:
             return timeout_outcome(progress, host_stopped=self._cutoff.reached)
         finally:
+            self._quarantine.observer.run_ended(request.id)
             self._calls.release_unused(progress.prefill, request.id)
             self._starter.release_reservation(request, progress)
             if progress.first_event_s is not None:
@@ -222,6 +223,7 @@
             self._admission.report_prefill(request.id, PREFILL_SKIPPED)
         if needs_prefill and not await self._starter.prefill(request, grant, progress):
             return self._after_rejection(request, progress, "prompt_not_read")
+        self._quarantine.stream_began(request, progress, entry)
         try:
             stream = await self._starter.open(request, entry, progress)
         except RetryBudgetExhaustedError:
@@ -298,6 +300,7 @@
             stream.abort_if_open()
             run_events = splitter.events - progress.events_before
             report.gap_ms = stream.mean_gap_ms(run_events)
+        self._quarantine.observer.record_answer(request.id, entry)
         self._quarantine.prompts.record_answered(request)
         if progress.events_before == 0:
             report.generated_tokens = self._tokens_in(request, run_events)
@@ -331,6 +334,7 @@
             self._clock.monotonic()
         ):
             progress.answer_recorded = True
+            self._quarantine.observer.run_ended(request.id)
             self._quarantine.prompts.record_answered(request)
         if stream.events_forwarded == 0:
             # If no prefill engine was used, this tells the owner that the
@@ -391,10 +395,6 @@
             request, progress, entry.id, reason, may_resume, closed_by_engine
         )
         progress.excluded.add(entry.id)
-        if closed_by_engine and not progress.is_answering(self._clock.monotonic()):
-            self._quarantine.observer.run_broken(request, entry, progress.trial_parts)
-            # The request itself runs on trial before the owner has decided.
-            progress.own_suspects.update(
-                self._quarantine.prompts.unknown_parts(request)
-            )
+        if not progress.is_answering(self._clock.monotonic()):
+            self._quarantine.stream_broken(request, progress, entry, closed_by_engine)
         return None if may_resume else incomplete_outcome(progress, reason)
--- a/tests/relay/quarantine_fleet.py
+++ b/tests/relay/quarantine_fleet.py
@@ -12,7 +12,9 @@
 from kumquat_relay.engine_registry import EngineRegistry
 from kumquat_relay.host_quarantine import HostQuarantine
 from kumquat_relay.owner_selection import OwnerSelection
+from kumquat_relay.plain_quarantine import PlainQuarantine
 from kumquat_relay.prompt_quarantine import PromptQuarantine
+from kumquat_relay.request_trials import RequestTrials
 from kumquat_relay.routes import Route, RouteKind, WeightedService
 
 from .builders import SERVICE
@@ -51,7 +53,9 @@
     prompts = PromptQuarantine(host_id, clock, links, owners)
     pool = EnginePool(clock)
     observer = CrashObserver(host_id, clock, pool, registry, links, owners, prompts)
-    return HostQuarantine(prompts, observer)
+    trials = RequestTrials(clock, prompts, registry)
+    plain = PlainQuarantine(host_id, clock, links, owners, prompts, observer, trials)
+    return HostQuarantine(prompts, observer, trials, plain)
 
 
 def request_with(*parts: str) -> CallerRequest:
