--- a/tests/relay/test_copied_answers.py
+++ b/tests/relay/test_copied_answers.py
@@ -41,6 +41,7 @@
 from kumquat_relay.send_permits import SendPermits
 from kumquat_relay.store_version import StoreVersion
 
+from .quarantine_fleet import quarantine_of
 from .stutter import CopyTime, as_chunked
 
 SERVICE = "service"
@@ -203,6 +204,7 @@
             self._exchanges,
             ResponseMemory(),
             SendPermits("h", clock, limits, absent, absent, absent),
+            quarantine_of("h", clock, state.registry).plain,
             Cutoff(),
         )
         self._calls = EngineCalls(
