Pass evidence on plain requests on within large fleets

The owner sent each crash to all hosts itself. A host that passes nothing on is made up for by the digests in replies to reports.

--- a/packages/kumquat_core/src/kumquat_core/crash_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/crash_messages.py
@@ -4,13 +4,13 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 import xxhash
 from pydantic import Field
 
-from .message_fields import Whole
+from .message_fields import LATER_FIELD, Whole
 
 __all__ = [
     "NO_EVIDENCE_DIGEST",
@@ -47,11 +47,13 @@
 class CrashEvidence:
     """What the sender knows about the prompt parts of a service.
 
-    The reply, if one is wanted, is what the receiver knows.
+    The reply, if one is wanted, is what the receiver knows. It passes the
+    records on to the hosts in ``forward_to``.
     """
 
     service: str
     records: tuple[CrashRecord, ...] = ()
+    forward_to: tuple[str, ...] = field(default=(), metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_core/src/kumquat_core/message_fields.py
+++ b/packages/kumquat_core/src/kumquat_core/message_fields.py
@@ -10,7 +10,12 @@
 
 from pydantic import AfterValidator, Field
 
-__all__ = ["MAX_NUMBER", "AddressText", "Figure", "Port", "Whole"]
+__all__ = ["LATER_FIELD", "MAX_NUMBER", "AddressText", "Figure", "Port", "Whole"]
+
+# Metadata of fields that hosts of earlier builds do not know. They are the
+# last ones of their message and are left out while they have their defaults,
+# so that those hosts can decode every message that does not need them.
+LATER_FIELD = {"later": True}
 
 MAX_NUMBER = 2**53
 MAX_PORT = 65535
--- a/packages/kumquat_core/src/kumquat_core/peer_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/peer_messages.py
@@ -41,10 +41,9 @@
     ServerLimitNotice,
 )
 from .member_messages import Ack, MemberUpdate, Ping, PingRequest
-from .message_fields import Whole
+from .message_fields import LATER_FIELD, Whole
 from .result_codes import ResultCode, RouterError
 from .run_messages import (
-    LATER_FIELD,
     EngineNoticed,
     HeldRun,
     RunEnded,
--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -8,10 +8,9 @@
 
 from .crash_messages import NO_EVIDENCE_DIGEST
 from .limit_messages import NO_LIMITS_DIGEST, ServerLimit
-from .message_fields import AddressText, Figure, Whole
+from .message_fields import LATER_FIELD, AddressText, Figure, Whole
 
 __all__ = [
-    "LATER_FIELD",
     "EngineNoticed",
     "HeldRun",
     "RunEnded",
@@ -24,11 +23,6 @@
     "RunStalled",
 ]
 
-# Metadata of fields that hosts of earlier builds do not know. They are the
-# last ones of their message and are left out while they have their defaults,
-# so that those hosts can decode every message that does not need them.
-LATER_FIELD = {"later": True}
-
 
 @dataclass(frozen=True)
 class RunRequest:
--- a/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
@@ -14,7 +14,9 @@
 """
 
 import logging
-from collections.abc import Callable, Collection, Iterable
+import math
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import replace
 
 from kumquat_core.clock import Clock
 from kumquat_core.crash_messages import NO_EVIDENCE_DIGEST
@@ -33,6 +35,9 @@
 
 # A hundred times the latency between failure domains.
 EXCHANGE_TIMEOUT_S = 0.3
+# The owner of a larger fleet sends to some hosts, which send to the others, so
+# that each of them sends only tens of messages.
+MAX_DIRECT_RECEIVERS = 32
 
 logger = logging.getLogger(__name__)
 
@@ -208,6 +213,8 @@
 
         An owner passes it on at once, so that all hosts learn it in time.
         """
+        if message.forward_to:
+            self._post(replace(message, forward_to=()), message.forward_to)
         changed = self._merge(message, host_id)
         if changed and self._owners.owner(message.service) == self._host_id:
             self._share(message.service, {item.part for item in message.records})
@@ -306,18 +313,26 @@
         message = CrashEvidence(
             service, tuple(record for record in records if record.part in parts)
         )
-        for host_id in sorted(receivers - {self._host_id}):
+        self._post(message, sorted(receivers - {self._host_id}))
+        self.on_change(service)
+
+    def _post(self, message: CrashEvidence, host_ids: Sequence[str]) -> None:
+        """Send a message to hosts; in a large fleet some pass it on."""
+        size = 1
+        if len(host_ids) > MAX_DIRECT_RECEIVERS:
+            size = math.ceil(math.sqrt(len(host_ids)))
+        for start in range(0, len(host_ids), size):
+            first, *others = host_ids[start : start + size]
             try:
-                self._links.post(host_id, message)
+                self._links.post(first, replace(message, forward_to=tuple(others)))
             except RouterError as error:
-                # The next grant or report of the host shows the difference.
+                # The next grant or report of the hosts shows the difference.
                 log_event(
                     logger,
                     "crash_evidence_not_sent",
-                    peer=host_id,
+                    peer=first,
                     detail=error.detail,
                 )
-        self.on_change(service)
 
     def _log_quarantined(self, service: str) -> None:
         """Log the sets of parts that are newly in quarantine."""
--- a/tests/relay/quarantine_fleet.py
+++ b/tests/relay/quarantine_fleet.py
@@ -1,6 +1,7 @@
 """Hosts that exchange evidence on prompt parts, without I/O."""
 
 import asyncio
+from collections import Counter
 
 from kumquat_core.clock import Clock, ManualClock
 from kumquat_core.peer_messages import CrashEvidence, Envelope, Message, decode, encode
@@ -96,6 +97,7 @@
         data = encode(Envelope(1, message))
         fleet.messages += 1
         fleet.bytes += len(data)
+        fleet.bytes_by_sender[self._sender] += len(data)
         return fleet.hosts[host_id].apply(decode(data).message, self._sender)
 
 
@@ -106,6 +108,7 @@
         self.clock = ManualClock(1000.0)
         self.messages = 0
         self.bytes = 0
+        self.bytes_by_sender: Counter[str] = Counter()
         self.cut: set[str] = set()
         self.owners = {f"h{number}": _Owner("h0") for number in range(count)}
         self.hosts: dict[str, PromptQuarantine] = {}
@@ -117,7 +120,11 @@
     def restart(self, host_id: str) -> None:
         """Start a host that knows nothing."""
         host = PromptQuarantine(
-            host_id, self.clock, _FleetLinks(self, host_id), self.owners[host_id]
+            host_id,
+            self.clock,
+            _FleetLinks(self, host_id),
+            self.owners[host_id],
+            all_hosts=lambda: self.owners,
         )
         host.hosts_of = lambda service: self.active
         self.hosts[host_id] = host
