--- a/packages/kumquat_core/src/kumquat_core/result_codes.py
+++ b/packages/kumquat_core/src/kumquat_core/result_codes.py
@@ -169,7 +169,7 @@
         ResultCode.PROMPT_QUARANTINED,
         _NOT_RUN,
         503,
-        "Engines crash under a part of the prompt.",
+        "Engines crash under the request or a part of its prompt.",
     ),
     CodeSpec(ResultCode.ENGINE_FAILED, _UNKNOWN, 502, "The engine failed."),
     CodeSpec(
--- a/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_metrics.py
@@ -126,7 +126,7 @@
         )
         self.quarantined_requests = Counter(
             "kumquat_relay_quarantined_requests",
-            "Requests ended because engines crash under a part of their prompt",
+            "Requests ended because engines crash under them or a part of their prompt",
             registry=self.registry,
         )
         self._refused_continuations = Counter(
--- a/packages/kumquatctl/src/kumquatctl/log_causes.py
+++ b/packages/kumquatctl/src/kumquatctl/log_causes.py
@@ -38,7 +38,7 @@
     "not_reserved": "no engine had the slot that was granted",
     "objective_missed": "no slot was expected to be free within its objective",
     "partial_event": "the response of the engine ended within an event",
-    "prompt_quarantined": "engines crash under a part of its prompt",
+    "prompt_quarantined": "engines crash under it or under a part of its prompt",
     "prompt_not_read": "its prompt could not be prefilled",
     "retry_budget": "another send would have exceeded the retry budget",
     "saturated": "it was late while requests on time were refused",
@@ -56,8 +56,8 @@
     },
     "stopping": "the host was shutting down and might have cut it off",
     "trial_deferred": (
-        "an engine crashed under a part of its prompt, and all engines had too many "
-        "runs to try the part again"
+        "an engine crashed under it or under a part of its prompt, and none was free "
+        "to try it again"
     ),
     "too_many_late": "the limit of waiting late requests was reached",
     "waited_too_long": "no slot became free within its objective",
