--- a/packages/kumquat_core/src/kumquat_core/crash_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/crash_messages.py
@@ -4,19 +4,22 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 import xxhash
 from pydantic import Field
 
-from .message_fields import Whole
+from .message_fields import LATER_FIELD, Whole
 
 __all__ = [
     "NO_EVIDENCE_DIGEST",
     "CrashEvidence",
     "CrashRecord",
     "EngineCrashReport",
+    "TrialEnded",
+    "TrialGrant",
+    "TrialRequest",
     "evidence_digest",
 ]
 
@@ -44,11 +47,13 @@
 class CrashEvidence:
     """What the sender knows about the prompt parts of a service.
 
-    The reply, if one is wanted, is what the receiver knows.
+    The reply, if one is wanted, is what the receiver knows. It passes the
+    records on to the hosts in ``forward_to``.
     """
 
     service: str
     records: tuple[CrashRecord, ...] = ()
+    forward_to: tuple[str, ...] = field(default=(), metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
@@ -68,6 +73,42 @@
     trial: bool
 
 
+@dataclass(frozen=True)
+class TrialRequest:
+    """Asks the owner of a group to let a suspect request run on trial.
+
+    ``mark`` is that of the request. It may run at one of ``engines``, the
+    first of which is preferred. The reply is wanted within ``wait_ms``; the
+    trial ends within ``left_ms``.
+    """
+
+    group: str
+    request_id: str
+    mark: str
+    engines: tuple[str, ...]
+    wait_ms: Annotated[Whole, Field(ge=0)]
+    left_ms: Annotated[Whole, Field(ge=0)]
+
+
+@dataclass(frozen=True)
+class TrialGrant:
+    """Lets a suspect request run at ``engine``, or not yet if that is empty.
+
+    ``evidence_digest`` is that of what the owner knows.
+    """
+
+    engine: str
+    evidence_digest: Whole
+
+
+@dataclass(frozen=True)
+class TrialEnded:
+    """Reports that the trial of a request has ended."""
+
+    group: str
+    request_id: str
+
+
 def evidence_digest(records: Iterable[CrashRecord]) -> int:
     """Return a 32-bit digest by which two hosts compare what they know.
 
--- a/tests/relay/quarantine_fleet.py
+++ b/tests/relay/quarantine_fleet.py
@@ -1,6 +1,7 @@
 """Hosts that exchange evidence on prompt parts, without I/O."""
 
 import asyncio
+from collections import Counter
 
 from kumquat_core.clock import Clock, ManualClock
 from kumquat_core.peer_messages import CrashEvidence, Envelope, Message, decode, encode
@@ -12,7 +13,9 @@
 from kumquat_relay.engine_registry import EngineRegistry
 from kumquat_relay.host_quarantine import HostQuarantine
 from kumquat_relay.owner_selection import OwnerSelection
+from kumquat_relay.plain_quarantine import PlainQuarantine
 from kumquat_relay.prompt_quarantine import PromptQuarantine
+from kumquat_relay.request_trials import RequestTrials
 from kumquat_relay.routes import Route, RouteKind, WeightedService
 
 from .builders import SERVICE
@@ -51,7 +54,9 @@
     prompts = PromptQuarantine(host_id, clock, links, owners)
     pool = EnginePool(clock)
     observer = CrashObserver(host_id, clock, pool, registry, links, owners, prompts)
-    return HostQuarantine(prompts, observer)
+    trials = RequestTrials(clock, prompts, registry)
+    plain = PlainQuarantine(host_id, clock, links, owners, prompts, observer, trials)
+    return HostQuarantine(prompts, observer, trials, plain)
 
 
 def request_with(*parts: str) -> CallerRequest:
@@ -92,6 +97,7 @@
         data = encode(Envelope(1, message))
         fleet.messages += 1
         fleet.bytes += len(data)
+        fleet.bytes_by_sender[self._sender] += len(data)
         return fleet.hosts[host_id].apply(decode(data).message, self._sender)
 
 
@@ -102,6 +108,7 @@
         self.clock = ManualClock(1000.0)
         self.messages = 0
         self.bytes = 0
+        self.bytes_by_sender: Counter[str] = Counter()
         self.cut: set[str] = set()
         self.owners = {f"h{number}": _Owner("h0") for number in range(count)}
         self.hosts: dict[str, PromptQuarantine] = {}
@@ -113,7 +120,11 @@
     def restart(self, host_id: str) -> None:
         """Start a host that knows nothing."""
         host = PromptQuarantine(
-            host_id, self.clock, _FleetLinks(self, host_id), self.owners[host_id]
+            host_id,
+            self.clock,
+            _FleetLinks(self, host_id),
+            self.owners[host_id],
+            all_hosts=lambda: self.owners,
         )
         host.hosts_of = lambda service: self.active
         self.hosts[host_id] = host
