Close idle connections after the longest limit that was in force

A kept connection was closed after the idle limit of the time at which it was opened, two seconds added. Callers use it for four fifths of the limit that they know, so after a change from 300 ms to 6 s it was closed 2.5 s before they stopped using it, and a request that crossed the close got no answer.

Evidence: test_kept_connection_follows_an_idle_limit_that_grows fails before this change (0 bytes read), for a used connection and one never used. Ruled out: a limit that shrinks does not end open timers (its test passes before).

The hosts now keep the limits that were in force. A timer that ends looks up the longest one since the connection became idle and waits for its rest.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -25,6 +25,9 @@
 from kumquat_core.log_events import log_event
 from kumquat_core.partial_heads import ends_within_head
 
+from .idle_connection import IdleConnection
+from .limit_history import LimitHistory
+
 __all__ = ["CallerConnection", "CallerConnections"]
 
 # How long callers that do not close a connection themselves may read the last
@@ -53,7 +56,7 @@
 logger = logging.getLogger(__name__)
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(IdleConnection):
     """A connection that can stop reading for good.
 
     ``closing`` is set when the sending side is about to be closed, after the
@@ -72,8 +75,10 @@
         "due_s",
     )
 
-    def __init__(self, manager: web.Server, **options: Any) -> None:
-        super().__init__(manager, **options)
+    def __init__(
+        self, manager: web.Server, limits: LimitHistory, **options: Any
+    ) -> None:
+        super().__init__(manager, limits, **options)
         self._last_payload: StreamReader | None = None
         self._reading_stopped = False
         self._drops_requests = False
@@ -207,29 +212,26 @@
 class CallerConnections(web.Server):
     """All connections of callers.
 
-    ``left_s`` returns the seconds until the process must exit, ``idle_s`` how
-    long a new connection may be idle before it is closed.
+    ``left_s`` returns the seconds until the process must exit.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         left_s: Callable[[], float],
-        idle_s: Callable[[], float],
+        limits: LimitHistory,
         **options: Any,
     ) -> None:
         super().__init__(handler, **options)
         self._left_s = left_s
-        self._idle_s = idle_s
+        self._limits = limits
         self._closers: set[asyncio.Task[int]] = set()
         self._min_end_s = float("-inf")
         self.unsent_counts: list[int] = []
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(
-            self, loop=self._loop, keepalive_timeout=self._idle_s(), **self._kwargs
-        )
+        return CallerConnection(self, self._limits, loop=self._loop, **self._kwargs)
 
     def expect_answer(self, http_request: web.BaseRequest, due_s: float) -> None:
         """Record the loop time until which a caller waits for its response."""
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -26,11 +26,12 @@
 from .caller_sink import CallerSink
 from .cluster_state import ClusterState
 from .cutoff import HOST_STOPPED, Cutoff
+from .limit_history import DEFAULT_LIMITS
 from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
-from .request_reader import DEFAULT_LIMITS, STOPPING_RETRY_AFTER_S, RequestReader
+from .request_reader import STOPPING_RETRY_AFTER_S, RequestReader
 from .response_sink import CallerDisconnectedError
 from .routes import RouteKind
 from .shutdown import Shutdown
@@ -39,9 +40,6 @@
 
 __all__ = ["CallerServer"]
 
-# Callers reuse connections that were idle for up to 80 % of the idle limit.
-# Closing them later than the limit loses no request.
-IDLE_MARGIN_S = 2.0
 LISTEN_BACKLOG = 512
 STOP_POLL_S = 0.02
 # Within this time callers send the request of a connection that was accepted
@@ -76,6 +74,7 @@
         super().__init__()
         self._listen = listen
         self._clock = clock
+        self._cluster_state = cluster_state
         self._plain_relay = plain
         self._stream_relay = streams
         self._shutdown = shutdown
@@ -92,7 +91,7 @@
         self._connections = CallerConnections(
             self._handle,
             lambda: self._shutdown.left_s,
-            lambda: self._reader.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S,
+            self._cluster_state.limits,
             handler_cancellation=True,
             access_log=None,
             # Engines get bodies as they are, also compressed ones.
--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -14,6 +14,7 @@
 
 from .engine_health import EngineHealth
 from .engine_registry import EngineEntry, EngineRegistry
+from .limit_history import LimitHistory
 from .odd_entries import OddEntries
 from .protocols import Change, Changes, HostEntry, StateKind
 from .routes import EngineSpec, RouteTable
@@ -56,6 +57,7 @@
         self._outdated_s = notice_s + OUTDATED_MARGIN_S
         self._health = health
         self.routes: RouteTable | None = None
+        self.limits = LimitHistory(clock)
         self.registry = EngineRegistry()
         self.odd_entries = OddEntries()
         self.hosts_by_id: dict[str, HostEntry] = {}
@@ -100,18 +102,14 @@
         """
         if self.routes is None or self.engine_spec(service) is not None:
             return service
-        services = self.routes.services_by_name
-        names = (name for name, spec in services.items() if spec.engine is not None)
-        return min(names, default=service)
+        return min(self.routes.model_services, default=service)
 
     def max_connections(self) -> int:
         """Return the fewest connections that a service's engines accept.
 
         0 if none states a limit.
         """
-        services = self.routes.services_by_name.values() if self.routes else ()
-        limits = (spec.max_connections for spec in services)
-        return min((limit for limit in limits if limit > 0), default=0)
+        return self.routes.max_connections if self.routes is not None else 0
 
     @property
     def version(self) -> int:
@@ -299,6 +297,7 @@
                 )
             return
         self.routes = table
+        self.limits.change(table.limits)
         log_event(
             logger,
             "configuration_in_force",
--- /dev/null
+++ b/packages/kumquat_relay/src/kumquat_relay/idle_connection.py
@@ -0,0 +1,65 @@
+"""Connections that are closed once no request has arrived for long enough.
+
+Load pattern: several hundred connections are kept by callers, which use them
+for up to four fifths of the idle limit that they know. The limit may change at
+any time; the web server would apply the one of the time at which a connection
+was opened.
+"""
+
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from .limit_history import LimitHistory
+
+__all__ = ["IdleConnection"]
+
+# Callers reuse connections that were idle for up to 80 % of the idle limit.
+# Closing them later than the limit loses no request.
+IDLE_MARGIN_S = 2.0
+
+
+class IdleConnection(RequestHandler):
+    """A connection whose idle limit follows the configuration.
+
+    An idle connection is closed after the longest limit that was in force
+    while it was idle.
+    """
+
+    __slots__ = ("_limits",)
+
+    def __init__(
+        self, manager: web.Server, limits: LimitHistory, **options: Any
+    ) -> None:
+        idle_s = limits.current.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        super().__init__(manager, keepalive_timeout=idle_s, **options)
+        self._limits = limits
+
+    @property
+    def _awaits_request(self) -> bool:
+        """Tell whether all requests were answered and none has arrived."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def _process_keepalive(self) -> None:
+        """Close the connection if it has been idle for long enough.
+
+        The web server calls this when the limit of the time at which the
+        connection was opened has passed, and again after a later request.
+        """
+        self._keepalive_handle = None
+        if self._force_close or not self._keepalive or not self._awaits_request:
+            return
+        now_s = self._loop.time()
+        due_s = self._due_s(now_s)
+        if now_s < due_s:
+            self._keepalive_handle = self._loop.call_at(due_s, self._process_keepalive)
+        else:
+            self.force_close()
+
+    def _due_s(self, now_s: float) -> float:
+        """Return when to close the connection if nothing arrives before."""
+        idle_since_s = self._next_keepalive_close_time - self._keepalive_timeout
+        limits = self._limits.widest_over_last(now_s - idle_since_s)
+        due_s = idle_since_s + limits.idle_timeout_ms / 1000
+        return due_s + IDLE_MARGIN_S
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -21,12 +21,10 @@
 from .open_requests import OpenRequests
 from .protocols import EngineDialect
 from .request_body import read_body
-from .routes import CallerLimits, RouteTable
+from .routes import RouteTable
 
-__all__ = ["DEFAULT_LIMITS", "STOPPING_RETRY_AFTER_S", "RequestReader"]
+__all__ = ["STOPPING_RETRY_AFTER_S", "RequestReader"]
 
-# Apply until the first configuration is received.
-DEFAULT_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
 # A starting host receives its configuration within a second.
 NOT_READY_RETRY_AFTER_S = 1.0
 # Another host accepts the caller's next connection immediately.
@@ -52,12 +50,6 @@
         self._open_requests = open_requests
         self._body_cutoff = Cutoff()
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Return the limits that are in force."""
-        routes = self._cluster_state.routes
-        return routes.limits if routes is not None else DEFAULT_LIMITS
-
     def end_incomplete(self) -> None:
         """Refuse the requests whose bodies have not arrived completely."""
         self._body_cutoff.end_all()
@@ -66,7 +58,7 @@
         self, http_request: web.BaseRequest
     ) -> CallerRequest | CallerResponse:
         """Return the request, or the response if it cannot be served."""
-        routes, limits = self._cluster_state.routes, self.limits
+        routes, limits = self._cluster_state.routes, self._cluster_state.limits.current
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/packages/kumquat_relay/src/kumquat_relay/routes.py
+++ b/packages/kumquat_relay/src/kumquat_relay/routes.py
@@ -153,6 +153,22 @@
             index.setdefault((route.host.lower(), route.prefix), route)
         object.__setattr__(self, "_routes_by_host_and_prefix", index)
 
+    @property
+    def model_services(self) -> list[str]:
+        """Return the names of the services that model engines serve."""
+        services = self.services_by_name.values()
+        return [spec.name for spec in services if spec.engine is not None]
+
+    @property
+    def max_connections(self) -> int:
+        """Return the fewest connections that a service's engines accept.
+
+        0 if none states a limit.
+        """
+        services = self.services_by_name.values()
+        limits = (spec.max_connections for spec in services)
+        return min((limit for limit in limits if limit > 0), default=0)
+
     def match(self, host: str, target: str) -> Route | None:
         """Return the route of a host with the longest prefix of the path."""
         path = target.partition("?")[0]
--- /dev/null
+++ b/tests/relay/test_changed_limits.py
@@ -0,0 +1,84 @@
+"""Guards against requests that are lost when the limits of callers change."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from kumquat_core.clock import ManualClock
+from kumquat_relay import limit_history
+from kumquat_relay.limit_history import DEFAULT_LIMITS, LimitHistory
+
+from .raw_caller import RawCaller, RawResponse, request_bytes
+from .relay_harness import RelayHarness, configuration, run_scenario
+
+SHORT_IDLE_MS = 300
+LONG_IDLE_MS = 6000
+# Connections were closed this long after the idle limit.
+OLD_MARGIN_S = 2.0
+
+
+async def _change_limits(harness: RelayHarness, version: int, **limits: Any) -> None:
+    """Put a configuration in force at the host that differs in its limits."""
+    merged = configuration()["limits"] | limits
+    harness.store.put("op", "config", configuration(version, limits=merged))
+    state = harness.host._parts.cluster_state
+    await harness.wait_until(lambda: state.version == version)
+
+
+async def _connect(harness: RelayHarness) -> RawCaller:
+    return await RawCaller.connect(harness.host._options.callers)
+
+
+async def _request(caller: RawCaller, request_id: str) -> RawResponse:
+    caller.writer.write(request_bytes("again", request_id))
+    async with asyncio.timeout(3.0):
+        return await caller.read()
+
+
+def test_kept_connection_follows_an_idle_limit_that_grows() -> None:
+    """Connections were closed after the idle limit of the time at which they
+    were opened, while callers used them for four fifths of the new one."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(harness, 4, idle_timeout_ms=SHORT_IDLE_MS)
+        used, idle = await _connect(harness), await _connect(harness)
+        assert (await _request(used, "first")).status == 200
+        await _change_limits(harness, 5, idle_timeout_ms=LONG_IDLE_MS)
+        await asyncio.sleep(SHORT_IDLE_MS / 1000 + OLD_MARGIN_S + 0.3)
+        for caller, request_id in ((used, "second"), (idle, "third")):
+            assert (await _request(caller, request_id)).status == 200
+            caller.close()
+
+    run_scenario(scenario)
+
+
+def test_idle_limit_that_shrinks_keeps_connections_that_are_idle() -> None:
+    """Guards against connections that are closed before the limit that was in
+    force when they became idle, up to which their callers use them."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(harness, 4, idle_timeout_ms=LONG_IDLE_MS)
+        caller = await _connect(harness)
+        assert (await _request(caller, "first")).status == 200
+        await _change_limits(harness, 5, idle_timeout_ms=SHORT_IDLE_MS)
+        await asyncio.sleep(SHORT_IDLE_MS / 1000 + OLD_MARGIN_S + 0.3)
+        assert (await _request(caller, "second")).status == 200
+        caller.close()
+
+    run_scenario(scenario)
+
+
+def test_many_changes_keep_the_longest_limit() -> None:
+    """Guards against a history that grows or loses a limit at a change."""
+    clock = ManualClock()
+    history = LimitHistory(clock)
+    limits = DEFAULT_LIMITS
+    for number in range(200):
+        clock.advance(0.01)
+        idle_ms = LONG_IDLE_MS * 10 if number == 0 else SHORT_IDLE_MS + number
+        limits = dataclasses.replace(limits, idle_timeout_ms=idle_ms)
+        history.change(limits)
+    assert history.widest_over_last(10.0).idle_timeout_ms == LONG_IDLE_MS * 10
+    assert len(history._ended) <= limit_history.MAX_ENDED
+    clock.advance(10.01)
+    assert history.widest_over_last(10.0) == limits
--- a/tests/relay/test_refusal_in_answer.py
+++ b/tests/relay/test_refusal_in_answer.py
@@ -9,8 +9,10 @@
 import uvloop
 from aiohttp import web
 
+from kumquat_core.clock import SystemClock
 from kumquat_relay import caller_connection
 from kumquat_relay.caller_connection import CallerConnection, CallerConnections
+from kumquat_relay.limit_history import LimitHistory
 
 PART = b"x" * 100_000
 
@@ -34,8 +36,9 @@
 
     async def run() -> None:
         loop = asyncio.get_running_loop()
+        limits = LimitHistory(SystemClock())
         server = CallerConnections(
-            _answer_without_end, lambda: 30.0, lambda: 30.0, access_log=None
+            _answer_without_end, lambda: 30.0, limits, access_log=None
         )
         listener = await loop.create_server(server, "127.0.0.1", 0)
         sock = socket.socket()
