Keep a connection open while the head of a request arrives

The idle timer of a kept connection took part of a head for an idle connection: a head that began shortly before the end of the idle limit and came in two parts was cut without an answer, within the header timeout, which was applied nowhere. A change to a shorter idle limit makes this likelier.

Evidence: test_head_that_is_being_read_does_not_end_as_idle and test_head_that_never_ends_is_refused fail before this change (0 bytes read). Ruled out: heads that arrive in one part, also after a pause of the process, since the loop reads from connections before it runs timers.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -52,6 +52,10 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Sent if the rest of a head does not arrive in time.
+HEAD_TIMEOUT = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +69,7 @@
     """
 
     __slots__ = (
+        "_connections",
         "_drops_requests",
         "_last_payload",
         "_reading_stopped",
@@ -76,9 +81,10 @@
     )
 
     def __init__(
-        self, manager: web.Server, limits: LimitHistory, **options: Any
+        self, manager: "CallerConnections", limits: LimitHistory, **options: Any
     ) -> None:
         super().__init__(manager, limits, **options)
+        self._connections = manager
         self._last_payload: StreamReader | None = None
         self._reading_stopped = False
         self._drops_requests = False
@@ -98,6 +104,10 @@
         if self._request_count != count:
             self._last_payload = self._messages[-1][1]
 
+    def close_idle(self) -> None:
+        """Close the connection; refuse the head that has begun, if any."""
+        self._connections.start_closer(self, HEAD_TIMEOUT)
+
     @property
     def in_body(self) -> bool:
         """Tell whether the body of the last request is incomplete."""
@@ -163,18 +173,19 @@
         if not self._reading_stopped:
             super()._resume_transport_reading()
 
-    async def finish(self, left_s: Callable[[], float]) -> int:
+    async def finish(self, left_s: Callable[[], float], refusal: bytes) -> int:
         """Close the connection once its responses have arrived.
 
-        Returns the bytes that could not be sent while ``left_s`` was positive
-        and the caller read them.
+        ``refusal`` is sent if part of a head was read. Returns the bytes that
+        could not be sent while ``left_s`` was positive and the caller read
+        them.
         """
         if self.closing or self.transport is None:
             return 0
         answered, self.closing = self.answered, True
         transport = self.transport
         if not transport.is_closing():
-            self._close_sending_side(transport, answered=answered)
+            self._close_sending_side(transport, refusal, answered=answered)
         while self._is_open() and left_s() > 0 and _unsent_bytes(transport):
             if self.is_abandoned():
                 break
@@ -192,13 +203,13 @@
         return unsent
 
     def _close_sending_side(
-        self, transport: asyncio.Transport, *, answered: bool
+        self, transport: asyncio.Transport, refusal: bytes, *, answered: bool
     ) -> None:
         """Send the end of the connection after what is in the buffers."""
         self.stop_reading()
         if self._end_parsing(answered=answered):
             log_event(logger, "head_incomplete")
-            transport.write(REFUSAL)
+            transport.write(refusal)
         try:
             transport.write_eof()
         except OSError as error:
@@ -278,7 +289,7 @@
             log_event(logger, "requests_behind_stream_dropped")
         connection.drop_requests()
         connection.close_announced = True
-        self._start_closer(connection)
+        self.start_closer(connection)
 
     async def close_all(self) -> None:
         """Answer what was read and close all connections.
@@ -296,12 +307,15 @@
             if all(abandoned):
                 break
         for connection in self._caller_connections():
-            self._start_closer(connection)
+            self.start_closer(connection)
         # Errors are logged when a closer ends.
         await asyncio.gather(*self._closers, return_exceptions=True)
 
-    def _start_closer(self, connection: CallerConnection) -> None:
-        task = asyncio.ensure_future(connection.finish(self._seconds_left))
+    def start_closer(
+        self, connection: CallerConnection, refusal: bytes = REFUSAL
+    ) -> None:
+        """Close a connection; a head that is incomplete gets ``refusal``."""
+        task = asyncio.ensure_future(connection.finish(self._seconds_left, refusal))
         self._closers.add(task)
         task.add_done_callback(self._closer_ended)
 
--- a/tests/relay/test_changed_limits.py
+++ b/tests/relay/test_changed_limits.py
@@ -68,6 +68,46 @@
     run_scenario(scenario)
 
 
+def test_head_that_is_being_read_does_not_end_as_idle() -> None:
+    """A head that began just before the end of the idle limit was cut: its
+    connection was closed without an answer, within the header timeout."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(harness, 4, idle_timeout_ms=SHORT_IDLE_MS)
+        caller = await _connect(harness)
+        assert (await _request(caller, "first")).status == 200
+        await asyncio.sleep(SHORT_IDLE_MS / 1000 + OLD_MARGIN_S - 0.3)
+        request = request_bytes("again", "second")
+        caller.writer.write(request[:40])
+        await asyncio.sleep(1.0)
+        caller.writer.write(request[40:])
+        async with asyncio.timeout(3.0):
+            assert (await caller.read()).status == 200
+        caller.close()
+
+    run_scenario(scenario)
+
+
+def test_head_that_never_ends_is_refused() -> None:
+    """Guards against a close without an answer, and against a part of a head
+    that holds its connection for good."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(
+            harness, 4, idle_timeout_ms=SHORT_IDLE_MS, header_timeout_ms=500
+        )
+        caller = await _connect(harness)
+        caller.writer.write(request_bytes("again", "never")[:40])
+        async with asyncio.timeout(5.0):
+            response = await caller.read()
+            assert response.status == 408
+            assert response.closes
+            assert await caller.at_end()
+        caller.close()
+
+    run_scenario(scenario)
+
+
 def test_many_changes_keep_the_longest_limit() -> None:
     """Guards against a history that grows or loses a limit at a change."""
     clock = ManualClock()
