Do not close a connection as idle whose request has arrived

The hosts' event loop runs due timers right after it has read from connections. If reading one of them keeps it busy beyond the end of the idle limit of another, such as a large configuration does, the timer closed that connection although its next request lay unread in the kernel. The close reset the connection, and the caller got neither an answer nor a refusal.

Ruled out: a loop that is busy in a task, which reads first, and asyncio's own loop.

An idle timer that ends looks for unread bytes first and lets the loop read.

--- a/packages/kumquat_relay/src/kumquat_relay/idle_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/idle_connection.py
@@ -6,6 +6,10 @@
 was opened, and would close a connection on which part of a head has arrived.
 """
 
+import asyncio
+import fcntl
+import struct
+import termios
 from typing import Any
 
 from aiohttp import web
@@ -18,6 +22,9 @@
 # Callers reuse connections that were idle for up to 80 % of the idle limit.
 # Closing them later than the limit loses no request.
 IDLE_MARGIN_S = 2.0
+# How long the event loop needs at most to read what has arrived.
+READ_S = 0.02
+INT_BYTES = 4
 # Empty lines between requests begin no head.
 LINE_END = b"\r\n"
 
@@ -70,6 +77,9 @@
             return
         now_s = self._loop.time()
         due_s = self._due_s(now_s)
+        if now_s >= due_s and _has_unread_bytes(self.transport):
+            # The loop may run timers before it reads a request.
+            due_s = now_s + READ_S
         if now_s < due_s:
             self._keepalive_handle = self._loop.call_at(due_s, self._process_keepalive)
         else:
@@ -85,3 +95,16 @@
             head_due_s = self._head_began_s + limits.header_timeout_ms / 1000
             due_s = max(due_s, head_due_s)
         return due_s + IDLE_MARGIN_S
+
+
+def _has_unread_bytes(transport: asyncio.Transport | None) -> bool:
+    """Tell whether bytes have arrived that the event loop has not read."""
+    if transport is None:
+        return False
+    try:
+        sock = transport.get_extra_info("socket")
+        unread = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(INT_BYTES))
+    except (OSError, ValueError):
+        # The socket is closed.
+        return False
+    return bool(struct.unpack("i", unread)[0])
--- a/tests/relay/test_changed_limits.py
+++ b/tests/relay/test_changed_limits.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import dataclasses
+import os
+import threading
+import time
 from typing import Any
 
+import uvloop
+
 from kumquat_core.clock import ManualClock
 from kumquat_relay import limit_history
 from kumquat_relay.limit_history import DEFAULT_LIMITS, LimitHistory
@@ -13,6 +18,7 @@
 
 SHORT_IDLE_MS = 300
 LONG_IDLE_MS = 6000
+BUSY_S = 0.6
 # Connections were closed this long after the idle limit.
 OLD_MARGIN_S = 2.0
 
@@ -122,3 +128,39 @@
     assert len(history._ended) <= limit_history.MAX_ENDED
     clock.advance(10.01)
     assert history.widest_over_last(10.0) == limits
+
+
+class _BusyProtocol(asyncio.Protocol):
+    """Keeps the event loop busy while it reads."""
+
+    def data_received(self, data: bytes) -> None:
+        time.sleep(BUSY_S)
+
+
+def test_request_that_came_while_the_host_was_busy_is_not_closed_as_idle() -> None:
+    """The event loop of the hosts runs timers after it has read, so a host
+    that was busy reading at the end of the idle limit closed a connection
+    whose next request had arrived meanwhile, and the caller got no answer."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        busy = await loop.create_server(_BusyProtocol, "127.0.0.1", 0)
+        async with RelayHarness() as harness:
+            await _change_limits(harness, 4, idle_timeout_ms=SHORT_IDLE_MS)
+            caller = await _connect(harness)
+            other = await asyncio.open_connection(*busy.sockets[0].getsockname())
+            assert (await _request(caller, "first")).status == 200
+            await asyncio.sleep(SHORT_IDLE_MS / 1000 + OLD_MARGIN_S - BUSY_S / 2)
+            other[1].write(b"busy")
+            # The bytes arrive while the loop is busy.
+            sock = caller.writer.get_extra_info("socket")
+            request = request_bytes("again", "second")
+            timer = threading.Timer(BUSY_S / 2, os.write, (sock.fileno(), request))
+            timer.start()
+            async with asyncio.timeout(3.0):
+                assert (await caller.read()).status == 200
+            other[1].close()
+            caller.close()
+        busy.close()
+
+    uvloop.run(run())
