Let a body limit that grows apply to the body that is read

A body was held to the limits of the time at which its head was read. At a host that learns of a larger body limit after its caller, a request that was allowed was answered 413, which callers do not repeat.

Evidence: test_body_limit_that_grows_while_a_body_is_read_applies_to_it fails before this change (413). Ruled out: limits that shrink, which did not and do not apply to a body that has begun. A trial that also kept the larger limit for 3 s failed test_bytes_of_a_body_are_no_request and was dropped.

Limits that grow while a body is read now apply to it.

--- a/packages/kumquat_relay/src/kumquat_relay/limit_history.py
+++ b/packages/kumquat_relay/src/kumquat_relay/limit_history.py
@@ -11,7 +11,7 @@
 
 from .routes import CallerLimits
 
-__all__ = ["DEFAULT_LIMITS", "LimitHistory"]
+__all__ = ["DEFAULT_LIMITS", "LimitHistory", "widest"]
 
 # Apply until the first configuration is received.
 DEFAULT_LIMITS = CallerLimits(16384, 4 * 1024 * 1024, 3000, 15000)
@@ -37,7 +37,7 @@
         self.current = limits
         if len(self._ended) > MAX_ENDED:
             (_, first), (ended_s, second), *others = self._ended
-            self._ended = [(ended_s, _widest(first, second)), *others]
+            self._ended = [(ended_s, widest(first, second)), *others]
 
     def widest_over_last(self, seconds: float) -> CallerLimits:
         """Return the widest limits that were in force in the last seconds."""
@@ -46,11 +46,12 @@
         for ended_s, ended in reversed(self._ended):
             if ended_s < since_s:
                 break
-            limits = _widest(limits, ended)
+            limits = widest(limits, ended)
         return limits
 
 
-def _widest(first: CallerLimits, second: CallerLimits) -> CallerLimits:
+def widest(first: CallerLimits, second: CallerLimits) -> CallerLimits:
+    """Return the larger one of each limit."""
     return CallerLimits(
         max(first.max_header_bytes, second.max_header_bytes),
         max(first.max_body_bytes, second.max_body_bytes),
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -13,7 +13,7 @@
 from kumquat_core.result_codes import ResultCode
 
 from .caller_response import CallerResponse, client_error
-from .routes import CallerLimits
+from .limit_history import LimitHistory, widest
 
 __all__ = ["read_body"]
 
@@ -21,12 +21,14 @@
 
 
 async def read_body(
-    http_request: web.BaseRequest, limits: CallerLimits
+    http_request: web.BaseRequest, history: LimitHistory
 ) -> bytes | CallerResponse:
     """Return the whole body, or the response if there is none.
 
-    A body may pause for as long as a connection may be idle.
+    A body may pause for as long as a connection may be idle. The limits of its
+    beginning apply, and larger ones that come into force while it is read.
     """
+    limits = history.current
     body = bytearray()
     chunks = http_request.content.iter_any()
     while True:
@@ -42,5 +44,6 @@
         if not chunk:
             return bytes(body)
         body += chunk
+        limits = widest(limits, history.current)
         if len(body) > limits.max_body_bytes:
             return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -58,13 +58,13 @@
         self, http_request: web.BaseRequest
     ) -> CallerRequest | CallerResponse:
         """Return the request, or the response if it cannot be served."""
-        routes, limits = self._cluster_state.routes, self._cluster_state.limits.current
+        routes = self._cluster_state.routes
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             async with self._body_cutoff.timeout_at(None):
-                body = await read_body(http_request, limits)
+                body = await read_body(http_request, self._cluster_state.limits)
         except TimeoutError:
             metadata = self._dialect.read_request(http_request.raw_headers)
             log_event(logger, "body_incomplete", request=metadata.request_id)
--- a/tests/relay/test_changed_limits.py
+++ b/tests/relay/test_changed_limits.py
@@ -164,3 +164,26 @@
         busy.close()
 
     uvloop.run(run())
+
+
+def test_body_limit_that_grows_while_a_body_is_read_applies_to_it() -> None:
+    """A body was held to the limit of the time of its head, at a host that
+    learned of a larger one later than its caller, and rejected for good."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(harness, 4, max_body_bytes=1000)
+        request = request_bytes("again", "grows", body=b"b" * 5000)
+        caller = await _connect(harness)
+        caller.writer.write(request[:900])
+        await asyncio.sleep(0.1)
+        await _change_limits(harness, 5, max_body_bytes=10_000)
+        caller.writer.write(request[900:])
+        async with asyncio.timeout(3.0):
+            assert (await caller.read()).status == 200
+        await _change_limits(harness, 6, max_body_bytes=1000)
+        caller.writer.write(request_bytes("again", "later", body=b"b" * 5000))
+        async with asyncio.timeout(3.0):
+            assert (await caller.read()).status == 413
+        caller.close()
+
+    run_scenario(scenario)
