Let the configuration lengthen the lines of a request's head

The parser of callers' requests had a fixed limit of 16 KB for a line, so a longer one was answered 400 although max_header_bytes allowed it. Callers do not repeat a request after 400.

Evidence: test_line_of_a_head_may_be_as_long_as_the_configuration_allows fails before this change (400). Ruled out: shorter lines, which were read.

New connections use the configured limit if it is larger. A connection that is open when the limit grows keeps the limit that it began with.

--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -26,7 +26,7 @@
 from kumquat_core.partial_heads import ends_within_head
 
 from .idle_connection import IdleConnection
-from .limit_history import LimitHistory
+from .limit_history import DEFAULT_LIMITS, LimitHistory
 
 __all__ = ["CallerConnection", "CallerConnections"]
 
@@ -44,6 +44,8 @@
 # passed. Callers abandon streams after pauses of this length.
 UNREAD_S = 2.0
 POLL_S = 0.01
+# Lines of a head may be as long as this under all configurations.
+MIN_LINE_BYTES = DEFAULT_LIMITS.max_header_bytes
 # The state of a TCP connection that both sides have closed, see tcp(7).
 TCP_STATE_CLOSED = 7
 INT_BYTES = 4
@@ -242,7 +244,10 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, self._limits, loop=self._loop, **self._kwargs)
+        longest = max(MIN_LINE_BYTES, self._limits.current.max_header_bytes)
+        lines = {"max_line_size": longest, "max_field_size": longest}
+        options = self._kwargs | lines
+        return CallerConnection(self, self._limits, loop=self._loop, **options)
 
     def expect_answer(self, http_request: web.BaseRequest, due_s: float) -> None:
         """Record the loop time until which a caller waits for its response."""
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -26,7 +26,6 @@
 from .caller_sink import CallerSink
 from .cluster_state import ClusterState
 from .cutoff import HOST_STOPPED, Cutoff
-from .limit_history import DEFAULT_LIMITS
 from .open_requests import OpenRequests
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
@@ -96,8 +95,6 @@
             access_log=None,
             # Engines get bodies as they are, also compressed ones.
             auto_decompress=False,
-            max_line_size=DEFAULT_LIMITS.max_header_bytes,
-            max_field_size=DEFAULT_LIMITS.max_header_bytes,
         )
         self._runner = web.ServerRunner(self._connections, shutdown_timeout=0.1)
         await self._runner.setup()
--- a/tests/relay/test_changed_limits.py
+++ b/tests/relay/test_changed_limits.py
@@ -187,3 +187,19 @@
         caller.close()
 
     run_scenario(scenario)
+
+
+def test_line_of_a_head_may_be_as_long_as_the_configuration_allows() -> None:
+    """A line of over 16 KB was answered 400, whatever the configuration."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        await _change_limits(harness, 4, max_header_bytes=40_000)
+        caller = await _connect(harness)
+        for length, status in ((30_000, 404), (50_000, 400)):
+            request = request_bytes("none/" + "t" * length, "long")
+            caller.writer.write(request)
+            async with asyncio.timeout(3.0):
+                assert (await caller.read()).status == status
+        caller.close()
+
+    run_scenario(scenario)
