Take a reset within a body without a length for a failure

Cause: aiohttp ends a body without length and chunks at any loss of the connection, also at a reset. A backend server that was reset within such an answer gave its caller a 200 with an empty or short body, framed as whole; an object of the object store ended short in the same way.

Evidence: an answer of each call of engines, backend servers, table service, object store and host list, ended after each byte of head and body by a close, a reset or silence, with a length, in chunks and until the close. Ruled out: cut heads (no success at any byte), short bodies with a length or chunks, and streams (only their end marker ends them).

A close within such a body remains its end: HTTP gives no other.

Test: test_answer_cut_after_any_byte_is_no_success[close-reset] fails before the change; the eight other cases passed before.

--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
@@ -47,7 +49,34 @@
 NO_REUSE_S = 30.0
 
 
-class _CheckedConnector(aiohttp.TCPConnector):
+class _ResponseHandler(ResponseHandler):
+    """Fails a response whose connection is reset before its body ends.
+
+    aiohttp takes a reset for the end of a body without a length, which lasts
+    until the connection is closed.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection lost: {type(exc).__name__}"),
+                exc,
+            )
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections that tell a reset from the end of a response."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # aiohttp has no public option for the class of its protocol.
+        create: Callable[..., ResponseHandler] = _ResponseHandler
+        self._factory = partial(create, loop=self._loop)
+
+
+class _CheckedConnector(_Connector):
     """Reuses only connections on which nothing arrived while they were idle.
 
     aiohttp treats such bytes as the response to the next request and has no
@@ -96,11 +125,11 @@
     A session that does not reuse connections sends each request only once.
     """
     if reuse_connections:
-        connector: aiohttp.TCPConnector = _CheckedConnector(
+        connector: _Connector = _CheckedConnector(
             limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
         )
     else:
-        connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
+        connector = _Connector(limit=MAX_CONNECTIONS, force_close=True)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s)
     session = aiohttp.ClientSession(connector=connector, timeout=timeout)
     if not reuse_connections:
