Bear a pause of 1.6 s in a transfer between engines

Cause: an import was given four times its nominal time, but at least 0.5 s. A sound decode or prefill engine that fell silent for 0.6 to 1.6 s during an import counted as failed: it was blocked, the prefill was done again, and the attempt came out of the retry budget of its account and pool.

Ruled out: prefill (waits for the patience of its request), the stream and its head (5 s without an event), reports and takeovers (read again).

Change: at least 2 s for a transfer. A transfer that really stalls is noticed 1.5 s later; a retry after the 1 s in which results are kept needs a new prefill either way.

--- a/packages/kumquatrouter/src/kumquatrouter/attempt.py
+++ b/packages/kumquatrouter/src/kumquatrouter/attempt.py
@@ -22,10 +22,10 @@
 
 __all__ = ["Attempt", "AttemptRunner"]
 
-# A transfer that takes four times its nominal time is treated as stalled; the
-# minimum covers the setup time of short transfers.
+# A transfer that takes four times its nominal time is treated as stalled. A
+# sound engine at either end may pause for 1.6 s; the minimum covers that.
 TRANSFER_TIMEOUT_FACTOR = 4.0
-MIN_TRANSFER_TIMEOUT_S = 0.5
+MIN_TRANSFER_TIMEOUT_S = 2.0
 
 # A decode step this many times longer than the step of a full batch is
 # reported to the shard owner, at most once per period for each engine.
