Open a connection to the last backend server anew when none is accepted

Cause: a connection that a backend server neither accepted nor refused within the connect timeout (1 s) ended the attempt. A service with one server, or whose others were tried already, then answered BACKEND_UNREACHABLE, although the server only paused and the request had most of its time left.

Evidence: a listener whose queue is full, as that of a paused server or host, accepts after 1.2 connect timeouts: BACKEND_UNREACHABLE (ConnectionTimeoutError) for repeatable and non-repeatable calls. Ruled out: a pause after the connection is accepted; the call waits for the timeout of its service.

Change: the last server of a call gets up to three connects, which bear a pause of up to 2 s with the default timeout. Nothing is sent before one is accepted, so no call is sent twice. A refused connection ends the attempt at once as before, and while other servers are left they are tried first.

Test: test_only_server_that_accepts_no_connection_for_a_while_gets_the_call_once fails before the change in both cases.

--- a/packages/kumquat_core/src/kumquat_core/backend_client.py
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -30,7 +31,9 @@
     """A call to a plain backend server; ``key`` and ``fence`` identify it.
 
     ``fence`` is the fencing token of the attempt: servers that check it refuse
-    attempts with a lower one for the same key.
+    attempts with a lower one for the same key. A connection that the server
+    neither accepts nor refuses in time is opened anew, ``connects`` times in
+    all.
     """
 
     method: str
@@ -39,6 +42,7 @@
     headers: Mapping[str, str]
     key: str
     fence: int
+    connects: int = 1
 
 
 @dataclass(frozen=True)
@@ -88,16 +92,10 @@
         }
         try:
             async with asyncio.timeout(timeout_s):
-                async with exchange(
-                    self._session,
-                    request.method,
-                    url.rstrip("/") + "/" + request.path.lstrip("/"),
-                    data=request.body,
-                    headers=headers,
-                ) as response:
-                    body = await read_response_body(response, MAX_RESPONSE_BYTES)
-                    content_type = response.headers.get("Content-Type", "")
-                    return BackendResponse(response.status, content_type, body)
+                for _ in range(request.connects - 1):
+                    with contextlib.suppress(aiohttp.ConnectionTimeoutError):
+                        return await self._send_once(url, request, headers)
+                return await self._send_once(url, request, headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise RouterError(
                 ResultCode.BACKEND_UNREACHABLE, type(error).__name__
@@ -107,6 +105,24 @@
                 ResultCode.OUTCOME_UNKNOWN, type(error).__name__
             ) from error
 
+    async def _send_once(
+        self, url: str, request: BackendRequest, headers: Mapping[str, str]
+    ) -> BackendResponse:
+        """Send a call over a new connection.
+
+        Raises ``ConnectionTimeoutError`` only when nothing was sent.
+        """
+        async with exchange(
+            self._session,
+            request.method,
+            url.rstrip("/") + "/" + request.path.lstrip("/"),
+            data=request.body,
+            headers=headers,
+        ) as response:
+            body = await read_response_body(response, MAX_RESPONSE_BYTES)
+            content_type = response.headers.get("Content-Type", "")
+            return BackendResponse(response.status, content_type, body)
+
     async def raise_fence(self, url: str, key: str, fence: int) -> bool:
         """Raise the fence of a key; return whether it was ever accepted."""
         status, document = await request_json(
--- a/packages/kumquatrouter/src/kumquatrouter/plain_path.py
+++ b/packages/kumquatrouter/src/kumquatrouter/plain_path.py
@@ -36,6 +36,9 @@
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 MAX_ATTEMPTS = 3
+# A server that answers no connection may pause; the last one that is left gets
+# this many, at least a second apart by the default connect timeout.
+LAST_SERVER_CONNECTS = 3
 NO_FENCE = 0
 
 # The response to a non-repeatable call is awaited beyond the caller's
@@ -128,7 +131,7 @@
         for server in servers:
             result = await self._guard.run(
                 _idempotent_call(server, request, deadline_s),
-                partial(self._send, server, request),
+                partial(self._send, server, request, server is servers[-1]),
             )
             if is_successful(result):
                 outcome = result.unwrap()
@@ -166,9 +169,11 @@
         failure = RouterError(ResultCode.BACKEND_UNREACHABLE, retry_after_s=1.0)
         try:
             async with asyncio.timeout(request.deadline_ms / 1000):
-                for server in self._candidates(configuration, request):
+                servers = self._candidates(configuration, request)
+                for server in servers:
+                    is_last = server is servers[-1]
                     try:
-                        result = await self._send(server, request, NO_FENCE)
+                        result = await self._send(server, request, is_last, NO_FENCE)
                         self._observe(request, server, ResultCode.OK)
                         return result
                     except RouterError as error:
@@ -213,8 +218,9 @@
         return servers[:MAX_ATTEMPTS]
 
     async def _send(
-        self, server: BackendServer, request: PlainRequest, fence: int
+        self, server: BackendServer, request: PlainRequest, is_last: bool, fence: int
     ) -> BackendResponse:
+        """Send a call; ``is_last`` if no other server is left for it."""
         call = BackendRequest(
             method=request.method,
             path=request.path,
@@ -222,6 +228,7 @@
             headers=request.headers,
             key=request.record_key,
             fence=fence,
+            connects=LAST_SERVER_CONNECTS if is_last else 1,
         )
         timeout_s = request.service.timeout_ms / 1000
         if not request.repeatable:
--- a/tests/router/test_pauses.py
+++ b/tests/router/test_pauses.py
@@ -4,12 +4,29 @@
 """
 
 import asyncio
+import random
+import socket
+from types import SimpleNamespace
 
 import pytest
 
+from kumquat_core.backend_client import BackendResponse, HttpBackendClient
+from kumquat_core.clock import SystemClock
+from kumquat_core.configuration import (
+    BackendServer,
+    Configuration,
+    ServerState,
+    Service,
+    ServiceKind,
+)
+from kumquat_core.http_client import create_session
+from kumquat_core.idempotency import IdempotencyGuard
+from kumquat_core.request_ids import RequestId
 from kumquat_core.result_codes import ResultCode, RouterError
+from kumquat_lab.memory_fakes import MemoryTable
 from kumquat_lab.model_harness import ModelHarness
 from kumquat_lab.virtual_time import run_in_virtual_time
+from kumquatrouter.plain_path import PlainPath, PlainRequest
 
 PAUSE_S = 1.6
 
@@ -35,3 +52,64 @@
         return stats.attempts, [item.failed_engine for item in harness.owner.releases]
 
     assert run_in_virtual_time(main) == (1, [""])
+
+
+CONNECT_TIMEOUT_S = 0.2
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_only_server_that_accepts_no_connection_for_a_while_gets_the_call_once(
+    repeatable,
+):
+    """One connection that was not accepted within its timeout ended the call,
+    although the server of the service only paused. Nothing is sent twice."""
+    received: list[bytes] = []
+
+    async def serve(reader, writer):
+        head = await reader.readline()
+        if head:
+            received.append(head)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+        await writer.wait_closed()
+
+    async def main() -> BackendResponse:
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        # The kernel leaves all connections after the first one unanswered
+        # until it is accepted.
+        listener.listen(0)
+        first = socket.create_connection(listener.getsockname())
+        async with create_session(
+            CONNECT_TIMEOUT_S, reuse_connections=False
+        ) as session:
+            client = HttpBackendClient(session)
+            clock = SystemClock()
+            guard = IdempotencyGuard(
+                MemoryTable(), client, clock, lambda *_: True, intent_lease_s=5.0
+            )
+            directory = SimpleNamespace(backend_states_by_id={})
+            path = PlainPath(clock, client, directory, guard, random.Random(1))
+            call = asyncio.create_task(
+                path.run(*make_call(listener.getsockname()[1], repeatable=repeatable))
+            )
+            await asyncio.sleep(1.2 * CONNECT_TIMEOUT_S)
+            listener.setblocking(False)
+            server = await asyncio.start_server(serve, sock=listener)
+            first.close()
+            async with server:
+                return await call
+
+    assert asyncio.run(main()).body == b"ok"
+    assert len(received) == 1
+
+
+def make_call(port: int, *, repeatable: bool) -> tuple[Configuration, PlainRequest]:
+    server = BackendServer(
+        "s1", f"http://127.0.0.1:{port}", "book", "fjord-a", ServerState.LIVE, False
+    )
+    service = Service("book", ServiceKind.PLAIN, repeatable=repeatable, timeout_ms=3000)
+    request = PlainRequest(
+        RequestId("h", 1, 1), "hagestad", service, "POST", "x", b"", {}, "key", 3000
+    )
+    return Configuration(backend_servers_by_id={"s1": server}), request
