Let a request crash the emulated servers that begin to run it

A request that crashes what runs it could be played at decode engines only, and a crashed engine went on to accept connections. Backend servers take crash_text and crash_s now, engines crash also when they begin to read such a prompt, and a crashed server resets its connections and refuses new ones until it is back. A crashed engine also loses finished prefills and transfers in progress, which it kept before: a prefill that ended in the same moment was stored after the crash (found by the new test).

--- a/packages/kumquat_lab/src/kumquat_lab/backend_server.py
+++ b/packages/kumquat_lab/src/kumquat_lab/backend_server.py
@@ -4,12 +4,15 @@
 a test detects a repeated execution even if the router changes the key. With
 ``checks_fencing`` it refuses a fence lower than the highest seen for a key.
 Faults: ``delay_ms`` before the execution, ``drop_answers`` (number of
-responses dropped after the execution), ``refuse`` (status 503 before it) and
-``stutter`` (copies of responses).
+responses dropped after the execution), ``refuse`` (status 503 before it),
+``crash_text`` with ``crash_s`` (a call whose path or body contains the text
+crashes the server when it begins to run) and ``stutter`` (copies of
+responses).
 """
 
 import asyncio
 import random
+import time
 from collections import Counter
 from typing import Any
 
@@ -83,16 +86,38 @@
         self.delay_ms = 0.0
         self.drop_answers = 0
         self.refuse = False
+        self.crash_text = ""
+        self.crash_s = 1.0
+        self.crashes = 0
+        self.crashed = asyncio.Event()
+        self._down_until_s = 0.0
         self.stutter = Stutter(
             random.Random(f"stutter/{config.server_id}"), _kind_of_response
         )
 
+    def is_down(self) -> bool:
+        """Return whether the server has crashed and is not back yet."""
+        return time.monotonic() < self._down_until_s
+
+    def _crash_under(self, request: web.Request, body: bytes) -> None:
+        """Crash if the call is one that crashes the server."""
+        text = self.crash_text.encode()
+        if not text or text not in request.path.encode() + b"\n" + body:
+            return
+        self.crashes += 1
+        self._down_until_s = time.monotonic() + self.crash_s
+        self.crashed.set()
+        if request.transport is not None:
+            request.transport.abort()
+        raise web.HTTPServiceUnavailable
+
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Execute a call, once its fence is accepted."""
         body = await request.read()
         if self.refuse:
             return web.Response(status=503)
         if request.method in ("GET", "HEAD"):
+            self._crash_under(request, body)
             return self._response(body)
         key = request.headers.get("X-Request-Key", "")
         if not self.state.accept(key, int(request.headers.get("X-Fence", "0"))):
@@ -105,6 +130,7 @@
         self, request: web.Request, key: str, body: bytes
     ) -> web.StreamResponse:
         self.state.execute(key, body)
+        self._crash_under(request, body)
         await asyncio.sleep((self.config.service_ms + self.delay_ms) / 1000)
         if self.drop_answers > 0:
             self.drop_answers -= 1
@@ -128,6 +154,7 @@
             {
                 "by_key": self.state.executions_by_key,
                 "by_body": self.state.executions_by_body,
+                "crashes": self.crashes,
             }
         )
 
@@ -137,6 +164,8 @@
         self.delay_ms = float(body.get("delay_ms", self.delay_ms))
         self.drop_answers = int(body.get("drop_answers", self.drop_answers))
         self.refuse = bool(body.get("refuse", self.refuse))
+        self.crash_text = str(body.get("crash_text", self.crash_text))
+        self.crash_s = float(body.get("crash_s", self.crash_s))
         return web.json_response({"copies": self.stutter.apply_fault(body)})
 
 
@@ -151,7 +180,10 @@
 
 def backend_app(config: BackendConfig) -> web.Application:
     """Return the HTTP application of a backend server."""
-    backend = _Backend(config)
+    return _backend_app(_Backend(config))
+
+
+def _backend_app(backend: _Backend) -> web.Application:
     app = web.Application(middlewares=[error_middleware])
     app.on_response_prepare.append(return_call_id)
     backend.stutter.add_to(app)
@@ -166,4 +198,6 @@
     """Serve all backend servers of a configuration until cancelled."""
     async with asyncio.TaskGroup() as group:
         for item in config.servers:
-            group.create_task(serve_app(backend_app(item), item.port))
+            backend = _Backend(item)
+            app = _backend_app(backend)
+            group.create_task(serve_app(app, item.port, backend))
--- a/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/emulated_engine.py
@@ -57,8 +57,8 @@
 class EngineFaults:
     """Enabled faults; times are monotonic seconds.
 
-    The engine crashes for ``crash_s`` when it begins to answer a prompt that
-    contains ``crash_text``.
+    The engine crashes for ``crash_s`` when it begins to read or to answer a
+    prompt that contains ``crash_text``.
     """
 
     slowdown: float = 1.0
@@ -75,6 +75,7 @@
 class _QueuedPrefill:
     order: tuple[int, int]
     request_id: str = field(compare=False)
+    prompt: str = field(compare=False)
     model: str = field(compare=False)
     seed: int = field(compare=False)
     hashes: tuple[int, ...] = field(compare=False)
@@ -110,6 +111,7 @@
         self.role: str = config.role
         self.models = set(config.models)
         self.faults = EngineFaults()
+        self.crashed = asyncio.Event()
         self._clock = clock
         self._session = session
         self.memory = EngineMemory(config.total_pieces, config.max_requests)
@@ -163,6 +165,7 @@
         item = _QueuedPrefill(
             (-int(body.get("priority", 0)), next(self._order)),
             body["request_id"],
+            prompt,
             model,
             response_seed(model, prompt),
             block_hashes(prompt.encode()),
@@ -171,11 +174,14 @@
         )
         heapq.heappush(self._queue, item)
         self._queue_filled.set()
+        crashes = self.counts["crashes"]
         try:
             cached = await item.done
         except asyncio.CancelledError:
             self._cancel_prefill(item)
             raise
+        if self.counts["crashes"] != crashes:
+            raise EngineError(500, "engine has crashed")
         prefill_id = f"{self.config.engine_id}-{item.order[1]}"
         pieces = pieces_for(tokens, self.config.piece_tokens)
         now_s = self._clock.monotonic()
@@ -203,6 +209,7 @@
                 continue
             self._running = item
             self.prefill_seeds[item.seed] += 1
+            self._crash_under(item.prompt)
             cached_tokens = self._cached_tokens(item)
             if await self._wait_prefill(item, cached_tokens):
                 self._cache.store(item.model, item.hashes, self._clock.monotonic())
@@ -335,8 +342,7 @@
         self._streams_attached.set()
         response = RecordedStream(body["request_id"])
         await response.prepare(request)
-        if self.faults.crash_text and self.faults.crash_text in stream.prompt:
-            self.crash()
+        self._crash_under(stream.prompt)
         try:
             finished = await self._write_tokens(response, stream, generation, start)
         finally:
@@ -431,13 +437,22 @@
         """Return whether the engine has crashed and is not back yet."""
         return self._clock.monotonic() < self.faults.down_until_s
 
+    def _crash_under(self, prompt: str) -> None:
+        """Crash if this is a prompt that crashes the engine."""
+        if self.faults.crash_text and self.faults.crash_text in prompt:
+            self.crash()
+
     def crash(self) -> None:
         """End all streams, lose all memory and answer no call for a while."""
         self.faults.down_until_s = self._clock.monotonic() + self.faults.crash_s
         self.counts["crashes"] += 1
-        for item in list(self._queue):
-            self._cancel_prefill(item)
-        for request_id in list(self._streams_by_request_id):
+        self.crashed.set()
+        for item in (self._running, *self._queue):
+            if item is not None:
+                self._cancel_prefill(item)
+        for prefill_id in list(self.results.results_by_id):
+            self.results.remove(prefill_id)
+        for request_id in list(self.memory.held_by_request_id):
             self.cancel(request_id)
 
     def break_streams(self) -> None:
--- a/packages/kumquat_lab/src/kumquat_lab/engine.py
+++ b/packages/kumquat_lab/src/kumquat_lab/engine.py
@@ -135,4 +135,4 @@
             engine = EmulatedEngine(item, clock, rng, session)
             for loop_function in engine.background_loops():
                 group.create_task(loop_function())
-            group.create_task(serve_app(engine_app(engine), item.port))
+            group.create_task(serve_app(engine_app(engine), item.port, engine))
