Wait 2 s for the answer to a cancel

Cause: a cancel was given up after 1 s. An engine that pauses for longer reads it afterwards together with the end of its connection; a server that cancels the handlers of closed connections, such as the emulated ones, drops it.

Evidence: a server that answers after 1.6 s and cancels handlers of closed connections does not carry out the cancel. Ruled out: reports, cache events and orders, which are read or sent again and lose nothing.

The release to the shard's owner follows the cancel, so an engine that does not answer at all is charged with the request 1 s longer.

Test: test_cancel_reaches_an_engine_that_pauses fails before the change.

--- a/packages/kumquat_core/src/kumquat_core/engine_client.py
+++ b/packages/kumquat_core/src/kumquat_core/engine_client.py
@@ -34,6 +34,9 @@
 ]
 
 CONTROL_TIMEOUT_S = 1.0
+# A sound engine may pause for 1.6 s. A cancel that it has not answered may be
+# lost with its connection, and the memory then stays held until a sweep.
+CANCEL_TIMEOUT_S = 2.0
 EVENT_STREAM = "text/event-stream"
 
 
@@ -231,7 +234,7 @@
     async def cancel(self, url: str, request_id: str) -> None:
         """Cancel a request and free everything that it holds at an engine."""
         path = f"{url}/v1/requests/{quote(request_id, safe='')}"
-        await self._call("DELETE", path, None, CONTROL_TIMEOUT_S)
+        await self._call("DELETE", path, None, CANCEL_TIMEOUT_S)
 
     async def report(self, url: str, *, fresh: bool) -> EngineReport:
         """Return the engine's load report; ``fresh`` requests a new one."""
--- a/tests/router/test_pauses.py
+++ b/tests/router/test_pauses.py
@@ -9,6 +9,8 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from kumquat_core.backend_client import BackendResponse, HttpBackendClient
 from kumquat_core.clock import SystemClock
@@ -19,6 +21,7 @@
     Service,
     ServiceKind,
 )
+from kumquat_core.engine_client import HttpEngineClient
 from kumquat_core.http_client import create_session
 from kumquat_core.idempotency import IdempotencyGuard
 from kumquat_core.request_ids import RequestId
@@ -54,6 +57,30 @@
     assert run_in_virtual_time(main) == (1, [""])
 
 
+def test_cancel_reaches_an_engine_that_pauses():
+    """It was given up after 1 s; the engine dropped it with its connection and
+    kept the memory of the abandoned request until a sweep."""
+    cancelled: list[str] = []
+
+    async def cancel(request: web.Request) -> web.Response:
+        await asyncio.sleep(PAUSE_S)
+        cancelled.append(request.match_info["request_id"])
+        return web.json_response({})
+
+    async def main() -> None:
+        app = web.Application()
+        app.router.add_delete("/v1/requests/{request_id}", cancel)
+        async with (
+            TestServer(app, handler_cancellation=True) as server,
+            create_session(1.0) as session,
+        ):
+            client = HttpEngineClient(session, 5.0)
+            await client.cancel(str(server.make_url("")).rstrip("/"), "h.1.1")
+
+    asyncio.run(main())
+    assert cancelled == ["h.1.1"]
+
+
 CONNECT_TIMEOUT_S = 0.2
 
 
