Refuse no request because a prefill engine paused

Cause: a prefill engine that paused made the shard's owner see an overload that was not there, in two ways. A prefill that was granted ahead waits at the engine for the one that paused, and its wait counted as its own duration: as overdue work while it waited, and as an observation when it ended. And one prefill of 1.3 s in place of 20 ms raised the mean of its class several times. Late requests are refused under overload, so calm requests got NO_CAPACITY_IN_TIME right after a pause, at half load.

Change: the ledger starts a waiting prefill when the one before it ends, so only the first prefill of an engine can be overdue, and the wait is taken off what is observed. A duration beyond three times what the engine's last prefills let expect counts in the mean as three times; a lasting slowdown raises what is expected with its first observation and then counts in full.

Tests: test_pause_of_a_prefill_engine_refuses_no_request_in_calm fails before the change, and without either part of it.

--- a/packages/kumquat_core/src/kumquat_core/pairing.py
+++ b/packages/kumquat_core/src/kumquat_core/pairing.py
@@ -279,12 +279,19 @@
         return max(prefill_s / max(1, len(prefill)), decode_s)
 
     def backlog_s(self, state: EngineState, now_s: float) -> float:
-        """Return the expected remaining time of the prefills in progress."""
+        """Return the expected remaining time of the prefills in progress.
+
+        The first one runs; the time that another has waited for it says
+        nothing about its own duration.
+        """
         return sum(
             self._speeds.remaining_s(
-                state.engine.id, job.nominal_s, now_s - job.started_s, now_s
+                state.engine.id,
+                job.nominal_s,
+                now_s - job.started_s if index == 0 else 0.0,
+                now_s,
             )
-            for job in state.jobs_by_request_id.values()
+            for index, job in enumerate(state.jobs_by_request_id.values())
         )
 
     def _choose_prefill(
--- a/packages/kumquat_core/src/kumquat_core/shard_ledger.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_ledger.py
@@ -9,7 +9,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .configuration import Engine, EngineRole, ServerState
 from .link_schedule import LinkSchedule
@@ -121,13 +121,15 @@
     """A prefill in progress.
 
     ``nominal_s`` is its duration at nominal speed, ``expected_blocks`` the
-    number of prompt blocks that the engine was expected to have cached.
+    number of prompt blocks that the engine was expected to have cached. It has
+    waited ``waited_s`` at the engine for the prefill before it.
     """
 
     request_id: str
     started_s: float
     nominal_s: float
     expected_blocks: int = 0
+    waited_s: float = 0.0
 
 
 @dataclass
@@ -154,6 +156,17 @@
         """Return whether no request uses the engine."""
         return not (self.jobs_by_request_id or self.reservations.request_count)
 
+    def end_prefill(self, request_id: str, now_s: float) -> PrefillJob | None:
+        """Remove a prefill; the next one starts, as one runs at a time."""
+        was_first = next(iter(self.jobs_by_request_id), None) == request_id
+        job = self.jobs_by_request_id.pop(request_id, None)
+        following = next(iter(self.jobs_by_request_id.values()), None)
+        if was_first and following is not None:
+            self.jobs_by_request_id[following.request_id] = replace(
+                following, started_s=now_s, waited_s=now_s - following.started_s
+            )
+        return job
+
     def replace_engine(self, engine: Engine) -> None:
         """Replace the properties of the engine and keep its work."""
         self.engine = engine
--- a/packages/kumquat_core/src/kumquat_core/shard_observations.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_observations.py
@@ -14,11 +14,16 @@
 from .prefix_index import PrefixIndex
 from .result_codes import ResultCode
 from .shard_ledger import EngineState, PrefillJob, ShardLedger
-from .stragglers import OVERDUE_RATIO, SpeedTracker, overdue_ratio
+from .stragglers import OVERDUE_RATIO, SpeedTracker, overdue_ratio, scaled_time_s
 from .wait_estimate import WaitEstimator
 
 __all__ = ["ShardObservations"]
 
+# A pause prolongs one prefill by up to 1.6 s, many times its duration. Beyond
+# this multiple of what the engine's last prefills let expect, a duration does
+# not count in the mean, which would look like an overload.
+OUTLIER_RATIO = 3.0
+
 
 class ShardObservations:
     """Passes observations on to the estimates that they correct."""
@@ -51,9 +56,11 @@
         tokens = request.prompt_tokens + request.resume_tokens
         uncached = max(0, tokens - message.cached_tokens)
         nominal_s = nominal_prefill_s(state.engine, uncached)
-        observed_s = message.prefill_ms / 1000
+        observed_s = max(0.0, message.prefill_ms / 1000 - job.waited_s)
+        ratio = self._speeds.prefill_ratio(state.engine.id, now_s)
+        longest_s = scaled_time_s(nominal_s, OUTLIER_RATIO * ratio)
         self._speeds.observe_prefill(state.engine.id, nominal_s, observed_s, now_s)
-        self._estimator.observe_prefill(request.class_name, observed_s)
+        self._estimator.observe_prefill(request.class_name, min(observed_s, longest_s))
         cached_blocks = message.cached_tokens / granted.needs.tokens_per_block
         self._prefixes.adjust_capacity(
             state.engine.id, job.expected_blocks, cached_blocks
--- a/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
+++ b/packages/kumquat_core/src/kumquat_core/shard_scheduler.py
@@ -531,7 +531,7 @@
                 state.link.cancel_planned(granted.request_id)
         if prefill is None:
             return
-        job = prefill.jobs_by_request_id.pop(granted.request_id, None)
+        job = prefill.end_prefill(granted.request_id, now_s)
         if job is not None and not finished:
             self._observations.cancelled_prefill(prefill, job, now_s)
 
--- a/tests/core/test_shard_scheduler.py
+++ b/tests/core/test_shard_scheduler.py
@@ -349,3 +349,49 @@
             assert state.is_empty
 
     run(scenario)
+
+
+def test_pause_of_a_prefill_engine_refuses_no_request_in_calm():
+    """One prefill that had paused for 1.3 s made the mean prefill time look
+    like an overload, so that requests after it were refused at once."""
+
+    async def scenario():
+        harness = SchedulerHarness(
+            make_engine("p1"), make_engine("d1", total_pieces=400)
+        )
+        admitted = finished = 0
+
+        async def admit() -> None:
+            nonlocal admitted
+            admitted += 1
+            await harness.admit(admitted, prompt_tokens=200, **INTERACTIVE)
+
+        async def finish(prefill_ms: float) -> None:
+            nonlocal finished
+            if len(harness.grants) > finished:
+                number = list(harness.grants)[finished]
+                finished += 1
+                await harness.finish_prefill(number, prefill_ms)
+                await harness.finish_request(number)
+
+        async def serve(count: int) -> None:
+            """Admit a request every 40 ms; a prefill takes 20 ms."""
+            for _ in range(count):
+                await admit()
+                for _ in range(2):
+                    await harness.advance(0.02)
+                    await finish(20.0)
+
+        await serve(50)
+        await admit()
+        for _ in range(32):
+            await harness.advance(0.04)
+            await admit()
+        await finish(1300.0)
+        # The next prefill was at the engine already and waited for this one.
+        await harness.advance(0.02)
+        await finish(1300.0)
+        await serve(50)
+        assert harness.refusals == {}
+
+    run(scenario)
