Close kept connections when another server has their address

Cause: a server that loses power tells nobody that its connections end. Kept connections are held by address and were closed when the entry of the server was removed, not when a new incarnation was listed at the address. Requests went over them to the new one, which reset them: they failed, or used up an attempt, although the server was sound.

Change: the registry names the address of each new incarnation, and the pool closes its idle connections there.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_pool.py
@@ -156,7 +156,7 @@
         self.close_idle(address)
 
     def close_idle(self, address: Address) -> None:
-        """Close the idle connections to a removed address."""
+        """Close the idle connections to an address whose server changed."""
         for connection in self._idle_by_address.pop(address, []):
             connection.abort()
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_registry.py
@@ -102,7 +102,8 @@
 class EngineRegistry:
     """Holds the newest entry of each engine and backend server.
 
-    ``on_written`` is called with each entry that is new to this host.
+    ``on_written`` is called with each entry that is new to this host, and
+    ``on_address_taken`` with the address of each new incarnation.
     """
 
     def __init__(self) -> None:
@@ -113,6 +114,7 @@
         self.revision = 0
         self._reconnected_s = float("-inf")
         self.on_written: Callable[[EngineEntry], None] = lambda entry: None
+        self.on_address_taken: Callable[[Address], None] = lambda address: None
 
     def store_reconnected(self, now_s: float) -> None:
         """Record that the store is reachable again after an outage."""
@@ -148,6 +150,8 @@
         self._known_by_id[entry.id] = _KnownEntry(
             self._with_announced_leaving(entry), version
         )
+        if known is None or not _is_same(entry, known.entry):
+            self.on_address_taken(entry.address)
         self.on_written(entry)
         return True
 
--- a/packages/kumquat_relay/src/kumquat_relay/host_parts.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_parts.py
@@ -45,12 +45,16 @@
         """Create the shared objects of a starting host."""
         clock = SystemClock()
         health = EngineHealth(clock, options.rules)
+        cluster_state = ClusterState(clock, health, options.notice_s)
+        pool = EnginePool(clock)
+        # A server that loses power tells nobody that its connections end.
+        cluster_state.registry.on_address_taken = pool.close_idle
         return cls(
             clock,
             random.Random(options.seed or secrets.randbits(64)),
             health,
-            ClusterState(clock, health, options.notice_s),
-            EnginePool(clock),
+            cluster_state,
+            pool,
             HostRetryBudget(clock, options.retries),
             Shutdown(clock, options.stop_grace_s),
             RelayMetrics(),
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -113,6 +113,8 @@
         self._restart: asyncio.Task[None] | None = None
         # Listed in the store instead of its own address, if set.
         self.advertised_address: Address | None = None
+        # Connections that a loss of power has ended without notice.
+        self._ended_transports: set[asyncio.BaseTransport] = set()
 
     async def stop(self) -> None:
         if self._restart is not None:
@@ -129,6 +131,19 @@
         self.abort_connections()
         self._restart = asyncio.ensure_future(self._start_again())
 
+    def lose_power(self) -> None:
+        """Go on as a new incarnation that knows none of the connections.
+
+        Nobody is told that they ended; they are reset when they are used.
+        """
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                self._ended_transports.add(connection.transport)
+        self.crashes += 1
+        if not self.keeps_id:
+            self.id = f"{self.id.partition('.')[0]}.{self.crashes}"
+        self.born_ms += 1000
+
     async def _crash_under_request(self) -> None:
         """End like a process that a request has crashed; never returns."""
         await asyncio.sleep(self.deadly_delay_s)
@@ -180,6 +195,9 @@
         return entry
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.transport in self._ended_transports:
+            request.transport.abort()
+            await asyncio.Event().wait()
         response = await self._handle(request)
         if not response.prepared:
             response.headers.update(self.extra_headers)
