Let a request crash each server that begins to run it in the soak

Change: a fault of the soak sends one body to a plain route, idempotent or not, or to a resumable stream, every 0.4 s on average for 6 to 10 s. It must not reach servers more than three times later than 3 s after the third crash under it, over all hosts.

--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -103,7 +103,7 @@
         self.crashes_silently = False
         self.crashes = 0
         self._heartbeats = 0
-        # Loop times of the crashes and of arrivals by crashing part.
+        # Loop times of the crashes and of arrivals by crashing part or body.
         self.crash_times: list[tuple[str, float]] = []
         self.deadly_arrivals: list[tuple[str, float]] = []
         # Whether it starts again under the same id.
@@ -129,14 +129,18 @@
         self.abort_connections()
         self._restart = asyncio.ensure_future(self._start_again())
 
-    async def _crash_under_request(self) -> None:
+    async def _crash_under_request(self, body: bytes) -> None:
         """End like a process that a request has crashed; never returns."""
         await asyncio.sleep(self.deadly_delay_s)
         if self.crashes_silently:
             self.responsive.clear()
             await asyncio.sleep(self.restart_s)
             self.responsive.set()
+        crashes = self.crashes
         await self.crash()
+        if self.crashes > crashes:
+            now_s = asyncio.get_running_loop().time()
+            self.crash_times.append((body.decode(), now_s))
         await asyncio.Event().wait()
 
     async def _start_again(self) -> None:
@@ -204,6 +208,8 @@
         self.deadly_arrivals += [
             (part, self.arrivals_s[-1]) for part in self._deadly_parts(headers)
         ]
+        if body in self.deadly_bodies:
+            self.deadly_arrivals.append((body.decode(), self.arrivals_s[-1]))
         try:
             await self.responsive.wait()
             return await self._serve(request, headers, number)
@@ -249,8 +255,9 @@
         if self.prefills_expired and "x-kv-source" in headers:
             return self._not_executed(request_id)
         self.runs.append(request_id)
-        if await request.read() in self.deadly_bodies:
-            await self._crash_under_request()
+        body = await request.read()
+        if body in self.deadly_bodies:
+            await self._crash_under_request(body)
         response_headers = {
             "X-Request-Id": request_id,
             "X-Response-Seal": f"seal-{self.id}",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -63,6 +63,8 @@
     answer_id: str = ""
     body: bytes = b""
     without_chunks: bool = False
+    # Sent instead of its id, if set.
+    sent_body: bytes = b""
 
     @property
     def served(self) -> bool:
@@ -77,7 +79,8 @@
     before it has the response. A caller ``without_chunks`` speaks HTTP/1.0 and
     tells an end of its connection from a reset, which aiohttp does not. Some
     prompts contain one of ``shared_parts``. It pauses for ``pause_s`` on
-    average between two requests to any of ``routes``.
+    average between two requests to any of ``routes``. The body of a request
+    is its id unless ``body`` is set.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         without_chunks: bool = False,
         routes: Sequence[str] = ROUTES,
         pause_s: float = PAUSE_S,
+        body: bytes = b"",
     ) -> None:
+        self._body = body
         self._routes = routes
         self._pause_s = pause_s
         self._without_chunks = without_chunks
@@ -161,20 +166,26 @@
                 answer_id,
                 bytes(body),
                 self._without_chunks,
+                self._body,
             )
         )
 
     def _prompt_parts(self, request_id: str) -> str:
         """Return the parts of a prompt; the last is that of the request."""
         shared = ""
-        if self._shared_parts and self._rng.random() < SHARED_PART_SHARE:
+        if (
+            not self._body
+            and self._shared_parts
+            and self._rng.random() < SHARED_PART_SHARE
+        ):
             shared = f"{self._rng.choice(self._shared_parts)}:200,"
-        return f"ab:200,{shared}{zlib.crc32(request_id.encode()):x}:4600"
+        last = zlib.crc32(self._body or request_id.encode())
+        return f"ab:200,{shared}{last:x}:4600"
 
     async def _post_raw(self, host_id: str, route: str, request_id: str) -> RawAnswer:
         """Send a request of HTTP/1.0 and return its response."""
         headers = self._headers(request_id)
-        body = request_id.encode()
+        body = self._body or request_id.encode()
         lines = [f"{name}: {value}" for name, value in headers.items()]
         head = [f"POST /{route}/p%2Fq?x=1 HTTP/1.0", *lines]
         sent = "\r\n".join([*head, f"Content-Length: {len(body)}", "", ""])
@@ -189,7 +200,8 @@
         headers = self._headers(request_id)
         address = self._addresses_by_host[host_id]
         url = URL(f"http://{address.text}/{route}/p%2Fq?x=1", encoded=True)
-        return session.post(url, headers=headers, data=request_id.encode())
+        data = self._body or request_id.encode()
+        return session.post(url, headers=headers, data=data)
 
     def _headers(self, request_id: str) -> dict[str, str]:
         return {
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,7 +13,7 @@
     SentRequest,
 )
 
-__all__ = ["HostOutage", "find_violations", "served_share"]
+__all__ = ["DEADLY_BODY_PREFIX", "HostOutage", "find_violations", "served_share"]
 
 # Routes whose requests may be executed at most once.
 NON_REPEATABLE_ROUTES = ("once", "tale")
@@ -32,6 +32,9 @@
 DEADLY_APPLY_S = 3.0
 DEADLY_CRASHES = 5
 DEADLY_EXTRA = 3
+# The same for whole requests, whose bodies begin with this.
+DEADLY_BODY_PREFIX = "deadly"
+DEADLY_BODY_CRASHES = 3
 
 
 @dataclass(frozen=True)
@@ -217,12 +220,14 @@
 ) -> list[str]:
     """Return requests whose method, target or body differ at an engine."""
     routes_by_id = {item.request_id: item.route for item in sent}
+    bodies_by_id = {item.request_id: item.sent_body for item in sent}
     violations = []
     for engine in engines:
         for method, target, headers, body in engine.received:
             request_id = headers.get("x-request-id", "")
             expected = f"/{routes_by_id.get(request_id)}/{TARGET_SUFFIX}"
-            if (method, target, body) != ("POST", expected, request_id.encode()):
+            expected_body = bodies_by_id.get(request_id) or request_id.encode()
+            if (method, target, body) != ("POST", expected, expected_body):
                 violations.append(
                     f"{engine.id} received {method} {target} as {request_id}"
                 )
@@ -256,14 +261,16 @@
 
 
 def _find_deadly_requests(engines: Sequence[FakeEngine]) -> list[str]:
-    """Return parts that were sent too often after five crashes under them."""
+    """Return parts and bodies sent too often after crashes under them."""
     violations = []
     crashes = sorted(item for engine in engines for item in engine.crash_times)
     for part in sorted({part for part, _ in crashes}):
         times = sorted(time for crashed, time in crashes if crashed == part)
-        if len(times) < DEADLY_CRASHES:
+        is_body = part.startswith(DEADLY_BODY_PREFIX)
+        crash_limit = DEADLY_BODY_CRASHES if is_body else DEADLY_CRASHES
+        if len(times) < crash_limit:
             continue
-        from_s = times[DEADLY_CRASHES - 1] + DEADLY_APPLY_S
+        from_s = times[crash_limit - 1] + DEADLY_APPLY_S
         late = sum(
             sent == part and time > from_s
             for engine in engines
@@ -271,8 +278,8 @@
         )
         if late > DEADLY_EXTRA:
             violations.append(
-                f"{late} requests with part {part} reached engines after "
-                f"{DEADLY_CRASHES} of {len(times)} crashes under it"
+                f"{late} requests with {part} reached engines after "
+                f"{crash_limit} of {len(times)} crashes under it"
             )
     return violations
 
--- a/tests/soak/fault_series.py
+++ b/tests/soak/fault_series.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from .callers import SentRequest, SoakCaller
+from .checks import DEADLY_BODY_PREFIX
 from .soak_harness import SoakHarness
 
-__all__ = ["change_configuration_in_series", "send_deadly_part"]
+__all__ = ["change_configuration_in_series", "send_deadly_requests"]
 
 CHANGES = (6, 16)
 CHANGE_INTERVAL_S = (0.05, 0.6)
@@ -24,6 +25,9 @@
 BRIEF_ROUTE = "brief"
 BRIEF_PAUSE_S = 0.05
 DEADLY_PART_DURATION_S = (4.0, 9.0)
+DEADLY_ROUTES = ("again", "once", "story")
+DEADLY_PAUSE_S = 0.4
+DEADLY_DURATION_S = (6.0, 10.0)
 
 _numbers = itertools.count()
 
@@ -91,3 +95,30 @@
     await asyncio.sleep(rng.uniform(*DEADLY_PART_DURATION_S))
     harness.shared_parts.remove(part)
     return []
+
+
+async def send_deadly_requests(
+    harness: SoakHarness, rng: random.Random
+) -> list[SentRequest]:
+    """Send a request under which all engines crash, with new ids.
+
+    Returns these requests. Their body identifies them.
+    """
+    body = f"{DEADLY_BODY_PREFIX}{next(_numbers)}".encode()
+    addresses = {key: link.address for key, link in harness.caller_links.items()}
+    caller = SoakCaller(
+        body.decode(),
+        random.Random(rng.random()),
+        addresses,
+        routes=[rng.choice(DEADLY_ROUTES)],
+        pause_s=DEADLY_PAUSE_S,
+        disconnect_share=0,
+        body=body,
+    )
+    for engine in harness.engines:
+        engine.deadly_bodies.add(body)
+    sending = asyncio.ensure_future(caller.run())
+    await asyncio.sleep(rng.uniform(*DEADLY_DURATION_S))
+    caller.stopping = True
+    await sending
+    return caller.sent
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 from .fault_series import (
     change_configuration_in_series,
     send_deadly_part,
+    send_deadly_requests,
 )
 from .host_process import HostProcess
 from .loopback_proxy import LinkState, LoopbackProxy
@@ -38,6 +39,8 @@
 BROKEN_STREAMS = 6
 # Sound servers may be silent for about a second.
 PAUSE_S = (0.6, 1.6)
+# Injected only by name, until the relay finds requests that crash servers.
+ONLY_BY_NAME = ("request_deadly",)
 
 _FAULTY_LINK_STATES = (
     LinkState.DELAYED,
@@ -98,13 +101,16 @@
             "engine_stutters": self._stutter,
             "stream_answer_odd": self._answer_resumed_streams_oddly,
             "prompt_part_deadly": partial(self._play_series, send_deadly_part),
+            "request_deadly": partial(self._play_series, send_deadly_requests),
             "configuration": self._change_configuration,
             "configuration_series": partial(
                 self._play_series, change_configuration_in_series
             ),
             "odd_entries": self._write_odd_entries,
         }
-        self._kinds = sorted(kinds or self._injectors_by_kind)
+        self._kinds = sorted(
+            kinds or self._injectors_by_kind.keys() - set(ONLY_BY_NAME)
+        )
 
     async def run(self, until_s: float) -> None:
         """Start faults until a loop time and wait until all are undone."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -130,6 +130,28 @@
     assert find_violations([cut], [engine()], EVENTS, outages) == []
 
 
+@pytest.mark.parametrize(
+    ("key", "crashes", "late", "violations"),
+    [
+        ("deadly1", 3, 4, 1),
+        ("deadly1", 3, 3, 0),
+        ("deadly1", 2, 9, 0),
+        ("dead1", 3, 4, 0),
+        ("dead1", 5, 4, 1),
+    ],
+)
+def test_late_requests_that_crash_engines_are_found(
+    key: str, crashes: int, late: int, violations: int
+) -> None:
+    """Requests sent long after enough crashes under them, or their parts."""
+    fake_engine = engine()
+    fake_engine.received = []
+    fake_engine.crash_times = [(key, 1.0 + number) for number in range(crashes)]
+    fake_engine.deadly_arrivals = [(key, 20.0)] * late + [(key, 1.0 + crashes)]
+    lines = find_violations([], [fake_engine], EVENTS, [])
+    assert len(lines) == violations, lines
+
+
 @pytest.mark.parametrize(
     ("header", "value", "violations"),
     [
