Take no prompt parts from plain requests

Cause: plain services share the evidence on crashes of the first model service. A plain request that names the parts of a prompt marked them as harmless there when it was answered, although backend servers run no prompts; a part that crashes engines was then cleared at once and never found.

Ruled out: an answer of a model engine (no stream with the part ended whole at any host).

Change: only streams have parts of prompts; plain requests have their mark alone.

--- a/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/prompt_quarantine.py
@@ -30,6 +30,7 @@
 from .engine_registry import EngineEntry
 from .owner_selection import OwnerSelection
 from .request_marks import RequestMarks, is_plain_mark
+from .routes import RouteKind
 
 __all__ = ["PromptQuarantine", "QuarantineError"]
 
@@ -130,7 +131,7 @@
 
     def _parts_of(self, request: CallerRequest) -> tuple[str, ...]:
         """Return the shared parts of a request and its mark, which is last."""
-        return (*request.metadata.shared_parts, self.marks.mark(request))
+        return (*_prompt_parts(request), self.marks.mark(request))
 
     def check(self, request: CallerRequest, trial_parts: tuple[str, ...]) -> None:
         """Raise ``QuarantineError`` if a request must not reach an engine.
@@ -157,7 +158,7 @@
         if not self._enabled:
             return
         group = self.group(request)
-        harmless, parts = self._harmless(group), request.metadata.shared_parts
+        harmless, parts = self._harmless(group), _prompt_parts(request)
         if group in self.groups():
             parts = self._parts_of(request)
         for part in parts:
@@ -354,3 +355,9 @@
 
     def _harmless(self, service: str) -> HarmlessParts:
         return self._harmless_by_group.setdefault(service, HarmlessParts())
+
+
+def _prompt_parts(request: CallerRequest) -> tuple[str, ...]:
+    """Return the shared parts of a prompt; backend servers run no prompts."""
+    is_stream = request.route.kind is RouteKind.STREAM
+    return request.metadata.shared_parts if is_stream else ()
