--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -39,8 +39,6 @@
 BROKEN_STREAMS = 6
 # Sound servers may be silent for about a second.
 PAUSE_S = (0.6, 1.6)
-# Injected only by name, until the relay finds requests that crash servers.
-ONLY_BY_NAME = ("request_deadly",)
 
 _FAULTY_LINK_STATES = (
     LinkState.DELAYED,
@@ -108,9 +106,7 @@
             ),
             "odd_entries": self._write_odd_entries,
         }
-        self._kinds = sorted(
-            kinds or self._injectors_by_kind.keys() - set(ONLY_BY_NAME)
-        )
+        self._kinds = sorted(kinds or self._injectors_by_kind)
 
     async def run(self, until_s: float) -> None:
         """Start faults until a loop time and wait until all are undone."""
