--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,13 +8,12 @@
 
 from .callers import (
     EVENT_SEPARATOR,
-    PLAIN_ROUTES,
     STREAM_ROUTES,
     RequestOutcome,
     SentRequest,
 )
 
-__all__ = ["HostOutage", "find_violations", "served_share"]
+__all__ = ["DEADLY_BODY_PREFIX", "HostOutage", "find_violations", "served_share"]
 
 # Routes whose requests may be executed at most once.
 NON_REPEATABLE_ROUTES = ("once", "tale")
@@ -33,6 +32,9 @@
 DEADLY_APPLY_S = 3.0
 DEADLY_CRASHES = 5
 DEADLY_EXTRA = 3
+# The same for whole requests, whose bodies begin with this.
+DEADLY_BODY_PREFIX = "deadly"
+DEADLY_BODY_CRASHES = 3
 
 
 @dataclass(frozen=True)
@@ -205,7 +207,7 @@
 
 
 def _expected_body(route: str, events: int) -> bytes:
-    if route in PLAIN_ROUTES:
+    if route not in STREAM_ROUTES:
         return b"whole"
     return b"".join(
         f"id: {number}\ndata: e{number}".encode() + EVENT_SEPARATOR
@@ -218,12 +220,14 @@
 ) -> list[str]:
     """Return requests whose method, target or body differ at an engine."""
     routes_by_id = {item.request_id: item.route for item in sent}
+    bodies_by_id = {item.request_id: item.sent_body for item in sent}
     violations = []
     for engine in engines:
         for method, target, headers, body in engine.received:
             request_id = headers.get("x-request-id", "")
             expected = f"/{routes_by_id.get(request_id)}/{TARGET_SUFFIX}"
-            if (method, target, body) != ("POST", expected, request_id.encode()):
+            expected_body = bodies_by_id.get(request_id) or request_id.encode()
+            if (method, target, body) != ("POST", expected, expected_body):
                 violations.append(
                     f"{engine.id} received {method} {target} as {request_id}"
                 )
@@ -257,14 +261,16 @@
 
 
 def _find_deadly_requests(engines: Sequence[FakeEngine]) -> list[str]:
-    """Return parts that were sent too often after five crashes under them."""
+    """Return parts and bodies sent too often after crashes under them."""
     violations = []
     crashes = sorted(item for engine in engines for item in engine.crash_times)
     for part in sorted({part for part, _ in crashes}):
         times = sorted(time for crashed, time in crashes if crashed == part)
-        if len(times) < DEADLY_CRASHES:
+        is_body = part.startswith(DEADLY_BODY_PREFIX)
+        crash_limit = DEADLY_BODY_CRASHES if is_body else DEADLY_CRASHES
+        if len(times) < crash_limit:
             continue
-        from_s = times[DEADLY_CRASHES - 1] + DEADLY_APPLY_S
+        from_s = times[crash_limit - 1] + DEADLY_APPLY_S
         late = sum(
             sent == part and time > from_s
             for engine in engines
@@ -272,8 +278,8 @@
         )
         if late > DEADLY_EXTRA:
             violations.append(
-                f"{late} requests with part {part} reached engines after "
-                f"{DEADLY_CRASHES} of {len(times)} crashes under it"
+                f"{late} requests with {part} reached engines after "
+                f"{crash_limit} of {len(times)} crashes under it"
             )
     return violations
 
@@ -295,11 +301,11 @@
     engines: Sequence[FakeEngine],
     host_outages: Sequence[HostOutage],
 ) -> list[str]:
-    """Return plain requests that ran and were cut by a planned stop.
+    """Return plain requests that ran and were cut without a reason.
 
-    Their connection was closed without a response between SIGTERM and the exit
-    of the process, and nothing else disturbed the host. A stream may also be
-    broken off since its engine failed.
+    Their connection was closed without a response although nothing disturbed
+    the host, or between SIGTERM and the exit of the process. A stream may also
+    be broken off since its engine failed.
     """
     runs = _run_counts(engines)
     violations = []
@@ -313,13 +319,16 @@
             and outage.began_s - OUTAGE_MARGIN_S < item.ended_s
             and item.began_s < outage.ended_s + OUTAGE_MARGIN_S
         ]
-        if (
-            item.route in PLAIN_ROUTES
-            and outages
-            and all(outage.stopped_s is not None for outage in outages)
-        ):
+        if item.route in STREAM_ROUTES:
+            continue
+        if outages and all(outage.stopped_s is not None for outage in outages):
             violations.append(
                 f"{item.request_id} on {item.route} at {item.host_id} was cut by a "
                 "planned stop"
             )
+        if not outages and item.status == 0:
+            violations.append(
+                f"{item.request_id} on {item.route} at {item.host_id} was closed "
+                "without an answer by an undisturbed host"
+            )
     return violations
--- a/tests/soak/soak_harness.py
+++ b/tests/soak/soak_harness.py
@@ -6,7 +6,9 @@
 import json
 import random
 import signal
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from kumquat_platform.rows import HOST_TABLE
@@ -58,6 +60,9 @@
         self.stutters: dict[str, StutteringProxy] = {}
         self.version = 3
         self.timeout_ms = 3000
+        self._edit: Callable[[dict[str, Any]], None] | None = None
+        # Services of engines that belong to another one than usual.
+        self.services_by_engine_id: dict[str, str] = {}
         # Parts that callers add to some prompts.
         self.shared_parts: list[str] = []
         self._folder = folder
@@ -115,7 +120,8 @@
 
     def list_engine(self, engine: FakeEngine, state: str = "ready") -> None:
         """Write the entry of an engine to the store."""
-        service = PLAIN if engine.stage is None else LLM
+        usual = PLAIN if engine.stage is None else LLM
+        service = self.services_by_engine_id.get(engine.id, usual)
         self.store.put("servers", engine.id, engine.entry(service, state))
 
     async def vary_processing(self, rng: random.Random) -> None:
@@ -131,10 +137,16 @@
     def _list_again(self, engine: FakeEngine, previous_id: str) -> None:
         self.list_engine(engine)
 
-    def change_configuration(self, timeout_ms: int) -> None:
-        """Write the next configuration, with another timeout of all routes."""
+    def change_configuration(
+        self, timeout_ms: int, edit: Callable[[dict[str, Any]], None] | None = None
+    ) -> None:
+        """Write the next configuration, with another timeout of all routes.
+
+        ``edit`` makes further changes to it.
+        """
         self.version += 1
         self.timeout_ms = timeout_ms
+        self._edit = edit
         self.write_configuration()
 
     def write_configuration(self) -> None:
@@ -142,6 +154,8 @@
         document = configuration(self.version)
         for route in document["routes"]:
             route["timeout_ms"] = self.timeout_ms
+        if self._edit is not None:
+            self._edit(document)
         self.store.put("op", "config", document)
 
     async def wait_until_ready(self) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -115,20 +115,43 @@
     ("outages", "violations"),
     [
         ([HostOutage("h0", 11.0, 15.0, 14.0)], 1),
-        ([HostOutage("h1", 11.0, 15.0, 14.0)], 0),
+        ([HostOutage("h1", 11.0, 15.0, 14.0)], 1),
         ([HostOutage("h0", 11.0, 15.0)], 0),
         ([HostOutage("h0", 11.0, 15.0, 14.0), HostOutage("h0", 12.0, 13.0)], 0),
-        ([], 0),
+        ([], 1),
     ],
 )
-def test_requests_cut_by_planned_stops_are_found(
+def test_requests_cut_without_a_disturbance_are_found(
     outages: list[HostOutage], violations: int
 ) -> None:
+    """By planned stops, or closed by a host that nothing disturbed."""
     cut = sent("once", outcome=RequestOutcome.CLOSED, status=0)
     assert len(find_violations([cut], [engine("a")], EVENTS, outages)) == violations
     assert find_violations([cut], [engine()], EVENTS, outages) == []
 
 
+@pytest.mark.parametrize(
+    ("key", "crashes", "late", "violations"),
+    [
+        ("deadly1", 3, 4, 1),
+        ("deadly1", 3, 3, 0),
+        ("deadly1", 2, 9, 0),
+        ("dead1", 3, 4, 0),
+        ("dead1", 5, 4, 1),
+    ],
+)
+def test_late_requests_that_crash_engines_are_found(
+    key: str, crashes: int, late: int, violations: int
+) -> None:
+    """Requests sent long after enough crashes under them, or their parts."""
+    fake_engine = engine()
+    fake_engine.received = []
+    fake_engine.crash_times = [(key, 1.0 + number) for number in range(crashes)]
+    fake_engine.deadly_arrivals = [(key, 20.0)] * late + [(key, 1.0 + crashes)]
+    lines = find_violations([], [fake_engine], EVENTS, [])
+    assert len(lines) == violations, lines
+
+
 @pytest.mark.parametrize(
     ("header", "value", "violations"),
     [
