Give up a silent stream only once another engine has sent an event

Cause: a resumable stream was broken off after 0.9 s before its head or 1.2 s between events. Only then did the host ask for another slot, so a pause of a sound engine ended the stream if no other engine could go on: there was none (no_engine), the retry budget was used up (retry_budget, prompt_not_read), the queue refused the late request (waited_too_long), or the paused engine had already sent all events and only had to end the stream. In the last case the other engine ends its answer without an event, which cannot continue a stream (continuation_refused reason=empty).

Change: a silent run begins a further run beside it, in a slot of its own, if the route, the retry budget and the listed engines allow one. The silent run is still read meanwhile and is given up for the first event of the other one. If it goes on first, the other one is cancelled; if none can begin, it is asked for again every 0.5 s until the caller has certainly disconnected. Prompts with suspect parts get no such run, so that they are tried at one engine at a time.

Not changed: a stream whose engine never returns after its last event waits for as long as its caller and then breaks.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -23,7 +23,7 @@
 from .known_limits import KnownLimits
 from .open_stream import OpenStream, RunFailedError
 from .protocols import EngineDialect, PrefillResult, SendOptions
-from .stream_limits import event_timeouts
+from .stream_limits import disconnect_timeout_s
 
 __all__ = ["EngineCalls", "NotExecutedError", "RunParameters"]
 
@@ -62,15 +62,13 @@
     ``source`` is a prefill result that the engine fetches and consumes,
     ``fetch_from`` an engine that may still cache parts of the prompt,
     ``resume_after`` the last event id that the caller has, and
-    ``reservation_id`` a reservation at the engine. ``may_resume`` tells
-    whether another run may follow.
+    ``reservation_id`` a reservation at the engine.
     """
 
     source: PrefillResult | None = None
     fetch_from: Address | None = None
     resume_after: int | None = None
     reservation_id: str = ""
-    may_resume: bool = False
 
 
 class EngineCalls:
@@ -155,10 +153,9 @@
             resume_after=start.resume_after,
             reservation_id=start.reservation_id,
         )
-        timeouts = event_timeouts(request.route, may_resume=start.may_resume)
         sent_s = self._clock.monotonic()
         try:
-            async with asyncio.timeout(timeouts.first_event_s):
+            async with asyncio.timeout(disconnect_timeout_s(request.route)):
                 head = await self._exchanges.send(request, entry, connection, options)
             if self._dialect.not_executed(head):
                 await read_bounded(connection)
--- a/packages/kumquat_relay/src/kumquat_relay/event_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/event_stream.py
@@ -6,6 +6,8 @@
 counted as events: they show no progress of the response.
 """
 
+import copy
+
 from .event_sequence import EventSequence
 from .event_steps import ServiceSteps
 
@@ -40,6 +42,13 @@
         self.events = 0
         self.misplaced = ""
 
+    def fork(self) -> "EventSplitter":
+        """Return a splitter for a run beside the current one."""
+        fork = copy.copy(self)
+        fork._partial = bytearray()
+        fork._sequence = copy.copy(self._sequence)
+        return fork
+
     @property
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/packages/kumquat_relay/src/kumquat_relay/host_retry_budget.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_retry_budget.py
@@ -61,12 +61,15 @@
         """Record a request that a caller sent for a service."""
         self._window(service).requests.append(self._clock.monotonic())
 
+    def may_spend(self, service: str) -> bool:
+        """Return whether this host's share allows one more retry."""
+        return len(self._window(service).retries) + 1 <= self.limit(service)
+
     def try_spend(self, service: str) -> bool:
         """Spend one retry; return false if this host's share is used up."""
-        window = self._window(service)
-        if len(window.retries) + 1 > self.limit(service):
+        if not self.may_spend(service):
             return False
-        window.retries.append(self._clock.monotonic())
+        self._window(service).retries.append(self._clock.monotonic())
         return True
 
     def record_retry(self, service: str) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -10,12 +10,14 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from kumquat_core.clock import Clock
 
 from .engine_connection import ConnectionBrokenError, EngineConnection
 from .engine_pool import EnginePool
 from .event_stream import EventSplitter, EventTooLargeError
+from .standby import Standby
 from .stream_limits import EventTimeouts
 
 __all__ = ["ContinuationError", "OpenStream", "RunFailedError"]
@@ -81,28 +83,29 @@
         splitter: EventSplitter,
         timeouts: EventTimeouts,
         on_stall: Callable[[int], None],
+        standby: Standby[Any] | None = None,
     ) -> AsyncIterator[bytes]:
         """Yield the bytes of complete events as they arrive.
 
         Raises ``RunFailedError`` if the connection breaks, the stream ends
-        within an event, or no event completes within ``timeouts``, and
-        ``ContinuationError`` if an event does not continue the stream.
-        ``on_stall`` is called with the idle time in milliseconds after each
-        ``STALL_S`` without an event.
+        within an event, no event completes within ``timeouts``, or the run of
+        ``standby`` has begun meanwhile, and ``ContinuationError`` if an event
+        does not continue the stream. ``on_stall`` is called with the idle time
+        in milliseconds after each ``STALL_S`` without an event.
         """
         body = self._connection.read_body()
         last_progress_s = self._clock.monotonic()
         stalls = 0
         while True:
-            limit_s = (
-                timeouts.first_event_s
-                if self._first_event_s is None
-                else timeouts.gap_s
-            )
-            chunk = await self._next_chunk(body, last_progress_s + limit_s)
+            limit_s = self._limit_s(timeouts)
+            chunk = await self._next_chunk(body, last_progress_s + limit_s, standby)
             idle_s = self._clock.monotonic() - last_progress_s
             if chunk is None and idle_s >= limit_s:
                 raise RunFailedError("silent")
+            if chunk is None and standby is not None:
+                if standby.is_ready:
+                    raise RunFailedError("silent")
+                standby.observe_silence(idle_s, self._limit_s(standby.limits))
             if idle_s >= (stalls + 1) * STALL_S:
                 stalls += 1
                 on_stall(int(idle_s * 1000))
@@ -119,6 +122,8 @@
                 has_event = splitter.events > count
                 if has_event:
                     self._record_event_time()
+                    if standby is not None:
+                        standby.cancel()
                 yield complete
                 if has_event:
                     # Time spent waiting for a slow caller is not idle time
@@ -144,18 +149,31 @@
         except ConnectionBrokenError as error:
             raise RunFailedError.from_broken(error) from error
 
+    def _limit_s(self, timeouts: EventTimeouts) -> float:
+        """Return the timeout for the next event."""
+        if self._first_event_s is None:
+            return timeouts.first_event_s
+        return timeouts.gap_s
+
     async def _next_chunk(
-        self, body: AsyncIterator[bytes], deadline_s: float
+        self,
+        body: AsyncIterator[bytes],
+        deadline_s: float,
+        standby: Standby[Any] | None,
     ) -> bytes | None:
         """Return the next bytes, empty at the end of the body.
 
-        Returns None if none arrive within ``STALL_S`` or by the deadline.
+        Returns None if none arrive within ``STALL_S``, by the deadline, or
+        before the run of ``standby`` has begun or failed.
         """
         wait_s = min(STALL_S, max(0.0, deadline_s - self._clock.monotonic()))
         if self._pending_read is None:
             self._pending_read = asyncio.ensure_future(_next_part(body))
-        done, _ = await asyncio.wait({self._pending_read}, timeout=wait_s)
-        if not done:
+        awaited: set[asyncio.Future[Any]] = {self._pending_read}
+        if standby is not None:
+            awaited |= standby.pending
+        await asyncio.wait(awaited, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+        if not self._pending_read.done():
             return None
         pending, self._pending_read = self._pending_read, None
         try:
--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -132,15 +132,17 @@
             progress.blocked_engines.add(grant.prefill_engine)
             return False
         progress.excluded.add(entry.id)
-        if progress.prefills > 0 and not self._retries.try_spend(request.service):
+        if progress.counts.prefills > 0 and not self._retries.try_spend(
+            request.service
+        ):
             return False
-        progress.prefills += 1
+        progress.counts.prefills += 1
         began_s = self._clock.monotonic()
         try:
             progress.prefill = await self._calls.prefill(request, entry)
         except NotExecutedError as error:
             self._admission.report_prefill(
-                request.id, 0.0, unreachable=error.unreachable
+                progress.slot_id, 0.0, unreachable=error.unreachable
             )
             if not error.unreachable:
                 self._retries.record_retry(request.service)
@@ -148,7 +150,7 @@
         progress.excluded.discard(entry.id)
         progress.prefilled_s = self._clock.monotonic()
         self._admission.report_prefill(
-            request.id, (progress.prefilled_s - began_s) * 1000
+            progress.slot_id, (progress.prefilled_s - began_s) * 1000
         )
         return True
 
@@ -167,13 +169,12 @@
         source, progress.prefill = progress.prefill, None
         reservation_id, progress.reservation_id = progress.reservation_id, ""
         last_id = progress.splitter.last_id
-        may_resume = request.route.allows_run_after(progress.runs + 1)
         probably_expired = source is not None and self._expiry.likely_expired(
             source.engine.address
         )
         if source is not None and not probably_expired:
             try:
-                start = RunParameters(source, None, last_id, reservation_id, may_resume)
+                start = RunParameters(source, None, last_id, reservation_id)
                 return await self._send(request, entry, start, progress)
             except NotExecutedError as error:
                 # The first request that names a reservation consumes it.
@@ -194,7 +195,7 @@
                     raise
                 reservation_id, progress.reservation_id = progress.reservation_id, ""
         fetch_from = source.engine.address if source is not None else None
-        start = RunParameters(None, fetch_from, last_id, reservation_id, may_resume)
+        start = RunParameters(None, fetch_from, last_id, reservation_id)
         stream = await self._send(request, entry, start, progress)
         if source is not None and not probably_expired:
             self._expiry.record_expired(source.engine.address)
@@ -250,12 +251,15 @@
         ``QuarantineError`` and ``RunFailedError``.
         """
         self._quarantine.check(request, progress.trial_parts)
-        if progress.sends > 0 and not self._retries.try_spend(request.service):
+        counts = progress.counts
+        if counts.sends > 0 and not self._retries.try_spend(request.service):
             raise RetryBudgetExhaustedError
-        progress.sends += 1
+        counts.sends += 1
+        counts.runs += 1
         try:
             return await self._calls.open_stream(request, entry, start)
         except NotExecutedError as error:
+            counts.runs -= 1
             if error.unreachable:
-                progress.sends -= 1
+                counts.sends -= 1
             raise
--- a/packages/kumquat_relay/src/kumquat_relay/slot_request.py
+++ b/packages/kumquat_relay/src/kumquat_relay/slot_request.py
@@ -33,14 +33,14 @@
     if progress.first_event_s is not None:
         # The caller has part of the response. While it waits, completing
         # that is worth more than beginning the response to another caller.
-        patience_ms -= int((now_s - progress.last_event_s) * 1000)
+        patience_ms -= int((now_s - progress.pace.last_event_s) * 1000)
         objective_ms = float(patience_ms)
         priority = RESUME_PRIORITY
     else:
         objective_ms = objective_left_ms - waited_ms
         patience_ms -= int(waited_ms)
     return RunRequest(
-        request.id,
+        progress.slot_id,
         request.service,
         prompt.prompt_tokens,
         max(1, prompt.expected_tokens - generated_tokens),
--- a/packages/kumquat_relay/src/kumquat_relay/stream_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_limits.py
@@ -4,17 +4,23 @@
 no memory left for them. An engine that crashed without a TCP reset, or that
 only sends a byte now and then, never produces another event.
 
-Only complete events count as progress. A stream that can be resumed at another
-engine fails after a few of the pauses that its route allows. Failing any other
-stream before its caller disconnects gains nothing, so its timeouts cover the
-caller's patience. The same holds for the last run that its route allows.
+Only complete events count as progress. After a few of the pauses that its
+route allows, a stream that can be resumed asks for a run at another engine,
+but its silent run goes on until that one sends events: the engine may be
+sound, and no other may have capacity. Failing a run before its caller
+disconnects gains nothing, so its timeout covers the caller's patience.
 """
 
 from dataclasses import dataclass
 
 from .routes import Route
 
-__all__ = ["EventTimeouts", "caller_patience_ms", "event_timeouts"]
+__all__ = [
+    "EventTimeouts",
+    "caller_patience_ms",
+    "disconnect_timeout_s",
+    "event_timeouts",
+]
 
 # Callers disconnect from a stream that is idle for the longest of a minimum,
 # a multiple of the latency objective and a multiple of the longest pause.
@@ -50,12 +56,17 @@
     )
 
 
+def disconnect_timeout_s(route: Route) -> float:
+    """Return the idle time after which a run certainly has no caller."""
+    return caller_patience_ms(route) / 1000 + DISCONNECT_MARGIN_S
+
+
 def event_timeouts(route: Route, *, may_resume: bool) -> EventTimeouts:
-    """Return the timeouts of a run of a stream.
+    """Return the timeouts of a run, or those until another run is begun.
 
-    ``may_resume`` tells whether another run may follow.
+    ``may_resume`` tells whether another run is to begin beside the silent one.
     """
-    disconnect_s = caller_patience_ms(route) / 1000 + DISCONNECT_MARGIN_S
+    disconnect_s = disconnect_timeout_s(route)
     if not may_resume:
         return EventTimeouts(disconnect_s, disconnect_s)
     return EventTimeouts(
--- a/packages/kumquat_relay/src/kumquat_relay/stream_log.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_log.py
@@ -22,7 +22,7 @@
         request=request.id,
         first_ms=round((progress.first_event_s - request.arrived_s) * 1000, 1),
         objective_ms=request.route.objective_ms,
-        max_gap_ms=round(progress.max_gap_s * 1000, 1),
+        max_gap_ms=round(progress.pace.max_gap_s * 1000, 1),
         allowed_gap_ms=request.route.max_gap_ms,
         events=progress.splitter.events,
     )
@@ -43,7 +43,7 @@
         request=request.id,
         engine=engine_id,
         reason=reason,
-        runs=progress.runs,
+        runs=progress.counts.runs,
         last_event=progress.splitter.last_id,
         run_events=progress.splitter.events - progress.events_before,
         closed_by_engine=closed_by_engine,
--- a/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_outcomes.py
@@ -26,7 +26,7 @@
     progress: StreamProgress, error: AdmissionRefusedError
 ) -> StreamOutcome:
     """Return the outcome of a request to which no slot was granted."""
-    if progress.runs == 0:
+    if progress.counts.runs == 0:
         response = refusal(
             ResultCode.NO_CAPACITY_IN_TIME, error.reason, error.retry_after_s
         )
@@ -41,7 +41,7 @@
     """
     if progress.sink.started:
         return StreamOutcome(ResultCode.STREAM_INTERRUPTED, QUARANTINED)
-    if progress.runs == 0:
+    if progress.counts.runs == 0:
         response = refusal(ResultCode.PROMPT_QUARANTINED, QUARANTINED, None)
     else:
         response = failure(ResultCode.ENGINE_FAILED, QUARANTINED)
@@ -54,9 +54,9 @@
     """Return the outcome of a request without a complete response."""
     if progress.sink.started:
         return StreamOutcome(ResultCode.STREAM_INTERRUPTED, reason)
-    if progress.runs == 0 and not timed_out:
+    if progress.counts.runs == 0 and not timed_out:
         response = refusal(ResultCode.NO_CAPACITY_IN_TIME, reason, NO_SLOT_RETRY_S)
-    elif progress.sends == 0:
+    elif progress.counts.sends == 0:
         response = refusal(ResultCode.DEADLINE_BEFORE_START, reason, NO_SLOT_RETRY_S)
     else:
         code = ResultCode.ENGINE_FAILED
@@ -72,7 +72,7 @@
         return incomplete_outcome(progress, "deadline", timed_out=True)
     if progress.sink.started:
         return StreamOutcome(ResultCode.STREAM_INTERRUPTED, HOST_STOPPED)
-    if progress.sends == 0:
+    if progress.counts.sends == 0:
         response = refusal(ResultCode.DRAINING, HOST_STOPPED, MIN_RETRY_AFTER_S)
     else:
         response = failure(ResultCode.OUTCOME_UNKNOWN, HOST_STOPPED, timed_out=True)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -1,6 +1,6 @@
 """The state of a stream across its runs, and its outcome."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from kumquat_core.result_codes import ResultCode
 
@@ -10,7 +10,14 @@
 from .protocols import PrefillResult
 from .response_sink import ResponseSink
 
-__all__ = ["COMPLETE", "CompletionReport", "StreamOutcome", "StreamProgress"]
+__all__ = [
+    "COMPLETE",
+    "CompletionReport",
+    "RunCounts",
+    "StreamOutcome",
+    "StreamPace",
+    "StreamProgress",
+]
 
 # The reason of the outcome of a complete response.
 COMPLETE = "complete"
@@ -31,26 +38,60 @@
     response: CallerResponse | None = None
 
 
+@dataclass
+class RunCounts:
+    """What was sent for a stream.
+
+    ``runs`` counts the runs that an engine may have started, ``prefills`` the
+    prefills, and ``sends`` the sends of runs. ``standbys`` counts the further
+    runs that were prepared while one was silent.
+    """
+
+    runs: int = 0
+    sends: int = 0
+    prefills: int = 0
+    standbys: int = 0
+
+
+@dataclass
+class StreamPace:
+    """When events were received, in monotonic seconds."""
+
+    first_event_s: float | None = None
+    last_event_s: float = 0.0
+    max_gap_s: float = 0.0
+
+    def record_event_time(self, now_s: float) -> None:
+        """Record the time at which events were received."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        if self.last_event_s:
+            self.max_gap_s = max(self.max_gap_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
+
+
 @dataclass
 class StreamProgress:
     """The state of a stream across all its runs.
 
-    ``runs`` counts the runs that an engine may have started, ``rejections``
-    the attempts that were provably not executed. ``reservation_id`` names an
-    unused reservation at ``reservation_engine``; ``events_before`` is the
-    number of events that earlier runs produced.
+    ``slot_id`` identifies the slot of its run at the owner of the service.
+    ``rejections`` counts the attempts that were provably not executed.
+    ``reservation_id`` names an unused reservation at ``reservation_engine``;
+    ``events_before`` is the number of events that earlier runs produced.
     The grant allows the prompt parts in ``trial_parts`` to be tried;
     ``own_suspects`` are those under which a run of this stream ended.
     ``answer_began_s`` is the time of the first event of the current run.
+    ``is_standby`` is set while the run of another state is silent.
     Engines in ``excluded`` failed the request and are used only if no other
     is left; this host sends nothing to those in ``blocked_engines``.
     """
 
     sink: ResponseSink
+    slot_id: str
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    counts: RunCounts = field(default_factory=RunCounts)
+    is_standby: bool = False
     rejections: int = 0
-    runs: int = 0
-    sends: int = 0
     excluded: set[str] = field(default_factory=set)
     blocked_engines: set[str] = field(default_factory=set)
     trial_parts: tuple[str, ...] = ()
@@ -61,11 +102,48 @@
     prefilled_s: float = float("-inf")
     reservation_id: str = ""
     reservation_engine: EngineEntry | None = None
-    prefills: int = 0
     events_before: int = 0
-    first_event_s: float | None = None
-    last_event_s: float = 0.0
-    max_gap_s: float = 0.0
+    pace: StreamPace = field(default_factory=StreamPace)
+
+    @property
+    def first_event_s(self) -> float | None:
+        """Return the time of the first event of the stream, if any."""
+        return self.pace.first_event_s
+
+    def for_standby(self, request_id: str, silent_engine: str) -> "StreamProgress":
+        """Return the state for a run that begins beside a silent one.
+
+        Both share the response to the caller, its pace and the counts.
+        """
+        self.counts.standbys += 1
+        return replace(
+            self,
+            slot_id=f"{request_id}~{self.counts.standbys}",
+            is_standby=True,
+            splitter=self.splitter.fork(),
+            rejections=0,
+            excluded=self.excluded | {silent_engine},
+            blocked_engines=set(self.blocked_engines),
+            own_suspects=set(self.own_suspects),
+            answer_began_s=None,
+            prefill=None,
+            reservation_id="",
+            reservation_engine=None,
+        )
+
+    def adopt(self, standby: "StreamProgress") -> None:
+        """Go on with the run that began beside a silent one."""
+        self.slot_id = standby.slot_id
+        self.splitter = standby.splitter
+        self.events_before = standby.events_before
+        self.excluded = standby.excluded
+        self.blocked_engines = standby.blocked_engines
+        self.own_suspects = standby.own_suspects
+        self.trial_parts = standby.trial_parts
+        self.answer_began_s = None
+        self.prefill, self.prefilled_s = standby.prefill, standby.prefilled_s
+        self.reservation_id = standby.reservation_id
+        self.reservation_engine = standby.reservation_engine
 
     def is_answering(self, now_s: float) -> bool:
         """Tell whether the engine has survived the start of its answer."""
@@ -74,13 +152,9 @@
 
     def record_event_time(self, now_s: float) -> None:
         """Record the time at which events were received."""
-        if self.first_event_s is None:
-            self.first_event_s = now_s
         if self.answer_began_s is None:
             self.answer_began_s = now_s
-        if self.last_event_s:
-            self.max_gap_s = max(self.max_gap_s, now_s - self.last_event_s)
-        self.last_event_s = now_s
+        self.pace.record_event_time(now_s)
 
 
 @dataclass
