Avoid an engine after a silence only until it sends an event again

Cause: a run that was given up for a silence counted as a broken one. Under a pause of a second an engine fails all its runs at once, so it was avoided for 0.7 s, doubled at each pause up to 5.6 s, looked worse than its peers to the outlier detection, and its runs counted as ended by a crash.

Change: hosts tell the owner that a run was given up for a silence (a later field of RunEnded). Two such runs avoid the engine for 0.7 s, doubled only while it sends nothing; the first event of any run ends the avoidance. A silence counts neither in the outlier detection nor as an end of a run in the evidence of a crash. The recording of outcomes moves from queue_owner to engine_outcomes.

Tests: the two tests on silences fail before the change, which has no record_silence; test_an_event_does_not_end_the_avoidance_of_a_failing_engine guards it.

--- a/packages/kumquat_core/src/kumquat_core/run_messages.py
+++ b/packages/kumquat_core/src/kumquat_core/run_messages.py
@@ -142,8 +142,8 @@
     ``gap_ms`` is the mean time between its events, 0 if there were too few.
     ``full_engine`` refused it for lack of capacity. ``failed_engine`` failed
     it: the engine could not be reached if ``unreachable`` is set, and sent an
-    error response if ``error_response`` is. ``generated_tokens`` is the length
-    of a complete response, else 0.
+    error response if ``error_response`` is, or fell silent if ``silent`` is.
+    ``generated_tokens`` is the length of a complete response, else 0.
     """
 
     request_id: str
@@ -154,6 +154,7 @@
     unreachable: bool = False
     generated_tokens: Whole = 0
     error_response: bool = False
+    silent: bool = field(default=False, metadata=LATER_FIELD)
 
 
 @dataclass(frozen=True)
--- a/packages/kumquat_relay/src/kumquat_relay/admission.py
+++ b/packages/kumquat_relay/src/kumquat_relay/admission.py
@@ -194,6 +194,7 @@
         unreachable: bool = False,
         generated_tokens: int = 0,
         error_response: bool = False,
+        silent: bool = False,
     ) -> None:
         """Release the slot of a request and notify the owner of the outcome.
 
@@ -211,6 +212,7 @@
             unreachable,
             generated_tokens,
             error_response,
+            silent,
         )
         self._send_run_ended(held.owner, message)
 
--- a/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_calls.py
@@ -179,7 +179,7 @@
         except TimeoutError as error:
             connection.abort()
             self._log_sent(request, entry, began_s, "silent")
-            raise RunFailedError("silent") from error
+            raise RunFailedError.from_silence() from error
         except asyncio.CancelledError:
             connection.abort()
             raise
--- a/packages/kumquat_relay/src/kumquat_relay/engine_health.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_health.py
@@ -9,6 +9,9 @@
 each time the engine is avoided again. After it has passed, the engine receives
 single trial requests until one succeeds. An engine that could not be connected
 to counts as unreachable until it accepts a connection.
+
+A sound engine may fall silent for a second and go on. After runs that were
+given up for that, it is avoided only until it sends an event again.
 """
 
 from collections import deque
@@ -52,7 +55,8 @@
     """Outcomes and avoidance state of one engine.
 
     ``avoid_s`` is the length of the next avoidance time, ``next_trial_s`` the
-    earliest time of the next trial request.
+    earliest time of the next trial request. ``silences`` counts the runs that
+    were given up for a silence since the engine last sent an event.
     """
 
     consecutive_failures: int = 0
@@ -64,6 +68,8 @@
     avoided: bool = False
     next_trial_s: float = float("-inf")
     unreachable: bool = False
+    silences: int = 0
+    avoided_for_silence: bool = False
 
 
 class EngineHealth:
@@ -77,8 +83,8 @@
     def record_success(self, engine_id: str) -> bool:
         """Record a success; return whether it ends an avoidance."""
         record = self._records_by_id.setdefault(engine_id, _EngineRecord())
-        record.consecutive_failures = 0
-        record.unreachable = False
+        record.consecutive_failures = record.silences = 0
+        record.unreachable = record.avoided_for_silence = False
         record.recent_successes.append(True)
         recovered = record.avoided
         if recovered:
@@ -104,6 +110,36 @@
         )
         if record.consecutive_failures < MAX_CONSECUTIVE_FAILURES and not mostly_fails:
             return False
+        record.avoided_for_silence = False
+        return self._avoid(record)
+
+    def record_silence(self, engine_id: str) -> bool:
+        """Record a run given up for a silence; see ``record_failure``."""
+        if not self._rules.avoidance:
+            return False
+        record = self._records_by_id.setdefault(engine_id, _EngineRecord())
+        record.silences += 1
+        if record.silences < MAX_CONSECUTIVE_FAILURES:
+            return False
+        if not record.avoided:
+            record.avoided_for_silence = True
+        return self._avoid(record)
+
+    def record_event(self, engine_id: str) -> bool:
+        """Record an event of a run; return whether it ends an avoidance."""
+        record = self._records_by_id.get(engine_id)
+        if record is None or not record.silences:
+            return False
+        record.silences = 0
+        if not (record.avoided and record.avoided_for_silence):
+            return False
+        record.avoided = record.avoided_for_silence = False
+        record.avoid_until_s = float("-inf")
+        record.avoid_s = MIN_AVOID_S
+        return True
+
+    def _avoid(self, record: _EngineRecord) -> bool:
+        """Avoid an engine; return false if it still is."""
         now_s = self._clock.monotonic()
         if now_s < record.avoid_until_s:
             return False
--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -29,13 +29,22 @@
 class RunFailedError(Exception):
     """The run failed after the engine may have started it.
 
-    ``closed_by_engine`` is set if the engine closed or reset the connection.
+    ``closed_by_engine`` is set if the engine closed or reset the connection,
+    ``silent`` if it sent no event in time.
     """
 
-    def __init__(self, reason: str, *, closed_by_engine: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, closed_by_engine: bool = False, silent: bool = False
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.closed_by_engine = closed_by_engine
+        self.silent = silent
+
+    @classmethod
+    def from_silence(cls) -> "RunFailedError":
+        """Return the failure of a run whose engine fell silent."""
+        return cls("silent", silent=True)
 
     @classmethod
     def from_broken(
@@ -101,10 +110,10 @@
             chunk = await self._next_chunk(body, last_progress_s + limit_s, standby)
             idle_s = self._clock.monotonic() - last_progress_s
             if chunk is None and idle_s >= limit_s:
-                raise RunFailedError("silent")
+                raise RunFailedError.from_silence()
             if chunk is None and standby is not None:
                 if standby.is_ready:
-                    raise RunFailedError("silent")
+                    raise RunFailedError.from_silence()
                 standby.observe_silence(idle_s, self._limit_s(standby.limits))
             if idle_s >= (stalls + 1) * STALL_S:
                 stalls += 1
--- a/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
+++ b/packages/kumquat_relay/src/kumquat_relay/queue_owner.py
@@ -29,6 +29,7 @@
 from .crash_observer import CrashObserver
 from .decision_messages import log_decision, to_message
 from .engine_health import EngineHealth, Failure
+from .engine_outcomes import EngineOutcomes, failure_of
 from .engine_probe import EngineProbe
 from .limit_owner import LimitOwner
 from .owned_queue import OwnedQueue
@@ -69,7 +70,7 @@
         rules: RelayRules = ALL_RULES,
     ) -> None:
         self._rules = rules
-        self._probe = probe
+        self._outcomes = EngineOutcomes(clock, health, probe, rules)
         probe.on_connected = self.engines_changed
         self._limits = limits
         limits.on_change = self._limits_changed
@@ -117,29 +118,37 @@
         owned.queue.ledger.record_prefill(message.request_id, message.prefill_ms, now_s)
         if prefill_engine_id and message.prefill_ms == 0:
             failure = Failure.UNREACHABLE if message.unreachable else Failure.BROKEN
-            self._record_failure(owned, prefill_engine_id, message.request_id, failure)
+            self._outcomes.record_failure(
+                owned.queue.ledger, prefill_engine_id, message.request_id, failure
+            )
         elif prefill_engine_id and message.prefill_ms > 0:
-            self._record_success(owned, prefill_engine_id, message.request_id)
-        elif message.prefill_ms > 0 and owned.queue.trials.end(message.request_id):
-            log_event(logger, "trial_answered", request=message.request_id)
+            self._outcomes.record_success(
+                owned.queue.ledger, prefill_engine_id, message.request_id
+            )
+        elif message.prefill_ms > 0:
+            engine_id = owned.queue.ledger.decode_engine_of(message.request_id)
+            self._outcomes.record_event(engine_id)
+            if owned.queue.trials.end(message.request_id):
+                log_event(logger, "trial_answered", request=message.request_id)
         self._apply_decisions(owned, owned.queue.advance(now_s))
 
     def on_run_ended(self, message: RunEnded) -> None:
         """Release the slot of a request or remove it from the queue."""
         owned = self._owned_queue(message.service)
         now_s = self._clock.monotonic()
-        if message.failed_engine:
-            if _failure_of(message) is Failure.BROKEN:
+        ledger = owned.queue.ledger
+        if message.failed_engine and message.silent:
+            self._outcomes.record_silence(message.failed_engine)
+        elif message.failed_engine:
+            failure = failure_of(message)
+            if failure is Failure.BROKEN:
                 self._observer.record_broken_run(message.failed_engine)
-            self._record_failure(
-                owned,
-                message.failed_engine,
-                message.request_id,
-                _failure_of(message),
+            self._outcomes.record_failure(
+                ledger, message.failed_engine, message.request_id, failure
             )
         elif message.gap_ms > 0:
-            engine_id = owned.queue.ledger.decode_engine_of(message.request_id)
-            self._record_success(owned, engine_id, message.request_id)
+            engine_id = ledger.decode_engine_of(message.request_id)
+            self._outcomes.record_success(ledger, engine_id, message.request_id)
         owned.queue.ended(
             message.request_id, message.gap_ms, now_s, message.generated_tokens
         )
@@ -357,39 +366,3 @@
     def _on_timer(self, owned: OwnedQueue) -> None:
         owned.timer = None
         self._apply_decisions(owned, owned.queue.advance(self._clock.monotonic()))
-
-    def _record_failure(
-        self, owned: OwnedQueue, engine_id: str, request_id: str, failure: Failure
-    ) -> None:
-        """Record a failure of an engine; log whether it is now avoided."""
-        if failure is not Failure.UNREACHABLE:
-            now_s = self._clock.monotonic()
-            ledger = owned.queue.ledger
-            ledger.record_outcome(engine_id, request_id, failed=True, now_s=now_s)
-        if self._health.record_failure(engine_id, failure):
-            log_event(
-                logger,
-                "engine_avoided",
-                engine=engine_id,
-                failure=failure.name.lower(),
-            )
-        if failure is Failure.UNREACHABLE and self._rules.probes:
-            self._probe.start(engine_id)
-
-    def _record_success(
-        self, owned: OwnedQueue, engine_id: str, request_id: str
-    ) -> None:
-        """Record a success of an engine and log if it was avoided."""
-        if not engine_id:
-            return
-        now_s = self._clock.monotonic()
-        ledger = owned.queue.ledger
-        ledger.record_outcome(engine_id, request_id, failed=False, now_s=now_s)
-        if self._health.record_success(engine_id):
-            log_event(logger, "engine_trusted_again", engine=engine_id)
-
-
-def _failure_of(message: RunEnded) -> Failure:
-    if message.unreachable:
-        return Failure.UNREACHABLE
-    return Failure.ERROR_ANSWER if message.error_response else Failure.BROKEN
--- a/packages/kumquat_relay/src/kumquat_relay/run_response.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_response.py
@@ -37,7 +37,7 @@
             if opening.done():
                 return await opening
             if standby.is_ready:
-                raise RunFailedError("silent")
+                raise RunFailedError.from_silence()
     except BaseException:
         opening.cancel()
         opening.add_done_callback(_abort_response)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_progress.py
@@ -163,8 +163,8 @@
 
     ``full_engine`` rejected the run for lack of capacity. ``failed_engine``
     failed it: it could not be reached if ``unreachable`` is set, and sent an
-    error if ``error_response`` is. ``generated_tokens`` is the length of a
-    complete response, else 0.
+    error if ``error_response`` is, and fell silent if ``silent`` is.
+    ``generated_tokens`` is the length of a complete response, else 0.
     """
 
     gap_ms: float = 0.0
@@ -172,4 +172,5 @@
     failed_engine: str = ""
     unreachable: bool = False
     error_response: bool = False
+    silent: bool = False
     generated_tokens: int = 0
--- a/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_relay.py
@@ -163,6 +163,7 @@
             if isinstance(error, ConnectionBrokenError):
                 error = RunFailedError.from_broken(error)
             report.failed_engine, report.error_response = stream.engine_id, False
+            report.silent = error.silent
             if isinstance(error, ContinuationError):
                 report.error_response = True
                 record_refusal(self._metrics, request, progress, stream, error)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
@@ -150,6 +150,7 @@
             unreachable=report.unreachable,
             generated_tokens=report.generated_tokens,
             error_response=report.error_response,
+            silent=report.silent,
         )
 
     def tokens_in(self, request: CallerRequest, events: int) -> int:
@@ -274,7 +275,7 @@
             begun = await self._take(request, progress, standby)
             return begun or self._after_rejection(request, progress, error.reason)
         except RunFailedError as error:
-            report.failed_engine = entry.id
+            report.failed_engine, report.silent = entry.id, error.silent
             return await self.after_broken_run(request, progress, entry, error, standby)
         is_unproven = stream.status in PROMISE_STATUSES
         if stream.status >= 500 or is_unproven:
@@ -292,7 +293,7 @@
         try:
             await self._read_first_event(request, run)
         except RunFailedError as error:
-            report.failed_engine = entry.id
+            report.failed_engine, report.silent = entry.id, error.silent
             report.error_response = isinstance(error, ContinuationError)
             return await self.after_broken_run(request, progress, entry, error, standby)
         return run
--- a/tests/relay/test_pausing_engines.py
+++ b/tests/relay/test_pausing_engines.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from kumquat_core.clock import ManualClock
+from kumquat_relay.engine_health import MIN_AVOID_S, EngineHealth, Failure
+
 from .pausing_fleet import PauseTrial, PausingFleet, pace_streams, run_fleet
 from .relay_harness import RelayHarness, run_scenario
 from .test_last_run import allow_runs, pausing_answer
@@ -161,3 +164,38 @@
         assert harness.host._admission.held_run_count == 0
 
     run_fleet(scenario)
+
+
+def test_silences_do_not_lengthen_the_avoidance_of_an_engine_that_goes_on() -> None:
+    """Each pause doubled the time without requests, up to 5.6 s."""
+    clock = ManualClock()
+    health = EngineHealth(clock)
+    for _ in range(4):
+        avoided = [health.record_silence("e") for _ in range(12)]
+        assert avoided.count(True) == 1
+        assert health.is_avoided("e")
+        clock.advance(MIN_AVOID_S)
+        assert not health.is_avoided("e")
+        assert health.record_event("e")
+    assert not health.record_silence("e")
+
+
+def test_an_engine_that_stays_silent_is_avoided_for_longer_each_time() -> None:
+    """Otherwise a dead engine would be granted a run every 0.7 s."""
+    clock = ManualClock()
+    health = EngineHealth(clock)
+    assert [health.record_silence("e") for _ in range(2)] == [False, True]
+    clock.advance(MIN_AVOID_S)
+    assert health.record_silence("e")
+    clock.advance(1.5 * MIN_AVOID_S)
+    assert health.is_avoided("e")
+
+
+def test_an_event_does_not_end_the_avoidance_of_a_failing_engine() -> None:
+    """An engine that begins each answer and breaks it off stays avoided."""
+    health = EngineHealth(ManualClock())
+    for _ in range(2):
+        health.record_failure("e", Failure.BROKEN)
+    health.record_silence("e")
+    assert not health.record_event("e")
+    assert health.is_avoided("e")
