Leave pauses out of the estimated time per token of an engine

Cause: the mean gap of a run included the pauses of its engine. Each run that a sound engine went on with after a pause of a second raised the estimated time per token several times, and since the engine with the lowest one is granted next, the engine got no runs by which the estimate would have fallen.

Change: gaps of 0.35 s and more are left out of the mean if they are at most a quarter of all gaps. An engine that pauses more often is slow.

--- a/packages/kumquat_relay/src/kumquat_relay/open_stream.py
+++ b/packages/kumquat_relay/src/kumquat_relay/open_stream.py
@@ -24,6 +24,9 @@
 
 # Several times the usual gap between two events.
 STALL_S = 0.35
+# Part of the gaps between events that may be pauses. An engine that pauses
+# more often is slow.
+MAX_PAUSE_SHARE = 0.25
 
 
 class RunFailedError(Exception):
@@ -86,6 +89,8 @@
     _pending_read: "asyncio.Future[bytes] | None" = None
     _first_event_s: float | None = field(default=None)
     _last_event_s: float = 0.0
+    _pauses: int = 0
+    _paused_s: float = 0.0
 
     async def events(
         self,
@@ -191,9 +196,13 @@
             raise RunFailedError.from_broken(error) from error
 
     def _record_event_time(self) -> None:
-        self._last_event_s = self._clock.monotonic()
+        now_s = self._clock.monotonic()
         if self._first_event_s is None:
-            self._first_event_s = self._last_event_s
+            self._first_event_s = now_s
+        elif now_s - self._last_event_s >= STALL_S:
+            self._pauses += 1
+            self._paused_s += now_s - self._last_event_s
+        self._last_event_s = now_s
 
     def finish(self) -> None:
         """Return the connection to the pool after a complete response."""
@@ -210,10 +219,17 @@
             self._connection.abort()
 
     def mean_gap_ms(self, events: int) -> float:
-        """Return the mean time between events, 0 for fewer than three."""
+        """Return the mean time between events, 0 for fewer than three.
+
+        Single pauses are left out: they say nothing about the speed of the
+        engine, which would get no runs for as long as it seems slow.
+        """
         if events < 3 or self._first_event_s is None:
             return 0.0
-        return (self._last_event_s - self._first_event_s) * 1000 / (events - 1)
+        streamed_s, gaps = self._last_event_s - self._first_event_s, events - 1
+        if self._pauses <= MAX_PAUSE_SHARE * gaps:
+            streamed_s, gaps = streamed_s - self._paused_s, gaps - self._pauses
+        return streamed_s * 1000 / gaps
 
 
 async def _next_part(body: AsyncIterator[bytes]) -> bytes:
--- a/tests/relay/test_pausing_engines.py
+++ b/tests/relay/test_pausing_engines.py
@@ -199,3 +199,37 @@
     health.record_silence("e")
     assert not health.record_event("e")
     assert health.is_avoided("e")
+
+
+async def keep_streaming(harness: RelayHarness, rate_per_s: float) -> None:
+    answers = []
+    try:
+        while True:
+            answers.append(asyncio.ensure_future(body_of(harness, "story")))
+            await asyncio.sleep(1 / rate_per_s)
+    finally:
+        await asyncio.gather(*answers)
+
+
+def test_an_engine_gets_runs_soon_after_its_pauses() -> None:
+    """The pauses counted as slow tokens, so that an engine got no runs for
+    seconds while others had free slots."""
+
+    async def scenario(fleet: PausingFleet) -> None:
+        harness = fleet.harness
+        pace_streams(harness, GAP_S)
+        streams = asyncio.ensure_future(keep_streaming(harness, 12))
+        engine = harness.decode_engines[0]
+        await asyncio.sleep(1.5)
+        for _ in range(3):
+            await fleet.pause(engine, 1.1)
+            await asyncio.sleep(0.1)
+            runs = len(engine.runs)
+            async with asyncio.timeout(1.5):
+                while len(engine.runs) == runs:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(1.0)
+        streams.cancel()
+        await asyncio.gather(streams, return_exceptions=True)
+
+    run_fleet(scenario, decode_engines=4)
