Send a run without a reservation if its only engine does not answer one

Cause: an engine that paused for over 0.5 s while it was asked for a reservation was excluded for the stream. The next request for a slot was refused with no_engine if the service had no other decode engine.

Change: without another decode engine the run is sent without a reservation, which the engine does not need to accept it.

Test: test_a_pause_during_a_reservation_does_not_refuse_the_only_engine got a 503 before the change and passes with it.

--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -16,7 +16,7 @@
 from .cluster_state import ClusterState
 from .engine_calls import EngineCalls, NotExecutedError, RunParameters
 from .engine_notices import EngineNotices
-from .engine_registry import EngineEntry
+from .engine_registry import EngineEntry, EngineRole
 from .host_retry_budget import HostRetryBudget
 from .known_limits import KnownLimits
 from .open_stream import OpenStream
@@ -98,11 +98,20 @@
                 engine=entry.id,
                 reason=error.reason,
             )
+            if not self._has_other_engine(request, entry):
+                # It may only have paused, and then still accepts the run.
+                return True
             progress.excluded.add(entry.id)
             return False
         progress.reservation_engine = entry
         return bool(progress.reservation_id)
 
+    def _has_other_engine(self, request: CallerRequest, entry: EngineEntry) -> bool:
+        engines = self._cluster_state.registry.usable(
+            request.service, EngineRole.DECODE
+        )
+        return any(engine.id != entry.id for engine in engines)
+
     def release_reservation(
         self, request: CallerRequest, progress: StreamProgress
     ) -> None:
--- a/tests/relay/test_pausing_engines.py
+++ b/tests/relay/test_pausing_engines.py
@@ -233,3 +233,20 @@
         await asyncio.gather(streams, return_exceptions=True)
 
     run_fleet(scenario, decode_engines=4)
+
+
+def test_a_pause_during_a_reservation_does_not_refuse_the_only_engine() -> None:
+    """The engine that did not answer the reservation in 0.5 s was excluded,
+    and the stream was refused since there was no other engine."""
+
+    async def scenario(fleet: PausingFleet) -> None:
+        harness = fleet.harness
+        pace_streams(harness, GAP_S)
+        engine = harness.decode_engines[0]
+        pause = asyncio.ensure_future(fleet.pause(engine, 1.2))
+        await asyncio.sleep(0.1)
+        assert await body_of(harness, "story") == expected_events(12)
+        assert len(engine.runs) == 1
+        await pause
+
+    run_fleet(scenario, decode_engines=1)
