--- a/tests/relay/test_crashing_request.py
+++ b/tests/relay/test_crashing_request.py
@@ -248,3 +248,27 @@
         await new_server.stop()
 
     run_scenario(scenario, HOSTS, backend_servers=SERVERS)
+
+
+def test_deadly_stream_does_not_convict_a_part_that_it_shares() -> None:
+    """All streams with the common first part of the service were refused."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        engines = harness.decode_engines
+        make_deadly(engines)
+        await wait_for_contact(harness)
+        for number in range(8):
+            host = harness.hosts[number % HOSTS]
+            parts = "ab:200,d1:5"
+            await send(harness, "story", DEADLY, host, X_Prefix_Hash=parts)
+            await asyncio.sleep(0.2)
+        assert crashes(engines) <= MAX_CRASHES
+        await asyncio.sleep(0.7)
+        for number in range(6):
+            parts = f"ab:200,e{number}:5"
+            host = harness.hosts[number % HOSTS]
+            body = b"sound%d" % number
+            result = await send(harness, "story", body, host, X_Prefix_Hash=parts)
+            assert result == (200, None)
+
+    run_scenario(scenario, HOSTS, SERVERS)
