Serve a plain request that was cleared while it waited for a trial

If no owner answered, it was refused although its suspicion had ended meanwhile. Also names owner_group for what it is used for now, and drops two unused constants.

--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -94,8 +94,8 @@
         spec = self.routes.services_by_name.get(service)
         return spec.engine if spec is not None else None
 
-    def limit_group(self, service: str) -> str:
-        """Return the service whose owner accounts for the limits of a service.
+    def owner_group(self, service: str) -> str:
+        """Return the service whose owner keeps limits and crashes of a service.
 
         All hosts report to the owners of model services only, so a plain
         service belongs to the first of these, if there is one.
--- a/packages/kumquat_relay/src/kumquat_relay/host_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_quarantine.py
@@ -43,7 +43,7 @@
             links,
             owners,
             enabled=parts.rules.crash_quarantine,
-            group_of=parts.cluster_state.limit_group,
+            group_of=parts.cluster_state.owner_group,
             all_hosts=lambda: parts.cluster_state.hosts_by_id,
         )
         registry = parts.cluster_state.registry
--- a/packages/kumquat_relay/src/kumquat_relay/known_limits.py
+++ b/packages/kumquat_relay/src/kumquat_relay/known_limits.py
@@ -161,7 +161,7 @@
         limit = ServerLimit(entry.id, entry.service, entry.born_ms, rate_per_s)
         if known is not None and known.limit == limit:
             return
-        group = self._cluster_state.limit_group(entry.service)
+        group = self._cluster_state.owner_group(entry.service)
         now_s = self._clock.monotonic()
         self._known_by_id[entry.id] = _KnownLimit(group, limit, now_s)
         self._notify(group, limit, named=True)
--- a/packages/kumquat_relay/src/kumquat_relay/plain_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_quarantine.py
@@ -86,6 +86,9 @@
             verdict = self._quarantine.verdict(request)
             if engine_id in entries_by_id and verdict is not Verdict.REFUSED:
                 return entries_by_id[engine_id]
+            if verdict is Verdict.NORMAL:
+                # Cleared while it waited for an owner that did not answer.
+                return entry
         self._refuse(request, verdict)
 
     def check(self, request: CallerRequest) -> None:
--- a/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
@@ -44,9 +44,6 @@
 # Number of rejected attempts after which the request is tried again; each of
 # them was certainly not executed.
 MAX_REJECTIONS = 4
-# Interval at which a run without a response is checked.
-CHECK_S = 0.35
-MIN_CHECK_S = 0.01
 
 logger = logging.getLogger(__name__)
 
