--- a/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
+++ b/packages/kumquat_relay/src/kumquat_relay/cluster_state.py
@@ -95,7 +95,7 @@
         return spec.engine if spec is not None else None
 
     def owner_group(self, service: str) -> str:
-        """Return the service whose owner keeps limits and crashes of a service.
+        """Return the service whose owner keeps the limits and crashes of one.
 
         All hosts report to the owners of model services only, so a plain
         service belongs to the first of these, if there is one.
