Count a failed run beside a silent one towards the limit of the route

Cause: whether a stream may get another run was decided before the wait for the run that had been requested beside the silent one. If that was sent meanwhile and broke too, the stream got one run more than its route allows.

Evidence: test_a_failed_run_beside_a_silent_one_counts_towards_the_limit fails before this change (None, which asks for a third run of two). Ruled out: requests that may not be repeated, which get no run beside a silent one.

The limit is looked up again after that wait.

--- a/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
@@ -187,7 +187,8 @@
                 request, progress, entry, error.closed_by_engine
             )
         begun = await self._take(request, progress, standby)
-        if begun is not None or may_resume:
+        # A run of the standby that broke counts as well.
+        if begun is not None or self._policy.may_resume(request, progress):
             return begun
         return incomplete_outcome(progress, error.reason)
 
--- /dev/null
+++ b/tests/relay/test_runs_beside_silent_ones.py
@@ -0,0 +1,59 @@
+"""Tests of the limits of runs that begin beside silent ones."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+from kumquat_core.clock import SystemClock
+from kumquat_relay.open_stream import RunFailedError
+from kumquat_relay.run_policy import RunPolicy
+from kumquat_relay.standby import Standby
+from kumquat_relay.stream_limits import EventTimeouts
+from kumquat_relay.stream_progress import StreamOutcome, StreamProgress
+from kumquat_relay.stream_runs import StreamRuns
+
+MAX_RUNS = 2
+
+
+def _standby(begin: Any, *, may_begin: bool = True) -> Standby[Any]:
+    return Standby(
+        SystemClock(),
+        EventTimeouts(0.05, 0.05),
+        begin,
+        lambda: may_begin,
+        lambda begun: None,
+    )
+
+
+def test_a_failed_run_beside_a_silent_one_counts_towards_the_limit() -> None:
+    """A stream whose run broke while a further one waited for its slot got a
+    third run, although its route allows two."""
+
+    async def scenario() -> StreamOutcome | Any:
+        progress = StreamProgress(cast(Any, SimpleNamespace(started=True)), "r")
+        progress.counts.runs = 1
+
+        async def begin() -> None:
+            await asyncio.sleep(0.05)
+            # The further run is sent and breaks.
+            progress.counts.runs += 1
+
+        standby = _standby(begin)
+        standby.observe_silence(1.0, 0.05)
+        route = SimpleNamespace(
+            allows_run_after=lambda runs: runs < MAX_RUNS, name="story"
+        )
+        metadata = SimpleNamespace(shared_parts=())
+        request = cast(Any, SimpleNamespace(id="r", route=route, metadata=metadata))
+        nothing = cast(Any, SimpleNamespace())
+        quarantine = cast(Any, SimpleNamespace(stream_broken=lambda *args: None))
+        rules = cast(Any, SimpleNamespace(resumption=True))
+        policy = RunPolicy(nothing, nothing, rules)
+        runs = StreamRuns(
+            SystemClock(), *([nothing] * 6), quarantine=quarantine, policy=policy
+        )
+        error = RunFailedError("connection_broken", closed_by_engine=True)
+        entry = cast(Any, SimpleNamespace(id="decode1"))
+        return await runs.after_broken_run(request, progress, entry, error, standby)
+
+    assert isinstance(asyncio.run(scenario()), StreamOutcome)
