Check a silent run without a response three times per second

Cause: the interval until the next check was the time left until a further run is requested, at least 10 ms. Once that had passed, it stayed at 10 ms until the response came, for each silent run.

Ruled out: runs that have a response, which are checked each 0.35 s.

After that time a run is checked each 0.35 s; the start and the end of the further run end the wait at once as before.

--- a/packages/kumquat_relay/src/kumquat_relay/run_response.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_response.py
@@ -31,7 +31,7 @@
             standby.observe_silence(silent_s, limit_s)
             await asyncio.wait(
                 {opening, *standby.pending},
-                timeout=min(CHECK_S, max(MIN_CHECK_S, limit_s - silent_s)),
+                timeout=_check_after_s(limit_s - silent_s),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if opening.done():
@@ -44,6 +44,13 @@
         raise
 
 
+def _check_after_s(left_s: float) -> float:
+    """Return when to check a run that may be silent for ``left_s`` more."""
+    if left_s <= 0:
+        return CHECK_S
+    return min(CHECK_S, max(MIN_CHECK_S, left_s))
+
+
 def _abort_response(opening: "asyncio.Future[OpenStream]") -> None:
     """End a run whose response arrived when it was not needed any more."""
     if not opening.cancelled() and opening.exception() is None:
--- a/tests/relay/test_runs_beside_silent_ones.py
+++ b/tests/relay/test_runs_beside_silent_ones.py
@@ -5,8 +5,9 @@
 from typing import Any, cast
 
 from kumquat_core.clock import SystemClock
-from kumquat_relay.open_stream import RunFailedError
+from kumquat_relay.open_stream import OpenStream, RunFailedError
 from kumquat_relay.run_policy import RunPolicy
+from kumquat_relay.run_response import await_response
 from kumquat_relay.standby import Standby
 from kumquat_relay.stream_limits import EventTimeouts
 from kumquat_relay.stream_progress import StreamOutcome, StreamProgress
@@ -57,3 +58,33 @@
         return await runs.after_broken_run(request, progress, entry, error, standby)
 
     assert isinstance(asyncio.run(scenario()), StreamOutcome)
+
+
+def test_a_silent_run_is_not_polled_all_the_time() -> None:
+    """A run without a response was checked 100 times per second once it had
+    been silent for long enough to begin another."""
+
+    async def scenario() -> int:
+        checks = 0
+
+        async def begin() -> None:
+            return None
+
+        standby = _standby(begin, may_begin=False)
+        observe = standby.observe_silence
+
+        def count(silent_s: float, limit_s: float) -> None:
+            nonlocal checks
+            checks += 1
+            observe(silent_s, limit_s)
+
+        standby.observe_silence = count  # type: ignore[method-assign]
+
+        async def answer() -> OpenStream:
+            await asyncio.sleep(1.0)
+            return cast(OpenStream, None)
+
+        await await_response(SystemClock(), asyncio.ensure_future(answer()), standby)
+        return checks
+
+    assert asyncio.run(scenario()) < 10
