Send no run again beside the last one that the route allows

Cause: an engine that rejects a prefill result may get the run a second time after a reservation. In between no run counts, so a further run may begin beside the silent one, and the second send did not look at the limit.

Evidence: test_a_rejected_run_is_not_sent_again_beside_the_last_allowed_one fails before this change (nothing is raised). Ruled out: routes without retries, which get no run beside a silent one.

Each send of a run beyond the first now looks at the limit of the route.

--- a/packages/kumquat_relay/src/kumquat_relay/run_starter.py
+++ b/packages/kumquat_relay/src/kumquat_relay/run_starter.py
@@ -40,7 +40,7 @@
 
 
 class RetryBudgetExhaustedError(Exception):
-    """A further send would exceed this host's share of the retry budget."""
+    """A further send would exceed the retry budget or the route's limit."""
 
 
 class RunStarter:
@@ -261,6 +261,9 @@
         """
         self._quarantine.check(request, progress.trial_parts)
         counts = progress.counts
+        if counts.runs > 0 and not request.route.allows_run_after(counts.runs):
+            # Another run of the stream has begun beside this one meanwhile.
+            raise RetryBudgetExhaustedError
         if counts.sends > 0 and not self._retries.try_spend(request.service):
             raise RetryBudgetExhaustedError
         counts.sends += 1
--- a/tests/relay/test_runs_beside_silent_ones.py
+++ b/tests/relay/test_runs_beside_silent_ones.py
@@ -4,10 +4,15 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
+
 from kumquat_core.clock import SystemClock
+from kumquat_relay.engine_calls import NotExecutedError
 from kumquat_relay.open_stream import OpenStream, RunFailedError
+from kumquat_relay.relay_rules import ALL_RULES
 from kumquat_relay.run_policy import RunPolicy
 from kumquat_relay.run_response import await_response
+from kumquat_relay.run_starter import RetryBudgetExhaustedError, RunStarter
 from kumquat_relay.standby import Standby
 from kumquat_relay.stream_limits import EventTimeouts
 from kumquat_relay.stream_progress import StreamOutcome, StreamProgress
@@ -88,3 +93,46 @@
         return checks
 
     assert asyncio.run(scenario()) < 10
+
+
+def test_a_rejected_run_is_not_sent_again_beside_the_last_allowed_one() -> None:
+    """An engine that rejected a prefill result and then reserved memory got
+    the run once more, although further runs had used up the limit."""
+    sent = []
+
+    async def scenario() -> None:
+        progress = StreamProgress(cast(Any, None), "r")
+        entry = cast(Any, SimpleNamespace(id="decode1"))
+        progress.prefill = cast(Any, SimpleNamespace(engine=entry))
+        entry.address = "10.0.0.1:80"
+
+        async def open_stream(*args: Any) -> Any:
+            sent.append(progress.counts.runs)
+            if len(sent) == 1:
+                raise NotExecutedError("status_503", overloaded=True)
+
+        async def reserve(*args: Any) -> str:
+            progress.counts.runs += MAX_RUNS
+            return "reservation"
+
+        route = SimpleNamespace(allows_run_after=lambda runs: runs < MAX_RUNS)
+        request = SimpleNamespace(
+            id="r", route=route, service="svc", metadata=SimpleNamespace(prompt=None)
+        )
+        spec = SimpleNamespace(reservation_ttl_ms=1000)
+        starter = RunStarter(
+            SystemClock(),
+            cast(Any, SimpleNamespace(engine_spec=lambda service: spec)),
+            cast(Any, None),
+            cast(Any, SimpleNamespace(open_stream=open_stream, reserve=reserve)),
+            cast(Any, SimpleNamespace(try_spend=lambda service: True)),
+            cast(Any, None),
+            cast(Any, SimpleNamespace(is_limited=lambda engine: False)),
+            cast(Any, SimpleNamespace(check=lambda *args: None)),
+            ALL_RULES,
+        )
+        with pytest.raises(RetryBudgetExhaustedError):
+            await starter.open(cast(Any, request), entry, progress)
+
+    asyncio.run(scenario())
+    assert sent == [1]
