Keep the open runs of a stream apart by engine

Cause: the open runs, from which the end of a silent engine becomes evidence, were kept by request alone. A run that began beside a silent one replaced it: the end of the silent engine was no evidence, and the end of the other engine was, although its run had been discarded.

Evidence: test_run_beside_a_silent_one_does_not_hide_its_engine fails before this change (no open run at the silent engine). Ruled out: runs that follow each other, whose records ended in order.

Open runs are kept by request and engine incarnation, and a run that is broken, rejected or discarded ends its own record only.

--- a/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
+++ b/packages/kumquat_relay/src/kumquat_relay/crash_observer.py
@@ -101,9 +101,9 @@
         """Record that a request is sent to an engine."""
         self._runs.begin(request, entry, trial=trial)
 
-    def run_ended(self, request_id: str) -> None:
-        """Record that no engine has a run of a request any more."""
-        self._runs.end(request_id)
+    def run_ended(self, request_id: str, entry: EngineEntry | None = None) -> None:
+        """Record that an engine, or all, have no run of a request any more."""
+        self._runs.end(request_id, entry)
 
     def record_answer(self, request_id: str, entry: EngineEntry) -> None:
         """Record that an engine has answered, so that it lives."""
--- a/packages/kumquat_relay/src/kumquat_relay/engine_runs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_runs.py
@@ -42,20 +42,29 @@
 
 
 class EngineRuns:
-    """Open runs by request id, and broken ones by engine incarnation."""
+    """Open and broken runs by engine incarnation.
+
+    A stream has two open runs while another engine takes over a silent one.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._open_by_request_id: dict[str, _OpenRun] = {}
+        # By request id, and by engine incarnation.
+        self._open_by_request_id: dict[str, dict[str, _OpenRun]] = {}
         self._broken_by_incarnation: dict[str, deque[tuple[float, EngineRun]]] = {}
 
     def begin(self, request: CallerRequest, entry: EngineEntry, *, trial: bool) -> None:
         """Record that a request is sent to an engine."""
-        self._open_by_request_id[request.id] = _OpenRun(request, entry, trial)
+        runs = self._open_by_request_id.setdefault(request.id, {})
+        runs[entry.incarnation] = _OpenRun(request, entry, trial)
 
-    def end(self, request_id: str) -> None:
-        """Record that an engine has no run of a request any more."""
-        self._open_by_request_id.pop(request_id, None)
+    def end(self, request_id: str, entry: EngineEntry | None = None) -> None:
+        """Record that an engine, or all, have no run of a request any more."""
+        runs = self._open_by_request_id.get(request_id, {})
+        if entry is not None:
+            runs.pop(entry.incarnation, None)
+        if entry is None or not runs:
+            self._open_by_request_id.pop(request_id, None)
 
     def record_answer(self, entry: EngineEntry) -> None:
         """Record that an engine lives, so no run before can have ended it."""
@@ -90,7 +99,10 @@
                 broken += [run for _, run in runs]
                 del self._broken_by_incarnation[incarnation]
         open_runs = [
-            run for run in self._open_by_request_id.values() if has_ended(run.entry)
+            run
+            for runs in self._open_by_request_id.values()
+            for run in runs.values()
+            if has_ended(run.entry)
         ]
         return open_runs, broken
 
--- a/packages/kumquat_relay/src/kumquat_relay/host_quarantine.py
+++ b/packages/kumquat_relay/src/kumquat_relay/host_quarantine.py
@@ -81,7 +81,7 @@
 
         Its request runs on trial before the owner has decided.
         """
-        self.observer.run_ended(request.id)
+        self.observer.run_ended(request.id, entry)
         if not closed_by_engine:
             trial = bool(progress.trial_parts)
             self.observer.run_silent(request, entry, trial=trial)
--- a/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
+++ b/packages/kumquat_relay/src/kumquat_relay/stream_runs.py
@@ -240,6 +240,7 @@
         finally:
             if not isinstance(begun, BegunRun) or begun.standby is not standby:
                 standby.cancel()
+                self._quarantine.observer.run_ended(request.id, entry)
         return begun
 
     async def _open(
@@ -347,6 +348,7 @@
         def discard(begun: BegunRun) -> None:
             begun.stream.abort_if_open()
             begun.standby.cancel()
+            self._quarantine.observer.run_ended(request.id, begun.entry)
             self.release(begun.slot_id, begun.report)
             self.release_unused(request, begun.progress)
 
--- a/tests/relay/test_request_evidence.py
+++ b/tests/relay/test_request_evidence.py
@@ -117,3 +117,24 @@
     assert runs.take_ended("e1", 5) == ([], [])
     _, broken = runs.take_ended("e1", 6)
     assert [run.parts for run in broken] == [(MARK,)]
+
+
+def test_run_beside_a_silent_one_does_not_hide_its_engine() -> None:
+    """The end of a silent engine was no evidence once another one had the
+    request too, and the end of that one was, though its run had ended."""
+    runs = EngineRuns(ManualClock(100.0))
+    address = parse_address("10.0.0.1:80")
+    silent, other = (
+        EngineEntry(name, "plain", address, "", 4, False, None, born_ms=5)
+        for name in ("silent", "other")
+    )
+    request = request_with("a")
+    for entry in (silent, other):
+        runs.begin(request, entry, trial=False)
+    open_runs, _ = runs.take_ended("silent", 6)
+    assert [run.entry for run in open_runs] == [silent]
+    runs.end(request.id, other)
+    assert runs.take_ended("other", 6) == ([], [])
+    assert len(runs.take_ended("silent", 6)[0]) == 1
+    runs.end(request.id)
+    assert runs.take_ended("silent", 6) == ([], [])
