Do not refuse a body as late that arrived while the host was paused

Cause: the event loop of the hosts may run due timers before it reads what has arrived. After a pause beyond the idle limit, the timer of a body ended the reading of it although its rest lay in the kernel.

Evidence: test_body_that_came_while_the_host_was_paused_is_not_late fails before this change (408, slow sender). Ruled out: bodies that have not arrived, which are refused as before, 20 ms later.

A body whose time has passed gets 20 ms more, in which the loop reads.

--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+from collections.abc import AsyncIterator
 
 from aiohttp import web
 
@@ -17,6 +18,9 @@
 
 __all__ = ["read_body"]
 
+# How long the event loop needs at most to read what has arrived.
+READ_S = 0.02
+
 logger = logging.getLogger(__name__)
 
 
@@ -33,8 +37,7 @@
     chunks = http_request.content.iter_any()
     while True:
         try:
-            async with asyncio.timeout(limits.idle_timeout_ms / 1000):
-                chunk = await anext(chunks, b"")
+            chunk = await _next_chunk(chunks, limits.idle_timeout_ms / 1000)
         except TimeoutError:
             log_event(logger, "body_incomplete", bytes=len(body))
             return client_error(408, ResultCode.SLOW_SENDER, "body_incomplete")
@@ -47,3 +50,17 @@
         limits = widest(limits, history.current)
         if len(body) > limits.max_body_bytes:
             return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
+
+
+async def _next_chunk(chunks: AsyncIterator[bytes], limit_s: float) -> bytes:
+    """Return the next bytes, empty at the end of the body.
+
+    Raises ``TimeoutError`` if none have arrived within ``limit_s``. The loop
+    of a host that was busy may run the timer before it reads what arrived.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            return await anext(chunks, b"")
+    except TimeoutError:
+        async with asyncio.timeout(READ_S):
+            return await anext(chunks, b"")
--- a/tests/relay/test_changed_limits.py
+++ b/tests/relay/test_changed_limits.py
@@ -203,3 +203,25 @@
         caller.close()
 
     run_scenario(scenario)
+
+
+def test_body_that_came_while_the_host_was_paused_is_not_late() -> None:
+    """The event loop of the hosts ran the timer of the body before it read the
+    rest that had arrived, and the caller was refused as a slow sender."""
+
+    async def run() -> None:
+        async with RelayHarness() as harness:
+            await _change_limits(harness, 4, idle_timeout_ms=SHORT_IDLE_MS)
+            caller = await _connect(harness)
+            request = request_bytes("again", "paused", body=b"b" * 500)
+            caller.writer.write(request[:-100])
+            await asyncio.sleep(0.1)
+            sock = caller.writer.get_extra_info("socket")
+            os.write(sock.fileno(), request[-100:])
+            # The loop does nothing, like that of a process that is stopped.
+            time.sleep(BUSY_S)
+            async with asyncio.timeout(3.0):
+                assert (await caller.read()).status == 200
+            caller.close()
+
+    uvloop.run(run())
