--- a/tests/relay/test_pausing_engines.py
+++ b/tests/relay/test_pausing_engines.py
@@ -8,7 +8,13 @@
 from kumquat_core.clock import ManualClock
 from kumquat_relay.engine_health import MIN_AVOID_S, EngineHealth, Failure
 
-from .pausing_fleet import PauseTrial, PausingFleet, pace_streams, run_fleet
+from .pausing_fleet import (
+    PauseTrial,
+    PausingFleet,
+    Tally,
+    pace_streams,
+    run_fleet,
+)
 from .relay_harness import RelayHarness, run_scenario
 from .test_last_run import allow_runs, pausing_answer
 
@@ -35,9 +41,9 @@
     return [len(engine.runs) for engine in harness.decode_engines].index(1)
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-def test_pauses_break_no_stream(seed: int) -> None:
-    """Streams were lost if the engine that was to resume one paused too."""
+def run_pauses(seed: int) -> Tally:
+    """Return what became of streams at four engines that pause in turn."""
+    tallies = []
 
     async def scenario(fleet: PausingFleet) -> None:
         harness = fleet.harness
@@ -49,12 +55,25 @@
         tally = await trial.run()
         ids = [fault.split()[0] for fault in tally.faults]
         assert not ids, [tally.faults, *map(trial.log_of, ids)]
-        # While a third of the engines is silent, a stream that has not begun
-        # may be refused, which its caller may return after.
-        assert tally.answered + tally.refused == tally.sent
         assert harness.host._admission.held_run_count == 0
+        tallies.append(tally)
 
     run_fleet(scenario, decode_engines=4)
+    return tallies[0]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_pauses_break_no_stream(seed: int) -> None:
+    """Streams were lost if the engine that was to resume one paused too."""
+    tally = run_pauses(seed)
+    assert tally.answered + tally.refused == tally.sent
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_pauses_cost_no_stream_its_answer(seed: int) -> None:
+    """Streams that have not begun are refused while an engine is silent."""
+    tally = run_pauses(seed)
+    assert tally.answered == tally.sent
 
 
 def test_a_pause_before_the_end_does_not_break_the_stream() -> None:
