--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1 python3 -c '
-from review.standins import callers, deployment, engine, hosts, serving, store
+from review.standins import callers, deployment, engine, hosts, serving, store, uploads
 '
