--- a/review/standins/uploads.py
+++ b/review/standins/uploads.py
@@ -34,6 +34,11 @@
     _reader: asyncio.StreamReader | None = None
     _writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether there is no connection that can be used."""
+        return self._writer is None
+
     async def connect(self) -> None:
         """Open the connection; raises ``OSError``."""
         ip, port = self.address.split(":")
@@ -43,6 +48,7 @@
         """Close the connection."""
         if self._writer is not None:
             self._writer.close()
+            self._writer = None
 
     async def order(
         self, route: str, request_id: str, size: int, deadline_s: float
