Show that crowds of callers exceed the memory of a host

Cause: callers that no operator controls end a process with bodies that stop short of their end, heads and lines without end, requests behind others and bytes that are no body. The earlier tests bound the growth of the private memory at one size of host; they do not count what a host has not read, which also counts as its memory. Bounds: private memory and unread bytes below the stated memory, descriptors below the stated number, no error of the host in its log, an ordinary request and one of the largest body are answered afterwards, and no request that was refused is found at a server. No times and no shares. The import path of the adapter moves to the conftest of all tests, since the tests of the own interface use the relay's and could not run alone.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,18 @@
-"""Leaves out the tests that KNOWN-RED.txt lists.
+"""Adds the platform's adapter, and leaves out what KNOWN-RED.txt lists.
 
 An entry that concerns a test begins a line with its node id. The CI script
 prints the whole list.
 """
 
+import sys
 from pathlib import Path
 
 import pytest
 
-KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+ROOT = Path(__file__).parents[1]
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+sys.path.insert(0, str(ROOT / "platform"))
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/tests/relay/intake_host.py
+++ b/tests/relay/intake_host.py
@@ -25,6 +25,11 @@
 START_S = 20.0
 ANSWER_S = 30.0
 RETRY_S = 0.2
+# The state of a listening socket in /proc/net/tcp, where the second queue is
+# that of connections.
+LISTENING = "0A"
+# Errors of callers are logged with the level info.
+ERROR_MARKS = ("Traceback", "Fatal error", "Unhandled", "level=error", "request_failed")
 
 
 class LargeBodyServer(FakeEngine):
@@ -32,8 +37,13 @@
 
     response_bytes = 0
 
+    def __init__(self, engine_id: str) -> None:
+        super().__init__(engine_id)
+        self.paths: set[str] = set()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer once the body was read and ``processing_s`` has passed."""
+        self.paths.add(request.path.rpartition("/")[2])
         size = 0
         async for part in request.content.iter_any():
             size += len(part)
@@ -44,7 +54,13 @@
 
 
 class BoundedHost:
-    """The process of a host, and what it uses."""
+    """The process of a host, and what it uses.
+
+    Callers send to ``path`` followed by a name, with ``extra_headers``.
+    """
+
+    path = "/once/"
+    extra_headers = ""
 
     def __init__(self, process: HostProcess, server: LargeBodyServer) -> None:
         self.process = process
@@ -72,6 +88,25 @@
         """Return how many descriptors the process has open."""
         return len(os.listdir(self._proc / "fd"))
 
+    def unread_mb(self) -> float:
+        """Return what connections of callers have received, not yet read."""
+        local = f":{self.callers.port:04X}"
+        unread = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, address, _, state, queues, *_ = line.split()
+            if address.endswith(local) and state != LISTENING:
+                unread += int(queues.partition(":")[2], 16)
+        return unread / 1024 / 1024
+
+    def errors(self) -> list[str]:
+        """Return the lines of the log that tell of an error of the host."""
+        lines = self._log.read_text(errors="replace").splitlines()
+        return [line for line in lines if any(mark in line for mark in ERROR_MARKS)]
+
+    @property
+    def _log(self) -> Path:
+        return self.process._log
+
     async def answer(self, body: bytes = b"body", deadline_ms: int = 2500) -> bytes:
         """Send requests until one gets its response; return its body."""
         async with asyncio.timeout(ANSWER_S):
--- a/tests/router/bounded_entry_host.py
+++ b/tests/router/bounded_entry_host.py
@@ -59,9 +59,11 @@
     def __init__(self) -> None:
         self.processing_s = 0.0
         self.response_bytes = 0
+        self.paths: set[str] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer once the body was read and ``processing_s`` has passed."""
+        self.paths.add(request.path.rpartition("/")[2])
         size = 0
         async for part in request.content.iter_any():
             size += len(part)
@@ -72,6 +74,9 @@
 class EntryHost(BoundedHost):
     """The process of an entry host, and what it uses."""
 
+    path = f"/services/{SERVICE}/"
+    extra_headers = f"Authorization: Bearer {ACCOUNT.api_key}\r\n"
+
     def __init__(self, stack: Stack, servers: LargeBodyServers) -> None:
         plan = stack.plan.hosts[0]
         super().__init__(stack.processes.children_by_name[plan.host_id], servers)
@@ -85,6 +90,10 @@
     def _proc(self) -> Path:
         return Path(f"/proc/{self.process.pid}")
 
+    @property
+    def _log(self) -> Path:
+        return self.process.log_path
+
     async def answer(self, body: bytes = b"body", deadline_ms: int = 2500) -> bytes:
         """Send calls until one gets its response; return its body."""
         framing = f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}"
