Keep the answer in progress when requests behind it are dropped

Callers saw their connection close without the answer to a request that had run, also for orders that must not be repeated. Cause: when requests that wait behind others take too much, the connection drops them and then looks at the last of them (IndexError in data_received). The event loop logs a fatal error and closes the connection, with the request that is in progress. Change: the last body is noted before requests are dropped. The connection then ends its input: nothing more is parsed or kept, and it is closed after the response, in the relay without a reset that could destroy it.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -66,6 +66,7 @@
     _meter: HeadMeter
     _input: WaitingInput
     _holds_queue: bool
+    _drops_input: bool
 
     @property
     def longest_head(self) -> int:
@@ -80,6 +81,23 @@
         """Close the connection to make room for others."""
         self.force_close()
 
+    def stop_input(self) -> None:
+        """Drop what waits and all that comes, and close after the response.
+
+        The response is that to the request in progress, if there is one.
+        """
+        self._drops_input = True  # type: ignore[misc]
+        self._messages.clear()
+        self._pause_transport_reading()
+        # It has the rest of what was received.
+        self._parser = None
+        self._end_head()
+        self._count_waiting(WaitingInput())
+
+    def close_after_response(self) -> None:
+        """Close the connection, whose last response has been written."""
+        self._close = True
+
     @property
     def in_body(self) -> bool:
         """Tell whether the body of the last request is incomplete."""
@@ -120,6 +138,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes unless the head is too long."""
+        if self._drops_input:
+            return
         paused = self._buffer_paused or self._upgraded
         is_head = bool(data) and not (self.in_body or paused)
         if is_head and self._meter.exceeds(data, self.longest_head):
@@ -130,6 +150,9 @@
         known = begun.total_bytes if begun is not None else 0
         super().data_received(data)
         added = self._request_count - count
+        if added:
+            # The slot is one of the subclass.
+            self._last_payload = self._messages[-1][1]  # type: ignore[misc]
         waiting = WaitingInput()
         if self._reading_paused or self._buffer_paused:
             parsed = begun.total_bytes - known if begun is not None else 0
@@ -145,8 +168,6 @@
         if waiting.queued:
             self._bound_queue()
         if added:
-            # The slot is one of the subclass.
-            self._last_payload = self._messages[-1][1]  # type: ignore[misc]
             self._end_head()
             return
         if not is_head:
@@ -168,10 +189,15 @@
             self._holds_queue = False  # type: ignore[misc]
             if not (self._reading_paused or self._buffer_paused):
                 self._resume_transport_reading()
-        return await super()._handle_request(*args)
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            # Requests that were read before the input ended are answered.
+            if self._drops_input and not self._messages:
+                self.close_after_response()
 
     def _resume_transport_reading(self) -> None:
-        if not self._holds_queue:
+        if not (self._holds_queue or self._drops_input):
             super()._resume_transport_reading()
 
     def _count_waiting(self, waiting: WaitingInput) -> None:
@@ -193,13 +219,14 @@
             return
         log_event(logger, "caller_closed", cause="pipelined", bytes=self._input.queued)
         gate.record_closed("pipelined", 1)
-        while len(self._messages) > (0 if self._request_in_progress else 1):
-            self._messages.pop()
-        # After the response to the request in progress.
-        self._close = True
-        self._count_waiting(WaitingInput())
+        first = None if self._request_in_progress else self._messages[0]
+        self.stop_input()
+        if first is not None:
+            # Its handler begins in the next step.
+            self._messages.append(first)
 
     def _end_head(self) -> None:
+        """Count no bytes of an incomplete head any more."""
         if self._gate is not None and self._meter.head_bytes:
             self._gate.budget.change_unframed(-self._meter.head_bytes)
         self._meter.end_head()
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
@@ -23,6 +23,11 @@
 SMALL_SHARE = 0.25
 # The part of the budget for responses of servers while they are read.
 RESPONSE_SHARE = 0.25
+# The part of the memory beyond that of the host for bytes that connections
+# have received and the host has not read.
+UNREAD_SHARE = 0.25
+# The same without a stated memory.
+DEFAULT_UNREAD_BYTES = 320 * MB
 # Descriptors that are left to files, and the share of the others that callers
 # may have. The rest is for engines and other hosts.
 FILE_DESCRIPTORS = 200
@@ -34,11 +39,15 @@
 
 @dataclass(frozen=True)
 class IntakeLimits:
-    """What the requests and connections of callers may take together."""
+    """What the requests and connections of callers may take together.
+
+    ``unread_bytes`` are those that the host has not read.
+    """
 
     budget_bytes: int
     small_reserve_bytes: int
     max_connections: int
+    unread_bytes: int = DEFAULT_UNREAD_BYTES
 
     @property
     def response_bytes(self) -> int:
@@ -50,14 +59,17 @@
         cls, memory_mb: float | None = None, max_descriptors: int | None = None
     ) -> "IntakeLimits":
         """Return the limits of a host; None stands for the defaults."""
-        budget = DEFAULT_BUDGET_BYTES
+        budget, unread = DEFAULT_BUDGET_BYTES, DEFAULT_UNREAD_BYTES
         if memory_mb is not None:
-            budget = int((memory_mb - OWN_MB) * MB * BUDGET_SHARE)
+            left = int((memory_mb - OWN_MB) * MB)
+            budget, unread = int(left * BUDGET_SHARE), int(left * UNREAD_SHARE)
         budget = max(MIN_BUDGET_BYTES, budget)
         if max_descriptors is None:
             max_descriptors = _process_descriptors()
         callers = int((max_descriptors - FILE_DESCRIPTORS) * CALLER_SHARE)
-        return cls(budget, int(budget * SMALL_SHARE), max(MIN_CONNECTIONS, callers))
+        return cls(
+            budget, int(budget * SMALL_SHARE), max(MIN_CONNECTIONS, callers), unread
+        )
 
 
 def _process_descriptors() -> int:
--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -103,6 +103,10 @@
         if not self._drops_requests:
             super().data_received(data)
 
+    def close_after_response(self) -> None:
+        """Close the connection once its last response has arrived."""
+        self._connections.start_closer(self)
+
     def close_idle(self) -> None:
         """Close the connection; refuse the head that has begun, if any."""
         self._connections.start_closer(self, HEAD_TIMEOUT)
--- a/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
@@ -23,7 +23,14 @@
 class BoundedConnection(BoundedHandler, IdleConnection):
     """A connection whose limit on heads follows the configuration."""
 
-    __slots__ = ("_gate", "_holds_queue", "_input", "_last_payload", "_meter")
+    __slots__ = (
+        "_drops_input",
+        "_gate",
+        "_holds_queue",
+        "_input",
+        "_last_payload",
+        "_meter",
+    )
 
     def __init__(
         self,
@@ -37,6 +44,7 @@
         self._meter = HeadMeter()
         self._input = WaitingInput()
         self._holds_queue = False
+        self._drops_input = False
         self._last_payload: StreamReader | None = None
 
     @property
