Bound what connections have received and the host has not read

Cause: most bounds stop reading, and the kernel then enlarges the receive buffer of each connection by itself, here to as much as 33 MB. Ruled out: a fixed small buffer on the listener. Its window scale would hold for all connections and limit uploads over links with a delay to 64 KB a round trip. A body whose memory the budget has granted may be received in full, as it is counted there.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -77,6 +77,18 @@
         """Answer a head that is too long and close the connection."""
         self.force_close()
 
+    def begin_body(self, size: int) -> None:
+        """Receive up to ``size`` bytes of a body ahead of its reader."""
+        if self._gate is not None and self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            self._gate.buffers.begin_body(self, sock, size)
+
+    def end_body(self) -> None:
+        """Receive no more ahead than other connections do."""
+        if self._gate is not None and self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            self._gate.buffers.end_body(self, sock)
+
     def close_for_room(self) -> None:
         """Close the connection to make room for others."""
         self.force_close()
@@ -126,6 +138,7 @@
         gate, manager = self._gate, self._manager
         if gate is None or manager is None:
             return
+        gate.buffers.opened(self, transport.get_extra_info("socket"))
         excess = len(manager._connections) - gate.limits.max_connections
         if excess > 0:
             self._make_room(gate, manager, excess)
@@ -134,6 +147,8 @@
         """End all counts of the connection."""
         self._end_head()
         self._count_waiting(WaitingInput())
+        if self._gate is not None:
+            self._gate.buffers.closed(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -18,9 +18,16 @@
 from .byte_budget import ByteBudget, Cause, Holding, growth_step
 from .intake_limits import IntakeLimits
 from .large_response import LargeResponse
+from .receive_buffers import ReceiveBuffers
 from .stream_buffers import StreamBuffers
 
-__all__ = ["RETRY_AFTER_S", "IntakeGate", "IntakeMetrics", "IntakeRefusedError"]
+__all__ = [
+    "RETRY_AFTER_S",
+    "BodyReceiver",
+    "IntakeGate",
+    "IntakeMetrics",
+    "IntakeRefusedError",
+]
 
 RESOLVE_PERIOD_S = 0.1
 # Until then bodies that stall have been refused and others have ended.
@@ -39,6 +46,16 @@
         self.cause = cause
 
 
+class BodyReceiver(Protocol):
+    """The connection of a body."""
+
+    def begin_body(self, size: int) -> None:
+        """Receive up to ``size`` bytes of the body ahead of its reader."""
+
+    def end_body(self) -> None:
+        """Receive no more ahead than other connections do."""
+
+
 class IntakeMetrics(Protocol):
     """Metrics of the bounds on what callers take."""
 
@@ -60,12 +77,14 @@
     ) -> None:
         self.limits = limits
         self.budget = ByteBudget(limits)
+        self.buffers = ReceiveBuffers(limits)
         metrics.set_intake_bytes_source(lambda: self.budget.total_bytes)
         self._clock = clock
         self._metrics = metrics
         self._waiters: dict[Holding, asyncio.Future[None]] = {}
         # What ends the reading of a body or the sending of a response.
         self._enders: dict[Holding, Callable[[], object]] = {}
+        self._receivers_by_holding: dict[Holding, BodyReceiver] = {}
         self._streams = StreamBuffers(self.budget)
         self._detached: set[Holding] = set()
         self._large_responses: set[LargeResponse] = set()
@@ -98,17 +117,24 @@
 
     @asynccontextmanager
     async def reading(
-        self, holding: Holding, declared: int | None
+        self,
+        holding: Holding,
+        declared: int | None,
+        receiver: BodyReceiver | None = None,
     ) -> AsyncIterator[None]:
         """Take memory for a body, whose reading may end with the block.
 
-        Raises ``IntakeRefusedError`` if the memory is taken back.
+        ``receiver`` receives as much ahead as there is memory for. Raises
+        ``IntakeRefusedError`` if the memory is taken back.
         """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(None) as limit:
                 self._enders[holding] = lambda: limit.reschedule(loop.time())
                 await self._take(holding, REQUEST_BYTES + (declared or 0))
+                if receiver is not None:
+                    self._receivers_by_holding[holding] = receiver
+                    receiver.begin_body(holding.taken)
                 yield
         except TimeoutError:
             if holding.refused is None:
@@ -116,6 +142,8 @@
             raise IntakeRefusedError(holding.refused) from None
         finally:
             self._enders.pop(holding, None)
+            if (receiver := self._receivers_by_holding.pop(holding, None)) is not None:
+                receiver.end_body()
 
     async def received(self, holding: Holding, size: int, total: int) -> None:
         """Count received bytes of a body; may wait for more memory."""
@@ -123,6 +151,8 @@
         if total + REQUEST_BYTES > holding.taken:
             needed = total + REQUEST_BYTES
             await self._take(holding, max(needed, growth_step(holding.taken)))
+            if (receiver := self._receivers_by_holding.get(holding)) is not None:
+                receiver.begin_body(holding.taken)
 
     def begin_run(self, holding: Holding, size: int) -> None:
         """Keep the bytes of a body that was read until its run ends."""
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -109,9 +109,12 @@
         )
         self._runner = web.ServerRunner(self._connections, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(
+        site = web.TCPSite(
             self._runner, self._listen.ip, self._listen.port, backlog=LISTEN_BACKLOG
-        ).start()
+        )
+        await site.start()
+        assert site._server is not None
+        self._gate.buffers.prepare_listeners(site._server, LISTEN_BACKLOG)
 
     async def drain(self) -> None:
         """Serve until the host may exit, then close all connections.
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -12,6 +12,7 @@
 
 from aiohttp import StreamReader, hdrs, web
 
+from kumquat_core.intake.bounded_handler import BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.log_events import log_event
@@ -58,7 +59,9 @@
     declared = http_request.content_length
     if declared is not None:
         declared = min(declared, history.current.max_body_bytes)
-    async with gate.reading(holding, declared):
+    connection = http_request.protocol
+    receiver = connection if isinstance(connection, BoundedHandler) else None
+    async with gate.reading(holding, declared, receiver):
         # After there is memory for the body, which is not sent before.
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             assert http_request.transport is not None
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -173,6 +173,7 @@
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
+        self._gate.buffers.prepare_listeners(self._listener, LISTEN_BACKLOG)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening and close all connections."""
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -11,6 +11,7 @@
 
 from aiohttp import HttpVersion11, StreamReader, hdrs, web
 
+from kumquat_core.intake.bounded_handler import BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import (
     RETRY_AFTER_S,
@@ -53,8 +54,10 @@
     declared = http_request.content_length
     if declared is not None and declared > limits.max_body_bytes:
         raise RouterError(ResultCode.BODY_TOO_LARGE)
+    connection = http_request.protocol
+    receiver = connection if isinstance(connection, BoundedHandler) else None
     try:
-        async with gate.reading(holding, declared):
+        async with gate.reading(holding, declared, receiver):
             is_asked = hdrs.EXPECT in http_request.headers
             is_asked = is_asked and http_request.version >= HttpVersion11
             if is_asked and http_request.transport is not None:
