End bodies that bring too much besides their data

A crowd that sent trailers without end took 571 MB of a host that stated 88; extensions of chunks without end kept it busy. Cause: what a chunked body brings besides its data had no count. The parser keeps up to 128 trailers of 16 KB each, and reports an error within a body as a further request, so that the body had no end until the idle limit. A body that exceeds this gets 413 and is read no further, one that can't be parsed gets 400 at once.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -12,15 +12,17 @@
 from typing import Any, Protocol, TypeVar
 
 from aiohttp import web
+from aiohttp.helpers import set_exception
 from aiohttp.streams import StreamReader
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from ..log_events import log_event
+from .framing_meter import FramingMeter
 from .head_meter import HeadMeter
 from .intake_gate import IntakeGate
 from .waiting_input import MAX_QUEUED_BYTES, WaitingInput, queued_bytes
 
-__all__ = ["BoundedHandler", "HasRank", "choose_closed"]
+__all__ = ["BodyFramingError", "BoundedHandler", "HasRank", "choose_closed"]
 
 # So many connections more than necessary are closed at once, as each choice
 # looks at all of them.
@@ -29,6 +31,10 @@
 logger = logging.getLogger(__name__)
 
 
+class BodyFramingError(web.RequestPayloadError):
+    """A body brought too many bytes that are no part of it."""
+
+
 class HasRank(Protocol):
     """A connection that may be closed to make room, lower ranks first."""
 
@@ -64,6 +70,7 @@
     _head_began_s: float | None
     _last_payload: StreamReader | None
     _meter: HeadMeter
+    _framing: FramingMeter
     _input: WaitingInput
     _holds_queue: bool
     _drops_input: bool
@@ -98,11 +105,17 @@
 
         The response is that to the request in progress, if there is one.
         """
-        self._drops_input = True  # type: ignore[misc]
         self._messages.clear()
+        self._end_input()
+
+    def _end_input(self) -> None:
+        """Drop all that comes; what was read before is answered."""
+        self._drops_input = True  # type: ignore[misc]
         self._pause_transport_reading()
-        # It has the rest of what was received.
+        # The parser has the rest of what was received.
         self._parser = None
+        # The rest of a body does not come.
+        self._lingering_time = 0.0
         self._end_head()
         self._count_waiting(WaitingInput())
 
@@ -163,14 +176,20 @@
             return
         count, begun = self._request_count, self._last_payload
         known = begun.total_bytes if begun is not None else 0
+        unparsed = self._input.unparsed
         super().data_received(data)
         added = self._request_count - count
+        if added and begun is not None and not begun.is_eof():
+            self._refuse_body(begun, self._messages.pop()[0])
+            return
         if added:
             # The slot is one of the subclass.
             self._last_payload = self._messages[-1][1]  # type: ignore[misc]
+            self._framing.begin_body()
         waiting = WaitingInput()
+        growth = begun.total_bytes - known if begun is not None else 0
         if self._reading_paused or self._buffer_paused:
-            parsed = begun.total_bytes - known if begun is not None else 0
+            parsed = growth
             if added:
                 parsed += queued_bytes(list(self._messages)[-added:])
             # A paused parser keeps the rest.
@@ -182,6 +201,11 @@
         self._count_waiting(waiting)
         if waiting.queued:
             self._bound_queue()
+        if not added and begun is not None and not begun.is_eof():
+            parsed = len(data) + unparsed - waiting.unparsed
+            if not self._framing.add(parsed, growth, self.longest_head):
+                self._close_body(begun)
+            return
         if added:
             self._end_head()
             return
@@ -211,6 +235,24 @@
             if self._drops_input and not self._messages:
                 self.close_after_response()
 
+    def _refuse_body(self, payload: StreamReader, error: object) -> None:
+        """End a body whose rest can't be parsed, as the parser tells."""
+        message = error.message if isinstance(error, _ErrInfo) else ""
+        # The further lines repeat what was received.
+        detail = message.partition("\n")[0]
+        set_exception(payload, web.RequestPayloadError(detail))
+        self._end_input()
+
+    def _close_body(self, payload: StreamReader) -> None:
+        """End a body that brings too many bytes that are no part of it."""
+        log_event(
+            logger, "caller_closed", cause="body_framing", bytes=payload.total_bytes
+        )
+        if self._gate is not None:
+            self._gate.record_closed("body_framing", 1)
+        set_exception(payload, BodyFramingError("too many bytes besides the body"))
+        self._end_input()
+
     def _resume_transport_reading(self) -> None:
         if not (self._holds_queue or self._drops_input):
             super()._resume_transport_reading()
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -34,7 +34,7 @@
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
-from .request_body import TOO_MANY_PARTS
+from .request_body import BODY_FRAMING, INVALID_BODY, TOO_MANY_PARTS
 from .request_reader import HEAD_TOO_LARGE, STOPPING_RETRY_AFTER_S, RequestReader
 from .response_sink import CallerDisconnectedError
 from .routes import RouteKind
@@ -49,7 +49,12 @@
 # The web server parses up to a sixteenth as many chunks in one step.
 READ_BUFFER_BYTES = 32 * 1024
 # Of refusals after which the rest of a request is not read.
-UNREAD_REASONS = {TOO_MANY_PARTS, HEAD_TOO_LARGE} | ENDING_CAUSES
+UNREAD_REASONS = {
+    BODY_FRAMING,
+    HEAD_TOO_LARGE,
+    INVALID_BODY,
+    TOO_MANY_PARTS,
+} | ENDING_CAUSES
 
 logger = logging.getLogger(__name__)
 
--- a/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
@@ -10,6 +10,7 @@
 from aiohttp.streams import StreamReader
 
 from kumquat_core.intake.bounded_handler import BoundedHandler
+from kumquat_core.intake.framing_meter import FramingMeter
 from kumquat_core.intake.head_meter import HeadMeter
 from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.intake.waiting_input import WaitingInput
@@ -25,6 +26,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_framing",
         "_gate",
         "_holds_queue",
         "_input",
@@ -41,6 +43,7 @@
     ) -> None:
         super().__init__(manager, limits, **options)
         self._gate = gate
+        self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
         self._holds_queue = False
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -12,7 +12,7 @@
 
 from aiohttp import StreamReader, hdrs, web
 
-from kumquat_core.intake.bounded_handler import BoundedHandler
+from kumquat_core.intake.bounded_handler import BodyFramingError, BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.log_events import log_event
@@ -23,12 +23,15 @@
 from .caller_response import CallerResponse, client_error
 from .limit_history import LimitHistory, widest
 
-__all__ = ["TOO_MANY_PARTS", "read_body"]
+__all__ = ["BODY_FRAMING", "INVALID_BODY", "TOO_MANY_PARTS", "read_body"]
 
 # How long the event loop needs at most to read what has arrived.
 READ_S = 0.02
 # The reason of the refusal of a body in too many chunks.
 TOO_MANY_PARTS = "body_in_too_many_parts"
+# The same of a body with too much besides its data, and of an invalid one.
+BODY_FRAMING = "body_framing"
+INVALID_BODY = "invalid_body"
 # Reading as many chunks takes a few milliseconds.
 PARTS_PER_TURN = 256
 # A body in many parts of less than this size is parsed more slowly than it is
@@ -93,9 +96,12 @@
         except TimeoutError:
             log_event(logger, "body_incomplete", bytes=len(body))
             return client_error(408, ResultCode.SLOW_SENDER, "body_incomplete")
+        except BodyFramingError as error:
+            log_event(logger, "body_invalid", bytes=len(body), error=repr(error))
+            return client_error(413, ResultCode.BODY_TOO_LARGE, BODY_FRAMING)
         except web.RequestPayloadError as error:
             log_event(logger, "body_invalid", bytes=len(body), error=repr(error))
-            return client_error(400, ResultCode.MALFORMED_BODY, "invalid_body")
+            return client_error(400, ResultCode.MALFORMED_BODY, INVALID_BODY)
         if not chunk:
             return bytes(body)
         size = len(body) + len(chunk)
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -11,7 +11,7 @@
 
 from aiohttp import HttpVersion11, StreamReader, hdrs, web
 
-from kumquat_core.intake.bounded_handler import BoundedHandler
+from kumquat_core.intake.bounded_handler import BodyFramingError, BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import (
     RETRY_AFTER_S,
@@ -72,6 +72,8 @@
         ) from error
     except TimeoutError as error:
         raise RouterError(ResultCode.SLOW_SENDER) from error
+    except BodyFramingError as error:
+        raise RouterError(ResultCode.BODY_TOO_LARGE, "too much framing") from error
     except web.RequestPayloadError as error:
         raise RouterError(ResultCode.MALFORMED_BODY, "invalid framing") from error
     gate.begin_run(holding, len(body))
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -12,6 +12,7 @@
 from aiohttp.streams import StreamReader
 
 from kumquat_core.intake.bounded_handler import BoundedHandler
+from kumquat_core.intake.framing_meter import FramingMeter
 from kumquat_core.intake.head_meter import HeadMeter
 from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.intake.waiting_input import WaitingInput
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_framing",
         "_gate",
         "_head_began_s",
         "_holds_queue",
@@ -50,6 +52,7 @@
         )
         self._gate = gate
         self._longest_head = longest_head
+        self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
         self._holds_queue = False
