Count all that waits behind a request, and keep errors of the parser small

Callers that asked for another protocol and went on sending took 146 MB of a host that stated 128, and requests in many short headers 102 MB. The log of the own interface had a traceback for each malformed request. Cause: bytes behind a request for an upgrade were not counted, heads counted with their bytes only although each header takes some hundred bytes more, and the error of the parser repeats what was received up to three times. Change: both count, and such a connection ends its input when they take too much. Errors keep their first line, are answered with 400 as before, and are logged as request_malformed with the level info.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -14,12 +14,13 @@
 from aiohttp import web
 from aiohttp.helpers import set_exception
 from aiohttp.streams import StreamReader
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.web_protocol import RequestHandler
 
 from ..log_events import log_event
 from .framing_meter import FramingMeter
 from .head_meter import HeadMeter
 from .intake_gate import IntakeGate
+from .malformed_request import malformed_response, short_message, shorten_last_error
 from .waiting_input import MAX_QUEUED_BYTES, WaitingInput, queued_bytes
 
 __all__ = ["BodyFramingError", "BoundedHandler", "HasRank", "choose_closed"]
@@ -114,6 +115,7 @@
         self._pause_transport_reading()
         # The parser has the rest of what was received.
         self._parser = None
+        self._message_tail = b""
         # The rest of a body does not come.
         self._lingering_time = 0.0
         self._end_head()
@@ -123,6 +125,19 @@
         """Close the connection, whose last response has been written."""
         self._close = True
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer an error; that of a caller is none of the host."""
+        response = malformed_response(exc, status)
+        if response is not None:
+            return response
+        return super().handle_error(request, status, exc, message)
+
     @property
     def in_body(self) -> bool:
         """Tell whether the body of the last request is incomplete."""
@@ -183,6 +198,7 @@
             self._refuse_body(begun, self._messages.pop()[0])
             return
         if added:
+            shorten_last_error(self._messages)
             # The slot is one of the subclass.
             self._last_payload = self._messages[-1][1]  # type: ignore[misc]
             self._framing.begin_body()
@@ -198,8 +214,10 @@
         # A single request begins in the next step, unless another runs.
         if len(self._messages) > (0 if self._request_in_progress else 1):
             waiting.queued = queued_bytes(self._messages)
+        if self._upgraded:
+            waiting.unparsed = len(self._message_tail)
         self._count_waiting(waiting)
-        if waiting.queued:
+        if waiting.queued or self._upgraded:
             self._bound_queue()
         if not added and begun is not None and not begun.is_eof():
             parsed = len(data) + unparsed - waiting.unparsed
@@ -231,16 +249,15 @@
         try:
             return await super()._handle_request(*args)
         finally:
+            # What came behind a request for an upgrade is parsed now.
+            shorten_last_error(self._messages)
             # Requests that were read before the input ended are answered.
             if self._drops_input and not self._messages:
                 self.close_after_response()
 
     def _refuse_body(self, payload: StreamReader, error: object) -> None:
         """End a body whose rest can't be parsed, as the parser tells."""
-        message = error.message if isinstance(error, _ErrInfo) else ""
-        # The further lines repeat what was received.
-        detail = message.partition("\n")[0]
-        set_exception(payload, web.RequestPayloadError(detail))
+        set_exception(payload, web.RequestPayloadError(short_message(error)))
         self._end_input()
 
     def _close_body(self, payload: StreamReader) -> None:
@@ -274,13 +291,12 @@
         gate = self._gate
         if gate is None or not gate.budget.has_too_much_unframed:
             return
-        log_event(logger, "caller_closed", cause="pipelined", bytes=self._input.queued)
+        log_event(logger, "caller_closed", cause="pipelined", bytes=self._input.total)
         gate.record_closed("pipelined", 1)
-        first = None if self._request_in_progress else self._messages[0]
+        begins = list(self._messages)[: 0 if self._request_in_progress else 1]
         self.stop_input()
-        if first is not None:
-            # Its handler begins in the next step.
-            self._messages.append(first)
+        # Its handler begins in the next step.
+        self._messages.extend(begins)
 
     def _end_head(self) -> None:
         """Count no bytes of an incomplete head any more."""
--- a/packages/kumquat_core/src/kumquat_core/intake/head_meter.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/head_meter.py
@@ -5,14 +5,16 @@
 lines without end.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-__all__ = ["HeadMeter", "head_size"]
+__all__ = ["HeadMeter", "head_size", "parsed_head_size"]
 
 # Some callers send one empty line behind a body.
 MAX_EMPTY_BYTES = 1024
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+# What the web server keeps for each header besides its bytes.
+HEADER_BYTES = 128
 HEAD_END_REST = len(HEAD_END) - 1
 
 
@@ -56,3 +58,8 @@
 def head_size(target: str, headers: Iterable[tuple[bytes, bytes]]) -> int:
     """Return the bytes of a head, without the spaces around its values."""
     return len(target) + sum(len(name) + len(value) + 4 for name, value in headers)
+
+
+def parsed_head_size(target: str, headers: Collection[tuple[bytes, bytes]]) -> int:
+    """Return the memory in bytes that a parsed head takes."""
+    return 2 * head_size(target, headers) + HEADER_BYTES * len(headers)
--- a/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
@@ -12,12 +12,14 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 
-from .head_meter import head_size
+from .head_meter import parsed_head_size
 
 __all__ = ["MAX_QUEUED_BYTES", "WaitingInput", "queued_bytes"]
 
 # A connection with more behind the request in progress is read no further.
 MAX_QUEUED_BYTES = 64 * 1024
+# What the web server keeps for a request besides its head.
+MESSAGE_BYTES = 1024
 
 
 def queued_bytes(messages: Iterable[tuple[Any, StreamReader]]) -> int:
@@ -26,10 +28,10 @@
 
 
 def _size(message: Any) -> int:
-    """Return the size of a head, 0 for an error of the parser."""
+    """Return the memory of a head, or of a short error of the parser."""
     if not isinstance(message, RawRequestMessage):
-        return 0
-    return head_size(message.path, message.raw_headers)
+        return MESSAGE_BYTES
+    return MESSAGE_BYTES + parsed_head_size(message.path, message.raw_headers)
 
 
 @dataclass(slots=True)
