Bound connections and incomplete heads by the memory of the host

3,840 callers with a small request or part of a head took up to 164 MB of a host that stated 88. Cause: the number of connections followed from descriptors alone, incomplete heads counted against the budget without a consequence, and a request counted 4 KB of the 11 KB and 230 bytes for each header that it takes. Change: a quarter of the memory beyond the host's own is for connections, 6 KB each. When incomplete heads take too much, the oldest are closed. A request counts 10 KB and its parsed head. A chunk that was added to a body is not kept beside it while the next one is awaited, which halves a body in progress.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -229,12 +229,14 @@
             return
         if not is_head:
             return
-        counted = self._meter.head_bytes
+        counted = self._meter.memory_bytes
         if not self._meter.add(data):
             self._close_head("empty_lines")
             self.force_close()
         elif self._gate is not None:
-            self._gate.budget.change_unframed(self._meter.head_bytes - counted)
+            self._gate.budget.change_unframed(self._meter.memory_bytes - counted)
+            if self._gate.budget.has_too_much_unframed and self._manager is not None:
+                self._bound_heads(self._gate, self._manager)
 
     async def _handle_request(self, *args: Any) -> tuple[web.StreamResponse, bool]:
         """Handle a request, which does not wait behind others any more."""
@@ -298,10 +300,30 @@
         # Its handler begins in the next step.
         self._messages.extend(begins)
 
+    def _bound_heads(self, gate: IntakeGate, manager: web.Server) -> None:
+        """Close connections with incomplete heads, the oldest first."""
+        # The most recent ones have had the least time.
+        incomplete = sorted(
+            (
+                item
+                for item in manager._connections
+                if isinstance(item, BoundedHandler) and item._meter.head_bytes
+            ),
+            key=lambda item: item._head_began_s or 0.0,
+        )
+        closed = incomplete[: int(len(incomplete) * SPARE_SHARE) + 1]
+        log_event(logger, "caller_closed", cause="incomplete_heads", closed=len(closed))
+        gate.record_closed("incomplete_heads", len(closed))
+        for connection in closed:
+            if connection._awaits_request:
+                connection.close_for_room()
+            else:
+                connection.stop_input()
+
     def _end_head(self) -> None:
         """Count no bytes of an incomplete head any more."""
         if self._gate is not None and self._meter.head_bytes:
-            self._gate.budget.change_unframed(-self._meter.head_bytes)
+            self._gate.budget.change_unframed(-self._meter.memory_bytes)
         self._meter.end_head()
 
     def _close_head(self, cause: str) -> None:
--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -66,10 +66,12 @@
 class Holding:
     """The bytes of one request.
 
-    ``taken`` counts against the budget, ``moved`` are the bytes received or
-    sent in this stage. ``wanted`` is the size that it waits for, 0 if none.
+    ``base`` is what the request takes without its body or response. ``taken``
+    counts against the budget, ``moved`` are the bytes received or sent in this
+    stage. ``wanted`` is the size that it waits for, 0 if none.
     """
 
+    base: int = 0
     taken: int = 0
     moved: int = 0
     wanted: int = 0
@@ -129,9 +131,9 @@
         """Tell whether more is taken than allowed, as by responses."""
         return self.total_bytes > self._limits.budget_bytes
 
-    def open(self, now_s: float) -> Holding:
+    def open(self, now_s: float, base: int = 0) -> Holding:
         """Return the holding of a request, which has taken nothing yet."""
-        holding = Holding(progress_s=now_s)
+        holding = Holding(base, progress_s=now_s)
         self._holdings[holding] = None
         return holding
 
--- a/packages/kumquat_core/src/kumquat_core/intake/head_meter.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/head_meter.py
@@ -14,21 +14,29 @@
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 # What the web server keeps for each header besides its bytes.
-HEADER_BYTES = 128
+HEADER_BYTES = 192
 HEAD_END_REST = len(HEAD_END) - 1
 
 
 class HeadMeter:
-    """Counts the bytes of the incomplete head of one connection."""
+    """Counts the bytes of the incomplete head of one connection.
 
-    __slots__ = ("_empty_bytes", "_last", "head_bytes")
+    ``memory_bytes`` is what the web server keeps of it.
+    """
+
+    __slots__ = ("_empty_bytes", "_last", "_lines", "head_bytes")
 
     def __init__(self) -> None:
-        self.head_bytes = 0
+        self.head_bytes = self._lines = 0
         self._empty_bytes = 0
         # The end of a head may arrive in two reads, the second with a body.
         self._last = b""
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the head takes."""
+        return 2 * self.head_bytes + HEADER_BYTES * self._lines
+
     def exceeds(self, data: bytes, max_bytes: int) -> bool:
         """Tell whether a head that ``data`` does not end is too long."""
         if self.head_bytes + len(data) <= max_bytes:
@@ -46,12 +54,13 @@
             self._empty_bytes += len(data)
             return self._empty_bytes <= MAX_EMPTY_BYTES
         self.head_bytes += len(data)
+        self._lines += data.count(b"\n")
         self._last = (self._last + data)[-HEAD_END_REST:]
         return True
 
     def end_head(self) -> None:
         """Begin with the next head."""
-        self.head_bytes = self._empty_bytes = 0
+        self.head_bytes = self._empty_bytes = self._lines = 0
         self._last = b""
 
 
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -16,6 +16,7 @@
 from ..clock import Clock
 from ..log_events import log_event
 from .byte_budget import ByteBudget, Cause, Holding, growth_step
+from .head_meter import parsed_head_size
 from .intake_limits import IntakeLimits
 from .large_response import LargeResponse
 from .receive_buffers import ReceiveBuffers
@@ -32,8 +33,8 @@
 RESOLVE_PERIOD_S = 0.1
 # Until then bodies that stall have been refused and others have ended.
 RETRY_AFTER_S = 1.0
-# The head of a request and what the web server keeps for it.
-REQUEST_BYTES = 4 * 1024
+# What a host keeps for a request besides its head and body.
+REQUEST_BYTES = 10 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -91,9 +92,13 @@
         self._timer: asyncio.Handle | None = None
         self._resolves_s = 0.0
 
-    def open(self) -> Holding:
-        """Return the holding of a new request."""
-        return self.budget.open(self._clock.monotonic())
+    def open(self, http_request: web.BaseRequest | None = None) -> Holding:
+        """Return the holding of a new request, whose head counts if given."""
+        base = REQUEST_BYTES
+        if http_request is not None:
+            headers = http_request.raw_headers
+            base += parsed_head_size(http_request.raw_path, headers)
+        return self.budget.open(self._clock.monotonic(), base)
 
     def close(self, holding: Holding) -> None:
         """Give back all bytes of a request unless it runs on detached."""
@@ -131,7 +136,7 @@
         try:
             async with asyncio.timeout(None) as limit:
                 self._enders[holding] = lambda: limit.reschedule(loop.time())
-                await self._take(holding, REQUEST_BYTES + (declared or 0))
+                await self._take(holding, holding.base + (declared or 0))
                 if receiver is not None:
                     self._receivers_by_holding[holding] = receiver
                     receiver.begin_body(holding.taken)
@@ -148,15 +153,15 @@
     async def received(self, holding: Holding, size: int, total: int) -> None:
         """Count received bytes of a body; may wait for more memory."""
         self.budget.record_progress(holding, size, self._clock.monotonic())
-        if total + REQUEST_BYTES > holding.taken:
-            needed = total + REQUEST_BYTES
+        needed = total + holding.base
+        if needed > holding.taken:
             await self._take(holding, max(needed, growth_step(holding.taken)))
             if (receiver := self._receivers_by_holding.get(holding)) is not None:
                 receiver.begin_body(holding.taken)
 
     def begin_run(self, holding: Holding, size: int) -> None:
         """Keep the bytes of a body that was read until its run ends."""
-        self.budget.begin_run(holding, REQUEST_BYTES + size)
+        self.budget.begin_run(holding, holding.base + size)
 
     async def send_large(
         self, holding: Holding, http_request: web.BaseRequest, response: web.Response
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
@@ -32,6 +32,9 @@
 # may have. The rest is for engines and other hosts.
 FILE_DESCRIPTORS = 200
 CALLER_SHARE = 0.75
+# The part of the memory for connections, and what an idle one takes.
+CONNECTION_SHARE = 0.25
+CONNECTION_BYTES = 6 * 1024
 MIN_CONNECTIONS = 32
 # Without a stated limit and with an unlimited process.
 MAX_DEFAULT_DESCRIPTORS = 65_536
@@ -60,13 +63,16 @@
     ) -> "IntakeLimits":
         """Return the limits of a host; None stands for the defaults."""
         budget, unread = DEFAULT_BUDGET_BYTES, DEFAULT_UNREAD_BYTES
+        left = 0
         if memory_mb is not None:
-            left = int((memory_mb - OWN_MB) * MB)
+            left = max(0, int((memory_mb - OWN_MB) * MB))
             budget, unread = int(left * BUDGET_SHARE), int(left * UNREAD_SHARE)
         budget = max(MIN_BUDGET_BYTES, budget)
         if max_descriptors is None:
             max_descriptors = _process_descriptors()
         callers = int((max_descriptors - FILE_DESCRIPTORS) * CALLER_SHARE)
+        if memory_mb is not None:
+            callers = min(callers, int(left * CONNECTION_SHARE / CONNECTION_BYTES))
         return cls(
             budget, int(budget * SMALL_SHARE), max(MIN_CONNECTIONS, callers), unread
         )
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -181,7 +181,7 @@
         )
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        holding = self._gate.open()
+        holding = self._gate.open(http_request)
         try:
             return await self._handle_held(http_request, holding)
         finally:
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -109,6 +109,8 @@
         unparsed = UNPARSED_BYTES if is_chunked and is_tiny else 0
         await gate.received(holding, len(chunk), size + unparsed)
         body += chunk
+        # Not kept while the next one is awaited.
+        chunk = b""
         limits = widest(limits, history.current)
         if len(body) > limits.max_body_bytes:
             return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -218,7 +218,7 @@
         self, http_request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Handle a request and count its memory until its response is sent."""
-        holding = http_request[HOLDING] = self._gate.open()
+        holding = http_request[HOLDING] = self._gate.open(http_request)
         try:
             response = await self._run_request(http_request, handler)
             # A stopping host writes responses at once, so that requests end.
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -108,6 +108,8 @@
         unparsed = UNPARSED_BYTES if is_chunked and is_tiny else 0
         await gate.received(holding, len(chunk), size + unparsed)
         body += chunk
+        # Not kept while the next one is awaited.
+        chunk = b""
         if len(body) > limits.max_body_bytes:
             raise RouterError(ResultCode.BODY_TOO_LARGE)
         if is_chunked and has_too_many_parts(len(body), parts, FREE_PARTS):
