Follow a body with the receive buffer of its connection

A size that is odd left the buffer to the kernel. Change: the buffer of a connection is what the budget has granted and the reader has not got yet, and is reduced as a body comes to its end. A body without a length takes 128 KB to 2 MB ahead while there is memory, and else what it needs.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -21,7 +21,12 @@
 from .head_meter import HeadMeter
 from .intake_gate import IntakeGate
 from .malformed_request import malformed_response, short_message, shorten_last_error
-from .waiting_input import MAX_QUEUED_BYTES, WaitingInput, queued_bytes
+from .waiting_input import (
+    MAX_QUEUED_BYTES,
+    WaitingInput,
+    queued_bytes,
+    received_bytes,
+)
 
 __all__ = ["BodyFramingError", "BoundedHandler", "HasRank", "choose_closed"]
 
@@ -85,17 +90,11 @@
         """Answer a head that is too long and close the connection."""
         self.force_close()
 
-    def begin_body(self, size: int) -> None:
+    def expect_body(self, size: int) -> None:
         """Receive up to ``size`` bytes of a body ahead of its reader."""
         if self._gate is not None and self.transport is not None:
             sock = self.transport.get_extra_info("socket")
-            self._gate.buffers.begin_body(self, sock, size)
-
-    def end_body(self) -> None:
-        """Receive no more ahead than other connections do."""
-        if self._gate is not None and self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            self._gate.buffers.end_body(self, sock)
+            self._gate.buffers.expect_body(self, sock, size)
 
     def close_for_room(self) -> None:
         """Close the connection to make room for others."""
@@ -190,7 +189,7 @@
             self.refuse_head()
             return
         count, begun = self._request_count, self._last_payload
-        known = begun.total_bytes if begun is not None else 0
+        known = received_bytes(begun)
         unparsed = self._input.unparsed
         super().data_received(data)
         added = self._request_count - count
@@ -203,7 +202,7 @@
             self._last_payload = self._messages[-1][1]  # type: ignore[misc]
             self._framing.begin_body()
         waiting = WaitingInput()
-        growth = begun.total_bytes - known if begun is not None else 0
+        growth = received_bytes(begun) - known
         if self._reading_paused or self._buffer_paused:
             parsed = growth
             if added:
--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -38,6 +38,9 @@
 UNREAD_BYTES = 128 * 1024
 # The part of the budget that requests may take while they wait.
 WAITING_SHARE = 0.25
+# How far a body without a length may be ahead of its reader.
+MIN_AHEAD_BYTES = 128 * 1024
+MAX_AHEAD_BYTES = 2 * 1024 * 1024
 FIRST_STEP_BYTES = 8 * 1024
 LARGEST_STEP_BYTES = 256 * 1024
 
@@ -68,13 +71,15 @@
 
     ``base`` is what the request takes without its body or response. ``taken``
     counts against the budget, ``moved`` are the bytes received or sent in this
-    stage. ``wanted`` is the size that it waits for, 0 if none.
+    stage. ``wanted`` is the size that it waits for, 0 if none. The length of a
+    body that ``grows`` is not known.
     """
 
     base: int = 0
     taken: int = 0
     moved: int = 0
     wanted: int = 0
+    grows: bool = False
     stage: Stage = Stage.READING
     refused: Cause | None = None
     waits_since_s: float = 0.0
@@ -161,6 +166,24 @@
             self._refuse(holding, Cause.NO_MEMORY)
         return False
 
+    def grow(self, holding: Holding, size: int, now_s: float) -> bool:
+        """Let a body without a length take at least ``size`` bytes in all.
+
+        While there is memory it takes more, which its connection may receive
+        ahead of the reader. Else it waits as in ``take``.
+        """
+        ahead = min(MAX_AHEAD_BYTES, max(MIN_AHEAD_BYTES, size))
+        is_short = holding.grows and holding.taken < size + ahead // 2
+        if is_short and size > SMALL_BYTES // 2 and not self._waiting:
+            holding.wanted = size + ahead
+            if self._fits(holding):
+                self._grant(holding, now_s)
+                return True
+            holding.wanted = 0
+        if size <= holding.taken:
+            return True
+        return self.take(holding, max(size, growth_step(holding.taken)), now_s)
+
     def record_progress(self, holding: Holding, size: int, now_s: float) -> None:
         """Record that bytes of a request were received or sent."""
         holding.moved += size
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -9,13 +9,13 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from aiohttp import web
 
 from ..clock import Clock
 from ..log_events import log_event
-from .byte_budget import ByteBudget, Cause, Holding, growth_step
+from .byte_budget import ByteBudget, Cause, Holding
 from .head_meter import parsed_head_size
 from .intake_limits import IntakeLimits
 from .large_response import LargeResponse
@@ -47,15 +47,13 @@
         self.cause = cause
 
 
+@runtime_checkable
 class BodyReceiver(Protocol):
     """The connection of a body."""
 
-    def begin_body(self, size: int) -> None:
+    def expect_body(self, size: int) -> None:
         """Receive up to ``size`` bytes of the body ahead of its reader."""
 
-    def end_body(self) -> None:
-        """Receive no more ahead than other connections do."""
-
 
 class IntakeMetrics(Protocol):
     """Metrics of the bounds on what callers take."""
@@ -133,13 +131,14 @@
         ``IntakeRefusedError`` if the memory is taken back.
         """
         loop = asyncio.get_running_loop()
+        holding.grows = declared is None
         try:
             async with asyncio.timeout(None) as limit:
                 self._enders[holding] = lambda: limit.reschedule(loop.time())
                 await self._take(holding, holding.base + (declared or 0))
                 if receiver is not None:
                     self._receivers_by_holding[holding] = receiver
-                    receiver.begin_body(holding.taken)
+                    receiver.expect_body(declared or 0)
                 yield
         except TimeoutError:
             if holding.refused is None:
@@ -148,16 +147,16 @@
         finally:
             self._enders.pop(holding, None)
             if (receiver := self._receivers_by_holding.pop(holding, None)) is not None:
-                receiver.end_body()
+                receiver.expect_body(0)
 
     async def received(self, holding: Holding, size: int, total: int) -> None:
         """Count received bytes of a body; may wait for more memory."""
         self.budget.record_progress(holding, size, self._clock.monotonic())
         needed = total + holding.base
-        if needed > holding.taken:
-            await self._take(holding, max(needed, growth_step(holding.taken)))
-            if (receiver := self._receivers_by_holding.get(holding)) is not None:
-                receiver.begin_body(holding.taken)
+        if not self.budget.grow(holding, needed, self._clock.monotonic()):
+            await self._wait(holding)
+        if (receiver := self._receivers_by_holding.get(holding)) is not None:
+            receiver.expect_body(holding.taken - needed)
 
     def begin_run(self, holding: Holding, size: int) -> None:
         """Keep the bytes of a body that was read until its run ends."""
@@ -172,7 +171,8 @@
         is needed.
         """
         large = LargeResponse(http_request, response)
-        self.budget.begin_answer(holding, large.size, self._clock.monotonic())
+        size = holding.base + large.size
+        self.budget.begin_answer(holding, size, self._clock.monotonic())
         self._enders[holding] = large.abort
         if self.budget.under_pressure:
             self._schedule(0.0)
@@ -215,8 +215,11 @@
         self._metrics.record_intake_closed(cause, count)
 
     async def _take(self, holding: Holding, size: int) -> None:
-        if self.budget.take(holding, size, self._clock.monotonic()):
-            return
+        if not self.budget.take(holding, size, self._clock.monotonic()):
+            await self._wait(holding)
+
+    async def _wait(self, holding: Holding) -> None:
+        """Wait until a request gets what it wants, or raise its refusal."""
         if holding.refused is not None:
             self._record_refusal(holding)
             raise IntakeRefusedError(holding.refused)
--- a/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
@@ -1,12 +1,13 @@
 """Sets the receive buffers that the kernel keeps for connections of callers.
 
-Load pattern: one call for each new connection, and two for each body above the
-share of a connection. Without these limits the kernel enlarges the buffer of a
-connection by itself, to several megabytes for a fast sender.
+Load pattern: one call for each new connection, and some for each body above
+the share of a connection. Without these limits the kernel enlarges the buffer
+of a connection by itself, to several megabytes for a fast sender.
 """
 
 import asyncio
 import logging
+import math
 import socket
 from typing import Protocol
 
@@ -26,6 +27,9 @@
 # to enlarge a buffer whose size was set.
 SO_BUF_LOCK = 72
 TUNED_BY_KERNEL = 0
+# A buffer is reduced once the rest of its body is below this part of it,
+# so that little is received of what follows.
+KEPT_SHARE = 0.4
 # The kernel doubles the size that is set.
 KERNEL_FACTOR = 2
 
@@ -51,8 +55,8 @@
     def __init__(self, limits: IntakeLimits) -> None:
         self._limits = limits
         self._share = ReceiveShare(limits)
-        # The sockets of connections, None while a body is received.
-        self._sockets_by_connection: dict[object, TunableSocket | None] = {}
+        self._sockets_by_connection: dict[object, TunableSocket] = {}
+        self._body_sizes_by_connection: dict[object, int] = {}
         self._available = True
         self._largest = 0
 
@@ -77,35 +81,32 @@
         if connection not in self._sockets_by_connection:
             return
         del self._sockets_by_connection[connection]
+        self._body_sizes_by_connection.pop(connection, None)
         if self._share.change_open(-1):
             self._set_all()
 
-    def begin_body(
+    def expect_body(
         self, connection: object, sock: TunableSocket | None, size: int
     ) -> None:
         """Let a connection receive ``size`` bytes that the budget has granted.
 
-        It may be called again with a larger size.
+        It is called again as they come, with what is left.
         """
-        if sock is None or size <= self._share.size:
+        current = self._body_sizes_by_connection.get(connection, 0)
+        if sock is None or connection not in self._sockets_by_connection:
             return
-        if connection not in self._sockets_by_connection:
-            return
-        self._sockets_by_connection[connection] = None
-        self._set(sock, self._share.buffer_for_body(size, self._largest or size))
-
-    def end_body(self, connection: object, sock: TunableSocket | None) -> None:
-        """Reduce the buffer of a connection whose body was received."""
-        if sock is None:
-            return
-        if self._sockets_by_connection.get(connection, sock) is None:
-            self._sockets_by_connection[connection] = sock
-            self._set(sock, self._share.buffer)
+        if size <= self._share.size:
+            if current:
+                del self._body_sizes_by_connection[connection]
+                self._set(sock, self._share.buffer)
+        elif not current * KEPT_SHARE < size <= current:
+            self._body_sizes_by_connection[connection] = size
+            self._set(sock, self._share.buffer_for_body(size, self._largest or size))
 
     def _set_all(self) -> None:
         """Give all connections without a large body their new share."""
-        for sock in self._sockets_by_connection.values():
-            if sock is not None:
+        for connection, sock in self._sockets_by_connection.items():
+            if connection not in self._body_sizes_by_connection:
                 self._set(sock, self._share.buffer)
 
     def _set(self, sock: TunableSocket, buffer: ReceiveBuffer) -> None:
@@ -127,7 +128,8 @@
 
     def _set_size(self, sock: TunableSocket, size: int) -> int:
         """Set a size and return that which the kernel has chosen."""
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // KERNEL_FACTOR)
+        half = math.ceil(size / KERNEL_FACTOR)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, half)
         if size <= self._share.size:
             return size
         chosen = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
--- a/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
@@ -10,11 +10,11 @@
 from typing import Any
 
 from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import StreamReader
+from aiohttp.streams import EmptyStreamReader, StreamReader
 
 from .head_meter import parsed_head_size
 
-__all__ = ["MAX_QUEUED_BYTES", "WaitingInput", "queued_bytes"]
+__all__ = ["MAX_QUEUED_BYTES", "WaitingInput", "queued_bytes", "received_bytes"]
 
 # A connection with more behind the request in progress is read no further.
 MAX_QUEUED_BYTES = 64 * 1024
@@ -27,6 +27,13 @@
     return sum(_size(message) + payload.total_bytes for message, payload in messages)
 
 
+def received_bytes(payload: StreamReader | None) -> int:
+    """Return what has come of a body, before it is decompressed."""
+    if payload is None or isinstance(payload, EmptyStreamReader):
+        return 0
+    return payload.total_raw_bytes
+
+
 def _size(message: Any) -> int:
     """Return the memory of a head, or of a short error of the parser."""
     if not isinstance(message, RawRequestMessage):
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -12,9 +12,9 @@
 
 from aiohttp import StreamReader, hdrs, web
 
-from kumquat_core.intake.bounded_handler import BodyFramingError, BoundedHandler
+from kumquat_core.intake.bounded_handler import BodyFramingError
 from kumquat_core.intake.byte_budget import Holding
-from kumquat_core.intake.intake_gate import IntakeGate
+from kumquat_core.intake.intake_gate import BodyReceiver, IntakeGate
 from kumquat_core.log_events import log_event
 from kumquat_core.parsing_turns import turns_of_loop
 from kumquat_core.result_codes import ResultCode
@@ -63,7 +63,7 @@
     if declared is not None:
         declared = min(declared, history.current.max_body_bytes)
     connection = http_request.protocol
-    receiver = connection if isinstance(connection, BoundedHandler) else None
+    receiver = connection if isinstance(connection, BodyReceiver) else None
     async with gate.reading(holding, declared, receiver):
         # After there is memory for the body, which is not sent before.
         if http_request.headers.get("Expect", "").lower() == "100-continue":
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -132,7 +132,7 @@
     async def _close_when_draining(
         self, http_request: web.Request, response: web.StreamResponse
     ) -> None:
-        """Close kept-alive connections while draining.
+        """Close kept-alive connections while draining, or without input.
 
         The load balancer then has to open new ones. A connection on which the
         next request was read already closes with the answer to that one.
@@ -145,9 +145,7 @@
         if connections is None or not connections.record_answer(
             http_request, request_id
         ):
-            response.force_close()
-            # aiohttp has composed the headers before it calls this method.
-            response.headers["Connection"] = "close"
+            _announce_close(response)
 
     async def start(self) -> None:
         """Start listening."""
@@ -397,3 +395,9 @@
             RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
         )
         return service_response(request_id, backend_response)
+
+
+def _announce_close(response: web.StreamResponse) -> None:
+    response.force_close()
+    # aiohttp has composed the headers before it calls the signal.
+    response.headers["Connection"] = "close"
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -11,10 +11,11 @@
 
 from aiohttp import HttpVersion11, StreamReader, hdrs, web
 
-from kumquat_core.intake.bounded_handler import BodyFramingError, BoundedHandler
+from kumquat_core.intake.bounded_handler import BodyFramingError
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import (
     RETRY_AFTER_S,
+    BodyReceiver,
     IntakeGate,
     IntakeRefusedError,
 )
@@ -55,7 +56,7 @@
     if declared is not None and declared > limits.max_body_bytes:
         raise RouterError(ResultCode.BODY_TOO_LARGE)
     connection = http_request.protocol
-    receiver = connection if isinstance(connection, BoundedHandler) else None
+    receiver = connection if isinstance(connection, BodyReceiver) else None
     try:
         async with gate.reading(holding, declared, receiver):
             is_asked = hdrs.EXPECT in http_request.headers
