Read no more of a body whose request was refused, own interface

After a crowd in chunks of 4 bytes had left, an entry host served an ordinary request and one of 4 MiB only after up to twenty seconds. Cause: a profile shows the lingering read of the web server, which parses what follows a refusal for ten seconds, a chunk at a time. Change: a refused body ends the input of its connection, as in the relay, and the response announces the close.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -108,6 +108,15 @@
         self._messages.clear()
         self._end_input()
 
+    def drop_body(self) -> None:
+        """Read no more of a body whose request is refused."""
+        self._end_input()
+
+    @property
+    def drops_input(self) -> bool:
+        """Tell whether the connection closes after the last response."""
+        return self._drops_input
+
     def _end_input(self) -> None:
         """Drop all that comes; what was read before is answered."""
         self._drops_input = True  # type: ignore[misc]
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -17,6 +17,7 @@
 
 from kumquat_core.clock import Clock
 from kumquat_core.closing_listener import close_listener
+from kumquat_core.intake.bounded_handler import BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.head_meter import head_size
 from kumquat_core.intake.intake_gate import IntakeGate
@@ -137,6 +138,10 @@
         The load balancer then has to open new ones. A connection on which the
         next request was read already closes with the answer to that one.
         """
+        protocol = http_request.protocol
+        if isinstance(protocol, BoundedHandler) and protocol.drops_input:
+            _announce_close(response)
+            return
         connections = self._connections
         closing = connections is not None and connections.closing
         if not self._drain.draining and not closing:
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -11,7 +11,7 @@
 
 from aiohttp import HttpVersion11, StreamReader, hdrs, web
 
-from kumquat_core.intake.bounded_handler import BodyFramingError
+from kumquat_core.intake.bounded_handler import BodyFramingError, BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import (
     RETRY_AFTER_S,
@@ -50,8 +50,21 @@
     """Return the body, whose memory stays in ``holding``.
 
     Waits for the memory before the body is read. Its size and the time to
-    send it are limited. Raises ``RouterError`` if there is no body.
+    send it are limited. Raises ``RouterError`` if there is no body, whose rest
+    is not read then.
     """
+    try:
+        return await _read_within_limits(http_request, limits, gate, holding)
+    except RouterError:
+        # The web server would parse what comes for seconds.
+        if isinstance(http_request.protocol, BoundedHandler):
+            http_request.protocol.drop_body()
+        raise
+
+
+async def _read_within_limits(
+    http_request: web.Request, limits: Limits, gate: IntakeGate, holding: Holding
+) -> bytes:
     declared = http_request.content_length
     if declared is not None and declared > limits.max_body_bytes:
         raise RouterError(ResultCode.BODY_TOO_LARGE)
