Refuse a request without memory before it begins

Cause: a refused request kept what was parsed of it until its connection had closed, and the web server holds up to 2,048 chunks of a body before its reader runs. Change: when a small request would be refused at once, it is refused when its head is parsed, with the same response, and nothing of it is kept. At most 1,024 chunks of a body wait for its reader. It never begins, so a server can't have it.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -17,6 +17,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ..log_events import log_event
+from .byte_budget import Cause
 from .framing_meter import FramingMeter
 from .head_meter import HeadMeter
 from .intake_gate import IntakeGate
@@ -96,6 +97,10 @@
             sock = self.transport.get_extra_info("socket")
             self._gate.buffers.expect_body(self, sock, size)
 
+    def refuse_request(self) -> None:
+        """Refuse a request that has not begun and close the connection."""
+        self.force_close()
+
     def close_for_room(self) -> None:
         """Close the connection to make room for others."""
         self.force_close()
@@ -205,6 +210,8 @@
         if added and begun is not None and not begun.is_eof():
             self._refuse_body(begun, self._messages.pop()[0])
             return
+        if added and self._refuses_request():
+            return
         if added:
             shorten_last_error(self._messages)
             # The slot is one of the subclass.
@@ -265,6 +272,23 @@
             if self._drops_input and not self._messages:
                 self.close_after_response()
 
+    def _refuses_request(self) -> bool:
+        """Refuse a request for which there is no memory, before it begins.
+
+        Not behind others, whose responses come first.
+        """
+        gate, task = self._gate, self._task_handler
+        if gate is None or task is None or self._waiter is None:
+            return False
+        if len(self._messages) != 1 or not gate.budget.refuses_all:
+            return False
+        # It would begin in the next step.
+        task.cancel()
+        self.stop_input()
+        gate.record_refusal(Cause.NO_MEMORY)
+        self.refuse_request()
+        return True
+
     def _refuse_body(self, payload: StreamReader, error: object) -> None:
         """End a body whose rest can't be parsed, as the parser tells."""
         set_exception(payload, web.RequestPayloadError(short_message(error)))
--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -136,6 +136,11 @@
         """Tell whether more is taken than allowed, as by responses."""
         return self.total_bytes > self._limits.budget_bytes
 
+    @property
+    def refuses_all(self) -> bool:
+        """Tell whether a further request is refused, also a small one."""
+        return len(self._waiting) >= self._max_waiting and self._has_small_waiting()
+
     def open(self, now_s: float, base: int = 0) -> Holding:
         """Return the holding of a request, which has taken nothing yet."""
         holding = Holding(base, progress_s=now_s)
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -214,6 +214,10 @@
         """Count connections that were closed."""
         self._metrics.record_intake_closed(cause, count)
 
+    def record_refusal(self, cause: Cause) -> None:
+        """Count a request that was refused before it began."""
+        self._metrics.record_intake_refusal(cause.value)
+
     async def _take(self, holding: Holding, size: int) -> None:
         if not self.budget.take(holding, size, self._clock.monotonic()):
             await self._wait(holding)
--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from kumquat_core.intake.intake_gate import IntakeGate
+from kumquat_core.intake.intake_gate import RETRY_AFTER_S, IntakeGate
 from kumquat_core.log_events import log_event
 from kumquat_core.partial_heads import ends_within_head
 
@@ -48,6 +48,11 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Sent if there is no memory for a request.
+NO_MEMORY = (
+    f"HTTP/1.1 503 Service Unavailable\r\nRetry-After: {RETRY_AFTER_S:.2f}\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n"
+).encode()
 # Sent if the rest of a head does not arrive in time.
 HEAD_TIMEOUT = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -103,6 +108,13 @@
         if not self._drops_requests:
             super().data_received(data)
 
+    def refuse_request(self) -> None:
+        """Refuse a request that has not begun and close the connection."""
+        if self.transport is not None and not self.closing:
+            self.close_announced = True
+            self.transport.write(NO_MEMORY)
+            self._connections.start_closer(self)
+
     def close_after_response(self) -> None:
         """Close the connection once its last response has arrived."""
         self._connections.start_closer(self)
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -12,9 +12,10 @@
 from aiohttp.streams import StreamReader
 
 from kumquat_core.intake.bounded_handler import BoundedHandler
+from kumquat_core.intake.byte_budget import Cause
 from kumquat_core.intake.framing_meter import FramingMeter
 from kumquat_core.intake.head_meter import HeadMeter
-from kumquat_core.intake.intake_gate import IntakeGate
+from kumquat_core.intake.intake_gate import RETRY_AFTER_S, IntakeGate
 from kumquat_core.intake.waiting_input import WaitingInput
 from kumquat_core.result_codes import ResultCode, RouterError
 
@@ -25,7 +26,7 @@
 # aiohttp closes a connection that has sent no request for this time.
 KEEPALIVE_S = 75.0
 # aiohttp keeps up to twice as many bytes of a body that is not read.
-READ_BUFFER_BYTES = 32 * 1024
+READ_BUFFER_BYTES = 16 * 1024
 
 
 class CallerConnection(BoundedHandler):
@@ -108,6 +109,17 @@
             self.transport.write(raw_error_response(error))
             self.force_close()
 
+    def refuse_request(self) -> None:
+        """Refuse a request that has not begun and close the connection."""
+        if self.transport is not None:
+            error = RouterError(
+                ResultCode.NO_CAPACITY_IN_TIME,
+                Cause.NO_MEMORY.value,
+                retry_after_s=RETRY_AFTER_S,
+            )
+            self.transport.write(raw_error_response(error))
+            self.force_close()
+
     def close_for_room(self) -> None:
         """Close the connection at once, without waiting for its caller."""
         transport = self._own_transport
