Return the memory of past crowds to the system

Cause: the allocator keeps free memory in parts of the heap that it does not return by itself. Ruled out: a leak. Four crowds of 1,000 bodies of 16 KB took 47.3, 48.8, 48.7 and 48.9 MB at one host, before. Change: once a second, when the bytes of requests have fallen by half of their peak and by 4 MB, the heap is trimmed. Evidence: the same crowds keep 16.5, 17.4, 17.4 and 17.8 MB after they have left (47.8 to 48.7 before); what is left are parts of the heap of Python objects, which the next crowd uses.

--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -111,14 +111,17 @@
 
 
 class ByteBudget:
-    """The bytes of all requests of a host."""
+    """The bytes of all requests of a host.
+
+    ``peak_bytes`` is the most that they took; it may be set anew.
+    """
 
     def __init__(self, limits: IntakeLimits) -> None:
         self._limits = limits
         self._max_waiting = int(limits.budget_bytes * WAITING_SHARE / UNREAD_BYTES)
         self._holdings: dict[Holding, None] = {}
         self._waiting: dict[Holding, None] = {}
-        self.total_bytes = 0
+        self.total_bytes = self.peak_bytes = 0
         self._unframed_bytes = 0
         self._large_bytes = 0
         self._resolved_s: float | None = None
@@ -210,6 +213,7 @@
     def change_unframed(self, size: int) -> None:
         """Count bytes of requests that have not begun, or no longer."""
         self.total_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.total_bytes)
         self._unframed_bytes += size
 
     @property
@@ -299,6 +303,7 @@
 
     def _change(self, holding: Holding, size: int) -> None:
         self.total_bytes += size - holding.taken
+        self.peak_bytes = max(self.peak_bytes, self.total_bytes)
         if holding.taken > SMALL_BYTES:
             self._large_bytes -= holding.taken
         if size > SMALL_BYTES:
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -15,8 +15,10 @@
 
 from ..clock import Clock
 from ..log_events import log_event
+from ..timers import TimerService
 from .byte_budget import ByteBudget, Cause, Holding
 from .head_meter import parsed_head_size
+from .heap_trim import HeapTrim
 from .intake_limits import IntakeLimits
 from .large_response import LargeResponse
 from .receive_buffers import ReceiveBuffers
@@ -31,6 +33,7 @@
 ]
 
 RESOLVE_PERIOD_S = 0.1
+TRIM_PERIOD_S = 1.0
 # Until then bodies that stall have been refused and others have ended.
 RETRY_AFTER_S = 1.0
 # What a host keeps for a request besides its head and body.
@@ -77,6 +80,7 @@
         self.limits = limits
         self.budget = ByteBudget(limits)
         self.buffers = ReceiveBuffers(limits)
+        self._heap_trim = HeapTrim(self.budget)
         metrics.set_intake_bytes_source(lambda: self.budget.total_bytes)
         self._clock = clock
         self._metrics = metrics
@@ -90,6 +94,10 @@
         self._timer: asyncio.Handle | None = None
         self._resolves_s = 0.0
 
+    def subscribe(self, timers: TimerService) -> None:
+        """Return memory to the system periodically."""
+        timers.every(TRIM_PERIOD_S, self._heap_trim.check, "heap_trim")
+
     def open(self, http_request: web.BaseRequest | None = None) -> Holding:
         """Return the holding of a new request, whose head counts if given."""
         base = REQUEST_BYTES
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_limits.py
@@ -6,7 +6,7 @@
 import resource
 from dataclasses import dataclass
 
-__all__ = ["IntakeLimits"]
+__all__ = ["MB", "IntakeLimits"]
 
 MB = 1024 * 1024
 # A host takes 42 MB before its first caller, and up to 58 MB with the state of
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -209,7 +209,7 @@
         timers.every(PLANNING_PERIOD_S, self._plan_roles, "plan")
         self._limits.subscribe(timers)
         watch_loop(timers, parts.clock, parts.metrics.loop_delays.observe)
-        self._callers = self._build_caller_server()
+        self._callers = self._build_caller_server(timers)
         services: list[aiomisc.Service] = [
             ReadinessServer(options.readiness, self.is_ready),
             MetricsServer(options.metrics, self._metrics_text),
@@ -261,9 +261,10 @@
         self._parts.shutdown.grace_s = options.stop_grace_s
         log_event(logger, "reloaded", host=options.host_id)
 
-    def _build_caller_server(self) -> CallerServer:
+    def _build_caller_server(self, timers: TimerService) -> CallerServer:
         options, parts = self._options, self._parts
         gate, cutoff = parts.intake_gate(options.intake), Cutoff()
+        gate.subscribe(timers)
         plain = PlainRelay(
             parts.clock,
             parts.pool,
--- a/packages/kumquatrouter/src/kumquatrouter/entry_host.py
+++ b/packages/kumquatrouter/src/kumquatrouter/entry_host.py
@@ -272,6 +272,7 @@
         self._timers.every(
             timing.report_poll_s, self._poll_local_reports, "local_reports"
         )
+        self._gate.subscribe(self._timers)
         self._timers.every(OWNER_UPDATE_PERIOD_S, self._update_owners, "owners")
         await self._supervisor.start()
         log_event(
