Reduce the buffer of a body earlier

Cause: a flooding caller of an entry host that stated 128 MB still had up to three fifths of each granted body received behind it (whole: private 99, unread 30, together 123 MB). Change: the buffer follows the rest of a body from three quarters on. Bodies without a length get more memory once a fifth of what they are ahead is used, so that their buffer is not reduced in between.

--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -41,6 +41,7 @@
 # How far a body without a length may be ahead of its reader.
 MIN_AHEAD_BYTES = 128 * 1024
 MAX_AHEAD_BYTES = 2 * 1024 * 1024
+KEPT_AHEAD_SHARE = 0.8
 FIRST_STEP_BYTES = 8 * 1024
 LARGEST_STEP_BYTES = 256 * 1024
 
@@ -181,7 +182,7 @@
         ahead of the reader. Else it waits as in ``take``.
         """
         ahead = min(MAX_AHEAD_BYTES, max(MIN_AHEAD_BYTES, size))
-        is_short = holding.grows and holding.taken < size + ahead // 2
+        is_short = holding.grows and holding.taken < size + ahead * KEPT_AHEAD_SHARE
         if is_short and size > SMALL_BYTES // 2 and not self._waiting:
             holding.wanted = size + ahead
             if self._fits(holding):
--- a/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
@@ -29,7 +29,7 @@
 TUNED_BY_KERNEL = 0
 # A buffer is reduced once the rest of its body is below this part of it,
 # so that little is received of what follows.
-KEPT_SHARE = 0.4
+KEPT_SHARE = 0.75
 # The kernel doubles the size that is set.
 KERNEL_FACTOR = 2
 
