Count the parts of bodies that wait for their reader

Until the readers have had their turns the budget knows neither that the parts are tiny nor what each takes besides its bytes, and admitted up to 169 such bodies. Change: each waiting part counts 96 bytes, and at most 512 parts wait, since the buffer of the web server is 8 KB.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -25,6 +25,7 @@
 from .waiting_input import (
     MAX_QUEUED_BYTES,
     WaitingInput,
+    parts_bytes,
     queued_bytes,
     received_bytes,
 )
@@ -231,6 +232,7 @@
             waiting.queued = queued_bytes(self._messages)
         if self._upgraded:
             waiting.unparsed = len(self._message_tail)
+        waiting.parts = parts_bytes(self._last_payload)
         self._count_waiting(waiting)
         if waiting.queued or self._upgraded:
             self._bound_queue()
@@ -268,6 +270,9 @@
         finally:
             # What came behind a request for an upgrade is parsed now.
             shorten_last_error(self._messages)
+            if self._input.parts:
+                waiting = WaitingInput(self._input.queued, self._input.unparsed)
+                self._count_waiting(waiting)
             # Requests that were read before the input ended are answered.
             if self._drops_input and not self._messages:
                 self.close_after_response()
--- a/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/waiting_input.py
@@ -14,10 +14,18 @@
 
 from .head_meter import parsed_head_size
 
-__all__ = ["MAX_QUEUED_BYTES", "WaitingInput", "queued_bytes", "received_bytes"]
+__all__ = [
+    "MAX_QUEUED_BYTES",
+    "WaitingInput",
+    "parts_bytes",
+    "queued_bytes",
+    "received_bytes",
+]
 
 # A connection with more behind the request in progress is read no further.
 MAX_QUEUED_BYTES = 64 * 1024
+# What the web server keeps for a part of a body besides its bytes.
+PART_BYTES = 96
 # What the web server keeps for a request besides its head.
 MESSAGE_BYTES = 1024
 
@@ -27,6 +35,13 @@
     return sum(_size(message) + payload.total_bytes for message, payload in messages)
 
 
+def parts_bytes(payload: StreamReader | None) -> int:
+    """Return what the unread parts of a body take besides its bytes."""
+    if payload is None or isinstance(payload, EmptyStreamReader):
+        return 0
+    return PART_BYTES * len(payload._buffer)
+
+
 def received_bytes(payload: StreamReader | None) -> int:
     """Return what has come of a body, before it is decompressed."""
     if payload is None or isinstance(payload, EmptyStreamReader):
@@ -46,13 +61,15 @@
     """What one connection has received and its requests have not.
 
     ``queued`` are the bytes of requests behind the one in progress and
-    ``unparsed`` those that the parser keeps while it is paused.
+    ``unparsed`` those that the parser keeps while it is paused. ``parts`` is
+    what the parts of a body take besides its bytes until they are read.
     """
 
     queued: int = 0
     unparsed: int = 0
+    parts: int = 0
 
     @property
     def total(self) -> int:
         """Return all bytes that wait."""
-        return self.queued + self.unparsed
+        return self.queued + self.unparsed + self.parts
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -47,7 +47,7 @@
 LISTEN_BACKLOG = 512
 STOP_POLL_S = 0.02
 # The web server parses up to a sixteenth as many chunks in one step.
-READ_BUFFER_BYTES = 16 * 1024
+READ_BUFFER_BYTES = 8 * 1024
 # Of refusals after which the rest of a request is not read.
 UNREAD_REASONS = {
     BODY_FRAMING,
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -26,7 +26,7 @@
 # aiohttp closes a connection that has sent no request for this time.
 KEEPALIVE_S = 75.0
 # aiohttp keeps up to twice as many bytes of a body that is not read.
-READ_BUFFER_BYTES = 16 * 1024
+READ_BUFFER_BYTES = 8 * 1024
 
 
 class CallerConnection(BoundedHandler):
