End a body behind an early refusal without an error, and split long modules

Callers of the own interface whose route does not exist and whose body can't be parsed left a traceback in the log for each connection. Cause: the refusal is sent before the body is read. The web server then discards the rest, and an error for the reader reaches it there, since bodies that can't be parsed end with one. Change: such a body just ends and its connection closes.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -8,8 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
-from typing import Any, Protocol, TypeVar
+from typing import Any
 
 from aiohttp import web
 from aiohttp.helpers import set_exception
@@ -18,6 +17,7 @@
 
 from ..log_events import log_event
 from .byte_budget import Cause
+from .closing_order import choose_closed, oldest_heads, spare_of
 from .framing_meter import FramingMeter
 from .head_meter import HeadMeter
 from .intake_gate import IntakeGate
@@ -30,11 +30,7 @@
     received_bytes,
 )
 
-__all__ = ["BodyFramingError", "BoundedHandler", "HasRank", "choose_closed"]
-
-# So many connections more than necessary are closed at once, as each choice
-# looks at all of them.
-SPARE_SHARE = 1 / 16
+__all__ = ["BodyFramingError", "BoundedHandler", "choose_closed"]
 
 logger = logging.getLogger(__name__)
 
@@ -43,27 +39,6 @@
     """A body brought too many bytes that are no part of it."""
 
 
-class HasRank(Protocol):
-    """A connection that may be closed to make room, lower ranks first."""
-
-    @property
-    def closing_rank(self) -> tuple[int, float] | None:
-        """Return the rank, None while a request of it may run."""
-
-
-T = TypeVar("T", bound=HasRank)
-
-
-def choose_closed(connections: Iterable[T], count: int) -> list[T]:
-    """Return up to ``count`` to close: idle ones, then heads, then bodies."""
-    ranked = [
-        (rank, number, item)
-        for number, item in enumerate(connections)
-        if (rank := item.closing_rank) is not None
-    ]
-    return [item for _, _, item in sorted(ranked, key=lambda entry: entry[:2])[:count]]
-
-
 class BoundedHandler(RequestHandler):
     """A connection that reads no more of a head than the limit allows.
 
@@ -162,6 +137,14 @@
         """Tell whether all requests were answered and none has arrived."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def head_began_s(self) -> float | None:
+        """Return when a head began that is incomplete, None without one."""
+        if not self._meter.head_bytes:
+            return None
+        # Behind a request in progress the time is not known.
+        return self._head_began_s or 0.0
+
     @property
     def closing_rank(self) -> tuple[int, float] | None:
         """Return the order in which the connection is closed to make room."""
@@ -218,34 +201,41 @@
             # The slot is one of the subclass.
             self._last_payload = self._messages[-1][1]  # type: ignore[misc]
             self._framing.begin_body()
-        waiting = WaitingInput()
         growth = received_bytes(begun) - known
-        if self._reading_paused or self._buffer_paused:
+        waiting = self._waiting_after(unparsed + len(data), growth, added)
+        self._count_waiting(waiting)
+        if waiting.queued or self._upgraded:
+            self._bound_queue()
+        if added:
+            self._end_head()
+        elif begun is not None and not begun.is_eof():
+            parsed = len(data) + unparsed - waiting.unparsed
+            if not self._framing.add(parsed, growth, self.longest_head):
+                self._close_body(begun)
+        elif is_head:
+            self._count_head(data)
+
+    def _waiting_after(self, received: int, growth: int, added: int) -> WaitingInput:
+        """Return what waits after ``received`` bytes were given to the parser.
+
+        A body has grown by ``growth`` and ``added`` requests were parsed.
+        """
+        waiting = WaitingInput(parts=parts_bytes(self._last_payload))
+        if self._upgraded:
+            waiting.unparsed = len(self._message_tail)
+        elif self._reading_paused or self._buffer_paused:
             parsed = growth
             if added:
                 parsed += queued_bytes(list(self._messages)[-added:])
             # A paused parser keeps the rest.
-            rest = self._input.unparsed + len(data) - parsed
-            waiting.unparsed = max(0, rest)
+            waiting.unparsed = max(0, received - parsed)
         # A single request begins in the next step, unless another runs.
         if len(self._messages) > (0 if self._request_in_progress else 1):
             waiting.queued = queued_bytes(self._messages)
-        if self._upgraded:
-            waiting.unparsed = len(self._message_tail)
-        waiting.parts = parts_bytes(self._last_payload)
-        self._count_waiting(waiting)
-        if waiting.queued or self._upgraded:
-            self._bound_queue()
-        if not added and begun is not None and not begun.is_eof():
-            parsed = len(data) + unparsed - waiting.unparsed
-            if not self._framing.add(parsed, growth, self.longest_head):
-                self._close_body(begun)
-            return
-        if added:
-            self._end_head()
-            return
-        if not is_head:
-            return
+        return waiting
+
+    def _count_head(self, data: bytes) -> None:
+        """Count bytes of an incomplete head, or empty lines before one."""
         counted = self._meter.memory_bytes
         if not self._meter.add(data):
             self._close_head("empty_lines")
@@ -296,8 +286,7 @@
 
     def _refuse_body(self, payload: StreamReader, error: object) -> None:
         """End a body whose rest can't be parsed, as the parser tells."""
-        set_exception(payload, web.RequestPayloadError(short_message(error)))
-        self._end_input()
+        self._fail_body(payload, web.RequestPayloadError(short_message(error)))
 
     def _close_body(self, payload: StreamReader) -> None:
         """End a body that brings too many bytes that are no part of it."""
@@ -306,8 +295,18 @@
         )
         if self._gate is not None:
             self._gate.record_closed("body_framing", 1)
-        set_exception(payload, BodyFramingError("too many bytes besides the body"))
+        self._fail_body(payload, BodyFramingError("too many bytes besides the body"))
+
+    def _fail_body(self, payload: StreamReader, error: Exception) -> None:
+        """End a body with an error for its reader."""
+        is_answered = not (self._request_in_progress or self._messages)
         self._end_input()
+        if is_answered:
+            # The web server discards the rest and expects no error.
+            self._close = True
+            payload.feed_eof()
+        else:
+            set_exception(payload, error)
 
     def _resume_transport_reading(self) -> None:
         if not (self._holds_queue or self._drops_input):
@@ -339,16 +338,7 @@
 
     def _bound_heads(self, gate: IntakeGate, manager: web.Server) -> None:
         """Close connections with incomplete heads, the oldest first."""
-        # The most recent ones have had the least time.
-        incomplete = sorted(
-            (
-                item
-                for item in manager._connections
-                if isinstance(item, BoundedHandler) and item._meter.head_bytes
-            ),
-            key=lambda item: item._head_began_s or 0.0,
-        )
-        closed = incomplete[: int(len(incomplete) * SPARE_SHARE) + 1]
+        closed = oldest_heads(_bounded(manager))
         log_event(logger, "caller_closed", cause="incomplete_heads", closed=len(closed))
         gate.record_closed("incomplete_heads", len(closed))
         for connection in closed:
@@ -370,12 +360,8 @@
         self._end_head()
 
     def _make_room(self, gate: IntakeGate, manager: web.Server, excess: int) -> None:
-        spare = int(gate.limits.max_connections * SPARE_SHARE)
-        others = [
-            item
-            for item in manager._connections
-            if isinstance(item, BoundedHandler) and item is not self
-        ]
+        others = [item for item in _bounded(manager) if item is not self]
+        spare = spare_of(gate.limits.max_connections)
         closed = choose_closed(others, excess + spare)
         for connection in closed:
             connection.close_for_room()
@@ -390,3 +376,8 @@
             closed=len(closed),
             limit=gate.limits.max_connections,
         )
+
+
+def _bounded(manager: web.Server) -> list[BoundedHandler]:
+    """Return the connections of a server that have bounds."""
+    return [item for item in manager._connections if isinstance(item, BoundedHandler)]
--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -17,12 +17,13 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from kumquat_core.intake.intake_gate import RETRY_AFTER_S, IntakeGate
+from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.log_events import log_event
 from kumquat_core.partial_heads import ends_within_head
 
 from .caller_socket import is_closed, unsent_bytes
 from .intake.bounded_connection import BoundedConnection
+from .intake.raw_responses import HEAD_TIMEOUT, HEAD_TOO_LARGE, NO_MEMORY, REFUSAL
 from .limit_history import DEFAULT_LIMITS, LimitHistory
 
 __all__ = ["CallerConnection", "CallerConnections"]
@@ -43,25 +44,6 @@
 POLL_S = 0.01
 # Lines of a head may be as long as this under all configurations.
 MIN_LINE_BYTES = DEFAULT_LIMITS.max_header_bytes
-# Sent if part of a head was read when the host exits.
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
-    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-)
-# Sent if there is no memory for a request.
-NO_MEMORY = (
-    f"HTTP/1.1 503 Service Unavailable\r\nRetry-After: {RETRY_AFTER_S:.2f}\r\n"
-    "Connection: close\r\nContent-Length: 0\r\n\r\n"
-).encode()
-# Sent if the rest of a head does not arrive in time.
-HEAD_TIMEOUT = (
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-# Sent if a head exceeds its limit.
-HEAD_TOO_LARGE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
 
 logger = logging.getLogger(__name__)
 
--- a/packages/kumquat_relay/src/kumquat_relay/caller_server.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_server.py
@@ -14,7 +14,7 @@
 
 from kumquat_core.clock import Clock
 from kumquat_core.closing_listener import close_listener
-from kumquat_core.intake.byte_budget import ENDING_CAUSES, Holding
+from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.intake_gate import IntakeGate
 from kumquat_core.intake.large_response import PART_BYTES
 from kumquat_core.log_events import log_event
@@ -34,8 +34,7 @@
 from .plain_relay import PlainRelay
 from .protocols import EngineDialect
 from .relay_metrics import RelayMetrics
-from .request_body import BODY_FRAMING, INVALID_BODY, TOO_MANY_PARTS
-from .request_reader import HEAD_TOO_LARGE, STOPPING_RETRY_AFTER_S, RequestReader
+from .request_reader import STOPPING_RETRY_AFTER_S, UNREAD_REASONS, RequestReader
 from .response_sink import CallerDisconnectedError
 from .routes import RouteKind
 from .shutdown import Shutdown
@@ -48,13 +47,6 @@
 STOP_POLL_S = 0.02
 # The web server parses up to a sixteenth as many chunks in one step.
 READ_BUFFER_BYTES = 8 * 1024
-# Of refusals after which the rest of a request is not read.
-UNREAD_REASONS = {
-    BODY_FRAMING,
-    HEAD_TOO_LARGE,
-    INVALID_BODY,
-    TOO_MANY_PARTS,
-} | ENDING_CAUSES
 
 logger = logging.getLogger(__name__)
 
--- a/packages/kumquat_relay/src/kumquat_relay/request_reader.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_reader.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from kumquat_core.clock import Clock
-from kumquat_core.intake.byte_budget import Holding
+from kumquat_core.intake.byte_budget import ENDING_CAUSES, Holding
 from kumquat_core.intake.head_meter import head_size
 from kumquat_core.intake.intake_gate import IntakeGate, IntakeRefusedError
 from kumquat_core.log_events import log_event
@@ -26,10 +26,15 @@
 from .limit_history import DEFAULT_LIMITS
 from .open_requests import OpenRequests
 from .protocols import EngineDialect
-from .request_body import read_body
+from .request_body import BODY_FRAMING, INVALID_BODY, TOO_MANY_PARTS, read_body
 from .routes import RouteTable
 
-__all__ = ["HEAD_TOO_LARGE", "STOPPING_RETRY_AFTER_S", "RequestReader"]
+__all__ = [
+    "HEAD_TOO_LARGE",
+    "STOPPING_RETRY_AFTER_S",
+    "UNREAD_REASONS",
+    "RequestReader",
+]
 
 # A starting host receives its configuration within a second.
 NOT_READY_RETRY_AFTER_S = 1.0
@@ -38,6 +43,13 @@
 MAX_LOGGED_PARTS = 8
 # The reason of the refusal of a complete head over the limit.
 HEAD_TOO_LARGE = "head_too_large"
+# Of refusals after which the rest of a request is not read.
+UNREAD_REASONS = {
+    BODY_FRAMING,
+    HEAD_TOO_LARGE,
+    INVALID_BODY,
+    TOO_MANY_PARTS,
+} | ENDING_CAUSES
 
 logger = logging.getLogger(__name__)
 
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -17,7 +17,6 @@
 
 from kumquat_core.clock import Clock
 from kumquat_core.closing_listener import close_listener
-from kumquat_core.intake.bounded_handler import BoundedHandler
 from kumquat_core.intake.byte_budget import Holding
 from kumquat_core.intake.head_meter import head_size
 from kumquat_core.intake.intake_gate import IntakeGate
@@ -30,7 +29,7 @@
 from kumquat_core.tickets import TicketStore
 
 from .caller_body import count_until_unused, expect_body, read_body
-from .caller_connection import CallerConnectionFactory
+from .caller_connection import CallerConnectionFactory, drops_input
 from .caller_requests import (
     Caller,
     as_router_error,
@@ -49,6 +48,7 @@
 from .request_observer import RequestObserver
 from .response_sinks import BufferSink, StreamSink
 from .responses import (
+    announce_close,
     completion_document,
     engine_headers,
     error_response,
@@ -64,7 +64,6 @@
 UNKNOWN_LABEL = "unknown"
 
 LISTEN_BACKLOG = 1024
-
 # Time at a stop for refusals to be sent and for callers to close their side.
 MIN_CLOSE_LIMIT_S = 5.0
 # For handlers whose connections were cut after that.
@@ -138,10 +137,8 @@
         The load balancer then has to open new ones. A connection on which the
         next request was read already closes with the answer to that one.
         """
-        protocol = http_request.protocol
-        if isinstance(protocol, BoundedHandler) and protocol.drops_input:
-            _announce_close(response)
-            return
+        if drops_input(http_request):
+            return announce_close(response)
         connections = self._connections
         closing = connections is not None and connections.closing
         if not self._drain.draining and not closing:
@@ -150,7 +147,7 @@
         if connections is None or not connections.record_answer(
             http_request, request_id
         ):
-            _announce_close(response)
+            announce_close(response)
 
     async def start(self) -> None:
         """Start listening."""
@@ -400,9 +397,3 @@
             RouterError(ResultCode.OUTCOME_UNKNOWN, CUT_DETAIL),
         )
         return service_response(request_id, backend_response)
-
-
-def _announce_close(response: web.StreamResponse) -> None:
-    response.force_close()
-    # aiohttp has composed the headers before it calls the signal.
-    response.headers["Connection"] = "close"
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -21,7 +21,7 @@
 
 from .responses import raw_error_response
 
-__all__ = ["CallerConnection", "CallerConnectionFactory"]
+__all__ = ["CallerConnection", "CallerConnectionFactory", "drops_input"]
 
 # aiohttp closes a connection that has sent no request for this time.
 KEEPALIVE_S = 75.0
@@ -154,3 +154,9 @@
             keepalive_timeout=KEEPALIVE_S,
             read_bufsize=READ_BUFFER_BYTES,
         )
+
+
+def drops_input(http_request: web.BaseRequest) -> bool:
+    """Tell whether the connection of a request closes after its response."""
+    connection = http_request.protocol
+    return isinstance(connection, BoundedHandler) and connection.drops_input
--- a/packages/kumquatrouter/src/kumquatrouter/responses.py
+++ b/packages/kumquatrouter/src/kumquatrouter/responses.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "StreamFormat",
+    "announce_close",
     "completion_document",
     "engine_headers",
     "error_document",
@@ -162,3 +163,9 @@
 def finish_reason(request: ModelRequest, stats: RequestStats) -> str:
     """Return why generation ended, as the published API names it."""
     return "length" if stats.tokens >= request.max_tokens else "stop"
+
+
+def announce_close(response: web.StreamResponse) -> None:
+    """Close the connection after a response whose headers are composed."""
+    response.force_close()
+    response.headers["Connection"] = "close"
--- a/tests/relay/crowd_checks.py
+++ b/tests/relay/crowd_checks.py
@@ -51,6 +51,7 @@
     "endless_head",
     "empty_lines",
     "bad_chunks",
+    "bad_chunks_behind_refusal",
     "unread",
 )
 MANY_FORMS = (
--- a/tests/relay/crowd_forms.py
+++ b/tests/relay/crowd_forms.py
@@ -227,6 +227,16 @@
         await caller.send(b"z" * PART_BYTES)
 
 
+async def bad_chunks_behind_refusal(caller: CrowdCaller) -> None:
+    """Send bytes that are no chunk for a route that does not exist."""
+    await caller.send(
+        f"POST /none HTTP/1.1\r\nHost: {HOST}\r\n{CHUNKED}\r\n\r\n".encode()
+    )
+    await asyncio.sleep(0.5)
+    while True:
+        await caller.send(b"z" * PART_BYTES)
+
+
 async def unread(caller: CrowdCaller) -> None:
     """Send a small request and read no response."""
     await caller.head("Content-Length: 0")
@@ -259,6 +269,7 @@
         short_body,
         short_headers,
         bad_chunks,
+        bad_chunks_behind_refusal,
         unread,
     )
 }
