Count requests that were parsed and have not begun

Cause: in one step of the event loop a crowd of 3,840 connections has over a thousand requests parsed before the first of them takes memory, so none was refused early (short_body at 128 MB: together 129 MB, short_headers at 128 and 88 MB: 128 and 98 MB, on beside load). Refused ones keep what was parsed until their connections have closed. Change: a parsed request counts until its handler begins. It is refused at once if it doesn't fit then and as many as may wait do so already. A connection that ends its input keeps the request that begins in the next step, since its handler has been woken.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -20,7 +20,7 @@
 from .closing_order import choose_closed, oldest_heads, spare_of
 from .framing_meter import FramingMeter
 from .head_meter import HeadMeter
-from .intake_gate import IntakeGate
+from .intake_gate import REQUEST_BYTES, IntakeGate
 from .malformed_request import malformed_response, short_message, shorten_last_error
 from .waiting_input import (
     MAX_QUEUED_BYTES,
@@ -57,6 +57,7 @@
     _input: WaitingInput
     _holds_queue: bool
     _drops_input: bool
+    _expected_bytes: int
 
     @property
     def longest_head(self) -> int:
@@ -84,10 +85,13 @@
     def stop_input(self) -> None:
         """Drop what waits and all that comes, and close after the response.
 
-        The response is that to the request in progress, if there is one.
+        The response is that to the request in progress, or to the one that
+        begins in the next step.
         """
+        begins = list(self._messages)[: 0 if self._request_in_progress else 1]
         self._messages.clear()
         self._end_input()
+        self._messages.extend(begins)
 
     def drop_body(self) -> None:
         """Read no more of a body whose request is refused."""
@@ -171,6 +175,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End all counts of the connection."""
         self._end_head()
+        self._end_expected()
         self._count_waiting(WaitingInput())
         if self._gate is not None:
             self._gate.buffers.closed(self)
@@ -247,6 +252,7 @@
 
     async def _handle_request(self, *args: Any) -> tuple[web.StreamResponse, bool]:
         """Handle a request, which does not wait behind others any more."""
+        self._end_expected()
         waiting = WaitingInput()
         waiting.unparsed = self._input.unparsed
         waiting.queued = queued_bytes(self._messages)
@@ -275,15 +281,26 @@
         gate, task = self._gate, self._task_handler
         if gate is None or task is None or self._waiter is None:
             return False
-        if len(self._messages) != 1 or not gate.budget.refuses_all:
+        if len(self._messages) != 1:
+            return False
+        size = REQUEST_BYTES + queued_bytes(self._messages)
+        if gate.budget.expect_request(size):
+            self._expected_bytes = size  # type: ignore[misc]
             return False
         # It would begin in the next step.
         task.cancel()
-        self.stop_input()
+        self._messages.clear()
+        self._end_input()
         gate.record_refusal(Cause.NO_MEMORY)
         self.refuse_request()
         return True
 
+    def _end_expected(self) -> None:
+        """Count no request any more that was parsed and has not begun."""
+        if self._gate is not None and self._expected_bytes:
+            self._gate.budget.end_expected(self._expected_bytes)
+            self._expected_bytes = 0  # type: ignore[misc]
+
     def _refuse_body(self, payload: StreamReader, error: object) -> None:
         """End a body whose rest can't be parsed, as the parser tells."""
         self._fail_body(payload, web.RequestPayloadError(short_message(error)))
@@ -331,10 +348,7 @@
             return
         log_event(logger, "caller_closed", cause="pipelined", bytes=self._input.total)
         gate.record_closed("pipelined", 1)
-        begins = list(self._messages)[: 0 if self._request_in_progress else 1]
         self.stop_input()
-        # Its handler begins in the next step.
-        self._messages.extend(begins)
 
     def _bound_heads(self, gate: IntakeGate, manager: web.Server) -> None:
         """Close connections with incomplete heads, the oldest first."""
--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -124,6 +124,8 @@
         self._waiting: dict[Holding, None] = {}
         self.total_bytes = self.peak_bytes = 0
         self._unframed_bytes = 0
+        # Requests that were parsed and have not begun.
+        self._expected = 0
         self._large_bytes = 0
         self._resolved_s: float | None = None
 
@@ -140,10 +142,22 @@
         """Tell whether more is taken than allowed, as by responses."""
         return self.total_bytes > self._limits.budget_bytes
 
-    @property
-    def refuses_all(self) -> bool:
-        """Tell whether a further request is refused, also a small one."""
-        return len(self._waiting) >= self._max_waiting and self._has_small_waiting()
+    def expect_request(self, size: int) -> bool:
+        """Count a request that was parsed and begins in the next step.
+
+        Returns false, without counting it, if it would be refused then.
+        """
+        is_full = self.total_bytes + size > self._limits.budget_bytes
+        if is_full and len(self._waiting) + self._expected >= self._max_waiting:
+            return False
+        self._expected += 1
+        self._change_total(size)
+        return True
+
+    def end_expected(self, size: int) -> None:
+        """Count a request no longer that begins now, or never."""
+        self._expected -= 1
+        self._change_total(-size)
 
     def open(self, now_s: float, base: int = 0) -> Holding:
         """Return the holding of a request, which has taken nothing yet."""
@@ -213,8 +227,7 @@
 
     def change_unframed(self, size: int) -> None:
         """Count bytes of requests that have not begun, or no longer."""
-        self.total_bytes += size
-        self.peak_bytes = max(self.peak_bytes, self.total_bytes)
+        self._change_total(size)
         self._unframed_bytes += size
 
     @property
@@ -302,9 +315,12 @@
     def _has_small_waiting(self) -> bool:
         return any(item.is_small for item in self._waiting)
 
-    def _change(self, holding: Holding, size: int) -> None:
-        self.total_bytes += size - holding.taken
+    def _change_total(self, change: int) -> None:
+        self.total_bytes += change
         self.peak_bytes = max(self.peak_bytes, self.total_bytes)
+
+    def _change(self, holding: Holding, size: int) -> None:
+        self._change_total(size - holding.taken)
         if holding.taken > SMALL_BYTES:
             self._large_bytes -= holding.taken
         if size > SMALL_BYTES:
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -25,6 +25,7 @@
 from .stream_buffers import StreamBuffers
 
 __all__ = [
+    "REQUEST_BYTES",
     "RETRY_AFTER_S",
     "BodyReceiver",
     "IntakeGate",
--- a/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_expected_bytes",
         "_framing",
         "_gate",
         "_holds_queue",
@@ -46,6 +47,7 @@
         self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
+        self._expected_bytes = 0
         self._holds_queue = False
         self._drops_input = False
         self._last_payload: StreamReader | None = None
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_expected_bytes",
         "_framing",
         "_gate",
         "_head_began_s",
@@ -56,6 +57,7 @@
         self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
+        self._expected_bytes = 0
         self._holds_queue = False
         self._head_began_s: float | None = None
         self._last_payload: StreamReader | None = None
