Track requests between the steps of a connection's task

Callers saw three things at an entry host, whose loop (uvloop) may read from a connection between any two steps of its task: - a connection that was told to read no further before its task had begun, or between two requests, stayed open for ever: nothing read from it and no idle limit ran. 238 of them after six crowds of 240 callers, with the callers gone; a dump of all connections showed them in the wait for the next request, 69 of 91 from close_oldest_heads before their task had begun. - a body with an invalid rest, or with trailers over the limit, that arrived after the request was taken from the queue and before it began was ended as if it were complete, and the request ran with the part before. - a request that arrived before the task had begun was not counted or refused until it began.

Cause: `_request_in_progress` and `_waiter` of aiohttp are both unset while a request has been taken and has not begun, after a response until the task goes on, and before the task begins. The relay's loop (asyncio) reads in an order in which these states were not seen.

The connection now counts the requests that ended, so that "being served" and "answered" are exact at every step. What stops the input of an answered connection closes it. `connection_room` has the choices that look at all connections.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -17,8 +17,8 @@
 
 from ..log_events import log_event
 from .byte_budget import Cause
-from .closing_order import choose_closed, oldest_heads, spare_of
-from .framing_meter import FramingMeter
+from .connection_room import close_oldest_heads, make_room
+from .framing_meter import BodyFramingError, FramingMeter
 from .head_meter import HeadMeter
 from .intake_gate import REQUEST_BYTES, IntakeGate
 from .malformed_request import malformed_response, short_message, shorten_last_error
@@ -30,15 +30,11 @@
     received_bytes,
 )
 
-__all__ = ["BodyFramingError", "BoundedHandler", "choose_closed"]
+__all__ = ["BodyFramingError", "BoundedHandler"]
 
 logger = logging.getLogger(__name__)
 
 
-class BodyFramingError(web.RequestPayloadError):
-    """A body brought too many bytes that are no part of it."""
-
-
 class BoundedHandler(RequestHandler):
     """A connection that reads no more of a head than the limit allows.
 
@@ -50,6 +46,8 @@
     __slots__ = ()
 
     _gate: IntakeGate | None
+    # Requests that were answered, or dropped before they began.
+    _ended_requests: int
     _head_began_s: float | None
     _last_payload: StreamReader | None
     _meter: HeadMeter
@@ -86,12 +84,16 @@
         """Drop what waits and all that comes, and close after the response.
 
         The response is that to the request in progress, or to the one that
-        begins in the next step.
+        begins in the next step. Without one the connection closes now.
         """
-        begins = list(self._messages)[: 0 if self._request_in_progress else 1]
-        self._messages.clear()
+        self._drop_messages(0 if self._is_serving else 1)
         self._end_input()
-        self._messages.extend(begins)
+        if not self.is_answered:
+            return
+        if self._awaits_request:
+            self.close_for_room()
+        else:
+            self.close_after_response()
 
     def drop_body(self) -> None:
         """Read no more of a body whose request is refused."""
@@ -114,6 +116,12 @@
         self._end_head()
         self._count_waiting(WaitingInput())
 
+    def _drop_messages(self, kept: int = 0) -> None:
+        """Drop requests that have not begun, except the first ``kept``."""
+        while len(self._messages) > kept:
+            self._messages.pop()
+            self._ended_requests += 1  # type: ignore[misc]
+
     def close_after_response(self) -> None:
         """Close the connection, whose last response has been written."""
         self._close = True
@@ -136,10 +144,26 @@
         """Tell whether the body of the last request is incomplete."""
         return self._last_payload is not None and not self._last_payload.is_eof()
 
+    @property
+    def _is_serving(self) -> bool:
+        """Tell whether a request was taken to be handled and has not ended.
+
+        The loop may read from the connection before the request begins.
+        """
+        return self._request_count - self._ended_requests > len(self._messages)
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether all requests that were read have been answered."""
+        return self._request_count == self._ended_requests
+
     @property
     def _awaits_request(self) -> bool:
         """Tell whether all requests were answered and none has arrived."""
-        return self._waiter is not None and not self._waiter.done()
+        if self._waiter is not None:
+            return not self._waiter.done()
+        # The task of the connection may not have begun.
+        return not self._request_count
 
     @property
     def head_began_s(self) -> float | None:
@@ -170,7 +194,8 @@
         gate.buffers.opened(self, transport.get_extra_info("socket"))
         excess = len(manager._connections) - gate.limits.max_connections
         if excess > 0:
-            self._make_room(gate, manager, excess)
+            others = [item for item in _bounded(manager) if item is not self]
+            make_room(self, others, gate, excess)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End all counts of the connection."""
@@ -197,6 +222,8 @@
         super().data_received(data)
         added = self._request_count - count
         if added and begun is not None and not begun.is_eof():
+            # The error of the parser counts as a request.
+            self._ended_requests += 1  # type: ignore[misc]
             self._refuse_body(begun, self._messages.pop()[0])
             return
         if added and self._refuses_request():
@@ -235,7 +262,7 @@
             # A paused parser keeps the rest.
             waiting.unparsed = max(0, received - parsed)
         # A single request begins in the next step, unless another runs.
-        if len(self._messages) > (0 if self._request_in_progress else 1):
+        if len(self._messages) > (0 if self._is_serving else 1):
             waiting.queued = queued_bytes(self._messages)
         return waiting
 
@@ -248,7 +275,7 @@
         elif self._gate is not None:
             self._gate.budget.change_unframed(self._meter.memory_bytes - counted)
             if self._gate.budget.has_too_much_unframed and self._manager is not None:
-                self._bound_heads(self._gate, self._manager)
+                close_oldest_heads(_bounded(self._manager), self._gate)
 
     async def _handle_request(self, *args: Any) -> tuple[web.StreamResponse, bool]:
         """Handle a request, which does not wait behind others any more."""
@@ -264,6 +291,7 @@
         try:
             return await super()._handle_request(*args)
         finally:
+            self._ended_requests += 1  # type: ignore[misc]
             # What came behind a request for an upgrade is parsed now.
             shorten_last_error(self._messages)
             if self._input.parts:
@@ -279,7 +307,7 @@
         Not behind others, whose responses come first.
         """
         gate, task = self._gate, self._task_handler
-        if gate is None or task is None or self._waiter is None:
+        if gate is None or task is None or self._is_serving:
             return False
         if len(self._messages) != 1:
             return False
@@ -289,7 +317,7 @@
             return False
         # It would begin in the next step.
         task.cancel()
-        self._messages.clear()
+        self._drop_messages()
         self._end_input()
         gate.record_refusal(Cause.NO_MEMORY)
         self.refuse_request()
@@ -316,9 +344,8 @@
 
     def _fail_body(self, payload: StreamReader, error: Exception) -> None:
         """End a body with an error for its reader."""
-        is_answered = not (self._request_in_progress or self._messages)
         self._end_input()
-        if is_answered:
+        if self.is_answered:
             # The web server discards the rest and expects no error.
             self._close = True
             payload.feed_eof()
@@ -350,17 +377,6 @@
         gate.record_closed("pipelined", 1)
         self.stop_input()
 
-    def _bound_heads(self, gate: IntakeGate, manager: web.Server) -> None:
-        """Close connections with incomplete heads, the oldest first."""
-        closed = oldest_heads(_bounded(manager))
-        log_event(logger, "caller_closed", cause="incomplete_heads", closed=len(closed))
-        gate.record_closed("incomplete_heads", len(closed))
-        for connection in closed:
-            if connection._awaits_request:
-                connection.close_for_room()
-            else:
-                connection.stop_input()
-
     def _end_head(self) -> None:
         """Count no bytes of an incomplete head any more."""
         if self._gate is not None and self._meter.head_bytes:
@@ -373,24 +389,6 @@
             self._gate.record_closed(cause, 1)
         self._end_head()
 
-    def _make_room(self, gate: IntakeGate, manager: web.Server, excess: int) -> None:
-        others = [item for item in _bounded(manager) if item is not self]
-        spare = spare_of(gate.limits.max_connections)
-        closed = choose_closed(others, excess + spare)
-        for connection in closed:
-            connection.close_for_room()
-        if len(closed) < excess:
-            # All others have requests that may run.
-            self.close_for_room()
-        gate.record_closed("too_many_connections", max(1, len(closed)))
-        log_event(
-            logger,
-            "connections_exceeded",
-            open=len(others) + 1,
-            closed=len(closed),
-            limit=gate.limits.max_connections,
-        )
-
 
 def _bounded(manager: web.Server) -> list[BoundedHandler]:
     """Return the connections of a server that have bounds."""
--- a/packages/kumquat_core/src/kumquat_core/intake/framing_meter.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/framing_meter.py
@@ -5,7 +5,9 @@
 or trailers without end; the parser drops the former and keeps the latter.
 """
 
-__all__ = ["FramingMeter"]
+from aiohttp import web
+
+__all__ = ["BodyFramingError", "FramingMeter"]
 
 # The shortest chunk takes five bytes besides its byte, and a longer size only
 # that of a longer chunk.
@@ -13,6 +15,10 @@
 FREE_BYTES = 512 * 1024
 
 
+class BodyFramingError(web.RequestPayloadError):
+    """A body brought too many bytes that are no part of it."""
+
+
 class FramingMeter:
     """Counts what one body brings besides its data.
 
--- a/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/caller_connection.py
@@ -140,11 +140,7 @@
         task = self._task_handler
         if self.closing or self.transport is None or task is None or task.done():
             return True
-        if self._messages or self._request_in_progress:
-            return False
-        waits = self._waiter is not None and not self._waiter.done()
-        # The rest of a body whose request was answered early is discarded.
-        return waits or self.in_body
+        return self.is_answered
 
     def is_abandoned(self) -> bool:
         """Tell whether the caller has left its response unread.
@@ -180,7 +176,7 @@
         They must not run, since their responses could not be sent.
         """
         self._drops_requests = True
-        self._messages.clear()
+        self._drop_messages()
 
     def _resume_transport_reading(self) -> None:
         if not self._reading_stopped:
--- a/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/intake/bounded_connection.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_ended_requests",
         "_expected_bytes",
         "_framing",
         "_gate",
@@ -47,6 +48,7 @@
         self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
+        self._ended_requests = 0
         self._expected_bytes = 0
         self._holds_queue = False
         self._drops_input = False
--- a/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_connection.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "_drops_input",
+        "_ended_requests",
         "_expected_bytes",
         "_framing",
         "_gate",
@@ -57,6 +58,7 @@
         self._framing = FramingMeter()
         self._meter = HeadMeter()
         self._input = WaitingInput()
+        self._ended_requests = 0
         self._expected_bytes = 0
         self._holds_queue = False
         self._head_began_s: float | None = None
@@ -103,10 +105,10 @@
         """Answer a head that is too long and close the connection.
 
         Behind a request that is in progress no answer can be sent: what
-        follows is dropped, and the connection ends as an idle one.
+        follows is dropped, and the connection closes after its response.
         """
         self._drops_input = True
-        if self._awaits_request and self.transport is not None:
+        if self.is_answered and self.transport is not None:
             error = RouterError(ResultCode.HEAD_TOO_LARGE)
             self.transport.write(raw_error_response(error))
             self.force_close()
--- a/tests/relay/test_byte_budget.py
+++ b/tests/relay/test_byte_budget.py
@@ -1,7 +1,7 @@
 """Decisions about the memory of callers' requests, without a network."""
 
-from kumquat_core.intake.bounded_handler import choose_closed
 from kumquat_core.intake.byte_budget import ByteBudget, Cause, Holding
+from kumquat_core.intake.closing_order import choose_closed
 from kumquat_core.intake.head_meter import HeadMeter
 from kumquat_core.intake.intake_limits import IntakeLimits
 
