Count responses until they are sent, and receive little of those that wait

240 callers that ask for responses of 4 MiB and read none took 153 MB of an entry host that states 128 MB, and 150 MB of one that states 88 MB.

Cause, as dumps during the crowd showed: of 230 responses that waited for their turn to be read, each had up to 64 KB in its first part and as much in the buffer of its reader, 31 to 34 MB together. And a response was counted while it was read and from the begin of its sending, but not while the record of its call was written in between, so that further ones were read: 38 to 42 MB in a budget of 28 MB.

A response is counted from its reading until nothing refers to it. One whose declared length is large waits before its first part is read.

Ruled out: counting what waiting responses hold against the budget. They hold more than the budget of a small host, so none would be read any more.

A link with a delay was not measured.

--- a/packages/kumquat_core/src/kumquat_core/backend_client.py
+++ b/packages/kumquat_core/src/kumquat_core/backend_client.py
@@ -13,7 +13,12 @@
 
 import aiohttp
 
-from .http_client import TRANSPORT_ERRORS, read_response_body, request_json
+from .http_client import (
+    LARGE_RESPONSE_BYTES,
+    TRANSPORT_ERRORS,
+    read_response_body,
+    request_json,
+)
 from .intake.body_payload import BodyPayload
 from .intake.response_room import ResponseRoom
 from .proved_exchange import exchange
@@ -126,7 +131,11 @@
         ) as response:
             body = await read_response_body(response, MAX_RESPONSE_BYTES, self._room)
             content_type = response.headers.get("Content-Type", "")
-            return BackendResponse(response.status, content_type, body)
+            result = BackendResponse(response.status, content_type, body)
+            if self._room is not None and len(body) > LARGE_RESPONSE_BYTES:
+                # It is held while its record is written.
+                self._room.count_until_unused(result, len(body))
+            return result
 
     async def raise_fence(self, url: str, key: str, fence: int) -> bool:
         """Raise the fence of a key; return whether it was ever accepted."""
--- a/packages/kumquat_core/src/kumquat_core/http_client.py
+++ b/packages/kumquat_core/src/kumquat_core/http_client.py
@@ -19,6 +19,7 @@
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
+from .intake.first_buffer import socket_with_first_buffer
 from .intake.response_room import ResponseRoom
 from .parsing_turns import has_too_many_parts, turns_of_loop
 from .proved_exchange import exchange, record_connection
@@ -26,6 +27,7 @@
 from .result_codes import ResultCode, RouterError
 
 __all__ = [
+    "LARGE_RESPONSE_BYTES",
     "MAX_RESPONSE_BYTES",
     "TRANSPORT_ERRORS",
     "AnswerTooLargeError",
@@ -50,6 +52,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # aiohttp parses up to a sixteenth as many chunks in one step.
 READ_BUFFER_BYTES = 32 * 1024
+# The same for responses that may wait until they are read.
+WAITING_BUFFER_BYTES = 8 * 1024
 # Parts of a response that may have any size.
 MAX_SMALL_PARTS = 32 * 1024
 # Responses up to this size are read without waiting for memory.
@@ -182,16 +186,23 @@
     """Return a client session without a total timeout.
 
     A session that does not reuse connections sends each request only once.
+    Its responses may wait for a ``ResponseRoom``.
     """
+    read_bufsize = READ_BUFFER_BYTES
     if reuse_connections:
         connector: _Connector = _CheckedConnector(
             limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
         )
     else:
-        connector = _Connector(limit=MAX_CONNECTIONS, force_close=True)
+        connector = _Connector(
+            limit=MAX_CONNECTIONS,
+            force_close=True,
+            socket_factory=socket_with_first_buffer,
+        )
+        read_bufsize = WAITING_BUFFER_BYTES
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s)
     session = aiohttp.ClientSession(
-        connector=connector, timeout=timeout, read_bufsize=READ_BUFFER_BYTES
+        connector=connector, timeout=timeout, read_bufsize=read_bufsize
     )
     if not reuse_connections:
         # aiohttp retries PUT and DELETE once when a connection breaks, even a
@@ -210,9 +221,14 @@
     many parts.
     """
     body, parts = bytearray(), 0
+    declared = min(response.content_length or 0, limit)
+    needs_room = room is not None and not response.content.at_eof()
     async with AsyncExitStack() as stack:
+        if room is not None and needs_room and declared > LARGE_RESPONSE_BYTES:
+            # The buffer and the bytes that are returned.
+            await stack.enter_async_context(room.reading(2 * declared))
+            needs_room = False
         async for part, _ in response.content.iter_chunks():
-            is_large = len(body) > LARGE_RESPONSE_BYTES
             body += part
             parts += 1
             if len(body) > limit:
@@ -221,10 +237,9 @@
             if has_too_many_parts(len(body), parts, MAX_SMALL_PARTS):
                 response.close()
                 raise AnswerTooLargeError(f"response has {parts} parts")
-            if room is not None and not is_large and len(body) > LARGE_RESPONSE_BYTES:
-                # The buffer and the bytes that are returned.
-                size = 2 * min(response.content_length or limit, limit)
-                await stack.enter_async_context(room.reading(size))
+            if room is not None and needs_room and len(body) > LARGE_RESPONSE_BYTES:
+                await stack.enter_async_context(room.reading(2 * limit))
+                needs_room = False
             if parts % PARTS_PER_TURN == 0:
                 await turns_of_loop().wait_for_turn()
         return bytes(body)
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import weakref
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, Protocol, runtime_checkable
@@ -171,6 +172,15 @@
         """Keep the bytes of a body that was read until its run ends."""
         self.budget.begin_run(holding, holding.base + size)
 
+    def count_until_unused(self, owner: object, size: int) -> None:
+        """Count ``size`` bytes until nothing refers to their owner any more.
+
+        A call may go on after its caller has got a response or has left.
+        """
+        holding = self.open()
+        self.begin_run(holding, size)
+        weakref.finalize(owner, self.close, holding).atexit = False
+
     async def send_large(
         self, holding: Holding, http_request: web.BaseRequest, response: web.Response
     ) -> web.StreamResponse:
--- a/packages/kumquat_core/src/kumquat_core/intake/response_room.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/response_room.py
@@ -18,14 +18,19 @@
 
     One is always read, also if it is larger than ``max_bytes``; the others
     take their turn in the order in which they asked. ``wait_for_room`` waits
-    while callers hold too much.
+    while callers hold too much. ``count_until_unused`` counts what was read
+    as held by callers, until nothing refers to its owner any more.
     """
 
     def __init__(
-        self, max_bytes: int, wait_for_room: Callable[[], Awaitable[None]]
+        self,
+        max_bytes: int,
+        wait_for_room: Callable[[], Awaitable[None]],
+        count_until_unused: Callable[[object, int], None],
     ) -> None:
         self._max_bytes = max_bytes
         self._wait_for_room = wait_for_room
+        self.count_until_unused = count_until_unused
         # Sizes of the responses that wait, and what wakes them.
         self._waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
         self._taken = 0
--- a/packages/kumquatrouter/src/kumquatrouter/caller_api.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_api.py
@@ -28,7 +28,7 @@
 from kumquat_core.settings import Options
 from kumquat_core.tickets import TicketStore
 
-from .caller_body import count_until_unused, expect_body, read_body
+from .caller_body import expect_body, read_body
 from .caller_connection import CallerConnectionFactory, drops_input
 from .caller_requests import (
     Caller,
@@ -389,7 +389,7 @@
             first_attempt=first_attempt(http_request),
             deadline_ms=min(deadline_ms, service.timeout_ms),
         )
-        count_until_unused(request, len(request.body), self._gate)
+        self._gate.count_until_unused(request, len(request.body))
         self._gate.begin_run(http_request[HOLDING], 0)
         progress.check_time_left(request.longest_s)
         backend_response = await progress.run(
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import weakref
 
 from aiohttp import HttpVersion11, StreamReader, hdrs, web
 
@@ -23,7 +22,7 @@
 from kumquat_core.result_codes import ResultCode, RouterError
 from kumquat_core.settings import Limits
 
-__all__ = ["count_until_unused", "expect_body", "read_body"]
+__all__ = ["expect_body", "read_body"]
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Parts beyond these must have a mean size.
@@ -94,16 +93,6 @@
     return body
 
 
-def count_until_unused(owner: object, size: int, gate: IntakeGate) -> None:
-    """Count ``size`` bytes until nothing refers to their owner any more.
-
-    A call may go on after its caller has got a response or has left.
-    """
-    holding = gate.open()
-    gate.begin_run(holding, size)
-    weakref.finalize(owner, gate.close, holding).atexit = False
-
-
 async def _read_whole(
     http_request: web.Request, limits: Limits, gate: IntakeGate, holding: Holding
 ) -> bytes:
--- a/packages/kumquatrouter/src/kumquatrouter/platform_clients.py
+++ b/packages/kumquatrouter/src/kumquatrouter/platform_clients.py
@@ -49,7 +49,9 @@
         ``gate`` bounds the memory of responses of backend servers.
         """
         timing = options.timing
-        room = ResponseRoom(gate.limits.response_bytes, gate.wait_for_room)
+        room = ResponseRoom(
+            gate.limits.response_bytes, gate.wait_for_room, gate.count_until_unused
+        )
         connect_s, store_s = timing.engine_connect_timeout_s, timing.store_timeout_s
         session = create_session(connect_s)
         single_use_session = create_session(connect_s, reuse_connections=False)
