Drop what a refused body has received

3,840 callers that stop a body of 16 KB before its end took 131 and 124 MB of an entry host that states 128 MB, and 91 MB of one that states 88 MB.

Cause: after the refusal of a body its connection stays for up to two seconds, so that the response arrives, and kept what had come of the body: 4.8 MB in a dump of the 88 MB host, beside 470 requests that are counted.

A connection that drops its body refers to it no longer.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -98,6 +98,8 @@
     def drop_body(self) -> None:
         """Read no more of a body whose request is refused."""
         self._end_input()
+        # The connection may stay until its caller has closed it.
+        self._last_payload = None  # type: ignore[misc]
 
     @property
     def drops_input(self) -> bool:
