Leave the receive buffers of closing connections as they are

When the share of a connection changes, the buffers of all connections are set by descriptor. One that was closed in the same step of the loop may have given its descriptor to another connection, as to an engine, whose buffer would be set to the share of a caller. Found by reading; not seen.

A connection whose transport is closing is left out now. The added test fails without the check.

--- a/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/bounded_handler.py
@@ -193,7 +193,8 @@
         gate, manager = self._gate, self._manager
         if gate is None or manager is None:
             return
-        gate.buffers.opened(self, transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        gate.buffers.opened(self, sock, transport.is_closing)
         excess = len(manager._connections) - gate.limits.max_connections
         if excess > 0:
             others = [item for item in _bounded(manager) if item is not self]
--- a/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/receive_buffers.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from ..log_events import log_event
@@ -56,6 +57,7 @@
         self._limits = limits
         self._share = ReceiveShare(limits)
         self._sockets_by_connection: dict[object, TunableSocket] = {}
+        self._is_closing_by_connection: dict[object, Callable[[], bool]] = {}
         self._body_sizes_by_connection: dict[object, int] = {}
         self._available = True
         self._largest = 0
@@ -66,11 +68,21 @@
         for sock in getattr(server, "sockets", ()):
             self._set(sock, buffer)
 
-    def opened(self, connection: object, sock: TunableSocket | None) -> None:
-        """Set the buffer of a new connection."""
+    def opened(
+        self,
+        connection: object,
+        sock: TunableSocket | None,
+        is_closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Set the buffer of a new connection.
+
+        It stays as it is once ``is_closing`` returns true: another connection
+        may have the descriptor then.
+        """
         if sock is None:
             return
         self._sockets_by_connection[connection] = sock
+        self._is_closing_by_connection[connection] = is_closing
         if self._share.change_open(1):
             self._set_all()
         else:
@@ -81,6 +93,7 @@
         if connection not in self._sockets_by_connection:
             return
         del self._sockets_by_connection[connection]
+        del self._is_closing_by_connection[connection]
         self._body_sizes_by_connection.pop(connection, None)
         if self._share.change_open(-1):
             self._set_all()
@@ -93,7 +106,7 @@
         It is called again as they come, with what is left.
         """
         current = self._body_sizes_by_connection.get(connection, 0)
-        if sock is None or connection not in self._sockets_by_connection:
+        if sock is None or self._is_closed(connection):
             return
         if size <= self._share.size:
             if current:
@@ -106,9 +119,14 @@
     def _set_all(self) -> None:
         """Give all connections without a large body their new share."""
         for connection, sock in self._sockets_by_connection.items():
-            if connection not in self._body_sizes_by_connection:
+            has_body = connection in self._body_sizes_by_connection
+            if not (has_body or self._is_closed(connection)):
                 self._set(sock, self._share.buffer)
 
+    def _is_closed(self, connection: object) -> bool:
+        is_closing = self._is_closing_by_connection.get(connection)
+        return is_closing is None or is_closing()
+
     def _set(self, sock: TunableSocket, buffer: ReceiveBuffer) -> None:
         if not self._available:
             return
--- a/tests/core/test_receive_share.py
+++ b/tests/core/test_receive_share.py
@@ -75,6 +75,28 @@
             assert len(unread) <= 2 * buffers._share.size
 
 
+def test_the_buffer_of_a_closing_connection_stays() -> None:
+    """Another connection may have its descriptor, such as one to an engine."""
+    sizes = []
+
+    class Recorder:
+        def setsockopt(self, level: int, name: int, value: int) -> None:
+            sizes.append(value)
+
+        def getsockopt(self, level: int, name: int) -> int:
+            return 0
+
+    closing = False
+    buffers = ReceiveBuffers(LIMITS)
+    sock = Recorder()
+    buffers.opened("c", sock, lambda: closing)
+    closing = True
+    sizes.clear()
+    buffers.expect_body("c", sock, 1024 * 1024)
+    buffers._set_all()
+    assert sizes == []
+
+
 def test_a_machine_without_the_options_is_used_without_limits() -> None:
     class OtherSocket:
         def setsockopt(self, level: int, name: int, value: int) -> None:
--- a/tests/router/test_unbegun_requests.py
+++ b/tests/router/test_unbegun_requests.py
@@ -57,7 +57,7 @@
 class NoBuffers(ReceiveBuffers):
     """Buffers of connections without sockets."""
 
-    def opened(self, connection: object, sock: object) -> None:
+    def opened(self, connection: object, *sock: object) -> None:
         """Leave the buffer as it is."""
 
     def expect_body(self, connection: object, sock: object, size: int) -> None:
