Read large responses of servers in turns at relay hosts

Cause: the host read all responses at once, broke those that grew while 16 MB of all servers or 12 MB of one were buffered, on a host of any size, and avoided the server for it. Three or four that ended together were then sent beyond the budget.

A response above 64 KB is now read when its size fits into a quarter of the budget, 12 MB at most, one of them always; its turn comes before its first part if its length is declared. From the connection of one that waits nothing is read, and connections to servers begin with the small buffer that calls of the own interface have.

--- a/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
+++ b/packages/kumquat_relay/src/kumquat_relay/engine_connection.py
@@ -18,6 +18,7 @@
 
 import h11
 
+from kumquat_core.intake.first_buffer import socket_with_first_buffer
 from kumquat_core.request_delivery import is_delivered
 from kumquat_core.settings import Address
 
@@ -69,6 +70,12 @@
                 return value
         return None
 
+    @property
+    def content_length(self) -> int | None:
+        """Return the declared length of the body in bytes, if any."""
+        value = self.get(b"content-length")
+        return int(value) if value is not None and value.isdigit() else None
+
 
 class EngineConnection:
     """A connection to one address.
@@ -100,8 +107,9 @@
         shared_budget = budget or ReceiveBudget()
         try:
             async with asyncio.timeout(timeout_s):
+                sock = await _connect(address)
                 transport, protocol = await loop.create_connection(
-                    lambda: ResponseProtocol(shared_budget), address.ip, address.port
+                    lambda: ResponseProtocol(shared_budget), sock=sock
                 )
         except TimeoutError as error:
             raise SendFailedError("connect timeout") from error
@@ -200,6 +208,19 @@
                 raise protocol.broken("another answer in the body")
             yield part
 
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the host reads nothing, for want of memory."""
+        return self._protocol.is_held
+
+    def hold(self) -> None:
+        """Read nothing more from the connection until ``end_hold``."""
+        self._protocol.hold()
+
+    def end_hold(self) -> None:
+        """Read from the connection again."""
+        self._protocol.end_hold()
+
     def endless(self, reason: str) -> EndlessResponseError:
         """Return the error of a response without end; report it once."""
         protocol = self._protocol
@@ -251,6 +272,20 @@
     return hash(request_id).to_bytes(8, "big", signed=True)
 
 
+async def _connect(address: Address) -> socket.socket:
+    """Return a connected socket with a small first receive buffer."""
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    target = (address.ip, address.port)
+    sock = socket_with_first_buffer((family, socket.SOCK_STREAM, 0, "", target))
+    try:
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, target)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def _enable_keepalive(transport: asyncio.BaseTransport) -> None:
     """Set socket options that detect a peer which failed without a reset."""
     sock = transport.get_extra_info("socket")
--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -311,11 +311,8 @@
         # The body of an unproven promise is not passed on.
         is_promise = head.status in PROMISE_STATUSES
         limit = SHORT_BODY if is_promise else ANSWER_BODY
-        with self._memory.buffer(entry.id) as response:
-            async for part in connection.read_body(limit):
-                await self._memory.wait_for_room(response)
-                response.add(part)
-            body = response.to_bytes()
+        declared = head.content_length or 0
+        body = await self._memory.read_body(connection, entry.id, declared, limit)
         self._pool.release(connection)
         return _caller_response(head, body, self._dialect)
 
--- a/packages/kumquat_relay/src/kumquat_relay/relay_host.py
+++ b/packages/kumquat_relay/src/kumquat_relay/relay_host.py
@@ -273,7 +273,7 @@
             parts.retries,
             self._dialect,
             self._exchanges,
-            memory := ResponseMemory(gate.wait_for_room),
+            memory := ResponseMemory.from_gate(gate),
             self._limits.permits,
             self._quarantine.plain,
             cutoff,
--- a/packages/kumquat_relay/src/kumquat_relay/response_memory.py
+++ b/packages/kumquat_relay/src/kumquat_relay/response_memory.py
@@ -6,18 +6,22 @@
 One response may take ``MAX_RESPONSE_BYTES``, those of one server together
 ``MAX_SERVER_BYTES`` and all together ``MAX_TOTAL_BYTES``. Once a total is
 reached, a response that grows beyond ``SMALL_RESPONSE_BYTES`` is rejected, so
-that responses of usual size are still served. While responses that wait for
-their callers take too much, larger ones are not read any further. Parts are
-joined as they arrive: a list of them takes 50 times the size of parts of a
-byte.
+that responses of usual size are still served. Parts are joined as they
+arrive: a list of them takes 50 times the size of parts of a byte.
+
+Larger responses are read in turns, so that those of sound servers reach no
+total. Nothing is read from the connection of one that waits.
 """
 
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterator
+from contextlib import AsyncExitStack, contextmanager
+
+from kumquat_core.intake.intake_gate import IntakeGate
+from kumquat_core.intake.response_room import ResponseRoom
 
-from .body_limit import ANSWER_BODY
-from .engine_connection import ConnectionBrokenError
+from .body_limit import ANSWER_BODY, BodyLimit
+from .engine_connection import ConnectionBrokenError, EngineConnection
 
 __all__ = ["BufferedResponse", "ResponseMemory"]
 
@@ -30,10 +34,6 @@
 SMALL_RESPONSE_BYTES = 64 * 1024
 
 
-async def _no_wait() -> None:
-    """Wait for nothing."""
-
-
 class BufferedResponse:
     """The body of one response as received so far; ``size`` in bytes."""
 
@@ -68,17 +68,58 @@
 
 
 class ResponseMemory:
-    """Counts the bytes of all buffered responses, and those of each server."""
+    """Counts the bytes of all buffered responses, and those of each server.
+
+    Without a ``room`` no response waits for its turn.
+    """
 
-    def __init__(self, wait_for_room: Callable[[], Awaitable[None]] = _no_wait) -> None:
-        self._wait_for_room = wait_for_room
+    def __init__(self, room: ResponseRoom | None = None) -> None:
+        self._room = room
         self.total_bytes = 0
         self.bytes_by_server: Counter[str] = Counter()
 
-    async def wait_for_room(self, response: BufferedResponse) -> None:
-        """Wait while callers hold too much, unless the response is small."""
-        if response.size > SMALL_RESPONSE_BYTES:
-            await self._wait_for_room()
+    @classmethod
+    def from_gate(cls, gate: IntakeGate) -> "ResponseMemory":
+        """Return the memory of a host with the bounds of ``gate``."""
+        max_bytes = min(gate.limits.response_bytes, MAX_SERVER_BYTES)
+        room = ResponseRoom(max_bytes, gate.wait_for_room, gate.count_until_unused)
+        return cls(room)
+
+    async def read_body(
+        self,
+        connection: EngineConnection,
+        server_id: str,
+        declared: int,
+        limit: BodyLimit,
+    ) -> bytes:
+        """Read the body of a response, a large one when it is its turn.
+
+        ``declared`` is its length in bytes, 0 if it is not known. Raises
+        ``ConnectionBrokenError`` above a limit, as ``read_body`` of the
+        connection does.
+        """
+        async with AsyncExitStack() as turn:
+            is_large = declared > SMALL_RESPONSE_BYTES
+            if is_large:
+                size = min(declared, limit.max_bytes)
+                await self._begin_turn(turn, connection, size)
+            with self.buffer(server_id) as response:
+                async for part in connection.read_body(limit):
+                    response.add(part)
+                    if not is_large and response.size > SMALL_RESPONSE_BYTES:
+                        is_large = True
+                        await self._begin_turn(turn, connection, limit.max_bytes)
+                return response.to_bytes()
+
+    async def _begin_turn(
+        self, turn: AsyncExitStack, connection: EngineConnection, size: int
+    ) -> None:
+        """Read nothing from a connection until it is its turn."""
+        if self._room is None:
+            return
+        connection.hold()
+        await turn.enter_async_context(self._room.reading(size))
+        connection.end_hold()
 
     @contextmanager
     def buffer(self, server_id: str = "") -> Iterator[BufferedResponse]:
--- a/packages/kumquat_relay/src/kumquat_relay/response_protocol.py
+++ b/packages/kumquat_relay/src/kumquat_relay/response_protocol.py
@@ -78,6 +78,7 @@
         self.closed = False
         self.closed_by_peer = False
         self.answered_idle = False
+        self.is_held = False
         self.body_complete = False
         self.body_bytes = 0
         self.body_parts = 0
@@ -175,6 +176,17 @@
             self.failure = self.failure or type(error).__name__
         self._wake()
 
+    def hold(self) -> None:
+        """Read nothing more until ``end_hold``."""
+        self.is_held = self._paused = True
+        if self.transport is not None and not self.closed:
+            self.transport.pause_reading()
+
+    def end_hold(self) -> None:
+        """Read again."""
+        self.is_held = False
+        self._resume_reading()
+
     def fail(self, reason: str) -> None:
         """Abort the connection; only the first reason is kept."""
         self.failure = self.failure or reason
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -84,6 +84,7 @@
         self.cancelled = 0
         self.born_ms = 1000
         self.processing_s = 0.0
+        self.response_body = b"whole"
         # Number of plain requests to execute without sending a response.
         self.drop_responses = 0
         # Added to every response, for example to announce a shutdown.
@@ -287,7 +288,9 @@
                 assert request.transport is not None
                 request.transport.abort()
             status = 500 if self._chance(ERROR_SHARE) else self.status
-            return web.Response(status=status, headers=response_headers, body=b"whole")
+            return web.Response(
+                status=status, headers=response_headers, body=self.response_body
+            )
         if self.odd_answers and "last-event-id" in headers:
             after = int(headers["last-event-id"])
             answer = self.odd_answers.pop(0)
