Don't blame a server for a response that the host does not read

A server was recorded as broken, and its request as one that may have crashed it, when the deadline of the request passed while the host had no memory to read the response. Servers that fail so are avoided, so a crowd that reads no responses took servers from ordinary callers.

Such a send is now recorded as one whose outcome is unknown; the request still counts as one that may have run.

--- a/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
+++ b/packages/kumquat_relay/src/kumquat_relay/plain_relay.py
@@ -279,8 +279,10 @@
         except asyncio.CancelledError:
             connection.abort()
             self._log(request, entry, began_s, "cancelled", "")
-            if request.left_ms(self._clock.monotonic()) <= 0:
-                progress.may_have_executed = True
+            is_late = request.left_ms(self._clock.monotonic()) <= 0
+            progress.may_have_executed |= is_late
+            # The server of a held connection could send no more.
+            if is_late and not connection.is_held:
                 self._record_failure(entry, Failure.BROKEN)
                 self._quarantine.run_broken(request, entry, closed_by_server=False)
             else:
