Serve a single body in very many chunks

Cause: the number of parts of a body was bounded, since each part takes as long to parse as a large one and many such bodies take the event loop.

One such body is now read at a time, in turns with all others; another gets 503, and has not run, while it is read. One that is too large still gets 413 and is read no further. The bounds on memory and framing are as before.

The two tests with 200 headers stay red.

--- a/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/byte_budget.py
@@ -60,6 +60,7 @@
     BODY_STALLED = "body_stalled"
     RESPONSE_UNREAD = "response_unread"
     NO_MEMORY = "no_memory"
+    MANY_PARTS = "many_parts"
 
 
 # The causes of refusals, as their responses name them.
--- a/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
+++ b/packages/kumquat_core/src/kumquat_core/intake/intake_gate.py
@@ -22,6 +22,7 @@
 from .heap_trim import HeapTrim
 from .intake_limits import IntakeLimits
 from .large_response import LargeResponse
+from .parts_place import PartsPlace
 from .receive_buffers import ReceiveBuffers
 from .stream_buffers import StreamBuffers
 
@@ -91,6 +92,7 @@
         self._enders: dict[Holding, Callable[[], object]] = {}
         self._receivers_by_holding: dict[Holding, BodyReceiver] = {}
         self._streams = StreamBuffers(self.budget)
+        self._parts_place = PartsPlace()
         self._detached: set[Holding] = set()
         self._large_responses: set[LargeResponse] = set()
         self._timer: asyncio.Handle | None = None
@@ -155,6 +157,7 @@
                 raise
             raise IntakeRefusedError(holding.refused) from None
         finally:
+            self._parts_place.leave(holding)
             self._enders.pop(holding, None)
             if (receiver := self._receivers_by_holding.pop(holding, None)) is not None:
                 receiver.expect_body(0)
@@ -168,6 +171,16 @@
         if (receiver := self._receivers_by_holding.get(holding)) is not None:
             receiver.expect_body(holding.taken - needed)
 
+    def admit_many_parts(self, holding: Holding) -> None:
+        """Read on a body that comes in very many parts.
+
+        Raises ``IntakeRefusedError`` while another such body is read.
+        """
+        if not self._parts_place.take(holding):
+            holding.refused = Cause.MANY_PARTS
+            self._record_refusal(holding)
+            raise IntakeRefusedError(Cause.MANY_PARTS)
+
     def begin_run(self, holding: Holding, size: int) -> None:
         """Keep the bytes of a body that was read until its run ends."""
         self.budget.begin_run(holding, holding.base + size)
--- a/packages/kumquat_relay/src/kumquat_relay/request_body.py
+++ b/packages/kumquat_relay/src/kumquat_relay/request_body.py
@@ -27,9 +27,10 @@
 
 # How long the event loop needs at most to read what has arrived.
 READ_S = 0.02
-# The reason of the refusal of a body in too many chunks.
+# The reason of the refusal of a body that is too large, in very many chunks.
 TOO_MANY_PARTS = "body_in_too_many_parts"
-# The same of a body with too much besides its data, and of an invalid one.
+# The reasons of the refusal of a body with too much besides its data, and of
+# an invalid one.
 BODY_FRAMING = "body_framing"
 INVALID_BODY = "invalid_body"
 # Reading as many chunks takes a few milliseconds.
@@ -112,11 +113,12 @@
         # Not kept while the next one is awaited.
         chunk = b""
         limits = widest(limits, history.current)
+        has_many_parts = is_chunked and ANSWER_BODY.has_too_many_parts(len(body), parts)
         if len(body) > limits.max_body_bytes:
-            return client_error(413, ResultCode.BODY_TOO_LARGE, "body_too_large")
-        if is_chunked and ANSWER_BODY.has_too_many_parts(len(body), parts):
-            log_event(logger, "body_invalid", bytes=len(body), parts=parts)
-            return client_error(413, ResultCode.BODY_TOO_LARGE, TOO_MANY_PARTS)
+            reason = TOO_MANY_PARTS if has_many_parts else "body_too_large"
+            return client_error(413, ResultCode.BODY_TOO_LARGE, reason)
+        if has_many_parts:
+            gate.admit_many_parts(holding)
 
 
 async def _read_chunk(content: StreamReader) -> bytes:
--- a/packages/kumquatrouter/src/kumquatrouter/caller_body.py
+++ b/packages/kumquatrouter/src/kumquatrouter/caller_body.py
@@ -116,7 +116,7 @@
         if len(body) > limits.max_body_bytes:
             raise RouterError(ResultCode.BODY_TOO_LARGE)
         if is_chunked and has_too_many_parts(len(body), parts, FREE_PARTS):
-            raise RouterError(ResultCode.BODY_TOO_LARGE, "too many chunks")
+            gate.admit_many_parts(holding)
 
 
 async def _read_chunk(content: StreamReader) -> bytes:
