--- a/review/standins2/entry_host.py
+++ b/review/standins2/entry_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import tomllib
@@ -13,13 +14,27 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 20.0
+PORTS = (20_000, 30_000)
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing listens on.
+
+    It lies below those that systems give to outgoing connections, so that a
+    process finds it free again when it is started once more.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 class EntryHost:
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -23,6 +23,8 @@
         self.history: list[Row] = []
         self.version = 0
         self._changed = asyncio.Event()
+        # Tables whose calls are refused, since their partitions are down.
+        self.down: set[str] = set()
         # Writes of the hosts and of the servers so far.
         self.writes = 0
         # While set, removals get no answer and are done so many seconds later.
@@ -65,6 +67,9 @@
 
     async def _handle(self, request: Request, connection: Connection) -> None:
         query = dict(parse_qsl(urlsplit(request.target).query))
+        if self.down & _tables_of(request, query):
+            await connection.answer(503)
+            return
         status, document = 404, {}
         match request.method, request.path:
             case "GET", "/api/rows-get":
@@ -136,3 +141,12 @@
         for row in body["remove"]:
             self._remove(row["table"], row["key"])
         return 200, self._state([])
+
+
+def _tables_of(request: Request, query: dict[str, str]) -> set[str]:
+    """Return the tables that a call concerns."""
+    if request.method == "GET":
+        return {query.get("table", "")}
+    body = json.loads(request.body)
+    rows = [*body["expected_rev"], *body["writes"], *body["remove"]]
+    return {row["table"] for row in rows}
